--- /dev/null
+++ b/src/balsamlift/__init__.py
@@ -0,0 +1,1 @@
+"""Serve generations of unknown length on crowded engines."""
--- /dev/null
+++ b/src/balsamlift/exceptions.py
@@ -0,0 +1,105 @@
+"""The tree of errors: everything raised on purpose is a `BalsamliftError`."""
+
+from __future__ import annotations
+
+
+class BalsamliftError(Exception):
+    """Be the base of every error raised on purpose."""
+
+    def __init__(self, message: str) -> None:
+        """Keep the message for people."""
+        super().__init__(message)
+        self.message = message
+
+
+class ServiceMissingError(BalsamliftError):
+    """Tell that no service of that name and kind is registered."""
+
+    def __init__(self, name: str) -> None:
+        """Name the service."""
+        super().__init__(f"no service named {name!r}")
+
+
+class ServiceTakenError(BalsamliftError):
+    """Tell that a service name is registered twice."""
+
+    def __init__(self, name: str) -> None:
+        """Name the service."""
+        super().__init__(f"a service named {name!r} is registered already")
+
+
+class SettingsError(BalsamliftError):
+    """Tell which field of a settings or preset file is wrong."""
+
+    def __init__(self, file: str, path: str, expected: str) -> None:
+        """Say where the field stands and what was expected there."""
+        super().__init__(f"{file}: {path}: expected {expected}")
+        self.file = file
+        self.path = path
+        self.expected = expected
+
+
+class RequestError(BalsamliftError):
+    """Be the base of errors in what a caller sent (HTTP 4xx)."""
+
+    status = 400
+    code = "bad_request"
+
+
+class RefusedError(BalsamliftError):
+    """Tell that the request certainly did not run.
+
+    `retry_after_ms` says when coming back makes sense.
+    """
+
+    def __init__(self, reason: str, retry_after_ms: int) -> None:
+        """Keep the reason code and the time to come back."""
+        super().__init__(f"refused: {reason}")
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
+class PlatformError(BalsamliftError):
+    """Be the base of failures of the platform's services."""
+
+
+class LogUnavailableError(PlatformError):
+    """Tell that the log gave no answer; an append may have taken effect."""
+
+
+class UpstreamError(BalsamliftError):
+    """Be the base of failures of an upstream."""
+
+    def __init__(self, upstream: str, message: str) -> None:
+        """Name the upstream."""
+        super().__init__(f"upstream {upstream}: {message}")
+        self.upstream = upstream
+
+
+class UpstreamRefusedError(UpstreamError):
+    """Tell that the upstream said itself that the work did not run."""
+
+    def __init__(
+        self, upstream: str, reason: str, retry_after_ms: int
+    ) -> None:
+        """Keep the reason code and the time to come back."""
+        super().__init__(upstream, f"refused: {reason}")
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
+class UpstreamUnreachableError(UpstreamError):
+    """Tell that not a byte of the request left for the upstream."""
+
+
+class UpstreamSilentError(UpstreamError):
+    """Tell that bytes were sent and no answer came; it may have run."""
+
+
+class PeerUnreachableError(BalsamliftError):
+    """Tell that a peer gave no answer."""
+
+    def __init__(self, host: str) -> None:
+        """Name the host."""
+        super().__init__(f"peer {host}: no answer")
+        self.host = host
