--- /dev/null
+++ b/src/balsamlift/operators.py
@@ -0,0 +1,58 @@
+"""The HTTP address for operators and peers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from balsamlift._address import join_address, split_address
+from balsamlift.kernel import Kernel
+
+Routes = list[tuple[str, type[RequestHandler], dict[str, Any]]]
+
+
+class JsonHandler(RequestHandler):
+    """Answer in JSON."""
+
+    def reply(self, body: Any, status: int = 200) -> None:
+        """Send `body` as JSON."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(body))
+
+
+class OperatorsServer:
+    """Serve the routes that other services add.
+
+    Listens from its construction, so that the port is known early;
+    routes may be added at any time.
+    """
+
+    name = "operators"
+
+    def __init__(self, address: str) -> None:
+        """Bind `address`, "IP:port"."""
+        ip, port = split_address(address)
+        self._sockets = bind_sockets(port, ip)
+        bound_port = self._sockets[0].getsockname()[1]
+        self.address = join_address(ip, bound_port)
+        self._application = Application()
+        self._server = HTTPServer(self._application)
+
+    def add_routes(self, routes: Routes) -> None:
+        """Add (pattern, handler class, arguments of its initialize)."""
+        self._application.add_handlers(r".*", list(routes))
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to accept connections."""
+        del kernel
+        self._server.add_sockets(self._sockets)
+
+    async def stop(self) -> None:
+        """Close the address and its connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
