Add the engine model

The stand-in engine and the policy experiment need one model of a crowded engine: continuous batching, paged memory, preemption with recompute, a prefix cache and priorities, with no I/O and no clock. Figures are assumptions and say so.

--- /dev/null
+++ b/src/balsamlift/testing/_engine_model.py
@@ -0,0 +1,321 @@
+"""A model of one continuously batching engine, without I/O or clock."""
+
+from __future__ import annotations
+
+import heapq
+from typing import Literal
+
+import attrs
+
+from balsamlift.testing._prefix_cache import CacheEvent, PrefixCache
+
+Phase = Literal["waiting", "running", "gone"]
+
+
+@attrs.frozen(kw_only=True)
+class EngineParameters:
+    """Size one engine; tokens, blocks of tokens and milliseconds."""
+
+    # Assumption: what is left for sequences on a mid-sized accelerator.
+    memory_tokens: int = 65_536
+    # The customary block size of engines with paged memory.
+    block_tokens: int = 16
+    # Assumption: reading the weights once, a mid-sized model.
+    step_base_ms: float = 12.0
+    # Assumption: sampling and activations of one more sequence.
+    step_per_sequence_ms: float = 0.15
+    # Assumption: reading 1,000 tokens of sequence memory.
+    step_per_1k_context_ms: float = 0.08
+    # Assumption: 10,000 prompt tokens a second.
+    prefill_tokens_per_ms: float = 10.0
+    # Assumption: prompts are computed in chunks so that decoding goes on.
+    prefill_tokens_per_step: int = 512
+    # Assumption: sequences in one batch at most.
+    max_running: int = 64
+    # Assumption: requests that wait before the engine refuses.
+    queue_limit: int = 64
+    # Assumption: length of a shared policy text or report template.
+    prefix_tokens: int = 512
+    # Assumption: free share of memory asked for before one more starts.
+    admit_spare_ratio: float = 0.01
+
+    @property
+    def total_blocks(self) -> int:
+        """Return the number of memory blocks."""
+        return self.memory_tokens // self.block_tokens
+
+
+@attrs.frozen(kw_only=True)
+class Work:
+    """Ask for one generation; a higher `priority` goes first."""
+
+    key: str
+    prompt_tokens: int
+    output_tokens: int
+    prefix: str = ""
+    priority: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Step:
+    """Tell what one step did; a step with nothing to do takes 0 ms."""
+
+    duration_ms: float = 0.0
+    token_keys: list[str] = attrs.field(factory=list)
+    finished_keys: list[str] = attrs.field(factory=list)
+    preempted_keys: list[str] = attrs.field(factory=list)
+    started_keys: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen(kw_only=True)
+class Load:
+    """Report load; memory in tokens, preemptions since the start."""
+
+    running: int
+    queued: int
+    memory_used: int
+    memory_total: int
+    preemptions: int
+
+
+@attrs.define(eq=False)
+class _Sequence:
+    work: Work
+    order: int
+    phase: Phase = "waiting"
+    generated: int = 0
+    to_prefill: int = 0
+    blocks: int = 0  # its own, without those of a shared prefix
+    prefix: str = ""  # the shared prefix that it holds
+
+    @property
+    def tokens(self) -> int:
+        return self.work.prompt_tokens + self.generated
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Sort the most urgent, then the oldest, first."""
+        return (-self.work.priority, self.order)
+
+
+class EngineModel:
+    """Batch sequences step by step over limited memory."""
+
+    def __init__(self, parameters: EngineParameters) -> None:
+        """Begin idle with an empty prefix cache."""
+        self.parameters = parameters
+        self._sequences: dict[str, _Sequence] = {}
+        self._running: list[_Sequence] = []
+        self._waiting: list[tuple[int, int, _Sequence]] = []
+        self._queued = 0
+        self._order = 0
+        self._used_blocks = 0
+        self._preemptions = 0
+        self._cache = PrefixCache(
+            parameters.prefix_tokens // parameters.block_tokens
+        )
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether a step would do nothing."""
+        return not self._sequences
+
+    def output_limit(self, prompt_tokens: int) -> int:
+        """Return how many tokens can follow a prompt, alone in memory."""
+        spare = 2 * self.parameters.block_tokens
+        return self.parameters.memory_tokens - prompt_tokens - spare
+
+    def submit(self, work: Work) -> bool:
+        """Queue `work`; false when the queue is full or it cannot fit.
+
+        A longer output than memory holds is cut to `output_limit`.
+        """
+        limit = self.output_limit(work.prompt_tokens)
+        full = self._queued >= self.parameters.queue_limit
+        if full or limit < 1 or work.key in self._sequences:
+            return False
+        output = max(1, min(work.output_tokens, limit))
+        work = attrs.evolve(work, output_tokens=output)
+        self._order += 1
+        sequence = _Sequence(work, self._order)
+        self._sequences[work.key] = sequence
+        self._enqueue(sequence)
+        return True
+
+    def cancel(self, key: str) -> bool:
+        """Drop the work of `key`; false when there is none."""
+        sequence = self._sequences.pop(key, None)
+        if sequence is None:
+            return False
+        if sequence.phase == "running":
+            self._running.remove(sequence)
+            self._release(sequence)
+        else:
+            self._queued -= 1
+        sequence.phase = "gone"
+        return True
+
+    def step(self) -> Step:
+        """Run one step: start, prefill, make room, decode."""
+        started = self._start_waiting()
+        prefilled = self._prefill()
+        preempted = self._make_room()
+        decoding = [s for s in self._running if not s.to_prefill]
+        if not decoding and not prefilled:
+            return Step(preempted_keys=preempted, started_keys=started)
+        duration_ms = self._duration_ms(len(decoding), prefilled)
+        for sequence in decoding:
+            sequence.generated += 1
+        return Step(
+            duration_ms=duration_ms,
+            token_keys=[s.work.key for s in decoding],
+            finished_keys=self._finish(decoding),
+            preempted_keys=preempted,
+            started_keys=started,
+        )
+
+    def load(self) -> Load:
+        """Return the load at this moment."""
+        block_tokens = self.parameters.block_tokens
+        return Load(
+            running=len(self._running),
+            queued=self._queued,
+            memory_used=self._used() * block_tokens,
+            memory_total=self.parameters.total_blocks * block_tokens,
+            preemptions=self._preemptions,
+        )
+
+    def take_events(self) -> list[CacheEvent]:
+        """Return the cache events since the last call."""
+        return self._cache.take_events()
+
+    def cached_prefixes(self) -> list[str]:
+        """Return the prefixes that would shorten a prefill now."""
+        return self._cache.ready_names()
+
+    def _enqueue(self, sequence: _Sequence) -> None:
+        sequence.phase = "waiting"
+        self._queued += 1
+        heapq.heappush(self._waiting, (*sequence.rank, sequence))
+
+    def _start_waiting(self) -> list[str]:
+        """Start the queue's head while it fits; nothing overtakes it."""
+        started = []
+        while self._waiting:
+            sequence = self._waiting[0][2]
+            if sequence.phase == "waiting" and not self._admit(sequence):
+                break
+            heapq.heappop(self._waiting)
+            if sequence.phase == "running":
+                self._queued -= 1
+                started.append(sequence.work.key)
+        return started
+
+    def _admit(self, sequence: _Sequence) -> bool:
+        if len(self._running) >= self.parameters.max_running:
+            return False
+        prefix = self._prefix_of(sequence.work)
+        shared_tokens = self.parameters.prefix_tokens if prefix else 0
+        own = self._blocks_for(sequence.tokens - shared_tokens)
+        self._cache.hold(prefix)
+        if not self._reserve(own + self._spare_blocks()):
+            self._cache.release(prefix)
+            return False
+        sequence.phase = "running"
+        sequence.prefix = prefix
+        sequence.blocks = own
+        cached = shared_tokens if self._cache.is_ready(prefix) else 0
+        sequence.to_prefill = sequence.tokens - cached
+        self._used_blocks += own
+        self._running.append(sequence)
+        return True
+
+    def _prefix_of(self, work: Work) -> str:
+        """Return the prefix when the prompt reaches beyond it."""
+        fits = work.prompt_tokens > self.parameters.prefix_tokens
+        return work.prefix if fits else ""
+
+    def _spare_blocks(self) -> int:
+        if not self._running:
+            return 0
+        ratio = self.parameters.admit_spare_ratio
+        return 1 + int(self.parameters.total_blocks * ratio)
+
+    def _prefill(self) -> int:
+        """Compute a chunk of prompts, oldest first; return its tokens."""
+        budget = self.parameters.prefill_tokens_per_step
+        for sequence in self._running:
+            if sequence.to_prefill and budget:
+                chunk = min(budget, sequence.to_prefill)
+                sequence.to_prefill -= chunk
+                budget -= chunk
+                if not sequence.to_prefill:
+                    self._cache.mark_ready(sequence.prefix)
+        return self.parameters.prefill_tokens_per_step - budget
+
+    def _make_room(self) -> list[str]:
+        """Give each decoding sequence the block that it needs next."""
+        preempted: list[str] = []
+        for sequence in sorted(self._running, key=lambda s: s.rank):
+            if sequence.to_prefill or not self._needs_block(sequence):
+                continue
+            while sequence.phase == "running" and not self._reserve(1):
+                preempted.append(self._preempt())
+            if sequence.phase == "running":
+                sequence.blocks += 1
+                self._used_blocks += 1
+        return preempted
+
+    def _needs_block(self, sequence: _Sequence) -> bool:
+        shared = self.parameters.prefix_tokens if sequence.prefix else 0
+        need = self._blocks_for(sequence.tokens + 1 - shared)
+        return sequence.phase == "running" and need > sequence.blocks
+
+    def _preempt(self) -> str:
+        """Push aside the least urgent, newest; it computes all again."""
+        victim = max(self._running, key=lambda s: s.rank)
+        self._running.remove(victim)
+        self._release(victim)
+        self._preemptions += 1
+        self._enqueue(victim)
+        return victim.work.key
+
+    def _finish(self, decoding: list[_Sequence]) -> list[str]:
+        done = [s for s in decoding if s.generated >= s.work.output_tokens]
+        for sequence in done:
+            sequence.phase = "gone"
+            del self._sequences[sequence.work.key]
+            self._running.remove(sequence)
+            self._release(sequence)
+        return [s.work.key for s in done]
+
+    def _duration_ms(self, decoding: int, prefilled: int) -> float:
+        parameters = self.parameters
+        context = self._used_blocks * parameters.block_tokens / 1_000
+        return (
+            parameters.step_base_ms
+            + parameters.step_per_sequence_ms * decoding
+            + parameters.step_per_1k_context_ms * context
+            + prefilled / parameters.prefill_tokens_per_ms
+        )
+
+    def _release(self, sequence: _Sequence) -> None:
+        self._used_blocks -= sequence.blocks
+        self._cache.release(sequence.prefix)
+        sequence.blocks = 0
+        sequence.prefix = ""
+        sequence.to_prefill = 0
+
+    def _reserve(self, blocks: int) -> bool:
+        """Tell whether `blocks` are free, evicting unused prefixes."""
+        total = self.parameters.total_blocks
+        while self._used() + blocks > total:
+            if not self._cache.evict():
+                return False
+        return True
+
+    def _used(self) -> int:
+        return self._used_blocks + self._cache.blocks
+
+    def _blocks_for(self, tokens: int) -> int:
+        return -(-tokens // self.parameters.block_tokens)
