--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -103,3 +103,21 @@
         """Name the host."""
         super().__init__(f"peer {host}: no answer")
         self.host = host
+
+
+class FieldError(BalsamliftError):
+    """Tell that a value does not fit its field; `name` may be empty."""
+
+    def __init__(self, name: str, expected: str) -> None:
+        """Name the field and say what was expected there."""
+        super().__init__(f"{name or 'value'}: expected {expected}")
+        self.name = name
+        self.expected = expected
+
+
+class StampError(BalsamliftError):
+    """Tell that a text is no stamp of the hybrid logical clock."""
+
+    def __init__(self, text: str) -> None:
+        """Keep the start of the text."""
+        super().__init__(f"{text[:40]!r} is not MILLISECONDS.COUNTER")
--- /dev/null
+++ b/src/balsamlift/metrics.py
@@ -0,0 +1,176 @@
+"""Counters, gauges and histograms of one host, and their merging."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sized
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from balsamlift.kernel import Kernel
+from balsamlift.operators import JsonHandler, OperatorsServer
+
+MAX_NAMES = 256  # of counters, and as many gauges
+MAX_HISTOGRAMS = 64
+NAMES_DROPPED = "metrics.names_dropped"
+
+_LOWEST_US = 1
+_HIGHEST_US = 3_600_000_000
+_SIGNIFICANT_FIGURES = 2
+_US_PER_MS = 1_000
+
+
+@attrs.frozen
+class Snapshot:
+    """Hold what one host has measured; histograms in HDR's base64 form."""
+
+    counters: dict[str, int] = attrs.field(factory=dict)
+    gauges: dict[str, float] = attrs.field(factory=dict)
+    histograms: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class GaugeSummary:
+    """Hold the spread of one gauge over hosts."""
+
+    low: float
+    high: float
+    total: float
+
+
+@attrs.frozen
+class Distribution:
+    """Hold the percentiles of one histogram."""
+
+    count: int
+    mean_ms: float
+    p50_ms: float
+    p90_ms: float
+    p99_ms: float
+    p999_ms: float
+    max_ms: float
+
+
+@attrs.frozen
+class Summary:
+    """Hold the merged measurements of several hosts."""
+
+    counters: dict[str, int] = attrs.field(factory=dict)
+    gauges: dict[str, GaugeSummary] = attrs.field(factory=dict)
+    distributions: dict[str, Distribution] = attrs.field(factory=dict)
+
+
+class Metrics:
+    """Count and time what happens on this host.
+
+    The number of names is bounded; a name past the bound is counted under
+    `NAMES_DROPPED` and left out.
+    """
+
+    name = "metrics"
+
+    def __init__(self) -> None:
+        """Begin with nothing measured."""
+        self._counters: dict[str, int] = {NAMES_DROPPED: 0}
+        self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Show the measurements to operators."""
+        operators = kernel.find("operators", OperatorsServer)
+        arguments = {"metrics": self}
+        operators.add_routes([(r"/v1/metrics", MetricsHandler, arguments)])
+
+    async def stop(self) -> None:
+        """Keep the measurements; there is nothing to end."""
+
+    def count(self, name: str, n: int = 1) -> None:
+        """Add `n` to a counter."""
+        if name in self._counters or self._room(self._counters, MAX_NAMES):
+            self._counters[name] = self._counters.get(name, 0) + n
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        if name in self._gauges or self._room(self._gauges, MAX_NAMES):
+            self._gauges[name] = value
+
+    def observe_ms(self, name: str, value: float) -> None:
+        """Record a time in milliseconds, kept to a microsecond's grain."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            if not self._room(self._histograms, MAX_HISTOGRAMS):
+                return
+            histogram = _new_histogram()
+            self._histograms[name] = histogram
+        value_us = round(value * _US_PER_MS)
+        histogram.record_value(min(max(value_us, _LOWEST_US), _HIGHEST_US))
+
+    def snapshot(self) -> Snapshot:
+        """Return a copy of all measurements."""
+        histograms = {
+            name: histogram.encode().decode("ascii")
+            for name, histogram in self._histograms.items()
+        }
+        return Snapshot(dict(self._counters), dict(self._gauges), histograms)
+
+    def _room(self, names: Sized, most: int) -> bool:
+        if len(names) < most:
+            return True
+        self._counters[NAMES_DROPPED] += 1
+        return False
+
+
+def merge_snapshots(snapshots: Iterable[Snapshot]) -> Summary:
+    """Return sums, spreads and percentiles over all snapshots."""
+    counters: dict[str, int] = {}
+    gauges: dict[str, list[float]] = {}
+    histograms: dict[str, HdrHistogram] = {}
+    for snapshot in snapshots:
+        for name, n in snapshot.counters.items():
+            counters[name] = counters.get(name, 0) + n
+        for name, value in snapshot.gauges.items():
+            gauges.setdefault(name, []).append(value)
+        for name, encoded in snapshot.histograms.items():
+            merged = histograms.setdefault(name, _new_histogram())
+            merged.add(HdrHistogram.decode(encoded))
+    return Summary(
+        counters,
+        {name: _spread(values) for name, values in gauges.items()},
+        {name: _distribution(merged) for name, merged in histograms.items()},
+    )
+
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(_LOWEST_US, _HIGHEST_US, _SIGNIFICANT_FIGURES)
+
+
+def _spread(values: list[float]) -> GaugeSummary:
+    return GaugeSummary(min(values), max(values), sum(values))
+
+
+def _distribution(histogram: HdrHistogram) -> Distribution:
+    def percentile_ms(percentile: float) -> float:
+        value_us = histogram.get_value_at_percentile(percentile)
+        return float(value_us) / _US_PER_MS
+
+    return Distribution(
+        count=int(histogram.get_total_count()),
+        mean_ms=float(histogram.get_mean_value()) / _US_PER_MS,
+        p50_ms=percentile_ms(50),
+        p90_ms=percentile_ms(90),
+        p99_ms=percentile_ms(99),
+        p999_ms=percentile_ms(99.9),
+        max_ms=float(histogram.get_max_value()) / _US_PER_MS,
+    )
+
+
+class MetricsHandler(JsonHandler):
+    """Answer `GET /v1/metrics` with a snapshot."""
+
+    def initialize(self, metrics: Metrics) -> None:
+        """Keep the measurements to read."""
+        self._metrics = metrics
+
+    def get(self) -> None:
+        """Answer with the snapshot of now."""
+        self.reply(self._metrics.snapshot())
