--- /dev/null
+++ b/src/balsamlift/_loading.py
@@ -0,0 +1,212 @@
+"""Load settings and presets: JSON with comments into attrs classes."""
+
+from __future__ import annotations
+
+import difflib
+import math
+import typing
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import attrs
+import cattrs
+import json5
+from cattrs.cols import list_structure_factory, mapping_structure_factory
+from cattrs.errors import (
+    AttributeValidationNote,
+    BaseValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationNote,
+)
+from cattrs.gen import make_dict_structure_fn
+
+from balsamlift.exceptions import FieldError, SettingsError
+
+T = TypeVar("T")
+_Hook = Callable[[Any, Any], Any]
+
+_WHOLE = "(whole)"
+_UNITS = ("ms", "s", "bytes", "ratio", "per_s")
+
+
+def load(file: str | Path, cls: type[T]) -> T:
+    """Return the `cls` that a file of JSON with comments describes.
+
+    Raises `SettingsError` for the first thing that is wrong.
+    """
+    name = str(file)
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(name, _WHOLE, f"a text file ({error})") from error
+    try:
+        value = json5.loads(text, allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as error:
+        raise SettingsError(
+            name, _WHOLE, f"JSON with comments ({error})"
+        ) from error
+    return structure(value, cls, name)
+
+
+def structure(obj: object, cls: type[T], file: str = "") -> T:
+    """Return the `cls` that plain data describes, strictly.
+
+    Raises `SettingsError` for the first thing that is wrong: its `path`
+    names the field, such as `pools.drafting.kind`.
+    """
+    try:
+        return _CONVERTER.structure(obj, cls)
+    except (BaseValidationError, FieldError) as error:
+        path, expected = _explain(error)
+        raise SettingsError(
+            file or cls.__name__, ".".join(path) or _WHOLE, expected
+        ) from error
+
+
+def _explain(error: BaseException) -> tuple[list[str], str]:
+    """Return the path to the first fault and what was expected there."""
+    if isinstance(error, BaseValidationError):
+        inner = _first(error.exceptions)
+        path, expected = _explain(inner)
+        return _steps(inner) + path, expected
+    if isinstance(error, FieldError):
+        return [error.name] if error.name else [], error.expected
+    if isinstance(error, ForbiddenExtraKeysError):
+        unknown = min(error.extra_fields)
+        return [unknown], _suggestion(unknown, error.cl)
+    if isinstance(error, KeyError):
+        return [], "a value, the field is missing"
+    return [], f"another value ({error})"
+
+
+def _first(errors: typing.Sequence[BaseException]) -> BaseException:
+    """Prefer an unknown field: it tells more than the one then missing."""
+    for error in errors:
+        if isinstance(error, ForbiddenExtraKeysError):
+            return error
+    return errors[0]
+
+
+def _steps(error: BaseException) -> list[str]:
+    """Return the step that cattrs noted on an error, if any."""
+    for note in getattr(error, "__notes__", []):
+        if isinstance(note, AttributeValidationNote):
+            return [note.name]
+        if isinstance(note, IterableValidationNote):
+            return [str(note.index)]
+    return []
+
+
+def _suggestion(unknown: str, cls: type[Any]) -> str:
+    """Return what to write in place of an unknown field."""
+    names = [field.name for field in attrs.fields(cls)]
+    same = [name for name in names if _stem(name) == _stem(unknown)]
+    if same:
+        return f"the field {same[0]} (mind its unit)"
+    close = difflib.get_close_matches(unknown, names, n=1)
+    if close:
+        return f"a known field; did you mean {close[0]}?"
+    return f"a known field: {', '.join(names)}"
+
+
+def _stem(name: str) -> str:
+    """Return a field's name without its unit."""
+    for unit in _UNITS:
+        if name.endswith(f"_{unit}"):
+            return name.removesuffix(f"_{unit}")
+    return name
+
+
+def _structure_str(value: object, _: object) -> str:
+    if type(value) is not str:
+        raise FieldError("", f"a text, not {_shown(value)}")
+    return value
+
+
+def _structure_int(value: object, _: object) -> int:
+    if type(value) is not int:
+        raise FieldError("", f"a whole number, not {_shown(value)}")
+    return value
+
+
+def _structure_float(value: object, _: object) -> float:
+    if type(value) not in (int, float):
+        raise FieldError("", f"a number, not {_shown(value)}")
+    number = float(typing.cast(float, value))
+    if not math.isfinite(number):
+        raise FieldError("", f"a finite number, not {value}")
+    return number
+
+
+def _structure_bool(value: object, _: object) -> bool:
+    if type(value) is not bool:
+        raise FieldError("", f"true or false, not {_shown(value)}")
+    return value
+
+
+def _shown(value: object) -> str:
+    """Return a value as it stands in a message, cut short."""
+    text = repr(value)
+    return text if len(text) <= 60 else f"{text[:57]}..."
+
+
+def _only(kind: type, words: str, hook: _Hook) -> _Hook:
+    """Return `hook` behind a check of the kind of value."""
+
+    def structure_checked(value: Any, cls: Any) -> Any:
+        if not isinstance(value, kind):
+            raise FieldError("", f"{words}, not {_shown(value)}")
+        if isinstance(value, dict) and not all(
+            type(key) is str for key in value
+        ):
+            raise FieldError("", f"names as keys, not {_shown(value)}")
+        return hook(value, cls)
+
+    return structure_checked
+
+
+def _is_a(container: type) -> Callable[[Any], bool]:
+    """Return a test for types such as `list[str]`."""
+
+    def test(cls: Any) -> bool:
+        origin: object = typing.get_origin(cls)
+        return origin is container
+
+    return test
+
+
+def _converter() -> cattrs.Converter:
+    """Return a converter that neither guesses nor drops anything."""
+    converter = cattrs.Converter(
+        forbid_extra_keys=True, detailed_validation=True
+    )
+    converter.register_structure_hook(str, _structure_str)
+    converter.register_structure_hook(int, _structure_int)
+    converter.register_structure_hook(float, _structure_float)
+    converter.register_structure_hook(bool, _structure_bool)
+
+    def for_class(cls: Any) -> _Hook:
+        hook = make_dict_structure_fn(
+            cls,
+            converter,
+            _cattrs_forbid_extra_keys=True,
+            _cattrs_detailed_validation=True,
+        )
+        return _only(dict, "an object", hook)
+
+    def for_list(cls: Any) -> _Hook:
+        hook = list_structure_factory(cls, converter)
+        return _only(list, "a list", hook)
+
+    def for_dict(cls: Any) -> _Hook:
+        hook = mapping_structure_factory(cls, converter)
+        return _only(dict, "an object", hook)
+
+    converter.register_structure_hook_factory(attrs.has, for_class)
+    converter.register_structure_hook_factory(_is_a(list), for_list)
+    converter.register_structure_hook_factory(_is_a(dict), for_dict)
+    return converter
+
+
+_CONVERTER = _converter()
--- a/src/balsamlift/settings.py
+++ b/src/balsamlift/settings.py
@@ -4,12 +4,31 @@
 
 import attrs
 
+from balsamlift._validators import (
+    DAY_MS,
+    address,
+    between,
+    identifier,
+    longer_than,
+    names,
+    one_of,
+    remote_address,
+)
+
+POOL_KINDS = ("engine", "service")
+LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
+
+_MINUTE_MS = 60_000
+_HOUR_MS = 60 * _MINUTE_MS
+_GIBIBYTE = 1 << 30
+_LARGEST_SEED = (1 << 63) - 1
+
 
 @attrs.frozen(kw_only=True)
 class PoolSettings:
     """Describe the upstreams of one pool, as the operators know them."""
 
-    kind: str  # "engine" or "service"
+    kind: str = attrs.field(validator=one_of(*POOL_KINDS))
     checks_fence: bool = False
     deterministic: bool = False
     tells_by_key: bool = False
@@ -19,61 +38,98 @@
 class PlatformSettings:
     """Say where the platform's services listen."""
 
-    log_address: str
-    hosts_address: str
-    log_silence_ms: int = 2_000
-    hosts_poll_ms: int = 1_000
+    log_address: str = attrs.field(validator=remote_address)
+    hosts_address: str = attrs.field(validator=remote_address)
+    log_silence_ms: int = attrs.field(
+        default=2_000, validator=between(10, _MINUTE_MS)
+    )
+    hosts_poll_ms: int = attrs.field(
+        default=1_000, validator=between(10, _MINUTE_MS)
+    )
 
 
 @attrs.frozen(kw_only=True)
 class PeerSettings:
     """Bound the traffic between hosts."""
 
-    heartbeat_ms: int = 250
-    silence_ms: int = 1_500
-    fan_out: int = 16  # peers addressed per round; all at today's size
+    heartbeat_ms: int = attrs.field(
+        default=250, validator=between(10, _MINUTE_MS)
+    )
+    silence_ms: int = attrs.field(
+        default=1_500,
+        validator=[between(20, _MINUTE_MS), longer_than("heartbeat_ms")],
+    )
+    # Peers addressed per round; all of them at today's size.
+    fan_out: int = attrs.field(default=16, validator=between(1, 1_000))
 
 
 @attrs.frozen(kw_only=True)
 class LimitSettings:
     """Bound what one host holds."""
 
-    body_bytes: int = 1_048_576
-    keys: int = 200_000
-    key_lifetime_ms: int = 600_000
-    answers_bytes: int = 48_000_000
-    answer_keep_ms: int = 60_000
-    streams: int = 2_000
-    timeline_events: int = 20_000
+    body_bytes: int = attrs.field(
+        default=1_048_576, validator=between(1_024, _GIBIBYTE)
+    )
+    keys: int = attrs.field(default=200_000, validator=between(1, 100_000_000))
+    key_lifetime_ms: int = attrs.field(
+        default=600_000, validator=between(100, DAY_MS)
+    )
+    answers_bytes: int = attrs.field(
+        default=48_000_000, validator=between(1_024, 64 * _GIBIBYTE)
+    )
+    answer_keep_ms: int = attrs.field(
+        default=60_000, validator=between(100, DAY_MS)
+    )
+    streams: int = attrs.field(default=2_000, validator=between(1, 1_000_000))
+    timeline_events: int = attrs.field(
+        default=20_000, validator=between(1, 10_000_000)
+    )
 
 
 @attrs.frozen(kw_only=True)
 class StreamSettings:
     """Bound the silence on streams."""
 
-    heartbeat_ms: int = 1_000
-    upstream_silence_ms: int = 3_000
-    connect_ms: int = 1_000
-    abandon_ms: int = 15_000  # callers gone this long: cancel
+    heartbeat_ms: int = attrs.field(
+        default=1_000, validator=between(10, _MINUTE_MS)
+    )
+    upstream_silence_ms: int = attrs.field(
+        default=3_000, validator=between(20, 10 * _MINUTE_MS)
+    )
+    connect_ms: int = attrs.field(
+        default=1_000, validator=between(10, _MINUTE_MS)
+    )
+    # Cancel the generation of a caller that is gone this long.
+    abandon_ms: int = attrs.field(
+        default=15_000, validator=between(10, _HOUR_MS)
+    )
 
 
 @attrs.frozen(kw_only=True)
 class Settings:
-    """Hold all settings of one daemon."""
-
-    host: str
-    failure_domain: str
-    callers_address: str  # "IP:port"; port 0 lets the system choose
-    operators_address: str  # for operators and peers, HTTP
-    peers_address: str  # pynng
-    region: str = "region-1"
+    """Hold all settings of one daemon.
+
+    Addresses are "IP:port"; port 0 lets the system choose a free one.
+    """
+
+    host: str = attrs.field(validator=identifier)
+    failure_domain: str = attrs.field(validator=identifier)
+    callers_address: str = attrs.field(validator=address)
+    operators_address: str = attrs.field(validator=address)
+    peers_address: str = attrs.field(validator=address)
+    region: str = attrs.field(default="region-1", validator=identifier)
     platform: PlatformSettings
-    pools: dict[str, PoolSettings]
-    address_keep_ms: int = 5_000
-    shutdown_ms: int = 120_000
+    pools: dict[str, PoolSettings] = attrs.field(validator=names)
+    address_keep_ms: int = attrs.field(
+        default=5_000, validator=between(10, _HOUR_MS)
+    )
+    shutdown_ms: int = attrs.field(
+        default=120_000, validator=between(10, DAY_MS)
+    )
     peers: PeerSettings = attrs.field(factory=PeerSettings)
     limits: LimitSettings = attrs.field(factory=LimitSettings)
     streams: StreamSettings = attrs.field(factory=StreamSettings)
-    log_level: str = "INFO"
+    log_level: str = attrs.field(default="INFO", validator=one_of(*LOG_LEVELS))
     log_json: bool = False
-    seed: int = 0  # 0: from the system's entropy
+    # 0 draws a seed from the system's entropy.
+    seed: int = attrs.field(default=0, validator=between(0, _LARGEST_SEED))
