Add the records of the log and its client

The fold, its service and the orders read these records; the client joins appends that wait together and never repeats one whose answer was lost.

--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -105,7 +105,7 @@
         self.host = host
 
 
-class FieldError(BalsamliftError):
+class FieldError(BalsamliftError, ValueError):
     """Tell that a value does not fit its field; `name` may be empty."""
 
     def __init__(self, name: str, expected: str) -> None:
@@ -121,3 +121,12 @@
     def __init__(self, text: str) -> None:
         """Keep the start of the text."""
         super().__init__(f"{text[:40]!r} is not MILLISECONDS.COUNTER")
+
+
+class LogBlockedError(LogUnavailableError):
+    """Tell that an append was not tried; it certainly took no effect."""
+
+    def __init__(self, retry_after_ms: int) -> None:
+        """Keep the time to come back."""
+        super().__init__(f"the log is backed off for {retry_after_ms} ms")
+        self.retry_after_ms = retry_after_ms
--- /dev/null
+++ b/src/balsamlift/presets/__init__.py
@@ -0,0 +1,47 @@
+"""Presets, published and switched on the platform's log."""
+
+from balsamlift.presets._check import check_pools, check_preset
+from balsamlift.presets._log import Batch, LogClient
+from balsamlift.presets._preset import (
+    KindPreset,
+    PoolPreset,
+    Preset,
+    WorkspacePreset,
+)
+from balsamlift.presets._records import (
+    Checkpoint,
+    Claim,
+    Entry,
+    Lease,
+    Publish,
+    Record,
+    Switch,
+    decode_record,
+    encode_record,
+    new_operation,
+)
+from balsamlift.presets._state import FoldState, InForce, LeaseInForce
+
+__all__ = [
+    "Batch",
+    "Checkpoint",
+    "Claim",
+    "Entry",
+    "FoldState",
+    "InForce",
+    "KindPreset",
+    "Lease",
+    "LeaseInForce",
+    "LogClient",
+    "PoolPreset",
+    "Preset",
+    "Publish",
+    "Record",
+    "Switch",
+    "WorkspacePreset",
+    "check_pools",
+    "check_preset",
+    "decode_record",
+    "encode_record",
+    "new_operation",
+]
