--- a/src/balsamlift/_loading.py
+++ b/src/balsamlift/_loading.py
@@ -4,6 +4,7 @@
 
 import difflib
 import math
+import re
 import typing
 from collections.abc import Callable
 from pathlib import Path
@@ -26,6 +27,7 @@
 T = TypeVar("T")
 _Hook = Callable[[Any, Any], Any]
 
+_ATTRS_MESSAGE = re.compile(r"'(?P<name>\w+)' (?P<rule>must .*)", re.DOTALL)
 _WHOLE = "(whole)"
 _UNITS = ("ms", "s", "bytes", "ratio", "per_s")
 
@@ -77,7 +79,16 @@
         return [unknown], _suggestion(unknown, error.cl)
     if isinstance(error, KeyError):
         return [], "a value, the field is missing"
-    return [], f"another value ({error})"
+    return _explain_other(error)
+
+
+def _explain_other(error: BaseException) -> tuple[list[str], str]:
+    """Take the field's name from the message of attrs' own validators."""
+    message = str(error.args[0]) if error.args else str(error)
+    match = _ATTRS_MESSAGE.match(message)
+    if match:
+        return [match["name"]], f"a value that {match['rule']}"
+    return [], f"another value ({message})"
 
 
 def _first(errors: typing.Sequence[BaseException]) -> BaseException:
--- a/src/balsamlift/_validators.py
+++ b/src/balsamlift/_validators.py
@@ -86,6 +86,16 @@
         )
 
 
+def plain_name(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
+    """Accept letters, digits, "-", "_" and "."."""
+    if not _NAME.fullmatch(value):
+        raise FieldError(
+            field.name,
+            f"1 to {LARGEST_NAME} letters, digits, hyphens, underscores "
+            f'and dots, not "{value}"',
+        )
+
+
 def address(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
     """Accept "IP:port" with an IP number, never a host name."""
     expected = f'"IP number:port" such as "127.0.0.1:7000", not "{value}"'
@@ -125,12 +135,23 @@
     return check
 
 
-def names(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
-    """Accept a mapping whose keys are letters, digits, "-", "_", "."."""
-    for key in value:
-        if not _NAME.fullmatch(key):
+def names(most: int, *others: str) -> Validator:
+    """Return a validator for a mapping's keys: 1 to `most` plain names.
+
+    The names in `others` are allowed besides.
+    """
+
+    def check(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
+        if not 0 < len(value) <= most:
             raise FieldError(
-                f"{field.name}.{key}",
-                f"a name of 1 to {LARGEST_NAME} letters, digits, "
-                "hyphens, underscores and dots",
+                field.name, f"1 to {most} entries, not {len(value)}"
             )
+        for key in value:
+            if key not in others and not _NAME.fullmatch(key):
+                raise FieldError(
+                    f"{field.name}.{key}",
+                    f"a name of 1 to {LARGEST_NAME} letters, digits, "
+                    "hyphens, underscores and dots",
+                )
+
+    return check
--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -130,3 +130,7 @@
         """Keep the time to come back."""
         super().__init__(f"the log is backed off for {retry_after_ms} ms")
         self.retry_after_ms = retry_after_ms
+
+
+class HostsUnavailableError(PlatformError):
+    """Tell that the platform gave no usable list of hosts."""
--- a/src/balsamlift/presets/_preset.py
+++ b/src/balsamlift/presets/_preset.py
@@ -4,45 +4,101 @@
 
 import attrs
 
+from balsamlift._validators import (
+    DAY_MS,
+    above,
+    between,
+    inside,
+    names,
+    plain_name,
+    sha256_or_empty,
+)
+from balsamlift.exceptions import FieldError
 from balsamlift.placement import Policy
 
+ANY_WORKSPACE = "*"
+LOWEST_PRIORITY = 9
+MOST_KINDS = 1_000
+MOST_WORKSPACES = 100_000
+MOST_POOLS = 1_000
+MOST_ADAPTERS = 64
+MOST_TOKENS = 1_000_000
+LARGEST_WEIGHT = 1_000_000
+
 
 @attrs.frozen(kw_only=True)
 class KindPreset:
     """Set how requests of one kind are served."""
 
-    pool: str
+    pool: str = attrs.field(validator=plain_name)
     idempotent: bool = True
-    priority: int = 1  # 0 is served first
-    max_tokens: int = 4_096
-    deadline_ms: int = 120_000
-    quantile: float = 0.9  # of the learned lengths, for admission
+    # 0 is served first.
+    priority: int = attrs.field(
+        default=1, validator=between(0, LOWEST_PRIORITY)
+    )
+    max_tokens: int = attrs.field(
+        default=4_096, validator=between(1, MOST_TOKENS)
+    )
+    deadline_ms: int = attrs.field(
+        default=120_000, validator=between(10, DAY_MS)
+    )
+    # Of the learned lengths, for admission.
+    quantile: float = attrs.field(default=0.9, validator=inside(0, 1))
 
 
 @attrs.frozen(kw_only=True)
 class WorkspacePreset:
     """Set what one workspace may use."""
 
-    weight: float = 1.0
-    token_sha256: str = ""  # of the bearer token; empty: none is asked for
+    weight: float = attrs.field(
+        default=1.0,
+        validator=[above(0), between(0, LARGEST_WEIGHT)],
+    )
+    # Of the bearer token; when empty, none is asked for.
+    token_sha256: str = attrs.field(default="", validator=sha256_or_empty)
+
+
+def _check_adapters(
+    _: PoolPreset, field: attrs.Attribute[list[str]], value: list[str]
+) -> None:
+    if len(value) > MOST_ADAPTERS:
+        raise FieldError(field.name, f"at most {MOST_ADAPTERS} adapters")
+    if len(set(value)) < len(value):
+        raise FieldError(field.name, "each adapter once")
+    for adapter in value:
+        plain_name(None, field, adapter)
 
 
 @attrs.frozen(kw_only=True)
 class PoolPreset:
     """Set what the engines of one pool shall have loaded."""
 
-    model: str
-    version: str
-    adapters: list[str] = attrs.field(factory=list)
-    role: str = "mixed"
+    model: str = attrs.field(validator=plain_name)
+    version: str = attrs.field(validator=plain_name)
+    adapters: list[str] = attrs.field(factory=list, validator=_check_adapters)
+    role: str = attrs.field(default="mixed", validator=plain_name)
+
+
+def _check_pools(
+    _: Preset,
+    field: attrs.Attribute[dict[str, PoolPreset]],
+    value: dict[str, PoolPreset],
+) -> None:
+    if value:  # a deployment of plain services has no engine pool
+        names(MOST_POOLS)(None, field, value)
 
 
 @attrs.frozen(kw_only=True)
 class Preset:
     """Hold one whole preset."""
 
-    name: str
-    kinds: dict[str, KindPreset]
-    workspaces: dict[str, WorkspacePreset]  # "*": any other workspace
-    pools: dict[str, PoolPreset] = attrs.field(factory=dict)
+    name: str = attrs.field(validator=plain_name)
+    kinds: dict[str, KindPreset] = attrs.field(validator=names(MOST_KINDS))
+    # ANY_WORKSPACE stands for those that are not named.
+    workspaces: dict[str, WorkspacePreset] = attrs.field(
+        validator=names(MOST_WORKSPACES, ANY_WORKSPACE)
+    )
+    pools: dict[str, PoolPreset] = attrs.field(
+        factory=dict, validator=_check_pools
+    )
     policy: Policy = attrs.field(factory=Policy)
--- a/src/balsamlift/settings.py
+++ b/src/balsamlift/settings.py
@@ -18,6 +18,8 @@
 POOL_KINDS = ("engine", "service")
 LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
 
+MOST_POOLS = 1_000
+
 _MINUTE_MS = 60_000
 _HOUR_MS = 60 * _MINUTE_MS
 _GIBIBYTE = 1 << 30
@@ -119,7 +121,7 @@
     peers_address: str = attrs.field(validator=address)
     region: str = attrs.field(default="region-1", validator=identifier)
     platform: PlatformSettings
-    pools: dict[str, PoolSettings] = attrs.field(validator=names)
+    pools: dict[str, PoolSettings] = attrs.field(validator=names(MOST_POOLS))
     address_keep_ms: int = attrs.field(
         default=5_000, validator=between(10, _HOUR_MS)
     )
