Add admission and placement

The policy runs on attrs data with an explicit time (Scheduler); the service Placement feeds it from the other services. Memory is forecast per engine as the mean and variance of what is in flight, given the tokens produced; the queue is shared by deficit round robin; what cannot be in time is refused at once, with a time to come back from the observed rate. Peers are told expected tokens per engine (requests for plain services), as tokens are what memory is shared by.

--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -1,5 +1,9 @@
 """Decide who runs, when and where."""
 
+from balsamlift.placement._ask import Ask, Ticket
+from balsamlift.placement._engine import LoadReport
 from balsamlift.placement._policy import Policy
+from balsamlift.placement._scheduler import Scheduler
+from balsamlift.placement._service import Placement
 
-__all__ = ["Policy"]
+__all__ = ["Ask", "LoadReport", "Placement", "Policy", "Scheduler", "Ticket"]
--- a/src/balsamlift/placement/_policy.py
+++ b/src/balsamlift/placement/_policy.py
@@ -4,15 +4,43 @@
 
 import attrs
 
+_POSITIVE = attrs.validators.gt(0.0)
+_NOT_NEGATIVE = attrs.validators.ge(0.0)
+_SHARE = [attrs.validators.ge(0.0), attrs.validators.le(1.0)]
+_NAMES = ("balsamlift", "round_robin", "least_load")
+
 
 @attrs.frozen(kw_only=True)
 class Policy:
     """Weigh and bound placement and admission."""
 
-    name: str = "balsamlift"  # or "round_robin", "least_load"
-    memory_weight: float = 1.0
-    gap_weight: float = 1.0
-    prefix_weight: float = 0.5
-    queue_requests: int = 200
-    queue_wait_ms: int = 5_000
-    retry_ratio: float = 0.1
+    name: str = attrs.field(
+        default="balsamlift", validator=attrs.validators.in_(_NAMES)
+    )
+    # Weights of the choice between two engines; 0 leaves a signal out.
+    memory_weight: float = attrs.field(default=1.0, validator=_NOT_NEGATIVE)
+    gap_weight: float = attrs.field(default=1.0, validator=_NOT_NEGATIVE)
+    prefix_weight: float = attrs.field(default=0.5, validator=_NOT_NEGATIVE)
+    # Bounds of the queue of one host.
+    queue_requests: int = attrs.field(
+        default=200, validator=attrs.validators.ge(0)
+    )
+    queue_wait_ms: int = attrs.field(
+        default=5_000, validator=attrs.validators.ge(0)
+    )
+    # Retries allowed per request admitted.
+    retry_ratio: float = attrs.field(default=0.1, validator=_SHARE)
+    # Memory: the share of an engine filled, and the part of that kept
+    # for priority 0.
+    memory_share: float = attrs.field(default=0.95, validator=_SHARE)
+    reserve_share: float = attrs.field(default=0.1, validator=_SHARE)
+    # Gap between tokens above which concurrency is cut.
+    gap_target_ms: float = attrs.field(default=60.0, validator=_POSITIVE)
+    # An engine this many times slower than the median is ejected.
+    eject_ratio: float = attrs.field(
+        default=3.0, validator=attrs.validators.gt(1.0)
+    )
+    eject_ms: float = attrs.field(default=2_000.0, validator=_POSITIVE)
+    return_ms: float = attrs.field(default=5_000.0, validator=_POSITIVE)
+    # Age of the picture that a host has of its peers and the engines.
+    picture_ms: float = attrs.field(default=1_000.0, validator=_POSITIVE)
--- /dev/null
+++ b/src/balsamlift/placement/_queue.py
@@ -0,0 +1,104 @@
+"""Share a queue between workspaces by deficit round robin."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterator
+
+from balsamlift.placement._ask import Ticket
+
+QUANTUM = 256.0  # tokens added per round and unit of weight
+
+
+class FairQueue:
+    """Queue tickets of one pool and priority."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._waiting: OrderedDict[str, deque[Ticket]] = OrderedDict()
+        self._deficits: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        """Return how many wait."""
+        return sum(len(line) for line in self._waiting.values())
+
+    def __iter__(self) -> Iterator[Ticket]:
+        """Go over all that wait, workspace by workspace."""
+        for line in list(self._waiting.values()):
+            yield from list(line)
+
+    def count(self, workspace: str) -> int:
+        """Return how many of one workspace wait."""
+        return len(self._waiting.get(workspace, ()))
+
+    def share(self, workspace: str) -> float:
+        """Return the part of the service that a workspace gets."""
+        weights = {
+            name: line[0].ask.weight for name, line in self._waiting.items()
+        }
+        own = weights.pop(workspace, 1.0)
+        return own / (own + sum(weights.values()))
+
+    def load(self, workspace: str) -> float:
+        """Return how many of a workspace wait, per unit of weight."""
+        line = self._waiting.get(workspace)
+        return len(line) / line[0].ask.weight if line else 0.0
+
+    def most_waiting(self) -> str:
+        """Return the workspace with most waiting for its weight."""
+        return max(self._waiting, key=self.load, default="")
+
+    def cost(self, workspace: str) -> float:
+        """Return the tokens expected of what a workspace has waiting."""
+        return sum(t.cost for t in self._waiting.get(workspace, ()))
+
+    def push(self, ticket: Ticket) -> None:
+        """Add a ticket at the end of its workspace's line."""
+        name = ticket.ask.workspace
+        self._waiting.setdefault(name, deque()).append(ticket)
+        self._deficits.setdefault(name, 0.0)
+
+    def remove(self, ticket: Ticket) -> bool:
+        """Take out one ticket; return whether it waited."""
+        name = ticket.ask.workspace
+        line = self._waiting.get(name)
+        if line is None or ticket not in line:
+            return False
+        line.remove(ticket)
+        self._forget_empty(name)
+        return True
+
+    def newest_of(self, workspace: str) -> Ticket:
+        """Return the ticket that a workspace added last."""
+        return self._waiting[workspace][-1]
+
+    def drain(self, place: Callable[[Ticket], bool]) -> list[Ticket]:
+        """Take out tickets in fair order while `place` accepts them.
+
+        The head that does not fit blocks the others, lest the large
+        ones starve.
+        """
+        placed: list[Ticket] = []
+        while self._waiting:
+            ticket = self._next()
+            if not place(ticket):
+                break
+            name = ticket.ask.workspace
+            self._waiting[name].popleft()
+            self._deficits[name] -= ticket.cost
+            self._forget_empty(name)
+            placed.append(ticket)
+        return placed
+
+    def _next(self) -> Ticket:
+        while True:
+            name, line = next(iter(self._waiting.items()))
+            if self._deficits[name] >= line[0].cost:
+                return line[0]
+            self._deficits[name] += QUANTUM * line[0].ask.weight
+            self._waiting.move_to_end(name)
+
+    def _forget_empty(self, name: str) -> None:
+        if not self._waiting[name]:
+            del self._waiting[name]
+            del self._deficits[name]
--- /dev/null
+++ b/src/balsamlift/placement/_service.py
@@ -0,0 +1,226 @@
+"""The service `placement`: the policy at work in a daemon."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+from loguru import logger
+
+from balsamlift.clock import Clock
+from balsamlift.exceptions import RefusedError
+from balsamlift.kernel import Kernel
+from balsamlift.placement._ask import Ask, Ticket
+from balsamlift.placement._engine import Engine
+from balsamlift.placement._needs import (
+    MetricsService,
+    PeersService,
+    PresetsService,
+    TimelineService,
+    Upstream,
+    UpstreamsService,
+)
+from balsamlift.placement._policy import Policy
+from balsamlift.placement._poll import LoadPoll
+from balsamlift.placement._pool import Refusal
+from balsamlift.placement._scheduler import Scheduler
+
+log = logger.bind(part="placement")
+
+LOOK_S = 0.05  # between two looks at the queues
+RETRY_MS = 1_000  # when an upstream names no time
+
+
+class Placement:
+    """Admit requests and choose their upstreams."""
+
+    name = "placement"
+
+    def __init__(self, clock: Clock, seed: int = 0) -> None:
+        """Begin with the default policy; `start` finds the rest."""
+        self._clock = clock
+        self._scheduler = Scheduler(Policy(), seed)
+        self._waiters: dict[Ticket, asyncio.Future[None]] = {}
+        self._upstreams: dict[str, Upstream] = {}
+        self._pools: set[str] = set()
+        self._announced: set[str] = set()
+        self._looks: asyncio.Task[None] | None = None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Find the other services; begin to look and to poll."""
+        self._source = kernel.find("upstreams", UpstreamsService)  # type: ignore[type-abstract]
+        self._peers = kernel.find("peers", PeersService)  # type: ignore[type-abstract]
+        self._presets = kernel.find("presets", PresetsService)  # type: ignore[type-abstract]
+        self._metrics = kernel.find("metrics", MetricsService)  # type: ignore[type-abstract]
+        self._timeline = kernel.find("timeline", TimelineService)  # type: ignore[type-abstract]
+        self._poll = LoadPoll(self._clock, self._scheduler)
+        self._looks = asyncio.create_task(self._look_often())
+
+    async def stop(self) -> None:
+        """End the task and the polls; refuse what still waits."""
+        if self._looks is not None:
+            self._looks.cancel()
+            with suppress(asyncio.CancelledError):
+                await self._looks
+            await self._poll.stop()
+        error = RefusedError("stopping", RETRY_MS)
+        for ticket in list(self._waiters):
+            self._settle(ticket, error)
+
+    async def admit(self, ask: Ask) -> Ticket:
+        """Wait for a place; return its ticket.
+
+        Raises `RefusedError` as soon as it is known that the request
+        cannot make its deadline, or that the queue is full.
+        """
+        self._pools.add(ask.pool)
+        now_ms = self._now_ms()
+        self._see_pool(ask.pool)
+        try:
+            ticket = self._scheduler.enqueue(ask, now_ms)
+        except RefusedError:
+            self._metrics.count("placement.refused")
+            raise
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[ticket] = waiter
+        self._decide()
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            self._scheduler.withdraw(ticket)
+            self._scheduler.released(ticket)
+            raise
+        finally:
+            self._waiters.pop(ticket, None)
+        waited_ms = self._now_ms() - now_ms
+        self._metrics.observe_ms("placement.wait_ms", waited_ms)
+        return ticket
+
+    def choose(self, ticket: Ticket, exclude: frozenset[str]) -> Upstream:
+        """Return where the ticket runs, none of those excluded.
+
+        Raises `RefusedError` when there is none.
+        """
+        name = self._scheduler.choose(ticket, exclude, self._now_ms())
+        self._timeline.record("placed", request=ticket.ask.key, upstream=name)
+        return self._upstreams[name]
+
+    def started(self, ticket: Ticket, upstream: Upstream) -> None:
+        """Note that the generation runs there."""
+        if ticket.upstream == upstream.name:
+            self._scheduler.started(ticket)
+
+    def progress(
+        self, ticket: Ticket, upstream: Upstream, tokens: int, gap_ms: float
+    ) -> None:
+        """Note tokens that arrived and the gap before them."""
+        if ticket.upstream == upstream.name:
+            now_ms = self._now_ms()
+            self._scheduler.progress(ticket, tokens, gap_ms, now_ms)
+            self._metrics.observe_ms("placement.gap_ms", gap_ms)
+
+    def refused(
+        self,
+        ticket: Ticket,
+        upstream: Upstream,
+        reason: str,
+        retry_after_ms: int,
+    ) -> None:
+        """Note that the upstream said that the work did not run."""
+        self._metrics.count("placement.upstream_refused")
+        if ticket.upstream == upstream.name:
+            now_ms = self._now_ms()
+            self._scheduler.refused(ticket, reason, retry_after_ms, now_ms)
+
+    def released(self, ticket: Ticket, upstream: Upstream) -> None:
+        """Give back a place without a whole answer."""
+        if ticket.upstream == upstream.name:
+            self._scheduler.released(ticket)
+        self._decide()
+
+    def finished(self, ticket: Ticket, tokens: int) -> None:
+        """Learn from a whole answer and give back its place."""
+        self._scheduler.finished(ticket, tokens)
+        self._decide()
+
+    def may_retry(self) -> bool:
+        """Take one retry from the budget, if there is one."""
+        allowed = self._scheduler.may_retry()
+        if not allowed:
+            self._metrics.count("placement.retry_denied")
+        return allowed
+
+    def _now_ms(self) -> float:
+        return self._clock.monotonic() * 1_000
+
+    async def _look_often(self) -> None:
+        while True:
+            try:
+                self._look()
+            except Exception:
+                log.exception("A look at the queues failed.")
+            await self._clock.sleep(LOOK_S)
+
+    def _look(self) -> None:
+        now_ms = self._now_ms()
+        in_force = self._presets.in_force()
+        if in_force is not None:
+            self._scheduler.policy = in_force.preset.policy
+        self._scheduler.hosts = len(self._peers.live()) + 1
+        for pool in self._pools:
+            self._see_pool(pool)
+        self._poll.look(self._upstreams)
+        self._scheduler.tick(now_ms)
+        self._decide()
+        self._announce(now_ms)
+
+    def _see_pool(self, pool: str) -> None:
+        upstreams = self._source.in_pool(pool)
+        for upstream in upstreams:
+            self._upstreams[upstream.name] = upstream
+        self._scheduler.set_engines(
+            pool,
+            [
+                Engine(
+                    u.name, u.failure_domain, counts_memory=u.kind != "service"
+                )
+                for u in upstreams
+            ],
+        )
+        for engine in self._scheduler.engines(pool):
+            engine.peers_tokens = self._peers.in_flight(engine.name)
+
+    def _announce(self, now_ms: float) -> None:
+        announced = set()
+        for pool in self._pools:
+            for engine in self._scheduler.engines(pool):
+                tokens = self._scheduler.expected_tokens(
+                    pool, engine.name, now_ms
+                )
+                self._peers.set_in_flight(engine.name, tokens)
+                announced.add(engine.name)
+        for name in self._announced - announced:
+            self._peers.set_in_flight(name, 0)
+            self._upstreams.pop(name, None)
+        self._announced = announced
+
+    def _decide(self) -> None:
+        decisions = self._scheduler.decide(self._now_ms())
+        for ticket in decisions.placed:
+            self._settle(ticket, None)
+        for refusal in decisions.refused:
+            self._refuse(refusal)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._metrics.count("placement.refused")
+        self._settle(refusal.ticket, refusal.error)
+
+    def _settle(self, ticket: Ticket, error: RefusedError | None) -> None:
+        waiter = self._waiters.pop(ticket, None)
+        if waiter is None or waiter.done():
+            if error is None:
+                self._scheduler.released(ticket)
+        elif error is None:
+            waiter.set_result(None)
+        else:
+            waiter.set_exception(error)
