Know the upstreams: the list, their own word, peers' words

Cause: new work must stop at a leaving upstream though the platform's list lags. Change: Upstreams joins the list with the pools and keeps marks per incarnation of an upstream; the most pessimistic word wins. A list that is down or empty leaves the last one in force. When every upstream of a pool is dead by peers' word alone, the pool stays usable: a peer cut from all of them must not stop everybody. Ruled out: spreading "live" (a host cut from an upstream would flap); dropping a leaving mark by time alone.

--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -134,3 +134,53 @@
 
 class HostsUnavailableError(PlatformError):
     """Tell that the platform gave no usable list of hosts."""
+
+
+class UsageError(BalsamliftError):
+    """Tell that a command was called in a wrong way."""
+
+
+class HostReadError(BalsamliftError):
+    """Tell that a host did not show what was asked of it."""
+
+    def __init__(self, address: str, reason: str) -> None:
+        """Name the address and say why."""
+        super().__init__(f"host at {address}: {reason}")
+        self.address = address
+        self.reason = reason
+
+
+class OffsetGapError(BalsamliftError):
+    """Tell that records of the log between two offsets are missing."""
+
+    def __init__(self, next_offset: int, found: int) -> None:
+        """Keep the offset that comes next and the one found."""
+        super().__init__(f"offset {found} comes where {next_offset} was due")
+        self.next_offset = next_offset
+        self.found = found
+
+
+class LogUnreadableError(LogUnavailableError):
+    """Tell that the log could not be read; nothing was appended."""
+
+
+class KeyFormatError(RequestError):
+    """Tell that a key without home does not carry its creation time."""
+
+    code = "bad_key"
+
+    def __init__(self, key: str) -> None:
+        """Keep the key."""
+        super().__init__(f"{key[:80]!r} is not TIMESTAMP_MS-RANDOM")
+        self.key = key
+
+
+class KeyTooOldError(RequestError):
+    """Tell that claims of so old a key are forgotten; it may have run."""
+
+    code = "key_too_old"
+
+    def __init__(self, key: str) -> None:
+        """Keep the key."""
+        super().__init__(f"the key {key[:80]!r} is too old to be claimed")
+        self.key = key
--- /dev/null
+++ b/src/balsamlift/peers/__init__.py
@@ -0,0 +1,6 @@
+"""The other hosts, and the upstreams that all hosts share."""
+
+from balsamlift.peers._marks import UpstreamState
+from balsamlift.peers._upstreams import EntryHost, Upstream, Upstreams
+
+__all__ = ["EntryHost", "Upstream", "UpstreamState", "Upstreams"]
--- /dev/null
+++ b/src/balsamlift/peers/_upstreams.py
@@ -0,0 +1,334 @@
+"""The upstreams and entry hosts: the platform's list and our marks."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+import attrs
+from loguru import logger
+
+from balsamlift._http import HttpClient
+from balsamlift._tasks import end_task
+from balsamlift.clock import Clock
+from balsamlift.exceptions import HostsUnavailableError
+from balsamlift.kernel import Kernel
+from balsamlift.metrics import Metrics
+from balsamlift.operators import JsonHandler, OperatorsServer
+from balsamlift.peers._hosts_list import (
+    ENTRY_ROLE,
+    UPSTREAM_ROLE,
+    HostsList,
+    ListEntry,
+)
+from balsamlift.peers._marks import STATES, Marks, UpstreamState, worse
+from balsamlift.peers._probes import Probes
+from balsamlift.settings import Settings
+from balsamlift.timeline import Timeline
+
+log = logger.bind(part="upstreams")
+
+PEER_SOURCE = "peer"  # the source of a mark that is a peer's word
+LIST_SOURCE = "list"
+LIST_TIMEOUT_MS = 2_000
+
+
+@attrs.frozen(kw_only=True)
+class Upstream:
+    """Describe one upstream as it is known now."""
+
+    name: str
+    pool: str
+    kind: str  # "engine" or "service"
+    address: str
+    failure_domain: str
+    checks_fence: bool = False
+    deterministic: bool = False
+    tells_by_key: bool = False
+    state: UpstreamState = "live"
+
+
+@attrs.frozen(kw_only=True)
+class EntryHost:
+    """Describe one entry host as the platform's list has it."""
+
+    host: str
+    address: str  # for callers
+    operators_address: str
+    peers_address: str
+    failure_domain: str
+    state: str = "live"
+
+
+@attrs.define
+class _Known:
+    """Hold what the list says of an upstream, and the marks on it."""
+
+    listed: Upstream
+    marks: Marks = attrs.field(factory=Marks)
+    upstream: Upstream = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.refresh()
+
+    def refresh(self) -> bool:
+        """Work the state out anew; tell whether it has changed."""
+        state = worse(self.listed.state, self.marks.worst)
+        before = getattr(self, "upstream", None)
+        self.upstream = attrs.evolve(self.listed, state=state)
+        return self.upstream != before
+
+
+class Upstreams:
+    """Know which upstreams may take new work.
+
+    The list, the upstream's own word, failed connections and peers' words
+    all count at once, and the most pessimistic wins.
+    """
+
+    name = "upstreams"
+
+    def __init__(
+        self, settings: Settings, clock: Clock, http: HttpClient
+    ) -> None:
+        """Read the list that `settings.platform` names, when started."""
+        self._settings = settings
+        self._clock = clock
+        self._list = HostsList(
+            http, settings.platform.hosts_address, LIST_TIMEOUT_MS
+        )
+        self._random = random.Random(settings.seed or None)
+        self._known: dict[str, _Known] = {}
+        self._usable: dict[str, list[Upstream]] = {}
+        self._entry_hosts: list[EntryHost] = []
+        self._on_change: list[Callable[[], None]] = []
+        self._on_mark: list[Callable[[Upstream], None]] = []
+        self._sharers: Callable[[], Sequence[str]] = self._listed_hosts
+        self._probes = Probes(self, clock, http, self._random, settings.host)
+        self._task: asyncio.Task[None] | None = None
+        self._list_down = False
+
+    async def start(self, kernel: Kernel) -> None:
+        """Read the list once, then keep reading it."""
+        self._timeline = kernel.find("timeline", Timeline)
+        self._metrics = kernel.find("metrics", Metrics)
+        operators = kernel.find("operators", OperatorsServer)
+        arguments = {"upstreams": self}
+        operators.add_routes([(r"/v1/upstreams", UpstreamsHandler, arguments)])
+        await self._read_list()
+        self._task = asyncio.create_task(self._keep_reading())
+        self._probes.start()
+
+    async def stop(self) -> None:
+        """End reading the list and probing."""
+        await self._probes.stop()
+        await end_task(self._task)
+
+    def all(self) -> list[Upstream]:
+        """Return every upstream on the list, whatever its state."""
+        return [known.upstream for known in self._known.values()]
+
+    def find(self, name: str) -> Upstream | None:
+        """Return the upstream of that name, if it is on the list."""
+        known = self._known.get(name)
+        return known.upstream if known else None
+
+    def in_pool(self, pool: str) -> list[Upstream]:
+        """Return the upstreams that may take new work.
+
+        When none is live, those that are dead by peers' word alone: a peer
+        cut from a whole pool must not stop everybody's work.
+        """
+        usable = self._usable.get(pool)
+        if usable is None:
+            usable = self._work_out_usable(pool)
+            self._usable[pool] = usable
+        return list(usable)
+
+    def entry_hosts(self) -> list[EntryHost]:
+        """Return the entry hosts on the list, this one among them."""
+        return list(self._entry_hosts)
+
+    def mark(self, name: str, state: UpstreamState, source: str) -> None:
+        """Take in what was seen of an upstream.
+
+        `source` says who saw it, e.g. "refusal", "connection" or
+        `PEER_SOURCE`. "leaving" stays until the list shows a new
+        incarnation, or the upstream itself takes it back after a while;
+        "dead" until it answers; "live" takes back "dead".
+        """
+        known = self._known.get(name)
+        if known is None:
+            return
+        by_peer = source == PEER_SOURCE
+        is_new = known.marks.add(state, by_peer, self._clock.monotonic())
+        self._refresh(known, source)
+        if is_new and not by_peer:
+            self._tell_mark(known.listed, state)
+
+    def answered(self, name: str, draining: bool | None) -> None:
+        """Take in that the upstream answered a probe of ours."""
+        known = self._known.get(name)
+        if known is None:
+            return
+        is_new = known.marks.answered(draining, self._clock.monotonic())
+        self._refresh(known, "probe")
+        if is_new:
+            self._tell_mark(known.listed, "leaving")
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back after each change of the list or of a state."""
+        self._on_change.append(callback)
+
+    def on_mark(self, callback: Callable[[Upstream], None]) -> None:
+        """Call back with each upstream that this host saw leave or die.
+
+        Its state is the one seen. "live" is not told: another host may
+        well be cut from the upstream.
+        """
+        self._on_mark.append(callback)
+
+    def share_probes(self, sharers: Callable[[], Sequence[str]]) -> None:
+        """Share probing with these hosts, this one among them."""
+        self._sharers = sharers
+
+    def sharers(self) -> Sequence[str]:
+        """Return the hosts that probing is shared with."""
+        return self._sharers()
+
+    def _listed_hosts(self) -> list[str]:
+        return [host.host for host in self._entry_hosts]
+
+    def _work_out_usable(self, pool: str) -> list[Upstream]:
+        members = [k for k in self._known.values() if k.listed.pool == pool]
+        live = [k.upstream for k in members if k.upstream.state == "live"]
+        return live or [
+            k.upstream
+            for k in members
+            if k.listed.state == "live" and k.marks.dead_by_peers_alone
+        ]
+
+    def _refresh(self, known: _Known, source: str) -> None:
+        """Work out the state of `known`; report and tell of a change."""
+        self._usable.pop(known.listed.pool, None)
+        if not known.refresh():
+            return
+        upstream = known.upstream
+        log.info("{} is {} ({})", upstream.name, upstream.state, source)
+        self._metrics.count(f"upstreams.{upstream.state}")
+        self._timeline.record(
+            "upstream.state",
+            upstream=upstream.name,
+            state=upstream.state,
+            source=source,
+        )
+        self._tell_change()
+
+    def _tell_change(self) -> None:
+        self._usable.clear()
+        for callback in self._on_change:
+            callback()
+
+    def _tell_mark(self, listed: Upstream, state: UpstreamState) -> None:
+        upstream = attrs.evolve(listed, state=state)
+        for callback in self._on_mark:
+            callback(upstream)
+
+    async def _keep_reading(self) -> None:
+        poll_s = self._settings.platform.hosts_poll_ms / 1_000
+        while True:
+            await self._clock.sleep(poll_s * self._random.uniform(0.8, 1.2))
+            await self._read_list()
+
+    async def _read_list(self) -> None:
+        """Read the list; when it is down, the last one stays in force."""
+        try:
+            entries = await self._list.read()
+        except HostsUnavailableError as error:
+            if not self._list_down:
+                log.warning("list of hosts is down: {}", error)
+                self._timeline.record("hosts.down", reason=error.message)
+            self._list_down = True
+            self._metrics.count("hosts.down")
+            return
+        if self._list_down:
+            log.info("list of hosts is back")
+            self._timeline.record("hosts.back")
+        self._list_down = False
+        if entries is not None:
+            self._take_list(entries)
+
+    def _take_list(self, entries: list[ListEntry]) -> None:
+        hosts = [_entry_host(e) for e in entries if e.role == ENTRY_ROLE]
+        listed = [
+            upstream
+            for entry in entries
+            if (upstream := self._join(entry)) is not None
+        ]
+        changed = hosts != self._entry_hosts
+        self._entry_hosts = hosts
+        names = {upstream.name for upstream in listed}
+        for gone in self._known.keys() - names:
+            del self._known[gone]  # its marks go too: back is a new one
+            changed = True
+        for upstream in listed:
+            changed |= self._take_upstream(upstream)
+        if changed:
+            self._tell_change()
+
+    def _take_upstream(self, listed: Upstream) -> bool:
+        """Take in one entry; tell whether it is another incarnation."""
+        known = self._known.get(listed.name)
+        if known is None or known.listed.address != listed.address:
+            self._known[listed.name] = _Known(listed)
+            return True
+        if known.listed != listed:
+            known.listed = listed
+            self._refresh(known, LIST_SOURCE)
+        return False
+
+    def _join(self, entry: ListEntry) -> Upstream | None:
+        """Return the upstream, if its role, pool and state are known."""
+        pool = self._settings.pools.get(entry.pool)
+        if entry.role != UPSTREAM_ROLE or pool is None:
+            return None
+        return Upstream(
+            name=entry.name,
+            pool=entry.pool,
+            kind=pool.kind,
+            address=entry.address,
+            failure_domain=entry.failure_domain,
+            checks_fence=pool.checks_fence,
+            deterministic=pool.deterministic,
+            tells_by_key=pool.tells_by_key,
+            state=_state(entry.state),
+        )
+
+
+def _state(text: str) -> UpstreamState:
+    """Return the state; what the list adds one day is no live one."""
+    return next((state for state in STATES if state == text), "leaving")
+
+
+def _entry_host(entry: ListEntry) -> EntryHost:
+    return EntryHost(
+        host=entry.name,
+        address=entry.address,
+        operators_address=entry.operators_address,
+        peers_address=entry.peers_address,
+        failure_domain=entry.failure_domain,
+        state=entry.state,
+    )
+
+
+class UpstreamsHandler(JsonHandler):
+    """Answer `GET /v1/upstreams` with a list of upstreams."""
+
+    def initialize(self, upstreams: Upstreams) -> None:
+        """Keep the upstreams to read."""
+        self._upstreams = upstreams
+
+    def get(self) -> None:
+        """Answer with every upstream on the list."""
+        self.reply(self._upstreams.all())
