--- /dev/null
+++ b/src/balsamlift/_commands/__init__.py
@@ -0,0 +1,1 @@
+"""The subcommands of the command line, one module each."""
--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -184,3 +184,43 @@
         """Keep the key."""
         super().__init__(f"the key {key[:80]!r} is too old to be claimed")
         self.key = key
+
+
+class PeersAddressError(BalsamliftError):
+    """Tell that the address for peers cannot be listened on."""
+
+    def __init__(self, address: str, reason: str) -> None:
+        """Name the address and the cause."""
+        super().__init__(f"cannot listen on {address}: {reason}")
+        self.address = address
+
+
+class PeerMessageError(BalsamliftError):
+    """Tell that what came from a peer is no message."""
+
+
+class PresetMissingError(BalsamliftError):
+    """Tell that the hosts asked know no such preset."""
+
+    def __init__(self, name: str) -> None:
+        """Name the preset; empty stands for the one in force."""
+        text = f"no preset named {name!r}" if name else "no preset in force"
+        super().__init__(text)
+        self.name = name
+
+
+class InterruptedUnknownError(BalsamliftError):
+    """Tell that a command was interrupted; it may have taken effect."""
+
+    def __init__(self) -> None:
+        """Say so."""
+        super().__init__("interrupted; it may have taken effect")
+
+
+class StartError(BalsamliftError):
+    """Tell that a host could not start, e.g. as its port is in use."""
+
+    def __init__(self, host: str, reason: str) -> None:
+        """Name the host and say why."""
+        super().__init__(f"host {host} cannot start: {reason}")
+        self.host = host
