Add the stand-ins: engine, service, platform, link

Every part is tested against processes that speak docs/PROTOCOLS.md, with faults set over /control/faults and executions counted per key. The engine runs the model in real time; cancel, resume, lagging reports, orders with and without the fencing check, drain, reclaim and death are there. Not measured: how many tokens a second one engine process can send.

--- a/src/balsamlift/testing/__init__.py
+++ b/src/balsamlift/testing/__init__.py
@@ -1,7 +1,7 @@
 """Stand-ins for engines, services, the platform and links."""
 
-from balsamlift.testing._engine_model import (
-    EngineModel,
+from balsamlift.testing._engine_model import EngineModel
+from balsamlift.testing._engine_types import (
     EngineParameters,
     Load,
     Step,
@@ -14,14 +14,26 @@
     start_host,
     start_stand_in,
 )
+from balsamlift.testing._settings import (
+    EngineSettings,
+    LengthSettings,
+    LinkSettings,
+    PlatformSettings,
+    ServiceSettings,
+)
 
 __all__ = [
     "CacheEvent",
     "EngineModel",
     "EngineParameters",
+    "EngineSettings",
+    "LengthSettings",
+    "LinkSettings",
     "Load",
+    "PlatformSettings",
     "Process",
     "ProcessError",
+    "ServiceSettings",
     "Step",
     "Work",
     "start_host",
--- /dev/null
+++ b/src/balsamlift/testing/_engine.py
@@ -0,0 +1,315 @@
+"""The stand-in of a model engine: the engine model in real time."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import secrets
+from collections import Counter
+from typing import Any
+
+import attrs
+
+from balsamlift.clock import Clock
+from balsamlift.testing._engine_faults import EngineFaults
+from balsamlift.testing._engine_handlers import engine_routes
+from balsamlift.testing._engine_model import EngineModel
+from balsamlift.testing._engine_reports import EngineReports
+from balsamlift.testing._engine_types import Step, Work
+from balsamlift.testing._generation import (
+    Generation,
+    GenerationRequest,
+    KeyState,
+    StartFrame,
+)
+from balsamlift.testing._orders import Orders
+from balsamlift.testing._settings import EngineSettings
+from balsamlift.testing._stand_in import (
+    Control,
+    HostEntry,
+    Listener,
+    Registration,
+    control_routes,
+)
+from balsamlift.testing._tokens import count_tokens, draw_length, token_text
+
+_LATE_S = 0.1  # steps that are later than this are not caught up with
+_DEATH_DELAY_S = 0.05  # for the last tokens to leave
+_DEATH_CODE = 1
+_RETRY_MS = 200
+
+
+@attrs.frozen(kw_only=True)
+class Refusal:
+    """Say why a request was kept out; it certainly did not run."""
+
+    reason: str
+    retry_after_ms: int
+    ran: bool = False
+
+
+class Engine:
+    """Run one engine."""
+
+    def __init__(self, settings: EngineSettings, clock: Clock) -> None:
+        """Bind the address."""
+        self.settings = settings
+        self.clock = clock
+        self.control = Control(EngineFaults())
+        self.orders = Orders(settings, clock)
+        self.generations: dict[str, Generation] = {}
+        self._by_key: dict[str, Generation] = {}
+        self._past_keys: dict[str, KeyState] = {}
+        self.executions: Counter[str] = Counter()
+        self._model = EngineModel(settings.parameters)
+        self.reports = EngineReports(settings, clock, self._model)
+        self._stalls = 0
+        self._stall_ms = 0.0
+        self._tokens = 0
+        self._dies_at = -1
+        self._wake = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._reclaim: asyncio.TimerHandle | None = None
+        self._listener = Listener(settings.address)
+        entry = HostEntry(
+            name=settings.name,
+            pool=settings.pool,
+            address=self._listener.address,
+            failure_domain=settings.failure_domain,
+        )
+        self._registration = Registration(settings.platform_address, entry)
+
+    @property
+    def faults(self) -> EngineFaults:
+        """Return the faults in force."""
+        return self.control.faults
+
+    async def start(self) -> None:
+        """Accept connections, decode, and report to the platform."""
+        routes = engine_routes(self)
+        self._listener.start(routes + control_routes(self.control, self.count))
+        self.control.on_change(self._apply)
+        self._tasks.add(asyncio.create_task(self._decode()))
+        self._registration.announce("live")
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for task in self._tasks:
+            task.cancel()
+        self.orders.close()
+        await self._registration.withdraw()
+        await self._listener.stop()
+
+    def ready(self) -> dict[str, Any]:
+        """Return the fields of the ready line."""
+        return {
+            "name": self.settings.name,
+            "address": self._listener.address,
+        }
+
+    def count(self) -> dict[str, Any]:
+        """Return what was counted."""
+        return {
+            "executions": self.executions,
+            "preemptions": self._model.load().preemptions,
+            "stalls": self._stalls,
+            "stall_ms": self._stall_ms,
+            "tokens": self._tokens,
+            "open_streams": sum(
+                len(generation.readers)
+                for generation in self.generations.values()
+            ),
+            "orders_accepted": self.orders.accepted,
+            "orders_refused": self.orders.refused,
+            "model_loads": self.orders.loads,
+        }
+
+    def submit(self, request: GenerationRequest) -> Generation | Refusal:
+        """Queue a request, or keep it out."""
+        reason = self._keep_out()
+        if reason:
+            return Refusal(reason=reason, retry_after_ms=_RETRY_MS)
+        generation = self._new_generation(request)
+        if not self._model.submit(self._work(generation)):
+            return Refusal(reason="full", retry_after_ms=_RETRY_MS)
+        self.generations[generation.name] = generation
+        self._by_key[request.key] = generation
+        self.reports.note_load()
+        self._wake.set()
+        return generation
+
+    def cancel(self, generation: Generation) -> bool:
+        """Cancel a generation; false when it had ended."""
+        return self._end(generation, "cancelled")
+
+    def key_state(self, key: str) -> KeyState:
+        """Tell what became of the newest generation for a key."""
+        generation = self._by_key.get(key)
+        if generation is not None:
+            return generation.key_state()
+        return self._past_keys.get(key, KeyState(state="absent"))
+
+    def _keep_out(self) -> str:
+        state = self.orders.state
+        if state.draining:
+            return "draining"
+        if state.loading:
+            return "model_missing"
+        return "full" if self.faults.refuse else ""
+
+    def _new_generation(self, request: GenerationRequest) -> Generation:
+        state = self.orders.state
+        name = secrets.token_hex(16)
+        start = StartFrame(
+            generation=name,
+            key=request.key,
+            workspace=request.workspace,
+            model=state.model,
+            version=state.version,
+        )
+        generation = Generation(name, request, start)
+        if self.settings.deterministic:
+            seed = request.key if request.seed is None else request.seed
+            generation.salt = f"{seed}:{state.model}:{state.version}"
+        return generation
+
+    def _work(self, generation: Generation) -> Work:
+        request = generation.request
+        prompt_tokens = request.prompt_tokens or count_tokens(request.prompt)
+        drawn = self._draw_length(generation)
+        limit = self._model.output_limit(prompt_tokens)
+        if request.max_tokens:
+            limit = min(limit, request.max_tokens)
+        generation.natural_end = "stop" if drawn <= limit else "length"
+        return Work(
+            key=generation.name,
+            prompt_tokens=prompt_tokens,
+            output_tokens=min(drawn, max(1, limit)),
+            prefix=request.prefix or "",
+            priority=request.priority,
+        )
+
+    def _draw_length(self, generation: Generation) -> int:
+        """Draw by key, or by the request's seed when deterministic."""
+        request = generation.request
+        seed = f"{self.settings.seed}:{request.key}"
+        if self.settings.deterministic:
+            seed = generation.salt
+        lengths = self.settings.lengths
+        return draw_length(lengths, request.kind, request.prompt, seed)
+
+    async def _decode(self) -> None:
+        """Step the model in real time for as long as the engine lives."""
+        due = self.clock.monotonic()
+        while True:
+            if self._model.idle:
+                self._wake.clear()
+                await self._wake.wait()
+                due = self.clock.monotonic()
+            step = self._model.step()
+            self._note_starts(step)
+            duration_s = step.duration_ms * self.faults.slow_factor / 1_000
+            now = self.clock.monotonic()
+            due = max(due, now - _LATE_S) + duration_s
+            await self.clock.sleep(max(0.0, due - now))
+            if self._deliver(step):
+                return
+
+    def _note_starts(self, step: Step) -> None:
+        now = self.clock.monotonic()
+        for name in step.preempted_keys:
+            generation = self.generations[name]
+            if generation.stalled_at is None:
+                generation.stalled_at = now
+                self._stalls += 1
+        for name in step.started_keys:
+            generation = self.generations[name]
+            if not generation.started:
+                generation.started = True
+                self.executions[generation.request.key] += 1
+
+    def _deliver(self, step: Step) -> bool:
+        """Hand out the tokens of a step; true when the engine dies."""
+        self.reports.note_events()
+        for name in step.token_keys:
+            if self._dies_now():
+                return True
+            if name in self.generations:  # else cancelled and forgotten
+                self._deliver_token(self.generations[name])
+        for name in step.finished_keys:
+            if name in self.generations:
+                generation = self.generations[name]
+                self._end(generation, generation.natural_end)
+        self.reports.note_load()
+        return False
+
+    def _deliver_token(self, generation: Generation) -> None:
+        if generation.end_reason:  # cancelled during the step
+            return
+        if generation.stalled_at is not None:
+            stalled_s = self.clock.monotonic() - generation.stalled_at
+            self._stall_ms += stalled_s * 1_000
+            generation.stalled_at = None
+        index = len(generation.tokens)
+        generation.append(token_text(generation.salt, index))
+        self._tokens += 1
+
+    def _dies_now(self) -> bool:
+        """Die without a word once the set number of tokens is out."""
+        if self._dies_at < 0 or self._tokens < self._dies_at:
+            return False
+        loop = asyncio.get_running_loop()
+        loop.call_later(_DEATH_DELAY_S, os._exit, _DEATH_CODE)
+        return True
+
+    def _end(self, generation: Generation, reason: str) -> bool:
+        if generation.end_reason:
+            return False
+        self._model.cancel(generation.name)
+        generation.end(reason)
+        loop = asyncio.get_running_loop()
+        retention_s = self.settings.retention_ms / 1_000
+        loop.call_later(retention_s, self._forget, generation.name)
+        self.reports.note_load()
+        return True
+
+    def _forget(self, name: str) -> None:
+        """Drop the tokens; what became of the key is kept."""
+        generation = self.generations.pop(name)
+        key = generation.request.key
+        if self._by_key.get(key) is generation:
+            self._past_keys[key] = self._by_key.pop(key).key_state()
+
+    def _apply(self, old: EngineFaults, faults: EngineFaults) -> None:
+        """Carry out what a change of the faults asks for at once."""
+        if faults.silent:  # only for the streams open now
+            self.control.faults = attrs.evolve(faults, silent=False)
+            self._silence_streams()
+        if faults.die_after_tokens != old.die_after_tokens:
+            dies = faults.die_after_tokens
+            self._dies_at = self._tokens + dies if dies >= 0 else -1
+        if faults.reclaim_in_ms != old.reclaim_in_ms:
+            self._schedule_reclaim(faults.reclaim_in_ms)
+        self._set_draining(faults.draining or faults.reclaim_in_ms >= 0)
+
+    def _silence_streams(self) -> None:
+        for generation in self.generations.values():
+            for reader in generation.readers:
+                reader.silent = True
+
+    def _set_draining(self, draining: bool) -> None:
+        if draining != self.orders.state.draining:
+            self.orders.set_draining(draining)
+            self._registration.announce("leaving" if draining else "live")
+
+    def _schedule_reclaim(self, delay_ms: int) -> None:
+        if self._reclaim is not None:
+            self._reclaim.cancel()
+            self._reclaim = None
+        if delay_ms >= 0:
+            loop = asyncio.get_running_loop()
+            self._reclaim = loop.call_later(delay_ms / 1_000, self._end_all)
+
+    def _end_all(self) -> None:
+        for generation in list(self.generations.values()):
+            self._end(generation, "reclaimed")
--- a/src/balsamlift/testing/_engine_model.py
+++ b/src/balsamlift/testing/_engine_model.py
@@ -7,77 +7,17 @@
 
 import attrs
 
+from balsamlift.testing._engine_types import (
+    EngineParameters,
+    Load,
+    Step,
+    Work,
+)
 from balsamlift.testing._prefix_cache import CacheEvent, PrefixCache
 
 Phase = Literal["waiting", "running", "gone"]
 
 
-@attrs.frozen(kw_only=True)
-class EngineParameters:
-    """Size one engine; tokens, blocks of tokens and milliseconds."""
-
-    # Assumption: what is left for sequences on a mid-sized accelerator.
-    memory_tokens: int = 65_536
-    # The customary block size of engines with paged memory.
-    block_tokens: int = 16
-    # Assumption: reading the weights once, a mid-sized model.
-    step_base_ms: float = 12.0
-    # Assumption: sampling and activations of one more sequence.
-    step_per_sequence_ms: float = 0.15
-    # Assumption: reading 1,000 tokens of sequence memory.
-    step_per_1k_context_ms: float = 0.08
-    # Assumption: 10,000 prompt tokens a second.
-    prefill_tokens_per_ms: float = 10.0
-    # Assumption: prompts are computed in chunks so that decoding goes on.
-    prefill_tokens_per_step: int = 512
-    # Assumption: sequences in one batch at most.
-    max_running: int = 64
-    # Assumption: requests that wait before the engine refuses.
-    queue_limit: int = 64
-    # Assumption: length of a shared policy text or report template.
-    prefix_tokens: int = 512
-    # Assumption: free share of memory asked for before one more starts.
-    admit_spare_ratio: float = 0.01
-
-    @property
-    def total_blocks(self) -> int:
-        """Return the number of memory blocks."""
-        return self.memory_tokens // self.block_tokens
-
-
-@attrs.frozen(kw_only=True)
-class Work:
-    """Ask for one generation; a higher `priority` goes first."""
-
-    key: str
-    prompt_tokens: int
-    output_tokens: int
-    prefix: str = ""
-    priority: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class Step:
-    """Tell what one step did; a step with nothing to do takes 0 ms."""
-
-    duration_ms: float = 0.0
-    token_keys: list[str] = attrs.field(factory=list)
-    finished_keys: list[str] = attrs.field(factory=list)
-    preempted_keys: list[str] = attrs.field(factory=list)
-    started_keys: list[str] = attrs.field(factory=list)
-
-
-@attrs.frozen(kw_only=True)
-class Load:
-    """Report load; memory in tokens, preemptions since the start."""
-
-    running: int
-    queued: int
-    memory_used: int
-    memory_total: int
-    preemptions: int
-
-
 @attrs.define(eq=False)
 class _Sequence:
     work: Work
--- /dev/null
+++ b/src/balsamlift/testing/_generation.py
@@ -0,0 +1,148 @@
+"""One generation: its tokens so far and who waits for more."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class GenerationRequest:
+    """Hold the body of `POST /v1/generations`."""
+
+    key: str
+    workspace: str = ""
+    kind: str = ""
+    prompt: str = ""
+    prompt_tokens: int | None = None  # else estimated from the prompt
+    prefix: str | None = None
+    max_tokens: int | None = None
+    priority: int = 0  # higher goes first
+    seed: int | None = None  # else the key stands for it
+
+
+@attrs.frozen(kw_only=True)
+class StartFrame:
+    """Begin a stream."""
+
+    generation: str
+    key: str
+    workspace: str
+    model: str
+    version: str
+
+
+@attrs.frozen(kw_only=True)
+class TokenFrame:
+    """Carry tokens from `index` on."""
+
+    generation: str
+    index: int
+    tokens: list[str]
+
+
+@attrs.frozen(kw_only=True)
+class EndFrame:
+    """End a stream; `tokens` counts all of the generation."""
+
+    generation: str
+    tokens: int
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class KeyState:
+    """Answer `GET /v1/keys/K`; `state` is running, done or absent."""
+
+    state: str
+    generation: str = ""
+    tokens: int = 0
+    reason: str = ""
+
+
+class Reader:
+    """Wait for tokens of one generation, several at a time."""
+
+    def __init__(self, index: int, batch: int) -> None:
+        """Read from `index` on, `batch` tokens in a full frame."""
+        self.index = index
+        self.silent = False
+        self._batch = batch
+        self._ready = asyncio.Event()
+
+    def notify(self, count: int, ended: bool) -> None:
+        """Wake when a full frame is ready or nothing more will come."""
+        if ended or count - self.index >= self._batch:
+            self._ready.set()
+
+    def stop(self) -> None:
+        """Wake at once, to look at the state again."""
+        self._ready.set()
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait to be woken, `timeout_s` at most."""
+        try:
+            await asyncio.wait_for(self._ready.wait(), timeout_s)
+        except TimeoutError:
+            return
+        finally:
+            self._ready.clear()
+
+
+class Generation:
+    """Hold what one generation has produced."""
+
+    def __init__(
+        self, name: str, request: GenerationRequest, start: StartFrame
+    ) -> None:
+        """Begin without tokens."""
+        self.name = name
+        self.request = request
+        self.start = start
+        self.salt = name
+        self.natural_end = "stop"
+        self.tokens: list[str] = []
+        self.started = False
+        self.end_reason = ""
+        self.stalled_at: float | None = None
+        self.readers: set[Reader] = set()
+
+    def append(self, token: str) -> None:
+        """Add one token."""
+        self.tokens.append(token)
+        self._notify()
+
+    def end(self, reason: str) -> None:
+        """Note the end; only the first reason counts."""
+        self.end_reason = self.end_reason or reason
+        self._notify()
+
+    def key_state(self) -> KeyState:
+        """Tell how far the generation is."""
+        return KeyState(
+            state="done" if self.end_reason else "running",
+            generation=self.name,
+            tokens=len(self.tokens),
+            reason=self.end_reason,
+        )
+
+    def end_frame(self) -> EndFrame:
+        """Return the last frame of every stream."""
+        return EndFrame(
+            generation=self.name,
+            tokens=len(self.tokens),
+            reason=self.end_reason,
+        )
+
+    def frame(self, index: int, limit: int) -> TokenFrame:
+        """Return up to `limit` tokens from `index` on."""
+        return TokenFrame(
+            generation=self.name,
+            index=index,
+            tokens=self.tokens[index : index + limit],
+        )
+
+    def _notify(self) -> None:
+        for reader in self.readers:
+            reader.notify(len(self.tokens), bool(self.end_reason))
--- /dev/null
+++ b/src/balsamlift/testing/_link.py
@@ -0,0 +1,186 @@
+"""The stand-in of a network link: a TCP relay whose faults can be set."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import attrs
+
+from balsamlift._address import join_address, split_address
+from balsamlift.testing._settings import LinkSettings
+from balsamlift.testing._stand_in import Control, Listener, control_routes
+
+_CHUNK_BYTES = 65_536
+_BACKLOG = 1_024
+
+
+@attrs.frozen(kw_only=True)
+class LinkFaults:
+    """Choose what goes wrong on a link.
+
+    Stalled bytes are held and go on after the stall. Forward is from the
+    side that connects to the target.
+    """
+
+    cut: bool = False  # refuse new connections, close the open ones
+    stall_forward: bool = False
+    stall_backward: bool = False
+    delay_ms: int = 0
+    # Setting it makes the connections then open silent for good.
+    silence_existing: bool = False
+
+
+class Link:
+    """Relay connections from one address to another."""
+
+    def __init__(self, settings: LinkSettings) -> None:
+        """Bind both addresses."""
+        self.settings = settings
+        self.control = Control(LinkFaults())
+        self._control_listener = Listener(settings.control_address)
+        self._socket = _listen(settings.address)
+        ip, port = self._socket.getsockname()[:2]
+        self._address = join_address(ip, port)
+        self._server: asyncio.Server | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._open: set[_Connection] = set()
+        self._accepted = 0
+
+    async def start(self) -> None:
+        """Accept connections."""
+        routes = control_routes(self.control, self.count)
+        self._control_listener.start(routes)
+        self.control.on_change(self._apply)
+        await self._accept()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        self._close()
+        await self._control_listener.stop()
+
+    def ready(self) -> dict[str, Any]:
+        """Return the fields of the ready line."""
+        return {
+            "name": self.settings.name,
+            "address": self._address,
+            "control_address": self._control_listener.address,
+        }
+
+    def count(self) -> dict[str, Any]:
+        """Return what was counted."""
+        return {"accepted": self._accepted, "open": len(self._open)}
+
+    def _apply(self, _: LinkFaults, faults: LinkFaults) -> None:
+        if faults.silence_existing:  # only for those open now
+            self.control.faults = attrs.evolve(faults, silence_existing=False)
+        for connection in self._open:
+            connection.silent |= faults.silence_existing
+            connection.apply(faults)
+        if faults.cut:
+            self._close()
+        elif self._server is None:
+            self._socket = _listen(self._address)
+            self._task = asyncio.create_task(self._accept())
+
+    async def _accept(self) -> None:
+        self._server = await asyncio.start_server(
+            self._relay, sock=self._socket
+        )
+
+    def _close(self) -> None:
+        """Close the listening address and every connection."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for connection in list(self._open):
+            connection.abort()
+
+    async def _relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        ip, port = split_address(self.settings.target_address)
+        try:
+            target = await asyncio.open_connection(ip, port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._accepted += 1
+        connection = _Connection((reader, writer), target)
+        connection.apply(self.control.faults)
+        self._open.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._open.discard(connection)
+            connection.abort()
+
+
+Ends = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class _Connection:
+    """Copy bytes both ways between a caller and its target."""
+
+    def __init__(self, caller: Ends, target: Ends) -> None:
+        self.silent = False
+        self._caller = caller
+        self._target = target
+        self._forward = asyncio.Event()
+        self._backward = asyncio.Event()
+        self._delay_s = 0.0
+
+    def apply(self, faults: LinkFaults) -> None:
+        """Let bytes pass, or hold them, as the faults say."""
+        self._delay_s = faults.delay_ms / 1_000
+        _open_gate(self._forward, not (self.silent or faults.stall_forward))
+        _open_gate(self._backward, not (self.silent or faults.stall_backward))
+
+    async def run(self) -> None:
+        """Copy until both ways have ended."""
+        await asyncio.gather(
+            self._copy(self._caller[0], self._target[1], self._forward),
+            self._copy(self._target[0], self._caller[1], self._backward),
+        )
+
+    def abort(self) -> None:
+        """Close both ends at once and let go of held bytes."""
+        self._forward.set()
+        self._backward.set()
+        self._caller[1].transport.abort()
+        self._target[1].transport.abort()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        gate: asyncio.Event,
+    ) -> None:
+        """Copy one way; a delay or closed gate holds its end back too."""
+        try:
+            while data := await reader.read(_CHUNK_BYTES):
+                await self._hold(gate)
+                writer.write(data)
+                await writer.drain()
+            await self._hold(gate)
+            writer.write_eof()
+        except OSError:  # one way broken: a broken connection
+            self.abort()
+
+    async def _hold(self, gate: asyncio.Event) -> None:
+        await asyncio.sleep(self._delay_s)
+        await gate.wait()
+
+
+def _open_gate(gate: asyncio.Event, passing: bool) -> None:
+    if passing:
+        gate.set()
+    else:
+        gate.clear()
+
+
+def _listen(address: str) -> socket.socket:
+    ip, port = split_address(address)
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    return socket.create_server((ip, port), family=family, backlog=_BACKLOG)
--- /dev/null
+++ b/src/balsamlift/testing/_log_store.py
@@ -0,0 +1,97 @@
+"""The records of the platform's log, with offsets and retention."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Any
+
+import attrs
+
+from balsamlift.clock import Clock
+
+
+@attrs.frozen(kw_only=True)
+class LogRecord:
+    """Hold one record; `at_ms` is the wall time of its append."""
+
+    offset: int
+    at_ms: int
+    record: Any
+
+
+@attrs.frozen(kw_only=True)
+class LogPage:
+    """Answer a read; `next` is where to read on."""
+
+    earliest: int
+    next: int
+    records: list[LogRecord]
+
+
+class LogStore:
+    """Append records in order and forget the old ones."""
+
+    def __init__(
+        self, clock: Clock, retention_ms: int, retention_records: int
+    ) -> None:
+        """Begin empty at offset 0."""
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._retention_records = retention_records
+        self._records: deque[LogRecord] = deque()
+        self._end = 0
+        self._appended = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        """Return the offset that the next record gets."""
+        return self._end
+
+    def append(self, records: list[Any]) -> list[int]:
+        """Append and return the offsets."""
+        first = self._end
+        at_ms = self._now_ms()
+        for record in records:
+            self._records.append(
+                LogRecord(offset=self._end, at_ms=at_ms, record=record)
+            )
+            self._end += 1
+        self._appended.set()
+        self._appended = asyncio.Event()
+        return list(range(first, self._end))
+
+    def read(self, offset: int, limit: int) -> LogPage:
+        """Return up to `limit` records from `offset` on."""
+        self._expire()
+        earliest = self._end - len(self._records)
+        start = min(max(offset, earliest), self._end)
+        skip = start - earliest
+        stop = min(skip + limit, len(self._records))
+        records = [self._records[i] for i in range(skip, stop)]
+        return LogPage(
+            earliest=earliest, next=start + len(records), records=records
+        )
+
+    async def wait_beyond(self, offset: int, wait_ms: int) -> None:
+        """Wait until a record at `offset` exists, `wait_ms` at most."""
+        deadline = self._clock.monotonic() + wait_ms / 1_000
+        while self._end <= offset:
+            left_s = deadline - self._clock.monotonic()
+            if left_s <= 0:
+                return
+            try:
+                await asyncio.wait_for(self._appended.wait(), left_s)
+            except TimeoutError:
+                return
+
+    def _expire(self) -> None:
+        oldest_ms = self._now_ms() - self._retention_ms
+        while self._records and (
+            len(self._records) > self._retention_records
+            or self._records[0].at_ms < oldest_ms
+        ):
+            self._records.popleft()
+
+    def _now_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1_000)
--- /dev/null
+++ b/src/balsamlift/testing/_service.py
@@ -0,0 +1,201 @@
+"""The stand-in of a plain service, such as a tracker or a till."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections import Counter
+from typing import Any
+
+import attrs
+import msgspec
+
+from balsamlift._validators import one_of
+from balsamlift.clock import Clock
+from balsamlift.testing._platform import FOREVER_S
+from balsamlift.testing._settings import ServiceSettings
+from balsamlift.testing._stand_in import (
+    Control,
+    HostEntry,
+    JsonHandler,
+    Listener,
+    Registration,
+    Routes,
+    control_routes,
+)
+
+_RETRY_MS = 500
+
+
+@attrs.frozen(kw_only=True)
+class ServiceFaults:
+    """Choose what goes wrong at a service."""
+
+    slow_ms: int = 0  # the work takes that much longer
+    # Calls run and then get no answer, or 500.
+    lose_answers: str = attrs.field(
+        default="no", validator=one_of("no", "silent", "500")
+    )
+    refuse: bool = False
+    draining: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """Hold the body of a call."""
+
+    key: str
+    workspace: str = ""
+    kind: str = ""
+    payload: Any = None
+    idempotent: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class KeyState:
+    """Tell what became of a key."""
+
+    state: str
+    result: Any = None
+
+
+class PlainService:
+    """Run a service that counts how often each key was executed."""
+
+    def __init__(self, settings: ServiceSettings, clock: Clock) -> None:
+        """Bind the address."""
+        self.settings = settings
+        self.clock = clock
+        self.control = Control(ServiceFaults())
+        self.executions: Counter[str] = Counter()
+        self.keys: dict[str, KeyState] = {}
+        self.tasks: dict[str, asyncio.Task[Any]] = {}
+        self.running = 0
+        self._listener = Listener(settings.address)
+        entry = HostEntry(
+            name=settings.name,
+            pool=settings.pool,
+            address=self._listener.address,
+            failure_domain=settings.failure_domain,
+        )
+        self._registration = Registration(settings.platform_address, entry)
+
+    @property
+    def faults(self) -> ServiceFaults:
+        """Return the faults in force."""
+        return self.control.faults
+
+    async def start(self) -> None:
+        """Accept connections and report to the platform."""
+        mine = {"service": self}
+        routes: Routes = [
+            (r"/v1/calls", CallsHandler, mine),
+            (r"/v1/keys/([^/]+)", KeyHandler, mine),
+        ]
+        self._listener.start(routes + control_routes(self.control, self.count))
+        self.control.on_change(self._apply)
+        self._registration.announce("live")
+
+    async def stop(self) -> None:
+        """Close the address."""
+        await self._registration.withdraw()
+        await self._listener.stop()
+
+    def ready(self) -> dict[str, Any]:
+        """Return the fields of the ready line."""
+        return {
+            "name": self.settings.name,
+            "address": self._listener.address,
+        }
+
+    def count(self) -> dict[str, Any]:
+        """Return what was counted."""
+        return {"executions": self.executions, "running": self.running}
+
+    async def run(self, call: Call) -> Any:
+        """Execute a call and return its result."""
+        self.executions[call.key] += 1
+        self.keys[call.key] = KeyState(state="running")
+        self.running += 1
+        work_ms = self.settings.work_ms + self.faults.slow_ms
+        await self.clock.sleep(work_ms / 1_000)
+        self.running -= 1
+        result = _result(call)
+        self.keys[call.key] = KeyState(state="done", result=result)
+        return result
+
+    def _apply(self, old: ServiceFaults, new: ServiceFaults) -> None:
+        if new.draining != old.draining:
+            self._registration.announce("leaving" if new.draining else "live")
+
+
+def _result(call: Call) -> dict[str, Any]:
+    """Return a result that only this call can have."""
+    payload = msgspec.json.encode(call.payload, order="sorted")
+    digest = hashlib.sha256(payload).hexdigest()
+    return {
+        "key": call.key,
+        "workspace": call.workspace,
+        "kind": call.kind,
+        "payload_digest": digest,
+    }
+
+
+class ServiceHandler(JsonHandler):
+    """Know the service."""
+
+    def initialize(self, service: PlainService) -> None:
+        """Keep the service."""
+        self._service = service
+
+
+class CallsHandler(ServiceHandler):
+    """Execute calls."""
+
+    async def post(self) -> None:
+        """Execute the call of the body."""
+        call = self.read(Call)
+        if call is None:
+            return
+        if self._keep_out():
+            return
+        result = await self._run(call)
+        lose = self._service.faults.lose_answers
+        if lose == "silent":
+            await self._service.clock.sleep(FOREVER_S)
+        if lose != "no":
+            self.refuse(500, "lost")
+            return
+        self.reply({"result": result})
+
+    def _keep_out(self) -> bool:
+        """Answer a call that does not run."""
+        service = self._service
+        faults = service.faults
+        full = service.running >= service.settings.max_running
+        if not (full or faults.refuse or faults.draining):
+            return False
+        reason = "draining" if faults.draining else "full"
+        self.refuse(503, reason, ran=False, retry_after_ms=_RETRY_MS)
+        return True
+
+    async def _run(self, call: Call) -> Any:
+        service = self._service
+        if not service.settings.deduplicates:
+            return await service.run(call)
+        if call.key not in service.tasks:
+            task = asyncio.create_task(service.run(call))
+            service.tasks[call.key] = task
+        return await service.tasks[call.key]
+
+
+class KeyHandler(ServiceHandler):
+    """Tell what became of a key."""
+
+    def get(self, key: str) -> None:
+        """Return the state of the key, if the service tells it."""
+        if not self._service.settings.tells_by_key:
+            self.refuse(404, "not_told")
+            return
+        absent = KeyState(state="absent")
+        self.reply(self._service.keys.get(key, absent))
