Fold the log into the preset in force

Cause: every host must come to the same preset from the same records, with racing operators, lost answers and expired records.

--- a/src/balsamlift/presets/__init__.py
+++ b/src/balsamlift/presets/__init__.py
@@ -1,7 +1,11 @@
 """Presets, published and switched on the platform's log."""
 
 from balsamlift.presets._check import check_pools, check_preset
+from balsamlift.presets._claimant import ClaimResult
+from balsamlift.presets._claims import ClaimBounds
+from balsamlift.presets._fold import fold
 from balsamlift.presets._log import Batch, LogClient
+from balsamlift.presets._operator import OperationResult, Operator
 from balsamlift.presets._preset import (
     KindPreset,
     PoolPreset,
@@ -20,12 +24,15 @@
     encode_record,
     new_operation,
 )
+from balsamlift.presets._service import Presets
 from balsamlift.presets._state import FoldState, InForce, LeaseInForce
 
 __all__ = [
     "Batch",
     "Checkpoint",
     "Claim",
+    "ClaimBounds",
+    "ClaimResult",
     "Entry",
     "FoldState",
     "InForce",
@@ -33,8 +40,11 @@
     "Lease",
     "LeaseInForce",
     "LogClient",
+    "OperationResult",
+    "Operator",
     "PoolPreset",
     "Preset",
+    "Presets",
     "Publish",
     "Record",
     "Switch",
@@ -43,5 +53,6 @@
     "check_preset",
     "decode_record",
     "encode_record",
+    "fold",
     "new_operation",
 ]
--- a/src/balsamlift/presets/_log.py
+++ b/src/balsamlift/presets/_log.py
@@ -37,8 +37,7 @@
 class Batch:
     """Hold consecutive entries of the log.
 
-    `earliest` is the first offset retained, `next` the one that the next
-    append gets.
+    `earliest` is the first offset retained, `next` the one to read on from.
     """
 
     earliest: int
@@ -65,9 +64,9 @@
 class BackOff:
     """Grow a delay with each failure in a row, with jitter."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random | None = None) -> None:
         """Begin with no failure."""
-        self._rng = rng
+        self._rng = rng or random.Random()
         self._limit_ms = 0.0
 
     @property
@@ -113,7 +112,7 @@
         self._silence_ms = silence_ms
         self._clock = clock
         self._http = http
-        self._back_off = BackOff(rng or random.Random())
+        self._back_off = BackOff(rng)
         self._queue: asyncio.Queue[_Waiting] = asyncio.Queue()
         self._blocked_until = 0.0
         self._read_failed = False
--- /dev/null
+++ b/src/balsamlift/presets/_operator.py
@@ -0,0 +1,181 @@
+"""Publish and switch presets, and tell truthfully what became of it."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Literal
+
+import attrs
+from loguru import logger
+
+from balsamlift._http import HttpClient
+from balsamlift.clock import Clock, SystemClock
+from balsamlift.exceptions import (
+    LogBlockedError,
+    LogUnavailableError,
+    LogUnreadableError,
+    OffsetGapError,
+)
+from balsamlift.presets._log import BackOff, LogClient
+from balsamlift.presets._preset import Preset
+from balsamlift.presets._reader import Reader
+from balsamlift.presets._records import Publish, Switch, new_operation
+from balsamlift.presets._state import FoldState, Outcome
+
+log = logger.bind(part="operator")
+
+SILENCE_MS = 2_000
+READ_WAIT_MS = 1_000
+WAIT_MS = 15_000
+
+State = Literal["accepted", "superseded", "unknown", "invalid"]
+
+
+@attrs.frozen
+class OperationResult:
+    """Tell what became of an operation, as every reader of the log sees it.
+
+    "unknown": its record was not seen on the log in time; it may still
+    turn up, `Operator.outcome` tells. `generation` is the one in force
+    just after the record, `offset` where that lies; None where unknown.
+    """
+
+    op: str
+    state: State
+    generation: int | None
+    offset: int | None
+
+
+class Operator:
+    """Act on the log as an operator; each call reads the log afresh.
+
+    Every call raises `LogUnreadableError` when the log gave no whole state
+    within `wait_ms`, and `LogBlockedError` when it took no append: nothing
+    was changed then.
+    """
+
+    def __init__(
+        self,
+        log_address: str,
+        clock: Clock | None = None,
+        *,
+        silence_ms: int = SILENCE_MS,
+        wait_ms: int = WAIT_MS,
+    ) -> None:
+        """`log_address` is "IP:port"."""
+        self._address = log_address
+        self._clock = clock or SystemClock()
+        self._silence_ms = silence_ms
+        self._wait_ms = wait_ms
+
+    async def publish(self, preset: Preset) -> OperationResult:
+        """Make a preset known under its name."""
+        async with self._session() as session:
+            await session.catch_up()
+            record = Publish(new_operation(), preset.name, preset)
+            return await session.append(record)
+
+    async def switch(
+        self, name: str, expected_generation: int | None = None
+    ) -> OperationResult:
+        """Put a published preset in force.
+
+        Only while `expected_generation` is in force; None stands for the
+        generation in force when the call begins.
+        """
+        async with self._session() as session:
+            state = await session.catch_up()
+            expected = expected_generation
+            if expected is None:
+                expected = state.generation
+            record = Switch(new_operation(), name, expected)
+            return await session.append(record)
+
+    async def state(self) -> FoldState:
+        """Return the state at the end of the log."""
+        async with self._session() as session:
+            return await session.catch_up()
+
+    async def outcome(self, op: str) -> OperationResult:
+        """Return what became of an earlier operation."""
+        async with self._session() as session:
+            state = await session.catch_up()
+            return _result(op, state.outcomes.get(op))
+
+    @asynccontextmanager
+    async def _session(self) -> AsyncIterator[_Session]:
+        http = HttpClient()
+        client = LogClient(self._address, self._silence_ms, self._clock, http)
+        await client.start()
+        try:
+            yield _Session(client, self._clock, self._wait_ms)
+        finally:
+            await client.stop()
+            http.close()
+
+
+class _Session:
+    """Read and append within one call of an operator."""
+
+    def __init__(self, client: LogClient, clock: Clock, wait_ms: int) -> None:
+        self._log = client
+        self._clock = clock
+        self._wait_s = wait_ms / 1_000
+        self._reader = Reader(client)
+        self._back_off = BackOff()
+
+    async def catch_up(self) -> FoldState:
+        """Read to the end of the log."""
+        error = LogUnreadableError("the log lacks a usable checkpoint")
+        deadline_s = self._clock.monotonic() + self._wait_s
+        while self._clock.monotonic() < deadline_s:
+            failed = await self._step(0)
+            error = failed or error
+            if failed is None and self._reader.follows:
+                return self._reader.state
+            if self._reader.scanning and self._reader.at_end:
+                await self._clock.sleep(self._back_off.failed())
+        raise error
+
+    async def append(self, record: Publish | Switch) -> OperationResult:
+        """Append once, then read on until the record is folded.
+
+        A lost answer is never answered by a second append.
+        """
+        offset: int | None = None
+        try:
+            [offset] = await self._log.append([record])
+        except LogBlockedError:
+            raise
+        except LogUnavailableError as error:
+            log.info("Append unanswered, reading on: {}.", error)
+        await self._read_until_folded(record.op, offset)
+        return _result(record.op, self._reader.state.outcomes.get(record.op))
+
+    async def _read_until_folded(self, op: str, offset: int | None) -> None:
+        deadline_s = self._clock.monotonic() + self._wait_s
+        while op not in self._reader.state.outcomes:
+            if offset is not None and self._reader.state.offset > offset:
+                return
+            if self._clock.monotonic() >= deadline_s:
+                return
+            await self._step(READ_WAIT_MS)
+
+    async def _step(self, wait_ms: int) -> LogUnreadableError | None:
+        """Read once; after a failure wait a little and return why."""
+        try:
+            await self._reader.step(wait_ms)
+        except (LogUnavailableError, OffsetGapError) as error:
+            await self._clock.sleep(self._back_off.failed())
+            return LogUnreadableError(error.message)
+        self._back_off.succeeded()
+        return None
+
+
+def _result(op: str, outcome: Outcome | None) -> OperationResult:
+    if outcome is None:
+        return OperationResult(op, "unknown", None, None)
+    return OperationResult(
+        op, outcome.verdict, outcome.generation, outcome.offset
+    )
--- /dev/null
+++ b/src/balsamlift/presets/_peer_folds.py
@@ -0,0 +1,107 @@
+"""Pass the fold on between hosts while the log cannot be read."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import Protocol, cast
+
+import msgspec
+from loguru import logger
+
+from balsamlift._http import CallError, HttpClient
+from balsamlift.exceptions import ServiceMissingError
+from balsamlift.kernel import Kernel
+from balsamlift.presets._state import FoldState
+
+log = logger.bind(part="presets")
+
+PEERS_ASKED = 2
+SILENCE_MS = 1_000
+OK = 200
+NO_CONTENT = 204
+
+
+class _Peer(Protocol):
+    @property
+    def host(self) -> str: ...
+
+    @property
+    def operators_address(self) -> str: ...
+
+    @property
+    def offset(self) -> int: ...
+
+
+class _Peers(Protocol):
+    def live(self) -> Sequence[_Peer]: ...
+
+
+class PeerFolds:
+    """Fetch the folds of peers."""
+
+    def __init__(
+        self, kernel: Kernel, http: HttpClient, rng: random.Random
+    ) -> None:
+        """Find the peers through the kernel each time, as it is needed."""
+        self._kernel = kernel
+        self._http = http
+        self._rng = rng
+
+    async def fetch(self, offset: int) -> tuple[bool, FoldState | None]:
+        """Ask a few peers for a state further than `offset`.
+
+        Returns whether any answered, and the furthest state if any.
+        """
+        answered = False
+        furthest: FoldState | None = None
+        for peer in self._choose(offset):
+            try:
+                state = await self._ask(peer, offset)
+            except (CallError, msgspec.MsgspecError, ValueError) as error:
+                log.info("Peer {} gave no fold: {}.", peer.host, error)
+                continue
+            answered = True
+            if state is not None and state.offset > offset:
+                furthest = state
+                offset = state.offset
+        return answered, furthest
+
+    def _choose(self, offset: int) -> list[_Peer]:
+        """Return a few peers, those that announced to be further first."""
+        peers = list(self._live())
+        self._rng.shuffle(peers)
+        peers.sort(key=lambda peer: peer.offset <= offset)
+        return peers[:PEERS_ASKED]
+
+    def _live(self) -> Sequence[_Peer]:
+        try:
+            peers = cast(_Peers, self._kernel.find("peers", object))
+        except ServiceMissingError:
+            return []
+        return peers.live()
+
+    async def _ask(self, peer: _Peer, offset: int) -> FoldState | None:
+        url = f"http://{peer.operators_address}/v1/peer/fold?from={offset}"
+        answer = await self._http.call(
+            "GET",
+            url,
+            timeout_ms=SILENCE_MS,
+            connect_ms=SILENCE_MS,
+            fresh=True,
+        )
+        if answer.status == NO_CONTENT:
+            return None
+        if answer.status != OK:
+            raise CallError(url, f"answered {answer.status}", sent=True)
+        return decode_fold(answer.body)
+
+
+def encode_fold(state: FoldState) -> bytes:
+    """Return a state as msgpack."""
+    return msgspec.msgpack.encode(state)
+
+
+def decode_fold(data: bytes) -> FoldState:
+    """Return the state that a peer sent; raise `msgspec` errors."""
+    return msgspec.msgpack.decode(data, type=FoldState)
--- a/src/balsamlift/presets/_records.py
+++ b/src/balsamlift/presets/_records.py
@@ -42,7 +42,7 @@
 
 @attrs.frozen
 class Checkpoint:
-    """Repeat the whole state as of `covers_offset`."""
+    """Repeat the state of all records before `covers_offset`."""
 
     op: str = attrs.field(validator=_NAME)
     covers_offset: int = attrs.field(validator=attrs.validators.ge(1))
@@ -54,7 +54,8 @@
     """Take or renew the lease on orders to engines.
 
     Valid only if `previous_offset` is the offset of the lease record in
-    force (0: none). Its own offset is the fencing number.
+    force (0: none). Its own offset is the fencing number; a lease at
+    offset 0 is void, for it could not be told from none.
     """
 
     op: str = attrs.field(validator=_NAME)
--- a/src/balsamlift/presets/_state.py
+++ b/src/balsamlift/presets/_state.py
@@ -62,7 +62,10 @@
 
 @attrs.frozen
 class CheckpointSeen:
-    """Remember the checkpoint that covers the most."""
+    """Remember the checkpoint that covers the most.
+
+    It holds the state of all records before `covers_offset`.
+    """
 
     offset: int
     covers_offset: int
@@ -70,10 +73,10 @@
 
 @attrs.define
 class FoldState:
-    """Hold all that the log says up to and including `offset`.
+    """Hold all that the log says before `offset`, the next one to fold.
 
-    Offsets begin at 1; 0 stands for nothing read. Claims are kept apart
-    (see `ClaimWindow`), because they outgrow a checkpoint.
+    Offsets of the log begin at 0. Claims are kept apart (see
+    `ClaimWindow`), because they outgrow a checkpoint.
     """
 
     offset: int = attrs.field(default=0, validator=attrs.validators.ge(0))
@@ -84,3 +87,17 @@
     outcomes: dict[str, Outcome] = attrs.field(factory=dict)  # by operation
     lease: LeaseInForce | None = None
     checkpoint: CheckpointSeen | None = None
+
+    @property
+    def generation(self) -> int:
+        """Return the generation in force; 0 when there is none."""
+        return self.in_force.generation if self.in_force else 0
+
+    def copy(self) -> FoldState:
+        """Return a state that changes apart from this one."""
+        return attrs.evolve(
+            self,
+            presets=dict(self.presets),
+            history=list(self.history),
+            outcomes=dict(self.outcomes),
+        )
