--- a/src/balsamlift/testing/_engine.py
+++ b/src/balsamlift/testing/_engine.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import secrets
 from collections import Counter
 from typing import Any
 
@@ -15,12 +14,13 @@
 from balsamlift.testing._engine_handlers import engine_routes
 from balsamlift.testing._engine_model import EngineModel
 from balsamlift.testing._engine_reports import EngineReports
-from balsamlift.testing._engine_types import Step, Work
+from balsamlift.testing._engine_types import Step
+from balsamlift.testing._engine_work import make_work, new_generation
 from balsamlift.testing._generation import (
     Generation,
     GenerationRequest,
     KeyState,
-    StartFrame,
+    Refusal,
 )
 from balsamlift.testing._orders import Orders
 from balsamlift.testing._settings import EngineSettings
@@ -31,7 +31,7 @@
     Registration,
     control_routes,
 )
-from balsamlift.testing._tokens import count_tokens, draw_length, token_text
+from balsamlift.testing._tokens import token_text
 
 _LATE_S = 0.1  # steps that are later than this are not caught up with
 _DEATH_DELAY_S = 0.05  # for the last tokens to leave
@@ -39,15 +39,6 @@
 _RETRY_MS = 200
 
 
-@attrs.frozen(kw_only=True)
-class Refusal:
-    """Say why a request was kept out; it certainly did not run."""
-
-    reason: str
-    retry_after_ms: int
-    ran: bool = False
-
-
 class Engine:
     """Run one engine."""
 
@@ -68,7 +59,7 @@
         self._tokens = 0
         self._dies_at = -1
         self._wake = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._task: asyncio.Task[None] | None = None
         self._reclaim: asyncio.TimerHandle | None = None
         self._listener = Listener(settings.address)
         entry = HostEntry(
@@ -89,13 +80,14 @@
         routes = engine_routes(self)
         self._listener.start(routes + control_routes(self.control, self.count))
         self.control.on_change(self._apply)
-        self._tasks.add(asyncio.create_task(self._decode()))
+        self._task = asyncio.create_task(self._decode())
+        self._task.add_done_callback(_show_error)
         self._registration.announce("live")
 
     async def stop(self) -> None:
         """Close everything."""
-        for task in self._tasks:
-            task.cancel()
+        if self._task is not None:
+            self._task.cancel()
         self.orders.close()
         await self._registration.withdraw()
         await self._listener.stop()
@@ -129,8 +121,9 @@
         reason = self._keep_out()
         if reason:
             return Refusal(reason=reason, retry_after_ms=_RETRY_MS)
-        generation = self._new_generation(request)
-        if not self._model.submit(self._work(generation)):
+        generation = new_generation(request, self.settings, self.orders.state)
+        work = make_work(generation, self.settings, self._model.output_limit)
+        if not self._model.submit(work):
             return Refusal(reason="full", retry_after_ms=_RETRY_MS)
         self.generations[generation.name] = generation
         self._by_key[request.key] = generation
@@ -157,47 +150,6 @@
             return "model_missing"
         return "full" if self.faults.refuse else ""
 
-    def _new_generation(self, request: GenerationRequest) -> Generation:
-        state = self.orders.state
-        name = secrets.token_hex(16)
-        start = StartFrame(
-            generation=name,
-            key=request.key,
-            workspace=request.workspace,
-            model=state.model,
-            version=state.version,
-        )
-        generation = Generation(name, request, start)
-        if self.settings.deterministic:
-            seed = request.key if request.seed is None else request.seed
-            generation.salt = f"{seed}:{state.model}:{state.version}"
-        return generation
-
-    def _work(self, generation: Generation) -> Work:
-        request = generation.request
-        prompt_tokens = request.prompt_tokens or count_tokens(request.prompt)
-        drawn = self._draw_length(generation)
-        limit = self._model.output_limit(prompt_tokens)
-        if request.max_tokens:
-            limit = min(limit, request.max_tokens)
-        generation.natural_end = "stop" if drawn <= limit else "length"
-        return Work(
-            key=generation.name,
-            prompt_tokens=prompt_tokens,
-            output_tokens=min(drawn, max(1, limit)),
-            prefix=request.prefix or "",
-            priority=request.priority,
-        )
-
-    def _draw_length(self, generation: Generation) -> int:
-        """Draw by key, or by the request's seed when deterministic."""
-        request = generation.request
-        seed = f"{self.settings.seed}:{request.key}"
-        if self.settings.deterministic:
-            seed = generation.salt
-        lengths = self.settings.lengths
-        return draw_length(lengths, request.kind, request.prompt, seed)
-
     async def _decode(self) -> None:
         """Step the model in real time for as long as the engine lives."""
         due = self.clock.monotonic()
@@ -313,3 +265,9 @@
     def _end_all(self) -> None:
         for generation in list(self.generations.values()):
             self._end(generation, "reclaimed")
+
+
+def _show_error(task: asyncio.Task[None]) -> None:
+    """Raise what ended the decoding, so that the loop prints it."""
+    if not task.cancelled():
+        task.result()
--- a/src/balsamlift/testing/_generation.py
+++ b/src/balsamlift/testing/_generation.py
@@ -61,6 +61,15 @@
     reason: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class Refusal:
+    """Say why a request was kept out; it certainly did not run."""
+
+    reason: str
+    retry_after_ms: int
+    ran: bool = False
+
+
 class Reader:
     """Wait for tokens of one generation, several at a time."""
 
