Serve a request from end to end

The thin whole path: key table, dispatch to engines and plain services, resume of the same generation, relays to the home, reading from the engine when the home is gone, hand-over of the key table, callers' HTTP, the client library, the daemon.

The state machines were seen failing with their guard taken out: refusing for want of room without closing the epoch runs a refused key; forgetting epochs without retiring their keys runs a key twice; not dropping by index doubles tokens. They pass now.

Orders to engines are not wired yet; nothing is measured yet.

--- /dev/null
+++ b/src/balsamlift/daemon.py
@@ -0,0 +1,167 @@
+"""The daemon: one kernel with every service, run until told to leave."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+
+import attrs
+import msgspec
+from loguru import logger
+
+from balsamlift import logs
+from balsamlift._http import HttpClient
+from balsamlift.clock import Clock, SystemClock
+from balsamlift.kernel import Kernel
+from balsamlift.metrics import Metrics
+from balsamlift.operators import OperatorsServer
+from balsamlift.peers import Peers, Upstreams
+from balsamlift.placement import Placement
+from balsamlift.presets import LogClient, Presets
+from balsamlift.requests import (
+    CallersServer,
+    Home,
+    Parts,
+    Requests,
+    new_incarnation,
+)
+from balsamlift.settings import Settings
+from balsamlift.status import Status
+from balsamlift.streams import StreamClient
+from balsamlift.timeline import Timeline
+
+log = logger.bind(part="daemon")
+
+
+@attrs.frozen(kw_only=True)
+class Ready:
+    """Tell on standard output where a daemon listens."""
+
+    host: str
+    incarnation: str
+    callers_address: str
+    operators_address: str
+    peers_address: str
+    ready: bool = True
+
+
+class Daemon:
+    """Hold the services of one host."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        """Make every service; each listens from here on."""
+        self.settings = settings
+        self.clock = clock
+        self.kernel = Kernel()
+        self.home = Home(settings.host, new_incarnation())
+        limits = settings.limits
+        self.timeline = Timeline(settings.host, clock, limits.timeline_events)
+        self.metrics = Metrics()
+        self.operators = OperatorsServer(settings.operators_address)
+        http = HttpClient(self.timeline.stamp, self.timeline.observe)
+        log_client = LogClient(
+            settings.platform.log_address,
+            settings.platform.log_silence_ms,
+            clock,
+            http,
+        )
+        self.presets = Presets(
+            self.home.name,
+            clock,
+            http,
+            retention_ms=settings.platform.log_retention_ms,
+        )
+        self.upstreams = Upstreams(settings, clock, http)
+        self.callers = CallersServer(settings.callers_address)
+        self.peers = Peers(
+            settings,
+            self.home.incarnation,
+            self.callers.address,
+            clock,
+            random.Random(settings.seed or None),
+        )
+        self.placement = Placement(clock, settings.seed)
+        parts = Parts(
+            settings=settings,
+            clock=clock,
+            http=http,
+            streams=StreamClient(),
+            timeline=self.timeline,
+            metrics=self.metrics,
+            presets=self.presets,
+            upstreams=self.upstreams,
+            peers=self.peers,
+            placement=self.placement,
+        )
+        self.requests = Requests(parts, self.home)
+        self._register(log_client)
+
+    def _register(self, log_client: LogClient) -> None:
+        for service in (
+            self.operators,
+            self.timeline,
+            self.metrics,
+            log_client,
+            self.upstreams,
+            self.peers,
+            self.presets,
+            self.placement,
+            self.requests,
+            self.callers,
+            Status(self.settings, self.home),
+        ):
+            self.kernel.register(service)
+
+    @property
+    def ready(self) -> Ready:
+        """Return where this daemon listens."""
+        return Ready(
+            host=self.settings.host,
+            incarnation=self.home.incarnation,
+            callers_address=self.callers.address,
+            operators_address=self.operators.address,
+            peers_address=self.peers.address,
+        )
+
+    async def start(self) -> None:
+        """Start every service."""
+        await self.kernel.start()
+        log.info("Host {} is up.", self.settings.host)
+
+    async def leave(self) -> None:
+        """Leave without cutting off a request.
+
+        Callers keep addresses for a while, so keys are taken for that
+        long; then what runs is waited for, then the keys are handed over.
+        """
+        self.timeline.record("leaving")
+        self.peers.announce_leaving()
+        await self.clock.sleep(self.settings.address_keep_ms / 1_000)
+        self.requests.taking = False
+        bound_s = self.settings.shutdown_ms / 1_000
+        if not await self.requests.wait_idle(bound_s):
+            log.error("Requests still run after {} s.", bound_s)
+        await self.requests.hand_over()
+        await self.kernel.stop()
+        log.info("Host {} has left.", self.settings.host)
+
+
+def run(settings: Settings) -> None:
+    """Run one daemon until SIGTERM or SIGINT, and leave gracefully."""
+    logs.configure(settings.log_level, settings.log_json)
+    asyncio.run(_run(settings))
+
+
+async def _run(settings: Settings) -> None:
+    daemon = Daemon(settings, SystemClock())
+    leave = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, leave.set)
+    await daemon.start()
+    sys.stdout.write(msgspec.json.encode(daemon.ready).decode() + "\n")
+    sys.stdout.flush()
+    await leave.wait()
+    await daemon.leave()
--- /dev/null
+++ b/src/balsamlift/requests/__init__.py
@@ -0,0 +1,58 @@
+"""Requests of callers: keys, dispatch, answers and outcomes."""
+
+from balsamlift.requests._callers import Addresses, CallersServer, Place
+from balsamlift.requests._errors import (
+    AnswerExpiredError,
+    BadBodyError,
+    BadKeyError,
+    IndexPastEndError,
+    KeyMissingError,
+    KeyReusedError,
+    KindUnknownError,
+    TokenWrongError,
+    WorkspaceUnknownError,
+)
+from balsamlift.requests._execution import Execution
+from balsamlift.requests._keys import (
+    Home,
+    HomedKey,
+    UnhomedKey,
+    key_prefix,
+    new_homed_key,
+    new_unhomed_key,
+    parse_key,
+)
+from balsamlift.requests._messages import STREAM, WHOLE_ONLY, RequestBody
+from balsamlift.requests._parts import Parts
+from balsamlift.requests._service import Requests
+from balsamlift.requests._table import KeyTable, new_incarnation
+
+__all__ = [
+    "STREAM",
+    "WHOLE_ONLY",
+    "Addresses",
+    "AnswerExpiredError",
+    "BadBodyError",
+    "BadKeyError",
+    "CallersServer",
+    "Execution",
+    "Home",
+    "HomedKey",
+    "IndexPastEndError",
+    "KeyMissingError",
+    "KeyReusedError",
+    "KeyTable",
+    "KindUnknownError",
+    "Parts",
+    "Place",
+    "RequestBody",
+    "Requests",
+    "TokenWrongError",
+    "UnhomedKey",
+    "WorkspaceUnknownError",
+    "key_prefix",
+    "new_homed_key",
+    "new_incarnation",
+    "new_unhomed_key",
+    "parse_key",
+]
--- /dev/null
+++ b/src/balsamlift/requests/_engine.py
@@ -0,0 +1,343 @@
+"""Run one request on engines: one generation, resumed, never spliced."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import attrs
+import msgspec
+
+from balsamlift._http import CallError
+from balsamlift.peers import Upstream
+from balsamlift.requests._work import (
+    LostError,
+    NotRunError,
+    Work,
+    next_upstream,
+    note_dispatch,
+    note_not_run,
+)
+from balsamlift.streams import (
+    FAILED,
+    UNKNOWN,
+    WHOLE,
+    FrameError,
+    GenerationEnd,
+    OtherTokensError,
+    Outcome,
+    Start,
+    Stream,
+    StreamError,
+    StreamSilentError,
+    StreamStatusError,
+    StreamUnreachableError,
+    TokenGapError,
+    Tokens,
+)
+
+RESUME_TRIES = 6
+RESUME_PAUSE_S = 0.1
+NOT_FOUND = 404
+
+
+@attrs.frozen(kw_only=True)
+class _Refusal:
+    ran: bool = True
+    reason: str = "status"
+    retry_after_ms: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class _KeyState:
+    state: str
+    generation: str = ""
+
+
+async def run_on_engines(work: Work) -> Outcome:
+    """Try engines until there is an outcome."""
+    while True:
+        upstream = await next_upstream(work)
+        if isinstance(upstream, Outcome):
+            return _without_place(work, upstream)
+        note_dispatch(work, upstream)
+        try:
+            return await _run_on(work, upstream)
+        except NotRunError as error:
+            note_not_run(work, upstream, error)
+        except LostError as error:
+            outcome = _after_loss(work, upstream, error)
+            if outcome is not None:
+                return outcome
+        finally:
+            work.parts.placement.released(work.ticket, upstream)
+
+
+def _without_place(work: Work, refusal: Outcome) -> Outcome:
+    # After a loss the work has run once: "refused" would be false.
+    if not work.execution.dispatched:
+        return refusal
+    return work.execution.fail("no_engine_left")
+
+
+def _after_loss(
+    work: Work, upstream: Upstream, error: LostError
+) -> Outcome | None:
+    execution = work.execution
+    work.record(
+        "engine_lost",
+        upstream=upstream.name,
+        reason=error.reason,
+        delivered=execution.delivered,
+    )
+    work.parts.metrics.count("requests.engine_lost")
+    if not work.idempotent:
+        kind = FAILED if error.ended else UNKNOWN
+        return execution.fail(error.reason, kind)
+    work.lost = True
+    work.excluded.add(upstream.name)
+    if execution.delivered == 0:
+        execution.answer.reset()
+        return None
+    if _is_deterministic(work):
+        return None
+    return execution.fail(error.reason)
+
+
+def _is_deterministic(work: Work) -> bool:
+    pool = work.parts.settings.pools.get(work.ticket.ask.pool)
+    return (
+        pool is not None and pool.deterministic and work.body.seed is not None
+    )
+
+
+async def _run_on(work: Work, upstream: Upstream) -> Outcome:
+    """Begin a generation on this engine and follow it to its end."""
+    reader = _Reader(work, upstream)
+    streams = work.parts.settings.streams
+    stream = work.parts.streams.open(
+        "POST",
+        f"http://{upstream.address}/v1/generations",
+        _generation_body(work),
+        connect_ms=streams.connect_ms,
+        silence_ms=streams.upstream_silence_ms,
+    )
+    try:
+        try:
+            return await reader.read(stream)
+        except StreamUnreachableError as error:
+            raise NotRunError("unreachable") from error
+        except StreamStatusError as error:
+            raise _status_error(error) from error
+        except (StreamError, FrameError) as error:
+            work.record(
+                "stream_lost", upstream=upstream.name, reason=str(error)
+            )
+        if not reader.generation:
+            reader.generation = await _ask_by_key(work, upstream)
+        return await _resume(work, upstream, reader)
+    except asyncio.CancelledError:
+        await asyncio.shield(cancel_generation(work, upstream, reader))
+        raise
+
+
+def _generation_body(work: Work) -> dict[str, str | int | None]:
+    body = work.body
+    return {
+        "key": body.key,
+        "workspace": body.workspace,
+        "kind": body.kind,
+        "prompt": body.prompt,
+        "prompt_tokens": work.ticket.ask.prompt_tokens,
+        "prefix": body.prefix,
+        "max_tokens": work.max_tokens,
+        # Presets serve 0 first, engines the highest.
+        "priority": -work.priority,
+        "seed": body.seed,
+    }
+
+
+def _status_error(error: StreamStatusError) -> NotRunError | LostError:
+    try:
+        refusal = msgspec.json.decode(error.body, type=_Refusal)
+    except msgspec.DecodeError:
+        refusal = _Refusal()
+    if not refusal.ran:
+        return NotRunError(refusal.reason, refusal.retry_after_ms)
+    return LostError(f"engine_status_{error.status}", ended=False)
+
+
+async def _ask_by_key(work: Work, upstream: Upstream) -> str:
+    """Return the generation that runs under the key; raise `LostError`."""
+    lost = LostError("engine_silent", ended=False)
+    if not upstream.tells_by_key:
+        raise lost
+    url = f"http://{upstream.address}/v1/keys/{work.execution.key}"
+    try:
+        answer = await work.parts.http.call(
+            "GET",
+            url,
+            timeout_ms=work.parts.settings.streams.upstream_silence_ms,
+            fresh=True,
+        )
+        state = answer.decode(_KeyState)
+    except (CallError, msgspec.DecodeError) as error:
+        raise lost from error
+    if not state.generation:
+        # Absent proves nothing: the request may still be on its way.
+        raise lost
+    return state.generation
+
+
+async def _resume(work: Work, upstream: Upstream, reader: _Reader) -> Outcome:
+    """Follow the same generation over fresh connections."""
+    streams = work.parts.settings.streams
+    pause_s = RESUME_PAUSE_S
+    for _ in range(RESUME_TRIES):
+        before = reader.frames
+        stream = work.parts.streams.open(
+            "GET",
+            f"http://{upstream.address}/v1/generations/{reader.generation}"
+            f"?from={reader.next_index}",
+            connect_ms=streams.connect_ms,
+            silence_ms=streams.upstream_silence_ms,
+        )
+        work.record("resumed", upstream=upstream.name, index=reader.next_index)
+        try:
+            return await reader.read(stream)
+        except StreamStatusError as error:
+            if error.status == NOT_FOUND:
+                raise LostError("engine_forgot", ended=True) from error
+        except (StreamError, FrameError):
+            pass
+        if reader.frames > before:
+            # It moved on; silent connections may come any number of times.
+            return await _resume(work, upstream, reader)
+        await work.parts.clock.sleep(pause_s)
+        pause_s *= 2
+    work.parts.upstreams.mark(upstream.name, "dead", "resume")
+    raise LostError("engine_lost", ended=False)
+
+
+async def cancel_generation(
+    work: Work, upstream: Upstream, reader: _Reader
+) -> None:
+    """Tell the engine to stop, as far as it can be told."""
+    if not reader.generation:
+        return
+    url = f"http://{upstream.address}/v1/generations/{reader.generation}"
+    with contextlib.suppress(CallError):
+        await work.parts.http.call("DELETE", url, timeout_ms=2_000)
+    work.record("generation_cancelled", upstream=upstream.name)
+
+
+class _Reader:
+    """Read the streams of one generation into the answer.
+
+    When the answer holds tokens of an earlier generation, the first tokens
+    of this one are checked against them before any new one is taken.
+    """
+
+    def __init__(self, work: Work, upstream: Upstream) -> None:
+        """Begin before the first frame."""
+        self.generation = ""
+        self.frames = 0
+        self._work = work
+        self._upstream = upstream
+        self._held = work.execution.answer.next_index
+        self._verified = 0
+        self._pending: Start | None = None
+        self._last_s = 0.0
+
+    @property
+    def next_index(self) -> int:
+        """Return the index of the first token not yet read."""
+        if self._verified < self._held:
+            return self._verified
+        return self._work.execution.answer.next_index
+
+    async def read(self, stream: Stream) -> Outcome:
+        """Follow one stream to the end of the generation.
+
+        Raises `LostError`, `StreamError` and `FrameError`.
+        """
+        async with contextlib.aclosing(stream.events()) as events:
+            async for event in events:
+                if event.name == "token":
+                    self._on_tokens(event.decode(Tokens))
+                elif event.name == "start":
+                    self._on_start(event.decode(Start))
+                elif event.name == "end":
+                    return self._on_end(event.decode(GenerationEnd))
+        raise StreamSilentError("ended without an end")
+
+    def _on_start(self, start: Start) -> None:
+        if self.generation and start.generation != self.generation:
+            raise FrameError("another generation answered")
+        if start.key and start.key != self._work.execution.key:
+            raise LostError("foreign_generation", ended=False)
+        self.frames += 1
+        if self._pending is not None:
+            return
+        self.generation = start.generation
+        self._pending = attrs.evolve(start, upstream=self._upstream.name)
+        self._last_s = self._work.parts.clock.monotonic()
+        self._work.parts.placement.started(self._work.ticket, self._upstream)
+        if self._held == 0:
+            self._begin()
+
+    def _begin(self) -> None:
+        execution = self._work.execution
+        assert self._pending is not None
+        execution.answer.begin(self.generation)
+        start = attrs.evolve(self._pending, verified_tokens=self._held)
+        execution.begin(start)
+        self._work.record(
+            "generation", upstream=self._upstream.name, id=self.generation
+        )
+
+    def _on_tokens(self, frame: Tokens) -> None:
+        self.frames += 1
+        if self._verified < self._held:
+            self._verify(frame)
+            if self._verified < self._held:
+                return
+        execution = self._work.execution
+        added = execution.answer.append(frame)
+        if not added:
+            return
+        execution.notify()
+        now_s = self._work.parts.clock.monotonic()
+        gap_ms = (now_s - self._last_s) * 1_000
+        self._last_s = now_s
+        self._work.parts.placement.progress(
+            self._work.ticket, self._upstream, added, gap_ms
+        )
+
+    def _verify(self, frame: Tokens) -> None:
+        if frame.index > self._verified:
+            raise TokenGapError("tokens are missing in the repetition")
+        try:
+            self._work.execution.answer.verify(frame)
+        except OtherTokensError as error:
+            raise LostError("not_reproducible", ended=True) from error
+        self._verified = max(self._verified, frame.index + len(frame.tokens))
+        if self._verified >= self._held:
+            self._begin()
+
+    def _on_end(self, end: GenerationEnd) -> Outcome:
+        execution = self._work.execution
+        if end.reason == "reclaimed":
+            raise LostError("engine_reclaimed", ended=True)
+        if end.reason == "cancelled":
+            return execution.fail("cancelled")
+        if self._verified < self._held:
+            raise LostError("not_reproducible", ended=True)
+        if end.tokens != execution.answer.next_index:
+            raise TokenGapError("the end counts other tokens")
+        return Outcome(
+            outcome=WHOLE,
+            reason=end.reason,
+            tokens=end.tokens,
+            digest=execution.answer.digest,
+        )
--- /dev/null
+++ b/src/balsamlift/requests/_handlers.py
@@ -0,0 +1,261 @@
+"""The HTTP routes of requests, for callers and for peers."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import Any
+
+import msgspec
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler
+
+from balsamlift._http import CLOCK_HEADER
+from balsamlift.exceptions import BalsamliftError, RefusedError, RequestError
+from balsamlift.requests._errors import (
+    AnswerExpiredError,
+    BadBodyError,
+    IndexPastEndError,
+)
+from balsamlift.requests._execution import Execution
+from balsamlift.requests._messages import decode_request
+from balsamlift.requests._remote import HOPS_HEADER
+from balsamlift.requests._service import Requests
+from balsamlift.streams import (
+    HEARTBEAT,
+    REFUSED,
+    UNKNOWN,
+    WHOLE,
+    Accepted,
+    Outcome,
+    Start,
+    encode_event,
+    encode_raw_event,
+)
+
+STATUS = {REFUSED: 503, UNKNOWN: 504}
+BEARER = "Bearer "
+
+
+class RequestsHandler(RequestHandler):
+    """Answer one call about one request."""
+
+    def initialize(self, requests: Requests, trusted: bool) -> None:
+        """Keep the service; peers are trusted to have checked tokens."""
+        self._requests = requests
+        self._trusted = trusted
+        self._timeline = requests.parts.timeline
+        self._closed = False
+
+    def prepare(self) -> None:
+        """Take over the caller's clock."""
+        self._timeline.observe(self.request.headers.get(CLOCK_HEADER, ""))
+
+    def on_connection_close(self) -> None:
+        """Note that nobody reads any more."""
+        self._closed = True
+
+    async def post(self, _path: str = "") -> None:
+        """Take a request and stream its answer."""
+        body = decode_request(self.request.body)
+        self._authorize(body.workspace)
+        execution = await self._requests.submit(body, self._hops())
+        await self._deliver(execution, 0)
+
+    async def get(self, key: str) -> None:
+        """Stream an answer from an index on."""
+        workspace = self.get_query_argument("workspace")
+        self._authorize(workspace)
+        first_index = self._index()
+        execution = self._requests.follow(
+            key, workspace, first_index, self._engine(), self._hops()
+        )
+        _check_index(execution, first_index)
+        await self._deliver(execution, first_index)
+
+    async def delete(self, key: str) -> None:
+        """Cancel a request."""
+        workspace = self.get_query_argument("workspace")
+        self._authorize(workspace)
+        await self._requests.cancel(key, workspace)
+        self._reply(200, b'{"cancelled":true}')
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer an error with its type's code."""
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        if isinstance(error, RefusedError):
+            outcome = Outcome(
+                outcome=REFUSED,
+                reason=error.reason,
+                retry_after_ms=error.retry_after_ms,
+            )
+            self._reply_outcome(outcome)
+            return
+        code, message = "bad_request", "bad request"
+        if isinstance(error, RequestError):
+            status_code, code = error.status, error.code
+            message = error.message
+        elif status_code >= 500:
+            code, message = "internal", "an error of ours"
+        body = {"error": code, "message": message}
+        self._reply(status_code, msgspec.json.encode(body))
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Log only what is no typed answer."""
+        if not isinstance(value, BalsamliftError):
+            super().log_exception(typ, value, tb)
+
+    def _authorize(self, workspace: str) -> None:
+        if self._trusted:
+            return
+        header = self.request.headers.get("Authorization", "")
+        self._requests.authorize(workspace, header.removeprefix(BEARER))
+
+    def _hops(self) -> int:
+        if not self._trusted:
+            return 0
+        return int(self.request.headers.get(HOPS_HEADER, "1"))
+
+    def _index(self) -> int:
+        text = self.get_query_argument("from", "0")
+        if not text.isdecimal():
+            raise BadBodyError("from: expected a number of 0 or more")
+        return int(text)
+
+    def _engine(self) -> tuple[str, str] | None:
+        upstream = self.get_query_argument("upstream", "")
+        generation = self.get_query_argument("generation", "")
+        return (upstream, generation) if upstream and generation else None
+
+    async def _deliver(self, execution: Execution, first_index: int) -> None:
+        execution.watch()
+        try:
+            await execution.wait_settled(self._heartbeat_s())
+            if _ended_at_once(execution):
+                assert execution.outcome is not None
+                self._reply_outcome(execution.outcome)
+                return
+            await _Delivery(self, execution, first_index).run()
+        except (StreamClosedError, TimeoutError):
+            self._timeline.record("caller_lost", request=execution.key)
+        finally:
+            execution.unwatch()
+
+    def _heartbeat_s(self) -> float:
+        return self._requests.parts.settings.streams.heartbeat_ms / 1_000
+
+    def _reply_outcome(self, outcome: Outcome) -> None:
+        if outcome.retry_after_ms is not None:
+            seconds = math.ceil(outcome.retry_after_ms / 1_000)
+            self.set_header("Retry-After", str(seconds))
+        self._reply(STATUS[outcome.outcome], msgspec.json.encode(outcome))
+
+    def _reply(self, status: int, body: bytes) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.set_header(CLOCK_HEADER, self._timeline.stamp())
+        self.finish(body)
+
+    async def send(self, frame: bytes) -> None:
+        """Send one frame; the wait slows this caller's relay only."""
+        if self._closed:
+            raise StreamClosedError
+        self.write(frame)
+        bound_s = self._requests.parts.settings.streams.abandon_ms / 1_000
+        async with asyncio.timeout(bound_s):
+            await self.flush()
+
+    def begin_stream(self) -> None:
+        """Set what a stream of events needs."""
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cache-Control", "no-store")
+        self.set_header(CLOCK_HEADER, self._timeline.stamp())
+
+    def heartbeat_s(self) -> float:
+        """Return how long the stream may stay silent."""
+        return self._heartbeat_s()
+
+
+class _Delivery:
+    """Write one execution to one caller, from an index on."""
+
+    def __init__(
+        self, handler: RequestsHandler, execution: Execution, index: int
+    ) -> None:
+        self._handler = handler
+        self._execution = execution
+        self._index = index
+        self._accepted: Accepted | None = None
+        self._start: Start | None = None
+
+    async def run(self) -> None:
+        """Write frames until the outcome is told."""
+        self._handler.begin_stream()
+        execution = self._execution
+        execution.delivered = max(execution.delivered, self._index)
+        while True:
+            news = execution.news
+            await self._write_heads()
+            await self._write_tokens()
+            if news is not execution.news:
+                continue
+            if execution.outcome is not None:
+                await self._write_end(execution.outcome)
+                return
+            await self._wait(news)
+
+    async def _write_heads(self) -> None:
+        execution = self._execution
+        if self._accepted is not execution.accepted and execution.accepted:
+            self._accepted = execution.accepted
+            await self._send("accepted", self._accepted)
+        if self._start is not execution.start and execution.start:
+            self._start = execution.start
+            await self._send("start", self._start)
+
+    async def _write_tokens(self) -> None:
+        execution = self._execution
+        if execution.holds_back:
+            return
+        frames = execution.answer.frames_from(self._index)
+        for after, data in list(frames):
+            # Counted before it leaves: what may have left cannot be
+            # taken back.
+            execution.delivered = max(execution.delivered, after)
+            self._index = after
+            await self._handler.send(encode_raw_event("token", data))
+
+    async def _write_end(self, outcome: Outcome) -> None:
+        await self._send("end", outcome)
+        self._handler.finish()
+
+    async def _wait(self, news: asyncio.Event) -> None:
+        try:
+            async with asyncio.timeout(self._handler.heartbeat_s()):
+                await news.wait()
+        except TimeoutError:
+            await self._handler.send(HEARTBEAT)
+
+    async def _send(self, name: str, body: Any) -> None:
+        await self._handler.send(encode_event(name, body))
+
+
+def _ended_at_once(execution: Execution) -> bool:
+    if execution.outcome is None or execution.start is not None:
+        return False
+    return execution.outcome.outcome in STATUS
+
+
+def _check_index(execution: Execution, first_index: int) -> None:
+    ours = execution.answer.first_index == 0 or execution.answer_dropped
+    if not ours:
+        return
+    if first_index > execution.answer.next_index:
+        raise IndexPastEndError(
+            f"expected at most {execution.answer.next_index}"
+        )
+    outcome = execution.outcome
+    if not execution.answer_dropped or outcome is None:
+        return
+    if outcome.outcome == WHOLE and first_index < outcome.tokens:
+        raise AnswerExpiredError("the answer is no longer kept")
--- /dev/null
+++ b/src/balsamlift/requests/_handover.py
@@ -0,0 +1,207 @@
+"""Hand the key table of a leaving host to one successor.
+
+The leaving host has stopped taking keys before. So a key of it that the
+successor does not know certainly never ran and never will. If the answer
+to the hand-over is lost, no other successor is tried.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+import msgspec
+from loguru import logger
+
+from balsamlift._http import CallError
+from balsamlift.operators import JsonHandler
+from balsamlift.peers import Peer
+from balsamlift.requests._errors import KeyMissingError
+from balsamlift.requests._execution import Execution
+from balsamlift.requests._keys import Home, HomedKey
+from balsamlift.requests._parts import Parts
+from balsamlift.streams import (
+    REFUSED,
+    UNKNOWN,
+    WHOLE,
+    Outcome,
+    Start,
+    Tokens,
+)
+
+log = logger.bind(part="handover")
+
+HANDOVER_TIMEOUT_MS = 10_000
+BAD_REQUEST = 400
+KEPT_LIFETIMES = 2
+
+
+@attrs.frozen(kw_only=True)
+class KeyRecord:
+    """Hold what is known of one key."""
+
+    key: str
+    workspace: str
+    outcome: Outcome
+    generation: str = ""
+    tokens: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen(kw_only=True)
+class KeyTableMessage:
+    """Carry the key table of one incarnation of a host."""
+
+    host: str
+    incarnation: str
+    oldest_epoch: int  # of which every key is told; older ones may have run
+    keys: list[KeyRecord]
+
+
+@attrs.frozen(kw_only=True)
+class _TakenTable:
+    taken_s: float
+    oldest_epoch: int
+    executions: dict[str, Execution]
+
+
+class Handover:
+    """Send the own key table; hold those of hosts that left."""
+
+    def __init__(self, parts: Parts, home: Home) -> None:
+        """Begin with no table taken over."""
+        self._parts = parts
+        self._home = home
+        self._tables: dict[Home, _TakenTable] = {}
+
+    def find(self, key: HomedKey, workspace: str) -> Execution | None:
+        """Return what became of a key of a host that left.
+
+        None where its table is not here. Raises `KeyMissingError` for the
+        key of another workspace.
+        """
+        table = self._tables.get(key.home)
+        if table is None:
+            return None
+        execution = table.executions.get(key.text)
+        if execution is None:
+            execution = Execution(key.text, workspace)
+            outcome = _outcome_of_absent(key, table)
+            execution.finish(outcome, self._parts.clock.monotonic())
+        if execution.workspace != workspace:
+            raise KeyMissingError("no such request")
+        return execution
+
+    def take(self, message: KeyTableMessage) -> None:
+        """Hold the table of a host that left."""
+        home = Home(message.host, message.incarnation)
+        now_s = self._parts.clock.monotonic()
+        self._tables[home] = _TakenTable(
+            taken_s=now_s,
+            oldest_epoch=message.oldest_epoch,
+            executions={r.key: _execution(r, now_s) for r in message.keys},
+        )
+        self._tell_peers()
+        self._parts.timeline.record(
+            "keys_taken_over", home=home.host, keys=len(message.keys)
+        )
+
+    def forget_old(self) -> None:
+        """Drop tables whose keys can be used no more."""
+        lifetime_s = self._parts.settings.limits.key_lifetime_ms / 1_000
+        now_s = self._parts.clock.monotonic()
+        for home, table in list(self._tables.items()):
+            if now_s - table.taken_s > KEPT_LIFETIMES * lifetime_s:
+                del self._tables[home]
+                self._tell_peers()
+
+    def _tell_peers(self) -> None:
+        self._parts.peers.set_taken_over([h.name for h in self._tables])
+
+    async def send(
+        self, executions: Iterable[Execution], oldest_epoch: int
+    ) -> bool:
+        """Give the table to one successor; return whether it has it."""
+        successor = self._choose_successor()
+        if successor is None:
+            log.warning("No peer is left to take the keys.")
+            return False
+        message = KeyTableMessage(
+            host=self._home.host,
+            incarnation=self._home.incarnation,
+            oldest_epoch=oldest_epoch,
+            keys=[_record(e) for e in executions],
+        )
+        url = f"http://{successor.operators_address}/v1/peer/keys"
+        try:
+            answer = await self._parts.http.call(
+                "POST", url, message, timeout_ms=HANDOVER_TIMEOUT_MS
+            )
+        except CallError:
+            log.warning("The answer of {} is lost.", successor.host)
+            return False
+        log.info("{} has taken {} keys.", successor.host, len(message.keys))
+        return answer.status == 200
+
+    def _choose_successor(self) -> Peer | None:
+        peers = [p for p in self._parts.peers.live() if not p.leaving]
+        same = [
+            p
+            for p in peers
+            if p.failure_domain == self._parts.settings.failure_domain
+        ]
+        candidates = sorted(same or peers, key=lambda p: p.host)
+        return candidates[0] if candidates else None
+
+
+class HandoverHandler(JsonHandler):
+    """Take the key table of a leaving host."""
+
+    def initialize(self, handover: Handover) -> None:
+        """Keep the place where tables are held."""
+        self._handover = handover
+
+    def post(self) -> None:
+        """Take the table."""
+        try:
+            message = msgspec.json.decode(
+                self.request.body, type=KeyTableMessage
+            )
+        except msgspec.DecodeError as error:
+            self.reply({"reason": str(error)}, BAD_REQUEST)
+            return
+        self._handover.take(message)
+        self.reply({"taken": len(message.keys)})
+
+
+def _outcome_of_absent(key: HomedKey, table: _TakenTable) -> Outcome:
+    if key.epoch < table.oldest_epoch:
+        return Outcome(outcome=UNKNOWN, reason="key_retired")
+    return Outcome(outcome=REFUSED, reason="home_left", retry_after_ms=0)
+
+
+def _record(execution: Execution) -> KeyRecord:
+    # What did not end within the bound of the shutdown may still have run.
+    outcome = execution.outcome or execution.fail("home_left", UNKNOWN)
+    return KeyRecord(
+        key=execution.key,
+        workspace=execution.workspace,
+        outcome=outcome,
+        generation=execution.answer.generation,
+        tokens=list(execution.answer.tokens_from(0)),
+    )
+
+
+def _execution(record: KeyRecord, now_s: float) -> Execution:
+    execution = Execution(record.key, record.workspace)
+    if record.generation:
+        execution.answer.begin(record.generation)
+        frame = Tokens(
+            generation=record.generation, index=0, tokens=record.tokens
+        )
+        execution.answer.append(frame)
+        execution.start = Start(generation=record.generation)
+    whole = record.outcome.outcome == WHOLE
+    if whole and len(record.tokens) < record.outcome.tokens:
+        execution.answer_dropped = True
+    execution.finish(record.outcome, now_s)
+    return execution
--- /dev/null
+++ b/src/balsamlift/requests/_messages.py
@@ -0,0 +1,65 @@
+"""What callers send."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+import attrs
+import msgspec
+
+from balsamlift.requests._errors import BadBodyError
+
+STREAM = "stream"
+WHOLE_ONLY = "whole"
+_DELIVERIES = (STREAM, WHOLE_ONLY)
+_MAX_NAME = 128
+
+
+@attrs.frozen(kw_only=True)
+class RequestBody:
+    """Hold one request as a caller sends it.
+
+    `delivery` "whole" holds the tokens back until the answer is whole, so
+    that an engine lost midway costs time but no answer.
+    """
+
+    key: str
+    workspace: str
+    kind: str
+    prompt: str = ""
+    prompt_tokens: int | None = None
+    prefix: str = ""
+    max_tokens: int | None = None
+    seed: int | None = None
+    idempotent: bool | None = None
+    deadline_ms: int | None = None
+    delivery: str = STREAM
+    payload: Any = None
+
+    def digest(self) -> str:
+        """Return what tells this request from any other."""
+        encoded = msgspec.json.encode(self, order="deterministic")
+        return hashlib.sha256(encoded).hexdigest()
+
+
+def decode_request(data: bytes) -> RequestBody:
+    """Return the request in `data`; raise `BadBodyError`."""
+    try:
+        body = msgspec.json.decode(data, type=RequestBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise BadBodyError(f"bad request body: {error}") from error
+    _check(body)
+    return body
+
+
+def _check(body: RequestBody) -> None:
+    for name in ("workspace", "kind"):
+        if not 0 < len(getattr(body, name)) <= _MAX_NAME:
+            raise BadBodyError(f"{name}: expected 1 to {_MAX_NAME} characters")
+    if body.delivery not in _DELIVERIES:
+        raise BadBodyError(f"delivery: expected one of {_DELIVERIES}")
+    for name in ("prompt_tokens", "max_tokens", "deadline_ms"):
+        value = getattr(body, name)
+        if value is not None and value < 1:
+            raise BadBodyError(f"{name}: expected 1 or more")
--- /dev/null
+++ b/src/balsamlift/requests/_remote.py
@@ -0,0 +1,321 @@
+"""Requests whose home is another host: pass them on, bring answers back.
+
+Only the home may dispatch. This host reads the home's stream over its own
+connections and, when the home is gone, the engine's own stream of the same
+generation, which runs nothing again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Coroutine
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+import msgspec
+
+from balsamlift._http import CallError
+from balsamlift.peers import Peer
+from balsamlift.requests._errors import KeyMissingError
+from balsamlift.requests._execution import Execution
+from balsamlift.requests._keys import Home
+from balsamlift.requests._messages import RequestBody
+from balsamlift.requests._parts import Parts
+from balsamlift.streams import (
+    FAILED,
+    UNKNOWN,
+    WHOLE,
+    Accepted,
+    FrameError,
+    GenerationEnd,
+    Outcome,
+    Start,
+    Stream,
+    StreamError,
+    StreamSilentError,
+    StreamStatusError,
+    StreamUnreachableError,
+    TokenGapError,
+    Tokens,
+)
+
+HOPS_HEADER = "X-Balsamlift-Hops"
+MAX_HOPS = 1
+TRIES = 4
+PAUSE_S = 0.1
+ASK_AGAIN_MS = 1_000
+NOT_FOUND = 404
+RELAYS = 2  # peers asked to reach a home that this host cannot reach
+
+
+@attrs.define(eq=False)
+class _Pass:
+    """Hold one request on its way to its home."""
+
+    home: Home
+    execution: Execution
+    body: RequestBody | None
+    engine: tuple[str, str] | None
+    hops: int
+
+
+class Remote:
+    """Pass requests to their homes."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Begin with nothing on its way."""
+        self._parts = parts
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._executions: set[Execution] = set()
+
+    def is_busy(self) -> bool:
+        """Return whether anything is on its way or being read."""
+        watched = any(e.watchers for e in self._executions)
+        return watched or bool(self._tasks)
+
+    def submit(self, home: Home, body: RequestBody, hops: int) -> Execution:
+        """Pass a request to its home and follow it."""
+        execution = Execution(body.key, body.workspace, body)
+        passed = _Pass(home, execution, body, None, hops)
+        self._spawn(self._follow(passed), execution)
+        return execution
+
+    def follow(
+        self,
+        home: Home,
+        key: str,
+        workspace: str,
+        first_index: int,
+        engine: tuple[str, str] | None,
+        hops: int,
+    ) -> Execution:
+        """Follow a request at its home, from `first_index` on."""
+        execution = Execution(key, workspace, None, first_index)
+        passed = _Pass(home, execution, None, engine, hops)
+        self._spawn(self._follow(passed), execution)
+        return execution
+
+    async def fill(
+        self, home: Home, execution: Execution, body: RequestBody
+    ) -> None:
+        """Follow a request at another host into an own execution."""
+        await self._follow(_Pass(home, execution, body, None, 0))
+
+    async def cancel(self, home: Home, key: str, workspace: str) -> None:
+        """Have the home cancel; raise `KeyMissingError` where it can't."""
+        for peer in self._routes(home, 0):
+            url = _url(peer, f"/{quote(key)}?workspace={quote(workspace)}")
+            try:
+                answer = await self._parts.http.call(
+                    "DELETE", url, timeout_ms=5_000
+                )
+            except CallError:
+                continue
+            if answer.status == 200:
+                return
+        raise KeyMissingError("no such request within reach")
+
+    def _spawn(
+        self, run: Coroutine[Any, Any, None], execution: Execution
+    ) -> None:
+        task = asyncio.ensure_future(run)
+        execution.task = task
+        self._tasks.add(task)
+        self._executions.add(execution)
+        task.add_done_callback(self._tasks.discard)
+        execution.on_unwatched = self._unwatch
+
+    def _unwatch(self, execution: Execution) -> None:
+        # Nobody reads here any more; the home goes on by itself.
+        self._executions.discard(execution)
+        if execution.task is not None:
+            execution.task.cancel()
+
+    async def _follow(self, passed: _Pass) -> None:
+        execution = passed.execution
+        try:
+            outcome = await self._follow_home(passed)
+        except asyncio.CancelledError:
+            outcome = execution.fail("cancelled_here", UNKNOWN)
+            execution.finish(outcome, self._parts.clock.monotonic())
+            raise
+        execution.finish(outcome, self._parts.clock.monotonic())
+
+    async def _follow_home(self, passed: _Pass) -> Outcome:
+        pause_s = PAUSE_S
+        for _ in range(TRIES):
+            routes = self._routes(passed.home, passed.hops)
+            for peer in routes:
+                outcome = await self._try(passed, peer)
+                if outcome is not None:
+                    return outcome
+            if not routes:
+                break
+            await self._parts.clock.sleep(pause_s)
+            pause_s *= 2
+        return await self._without_home(passed)
+
+    async def _try(self, passed: _Pass, peer: Peer) -> Outcome | None:
+        execution = passed.execution
+        stream = self._open(passed, peer)
+        self._parts.timeline.record(
+            "passed_on", request=execution.key, to=peer.host
+        )
+        try:
+            return await _read_home(execution, stream)
+        except StreamStatusError as error:
+            return _status_outcome(execution, error)
+        except (StreamError, FrameError) as error:
+            self._parts.timeline.record(
+                "pass_lost",
+                request=execution.key,
+                to=peer.host,
+                reason=str(error),
+            )
+            return None
+
+    def _open(self, passed: _Pass, peer: Peer) -> Stream:
+        execution = passed.execution
+        streams = self._parts.settings.streams
+        method, path, body = "POST", "", passed.body
+        if body is None or execution.accepted is not None:
+            method, body = "GET", None
+            path = (
+                f"/{quote(execution.key)}"
+                f"?workspace={quote(execution.workspace)}"
+                f"&from={execution.answer.next_index}"
+            )
+        return self._parts.streams.open(
+            method,
+            _url(peer, path),
+            body,
+            connect_ms=streams.connect_ms,
+            silence_ms=streams.upstream_silence_ms,
+            headers={HOPS_HEADER: str(passed.hops + 1)},
+        )
+
+    def _routes(self, home: Home, hops: int) -> list[Peer]:
+        """Return the peers that can answer for a key, best first."""
+        peers = self._parts.peers.live()
+        holders = [p for p in peers if home.name in p.taken_over]
+        itself = [p for p in peers if Home(p.host, p.incarnation) == home]
+        routes = [*holders, *itself]
+        if routes and hops < MAX_HOPS:
+            # The link to the home may be cut one way only.
+            others = [p for p in peers if p not in routes and not p.leaving]
+            routes += others[:RELAYS]
+        return routes
+
+    async def _without_home(self, passed: _Pass) -> Outcome:
+        """Follow the generation on its engine, or tell the truth."""
+        execution = passed.execution
+        engine = passed.engine
+        if execution.start is not None and execution.start.upstream:
+            engine = (execution.start.upstream, execution.start.generation)
+        if engine is not None:
+            outcome = await self._adopt(execution, *engine)
+            if outcome is not None:
+                return outcome
+        unknown = execution.fail("home_lost", UNKNOWN)
+        return attrs.evolve(unknown, retry_after_ms=ASK_AGAIN_MS)
+
+    async def _adopt(
+        self, execution: Execution, upstream_name: str, generation: str
+    ) -> Outcome | None:
+        """Read the whole generation from its engine; None if it can't."""
+        upstream = self._parts.upstreams.find(upstream_name)
+        if upstream is None or upstream.kind != "engine":
+            return None
+        self._parts.timeline.record(
+            "adopted", request=execution.key, upstream=upstream_name
+        )
+        execution.restart_reading()
+        streams = self._parts.settings.streams
+        for _ in range(TRIES):
+            stream = self._parts.streams.open(
+                "GET",
+                f"http://{upstream.address}/v1/generations"
+                f"/{quote(generation)}?from={execution.answer.next_index}",
+                connect_ms=streams.connect_ms,
+                silence_ms=streams.upstream_silence_ms,
+            )
+            try:
+                return await _read_engine(execution, stream, upstream_name)
+            except (StreamUnreachableError, StreamStatusError):
+                return None
+            except (StreamError, FrameError):
+                await self._parts.clock.sleep(PAUSE_S)
+        return None
+
+
+def _url(peer: Peer, path: str) -> str:
+    return f"http://{peer.operators_address}/v1/peer/requests{path}"
+
+
+def _status_outcome(
+    execution: Execution, error: StreamStatusError
+) -> Outcome | None:
+    """Return the outcome that a home answered with a status."""
+    try:
+        return msgspec.json.decode(error.body, type=Outcome)
+    except msgspec.DecodeError:
+        pass
+    if error.status == NOT_FOUND and execution.accepted is None:
+        return execution.fail("key_missing", UNKNOWN)
+    return None
+
+
+async def _read_home(execution: Execution, stream: Stream) -> Outcome:
+    async with contextlib.aclosing(stream.events()) as events:
+        async for event in events:
+            if event.name == "token":
+                _append(execution, event.decode(Tokens))
+            elif event.name == "accepted":
+                execution.accept(event.decode(Accepted))
+            elif event.name == "start":
+                start = event.decode(Start)
+                execution.answer.begin(start.generation)
+                execution.begin(start)
+            elif event.name == "end":
+                return event.decode(Outcome)
+    raise StreamSilentError("ended without an end")
+
+
+async def _read_engine(
+    execution: Execution, stream: Stream, upstream: str
+) -> Outcome:
+    async with contextlib.aclosing(stream.events()) as events:
+        async for event in events:
+            if event.name == "token":
+                _append(execution, event.decode(Tokens))
+            elif event.name == "start":
+                start = event.decode(Start)
+                mine = (execution.key, execution.workspace)
+                if (start.key, start.workspace) != mine:
+                    return execution.fail("foreign_generation", UNKNOWN)
+                execution.answer.begin(start.generation)
+                execution.begin(attrs.evolve(start, upstream=upstream))
+            elif event.name == "end":
+                end = event.decode(GenerationEnd)
+                return _engine_outcome(execution, end)
+    raise StreamSilentError("ended without an end")
+
+
+def _engine_outcome(execution: Execution, end: GenerationEnd) -> Outcome:
+    if end.reason in ("cancelled", "reclaimed"):
+        return execution.fail(end.reason, FAILED)
+    if end.tokens != execution.answer.next_index:
+        raise TokenGapError("the end counts other tokens")
+    return Outcome(
+        outcome=WHOLE,
+        reason=end.reason,
+        tokens=end.tokens,
+        digest=execution.answer.digest,
+    )
+
+
+def _append(execution: Execution, frame: Tokens) -> None:
+    if execution.answer.append(frame):
+        execution.notify()
--- /dev/null
+++ b/src/balsamlift/streams/__init__.py
@@ -0,0 +1,61 @@
+"""Streams of tokens: their frames, the answer they make, their reading."""
+
+from balsamlift.streams._answer import (
+    Answer,
+    OtherGenerationError,
+    OtherTokensError,
+    TokenGapError,
+)
+from balsamlift.streams._frames import (
+    FAILED,
+    HEARTBEAT,
+    REFUSED,
+    UNKNOWN,
+    WHOLE,
+    Accepted,
+    Event,
+    EventParser,
+    FrameError,
+    GenerationEnd,
+    Outcome,
+    Start,
+    Tokens,
+    encode_event,
+    encode_raw_event,
+)
+from balsamlift.streams._stream import (
+    Stream,
+    StreamClient,
+    StreamError,
+    StreamSilentError,
+    StreamStatusError,
+    StreamUnreachableError,
+)
+
+__all__ = [
+    "FAILED",
+    "HEARTBEAT",
+    "REFUSED",
+    "UNKNOWN",
+    "WHOLE",
+    "Accepted",
+    "Answer",
+    "Event",
+    "EventParser",
+    "FrameError",
+    "GenerationEnd",
+    "OtherGenerationError",
+    "OtherTokensError",
+    "Outcome",
+    "Start",
+    "Stream",
+    "StreamClient",
+    "StreamError",
+    "StreamSilentError",
+    "StreamStatusError",
+    "StreamUnreachableError",
+    "TokenGapError",
+    "Tokens",
+    "encode_event",
+    "encode_raw_event",
+]
--- /dev/null
+++ b/tests/test_requests_table.py
@@ -0,0 +1,104 @@
+"""The key table never lets a key run twice, and never says so falsely."""
+
+from datetime import UTC, datetime
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from balsamlift.exceptions import RefusedError
+from balsamlift.requests import Execution, Home, KeyTable, parse_key
+from balsamlift.requests._table import KeyRetiredError
+from balsamlift.streams import WHOLE, Outcome
+
+HOME = Home("host-1", "ab12")
+CAPACITY = 6
+
+
+class HandClock:
+    """A clock moved by hand."""
+
+    def __init__(self):
+        self.now_s = 0.0
+
+    def now(self):
+        return datetime.fromtimestamp(self.now_s, UTC)
+
+    def monotonic(self):
+        return self.now_s
+
+    async def sleep(self, delay_s):
+        self.now_s += delay_s
+
+
+class TableMachine(RuleBasedStateMachine):
+    """Send keys, again and late, while time passes and room runs out."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = HandClock()
+        self.table = KeyTable(HOME, self.clock, 1_000, CAPACITY)
+        self.runs = {}
+        self.refused = set()
+        self.drawn = []
+
+    def send(self, text):
+        key = parse_key(text)
+        if self.table.find(key) is not None:
+            return
+        try:
+            self.table.check_takes(key)
+        except KeyRetiredError:
+            return
+        except RefusedError:
+            assert text not in self.runs, "said not to have run, but it had"
+            self.refused.add(text)
+            return
+        self.table.add(key, Execution(text, "w"))
+        self.runs[text] = self.runs.get(text, 0) + 1
+
+    @rule()
+    def new_key(self):
+        text = f"{self.table.prefix}.{len(self.drawn):032x}"
+        self.drawn.append(text)
+        self.send(text)
+
+    @rule(place=st.integers(0, 1_000))
+    def late_duplicate(self, place):
+        if self.drawn:
+            self.send(self.drawn[place % len(self.drawn)])
+
+    @rule(place=st.integers(0, 1_000))
+    def finish_one(self, place):
+        held = list(self.table.executions())
+        if held:
+            execution = held[place % len(held)]
+            execution.finish(Outcome(outcome=WHOLE), self.clock.now_s)
+
+    @rule(step_ms=st.integers(1, 2_000))
+    def time_passes(self, step_ms):
+        self.clock.now_s += step_ms / 1_000
+
+    @invariant()
+    def at_most_once(self):
+        assert all(n == 1 for n in self.runs.values())
+        assert not self.refused & set(self.runs)
+        assert len(self.table) <= CAPACITY
+        assert len(self.table) == len(list(self.table.executions()))
+
+
+TestTable = TableMachine.TestCase
+TestTable.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "a", "host~x.0", "h~ab~0." + "0" * 31, "-" + "0" * 32]
+)
+def test_a_bad_key_is_told(text):
+    from balsamlift.requests import BadKeyError
+
+    with pytest.raises(BadKeyError):
+        parse_key(text)
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,103 @@
+"""The answer keeps tokens once and in order, whatever frames come."""
+
+import hashlib
+
+import msgspec
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from balsamlift.streams import (
+    Answer,
+    EventParser,
+    OtherGenerationError,
+    OtherTokensError,
+    TokenGapError,
+    Tokens,
+    encode_event,
+)
+
+SOURCE = [f"t{n}" for n in range(400)]
+
+
+class AnswerMachine(RuleBasedStateMachine):
+    """Feed duplicate, late, overlapping and foreign frames."""
+
+    def __init__(self):
+        super().__init__()
+        self.answer = Answer()
+        self.answer.begin("g")
+
+    @rule(index=st.integers(0, 390), count=st.integers(0, 10))
+    def frame(self, index, count):
+        before = self.answer.next_index
+        frame = Tokens(
+            generation="g", index=index, tokens=SOURCE[index : index + count]
+        )
+        if index > before:
+            with pytest.raises(TokenGapError):
+                self.answer.append(frame)
+        else:
+            self.answer.append(frame)
+            assert self.answer.next_index == max(before, index + count)
+
+    @rule(count=st.integers(1, 10))
+    def next_frame(self, count):
+        index = self.answer.next_index
+        self.frame(index, min(count, len(SOURCE) - index))
+
+    @rule()
+    def other_generation(self):
+        frame = Tokens(
+            generation="other", index=self.answer.next_index, tokens=["x"]
+        )
+        with pytest.raises(OtherGenerationError):
+            self.answer.append(frame)
+
+    @rule(start=st.integers(0, 400))
+    def read_from(self, start):
+        got = []
+        for after, data in self.answer.frames_from(start):
+            frame = msgspec.json.decode(data, type=Tokens)
+            assert frame.index == start + len(got)
+            got += frame.tokens
+            assert after == start + len(got)
+        assert got == SOURCE[start : self.answer.next_index]
+
+    @invariant()
+    def holds_the_source(self):
+        end = self.answer.next_index
+        assert list(self.answer.tokens_from(0)) == SOURCE[:end]
+        told = "".join(token + "\0" for token in SOURCE[:end])
+        digest = hashlib.sha256(told.encode()).hexdigest()
+        assert self.answer.digest == digest
+
+
+TestAnswer = AnswerMachine.TestCase
+TestAnswer.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=30, deadline=None
+)
+
+
+def test_a_repetition_that_differs_is_found():
+    answer = Answer()
+    answer.begin("g")
+    answer.append(Tokens(generation="g", index=0, tokens=["a", "b", "c"]))
+    answer.verify(Tokens(generation="h", index=1, tokens=["b", "c", "d"]))
+    with pytest.raises(OtherTokensError):
+        answer.verify(Tokens(generation="h", index=1, tokens=["b", "x"]))
+
+
+@pytest.mark.parametrize("cut", [1, 2, 3, 7, 50, 10_000])
+def test_events_are_found_however_the_bytes_are_cut(cut):
+    frames = [
+        Tokens(generation="g", index=n, tokens=[f"line\n{n}", "ü"])
+        for n in range(20)
+    ]
+    data = b"".join(encode_event("token", f) for f in frames)
+    parser = EventParser()
+    found = []
+    for place in range(0, len(data), cut):
+        found += list(parser.feed(data[place : place + cut]))
+    assert [e.decode(Tokens) for e in found] == frames
