Test that a key refused for want of room never runs

The sequence needed (fill, finish, two epochs, refuse, one epoch, repeat) is too long to be found by chance.

Change: a test that walks this sequence, and a smaller table in the machine.

Also: how long the log keeps records becomes a setting, since checkpoints are renewed by it.

--- a/src/balsamlift/settings.py
+++ b/src/balsamlift/settings.py
@@ -42,6 +42,10 @@
 
     log_address: str = attrs.field(validator=remote_address)
     hosts_address: str = attrs.field(validator=remote_address)
+    # How long the log keeps a record; checkpoints are renewed well before.
+    log_retention_ms: int = attrs.field(
+        default=600_000, validator=between(1_000, 30 * DAY_MS)
+    )
     log_silence_ms: int = attrs.field(
         default=2_000, validator=between(10, _MINUTE_MS)
     )
--- a/tests/test_requests_table.py
+++ b/tests/test_requests_table.py
@@ -13,7 +13,7 @@
 from balsamlift.streams import WHOLE, Outcome
 
 HOME = Home("host-1", "ab12")
-CAPACITY = 6
+CAPACITY = 2  # small, so that room often runs out
 
 
 class HandClock:
@@ -76,7 +76,7 @@
             execution = held[place % len(held)]
             execution.finish(Outcome(outcome=WHOLE), self.clock.now_s)
 
-    @rule(step_ms=st.integers(1, 2_000))
+    @rule(step_ms=st.sampled_from([100, 500, 2_000]))
     def time_passes(self, step_ms):
         self.clock.now_s += step_ms / 1_000
 
@@ -94,6 +94,25 @@
 )
 
 
+def test_a_key_refused_for_want_of_room_never_runs():
+    clock = HandClock()
+    table = KeyTable(HOME, clock, 1_000, 1)
+    first = parse_key(f"{table.prefix}.{1:032x}")
+    clock.now_s = 1.0  # two epochs on
+    second = parse_key(f"{table.prefix}.{2:032x}")
+    table.check_takes(first)
+    execution = Execution(first.text, "w")
+    table.add(first, execution)
+    execution.finish(Outcome(outcome=WHOLE), clock.now_s)
+    with pytest.raises(RefusedError):
+        table.check_takes(second)
+    clock.now_s = 1.5  # the first key is forgotten, the second still open
+    fresh = parse_key(f"{table.prefix}.{3:032x}")
+    table.check_takes(fresh)
+    with pytest.raises(RefusedError):
+        table.check_takes(second)
+
+
 @pytest.mark.parametrize(
     "text", ["", "a", "host~x.0", "h~ab~0." + "0" * 31, "-" + "0" * 32]
 )
