--- a/tests/test_requests_table.py
+++ b/tests/test_requests_table.py
@@ -98,15 +98,15 @@
     clock = HandClock()
     table = KeyTable(HOME, clock, 1_000, 1)
     first = parse_key(f"{table.prefix}.{1:032x}")
-    clock.now_s = 1.0  # two epochs on
-    second = parse_key(f"{table.prefix}.{2:032x}")
     table.check_takes(first)
     execution = Execution(first.text, "w")
     table.add(first, execution)
     execution.finish(Outcome(outcome=WHOLE), clock.now_s)
+    clock.now_s = 1.0  # two epochs on
+    second = parse_key(f"{table.prefix}.{2:032x}")
     with pytest.raises(RefusedError):
         table.check_takes(second)
-    clock.now_s = 1.5  # the first key is forgotten, the second still open
+    clock.now_s = 1.5  # the first key is forgotten: there is room again
     fresh = parse_key(f"{table.prefix}.{3:032x}")
     table.check_takes(fresh)
     with pytest.raises(RefusedError):
