Ask upstreams by key when the home is gone

Cause: with the home killed between dispatch and the first frame, another host knew no generation to read and answered unknown, although the upstream could tell. Absent stays unknown: the home may be paused. Ruled out: answering refused on absent; a paused home would make it false.

--- a/src/balsamlift/requests/_remote.py
+++ b/src/balsamlift/requests/_remote.py
@@ -18,6 +18,7 @@
 
 from balsamlift._http import CallError
 from balsamlift.peers import Peer
+from balsamlift.requests._by_key import find_by_key, wait_result
 from balsamlift.requests._errors import KeyMissingError
 from balsamlift.requests._execution import Execution
 from balsamlift.requests._keys import Home
@@ -214,13 +215,27 @@
         engine = passed.engine
         if execution.start is not None and execution.start.upstream:
             engine = (execution.start.upstream, execution.start.generation)
+        outcome = None
         if engine is not None:
             outcome = await self._adopt(execution, *engine)
-            if outcome is not None:
-                return outcome
+        else:
+            outcome = await self._ask_upstreams(execution)
+        if outcome is not None:
+            return outcome
         unknown = execution.fail("home_lost", UNKNOWN)
         return attrs.evolve(unknown, retry_after_ms=ASK_AGAIN_MS)
 
+    async def _ask_upstreams(self, execution: Execution) -> Outcome | None:
+        found = await find_by_key(self._parts, execution)
+        if found is None:
+            return None
+        if found.upstream.kind == "engine":
+            generation = found.key_state.generation
+            return await self._adopt(
+                execution, found.upstream.name, generation
+            )
+        return await wait_result(self._parts, execution, found)
+
     async def _adopt(
         self, execution: Execution, upstream_name: str, generation: str
     ) -> Outcome | None:
--- a/src/balsamlift/testing/_service.py
+++ b/src/balsamlift/testing/_service.py
@@ -56,6 +56,7 @@
     """Tell what became of a key."""
 
     state: str
+    workspace: str = ""
     result: Any = None
 
 
@@ -115,13 +116,17 @@
     async def run(self, call: Call) -> Any:
         """Execute a call and return its result."""
         self.executions[call.key] += 1
-        self.keys[call.key] = KeyState(state="running")
+        self.keys[call.key] = KeyState(
+            state="running", workspace=call.workspace
+        )
         self.running += 1
         work_ms = self.settings.work_ms + self.faults.slow_ms
         await self.clock.sleep(work_ms / 1_000)
         self.running -= 1
         result = _result(call)
-        self.keys[call.key] = KeyState(state="done", result=result)
+        self.keys[call.key] = KeyState(
+            state="done", workspace=call.workspace, result=result
+        )
         return result
 
     def _apply(self, old: ServiceFaults, new: ServiceFaults) -> None:
