Make the client of balsamlift request on the running event loop

Cause: the command made its Client before asyncio.run; tornado's curl client binds to the loop current at that moment, so every call waited for ever. The test with a fake client could not see it; a run against real hosts did. Ruled out: the hosts (a direct POST was answered whole). Change: the client is made inside the coroutine. tests/test_cli.py::test_request_ends_when_no_host_answers fails with the old module (process silent past its bound) and passes with the new one; 43 passed in both modules. Besides: preset list and history show who shows a row only where several hosts were asked.

--- a/src/balsamlift/_commands/_preset_views.py
+++ b/src/balsamlift/_commands/_preset_views.py
@@ -10,13 +10,13 @@
 
 from balsamlift._commands._arguments import Arguments
 from balsamlift._commands._exit import ExitCode
-from balsamlift._commands._output import print_json, print_table
+from balsamlift._commands._output import print_json
 from balsamlift._commands._reading import (
     Readings,
     exit_code,
     read_everywhere,
 )
-from balsamlift._commands._views import SEEN_BY, merge_views
+from balsamlift._commands._views import merge_views, print_views
 from balsamlift.exceptions import PresetMissingError
 from balsamlift.presets import Preset
 from balsamlift.presets._routes import PresetsView
@@ -47,7 +47,7 @@
     """Print the presets known, and which one is in force."""
     readings = _read(arguments)
     rows = _merge({a: _listed(v) for a, v in readings.answers.items()})
-    return _print_rows(arguments, readings, rows, ["name", "version"])
+    return print_views(arguments, readings, rows, ["name", "version"])
 
 
 def show_history(arguments: Arguments) -> ExitCode:
@@ -55,7 +55,7 @@
     readings = _read(arguments)
     rows = _merge({a: v.history for a, v in readings.answers.items()})
     rows.sort(key=lambda row: (row["offset"], row["generation"]))
-    return _print_rows(arguments, readings, rows, _CHANGE_COLUMNS)
+    return print_views(arguments, readings, rows, _CHANGE_COLUMNS)
 
 
 def show_preset(arguments: Arguments) -> ExitCode:
@@ -94,19 +94,6 @@
     )
 
 
-def _print_rows(
-    arguments: Arguments,
-    readings: Readings[PresetsView],
-    rows: list[dict[str, Any]],
-    columns: list[str],
-) -> ExitCode:
-    if arguments.flag("--json"):
-        print_json({"rows": rows, "unanswered": readings.unanswered})
-    else:
-        print_table(rows, [*columns, SEEN_BY])
-    return exit_code(readings)
-
-
 def _listed(view: PresetsView) -> list[ListedPreset]:
     return [
         ListedPreset(
--- a/src/balsamlift/_commands/_request.py
+++ b/src/balsamlift/_commands/_request.py
@@ -14,7 +14,7 @@
 from balsamlift._commands._arguments import Arguments
 from balsamlift._commands._exit import ExitCode
 from balsamlift._commands._output import print_json, print_note
-from balsamlift.client import Client, Request
+from balsamlift.client import Client, OnTokens, Request
 from balsamlift.exceptions import InterruptedUnknownError, UsageError
 from balsamlift.streams import FAILED, REFUSED, UNKNOWN, WHOLE, Outcome
 
@@ -89,27 +89,35 @@
     return _CODES[outcome.outcome]
 
 
-def _send(arguments: Arguments, take: Any) -> Outcome:
-    request = _request(arguments)
+def _send(arguments: Arguments, take: OnTokens) -> Outcome:
+    sending = _run_request(
+        arguments.addresses("--at"), arguments, _request(arguments), take
+    )
+    try:
+        return asyncio.run(sending)
+    except KeyboardInterrupt as error:
+        raise InterruptedUnknownError from error
+
+
+async def _run_request(
+    addresses: list[str],
+    arguments: Arguments,
+    request: Request,
+    take: OnTokens,
+) -> Outcome:
+    # Made while the event loop runs: the client binds itself to it.
     token_file = arguments.text("--token-file")
     client = Client(
-        arguments.addresses("--at"),
+        addresses,
         workspace=arguments.text("--workspace"),
         token=_read(token_file).strip() if token_file else "",
         failure_domain=arguments.text("--failure-domain"),
     )
     attempts = arguments.number("--attempts") or 1
-
-    async def send() -> Outcome:
-        try:
-            return await client.run(request, take, attempts=attempts)
-        finally:
-            client.close()
-
     try:
-        return asyncio.run(send())
-    except KeyboardInterrupt as error:
-        raise InterruptedUnknownError from error
+        return await client.run(request, take, attempts=attempts)
+    finally:
+        client.close()
 
 
 def _request(arguments: Arguments) -> Request:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -25,6 +25,7 @@
     EXAMPLES.parent / "mitad-del-mundo" / "hosts" / "entry-1.json5"
 )
 NOBODY = "127.0.0.1:1"  # no process of ours listens there
+END_S = 60.0
 COMMANDS = (
     "serve",
     "preset",
@@ -195,6 +196,15 @@
     assert body["outcome"]["outcome"] == outcome
 
 
+def test_request_ends_when_no_host_answers() -> None:
+    # A process, as a client on the wrong event loop waits for ever.
+    argv = ["balsamlift", "request", f"--at={NOBODY}"]
+    argv += ["--workspace=manuscripts", "--kind=report", "Scroll 12."]
+    with Process(argv) as process:
+        assert process.wait(END_S) == 1
+        assert "no host gave an address" in process.output
+
+
 @pytest.fixture
 def platform() -> Iterator[Process]:
     with start_stand_in("platform", {}) as process:
