--- a/src/balsamlift/__init__.py
+++ b/src/balsamlift/__init__.py
@@ -1,1 +1,26 @@
-"""Serve generations of unknown length on crowded engines."""
+"""Serve generations of unknown length on crowded engines.
+
+Only what is light is imported here; the daemon is `balsamlift.daemon`, the
+caller's side `balsamlift.client`.
+"""
+
+from balsamlift.clock import Clock, SystemClock
+from balsamlift.exceptions import (
+    BalsamliftError,
+    RefusedError,
+    SettingsError,
+)
+from balsamlift.kernel import Kernel, Service
+from balsamlift.settings import Settings, load_settings
+
+__all__ = [
+    "BalsamliftError",
+    "Clock",
+    "Kernel",
+    "RefusedError",
+    "Service",
+    "Settings",
+    "SettingsError",
+    "SystemClock",
+    "load_settings",
+]
--- a/src/balsamlift/settings.py
+++ b/src/balsamlift/settings.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import attrs
 
+from balsamlift._loading import load
 from balsamlift._validators import (
     DAY_MS,
     address,
@@ -139,3 +142,8 @@
     log_json: bool = False
     # 0 draws a seed from the system's entropy.
     seed: int = attrs.field(default=0, validator=between(0, _LARGEST_SEED))
+
+
+def load_settings(file: str | Path) -> Settings:
+    """Return the settings in a file; raise `SettingsError`."""
+    return load(file, Settings)
