Remember a key in a third of the memory

Cause: a finished request kept an event (with its queue), a hash, a task, its frames' heads and a dict of attributes: 1,721 bytes per key. At 49 requests a second and host and keys kept for up to 900 s that is 44,000 keys, 76 MB of the 128 MB. Also: the end of a stream is waited for until it is sent, because a daemon that stops closes its connections; and a dropped answer no longer says that every index is past the end.

--- a/src/balsamlift/requests/_callers.py
+++ b/src/balsamlift/requests/_callers.py
@@ -8,19 +8,22 @@
 import msgspec
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
-from tornado.web import Application, RequestHandler
+from tornado.web import Application
 
 from balsamlift._address import join_address, split_address
 from balsamlift._http import CLOCK_HEADER
 from balsamlift.kernel import Kernel
 from balsamlift.operators import OperatorsServer
 from balsamlift.requests._handlers import RequestsHandler
+from balsamlift.requests._replies import MissingRouteHandler, TypedHandler
 from balsamlift.requests._service import Requests
 
 LIST_LENGTH = 4
 RETRY_AFTER_S = 1
+OK = 200
 UNAVAILABLE = 503
 PATTERN = r"/requests(?:/([^/]+))?"
+DRAINED_BODIES = 4  # how much of a body too large is read, to say so
 
 
 @attrs.frozen(kw_only=True)
@@ -65,13 +68,14 @@
             [
                 (r"/v1/addresses", AddressesHandler, {"callers": self}),
                 ("/v1" + PATTERN, RequestsHandler, callers),
-            ]
+            ],
+            default_handler_class=MissingRouteHandler,
         )
-        limits = self._requests.parts.settings.limits
+        drained_bytes = self._body_bytes() * DRAINED_BODIES
         self._server = HTTPServer(
             application,
-            max_body_size=limits.body_bytes,
-            max_buffer_size=2 * limits.body_bytes,
+            max_body_size=drained_bytes,
+            max_buffer_size=drained_bytes,
         )
         self._server.add_sockets(self._sockets)
 
@@ -81,6 +85,9 @@
             self._server.stop()
             await self._server.close_all_connections()
 
+    def _body_bytes(self) -> int:
+        return self._requests.parts.settings.limits.body_bytes
+
     def places(self, failure_domain: str) -> list[Place]:
         """Return hosts for a caller: those near first, one elsewhere.
 
@@ -132,7 +139,7 @@
         return self._requests.parts.timeline.stamp()
 
 
-class AddressesHandler(RequestHandler):
+class AddressesHandler(TypedHandler):
     """Tell callers which hosts to use."""
 
     def initialize(self, callers: CallersServer) -> None:
@@ -143,10 +150,9 @@
         """Answer the list, or when to ask again."""
         domain = self.get_query_argument("failure_domain", "")
         places = self._callers.places(domain or self._callers.own_domain())
-        self.set_header("Content-Type", "application/json")
         self.set_header(CLOCK_HEADER, self._callers.stamp())
         if not places:
-            self.set_status(UNAVAILABLE)
             self.set_header("Retry-After", str(RETRY_AFTER_S))
         answer = Addresses(keep_ms=self._callers.keep_ms(), addresses=places)
-        self.finish(msgspec.json.encode(answer))
+        status = OK if places else UNAVAILABLE
+        self.reply(status, msgspec.json.encode(answer))
--- a/src/balsamlift/requests/_errors.py
+++ b/src/balsamlift/requests/_errors.py
@@ -11,6 +11,19 @@
     code = "bad_body"
 
 
+class BodyTooLargeError(RequestError):
+    """Tell that the body is over the limit."""
+
+    status = 413
+    code = "body_too_large"
+
+
+class BadQueryError(RequestError):
+    """Tell that a query argument is missing or has no valid value."""
+
+    code = "bad_query"
+
+
 class BadKeyError(RequestError):
     """Tell that the key has neither of the known forms."""
 
--- a/src/balsamlift/requests/_execution.py
+++ b/src/balsamlift/requests/_execution.py
@@ -16,13 +16,36 @@
     Start,
 )
 
+_DROPPED = Answer()  # shared by all whose tokens are forgotten
+
 
 class Execution:
     """Hold what callers' connections wait for.
 
-    Written by one task; read by any number of callers' connections.
+    Written by one task; read by any number of callers' connections. Many
+    are remembered, so what one holds after its end is kept small.
     """
 
+    __slots__ = (
+        "_news",
+        "abandoned_s",
+        "accepted",
+        "answer",
+        "answer_dropped",
+        "body",
+        "body_digest",
+        "delivered",
+        "dispatched",
+        "finished_s",
+        "key",
+        "on_unwatched",
+        "outcome",
+        "start",
+        "task",
+        "watchers",
+        "workspace",
+    )
+
     def __init__(
         self,
         key: str,
@@ -34,7 +57,7 @@
         self.key = key
         self.workspace = workspace
         self.body = body
-        self.body_digest = body.digest() if body else ""
+        self.body_digest = body.digest() if body else b""
         self.answer = Answer(first_index)
         self.accepted: Accepted | None = None
         self.start: Start | None = None
@@ -47,7 +70,7 @@
         self.answer_dropped = False
         self.task: asyncio.Task[None] | None = None
         self.on_unwatched: Callable[[Execution], None] | None = None
-        self._news = asyncio.Event()
+        self._news: asyncio.Event | None = None
 
     @property
     def holds_back(self) -> bool:
@@ -60,13 +83,16 @@
     @property
     def news(self) -> asyncio.Event:
         """Return the event that is set at the next change."""
+        if self._news is None:
+            self._news = asyncio.Event()
         return self._news
 
     def notify(self) -> None:
         """Wake everyone who waits for a change."""
         news = self._news
-        self._news = asyncio.Event()
-        news.set()
+        self._news = None
+        if news is not None:
+            news.set()
 
     def accept(self, accepted: Accepted) -> None:
         """Say that the request was admitted."""
@@ -101,8 +127,11 @@
         if self.answer_dropped or self.outcome is None:
             return
         self.answer_dropped = True
-        self.answer = Answer(self.answer.next_index)
+        self.answer = _DROPPED
         self.body = None
+        self.task = None
+        self.accepted = None
+        self.start = None
         self.outcome = attrs.evolve(self.outcome, result=None)
 
     def restart_reading(self) -> None:
--- a/src/balsamlift/requests/_handlers.py
+++ b/src/balsamlift/requests/_handlers.py
@@ -227,7 +227,8 @@
 
     async def _write_end(self, outcome: Outcome) -> None:
         await self._send("end", outcome)
-        self._handler.finish()
+        # What is not yet sent would be cut off by a daemon that stops.
+        await self._handler.finish()
 
     async def _wait(self, news: asyncio.Event) -> None:
         try:
@@ -247,15 +248,11 @@
 
 
 def _check_index(execution: Execution, first_index: int) -> None:
-    ours = execution.answer.first_index == 0 or execution.answer_dropped
-    if not ours:
-        return
-    if first_index > execution.answer.next_index:
-        raise IndexPastEndError(
-            f"expected at most {execution.answer.next_index}"
-        )
-    outcome = execution.outcome
-    if not execution.answer_dropped or outcome is None:
-        return
-    if outcome.outcome == WHOLE and first_index < outcome.tokens:
+    dropped = execution.outcome if execution.answer_dropped else None
+    if dropped is None and execution.answer.first_index > 0:
+        return  # the home checks
+    end = dropped.tokens if dropped else execution.answer.next_index
+    if first_index > end:
+        raise IndexPastEndError(f"expected at most {end}")
+    if dropped and dropped.outcome == WHOLE and first_index < end:
         raise AnswerExpiredError("the answer is no longer kept")
--- a/src/balsamlift/requests/_messages.py
+++ b/src/balsamlift/requests/_messages.py
@@ -14,6 +14,9 @@
 WHOLE_ONLY = "whole"
 _DELIVERIES = (STREAM, WHOLE_ONLY)
 _MAX_NAME = 128
+_MAX_COUNT = 2**31 - 1
+_MAX_SEED = 2**63 - 1  # what a signed 64-bit number can hold
+_MAX_DEPTH = 100  # of lists and objects within a payload
 
 
 @attrs.frozen(kw_only=True)
@@ -37,10 +40,10 @@
     delivery: str = STREAM
     payload: Any = None
 
-    def digest(self) -> str:
+    def digest(self) -> bytes:
         """Return what tells this request from any other."""
         encoded = msgspec.json.encode(self, order="deterministic")
-        return hashlib.sha256(encoded).hexdigest()
+        return hashlib.sha256(encoded).digest()
 
 
 def decode_request(data: bytes) -> RequestBody:
@@ -49,6 +52,8 @@
         body = msgspec.json.decode(data, type=RequestBody)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise BadBodyError(f"bad request body: {error}") from error
+    except RecursionError as error:
+        raise _too_deep() from error
     _check(body)
     return body
 
@@ -61,5 +66,22 @@
         raise BadBodyError(f"delivery: expected one of {_DELIVERIES}")
     for name in ("prompt_tokens", "max_tokens", "deadline_ms"):
         value = getattr(body, name)
-        if value is not None and value < 1:
-            raise BadBodyError(f"{name}: expected 1 or more")
+        if value is not None and not 0 < value <= _MAX_COUNT:
+            raise BadBodyError(f"{name}: expected 1 to {_MAX_COUNT}")
+    if body.seed is not None and abs(body.seed) > _MAX_SEED:
+        raise BadBodyError(f"seed: expected at most {_MAX_SEED}")
+    _check_depth(body.payload, _MAX_DEPTH)
+
+
+def _check_depth(value: Any, left: int) -> None:
+    if not isinstance(value, (dict, list)):
+        return
+    if not left:
+        raise _too_deep()
+    members = value.values() if isinstance(value, dict) else value
+    for member in members:
+        _check_depth(member, left - 1)
+
+
+def _too_deep() -> BadBodyError:
+    return BadBodyError(f"payload: expected at most {_MAX_DEPTH} levels")
--- a/src/balsamlift/requests/_service.py
+++ b/src/balsamlift/requests/_service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import hashlib
 import hmac
 
@@ -71,6 +70,7 @@
         self.remote = Remote(parts)
         self.taking = True
         self._claimed: dict[str, Execution] = {}
+        self._kept: set[Execution] = set()  # those with a body or answer
         self._answers_bytes = 0
         self._sweeper: asyncio.Task[None] | None = None
 
@@ -234,6 +234,7 @@
         # for the same claim.
         execution = Execution(body.key, body.workspace, body)
         self._claimed[key.text] = execution
+        self._kept.add(execution)
         try:
             kind = self._kind(body)
         except RefusedError as error:
@@ -284,6 +285,7 @@
     def _begin(
         self, execution: Execution, body: RequestBody, kind: KindPreset
     ) -> None:
+        self._kept.add(execution)
         run = self._run(execution, body, kind)
         execution.task = asyncio.ensure_future(run)
 
@@ -349,6 +351,7 @@
         return preset
 
     def _finish(self, execution: Execution, outcome: Outcome) -> None:
+        self._kept.add(execution)
         execution.finish(outcome, self.parts.clock.monotonic())
         self.parts.metrics.count(f"requests.{outcome.outcome}")
         self.parts.timeline.record(
@@ -362,18 +365,22 @@
     async def _sweep_often(self) -> None:
         while True:
             await self.parts.clock.sleep(SWEEP_S)
-            with contextlib.suppress(RuntimeError):
+            try:
                 self._sweep()
+            except Exception:
+                # Without the sweep memory would grow without bound.
+                log.exception("A sweep failed.")
 
     def _sweep(self) -> None:
         now_s = self.parts.clock.monotonic()
         held_bytes = 0
-        for execution in list(self.table.executions()):
+        for execution in list(self._kept):
             held_bytes += execution.answer.size_bytes
             if execution.outcome is None:
                 self._cancel_abandoned(execution, now_s)
             elif self._is_stale(execution, now_s):
                 execution.drop_answer()
+                self._kept.discard(execution)
         self.parts.metrics.gauge("requests.keys", len(self.table))
         self._answers_bytes = held_bytes
         self.parts.metrics.gauge("requests.answers_bytes", held_bytes)
