Answer whatever callers send wrong with a typed error

Cause, each seen by a test of tests/test_callers.py failing first: a payload nested too deep, a 5,000-digit index and a read or cancel without a key ended in 500; unknown routes and wrong methods were answered in HTML; a body over the limit was cut off with a reset connection, unread; a POST of a key whose answer is no longer kept was answered by a stream without its tokens; numbers without bound went on to engines. Ruled out: answering 413 before the body is read, as closing with unread data resets the connection.

--- a/src/balsamlift/requests/_handlers.py
+++ b/src/balsamlift/requests/_handlers.py
@@ -8,18 +8,20 @@
 
 import msgspec
 from tornado.iostream import StreamClosedError
-from tornado.web import RequestHandler
+from tornado.web import HTTPError, stream_request_body
 
 from balsamlift._http import CLOCK_HEADER
-from balsamlift.exceptions import BalsamliftError, RefusedError, RequestError
+from balsamlift.exceptions import RefusedError
 from balsamlift.requests._errors import (
     AnswerExpiredError,
-    BadBodyError,
+    BadQueryError,
+    BodyTooLargeError,
     IndexPastEndError,
 )
 from balsamlift.requests._execution import Execution
 from balsamlift.requests._messages import decode_request
-from balsamlift.requests._remote import HOPS_HEADER
+from balsamlift.requests._remote import HOPS_HEADER, MAX_HOPS
+from balsamlift.requests._replies import METHOD_NOT_ALLOWED, TypedHandler
 from balsamlift.requests._service import Requests
 from balsamlift.streams import (
     HEARTBEAT,
@@ -35,10 +37,16 @@
 
 STATUS = {REFUSED: 503, UNKNOWN: 504}
 BEARER = "Bearer "
+MAX_INDEX_DIGITS = 12
 
 
-class RequestsHandler(RequestHandler):
-    """Answer one call about one request."""
+@stream_request_body
+class RequestsHandler(TypedHandler):
+    """Answer one call about one request.
+
+    Of a body over the limit the rest is read but not kept: closing at once
+    would reset the connection before the caller has read why.
+    """
 
     def initialize(self, requests: Requests, trusted: bool) -> None:
         """Keep the service; peers are trusted to have checked tokens."""
@@ -46,25 +54,42 @@
         self._trusted = trusted
         self._timeline = requests.parts.timeline
         self._closed = False
+        self._body = bytearray()
+        self._body_bytes = 0
 
     def prepare(self) -> None:
         """Take over the caller's clock."""
         self._timeline.observe(self.request.headers.get(CLOCK_HEADER, ""))
 
+    def data_received(self, chunk: bytes) -> None:
+        """Keep the body up to its limit."""
+        self._body_bytes += len(chunk)
+        if not self._is_too_large():
+            self._body += chunk
+
     def on_connection_close(self) -> None:
         """Note that nobody reads any more."""
+        super().on_connection_close()
         self._closed = True
 
-    async def post(self, _path: str = "") -> None:
+    async def post(self, key: str | None) -> None:
         """Take a request and stream its answer."""
-        body = decode_request(self.request.body)
+        if key is not None:
+            raise HTTPError(METHOD_NOT_ALLOWED)
+        if self._is_too_large():
+            raise BodyTooLargeError(f"expected at most {self._limit()} bytes")
+        body = decode_request(bytes(self._body))
+        self._body.clear()
         self._authorize(body.workspace)
         execution = await self._requests.submit(body, self._hops())
+        _check_index(execution, 0)
         await self._deliver(execution, 0)
 
-    async def get(self, key: str) -> None:
+    async def get(self, key: str | None) -> None:
         """Stream an answer from an index on."""
-        workspace = self.get_query_argument("workspace")
+        if key is None:
+            raise HTTPError(METHOD_NOT_ALLOWED)
+        workspace = self.query("workspace")
         self._authorize(workspace)
         first_index = self._index()
         execution = self._requests.follow(
@@ -73,37 +98,39 @@
         _check_index(execution, first_index)
         await self._deliver(execution, first_index)
 
-    async def delete(self, key: str) -> None:
+    async def delete(self, key: str | None) -> None:
         """Cancel a request."""
-        workspace = self.get_query_argument("workspace")
+        if key is None:
+            raise HTTPError(METHOD_NOT_ALLOWED)
+        workspace = self.query("workspace")
         self._authorize(workspace)
         await self._requests.cancel(key, workspace)
-        self._reply(200, b'{"cancelled":true}')
+        self.reply(200, b'{"cancelled":true}')
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer an error with its type's code."""
         error = kwargs.get("exc_info", (None, None, None))[1]
-        if isinstance(error, RefusedError):
-            outcome = Outcome(
-                outcome=REFUSED,
-                reason=error.reason,
-                retry_after_ms=error.retry_after_ms,
-            )
-            self._reply_outcome(outcome)
+        if not isinstance(error, RefusedError):
+            super().write_error(status_code, **kwargs)
             return
-        code, message = "bad_request", "bad request"
-        if isinstance(error, RequestError):
-            status_code, code = error.status, error.code
-            message = error.message
-        elif status_code >= 500:
-            code, message = "internal", "an error of ours"
-        body = {"error": code, "message": message}
-        self._reply(status_code, msgspec.json.encode(body))
-
-    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
-        """Log only what is no typed answer."""
-        if not isinstance(value, BalsamliftError):
-            super().log_exception(typ, value, tb)
+        outcome = Outcome(
+            outcome=REFUSED,
+            reason=error.reason,
+            retry_after_ms=error.retry_after_ms,
+        )
+        self._reply_outcome(outcome)
+
+    def reply(self, status: int, body: bytes) -> None:
+        """Send encoded JSON under this host's clock."""
+        self.set_header(CLOCK_HEADER, self._timeline.stamp())
+        super().reply(status, body)
+
+    def _limit(self) -> int:
+        return self._requests.parts.settings.limits.body_bytes
+
+    def _is_too_large(self) -> bool:
+        # What a peer passes on, its callers' limit has been applied to.
+        return not self._trusted and self._body_bytes > self._limit()
 
     def _authorize(self, workspace: str) -> None:
         if self._trusted:
@@ -114,12 +141,13 @@
     def _hops(self) -> int:
         if not self._trusted:
             return 0
-        return int(self.request.headers.get(HOPS_HEADER, "1"))
+        hops = self.request.headers.get(HOPS_HEADER, "1")
+        return int(hops) if hops in ("0", "1", "2") else MAX_HOPS
 
     def _index(self) -> int:
         text = self.get_query_argument("from", "0")
-        if not text.isdecimal():
-            raise BadBodyError("from: expected a number of 0 or more")
+        if not text.isdecimal() or len(text) > MAX_INDEX_DIGITS:
+            raise BadQueryError("from: expected an index of 0 or more")
         return int(text)
 
     def _engine(self) -> tuple[str, str] | None:
@@ -148,13 +176,7 @@
         if outcome.retry_after_ms is not None:
             seconds = math.ceil(outcome.retry_after_ms / 1_000)
             self.set_header("Retry-After", str(seconds))
-        self._reply(STATUS[outcome.outcome], msgspec.json.encode(outcome))
-
-    def _reply(self, status: int, body: bytes) -> None:
-        self.set_status(status)
-        self.set_header("Content-Type", "application/json")
-        self.set_header(CLOCK_HEADER, self._timeline.stamp())
-        self.finish(body)
+        self.reply(STATUS[outcome.outcome], msgspec.json.encode(outcome))
 
     async def send(self, frame: bytes) -> None:
         """Send one frame; the wait slows this caller's relay only."""
@@ -254,5 +276,7 @@
     end = dropped.tokens if dropped else execution.answer.next_index
     if first_index > end:
         raise IndexPastEndError(f"expected at most {end}")
-    if dropped and dropped.outcome == WHOLE and first_index < end:
+    # A service's result has no tokens: who asks for it has none of it.
+    has_all = first_index >= max(end, 1)
+    if dropped and dropped.outcome == WHOLE and not has_all:
         raise AnswerExpiredError("the answer is no longer kept")
