--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications for the model checker."""
