Read streams that arrive in one piece, bound their events

Cause: tornado's curl client passes header lines on by a later callback, but the data of a fetch that is over at once. Change: the status is asked of curl itself when data comes. Events are bounded (4 MiB, EventTooLongError), error bodies are too (1 MiB), and a name that is no UTF-8 or nesting too deep is a FrameError; before, these raised in curl's callback and the stream went silent. Ruled out: peers marked dead and crossing frames, by the time line (pass_lost 'ended without an end' within 3 ms of the pass).

--- a/src/balsamlift/streams/_frames.py
+++ b/src/balsamlift/streams/_frames.py
@@ -19,12 +19,21 @@
 
 HEARTBEAT = b"event: heartbeat\ndata: {}\n\n"
 _SEPARATOR = b"\n\n"
+MAX_EVENT_BYTES = 4 << 20
 
 
 class FrameError(BalsamliftError):
     """Tell that a frame does not have the form it should have."""
 
 
+class EventTooLongError(FrameError):
+    """Tell that an event does not end within its bound."""
+
+    def __init__(self, max_bytes: int) -> None:
+        """Name the bound."""
+        super().__init__(f"an event of more than {max_bytes} bytes")
+
+
 @attrs.frozen(kw_only=True)
 class Accepted:
     """Tell the caller that the request was admitted."""
@@ -92,7 +101,7 @@
         """Return the data as a `kind`; raise `FrameError`."""
         try:
             return msgspec.json.decode(self.data, type=kind)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise FrameError(f"bad {self.name} frame: {error}") from error
 
 
@@ -109,25 +118,36 @@
 class EventParser:
     """Cut a stream of bytes into events."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
         """Begin with nothing pending."""
+        self._max_bytes = max_event_bytes
         self._pending = bytearray()
 
     def feed(self, data: bytes) -> Iterator[Event]:
-        """Yield the events that `data` completes."""
+        """Yield the events that `data` completes.
+
+        Raises `FrameError` for what is none, or is too long for one.
+        """
         self._pending += data
         while (end := self._pending.find(_SEPARATOR)) >= 0:
+            if end > self._max_bytes:
+                raise EventTooLongError(self._max_bytes)
             block = bytes(self._pending[:end])
             del self._pending[: end + len(_SEPARATOR)]
             yield _parse_event(block)
+        if len(self._pending) > self._max_bytes:
+            raise EventTooLongError(self._max_bytes)
 
 
 def _parse_event(block: bytes) -> Event:
-    name = "message"
+    name = b"message"
     data = b""
     for line in block.split(b"\n"):
         if line.startswith(b"event:"):
-            name = line[6:].strip().decode()
+            name = line[6:].strip()
         elif line.startswith(b"data:"):
             data = line[5:].strip()
-    return Event(name, data)
+    try:
+        return Event(name.decode(), data)
+    except UnicodeDecodeError as error:
+        raise FrameError("the name of an event is no text") from error
--- a/src/balsamlift/streams/_stream.py
+++ b/src/balsamlift/streams/_stream.py
@@ -14,10 +14,11 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from balsamlift.exceptions import BalsamliftError
-from balsamlift.streams._frames import Event, EventParser
+from balsamlift.streams._frames import Event, EventParser, FrameError
 
 MAX_STREAMS = 8_192
 MAX_BODY_BYTES = 1 << 40  # streams have no length of their own to bound
+MAX_ERROR_BYTES = 1 << 20  # kept of an answer that is no stream
 OK = 200
 
 
@@ -105,12 +106,12 @@
         self._parser = EventParser()
         self._events: deque[Event] = deque()
         self._body = bytearray()
-        self._status = 0
+        self._broken: FrameError | None = None
+        self._curl: Any = None
         self._news = asyncio.Event()
         self._socket: socket.socket | None = None
         self._response: HTTPResponse | None = None
         request.streaming_callback = self._on_data
-        request.header_callback = self._on_header
         request.prepare_curl_callback = self._prepare
         self._fetch = asyncio.ensure_future(
             client.fetch(request, raise_error=False)
@@ -120,13 +121,15 @@
     async def events(self) -> AsyncGenerator[Event, None]:
         """Yield events; end when the other side ends the stream.
 
-        Raises `StreamUnreachableError`, `StreamSilentError` and
-        `StreamStatusError`.
+        Raises `StreamUnreachableError`, `StreamSilentError`,
+        `StreamStatusError` and, for what is no event, `FrameError`.
         """
         try:
             while True:
                 while self._events:
                     yield self._events.popleft()
+                if self._broken is not None:
+                    raise self._broken
                 if self._fetch.done():
                     self._check_end()
                     return
@@ -165,6 +168,7 @@
             raise StreamStatusError(response.code, headers, bytes(self._body))
 
     def _prepare(self, curl: Any) -> None:
+        self._curl = curl
         curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
         curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.FORBID_REUSE, 1)
@@ -175,20 +179,27 @@
         self._socket = socket.socket(family, kind, protocol)
         return self._socket
 
-    def _on_header(self, line: str) -> None:
-        if line.startswith("HTTP/"):
-            self._status = int(line.split(" ", 2)[1])
-
     def _on_data(self, data: bytes) -> None:
-        if self._status == OK:
-            self._events.extend(self._parser.feed(data))
+        if self._broken is not None:
+            return
+        # Asked of curl: tornado's header callback may come after the data
+        # when a short answer arrives at once.
+        if self._curl.getinfo(pycurl.RESPONSE_CODE) != OK:
+            self._body += data[: MAX_ERROR_BYTES - len(self._body)]
         else:
-            self._body += data
+            self._take(data)
         self._news.set()
 
+    def _take(self, data: bytes) -> None:
+        try:
+            self._events.extend(self._parser.feed(data))
+        except FrameError as error:
+            self._broken = error
+
     def _on_end(self, fetch: asyncio.Future[HTTPResponse]) -> None:
         del fetch
         self._socket = None
+        self._curl = None
         self._news.set()
 
 
