Add membership and load between hosts

Cause: the platform's list lags, and placement needs what other hosts have in flight. Change: Peers listens on one pynng pull socket and keeps a push connection to each partner: all hosts up to fan_out, else half of it at random, who answer. A connection that is not heard or not acknowledged for silence_ms is replaced. Entries of hosts merge by (epoch, version, state), a host outdoes what is falsely said of it, news go out at once, in-flight counts as deltas.

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -1,6 +1,14 @@
 """The other hosts, and the upstreams that all hosts share."""
 
 from balsamlift.peers._marks import UpstreamState
+from balsamlift.peers._membership import Peer, Peers
 from balsamlift.peers._upstreams import EntryHost, Upstream, Upstreams
 
-__all__ = ["EntryHost", "Upstream", "UpstreamState", "Upstreams"]
+__all__ = [
+    "EntryHost",
+    "Peer",
+    "Peers",
+    "Upstream",
+    "UpstreamState",
+    "Upstreams",
+]
--- /dev/null
+++ b/src/balsamlift/peers/_hosts_view.py
@@ -0,0 +1,95 @@
+"""What operators see of the hosts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from balsamlift.operators import JsonHandler
+from balsamlift.peers._upstreams import EntryHost, Upstreams
+
+if TYPE_CHECKING:
+    from balsamlift.peers._membership import Peer, Peers
+
+UNKNOWN = "unknown"
+
+
+@attrs.frozen(kw_only=True)
+class HostView:
+    """Hold what one host knows of another, or of itself."""
+
+    host: str
+    state: str  # live, leaving, or unknown when no peer vouches for it
+    listed: str  # its state on the platform's list; empty: not on it
+    incarnation: str = ""
+    failure_domain: str = ""
+    callers_address: str = ""
+    operators_address: str = ""
+    offset: int = 0
+    caught_up: bool = False
+    is_heard: bool = False  # directly, not only through others
+
+
+class HostsHandler(JsonHandler):
+    """Answer `GET /v1/hosts` with a list of hosts."""
+
+    def initialize(self, peers: Peers, upstreams: Upstreams) -> None:
+        """Keep the two parts that know hosts."""
+        self._peers = peers
+        self._upstreams = upstreams
+
+    def get(self) -> None:
+        """Answer with this host, its peers, and what else is listed."""
+        listed = {host.host: host for host in self._upstreams.entry_hosts()}
+        views = {self._peers.own.host: self._own_view(listed)}
+        for peer in self._peers.live():
+            views[peer.host] = _peer_view(peer, listed)
+        for name, host in listed.items():
+            views.setdefault(name, _listed_view(host))
+        self.reply([views[name] for name in sorted(views)])
+
+    def _own_view(self, listed: dict[str, EntryHost]) -> HostView:
+        own = self._peers.own
+        return HostView(
+            host=own.host,
+            state=own.state,
+            listed=_listed_state(own.host, listed),
+            incarnation=own.incarnation,
+            failure_domain=own.failure_domain,
+            callers_address=own.callers_address,
+            operators_address=own.operators_address,
+            offset=self._peers.offset,
+            caught_up=self._peers.caught_up,
+            is_heard=True,
+        )
+
+
+def _listed_state(host: str, listed: dict[str, EntryHost]) -> str:
+    return listed[host].state if host in listed else ""
+
+
+def _peer_view(peer: Peer, listed: dict[str, EntryHost]) -> HostView:
+    return HostView(
+        host=peer.host,
+        state="leaving" if peer.leaving else "live",
+        listed=_listed_state(peer.host, listed),
+        incarnation=peer.incarnation,
+        failure_domain=peer.failure_domain,
+        callers_address=peer.callers_address,
+        operators_address=peer.operators_address,
+        offset=peer.offset,
+        caught_up=peer.caught_up,
+        is_heard=peer.last_heard_s is not None,
+    )
+
+
+def _listed_view(host: EntryHost) -> HostView:
+    return HostView(
+        host=host.host,
+        state=UNKNOWN,
+        listed=host.state,
+        failure_domain=host.failure_domain,
+        callers_address=host.address,
+        operators_address=host.operators_address,
+    )
--- /dev/null
+++ b/src/balsamlift/peers/_link.py
@@ -0,0 +1,180 @@
+"""The sending half of the connection to one peer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextlib import suppress
+
+import attrs
+import pynng
+from loguru import logger
+
+from balsamlift._tasks import end_task
+from balsamlift.clock import Clock
+from balsamlift.metrics import Metrics
+from balsamlift.peers._messages import Member, PeerMessage, encode_message
+from balsamlift.settings import PeerSettings
+
+log = logger.bind(part="peers")
+
+SEND_BUFFER = 4  # messages that wait for the connection
+GATHER_S = 0.01  # news of this time go into one message
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 2_000
+
+
+@attrs.frozen
+class Told:
+    """Hold up to which change a link has told the news; None: nothing."""
+
+    members: int | None = None
+    counts: int | None = None
+    notes: int = 0
+
+
+@attrs.frozen
+class Draft:
+    """Hold a message and what will have been told once it is sent."""
+
+    message: PeerMessage
+    told: Told
+
+
+class Link:
+    """Send heartbeats to one peer, and see to it that they arrive.
+
+    A connection may go silent for good. When the peer is not heard, or
+    does not acknowledge what we send, a fresh connection takes its place.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        address: str,
+        settings: PeerSettings,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        compose: Callable[[Link], Draft],
+        on_silence: Callable[[str], None],
+    ) -> None:
+        """Send what `compose` drafts; call `on_silence` once per silence."""
+        self.host = host
+        self.address = address
+        self.told = Told()
+        self.last_seq = 0
+        self.sent = 0
+        self.extra_members: dict[str, Member] = {}
+        self._heartbeat_s = settings.heartbeat_ms / 1_000
+        self._silence_s = settings.silence_ms / 1_000
+        self._clock = clock
+        self._random = rng
+        self._metrics = metrics
+        self._compose = compose
+        self._on_silence = on_silence
+        self._acked_seq = 0
+        self._is_silence_told = False
+        self._wake = asyncio.Event()
+        now_s = clock.monotonic()
+        self._looked_s = now_s
+        self._heard_s = now_s
+        self._moved_s = now_s
+        self._socket: pynng.Push0 | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Dial and begin to send."""
+        self._dial()
+        self._task = asyncio.create_task(self._keep_sending())
+
+    async def stop(self) -> None:
+        """Close the connection."""
+        await end_task(self._task)
+        self._close()
+
+    def wake(self) -> None:
+        """Send without waiting for the next heartbeat."""
+        self._wake.set()
+
+    def heard(self, acked_seq: int, missed: bool) -> None:
+        """Take in a message from the peer."""
+        self._heard_s = self._clock.monotonic()
+        self._is_silence_told = False
+        if missed:
+            self.told = Told()
+        if self._acked_seq < acked_seq <= self.last_seq:
+            self._acked_seq = acked_seq
+            self._moved_s = self._heard_s
+
+    async def _keep_sending(self) -> None:
+        while True:
+            self._watch()
+            self._send()
+            pause_s = self._heartbeat_s * self._random.uniform(0.9, 1.1)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(pause_s):
+                    await self._wake.wait()
+                    await self._clock.sleep(GATHER_S)
+            self._wake.clear()
+
+    def _watch(self) -> None:
+        """Take a fresh connection when the present one is silent."""
+        now_s = self._clock.monotonic()
+        longest_s = self._heartbeat_s + self._silence_s / 2
+        paused = now_s - self._looked_s > longest_s
+        self._looked_s = now_s
+        if paused:
+            # We stood still ourselves: what came meanwhile is not read yet.
+            self._heard_s = now_s
+            self._moved_s = now_s
+            return
+        if now_s - self._heard_s > self._silence_s:
+            self._tell_silence()
+        if now_s - min(self._heard_s, self._moved_s) > self._silence_s:
+            self._redial(now_s)
+
+    def _tell_silence(self) -> None:
+        if not self._is_silence_told:
+            self._is_silence_told = True
+            self._on_silence(self.host)
+
+    def _redial(self, now_s: float) -> None:
+        log.debug("dialling {} afresh", self.host)
+        self._metrics.count("peers.redials")
+        self._close()
+        self._dial()
+        self.told = Told()
+        self._heard_s = now_s
+        self._moved_s = now_s
+
+    def _dial(self) -> None:
+        self._socket = pynng.Push0(
+            send_buffer_size=SEND_BUFFER,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        self._socket.dial(f"tcp://{self.address}", block=False)
+
+    def _close(self) -> None:
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def _send(self) -> None:
+        """Send one message; when the buffer is full, its news wait."""
+        draft = self._compose(self)
+        data = encode_message(draft.message)
+        try:
+            assert self._socket is not None
+            self._socket.send(data, block=False)
+        except pynng.NNGException:
+            self._metrics.count("peers.sends_dropped")
+            return
+        self.told = draft.told
+        self.last_seq = draft.message.seq
+        self.sent += 1
+        self.extra_members.clear()
+        self._metrics.count("peers.messages_sent")
+        self._metrics.count("peers.bytes_sent", len(data))
--- /dev/null
+++ b/src/balsamlift/peers/_members.py
@@ -0,0 +1,122 @@
+"""The table of hosts, merged from what all of them say."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import attrs
+
+from balsamlift.peers._messages import Member
+
+MAX_INCARNATIONS = 16  # remembered of one host
+
+
+class Members:
+    """Hold the newest entry of each host, and the order of changes.
+
+    Changes are numbered from 1, so that a link can tell what is new to it.
+    """
+
+    def __init__(self, own: Member) -> None:
+        """Begin with the entry of this host."""
+        self.own = own
+        self.change = 0
+        self._members: dict[str, Member] = {}
+        self._changes: dict[str, int] = {}  # by host, oldest first
+        self._incarnations: dict[str, list[str]] = {}
+        self._put(own)
+
+    def __len__(self) -> int:
+        """Return the number of entries, this host's among them."""
+        return len(self._members)
+
+    def find(self, host: str) -> Member | None:
+        """Return the entry of a host."""
+        return self._members.get(host)
+
+    def others(self) -> list[Member]:
+        """Return the entries of all other hosts, whatever their state."""
+        return [m for m in self._members.values() if m is not self.own]
+
+    def incarnations(self, host: str) -> tuple[str, ...]:
+        """Return the incarnations seen of a host, the latest last."""
+        return tuple(self._incarnations.get(host, ()))
+
+    def merge(self, member: Member) -> bool:
+        """Take in an entry and tell whether it was news."""
+        if member.host == self.own.host:
+            return self._refute(member)
+        known = self._members.get(member.host)
+        if known is None and member.state == "dead":
+            return False
+        if known is not None and known.order >= member.order:
+            return False
+        self._put(member)
+        return True
+
+    def change_own(self, **fields: Any) -> None:
+        """Change fields of this host's entry."""
+        self._put_own(version=self.own.version + 1, **fields)
+
+    def declare_dead(self, host: str) -> bool:
+        """Mark a host as dead and tell whether it was not before."""
+        known = self._members.get(host)
+        if known is None or known.state == "dead":
+            return False
+        self._put(attrs.evolve(known, state="dead"))
+        return True
+
+    def touch(self, host: str) -> None:
+        """Let the entry of a host be sent again."""
+        if host in self._members:
+            self._note_change(host)
+
+    def forget(self, host: str) -> None:
+        """Drop all that is known of a host."""
+        self._members.pop(host, None)
+        self._changes.pop(host, None)
+        self._incarnations.pop(host, None)
+
+    def changed_since(self, change: int) -> list[Member]:
+        """Return the entries that changed after that number."""
+        changed = []
+        for host, number in reversed(self._changes.items()):
+            if number <= change:
+                break
+            changed.append(self._members[host])
+        return changed
+
+    def sample(self, rng: random.Random) -> Member:
+        """Return any one entry."""
+        return rng.choice(list(self._members.values()))
+
+    def _refute(self, member: Member) -> bool:
+        """Outdo what others say of this host."""
+        own = self.own
+        if member.order < own.order or member == own:
+            return False
+        if member.incarnation != own.incarnation:
+            self._put_own(epoch=member.epoch + 1)
+            return True
+        # What is equal but for the version is our own word come back.
+        self._put_own(version=member.version + 1)
+        return True
+
+    def _put_own(self, **changes: Any) -> None:
+        self.own = attrs.evolve(self.own, **changes)
+        self._put(self.own)
+
+    def _put(self, member: Member) -> None:
+        self._members[member.host] = member
+        self._note_change(member.host)
+        seen = self._incarnations.setdefault(member.host, [])
+        if member.incarnation in seen:
+            seen.remove(member.incarnation)
+        seen.append(member.incarnation)
+        del seen[:-MAX_INCARNATIONS]
+
+    def _note_change(self, host: str) -> None:
+        self.change += 1
+        self._changes.pop(host, None)
+        self._changes[host] = self.change
--- /dev/null
+++ b/src/balsamlift/peers/_messages.py
@@ -0,0 +1,99 @@
+"""What hosts send each other, and its encoding."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import cattrs
+import msgspec
+
+from balsamlift.exceptions import PeerMessageError
+from balsamlift.peers._marks import STATES, UpstreamState
+
+MemberState = UpstreamState  # hosts go through the same states
+
+
+@attrs.frozen
+class Member:
+    """Hold what is known of one host; the greatest `order` is the newest.
+
+    A host raises its `version` with each change, and its `epoch` when it
+    finds a later incarnation under its own name.
+    """
+
+    host: str
+    incarnation: str
+    epoch: int
+    version: int
+    state: MemberState
+    operators_address: str
+    callers_address: str
+    peers_address: str
+    failure_domain: str
+    key_prefix: str = ""  # of keys that this host is home to
+    taken_over: list[str] = attrs.field(factory=list)  # homes that left
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Return the key that says which of two entries is newer."""
+        return self.epoch, self.version, STATES.index(self.state)
+
+
+@attrs.frozen
+class UpstreamNote:
+    """Tell of one incarnation of an upstream, for a limited time."""
+
+    name: str
+    address: str
+    state: UpstreamState
+    ttl_ms: int
+
+
+@attrs.frozen
+class PeerMessage:
+    """Hold one heartbeat and the news that go with it.
+
+    Only what has changed since the last message on the link is sent.
+    """
+
+    host: str
+    incarnation: str
+    seq: int  # grows over all messages of the incarnation
+    previous_seq: int  # of the message before on this link; 0: the first
+    acked_seq: int  # the latest heard from the receiver
+    missed: bool  # a message from the receiver was lost: tell all again
+    stamp: str
+    offset: int  # of the configuration
+    caught_up: bool
+    chosen: bool  # the sender picked the receiver and wants answers
+    wants_members: bool = False
+    members: list[Member] = attrs.field(factory=list)
+    counts: dict[str, int] = attrs.field(factory=dict)
+    counts_are_full: bool = False
+    notes: list[UpstreamNote] = attrs.field(factory=list)
+
+
+for _class in (Member, UpstreamNote, PeerMessage):
+    attrs.resolve_types(_class)
+
+# Fields go by position: names would be half of the bytes.
+_converter = cattrs.Converter(
+    unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE
+)
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Return the message in msgpack."""
+    return msgspec.msgpack.encode(_converter.unstructure(message))
+
+
+def decode_message(data: bytes) -> PeerMessage:
+    """Return the message; raise `PeerMessageError`."""
+    try:
+        fields: Any = msgspec.msgpack.decode(data)
+        return _converter.structure(fields, PeerMessage)
+    except msgspec.MsgspecError as error:
+        raise PeerMessageError("not msgpack") from error
+    except (cattrs.BaseValidationError, TypeError, ValueError) as error:
+        raise PeerMessageError("not the fields of a message") from error
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,466 @@
+import asyncio
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from typing import Any
+
+import attrs
+import msgspec
+import pytest
+
+from balsamlift._http import HttpClient
+from balsamlift.clock import SystemClock
+from balsamlift.exceptions import PeerMessageError, PeersAddressError
+from balsamlift.kernel import Kernel
+from balsamlift.metrics import Metrics
+from balsamlift.operators import JsonHandler, OperatorsServer
+from balsamlift.peers import Peer, Peers, Upstreams
+from balsamlift.peers._messages import PeerMessage, decode_message
+from balsamlift.settings import (
+    PeerSettings,
+    PlatformSettings,
+    PoolSettings,
+    Settings,
+)
+from balsamlift.timeline import Timeline
+
+DEADLINE_S = 20.0
+HEARTBEAT_MS = 50
+SILENCE_MS = 400
+SLOW_LIST_MS = 30_000
+ENGINE = "127.0.0.1:9"
+
+
+class ListHandler(JsonHandler):
+    def initialize(self, hosts: dict[str, dict[str, str]]) -> None:
+        self.hosts = hosts
+
+    def get(self) -> None:
+        self.reply({"hosts": list(self.hosts.values())})
+
+
+@attrs.define
+class Host:
+    peers: Peers
+    upstreams: Upstreams
+    metrics: Metrics
+    timeline: Timeline
+    operators: OperatorsServer
+    kernel: Kernel
+    http: HttpClient
+
+    def live(self) -> list[str]:
+        return sorted(peer.host for peer in self.peers.live())
+
+    def peer(self, host: str) -> Peer:
+        peer = self.peers.find(host)
+        assert peer is not None
+        return peer
+
+    async def stop(self) -> None:
+        await self.kernel.stop()
+        self.http.close()
+
+
+class Cluster:
+    """Hosts in one process, and the platform's list for them."""
+
+    def __init__(self, fan_out: int, list_poll_ms: int) -> None:
+        self.listed: dict[str, dict[str, str]] = {}
+        self.hosts: dict[str, Host] = {}
+        self.platform = OperatorsServer("127.0.0.1:0")
+        self._fan_out = fan_out
+        self._list_poll_ms = list_poll_ms
+        arguments = {"hosts": self.listed}
+        self.platform.add_routes([("/v1/hosts", ListHandler, arguments)])
+        for name in ("e1", "e2"):
+            entry = {"role": "upstream", "pool": "p", "address": ENGINE}
+            self.listed[name] = {"name": name, **entry}
+
+    def settings(self, host: str) -> Settings:
+        return Settings(
+            host=host,
+            failure_domain="d1",
+            callers_address="127.0.0.1:0",
+            operators_address="127.0.0.1:0",
+            peers_address="127.0.0.1:0",
+            platform=PlatformSettings(
+                log_address="127.0.0.1:9",
+                hosts_address=self.platform.address,
+                hosts_poll_ms=self._list_poll_ms,
+            ),
+            # Services: nothing probes them while they are live.
+            pools={"p": PoolSettings(kind="service")},
+            peers=PeerSettings(
+                heartbeat_ms=HEARTBEAT_MS,
+                silence_ms=SILENCE_MS,
+                fan_out=self._fan_out,
+            ),
+            seed=7,
+        )
+
+    def build(self, name: str, incarnation: str = "first") -> Host:
+        settings = self.settings(name)
+        clock = SystemClock()
+        http = HttpClient()
+        host = Host(
+            Peers(settings, incarnation, "127.0.0.1:1", clock, rng(name)),
+            Upstreams(settings, clock, http),
+            Metrics(),
+            Timeline(name, clock, 1_000),
+            OperatorsServer("127.0.0.1:0"),
+            Kernel(),
+            http,
+        )
+        for service in (
+            host.operators,
+            host.timeline,
+            host.metrics,
+            host.upstreams,
+            host.peers,
+        ):
+            host.kernel.register(service)
+        self.hosts[name] = host
+        return host
+
+    def list_host(self, name: str, address: str = "") -> None:
+        self.listed[name] = {
+            "name": name,
+            "role": "entry",
+            "peers_address": address or self.hosts[name].peers.address,
+        }
+
+    async def add(self, name: str, incarnation: str = "first") -> Host:
+        host = self.build(name, incarnation)
+        self.list_host(name)
+        await host.kernel.start()
+        return host
+
+    async def grow(self, number: int) -> list[Host]:
+        names = [f"h{n:02}" for n in range(number)]
+        for name in names:
+            self.build(name)
+            self.list_host(name)
+        for name in names:
+            await self.hosts[name].kernel.start()
+        await until(lambda: self.all_live(number))
+        return [self.hosts[name] for name in names]
+
+    def all_live(self, number: int) -> bool:
+        hosts = self.hosts.values()
+        return all(len(h.peers.live()) == number - 1 for h in hosts)
+
+    async def remove(self, name: str) -> None:
+        await self.hosts.pop(name).stop()
+
+
+def rng(name: str) -> random.Random:
+    return random.Random(name)
+
+
+async def until(condition: Callable[[], object]) -> None:
+    async with asyncio.timeout(DEADLINE_S):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def run(
+    scenario: Callable[[Cluster], Awaitable[None]],
+    fan_out: int = 16,
+    list_poll_ms: int = 100,
+) -> None:
+    async def main() -> None:
+        cluster = Cluster(fan_out, list_poll_ms)
+        await cluster.platform.start(Kernel())
+        try:
+            await scenario(cluster)
+        finally:
+            for name in list(cluster.hosts):
+                await cluster.remove(name)
+            await cluster.platform.stop()
+
+    asyncio.run(main())
+
+
+class Relay:
+    """A TCP relay whose open connections can go silent for good."""
+
+    def __init__(self, target: str) -> None:
+        self._target = target
+        self._gates: list[asyncio.Event] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.is_cut = False
+
+    def silence(self) -> None:
+        """Let no byte pass on the connections open now."""
+        for gate in self._gates:
+            gate.clear()
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.is_cut:
+            writer.close()
+            return
+        ip, _, port = self._target.rpartition(":")
+        far_reader, far_writer = await asyncio.open_connection(ip, int(port))
+        gate = asyncio.Event()
+        gate.set()
+        self._gates.append(gate)
+        with suppress(ConnectionError, asyncio.CancelledError):
+            await asyncio.gather(
+                self._pump(reader, far_writer, gate),
+                self._pump(far_reader, writer, gate),
+            )
+        writer.close()
+        far_writer.close()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        gate: asyncio.Event,
+    ) -> None:
+        while data := await reader.read(65_536):
+            await gate.wait()
+            writer.write(data)
+            await writer.drain()
+
+
+@asynccontextmanager
+async def relay_to(target: str) -> AsyncIterator[tuple[Relay, str]]:
+    relay = Relay(target)
+    server = await asyncio.start_server(relay.accept, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield relay, f"127.0.0.1:{port}"
+    finally:
+        server.close()
+
+
+def test_peers_find_each_other() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        first, second, third = await cluster.grow(3)
+        assert third.live() == ["h00", "h01"]
+        await until(lambda: first.peer("h01").last_heard_s)
+        peer = first.peer("h01")
+        assert peer.operators_address == second.operators.address
+        assert (peer.incarnation, peer.leaving) == ("first", False)
+        url = f"http://{first.operators.address}/v1/hosts"
+        answer = await first.http.call("GET", url, timeout_ms=5_000)
+        views = answer.decode(list[dict[str, Any]])
+        assert [view["host"] for view in views] == ["h00", "h01", "h02"]
+        assert {view["state"] for view in views} == {"live"}
+
+    run(scenario)
+
+
+def test_a_dead_peer_takes_its_counts_along() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        first, second, third = await cluster.grow(3)
+        second.peers.set_in_flight("e1", 5)
+        third.peers.set_in_flight("e1", 2)
+        await until(lambda: first.peers.in_flight("e1") == 7)
+        second.peers.set_in_flight("e1", 6)
+        await until(lambda: first.peers.in_flight("e1") == 8)
+        await cluster.remove("h01")
+        await until(lambda: first.peers.in_flight("e1") == 2)
+        assert first.live() == ["h02"]
+        third.peers.set_in_flight("e1", 0)
+        await until(lambda: first.peers.in_flight("e1") == 0)
+
+    run(scenario)
+
+
+def test_leaving_is_announced() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        hosts = await cluster.grow(3)
+        changes: list[str] = []
+        hosts[0].peers.on_change(lambda: changes.append("h00"))
+        hosts[1].peers.announce_leaving()
+        for host in (hosts[0], hosts[2]):
+            await until(lambda host=host: host.peer("h01").leaving)
+        assert changes
+
+    run(scenario)
+
+
+def test_a_restart_replaces_the_old_incarnation() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        first, second = await cluster.grow(2)
+        second.peers.set_in_flight("e1", 5)
+        await until(lambda: first.peers.in_flight("e1") == 5)
+        await cluster.remove("h01")
+        again = await cluster.add("h01", "second")
+        await until(
+            lambda: (
+                (peer := first.peers.find("h01"))
+                and peer.incarnation == "second"
+            )
+        )
+        assert first.peers.known_incarnations("h01") == ("first", "second")
+        await until(lambda: first.peers.in_flight("e1") == 0)
+        await until(lambda: again.live() == ["h00"])
+
+    run(scenario)
+
+
+def test_a_silent_connection_is_replaced() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        first, second = cluster.build("h00"), cluster.build("h01")
+        async with relay_to(second.peers.address) as (relay, address):
+            cluster.list_host("h00")
+            cluster.list_host("h01", address)
+            # Its own word must not lead around the relay.
+            second.peers._members.change_own(peers_address=address)
+            await first.kernel.start()
+            await second.kernel.start()
+            await until(lambda: cluster.all_live(2))
+            before = first.metrics.snapshot().counters.get("peers.redials", 0)
+            relay.silence()
+            first.peers.set_in_flight("e1", 9)
+            await until(lambda: second.peers.in_flight("e1") == 9)
+            after = first.metrics.snapshot().counters["peers.redials"]
+            assert after > before
+            await until(lambda: cluster.all_live(2))
+
+    run(scenario)
+
+
+def test_a_host_cut_from_one_peer_lives_by_the_others_word() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        first, second, third = (
+            cluster.build(name) for name in ("h00", "h01", "h02")
+        )
+        async with relay_to(second.peers.address) as (relay, address):
+            # h00 and h01 reach each other in neither direction.
+            relay.is_cut = True
+            for name in ("h00", "h01", "h02"):
+                cluster.list_host(name)
+            cut_from = {"h00": second, "h01": first}
+            for name, other in cut_from.items():
+                cut(cluster.hosts[name].peers, other.peers.own.host, address)
+            for host in (first, second, third):
+                await host.kernel.start()
+            await until(lambda: cluster.all_live(3))
+            await until(lambda: declared_dead(first, "h01"))
+            await until(lambda: cluster.all_live(3))
+            assert first.peer("h01").last_heard_s is None
+
+    run(scenario)
+
+
+def cut(peers: Peers, host: str, address: str) -> None:
+    """Let every link to one host lead to `address`."""
+    addresses = peers._addresses
+
+    def changed() -> dict[str, str]:
+        return {
+            name: address if name == host else known
+            for name, known in addresses().items()
+        }
+
+    peers._addresses = changed  # type: ignore[method-assign]
+
+
+def declared_dead(host: Host, peer: str) -> bool:
+    events = host.timeline.events(kind="peer.state")
+    return any(
+        event.detail["host_seen"] == peer and event.detail["state"] == "dead"
+        for event in events
+    )
+
+
+@pytest.mark.parametrize(("number", "fan_out"), [(3, 16), (12, 4)])
+def test_an_upstreams_leaving_is_known_everywhere(
+    number: int, fan_out: int
+) -> None:
+    async def scenario(cluster: Cluster) -> None:
+        hosts = await cluster.grow(number)
+        hosts[0].upstreams.mark("e1", "leaving", "refusal")
+        hosts[1].peers.note_upstream("e2", "dead")
+        started_s = asyncio.get_running_loop().time()
+        await until(
+            lambda: all(
+                {u.name: u.state for u in host.upstreams.all()}["e1"]
+                == "leaving"
+                for host in hosts
+            )
+        )
+        taken_s = asyncio.get_running_loop().time() - started_s
+        assert taken_s < 2
+        for host in hosts[2:]:
+            seen = host.timeline.events(kind="upstream.state")
+            marked = {event.detail["upstream"] for event in seen}
+            assert "e1" in marked
+
+    run(scenario, fan_out, SLOW_LIST_MS)
+
+
+def test_partial_mesh() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        hosts = await cluster.grow(12)
+        for host in hosts:
+            assert len(host.peers._partners.chosen) == 2
+            host.peers.set_in_flight("e1", 10)
+        await until(lambda: all(h.peers.in_flight("e1") == 110 for h in hosts))
+        await cluster.remove("h05")
+        await until(lambda: cluster.all_live(11))
+        hosts[3].peers.announce_leaving()
+        others = [h for name, h in cluster.hosts.items() if name != "h03"]
+        await until(lambda: all(h.peer("h03").leaving for h in others))
+
+    run(scenario, fan_out=4)
+
+
+def test_void_messages_disturb_nothing() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        first, second = await cluster.grow(2)
+        with second.peers._links["h00"]._socket as socket:
+            for data in (b"", b"\xc1", msgspec.msgpack.encode([1, {}])):
+                await socket.asend(data)
+            counters = first.metrics.snapshot
+            await until(
+                lambda: counters().counters.get("peers.messages_void") == 3
+            )
+        assert first.live() == ["h01"]
+
+    run(scenario)
+
+
+def test_address_in_use() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        first = await cluster.add("h00")
+        settings = attrs.evolve(
+            cluster.settings("h01"), peers_address=first.peers.address
+        )
+        with pytest.raises(PeersAddressError, match=first.peers.address):
+            Peers(settings, "i", "127.0.0.1:1", SystemClock(), rng("h01"))
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("fields", [[], ["h"] * 8, None, {"host": "h"}])
+def test_void_messages_are_told(fields: object) -> None:
+    with pytest.raises(PeerMessageError):
+        decode_message(msgspec.msgpack.encode(fields))
+
+
+def test_heartbeats_are_small() -> None:
+    from balsamlift.peers._messages import encode_message
+
+    message = PeerMessage(
+        host="host-100",
+        incarnation="0123456789abcdef",
+        seq=10**6,
+        previous_seq=10**6 - 16,
+        acked_seq=10**6,
+        missed=False,
+        stamp="1790000000000.0",
+        offset=10**6,
+        caught_up=True,
+        chosen=True,
+    )
+    data = encode_message(message)
+    assert decode_message(data) == message
+    assert len(data) < 100
