--- a/src/balsamlift/requests/_execution.py
+++ b/src/balsamlift/requests/_execution.py
@@ -38,6 +38,7 @@
         "dispatched",
         "finished_s",
         "key",
+        "may_be_abandoned",
         "on_unwatched",
         "outcome",
         "start",
@@ -68,6 +69,7 @@
         self.abandoned_s: float | None = None
         self.dispatched = False  # whether an upstream may be running it
         self.answer_dropped = False
+        self.may_be_abandoned = False  # cancelled when no caller comes back
         self.task: asyncio.Task[None] | None = None
         self.on_unwatched: Callable[[Execution], None] | None = None
         self._news: asyncio.Event | None = None
--- a/src/balsamlift/requests/_handlers.py
+++ b/src/balsamlift/requests/_handlers.py
@@ -81,7 +81,7 @@
         body = decode_request(bytes(self._body))
         self._body.clear()
         self._authorize(body.workspace)
-        execution = await self._requests.submit(body, self._hops())
+        execution = self._requests.submit(body, self._hops())
         _check_index(execution, 0)
         await self._deliver(execution, 0)
 
--- /dev/null
+++ b/src/balsamlift/requests/_kept.py
@@ -0,0 +1,97 @@
+"""The executions that hold a body or an answer, and how long they do."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from loguru import logger
+
+from balsamlift.exceptions import RefusedError
+from balsamlift.requests._execution import Execution
+from balsamlift.requests._parts import Parts
+
+log = logger.bind(part="requests")
+
+SWEEP_S = 1.0
+
+
+class Kept:
+    """Drop old answers; cancel what its callers have abandoned."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Begin with nothing kept."""
+        self._parts = parts
+        self._executions: set[Execution] = set()
+        self._bytes = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to sweep."""
+        self._task = asyncio.ensure_future(self._sweep_often())
+
+    async def stop(self) -> None:
+        """End the sweep and every request that still runs."""
+        tasks = [e.task for e in self._executions if e.task]
+        if self._task is not None:
+            tasks.append(self._task)
+        for task in tasks:
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def add(self, execution: Execution) -> None:
+        """Keep an execution until its answer is old."""
+        self._executions.add(execution)
+
+    def is_busy(self) -> bool:
+        """Return whether anything runs or is being read."""
+        return any(e.outcome is None or e.watchers for e in self._executions)
+
+    def check_room(self) -> None:
+        """Raise `RefusedError` while answers take all their memory."""
+        if self._bytes > self._parts.settings.limits.answers_bytes:
+            # The next sweep may make room.
+            raise RefusedError("answers_full", int(SWEEP_S * 1_000))
+
+    async def _sweep_often(self) -> None:
+        while True:
+            await self._parts.clock.sleep(SWEEP_S)
+            try:
+                self._sweep()
+            except Exception:
+                # Without the sweep memory would grow without bound.
+                log.exception("A sweep failed.")
+
+    def _sweep(self) -> None:
+        now_s = self._parts.clock.monotonic()
+        held_bytes = 0
+        for execution in list(self._executions):
+            held_bytes += execution.answer.size_bytes
+            if execution.outcome is None:
+                self._cancel_abandoned(execution, now_s)
+            elif self._is_stale(execution, now_s):
+                execution.drop_answer()
+                self._executions.discard(execution)
+        self._bytes = held_bytes
+        self._parts.metrics.gauge("requests.answers_bytes", held_bytes)
+
+    def _is_stale(self, execution: Execution, now_s: float) -> bool:
+        if execution.watchers:
+            return False
+        limits = self._parts.settings.limits
+        if self._bytes > limits.answers_bytes:
+            return True
+        return now_s - execution.finished_s > limits.answer_keep_ms / 1_000
+
+    def _cancel_abandoned(self, execution: Execution, now_s: float) -> None:
+        # What may not be repeated is left to end by itself.
+        if execution.watchers or not execution.may_be_abandoned:
+            execution.abandoned_s = None
+            return
+        if execution.abandoned_s is None:
+            execution.abandoned_s = now_s
+        gone_s = now_s - execution.abandoned_s
+        bound_s = self._parts.settings.streams.abandon_ms / 1_000
+        if gone_s >= bound_s and execution.task is not None:
+            execution.task.cancel()
