Drop callers that do not read; hold one frame for each

Cause, seen by tests of tests/test_callers.py failing first: a caller whose socket is full was counted as lost after abandon_ms, but its connection stayed open, and was to be ended like a whole answer once it reads (the test waited 30 s for the end). Change: the connection of a caller that does not read for abandon_ms is closed; frames are made one at a time. After: the same test bounds the growth of the peak at 12 MB.

--- a/src/balsamlift/requests/_handlers.py
+++ b/src/balsamlift/requests/_handlers.py
@@ -164,11 +164,19 @@
                 self._reply_outcome(execution.outcome)
                 return
             await _Delivery(self, execution, first_index).run()
-        except (StreamClosedError, TimeoutError):
+        except StreamClosedError:
             self._timeline.record("caller_lost", request=execution.key)
+        except TimeoutError:
+            self._timeline.record("caller_lost", request=execution.key)
+            self._drop_connection()
         finally:
             execution.unwatch()
 
+    def _drop_connection(self) -> None:
+        # Finishing would wait for this caller, and end its part of the
+        # stream as if that were all.
+        self.detach().close()
+
     def _heartbeat_s(self) -> float:
         return self._requests.parts.settings.streams.heartbeat_ms / 1_000
 
@@ -240,7 +248,8 @@
         if execution.holds_back:
             return
         frames = execution.answer.frames_from(self._index)
-        for after, data in list(frames):
+        # One at a time: a caller that does not read holds one frame more.
+        for after, data in frames:
             # Counted before it leaves: what may have left cannot be
             # taken back.
             execution.delivered = max(execution.delivered, after)
--- a/tests/_callers_world.py
+++ b/tests/_callers_world.py
@@ -50,6 +50,7 @@
     def __init__(self, stack):
         self._stack = stack
         self.operators = []
+        self.processes = []
         self.platform = self._start("platform", hosts_lag_ms=0)
         self.engine = self._start(
             "engine",
@@ -136,7 +137,9 @@
             "streams": {"upstream_silence_ms": 2_000} | streams,
             "seed": 1,
         }
-        ready = self._stack.enter_context(start_host(settings)).ready
+        process = self._stack.enter_context(start_host(settings))
+        self.processes.append(process)
+        ready = process.ready
         self.operators.append(ready["operators_address"])
         self._list(
             name,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,7 +2,6 @@
 
 import json
 import socket
-import threading
 from contextlib import ExitStack
 from functools import partial
 
@@ -87,6 +86,7 @@
 
 
 KEY = "/v1/requests/{key}?workspace=museum"
+RATHER_DEEP = json.loads("[" * 200 + "]" * 200)
 DEEP = b'{"key":"a","workspace":"w","kind":"k","payload":%b%b}'
 CASES = {
     "no json": (post(b"nonsense"), 400, "bad_body"),
@@ -98,8 +98,7 @@
         400,
         "bad_body",
     ),
-    "rather deep": (post(payload=json.loads("[" * 200 + "]" * 200)),)
-    + (400, "bad_body"),
+    "rather deep": (post(payload=RATHER_DEEP), 400, "bad_body"),
     "wrong type": (post(prompt=7), 400, "bad_body"),
     "field missing": (post(kind="MISSING"), 400, "bad_body"),
     "no workspace": (post(workspace=""), 400, "bad_body"),
@@ -291,3 +290,211 @@
     assert len(tokens) == 200
     assert tokens_in(second) == tokens_in(again) == tokens
     assert world.executions(body["key"]) == 1
+
+
+LONG_TOKEN = "x" * 2_000
+
+
+def long_frames(body):
+    """Yield 4 MB in small frames."""
+    yield start_frame(body)
+    for index in range(2_000):
+        yield token_frame(index, LONG_TOKEN)
+    yield end_frame(2_000)
+
+
+def odd_body(world, host, case, frames):
+    world.odd.cases[case] = frames
+    return world.body(host, kind="odd", prompt=case)
+
+
+def sleepy_caller(address, key):
+    """Return a socket that has asked for an answer and reads nothing."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    ip, port = address.split(":")
+    caller.connect((ip, int(port)))
+    path = f"/v1/requests/{key}?workspace=museum"
+    caller.sendall(f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+    return caller
+
+
+def read_all(caller):
+    """Return all that still comes, until the connection is closed."""
+    caller.settimeout(30)
+    text = b""
+    try:
+        while data := caller.recv(65_536):
+            text += data
+    except ConnectionResetError:
+        pass
+    caller.close()
+    return text
+
+
+def peak_kb(process):
+    """Return the most memory that a process has held."""
+    with open(f"/proc/{process.pid}/status") as status:
+        [line] = [s for s in status if s.startswith("VmHWM")]
+    return int(line.split()[1])
+
+
+def count_events(world, host, key, kind):
+    path = f"/v1/timeline?kind={kind}&request={key}"
+    return len(call(world.operators[host], "GET", path)[1])
+
+
+def test_callers_that_do_not_read_are_dropped_and_disturb_nobody(world):
+    body = odd_body(world, 1, "long", long_frames)
+    address = world.hosts[1]
+    assert len(tokens_in(ask(address, body))) == 2_000
+    before_kb = peak_kb(world.processes[1])
+    callers = [sleepy_caller(address, body["key"]) for _ in range(12)]
+    other = ask(address, world.body(1, prompt="[length=40]"))
+    assert other[-1][1]["outcome"] == "whole"
+    lost = partial(count_events, world, 1, body["key"], "caller_lost")
+    eventually(lambda: lost() == 12)
+    # The answer is 4 MB; a copy of it for each of them would be 48 MB.
+    assert peak_kb(world.processes[1]) - before_kb < 12_000
+    for caller in callers:
+        text = read_all(caller)
+        assert 0 < len(text) < 4_000_000
+        assert b"event: end" not in text
+        assert not text.endswith(b"0\r\n\r\n")
+
+
+def leave_early(world, kind, length):
+    """Begin a request at the second host and go away; return its key."""
+    body = world.body(1, kind=kind, prompt=f"[length={length}]")
+    stream = Stream(world.hosts[1], "POST", "/v1/requests", body)
+    while stream.next()[0] != "token":
+        pass
+    stream.answer.close()
+    stream.connection.close()
+    return body["key"]
+
+
+def ended(world, key):
+    state = world.engine_state(key)
+    return state if state["state"] == "done" else None
+
+
+def test_a_request_left_alone_is_cancelled_on_its_engine(world):
+    key = leave_early(world, "report", 2_000)
+    state = eventually(lambda: ended(world, key))
+    assert state["reason"] == "cancelled"
+    assert state["tokens"] < 2_000
+
+
+def test_what_may_not_be_repeated_is_left_to_end(world):
+    key = leave_early(world, "tag", 2_000)
+    state = eventually(lambda: ended(world, key))
+    assert (state["reason"], state["tokens"]) == ("stop", 2_000)
+
+
+@pytest.mark.parametrize("host", [0, 1])
+def test_a_cancelled_request_ends_on_its_engine_and_says_so(world, host):
+    body = world.body(prompt="[length=2000]")
+    stream = Stream(world.hosts[0], "POST", "/v1/requests", body)
+    events = [stream.next() for _ in range(4)]
+    path = f"/v1/requests/{body['key']}?workspace=museum"
+    assert call(world.hosts[host], "DELETE", path) == (
+        200,
+        {"cancelled": True},
+    )
+    events += stream.rest()
+    end = events[-1][1]
+    assert (end["outcome"], end["reason"]) == ("failed", "cancelled")
+    assert end["tokens"] == len(tokens_in(events)) < 2_000
+    assert ended(world, body["key"])["reason"] == "cancelled"
+    assert follow(world.hosts[0], body["key"])[-1][1] == end
+
+
+def cancel_unstarted(world):
+    """Cancel a request that the engine keeps out; return what was told."""
+    body = world.body(prompt="[length=9]")
+    stream = Stream(world.hosts[0], "POST", "/v1/requests", body)
+    eventually(lambda: count_events(world, 0, body["key"], "not_run"))
+    path = f"/v1/requests/{body['key']}?workspace=museum"
+    call(world.hosts[0], "DELETE", path)
+    end = stream.rest()[-1][1]
+    assert end["reason"] == "cancelled"
+    assert ask(world.hosts[0], body)[0][1] == end
+    assert world.executions(body["key"]) == 0
+    return end["outcome"]
+
+
+def test_a_request_cancelled_before_it_ran_is_told_refused(world):
+    call(world.engine, "POST", "/control/faults", {"refuse": True})
+    try:
+        told = [cancel_unstarted(world) for _ in range(8)]
+    finally:
+        call(world.engine, "POST", "/control/faults", {"refuse": False})
+    # "unknown" only where the engine had not yet said that it refuses.
+    assert set(told) <= {"refused", "unknown"}
+    assert "refused" in told
+
+
+START_ELSE = {"key": "another", "workspace": "museum"}
+RUBBISH = {
+    "an event without end": lambda b: [
+        start_frame(b),
+        b"data: " + b"x" * 5_000_000,
+    ],
+    "no text": lambda b: [start_frame(b), b"event: \xff\xfe\n\n"],
+    "no JSON": lambda b: [start_frame(b), b"event: token\ndata: {[\n\n"],
+    "other types": lambda b: [
+        start_frame(b),
+        event("token", generation="g", index="0", tokens=[1]),
+    ],
+    "tokens missing": lambda b: [
+        start_frame(b),
+        token_frame(0, "a"),
+        token_frame(3, "d"),
+        end_frame(4),
+    ],
+    "tokens of another generation": lambda b: [
+        start_frame(b),
+        token_frame(0, "a"),
+        token_frame(1, "b", generation="h"),
+        end_frame(2),
+    ],
+    "a token before the start": lambda b: [
+        token_frame(0, "a"),
+        start_frame(b),
+        end_frame(1),
+    ],
+    "another start": lambda b: [
+        start_frame(b),
+        token_frame(0, "a"),
+        start_frame(b, generation="h"),
+        end_frame(1),
+    ],
+    "a foreign key": lambda b: [
+        start_frame(START_ELSE),
+        token_frame(0, "a"),
+        end_frame(1),
+    ],
+    "an end that counts more": lambda b: [
+        start_frame(b),
+        token_frame(0, "a"),
+        end_frame(2),
+    ],
+    "an end that counts fewer": lambda b: [
+        start_frame(b),
+        token_frame(0, "a", "b"),
+        end_frame(1),
+    ],
+    "no end": lambda b: [start_frame(b), token_frame(0, "a")],
+    "nothing": lambda b: [],
+}
+
+
+@pytest.mark.parametrize("case", RUBBISH)
+def test_rubbish_from_an_upstream_is_never_told_whole(world, case):
+    body = odd_body(world, 0, case, RUBBISH[case])
+    told = ask(world.hosts[0], body)[-1][1]
+    assert told["outcome"] in ("failed", "unknown")
+    assert world.odd.posts.count(body["key"]) == 1
+    again = ask(world.hosts[0], world.body(kind="odd"))
+    assert again[-1][1]["outcome"] == "whole"
