Split the membership into parts with one job

Change: listener, links, composer, what was heard, and the configuration finder are modules of their own. A peer whose counts were dropped is asked to tell all again, and the question stays until the answer is here.

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -1,7 +1,8 @@
 """The other hosts, and the upstreams that all hosts share."""
 
 from balsamlift.peers._marks import UpstreamState
-from balsamlift.peers._membership import Peer, Peers
+from balsamlift.peers._membership import Peers
+from balsamlift.peers._peer import Peer
 from balsamlift.peers._upstreams import EntryHost, Upstream, Upstreams
 
 __all__ = [
--- a/src/balsamlift/peers/_hosts_view.py
+++ b/src/balsamlift/peers/_hosts_view.py
@@ -7,10 +7,11 @@
 import attrs
 
 from balsamlift.operators import JsonHandler
+from balsamlift.peers._peer import Peer
 from balsamlift.peers._upstreams import EntryHost, Upstreams
 
 if TYPE_CHECKING:
-    from balsamlift.peers._membership import Peer, Peers
+    from balsamlift.peers._membership import Peers
 
 UNKNOWN = "unknown"
 
--- a/src/balsamlift/peers/_link.py
+++ b/src/balsamlift/peers/_link.py
@@ -33,6 +33,11 @@
     counts: int | None = None
     notes: int = 0
 
+    @property
+    def is_any(self) -> bool:
+        """Tell whether anything was told, so that news are enough."""
+        return self.counts is not None
+
 
 @attrs.frozen
 class Draft:
--- /dev/null
+++ b/src/balsamlift/peers/_links.py
@@ -0,0 +1,103 @@
+"""The set of links: to the chosen partners, and to those who chose us."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection, Mapping
+
+from balsamlift.clock import Clock
+from balsamlift.metrics import Metrics
+from balsamlift.peers._link import Draft, Link
+from balsamlift.peers._partners import Partners
+from balsamlift.settings import PeerSettings
+
+
+class Links:
+    """Open and close links as partners change."""
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        clock: Clock,
+        rng: random.Random,
+        compose: Callable[[Link], Draft],
+        on_silence: Callable[[str], None],
+    ) -> None:
+        """Begin with no link; see `Link` for the two functions."""
+        self._partners = Partners(settings, clock, rng)
+        self._settings = settings
+        self._clock = clock
+        self._random = rng
+        self._compose = compose
+        self._on_silence = on_silence
+        self._links: dict[str, Link] = {}
+        self._metrics = Metrics()
+
+    def start(self, metrics: Metrics) -> None:
+        """Count traffic there."""
+        self._metrics = metrics
+
+    async def stop(self) -> None:
+        """Close every link."""
+        while self._links:
+            _, link = self._links.popitem()
+            await link.stop()
+
+    @property
+    def chosen(self) -> frozenset[str]:
+        """Return the chosen partners."""
+        return self._partners.chosen
+
+    def find(self, host: str) -> Link | None:
+        """Return the link to a host."""
+        return self._links.get(host)
+
+    def wake(self) -> None:
+        """Send on every link without waiting for the next heartbeat."""
+        for link in self._links.values():
+            link.wake()
+
+    def told_counts(self, default: int) -> int:
+        """Return up to which change every link has told the counts."""
+        told = [link.told.counts or 0 for link in self._links.values()]
+        return min(told, default=default)
+
+    async def refresh(
+        self,
+        addresses: Mapping[str, str],
+        dead: Collection[str],
+        askers: set[str],
+    ) -> list[str]:
+        """Link to the chosen of these hosts, and to the `askers`.
+
+        Returns the hosts whose links it closed.
+        """
+        self._partners.choose(addresses, dead)
+        wanted = (self.chosen | askers) & addresses.keys()
+        closed = [
+            host
+            for host, link in self._links.items()
+            if host not in wanted or link.address != addresses[host]
+        ]
+        for host in closed:
+            await self._links.pop(host).stop()
+        for host in sorted(wanted):
+            self.open(host, addresses[host])
+        return closed
+
+    def open(self, host: str, address: str) -> None:
+        """Open a link, unless there is one."""
+        if host in self._links:
+            return
+        link = Link(
+            host,
+            address,
+            self._settings,
+            self._clock,
+            self._random,
+            self._metrics,
+            self._compose,
+            self._on_silence,
+        )
+        self._links[host] = link
+        link.start()
--- /dev/null
+++ b/src/balsamlift/peers/_listener.py
@@ -0,0 +1,56 @@
+"""The receiving half: one address for messages from all peers."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import AsyncIterator
+
+import pynng
+from loguru import logger
+
+from balsamlift._address import join_address, split_address
+from balsamlift.exceptions import PeerMessageError, PeersAddressError
+from balsamlift.metrics import Metrics
+from balsamlift.peers._messages import PeerMessage, decode_message
+
+log = logger.bind(part="peers")
+
+RECEIVE_BUFFER = 256  # messages
+MAX_MESSAGE_BYTES = 1 << 20
+
+
+class Listener:
+    """Receive messages on one address."""
+
+    def __init__(self, address: str) -> None:
+        """Listen on "IP:port"; raises `PeersAddressError`."""
+        self._pull = pynng.Pull0(
+            recv_buffer_size=RECEIVE_BUFFER, recv_max_size=MAX_MESSAGE_BYTES
+        )
+        ip, port = split_address(address)
+        try:
+            listener = self._pull.listen(f"tcp://{join_address(ip, port)}")
+        except pynng.NNGException as error:
+            self._pull.close()
+            raise PeersAddressError(address, str(error)) from error
+        bound_port = socket.ntohs(listener.local_address.port)
+        self.address = join_address(ip, bound_port)
+
+    async def messages(self, metrics: Metrics) -> AsyncIterator[PeerMessage]:
+        """Yield the messages that come, until closed."""
+        while True:
+            try:
+                data = await self._pull.arecv()
+            except pynng.Closed:
+                return
+            metrics.count("peers.messages_received")
+            metrics.count("peers.bytes_received", len(data))
+            try:
+                yield decode_message(data)
+            except PeerMessageError as error:
+                metrics.count("peers.messages_void")
+                log.warning("void message: {}", error)
+
+    def close(self) -> None:
+        """Close the address, which also ends `messages`."""
+        self._pull.close()
--- a/src/balsamlift/peers/_members.py
+++ b/src/balsamlift/peers/_members.py
@@ -55,9 +55,12 @@
         self._put(member)
         return True
 
-    def change_own(self, **fields: Any) -> None:
-        """Change fields of this host's entry."""
+    def change_own(self, **fields: Any) -> bool:
+        """Change fields of this host's entry; tell whether they differ."""
+        if attrs.evolve(self.own, **fields) == self.own:
+            return False
         self._put_own(version=self.own.version + 1, **fields)
+        return True
 
     def declare_dead(self, host: str) -> bool:
         """Mark a host as dead and tell whether it was not before."""
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -3,90 +3,41 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import random
-import socket
-from collections.abc import Callable
-from typing import Protocol, runtime_checkable
+from collections.abc import Callable, Sequence
+from typing import Any
 
 import attrs
-import pynng
 from loguru import logger
 
-from balsamlift._address import join_address, split_address
 from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
-from balsamlift.exceptions import (
-    PeerMessageError,
-    PeersAddressError,
-    ServiceMissingError,
-)
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
+from balsamlift.peers._composer import Composer, Status
+from balsamlift.peers._configuration import ConfigurationFinder
 from balsamlift.peers._counts import OwnCounts, PeerCounts
+from balsamlift.peers._heard import HeardPeers
 from balsamlift.peers._hosts_view import HostsHandler
-from balsamlift.peers._link import Draft, Link, Told
+from balsamlift.peers._link import Draft, Link
+from balsamlift.peers._links import Links
+from balsamlift.peers._listener import Listener
 from balsamlift.peers._marks import UpstreamState
 from balsamlift.peers._members import Members
 from balsamlift.peers._messages import (
     Member,
     PeerMessage,
     UpstreamNote,
-    decode_message,
 )
 from balsamlift.peers._notes import NOTE_TTL_MS, Notes
-from balsamlift.peers._partners import Partners
+from balsamlift.peers._peer import Peer, describe
 from balsamlift.peers._upstreams import PEER_SOURCE, Upstream, Upstreams
 from balsamlift.settings import Settings
 from balsamlift.timeline import Timeline
 
 log = logger.bind(part="peers")
 
-RECEIVE_BUFFER = 256  # messages
-MAX_MESSAGE_BYTES = 1 << 20
-RECENT_MEMBERS = 32  # changes that a new link tells; the rest it is asked for
-SAMPLE_EVERY = 8  # messages per entry sent in case the peer missed it
-FULL_COUNTS_EVERY = 40  # messages
-
-
-@runtime_checkable
-class Configuration(Protocol):
-    """Tell how far this host has folded the configuration."""
-
-    offset: int
-    caught_up: bool
-
-
-@attrs.frozen(kw_only=True)
-class Peer:
-    """Describe one other host as it is known now."""
-
-    host: str
-    incarnation: str
-    operators_address: str
-    callers_address: str
-    failure_domain: str
-    leaving: bool
-    key_prefix: str = ""  # "" until it takes keys
-    taken_over: frozenset[str] = frozenset()  # homes whose keys it holds
-    offset: int = 0  # of its configuration; 0 until heard directly
-    caught_up: bool = False
-    last_heard_s: float | None = None  # monotonic; None: known by others
-
-
-@attrs.define
-class _Heard:
-    """Hold the latest that one incarnation of a peer told us itself."""
-
-    incarnation: str
-    seq: int = 0
-    at_s: float = 0.0
-    offset: int = 0
-    caught_up: bool = False
-    chose_us: bool = False
-    missed: bool = False
-
 
 class Peers:
     """Know the other hosts: who lives, and what they have in flight.
@@ -113,11 +64,8 @@
         """
         self._settings = settings
         self._clock = clock
-        self._random = rng
-        self._pull = pynng.Pull0(
-            recv_buffer_size=RECEIVE_BUFFER, recv_max_size=MAX_MESSAGE_BYTES
-        )
-        self.address = _listen(self._pull, settings.peers_address)
+        self._listener = Listener(settings.peers_address)
+        self.address = self._listener.address
         self._members = Members(
             Member(
                 host=settings.host,
@@ -131,21 +79,30 @@
                 failure_domain=settings.failure_domain,
             )
         )
-        self._seqs = itertools.count(1)
-        self._partners = Partners(settings.peers, clock, rng)
-        self._links: dict[str, Link] = {}
-        self._heard: dict[str, _Heard] = {}
         self._dead_since_s: dict[str, float] = {}
         self._own_counts = OwnCounts()
         self._peer_counts = PeerCounts()
         self._notes = Notes()
+        silence_s = settings.peers.silence_ms / 1_000
+        self._heard = HeardPeers(clock, silence_s)
+        self._composer = Composer(
+            self._members,
+            self._own_counts,
+            self._notes,
+            self._heard,
+            clock,
+            rng,
+        )
+        self._links = Links(
+            settings.peers, clock, rng, self._compose, self._silent
+        )
         self._on_change: list[Callable[[], None]] = []
-        self._configuration: Configuration | None = None
+        self._configuration = ConfigurationFinder()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self, kernel: Kernel) -> None:
         """Begin to receive, and to send to the hosts on the list."""
-        self._kernel = kernel
+        self._configuration.start(kernel)
         self._timeline = kernel.find("timeline", Timeline)
         self._metrics = kernel.find("metrics", Metrics)
         self._upstreams = kernel.find("upstreams", Upstreams)
@@ -153,6 +110,7 @@
         self._members.change_own(operators_address=operators.address)
         arguments = {"peers": self, "upstreams": self._upstreams}
         operators.add_routes([(r"/v1/hosts", HostsHandler, arguments)])
+        self._links.start(self._metrics)
         self._upstreams.on_mark(self._note)
         self._upstreams.on_change(self._apply_notes)
         self._upstreams.share_probes(self._sharers)
@@ -165,11 +123,10 @@
         """Close the address and every connection."""
         # First the address: a receive that completes while it is being
         # cancelled swallows the cancellation.
-        self._pull.close()
+        self._listener.close()
         for task in self._tasks:
             await end_task(task)
-        for link in self._links.values():
-            await link.stop()
+        await self._links.stop()
 
     @property
     def own(self) -> Member:
@@ -179,14 +136,12 @@
     @property
     def offset(self) -> int:
         """Return up to where this host has folded the configuration."""
-        configuration = self._find_configuration()
-        return configuration.offset if configuration else 0
+        return self._configuration.find().offset
 
     @property
     def caught_up(self) -> bool:
         """Tell whether this host's configuration is caught up."""
-        configuration = self._find_configuration()
-        return configuration.caught_up if configuration else False
+        return self._configuration.find().caught_up
 
     def live(self) -> list[Peer]:
         """Return the other hosts that live, the leaving ones too."""
@@ -231,50 +186,32 @@
 
     def announce_leaving(self) -> None:
         """Tell peers at once that this host is leaving."""
-        self._members.change_own(state="leaving")
-        self._wake_links()
+        self._change_own(state="leaving")
+
+    def set_key_prefix(self, key_prefix: str) -> None:
+        """Tell peers at once which keys this host is the home of."""
+        self._change_own(key_prefix=key_prefix)
+
+    def set_taken_over(self, homes: Sequence[str]) -> None:
+        """Tell peers at once whose keys were handed to this host."""
+        self._change_own(taken_over=list(homes))
 
     @property
     def leaving(self) -> bool:
         """Tell whether this host is leaving."""
         return self._members.own.state == "leaving"
 
-    def set_key_prefix(self, prefix: str) -> None:
-        """Tell peers what the keys of this host begin with."""
-        if prefix != self._members.own.key_prefix:
-            self._members.change_own(key_prefix=prefix)
-            self._wake_links()
-
-    def set_taken_over(self, homes: list[str]) -> None:
-        """Tell peers at once whose keys this host has taken over."""
-        if homes != self._members.own.taken_over:
-            self._members.change_own(taken_over=homes)
-            self._wake_links()
-
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call back after each change of a host."""
         self._on_change.append(callback)
 
     def _peer(self, member: Member) -> Peer:
-        peer = Peer(
-            host=member.host,
-            incarnation=member.incarnation,
-            operators_address=member.operators_address,
-            callers_address=member.callers_address,
-            failure_domain=member.failure_domain,
-            leaving=member.state == "leaving",
-            key_prefix=member.key_prefix,
-            taken_over=frozenset(member.taken_over),
-        )
-        heard = self._heard.get(member.host)
-        if heard is None or heard.incarnation != member.incarnation:
-            return peer
-        return attrs.evolve(
-            peer,
-            offset=heard.offset,
-            caught_up=heard.caught_up,
-            last_heard_s=heard.at_s,
-        )
+        heard = self._heard.find_incarnation(member.host, member.incarnation)
+        return describe(member, heard)
+
+    def _change_own(self, **fields: Any) -> None:
+        if self._members.change_own(**fields):
+            self._links.wake()
 
     def _sharers(self) -> list[str]:
         live = [peer.host for peer in self.live() if not peer.leaving]
@@ -283,19 +220,7 @@
     # Receiving
 
     async def _keep_receiving(self) -> None:
-        while True:
-            try:
-                data = await self._pull.arecv()
-            except pynng.Closed:
-                return
-            self._metrics.count("peers.messages_received")
-            self._metrics.count("peers.bytes_received", len(data))
-            try:
-                message = decode_message(data)
-            except PeerMessageError as error:
-                self._metrics.count("peers.messages_void")
-                log.warning("void message: {}", error)
-                continue
+        async for message in self._listener.messages(self._metrics):
             self._take(message)
 
     def _take(self, message: PeerMessage) -> None:
@@ -313,46 +238,29 @@
 
     def _take_heard(self, message: PeerMessage) -> bool:
         """Note that the sender lives; return false for what is outdated."""
-        heard = self._heard.get(message.host)
-        if heard is None or heard.incarnation != message.incarnation:
-            seen = self._members.incarnations(message.host)
-            if message.incarnation in seen[:-1]:
-                return False  # from before its restart
-            heard = _Heard(message.incarnation)
-            self._heard[message.host] = heard
-            self._peer_counts.drop(message.host)
-        elif message.seq <= heard.seq:
-            return False
-        heard.missed |= message.previous_seq not in (0, heard.seq)
-        heard.seq = message.seq
-        heard.at_s = self._clock.monotonic()
-        heard.offset = message.offset
-        heard.caught_up = message.caught_up
-        heard.chose_us = message.chosen
-        return True
+        host = message.host
+        seen = self._members.incarnations(host)
+        if message.incarnation in seen[:-1]:
+            return False  # from before its restart
+        if not self._heard.find_incarnation(host, message.incarnation):
+            self._peer_counts.drop(host)
+        return self._heard.take(message)
 
     def _take_member(self, member: Member) -> None:
-        link = self._links.get(member.host)
-        if member.state == "dead" and link and self._hears(member):
+        link = self._links.find(member.host)
+        is_heard = self._heard.hears(member.host, member.incarnation)
+        if member.state == "dead" and link and is_heard:
             # Only the host itself can outdo this, so let it know.
             link.extra_members[member.host] = member
-            return
-        if self._members.merge(member):
+        elif self._members.merge(member):
             self._member_changed(member.host)
 
-    def _hears(self, member: Member) -> bool:
-        heard = self._heard.get(member.host)
-        if heard is None or heard.incarnation != member.incarnation:
-            return False
-        silence_s = self._settings.peers.silence_ms / 1_000
-        return self._clock.monotonic() - heard.at_s <= silence_s
-
     def _take_notes(self, notes: list[UpstreamNote]) -> None:
         now_s = self._clock.monotonic()
         news = [note for note in notes if self._notes.add(note, now_s)]
         if news:
             self._apply_notes()
-            self._wake_links()
+            self._links.wake()
 
     def _correct(self, message: PeerMessage) -> None:
         """Let a sender know when our entry for it is not its own."""
@@ -364,7 +272,7 @@
             self._members.touch(message.host)
 
     def _answer(self, message: PeerMessage) -> None:
-        link = self._links.get(message.host)
+        link = self._links.find(message.host)
         if link is not None:
             link.heard(message.acked_seq, message.missed)
             if message.wants_members:
@@ -372,83 +280,37 @@
             return
         address = self._addresses().get(message.host)
         if address and message.chosen:
-            self._open_link(message.host, address)
+            self._links.open(message.host, address)
 
     # Sending
 
     def _compose(self, link: Link) -> Draft:
-        heard = self._heard.get(link.host)
-        message = PeerMessage(
-            host=self.own.host,
-            incarnation=self.own.incarnation,
-            seq=next(self._seqs),
-            previous_seq=link.last_seq,
-            acked_seq=heard.seq if heard else 0,
-            missed=heard.missed if heard else False,
+        status = Status(
             stamp=self._timeline.stamp(),
             offset=self.offset,
             caught_up=self.caught_up,
-            chosen=link.host in self._partners.chosen,
+            chosen=link.host in self._links.chosen,
             wants_members=self._wants_members(),
-            members=self._members_for(link),
-            counts=self._counts_for(link),
-            counts_are_full=self._is_full_due(link),
-            notes=self._notes.changed_since(
-                link.told.notes, self._clock.monotonic()
-            ),
-        )
-        if heard:
-            heard.missed = False
-        told = Told(
-            self._members.change, self._own_counts.change, self._notes.change
         )
-        return Draft(message, told)
-
-    def _members_for(self, link: Link) -> list[Member]:
-        told = link.told.members
-        is_new = told is None
-        if told is None:
-            told = max(0, self._members.change - RECENT_MEMBERS)
-        chosen = {m.host: m for m in self._members.changed_since(told)}
-        if is_new:
-            chosen[self.own.host] = self.own
-        elif link.sent % SAMPLE_EVERY == 0:
-            sample = self._members.sample(self._random)
-            chosen[sample.host] = sample
-        chosen.update(link.extra_members)
-        return list(chosen.values())
-
-    def _is_full_due(self, link: Link) -> bool:
-        return link.told.counts is None or link.sent % FULL_COUNTS_EVERY == 0
-
-    def _counts_for(self, link: Link) -> dict[str, int]:
-        if link.told.counts is None or self._is_full_due(link):
-            return self._own_counts.full()
-        return self._own_counts.changed_since(link.told.counts)
+        return self._composer.compose(link, status)
 
     def _wants_members(self) -> bool:
         """Tell whether this host knows few of the hosts on the list."""
         listed = len(self._upstreams.entry_hosts())
         return len(self._members) * 2 < listed
 
-    def _find_configuration(self) -> Configuration | None:
-        """Find the presets late: they are registered after the peers."""
-        if self._configuration is None:
-            try:
-                self._configuration = self._kernel.find(
-                    "presets",
-                    Configuration,  # type: ignore[type-abstract]
-                )
-            except ServiceMissingError:
-                return None
-        return self._configuration
-
     # Links
 
     async def _keep_links(self) -> None:
         heartbeat_s = self._settings.peers.heartbeat_ms / 1_000
         while True:
-            await self._refresh_links()
+            closed = await self._links.refresh(
+                self._addresses(),
+                self._dead_since_s.keys(),
+                self._heard.askers(),
+            )
+            for host in closed:
+                self._drop_counts(host)
             self._forget()
             self._metrics.gauge("peers.live", len(self.live()))
             await self._clock.sleep(heartbeat_s)
@@ -466,49 +328,8 @@
         addresses.pop(self.own.host, None)
         return addresses
 
-    async def _refresh_links(self) -> None:
-        addresses = self._addresses()
-        self._partners.choose(addresses, frozenset(self._dead_since_s))
-        wanted = self._partners.chosen | self._askers()
-        for host, link in list(self._links.items()):
-            if host not in wanted or link.address != addresses.get(host):
-                del self._links[host]
-                await link.stop()
-        for host in sorted(wanted - self._links.keys()):
-            if host in addresses:
-                self._open_link(host, addresses[host])
-
-    def _askers(self) -> set[str]:
-        """Return the hosts that chose us and were heard just now."""
-        since_s = (
-            self._clock.monotonic() - self._settings.peers.silence_ms / 1_000
-        )
-        return {
-            host
-            for host, heard in self._heard.items()
-            if heard.chose_us and heard.at_s >= since_s
-        }
-
-    def _open_link(self, host: str, address: str) -> None:
-        link = Link(
-            host,
-            address,
-            self._settings.peers,
-            self._clock,
-            self._random,
-            self._metrics,
-            self._compose,
-            self._silent,
-        )
-        self._links[host] = link
-        link.start()
-
-    def _wake_links(self) -> None:
-        for link in self._links.values():
-            link.wake()
-
     def _silent(self, host: str) -> None:
-        if host in self._partners.chosen and self._members.declare_dead(host):
+        if host in self._links.chosen and self._members.declare_dead(host):
             self._member_changed(host)
 
     def _member_changed(self, host: str) -> None:
@@ -518,7 +339,7 @@
             return
         if member.state == "dead":
             self._dead_since_s[host] = self._clock.monotonic()
-            self._peer_counts.drop(host)
+            self._drop_counts(host)
         else:
             self._dead_since_s.pop(host, None)
         log.info("{} is {} ({})", host, member.state, member.incarnation)
@@ -529,21 +350,26 @@
             state=member.state,
             incarnation=member.incarnation,
         )
-        self._wake_links()
+        self._links.wake()
         for callback in self._on_change:
             callback()
 
+    def _drop_counts(self, host: str) -> None:
+        """Drop a host's counts, and ask for all of them should it come."""
+        self._peer_counts.drop(host)
+        self._heard.miss(host)
+
     def _forget(self) -> None:
         """Drop what is too old to matter."""
         now_s = self._clock.monotonic()
         self._notes.expire(now_s)
-        told = [link.told.counts or 0 for link in self._links.values()]
-        self._own_counts.drop_told(min(told, default=self._own_counts.change))
+        told = self._links.told_counts(default=self._own_counts.change)
+        self._own_counts.drop_told(told)
         keep_s = self._settings.limits.key_lifetime_ms / 1_000
         for host, since_s in list(self._dead_since_s.items()):
             if now_s - since_s > keep_s:
                 del self._dead_since_s[host]
-                self._heard.pop(host, None)
+                self._heard.forget(host)
                 self._members.forget(host)
 
     # Upstreams
@@ -556,7 +382,7 @@
             ttl_ms=NOTE_TTL_MS,
         )
         if self._notes.add(note, self._clock.monotonic(), is_own=True):
-            self._wake_links()
+            self._links.wake()
 
     def _apply_notes(self) -> None:
         for note in self._notes.to_apply(self._find_address):
@@ -565,14 +391,3 @@
     def _find_address(self, name: str) -> str:
         upstream = self._upstreams.find(name)
         return upstream.address if upstream else ""
-
-
-def _listen(pull: pynng.Pull0, address: str) -> str:
-    """Listen and return the bound address."""
-    ip, port = split_address(address)
-    try:
-        listener = pull.listen(f"tcp://{join_address(ip, port)}")
-    except pynng.NNGException as error:
-        pull.close()
-        raise PeersAddressError(address, str(error)) from error
-    return join_address(ip, socket.ntohs(listener.local_address.port))
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -60,7 +60,7 @@
     host: str
     incarnation: str
     seq: int  # grows over all messages of the incarnation
-    previous_seq: int  # of the message before on this link; 0: the first
+    previous_seq: int  # of the message before on this link; 0: tells all
     acked_seq: int  # the latest heard from the receiver
     missed: bool  # a message from the receiver was lost: tell all again
     stamp: str
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -277,9 +277,13 @@
         hosts = await cluster.grow(3)
         changes: list[str] = []
         hosts[0].peers.on_change(lambda: changes.append("h00"))
+        hosts[1].peers.set_key_prefix("h01~first~1")
+        hosts[1].peers.set_taken_over(["h09~old"])
         hosts[1].peers.announce_leaving()
         for host in (hosts[0], hosts[2]):
             await until(lambda host=host: host.peer("h01").leaving)
+            assert host.peer("h01").key_prefix == "h01~first~1"
+            assert host.peer("h01").taken_over == ("h09~old",)
         assert changes
 
     run(scenario)
@@ -401,7 +405,7 @@
     async def scenario(cluster: Cluster) -> None:
         hosts = await cluster.grow(12)
         for host in hosts:
-            assert len(host.peers._partners.chosen) == 2
+            assert len(host.peers._links.chosen) == 2
             host.peers.set_in_flight("e1", 10)
         await until(lambda: all(h.peers.in_flight("e1") == 110 for h in hosts))
         await cluster.remove("h05")
@@ -416,7 +420,7 @@
 def test_void_messages_disturb_nothing() -> None:
     async def scenario(cluster: Cluster) -> None:
         first, second = await cluster.grow(2)
-        with second.peers._links["h00"]._socket as socket:
+        with second.peers._links.find("h00")._socket as socket:
             for data in (b"", b"\xc1", msgspec.msgpack.encode([1, {}])):
                 await socket.asend(data)
             counters = first.metrics.snapshot
