Bound the wait of a request that upstreams refuse

Cause: next_upstream began its wait (queue_wait_ms of the preset) anew after each refusal by an upstream, so a request that every engine refused went round until its deadline. Seen failing: scenario "every engine keeps requests out" of refused.feature, nothing told after 60 s with a wait of 1 s in the preset. Change: one wait per stay in the queue, begun anew only after a loss; a refusal always says when to come back. Ruled out: placement, which offers the engines again as it should. After: the scenario passes in 5 s; tests/test_callers.py and refused.feature pass (77 passed).

--- a/src/balsamlift/requests/_engine.py
+++ b/src/balsamlift/requests/_engine.py
@@ -94,8 +94,7 @@
     if not work.idempotent:
         kind = FAILED if error.ended else UNKNOWN
         return execution.fail(error.reason, kind)
-    work.lost = True
-    work.excluded.add(upstream.name)
+    work.note_lost(upstream)
     if execution.delivered == 0:
         execution.answer.reset()
         return None
--- a/src/balsamlift/requests/_service_call.py
+++ b/src/balsamlift/requests/_service_call.py
@@ -59,8 +59,7 @@
         except NotRunError as error:
             note_not_run(work, upstream, error)
         except LostError as error:
-            work.lost = True
-            work.excluded.add(upstream.name)
+            work.note_lost(upstream)
             work.record(
                 "service_lost", upstream=upstream.name, reason=error.reason
             )
--- a/src/balsamlift/requests/_work.py
+++ b/src/balsamlift/requests/_work.py
@@ -16,6 +16,7 @@
 
 RETRY_PAUSE_S = 0.05
 MAX_PAUSE_S = 1.0
+LEAST_RETRY_MS = 1_000  # where the upstream gave no time of its own
 
 
 class NotRunError(BalsamliftError):
@@ -55,6 +56,15 @@
     deadline_s: float  # by the monotonic clock
     excluded: set[str] = attrs.field(factory=set)
     lost: bool = False  # whether it ran, or may have, on one that is lost
+    waits_until_s: float | None = None  # for a place; None: not yet waiting
+    refusal: NotRunError | None = None  # the last by an upstream
+
+    def note_lost(self, upstream: Upstream) -> None:
+        """Note that it ran, or may have, where it cannot be followed."""
+        self.lost = True
+        self.excluded.add(upstream.name)
+        self.waits_until_s = None
+        self.refusal = None
 
     def left_s(self) -> float:
         """Return the seconds left until the deadline."""
@@ -69,12 +79,16 @@
     """Return where to try next, or the refusal when time is over.
 
     A request that was admitted waits for a place, for as long as a request
-    may wait in the queue.
+    may wait in the queue; upstreams that refuse it do not prolong that.
     """
     parts = work.parts
+    if work.waits_until_s is None:
+        now_s = parts.clock.monotonic()
+        work.waits_until_s = now_s + _longest_wait_s(work)
     if work.excluded and not parts.placement.may_retry():
         await parts.clock.sleep(MAX_PAUSE_S)
-    waits_until_s = parts.clock.monotonic() + _longest_wait_s(work)
+    if work.refusal and parts.clock.monotonic() > work.waits_until_s:
+        return _refused(work.refusal)
     pause_s = RETRY_PAUSE_S
     while True:
         try:
@@ -83,17 +97,21 @@
             assert isinstance(chosen, Upstream)
             return chosen
         except RefusedError as error:
-            if parts.clock.monotonic() + pause_s > waits_until_s:
-                return Outcome(
-                    outcome=REFUSED,
-                    reason=error.reason,
-                    retry_after_ms=error.retry_after_ms,
-                )
+            if parts.clock.monotonic() + pause_s > work.waits_until_s:
+                return _refused(error)
         work.excluded.clear()
         await parts.clock.sleep(pause_s * random.uniform(0.5, 1.0))
         pause_s = min(pause_s * 2, MAX_PAUSE_S)
 
 
+def _refused(error: RefusedError | NotRunError) -> Outcome:
+    return Outcome(
+        outcome=REFUSED,
+        reason=error.reason,
+        retry_after_ms=error.retry_after_ms or LEAST_RETRY_MS,
+    )
+
+
 def _longest_wait_s(work: Work) -> float:
     in_force = work.parts.presets.in_force()
     left_s = work.left_s()
@@ -112,6 +130,7 @@
     """Tell the other parts that this upstream did not take the work."""
     parts = work.parts
     work.excluded.add(upstream.name)
+    work.refusal = error
     work.execution.dispatched = work.lost
     parts.placement.refused(
         work.ticket, upstream, error.reason, error.retry_after_ms
