Let the client tell and find out more

Cause, six tests of tests/test_client.py failing first on the old client: a host that was not reached but still stood first in the list was taken again until the deadline; a 4xx after a try that was lost was told 'refused', though the first try may have run; a wrong digest was asked for again until the deadline; a request refused as wrong, or cancelled, was sent again under new keys; on_key was not told the key drawn for another host; 'unknown' was returned at once though the host said when to ask again. Change: 'unknown' with a time to come back asks again under the same key, three times more (ask_again); the other points as named. Tested besides, passing at once: the list is kept for keep_ms, the same key while a byte may have left, a link to the home cut or silent for good after 50 of 800 tokens: whole, digest equal, one execution.

--- a/src/balsamlift/client.py
+++ b/src/balsamlift/client.py
@@ -3,20 +3,25 @@
 from __future__ import annotations
 
 import contextlib
-import hashlib
 import random
-from collections.abc import Callable
-from typing import Any
 from urllib.parse import quote, urlencode
 
 import attrs
 import msgspec
 
 from balsamlift._http import CallError, HttpClient
+from balsamlift._progress import (
+    OnKey,
+    OnTokens,
+    Progress,
+    Request,
+    checked,
+    lost,
+    status_outcome,
+)
 from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import BalsamliftError
 from balsamlift.requests import (
-    STREAM,
     Addresses,
     Place,
     RequestBody,
@@ -26,9 +31,7 @@
     FAILED,
     REFUSED,
     UNKNOWN,
-    WHOLE,
     Accepted,
-    Answer,
     FrameError,
     Outcome,
     Start,
@@ -46,71 +49,30 @@
 TIMEOUT_MS = 3_000
 PAUSE_S = 0.1
 MAX_PAUSE_S = 2.0
-GONE = 410
-NOT_FOUND = 404
+DEADLINE_MS = 120_000
+ASK_AGAIN = 3
+
 
-OnTokens = Callable[[list[str]], None]
-OnKey = Callable[[str], None]
+__all__ = [
+    "Client",
+    "NoHostError",
+    "OnKey",
+    "OnTokens",
+    "Progress",
+    "Request",
+]
 
 
 class NoHostError(BalsamliftError):
     """Tell that no host gave an address to use."""
 
 
-@attrs.frozen(kw_only=True)
-class Request:
-    """Describe one request, without its key."""
-
-    kind: str
-    prompt: str = ""
-    prompt_tokens: int | None = None
-    prefix: str = ""
-    max_tokens: int | None = None
-    seed: int | None = None
-    idempotent: bool | None = None
-    deadline_ms: int | None = None
-    delivery: str = STREAM
-    payload: Any = None
-
-
-@attrs.define(eq=False)
-class Progress:
-    """Hold what the caller has of one answer, whatever host it came from."""
-
-    request: Request
-    key: str
-    place: Place
-    on_tokens: OnTokens | None = None
-    answer: Answer = attrs.field(factory=Answer)
-    accepted: Accepted | None = None
-    start: Start | None = None
-    sent: bool = False  # whether a byte of this key may have left
-
-    def take_start(self, start: Start) -> None:
-        """Take tokens of this generation; raise `FrameError` if it can't.
-
-        A second generation is believed only where the host says that it
-        repeats every token held.
-        """
-        held = self.answer.next_index
-        same = start.generation == self.answer.generation
-        if held and not same and start.verified_tokens < held:
-            raise FrameError("another generation in the middle of an answer")
-        self.answer.begin(start.generation)
-        self.start = start
-
-    def take_tokens(self, frame: Tokens) -> None:
-        """Add tokens and pass the new ones on."""
-        added = self.answer.append(frame)
-        if added and self.on_tokens is not None:
-            self.on_tokens(frame.tokens[-added:])
-
-
 class Client:
     """Ask for generations and calls on behalf of one workspace.
 
     `addresses` are callers' addresses of any hosts, "IP:port"; more are
-    learned from them.
+    learned from them. Where a host says that asking again may tell more
+    than "unknown", the same key is asked for `ask_again` times more.
     """
 
     def __init__(
@@ -121,6 +83,7 @@
         token: str = "",
         failure_domain: str = "",
         clock: Clock | None = None,
+        ask_again: int = ASK_AGAIN,
     ) -> None:
         """Keep who asks and where to begin."""
         self._seeds = addresses
@@ -128,6 +91,7 @@
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._domain = failure_domain
         self._clock = clock or SystemClock()
+        self._ask_again = ask_again
         self._http = HttpClient()
         self._streams = StreamClient()
         self._places: list[Place] = []
@@ -171,6 +135,7 @@
         """
         for left in range(attempts - 1, -1, -1):
             progress = await self._begin(request, on_tokens)
+            progress.on_key = on_key
             if on_key is not None:
                 on_key(progress.key)
             outcome = await self._follow(progress)
@@ -200,31 +165,49 @@
         return Progress(request, key, place, on_tokens)
 
     async def _follow(self, progress: Progress) -> Outcome:
-        """Read from one host after another until the outcome is told."""
-        pause_s = PAUSE_S
-        deadline_ms = progress.request.deadline_ms or 120_000
+        """Follow the answer; ask again where that may tell more."""
+        deadline_ms = progress.request.deadline_ms or DEADLINE_MS
         ends_s = self._clock.monotonic() + deadline_ms / 1_000
+        outcome = await self._follow_once(progress, ends_s)
+        for _ in range(self._ask_again):
+            if outcome.outcome != UNKNOWN or outcome.retry_after_ms is None:
+                break
+            pause_s = outcome.retry_after_ms / 1_000
+            if self._clock.monotonic() + pause_s > ends_s:
+                break
+            await self._clock.sleep(pause_s)
+            outcome = await self._follow_once(progress, ends_s)
+        return outcome
+
+    async def _follow_once(self, progress: Progress, ends_s: float) -> Outcome:
+        """Read from one host after another until an outcome is told."""
+        pause_s = PAUSE_S
         place = progress.place
         while True:
             before = progress.answer.next_index
-            try:
-                return await self._read(progress, place)
-            except StreamUnreachableError:
-                await self._rehome(progress, place)
-            except StreamStatusError as error:
-                outcome = _status_outcome(progress, error)
-                if outcome is not None:
-                    return outcome
-            except (StreamError, FrameError):
-                pass
+            outcome = await self._try(progress, place)
+            if outcome is not None:
+                return outcome
             if progress.answer.next_index > before:
                 pause_s = PAUSE_S
             if self._clock.monotonic() > ends_s:
-                return _lost(progress)
+                return lost(progress)
             await self._clock.sleep(pause_s * random.uniform(0.5, 1.0))
             pause_s = min(pause_s * 2, MAX_PAUSE_S)
             place = await self._next_place(progress, place)
 
+    async def _try(self, progress: Progress, place: Place) -> Outcome | None:
+        """Return the outcome that one host tells, if it does."""
+        try:
+            return await self._read(progress, place)
+        except StreamUnreachableError:
+            await self._rehome(progress, place)
+        except StreamStatusError as error:
+            return status_outcome(progress, error)
+        except (StreamError, FrameError):
+            pass
+        return None
+
     async def _rehome(self, progress: Progress, place: Place) -> None:
         """Draw a new key elsewhere when not a byte of the old one left."""
         self._keep_until_s = 0.0
@@ -232,8 +215,10 @@
         if progress.sent:
             return
         with contextlib.suppress(NoHostError):
-            progress.place = (await self.places())[0]
-            progress.key = new_homed_key(progress.place.key_prefix)
+            places = await self.places()
+            # The list may still name the host that was not reached.
+            others = [p for p in places if p != place]
+            progress.draw_key((others or places)[0])
 
     async def _next_place(self, progress: Progress, last: Place) -> Place:
         """Return the home if it was not the last tried, or another."""
@@ -248,7 +233,7 @@
 
     async def _read(self, progress: Progress, place: Place) -> Outcome:
         stream = self._open(progress, place)
-        sent_before = progress.sent
+        progress.sent_before = progress.sent
         progress.sent = True
         try:
             async with contextlib.aclosing(stream.events()) as events:
@@ -260,9 +245,9 @@
                     elif event.name == "accepted":
                         progress.accepted = event.decode(Accepted)
                     elif event.name == "end":
-                        return _checked(progress, event.decode(Outcome))
+                        return checked(progress, event.decode(Outcome))
         except StreamUnreachableError:
-            progress.sent = sent_before
+            progress.sent = progress.sent_before
             raise
         raise StreamSilentError("ended without an end")
 
@@ -316,49 +301,9 @@
 
 def _may_repeat(progress: Progress, outcome: Outcome) -> bool:
     if outcome.outcome == REFUSED:
-        return True
+        # Without a time to come back it is the request that is wrong, or
+        # was cancelled.
+        return outcome.retry_after_ms is not None
     ran = outcome.outcome in (UNKNOWN, FAILED)
     safe = progress.request.idempotent is True
     return ran and safe and not progress.answer.next_index
-
-
-def _checked(progress: Progress, outcome: Outcome) -> Outcome:
-    """Return the outcome, checked against the tokens that came."""
-    if outcome.outcome != WHOLE:
-        return outcome
-    if outcome.tokens != progress.answer.next_index:
-        raise FrameError("the end counts other tokens than those that came")
-    if outcome.digest != _digest(progress, outcome):
-        raise FrameError("the answer is not the one that was sent")
-    return outcome
-
-
-def _digest(progress: Progress, outcome: Outcome) -> str:
-    if progress.start is not None:
-        return progress.answer.digest
-    encoded = msgspec.json.encode(outcome.result)
-    return hashlib.sha256(encoded).hexdigest()
-
-
-def _status_outcome(
-    progress: Progress, error: StreamStatusError
-) -> Outcome | None:
-    try:
-        return msgspec.json.decode(error.body, type=Outcome)
-    except msgspec.DecodeError:
-        pass
-    if error.status == NOT_FOUND and progress.accepted is not None:
-        return None
-    if error.status < 500:
-        reason = f"status_{error.status}"
-        kind = FAILED if error.status == GONE else REFUSED
-        return Outcome(outcome=kind, reason=reason)
-    return None
-
-
-def _lost(progress: Progress) -> Outcome:
-    return Outcome(
-        outcome=UNKNOWN,
-        reason="no_answer",
-        tokens=progress.answer.next_index,
-    )
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,12 +1,19 @@
 """The client library: streams, coming back, asking again."""
 
 import asyncio
+import json
 import socket
 import threading
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+import attrs
 import pytest
+from _callers_world import Deployment, digest
+from _stand_in_calls import call
 
+from balsamlift.client import Client, Request
+from balsamlift.clock import SystemClock
 from balsamlift.streams import (
     EventParser,
     EventTooLongError,
@@ -14,6 +21,7 @@
     StreamClient,
     encode_event,
 )
+from balsamlift.testing import start_stand_in
 
 ONE_EVENT = encode_event("end", {"n": 1})
 
@@ -76,3 +84,253 @@
     assert len(list(parser.feed(ONE_EVENT * 3))) == 3
     with pytest.raises(EventTooLongError):
         list(parser.feed(b"x" * 41))
+
+
+class ScriptedHost:
+    """A host that gives one address list and scripted answers."""
+
+    def __init__(self, *answers, places=None, keep_ms=60_000):
+        self.answers = list(answers)
+        self.posts = []
+        self.address_asks = 0
+        self.keep_ms = keep_ms
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), _Handler)
+        self._server.daemon_threads = True
+        self._server.host = self
+        self.address = f"127.0.0.1:{self._server.server_port}"
+        self.places = places or [place("host-1", self.address)]
+
+    def __enter__(self):
+        serve = self._server.serve_forever
+        threading.Thread(target=serve, args=(0.01,), daemon=True).start()
+        return self
+
+    def __exit__(self, *_):
+        self._server.shutdown()
+        self._server.server_close()
+
+    @property
+    def keys(self):
+        return [body["key"] for body in self.posts]
+
+
+class _Handler(BaseHTTPRequestHandler):
+    def do_GET(self):
+        host = self.server.host
+        host.address_asks += 1
+        found = {"keep_ms": host.keep_ms, "addresses": host.places}
+        self._send(200, json.dumps(found).encode())
+
+    def do_POST(self):
+        host = self.server.host
+        length = int(self.headers["Content-Length"])
+        host.posts.append(json.loads(self.rfile.read(length)))
+        answers = host.answers
+        answer = answers.pop(0) if len(answers) > 1 else answers[0]
+        if answer is not LOSE:
+            self._send(*answer)
+
+    def _send(self, status, body):
+        self.send_response(status)
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        pass
+
+
+def place(host, address):
+    return {
+        "host": host,
+        "address": address,
+        "failure_domain": "domain-1",
+        "key_prefix": f"{host}~0~0",
+    }
+
+
+def stream_of(tokens, told):
+    """Return the answer that streams tokens and then `told`."""
+    start = {"generation": "g", "upstream": "u"}
+    frame = {"generation": "g", "index": 0, "tokens": tokens}
+    end = {"outcome": "whole", "tokens": len(tokens), "digest": digest(told)}
+    events = [("start", start), ("token", frame), ("end", end)]
+    return 200, b"".join(encode_event(*event) for event in events)
+
+
+def unknown(retry_after_ms):
+    return 504, json.dumps(
+        {"outcome": "unknown", "retry_after_ms": retry_after_ms}
+    ).encode()
+
+
+def error(status, code):
+    return status, json.dumps({"error": code, "message": "m"}).encode()
+
+
+LOSE = object()  # take the request and close the connection
+WHOLE = stream_of(["a", "b"], ["a", "b"])
+KIND = Request(kind="report", deadline_ms=20_000)
+
+
+def run(host, request=KIND, **options):
+    """Return (outcome, tokens, keys told) of one request."""
+    tokens = []
+    keys = []
+
+    async def work():
+        client = Client([host.address], workspace="museum")
+        try:
+            return await client.run(
+                request, tokens.extend, on_key=keys.append, **options
+            )
+        finally:
+            client.close()
+
+    return asyncio.run(work()), tokens, keys
+
+
+class ShiftedClock(SystemClock):
+    shift_s = 0.0
+
+    def monotonic(self):
+        return super().monotonic() + self.shift_s
+
+
+def test_addresses_are_kept_for_the_time_told():
+    clock = ShiftedClock()
+
+    async def work(host):
+        client = Client([host.address], workspace="w", clock=clock)
+        for shift_s, asks in ((0.0, 1), (59.0, 1), (61.0, 2)):
+            clock.shift_s = shift_s
+            await client.places()
+            assert host.address_asks == asks
+        client.close()
+
+    with ScriptedHost(WHOLE) as host:
+        asyncio.run(work(host))
+
+
+def free_address():
+    """Return an address where nothing listens."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        ip, port = listener.getsockname()
+    return f"{ip}:{port}"
+
+
+def test_another_host_and_key_is_taken_when_nothing_left():
+    with ScriptedHost(WHOLE) as host:
+        host.places.insert(0, place("host-9", free_address()))
+        outcome, tokens, keys = run(host)
+    assert (outcome.outcome, tokens) == ("whole", ["a", "b"])
+    assert [key.split("~")[0] for key in keys] == ["host-9", "host-1"]
+    assert host.keys == keys[1:]
+
+
+def test_the_key_stays_once_a_byte_may_have_left():
+    with ScriptedHost(LOSE, LOSE, WHOLE) as host:
+        outcome, tokens, keys = run(host)
+    assert (outcome.outcome, tokens) == ("whole", ["a", "b"])
+    assert host.keys == keys * 3
+
+
+def test_an_unknown_fate_is_asked_for_again_under_the_same_key():
+    with ScriptedHost(unknown(20), unknown(20), WHOLE) as host:
+        outcome, _, keys = run(host)
+    assert outcome.outcome == "whole"
+    assert host.keys == keys * 3
+
+
+@pytest.mark.parametrize(("retry_after_ms", "posts"), [(20, 4), (None, 1)])
+def test_asking_again_is_bounded(retry_after_ms, posts):
+    with ScriptedHost(unknown(retry_after_ms)) as host:
+        outcome, _, keys = run(host)
+    assert outcome.outcome == "unknown"
+    assert host.keys == keys * posts
+
+
+def test_a_wrong_request_is_refused_and_not_sent_again():
+    with ScriptedHost(error(403, "workspace_unknown")) as host:
+        outcome, _, _ = run(host, attempts=3)
+    assert (outcome.outcome, outcome.reason) == (
+        "refused",
+        "workspace_unknown",
+    )
+    assert len(host.posts) == 1
+
+
+def test_an_error_after_a_lost_try_proves_nothing():
+    with ScriptedHost(LOSE, error(403, "workspace_unknown")) as host:
+        outcome, _, _ = run(host)
+    assert (outcome.outcome, outcome.reason) == (
+        "unknown",
+        "workspace_unknown",
+    )
+
+
+def test_other_tokens_than_the_digest_tells_are_not_whole():
+    with ScriptedHost(stream_of(["a", "b"], ["a", "c"])) as host:
+        outcome, _, _ = run(host)
+    assert (outcome.outcome, outcome.reason) == ("failed", "digest_wrong")
+
+
+class LinkedClient(Client):
+    """Reach every host through its link."""
+
+    def __init__(self, links, **options):
+        super().__init__(list(links), **options)
+        self.links = links
+
+    async def _ask_places(self, address):
+        found = await super()._ask_places(address)
+        through = [
+            attrs.evolve(p, address=self.links[p.address].address)
+            for p in found.addresses
+        ]
+        return attrs.evolve(found, addresses=through)
+
+
+@pytest.fixture(scope="module")
+def world():
+    with ExitStack() as stack:
+        yield Deployment(stack)
+
+
+@pytest.fixture
+def links(world):
+    with ExitStack() as stack:
+        yield {
+            address: stack.enter_context(
+                start_stand_in("link", {"target_address": address})
+            )
+            for address in world.hosts
+        }
+
+
+@pytest.mark.parametrize("fault", ["cut", "silence_existing"])
+def test_a_lost_connection_costs_no_token(world, links, fault):
+    tokens = []
+    keys = []
+
+    def take(added):
+        if len(tokens) < 50 <= len(tokens) + len(added):
+            name = keys[0].split("~")[0]
+            home = world.hosts[int(name[-1]) - 1]
+            control = links[home].ready["control_address"]
+            call(control, "POST", "/control/faults", {fault: True})
+        tokens.extend(added)
+
+    async def work():
+        client = LinkedClient(links, workspace="museum")
+        request = Request(kind="report", prompt="[length=800]")
+        try:
+            return await client.run(request, take, on_key=keys.append)
+        finally:
+            client.close()
+
+    outcome = asyncio.run(work())
+    assert outcome.outcome == "whole"
+    assert len(tokens) == 800
+    assert outcome.digest == digest(tokens)
+    assert len(keys) == 1
+    assert world.executions(keys[0]) == 1
