--- a/tests/presets_bench.py
+++ b/tests/presets_bench.py
@@ -139,8 +139,7 @@
 
     def fault(self, **faults: Any) -> None:
         """Change the platform's faults."""
-        control = self.platform.control
-        control.faults = attrs.evolve(control.faults, **faults)
+        self.platform.control.update(faults)
 
 
 @asynccontextmanager
--- /dev/null
+++ b/tests/test_presets_log.py
@@ -0,0 +1,146 @@
+import asyncio
+import random
+
+import pytest
+from presets_bench import SILENCE_MS, deployment
+
+from balsamlift._http import HttpClient
+from balsamlift.clock import SystemClock
+from balsamlift.exceptions import LogBlockedError, LogUnavailableError
+from balsamlift.presets import Claim, LogClient
+from balsamlift.presets._log import BACK_OFF_LAST_MS, BackOff
+
+
+def claim(i):
+    return Claim(f"op-{i}", f"{i}-abcdefgh", "a")
+
+
+def run_with_client(body, **settings):
+    async def main():
+        async with deployment(**settings) as made:
+            http = HttpClient()
+            client = LogClient(
+                made.address, SILENCE_MS, SystemClock(), http, random.Random(1)
+            )
+            await client.start()
+            try:
+                await body(made, client)
+            finally:
+                await client.stop()
+                http.close()
+
+    asyncio.run(main())
+
+
+async def append_when_unblocked(client, record):
+    """Append, coming back when the client says so."""
+    while True:
+        try:
+            return await client.append([record])
+        except LogBlockedError as error:
+            await asyncio.sleep(error.retry_after_ms / 1_000)
+
+
+def test_callers_that_wait_share_appends():
+    async def body(made, client):
+        records = [claim(i) for i in range(400)]
+        answers = await asyncio.gather(
+            *(client.append([record]) for record in records)
+        )
+        offsets = [offset for [offset] in answers]
+        assert offsets == sorted(set(offsets))
+        assert made.platform.counts["appends"] < 20
+        batch = await client.read(0)
+        assert [entry.record for entry in batch.entries] == records
+
+    run_with_client(body)
+
+
+def test_rate_limit_is_waited_out():
+    async def body(made, client):
+        offsets = [await client.append([claim(i)]) for i in range(12)]
+        assert offsets == [[i] for i in range(12)]
+        assert made.platform.counts["appends_limited"] > 0
+
+    run_with_client(body, log_appends_per_s=8.0)
+
+
+@pytest.mark.parametrize("answer", ["silent", "503"])
+def test_lost_answer_raises_and_reading_on_tells(answer):
+    async def body(made, client):
+        made.fault(lose_answers=answer)
+        with pytest.raises(LogUnavailableError) as caught:
+            await client.append([claim(1)])
+        assert not isinstance(caught.value, LogBlockedError)
+        assert made.platform.counts["appends"] == 1
+        batch = await client.read(0)
+        assert [entry.record for entry in batch.entries] == [claim(1)]
+
+    run_with_client(body)
+
+
+def test_appends_are_blocked_while_backed_off_then_work_again():
+    async def body(made, client):
+        made.fault(down=True)
+        with pytest.raises(LogUnavailableError):
+            await client.append([claim(1)])
+        assert client.retry_after_ms > 0
+        with pytest.raises(LogBlockedError):
+            await client.append([claim(2)])
+        made.fault(down=False)
+        assert await append_when_unblocked(client, claim(3)) == [0]
+        assert client.retry_after_ms == 0
+
+    run_with_client(body)
+
+
+def test_silence_is_bounded_and_a_new_connection_works():
+    async def body(made, client):
+        await client.append([claim(0)])
+        made.fault(silent=True)
+        with pytest.raises(LogUnavailableError):
+            await client.read(0)
+        with pytest.raises(LogUnavailableError):
+            await client.append([claim(1)])
+        made.fault(silent=False)
+        batch = await client.read(0)
+        assert batch.next == 1
+        assert await append_when_unblocked(client, claim(2)) == [1]
+
+    run_with_client(body)
+
+
+def test_long_poll_answers_when_something_is_appended():
+    async def body(made, client):
+        reading = asyncio.create_task(client.read(0, wait_ms=15_000))
+        await asyncio.sleep(0)
+        await client.append([claim(0)])
+        batch = await reading
+        assert [entry.offset for entry in batch.entries] == [0]
+
+    run_with_client(body)
+
+
+def test_appends_that_wait_fail_when_the_client_stops():
+    async def body(made, client):
+        made.fault(silent=True)
+        first = asyncio.create_task(client.append([claim(0)]))
+        await asyncio.sleep(0.05)
+        second = asyncio.create_task(client.append([claim(1)]))
+        await asyncio.sleep(0)
+        await client.stop()
+        answers = await asyncio.gather(first, second, return_exceptions=True)
+        assert all(isinstance(one, LogUnavailableError) for one in answers)
+
+    run_with_client(body)
+
+
+def test_back_off_grows_with_jitter_up_to_its_bound():
+    back_off = BackOff(random.Random(1))
+    delays = [back_off.failed() for _ in range(12)]
+    assert delays[0] <= 0.1
+    assert all(delay <= BACK_OFF_LAST_MS / 1_000 for delay in delays)
+    assert len(set(delays)) == len(delays)
+    assert back_off.failed(at_least_ms=60_000) == 60
+    back_off.succeeded()
+    assert back_off.limit_ms == 0
--- /dev/null
+++ b/tests/test_presets_service.py
@@ -0,0 +1,287 @@
+import asyncio
+import time
+
+import pytest
+from presets_bench import (
+    BOUNDS,
+    DEADLINE_S,
+    deployment,
+    eventually,
+    make_preset,
+)
+
+from balsamlift.exceptions import (
+    KeyFormatError,
+    KeyTooOldError,
+    RefusedError,
+)
+from balsamlift.presets import Checkpoint, new_operation
+
+NOWHERE = "127.0.0.1:1"
+NEVER_MS = 1_000_000_000  # no checkpoint by itself within a test
+
+
+def key_now(age_ms=0):
+    return f"{int(time.time() * 1_000) - age_ms}-{new_operation()}"
+
+
+async def put_in_force(made, name):
+    await made.operator().publish(make_preset(name))
+    result = await made.operator().switch(name)
+    assert result.state == "accepted"
+    return result.generation
+
+
+def kinds(host):
+    return [event.kind for event in host.timeline.events()]
+
+
+def test_change_reaches_every_host_with_its_callbacks():
+    async def main():
+        async with deployment() as made:
+            hosts = [await made.host(name) for name in "abc"]
+            seen = []
+            hosts[0].presets.on_change(
+                lambda: seen.append(hosts[0].generation())
+            )
+            generations = [
+                await put_in_force(made, name) for name in ("peak", "ordinary")
+            ]
+            for host in hosts:
+                await eventually(lambda host=host: host.generation() == 2)
+                assert host.presets.in_force().name == "ordinary"
+                assert host.presets.caught_up
+            assert seen == generations == [1, 2]
+            assert kinds(hosts[0]).count("preset_in_force") == 2
+
+    asyncio.run(main())
+
+
+def test_preset_stays_in_force_while_the_log_is_down_and_after():
+    async def main():
+        async with deployment() as made:
+            host = await made.host("a")
+            await put_in_force(made, "peak")
+            await eventually(lambda: host.generation() == 1)
+            made.fault(down=True)
+            await eventually(lambda: not host.presets.log_is_up)
+            assert host.presets.in_force().name == "peak"
+            made.fault(down=False)
+            await put_in_force(made, "ordinary")
+            await eventually(lambda: host.generation() == 2)
+            assert kinds(host) == [
+                "preset_in_force",
+                "log_down",
+                "log_up",
+                "preset_in_force",
+            ]
+
+    asyncio.run(main())
+
+
+def test_host_cut_from_the_log_follows_a_peer():
+    async def main():
+        async with deployment() as made:
+            steady = await made.host("a")
+            cut = await made.host("b", log_address=NOWHERE)
+            cut.know(steady)
+            await put_in_force(made, "peak")
+            await eventually(lambda: cut.generation() == 1)
+            assert cut.presets.caught_up
+            await put_in_force(made, "ordinary")
+            await eventually(lambda: cut.generation() == 2)
+
+    asyncio.run(main())
+
+
+def test_newcomer_alone_in_an_outage_is_not_caught_up():
+    async def main():
+        async with deployment() as made:
+            await put_in_force(made, "peak")
+            made.fault(down=True)
+            newcomer = await made.host("b")
+            await eventually(lambda: not newcomer.presets.log_is_up)
+            assert not newcomer.presets.caught_up
+            assert newcomer.presets.in_force() is None
+            made.fault(down=False)
+            await eventually(lambda: newcomer.presets.caught_up)
+            assert newcomer.generation() == 1
+
+    asyncio.run(main())
+
+
+def test_newcomer_starts_from_a_checkpoint_when_records_expired():
+    async def main():
+        async with deployment(log_retention_records=3) as made:
+            old = await made.host("a", retention_ms=1_000)
+            await put_in_force(made, "peak")
+            await eventually(lambda: kinds(old).count("checkpoint") > 0)
+            newest = old.presets.state.checkpoint
+            await eventually(
+                lambda: (
+                    old.presets.state.checkpoint is not newest
+                    and made.platform.store.read(0, 1).earliest > 1
+                )
+            )
+            newcomer = await made.host("b", retention_ms=NEVER_MS)
+            await eventually(lambda: newcomer.presets.caught_up)
+            assert newcomer.generation() == 1
+            offset = newcomer.presets.offset
+            assert await old.presets.wait_offset(offset - 1, DEADLINE_S)
+
+    asyncio.run(main())
+
+
+def test_newcomer_without_a_usable_checkpoint_asks_a_peer():
+    async def main():
+        async with deployment(log_retention_records=3) as made:
+            old = await made.host("a", retention_ms=NEVER_MS)
+            await made.operator().publish(make_preset("peak"))
+            early = old.presets.state.copy()
+            await made.operator().switch("peak")
+            await eventually(lambda: old.generation() == 1)
+            stale = Checkpoint(new_operation(), early.offset, early)
+            for _ in range(3):  # push all other records out
+                await old.presets.append(stale)
+            alone = await made.host("b", retention_ms=NEVER_MS)
+            helped = await made.host("c", retention_ms=NEVER_MS)
+            helped.know(old)
+            await eventually(lambda: helped.presets.caught_up)
+            assert helped.generation() == 1
+            assert not alone.presets.caught_up
+            assert alone.presets.in_force() is None
+
+    asyncio.run(main())
+
+
+def test_stale_checkpoint_sets_nobody_back():
+    async def main():
+        async with deployment() as made:
+            host = await made.host("a", retention_ms=NEVER_MS)
+            await put_in_force(made, "peak")
+            await eventually(lambda: host.generation() == 1)
+            stale = host.presets.state.copy()
+            await put_in_force(made, "ordinary")
+            await eventually(lambda: host.generation() == 2)
+            offset = await host.presets.append(
+                Checkpoint(new_operation(), stale.offset, stale)
+            )
+            assert await host.presets.wait_offset(offset, DEADLINE_S)
+            assert host.presets.in_force().name == "ordinary"
+            newcomer = await made.host("b", retention_ms=NEVER_MS)
+            await eventually(lambda: newcomer.presets.caught_up)
+            assert newcomer.presets.in_force().name == "ordinary"
+
+    asyncio.run(main())
+
+
+def test_fold_is_served_only_when_further():
+    async def main():
+        async with deployment() as made:
+            host = await made.host("a")
+            await put_in_force(made, "peak")
+            await eventually(lambda: host.generation() == 1)
+            url = f"http://{host.operators.address}/v1/peer/fold?from="
+            statuses = [
+                (await host.http.call("GET", f"{url}{n}", timeout_ms=5_000))
+                for n in ("0", "2", "-1")
+            ]
+            assert [one.status for one in statuses] == [200, 204, 400]
+
+    asyncio.run(main())
+
+
+def test_first_claim_wins_on_every_host():
+    async def main():
+        async with deployment() as made:
+            hosts = [
+                await made.host(name, claim_bounds=BOUNDS) for name in "abc"
+            ]
+            await eventually(lambda: all(h.presets.caught_up for h in hosts))
+            await put_in_force(made, "peak")  # claims are known from here on
+            keys = [key_now() for _ in range(40)]
+            claims = [
+                host.presets.claim(key) for key in keys for host in hosts
+            ]
+            results = await asyncio.gather(*claims)
+            for i in range(len(keys)):
+                of_key = results[3 * i : 3 * i + 3]
+                assert sum(bool(result) for result in of_key) == 1
+                assert len({result.host for result in of_key}) == 1
+            repeated = await hosts[0].presets.claim(keys[0])
+            assert repeated.state == "lost"
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("answer", ["silent", "503"])
+def test_claim_with_a_lost_answer_is_won_by_reading_on(answer):
+    async def main():
+        async with deployment() as made:
+            host = await made.host("a", claim_bounds=BOUNDS)
+            await put_in_force(made, "peak")
+            await eventually(lambda: host.generation() == 1)
+            made.fault(lose_answers=answer)
+            result = await host.presets.claim(key_now())
+            assert result.state == "won"
+            assert made.platform.counts["appends"] == 3
+
+    asyncio.run(main())
+
+
+def test_claim_is_refused_while_the_log_is_down():
+    async def main():
+        async with deployment() as made:
+            host = await made.host("a", claim_bounds=BOUNDS)
+            await put_in_force(made, "peak")
+            await eventually(lambda: host.generation() == 1)
+            made.fault(down=True)
+            await eventually(lambda: not host.presets.log_is_up)
+            with pytest.raises(RefusedError) as caught:
+                await host.presets.claim(key_now())
+            assert caught.value.reason == "log_down"
+            assert caught.value.retry_after_ms > 0
+
+    asyncio.run(main())
+
+
+def test_claim_is_refused_where_earlier_claims_may_be_missing():
+    async def main():
+        async with deployment(log_retention_records=4) as made:
+            old = await made.host("a", retention_ms=NEVER_MS)
+            await put_in_force(made, "peak")
+            await eventually(lambda: old.generation() == 1)
+            key = key_now()
+            assert await old.presets.claim(key)
+            for _ in range(4):  # the claim leaves the log
+                state = old.presets.state.copy()
+                await old.presets.append(
+                    Checkpoint(new_operation(), state.offset, state)
+                )
+            newcomer = await made.host("b", retention_ms=NEVER_MS)
+            await eventually(lambda: newcomer.presets.caught_up)
+            with pytest.raises(RefusedError) as caught:
+                await newcomer.presets.claim(key)
+            assert caught.value.reason == "claims_not_folded"
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("key", "error"),
+    [
+        (lambda: "no-time", KeyFormatError),
+        (lambda: key_now(-60_000), KeyFormatError),
+        (lambda: key_now(BOUNDS.age_ms + 60_000), KeyTooOldError),
+    ],
+)
+def test_claim_of_a_key_outside_the_window_is_an_error(key, error):
+    async def main():
+        async with deployment() as made:
+            host = await made.host("a", claim_bounds=BOUNDS)
+            await put_in_force(made, "peak")
+            await eventually(lambda: host.generation() == 1)
+            with pytest.raises(error):
+                await host.presets.claim(key())
+
+    asyncio.run(main())
