--- a/src/balsamlift/requests/_engine.py
+++ b/src/balsamlift/requests/_engine.py
@@ -152,6 +152,8 @@
         "max_tokens": work.max_tokens,
         # Presets serve 0 first, engines the highest.
         "priority": -work.priority,
+        # The version may lag during a roll-out, and is told at the start.
+        "model": work.model,
         "seed": body.seed,
     }
 
--- a/src/balsamlift/requests/_runner.py
+++ b/src/balsamlift/requests/_runner.py
@@ -90,6 +90,7 @@
             execution=execution,
             body=body,
             ticket=ticket,
+            model=terms.model,
             idempotent=terms.idempotent,
             max_tokens=ask.max_tokens,
             priority=ask.priority,
--- a/src/balsamlift/requests/_terms.py
+++ b/src/balsamlift/requests/_terms.py
@@ -29,6 +29,7 @@
 
     in_force: InForce
     kind: KindPreset
+    model: str  # that the pool shall run; "" where the preset names none
     weight: float  # of the workspace
     idempotent: bool
     on_services: bool
@@ -49,9 +50,11 @@
     pool = parts.settings.pools.get(kind.pool)
     if pool is None:
         raise KindUnknownError(f"kind {body.kind!r} has no pool here")
+    wanted = in_force.preset.pools.get(kind.pool)
     return Terms(
         in_force=in_force,
         kind=kind,
+        model=wanted.model if wanted else "",
         weight=_find_workspace(in_force.preset, body.workspace).weight,
         # A caller may ask for more care than the preset, never for less.
         idempotent=kind.idempotent and body.idempotent is not False,
--- a/src/balsamlift/requests/_work.py
+++ b/src/balsamlift/requests/_work.py
@@ -50,6 +50,7 @@
     execution: Execution
     body: RequestBody
     ticket: Ticket
+    model: str  # that the pool shall run; "" where the preset names none
     idempotent: bool
     max_tokens: int
     priority: int
--- a/src/balsamlift/testing/_engine.py
+++ b/src/balsamlift/testing/_engine.py
@@ -118,7 +118,7 @@
 
     def submit(self, request: GenerationRequest) -> Generation | Refusal:
         """Queue a request, or keep it out."""
-        reason = self._keep_out()
+        reason = self._keep_out(request.model)
         if reason:
             return Refusal(reason=reason, retry_after_ms=_RETRY_MS)
         generation = new_generation(request, self.settings, self.orders.state)
@@ -142,11 +142,11 @@
             return generation.key_state()
         return self._past_keys.get(key, KeyState(state="absent"))
 
-    def _keep_out(self) -> str:
+    def _keep_out(self, model: str) -> str:
         state = self.orders.state
         if state.draining:
             return "draining"
-        if state.loading:
+        if state.loading or model not in ("", state.model):
             return "model_missing"
         return "full" if self.faults.refuse else ""
 
--- a/src/balsamlift/testing/_generation.py
+++ b/src/balsamlift/testing/_generation.py
@@ -19,6 +19,7 @@
     prefix: str | None = None
     max_tokens: int | None = None
     priority: int = 0  # higher goes first
+    model: str = ""  # refused by an engine that runs another; "": any
     seed: int | None = None  # else the key stands for it
 
 
--- a/src/balsamlift/testing/_orders.py
+++ b/src/balsamlift/testing/_orders.py
@@ -23,7 +23,7 @@
     model: str
     version: str
     adapters: list[str] = attrs.field(factory=list)
-    role: str = "serve"
+    role: str = "mixed"
 
 
 @attrs.frozen(kw_only=True)
--- a/src/balsamlift/testing/_settings.py
+++ b/src/balsamlift/testing/_settings.py
@@ -36,7 +36,7 @@
     model: str = "model-a"
     version: str = "1"
     adapters: list[str] = attrs.field(factory=list)
-    role: str = "serve"
+    role: str = "mixed"
     seed: int = 1
     checks_fence: bool = True
     tells_by_key: bool = True
--- a/tests/_callers_world.py
+++ b/tests/_callers_world.py
@@ -178,6 +178,7 @@
     def __init__(self):
         self.cases = {}
         self.posts = []
+        self.bodies = {}
         self._server = ThreadingHTTPServer(("127.0.0.1", 0), _OddHandler)
         self._server.daemon_threads = True
         self._server.odd = self
@@ -201,6 +202,7 @@
         body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
         odd = self.server.odd
         odd.posts.append(body["key"])
+        odd.bodies[body["key"]] = body
         frames = odd.cases.get(body["prompt"], whole_frames)
         self._send_events(frames(body))
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -498,3 +498,9 @@
     assert world.odd.posts.count(body["key"]) == 1
     again = ask(world.hosts[0], world.body(kind="odd"))
     assert again[-1][1]["outcome"] == "whole"
+
+
+def test_an_engine_is_asked_for_the_model_of_the_preset_in_force(world):
+    body = world.body(kind="odd", prompt="model")
+    assert ask(world.hosts[0], body)[-1][1]["outcome"] == "whole"
+    assert world.odd.bodies[body["key"]]["model"] == "m"
--- a/tests/test_testing_engine.py
+++ b/tests/test_testing_engine.py
@@ -130,6 +130,17 @@
     assert counts(address)["executions"] == {}
 
 
+def test_an_engine_refuses_work_for_a_model_that_it_does_not_run(start):
+    address = start(model="writer", version="1")
+    body = {"key": "k", "prompt": "p", "model": "other"}
+    status, found = call(address, "POST", "/v1/generations", body)
+    assert (status, found["ran"]) == (503, False)
+    assert found["reason"] == "model_missing"
+    assert counts(address)["executions"] == {}
+    stream = generate(address, key="k2", model="writer")
+    assert len(tokens_of(stream.rest())) == 20
+
+
 def test_duplicate_frames(start):
     address = start()
     faults(address, duplicate_frames=True)
