--- a/src/balsamlift/presets/_claims.py
+++ b/src/balsamlift/presets/_claims.py
@@ -5,6 +5,7 @@
 import heapq
 import math
 import re
+import sys
 
 import attrs
 
@@ -22,7 +23,7 @@
 
     age_ms: int = 300_000
     ahead_ms: int = 10_000  # a key's time may be this far in the future
-    kept: int = 100_000
+    kept: int = 50_000  # at most; then the oldest keys are void
 
 
 @attrs.frozen
@@ -103,7 +104,8 @@
             return
         if self.is_too_old(key_ms) or self.is_too_new(key_ms):
             return
-        self._winners[claim.key] = Winner(claim.op, claim.host, offset)
+        host = sys.intern(claim.host)  # one text for all of its claims
+        self._winners[claim.key] = Winner(claim.op, host, offset)
         heapq.heappush(self._by_age, (key_ms, claim.key))
         if len(self._winners) > self._bounds.kept:
             self._raise_floor(self._by_age[0][0])
--- a/tests/test_presets_log.py
+++ b/tests/test_presets_log.py
@@ -1,5 +1,6 @@
 import asyncio
 import random
+from contextlib import asynccontextmanager
 
 import pytest
 from presets_bench import SILENCE_MS, deployment
@@ -9,29 +10,44 @@
 from balsamlift.exceptions import LogBlockedError, LogUnavailableError
 from balsamlift.presets import Claim, LogClient
 from balsamlift.presets._log import BACK_OFF_LAST_MS, BackOff
+from balsamlift.testing._link import Link
+from balsamlift.testing._settings import LinkSettings
 
 
 def claim(i):
     return Claim(f"op-{i}", f"{i}-abcdefgh", "a")
 
 
+@asynccontextmanager
+async def running_client(address):
+    http = HttpClient()
+    client = LogClient(
+        address, SILENCE_MS, SystemClock(), http, random.Random(1)
+    )
+    await client.start()
+    try:
+        yield client
+    finally:
+        await client.stop()
+        http.close()
+
+
 def run_with_client(body, **settings):
     async def main():
-        async with deployment(**settings) as made:
-            http = HttpClient()
-            client = LogClient(
-                made.address, SILENCE_MS, SystemClock(), http, random.Random(1)
-            )
-            await client.start()
-            try:
-                await body(made, client)
-            finally:
-                await client.stop()
-                http.close()
+        async with (
+            deployment(**settings) as made,
+            running_client(made.address) as client,
+        ):
+            await body(made, client)
 
     asyncio.run(main())
 
 
+async def open_connections(client, count):
+    """Leave `count` connections open for reuse."""
+    await asyncio.gather(*(client.read(0) for _ in range(count)))
+
+
 async def append_when_unblocked(client, record):
     """Append, coming back when the client says so."""
     while True:
@@ -102,6 +118,7 @@
             await client.read(0)
         with pytest.raises(LogUnavailableError):
             await client.append([claim(1)])
+        assert client.retry_after_ms > 0
         made.fault(silent=False)
         batch = await client.read(0)
         assert batch.next == 1
@@ -110,6 +127,27 @@
     run_with_client(body)
 
 
+@pytest.mark.parametrize("call", ["read", "append"])
+def test_one_silence_is_enough_to_leave_connections_silent_for_good(call):
+    async def body(made, _):
+        link = Link(LinkSettings(target_address=made.address))
+        await link.start()
+        async with running_client(link.ready()["address"]) as client:
+            await open_connections(client, 4)
+            link.control.update({"silence_existing": True})
+            if call == "read":
+                with pytest.raises(LogUnavailableError):
+                    await client.read(0)
+                assert (await client.read(0)).next == 0
+            else:
+                with pytest.raises(LogUnavailableError):
+                    await client.append([claim(0)])
+                assert await append_when_unblocked(client, claim(1)) == [0]
+        await link.stop()
+
+    run_with_client(body)
+
+
 def test_long_poll_answers_when_something_is_appended():
     async def body(made, client):
         reading = asyncio.create_task(client.read(0, wait_ms=15_000))
