Take a key without a home again after the log was down

Cause: a refused claim stayed remembered, so the key was refused at this host until its lifetime was over, though the refusal says when to come back. Seen failing: scenario "a key without a home, while the log is down" of at_most_once.feature: refused every 800 ms for 30 s after the log was up. Change: a refused claim is forgotten; one that stands on the log all the same is won by this host when the caller comes back (Presets.claim knows it). Ruled out: the log client's back-off, which had ended. A refusal of a key without a home thus speaks of the attempt that it answers.

--- a/src/balsamlift/requests/_claimed.py
+++ b/src/balsamlift/requests/_claimed.py
@@ -42,7 +42,7 @@
         try:
             terms = self._runner.find_terms(body)
         except RefusedError as error:
-            self._runner.finish(execution, refusal(error))
+            self._refuse(execution, error)
             return execution
         except RequestError:
             del self._executions[body.key]
@@ -66,7 +66,7 @@
         try:
             claim = await self._parts.presets.claim(body.key)
         except RefusedError as error:
-            self._runner.finish(execution, refusal(error))
+            self._refuse(execution, error)
             return
         except RequestError as error:
             outcome = execution.fail(error.code, REFUSED)
@@ -82,6 +82,12 @@
             return
         await self._follow_claim(execution, body, claim.host)
 
+    def _refuse(self, execution: Execution, error: RefusedError) -> None:
+        # Forgotten, for the caller is told to come back: a claim that
+        # stands on the log all the same is then won by this host.
+        del self._executions[execution.key]
+        self._runner.finish(execution, refusal(error))
+
     async def _follow_claim(
         self, execution: Execution, body: RequestBody, holder: str
     ) -> None:
