Script the promises as scenarios under failure

Gherkin features against real processes: the whole path, tokens once from one generation, refused never ran, at most once, graceful shutdown and rolling replacement, configuration, retention. A small harness starts platform, engines, services and hosts, each upstream and each host's way to the platform behind a link in the test's process; verdicts compare what callers were told with what the stand-ins executed, and tokens with those that the generation named must have. Not in: leaving.feature, where one of three fails for a fault in the product (a host that reads in the list that an engine leaves does not tell its peers).

--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios: features in Gherkin, steps, and a small harness."""
--- /dev/null
+++ b/tests/scenarios/deployment.py
@@ -0,0 +1,210 @@
+"""A whole deployment: platform, upstreams and hosts as processes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from functools import partial
+from typing import Any
+
+import attrs
+
+from balsamlift._loading import structure
+from balsamlift.presets import Preset
+from balsamlift.presets._operator import OperationResult, Operator
+from balsamlift.testing import Process, start_stand_in
+from scenarios import control, hosts
+from scenarios.background import Background, wait_until
+from scenarios.hosts import PoolShape, TestHost
+from scenarios.presets import make_preset
+from scenarios.upstreams import (
+    EngineShape,
+    StandIn,
+    put_behind_link,
+    start_engine,
+    start_service,
+)
+
+MOST_ADDRESSES = 4  # that a host names to a caller
+PRESETS = ("ordinary", "peak", "maintenance")
+
+
+@attrs.define
+class Plan:
+    """What a scenario asks for before its deployment starts."""
+
+    engines: EngineShape = attrs.field(factory=EngineShape)
+    pools: PoolShape = attrs.field(factory=PoolShape)
+    policy: dict[str, Any] = attrs.field(factory=dict)
+    platform: dict[str, Any] = attrs.field(factory=dict)
+
+
+class Deployment:
+    """Start, change and end the processes of one scenario."""
+
+    def __init__(self, background: Background, plan: Plan) -> None:
+        self.background = background
+        self.plan = plan
+        self.hosts: dict[int, TestHost] = {}
+        self.past_hosts: list[TestHost] = []
+        self.stand_ins: dict[str, StandIn] = {}
+        self.generation = 0  # in force as the last operator was told
+        self._platform: Process | None = None
+
+    @property
+    def platform_address(self) -> str:
+        assert self._platform is not None
+        return self._platform.address
+
+    @property
+    def engines(self) -> list[StandIn]:
+        return [s for s in self.stand_ins.values() if s.kind == "engine"]
+
+    @property
+    def services(self) -> list[StandIn]:
+        return [s for s in self.stand_ins.values() if s.kind == "service"]
+
+    @property
+    def usable_hosts(self) -> list[TestHost]:
+        return [h for h in self.hosts.values() if h.usable]
+
+    def start(self, host_count: int, engines: int, services: int) -> None:
+        """Start everything and return once requests can be served."""
+        self._platform = start_stand_in(
+            "platform",
+            {"address": "127.0.4.1:0", "hosts_lag_ms": 0} | self.plan.platform,
+        )
+        started = [
+            ("engine", n, start_engine(n, self.plan.engines))
+            for n in range(1, engines + 1)
+        ] + [("service", n, start_service(n)) for n in range(1, services + 1)]
+        for number in range(1, host_count + 1):
+            self.start_host(number)
+        for kind, number, process in started:
+            stand_in = put_behind_link(self.background, process, kind, number)
+            self.stand_ins[stand_in.name] = stand_in
+            self.list_entry(stand_in.name, stand_in.entry)
+        for host in self.hosts.values():
+            self.list_entry(host.name, host.entry)
+        self._publish_all()
+        self.wait_serving()
+
+    def start_host(self, number: int, **overrides: Any) -> TestHost:
+        """Start a host, not yet in the platform's list."""
+        host = hosts.start(
+            self.background,
+            number,
+            self.platform_address,
+            self.plan.pools,
+            **overrides,
+        )
+        self.hosts[number] = host
+        return host
+
+    def add_host(self, number: int) -> TestHost:
+        """Start a host and enter it in the list."""
+        host = self.start_host(number)
+        self.list_entry(host.name, host.entry)
+        return host
+
+    def list_entry(self, name: str, entry: dict[str, str]) -> None:
+        """Set one entry in the platform's list."""
+        control.call("PUT", self.platform_address, f"/v1/hosts/{name}", entry)
+
+    def set_platform(self, **faults: Any) -> None:
+        control.set_faults(self.platform_address, **faults)
+
+    def earliest_offset(self) -> int:
+        """Return the first offset that the log still holds."""
+        page = control.get(self.platform_address, "/v1/log/read?from=0")
+        return int(page["earliest"])
+
+    def operator(self) -> Operator:
+        """Return an operator who reaches the log without a link."""
+        return Operator(self.platform_address)
+
+    def switch(self, name: str) -> OperationResult:
+        """Switch as one operator and keep what was told."""
+        result = self.background.run(self.operator().switch(name))
+        self.note(result)
+        return result
+
+    def note(self, result: OperationResult) -> None:
+        if result.state == "accepted":
+            assert result.generation is not None
+            self.generation = max(self.generation, result.generation)
+
+    def is_in_force(self, host: TestHost) -> bool:
+        """Tell whether a host has what operators were told is accepted."""
+        try:
+            return int(host.status()["generation"]) >= self.generation
+        except OSError:
+            return False
+
+    def wait_in_force(self, within_s: float = 30.0) -> None:
+        wait_until(
+            lambda: all(map(self.is_in_force, self.usable_hosts)),
+            f"generation {self.generation} in force on every host",
+            within_s,
+        )
+
+    def wait_serving(self) -> None:
+        """Wait until every usable host is listed and knows all upstreams."""
+        self.wait_in_force()
+        for host in self.usable_hosts:
+            wait_until(
+                partial(self._knows_all, host),
+                f"{host.name} knows all hosts and upstreams",
+            )
+
+    def _knows_all(self, host: TestHost) -> bool:
+        upstreams = [s for s in self.stand_ins.values() if not s.dead]
+        listed = min(len(self.usable_hosts), MOST_ADDRESSES)
+        return host.address_count() >= listed and host.live_upstreams() >= len(
+            upstreams
+        )
+
+    def executions(self) -> Counter[str]:
+        """Return how often each key was executed, by all stand-ins."""
+        total: Counter[str] = Counter()
+        for stand_in in self.stand_ins.values():
+            total += stand_in.executions()
+        return total
+
+    def stop_host(self, number: int) -> int:
+        """Shut a host down gracefully and return its exit code."""
+        host = self.hosts[number]
+        host.process.terminate()
+        code = host.process.wait()
+        host.dead = True
+        return code
+
+    def replace_host(self, number: int) -> int:
+        """Start a new incarnation after the old one has left."""
+        code = self.stop_host(number)
+        self.past_hosts.append(self.hosts[number])
+        self.add_host(number)
+        self.wait_serving()
+        return code
+
+    def close(self) -> None:
+        """End every process of this deployment."""
+        processes = [h.process for h in self.hosts.values()]
+        processes += [h.process for h in self.past_hosts]
+        processes += [s.process for s in self.stand_ins.values()]
+        if self._platform is not None:
+            processes.append(self._platform)
+        for process in processes:
+            process.kill()
+        for process in processes:
+            process.close()
+
+    def _publish_all(self) -> None:
+        self.background.run(self._publish())
+        self.switch(PRESETS[0])
+
+    async def _publish(self) -> None:
+        for name in PRESETS:
+            raw = make_preset(name, **self.plan.policy)
+            preset = structure(raw, Preset, name)
+            result = await self.operator().publish(preset)
+            assert result.state == "accepted", result
