Test the tables of hosts, counts and notes

A state machine lets four hosts restart with clocks that go back, leave, and call each other dead; after all is exchanged each host's own word is everybody's. A peer wrongly called dead, and one that was cut off, tell all again. Waking links for passed-on notes can be broken without a test failing: the note then goes with the next heartbeat.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+import balsamlift.peers._composer as composer
 from balsamlift._http import HttpClient
 from balsamlift.clock import SystemClock
 from balsamlift.exceptions import PeerMessageError, PeersAddressError
@@ -347,9 +348,14 @@
             for host in (first, second, third):
                 await host.kernel.start()
             await until(lambda: cluster.all_live(3))
+            second.peers.set_in_flight("e1", 4)
+            await until(lambda: third.peers.in_flight("e1") == 4)
             await until(lambda: declared_dead(first, "h01"))
             await until(lambda: cluster.all_live(3))
             assert first.peer("h01").last_heard_s is None
+            assert first.peers.in_flight("e1") == 0
+            del first.peers._addresses, second.peers._addresses
+            await until(lambda: first.peers.in_flight("e1") == 4)
 
     run(scenario)
 
@@ -417,6 +423,25 @@
     run(scenario, fan_out=4)
 
 
+def test_a_peer_wrongly_called_dead_tells_all_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(composer, "FULL_COUNTS_EVERY", 10**9)
+
+    async def scenario(cluster: Cluster) -> None:
+        first, second, third = await cluster.grow(3)
+        second.peers.set_in_flight("e1", 4)
+        await until(lambda: first.peers.in_flight("e1") == 4)
+        first.peers._silent("h01")
+        assert first.live() == ["h02"]
+        assert first.peers.in_flight("e1") == 0
+        await until(lambda: first.peers.in_flight("e1") == 4)
+        await until(lambda: first.live() == ["h01", "h02"])
+        assert not declared_dead(third, "h01")
+
+    run(scenario)
+
+
 def test_void_messages_disturb_nothing() -> None:
     async def scenario(cluster: Cluster) -> None:
         first, second = await cluster.grow(2)
--- /dev/null
+++ b/tests/test_peers_tables.py
@@ -0,0 +1,162 @@
+import random
+
+import attrs
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from balsamlift.peers._counts import OwnCounts, PeerCounts
+from balsamlift.peers._members import MAX_INCARNATIONS, Members
+from balsamlift.peers._messages import Member, UpstreamNote
+from balsamlift.peers._notes import NOTE_TTL_MS, Notes
+
+HOSTS = 4
+
+
+def member(host: str, incarnation: str, epoch: int = 1) -> Member:
+    return Member(
+        host=host,
+        incarnation=incarnation,
+        epoch=epoch,
+        version=1,
+        state="live",
+        operators_address="127.0.0.1:1",
+        callers_address="127.0.0.1:2",
+        peers_address="127.0.0.1:3",
+        failure_domain="d1",
+    )
+
+
+class Tables(RuleBasedStateMachine):
+    """Hosts restart, leave, and call each other dead, rightly or not."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.starts = 0
+        self.tables = [self.begin(n, 10) for n in range(HOSTS)]
+
+    def begin(self, who: int, epoch: int) -> Members:
+        self.starts += 1
+        return Members(member(f"h{who}", f"i{self.starts}", epoch))
+
+    @rule(who=st.integers(0, HOSTS - 1), clock=st.integers(0, 20))
+    def restart(self, who: int, clock: int) -> None:
+        """Restart, with a clock that may have gone back."""
+        self.tables[who] = self.begin(who, clock)
+
+    @rule(who=st.integers(0, HOSTS - 1))
+    def leave(self, who: int) -> None:
+        self.tables[who].change_own(state="leaving")
+
+    @rule(who=st.integers(0, HOSTS - 1), whom=st.integers(0, HOSTS - 1))
+    def declare(self, who: int, whom: int) -> None:
+        if who != whom:
+            self.tables[who].declare_dead(f"h{whom}")
+
+    @rule(
+        sender=st.integers(0, HOSTS - 1),
+        receiver=st.integers(0, HOSTS - 1),
+        since=st.integers(0, 10),
+    )
+    def send(self, sender: int, receiver: int, since: int) -> None:
+        """Send some news, old or new; the rest is lost."""
+        for entry in self.tables[sender].changed_since(since):
+            before = self.tables[receiver].find(entry.host)
+            news = self.tables[receiver].merge(entry)
+            after = self.tables[receiver].find(entry.host)
+            if before is not None and after is not None:
+                assert after.order >= before.order
+            assert news == (after != before)
+
+    def teardown(self) -> None:
+        """When all is exchanged, each host's own word is everybody's."""
+        for _ in range(HOSTS * 2):
+            for sender in self.tables:
+                for receiver in self.tables:
+                    for entry in sender.changed_since(0):
+                        receiver.merge(entry)
+        for table in self.tables:
+            for other in self.tables:
+                host = other.own.host
+                assert table.find(host) == other.own
+                assert other.own.state != "dead"
+                assert table.incarnations(host)[-1] == other.own.incarnation
+
+
+TestTables = Tables.TestCase
+TestTables.settings = settings(
+    derandomize=True, max_examples=100, stateful_step_count=30
+)
+
+
+def test_a_dead_host_that_was_never_known_is_no_news() -> None:
+    table = Members(member("h1", "i1"))
+    assert not table.merge(attrs.evolve(member("h2", "i2"), state="dead"))
+    assert table.find("h2") is None
+
+
+def test_incarnations_are_bounded_and_forgotten() -> None:
+    table = Members(member("h1", "i1"))
+    for number in range(MAX_INCARNATIONS + 3):
+        table.merge(member("h2", f"i{number}", number))
+    assert len(table.incarnations("h2")) == MAX_INCARNATIONS
+    table.forget("h2")
+    assert table.incarnations("h2") == ()
+    assert [m.host for m in table.changed_since(0)] == ["h1"]
+
+
+def test_counts_follow_through_deltas() -> None:
+    rng = random.Random(7)
+    own, peers = OwnCounts(), PeerCounts()
+    told = 0
+    exact: dict[str, int] = {}
+    for step in range(2_000):
+        upstream = f"e{rng.randrange(20)}"
+        exact[upstream] = rng.choice([0, 1, 5, 1_000, 1_010, 20_000])
+        own.set(upstream, exact[upstream])
+        if step % 7 == 0:
+            peers.take("h1", own.changed_since(told), full=False)
+            told = own.change
+            own.drop_told(told)
+    peers.take("h1", own.changed_since(told), full=False)
+    for upstream, n in exact.items():
+        assert peers.total(upstream) == pytest.approx(n, rel=0.1)
+        assert (peers.total(upstream) == 0) == (n == 0)
+    peers.take("h1", own.full(), full=True)
+    assert {u: peers.total(u) for u in exact} == exact
+    peers.take("h2", {"e1": 3}, full=True)
+    peers.drop("h1")
+    assert peers.total("e1") == 3
+
+
+def note(ttl_ms: int = NOTE_TTL_MS, address: str = "a:1") -> UpstreamNote:
+    return UpstreamNote(
+        name="e1", address=address, state="leaving", ttl_ms=ttl_ms
+    )
+
+
+def test_notes_do_not_circulate_for_ever() -> None:
+    tables = [Notes() for _ in range(3)]
+    tables[0].add(note(), now_s=0.0)
+    now_s, passed = 0.0, 0
+    while now_s < 3 * NOTE_TTL_MS / 1_000:
+        for sender in tables:
+            for receiver in tables:
+                for news in sender.changed_since(0, now_s):
+                    passed += receiver.add(news, now_s)
+        now_s += 0.5
+        for table in tables:
+            table.expire(now_s)
+    assert passed == 2
+    assert not any(table.changed_since(0, now_s) for table in tables)
+
+
+def test_a_note_is_for_one_incarnation_and_applied_once() -> None:
+    notes = Notes()
+    notes.add(note(address="a:1"), now_s=0.0)
+    assert notes.to_apply({"e1": "a:2"}.__getitem__) == []
+    assert notes.to_apply({"e1": "a:1"}.__getitem__) == [note()]
+    assert notes.to_apply({"e1": "a:1"}.__getitem__) == []
+    assert not notes.add(note(ttl_ms=NOTE_TTL_MS - 10), now_s=1.0)
+    assert notes.add(note(), now_s=20.0)
