Wait longer for a log that is slow

Cause: with a fixed bound on silence, a log that answers later than the bound is as good as down, as long as it is slow.

Change: a silence doubles the bound, twice the settings' at most; an answer in time sets it back. While the log is down reads do not wait for records, so that peers are asked at least every twice the bound. A fresh connection follows a silence only, no longer every failed append.

Checked: a log at 1.5 times the bound is read and appended to; a host whose link goes silent follows a peer and later the log again. A log slower than twice the bound still counts as down.

--- a/src/balsamlift/presets/_log.py
+++ b/src/balsamlift/presets/_log.py
@@ -15,6 +15,7 @@
 from balsamlift.clock import Clock
 from balsamlift.exceptions import LogBlockedError, LogUnavailableError
 from balsamlift.kernel import Kernel
+from balsamlift.presets._back_off import BackOff, SilenceBound
 from balsamlift.presets._records import (
     Entry,
     Record,
@@ -27,8 +28,6 @@
 APPEND_LIMIT = 256  # records in one call
 READ_LIMIT = 1_000
 APPEND_TRIES = 5  # while the log says that its rate is reached
-BACK_OFF_FIRST_MS = 100.0
-BACK_OFF_LAST_MS = 5_000.0
 TOO_MANY_REQUESTS = 429
 OK = 200
 
@@ -61,31 +60,6 @@
     offsets: list[int]
 
 
-class BackOff:
-    """Grow a delay with each failure in a row, with jitter."""
-
-    def __init__(self, rng: random.Random | None = None) -> None:
-        """Begin with no failure."""
-        self._rng = rng or random.Random()
-        self._limit_ms = 0.0
-
-    @property
-    def limit_ms(self) -> int:
-        """Return the longest delay that may come next; 0 when all is well."""
-        return int(self._limit_ms)
-
-    def failed(self, at_least_ms: float = 0.0) -> float:
-        """Count a failure; return the delay in seconds before a new try."""
-        doubled = max(BACK_OFF_FIRST_MS, self._limit_ms * 2)
-        self._limit_ms = min(doubled, BACK_OFF_LAST_MS)
-        delay_ms = self._rng.uniform(0.5, 1.0) * self._limit_ms
-        return max(delay_ms, at_least_ms) / 1_000
-
-    def succeeded(self) -> None:
-        """Forget the failures."""
-        self._limit_ms = 0.0
-
-
 @attrs.define(eq=False)
 class _Waiting:
     """Hold the records of one caller until they are appended."""
@@ -109,13 +83,13 @@
     ) -> None:
         """Keep the address "IP:port"; `rng` gives the jitter."""
         self._url = f"http://{address}/v1/log"
-        self._silence_ms = silence_ms
+        self._append_silence = SilenceBound(silence_ms)
+        self._read_silence = SilenceBound(silence_ms)
         self._clock = clock
         self._http = http
         self._back_off = BackOff(rng)
         self._queue: asyncio.Queue[_Waiting] = asyncio.Queue()
         self._blocked_until = 0.0
-        self._read_failed = False
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -136,9 +110,9 @@
         self._task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
-        left: list[_Waiting] = []
-        self._drain(left)
-        _fail(left, LogUnavailableError("the log client stopped"))
+        while not self._queue.empty():
+            left = [self._queue.get_nowait()]
+            _fail(left, LogUnavailableError("the log client stopped"))
 
     async def append(self, records: Sequence[Record]) -> list[int]:
         """Append records and return their offsets.
@@ -164,23 +138,22 @@
         Raises `LogUnavailableError`.
         """
         query = f"from={offset}&limit={limit}&wait_ms={wait_ms}"
+        silence = self._read_silence
+        began_s = self._clock.monotonic()
         try:
             answer = await self._http.call(
                 "GET",
                 f"{self._url}/read?{query}",
-                timeout_ms=wait_ms + self._silence_ms,
-                connect_ms=self._silence_ms,
-                fresh=self._read_failed,
+                timeout_ms=wait_ms + silence.bound_ms,
+                connect_ms=silence.bound_ms,
+                fresh=silence.was_reached,
             )
-            batch = _decode_batch(answer)
         except CallError as error:
-            self._read_failed = True
+            silence.reached()
             raise LogUnavailableError(str(error)) from error
-        except LogUnavailableError:
-            self._read_failed = True
-            raise
-        self._read_failed = False
-        return batch
+        took_s = self._clock.monotonic() - began_s
+        silence.answered(int(took_s * 1_000) - wait_ms)
+        return _decode_batch(answer)
 
     async def _append_all(self) -> None:
         while True:
@@ -216,19 +189,25 @@
 
     async def _call_append(self, waiting: list[_Waiting]) -> Answer:
         records = [record for one in waiting for record in one.records]
+        silence = self._append_silence
+        began_s = self._clock.monotonic()
         try:
-            return await self._http.call(
+            answer = await self._http.call(
                 "POST",
                 f"{self._url}/append",
                 b'{"records":[' + b",".join(records) + b"]}",
-                timeout_ms=self._silence_ms,
-                connect_ms=self._silence_ms,
+                timeout_ms=silence.bound_ms,
+                connect_ms=silence.bound_ms,
                 headers={"Content-Type": "application/json"},
-                fresh=self._back_off.limit_ms > 0,
+                fresh=silence.was_reached,
             )
         except CallError as error:
+            silence.reached()
             self._block(0.0)
             raise LogUnavailableError(str(error)) from error
+        took_s = self._clock.monotonic() - began_s
+        silence.answered(int(took_s * 1_000))
+        return answer
 
     def _take_offsets(
         self, answer: Answer, waiting: list[_Waiting]
--- a/src/balsamlift/presets/_operator.py
+++ b/src/balsamlift/presets/_operator.py
@@ -17,7 +17,8 @@
     LogUnreadableError,
     OffsetGapError,
 )
-from balsamlift.presets._log import BackOff, LogClient
+from balsamlift.presets._back_off import BackOff
+from balsamlift.presets._log import LogClient
 from balsamlift.presets._preset import Preset
 from balsamlift.presets._reader import Reader
 from balsamlift.presets._records import Publish, Switch, new_operation
--- a/src/balsamlift/presets/_service.py
+++ b/src/balsamlift/presets/_service.py
@@ -14,10 +14,11 @@
 from balsamlift.exceptions import LogUnavailableError, OffsetGapError
 from balsamlift.kernel import Kernel
 from balsamlift.operators import OperatorsServer
+from balsamlift.presets._back_off import BackOff
 from balsamlift.presets._checkpointer import Checkpointer
 from balsamlift.presets._claimant import Claimant, ClaimResult
 from balsamlift.presets._claims import ClaimBounds
-from balsamlift.presets._log import BackOff, LogClient
+from balsamlift.presets._log import LogClient
 from balsamlift.presets._peer_folds import PeerFolds, encode_fold
 from balsamlift.presets._progress import Progress
 from balsamlift.presets._reader import Reader
@@ -172,8 +173,9 @@
                 await self._clock.sleep(pause_s)
 
     async def _read(self) -> None:
+        wait_ms = READ_WAIT_MS if self.log_is_up else 0
         try:
-            await self._reader.step(READ_WAIT_MS)
+            await self._reader.step(wait_ms)
         except (LogUnavailableError, OffsetGapError) as error:
             self._note_log_down(str(error))
             return
--- a/tests/test_presets_log.py
+++ b/tests/test_presets_log.py
@@ -9,7 +9,7 @@
 from balsamlift.clock import SystemClock
 from balsamlift.exceptions import LogBlockedError, LogUnavailableError
 from balsamlift.presets import Claim, LogClient
-from balsamlift.presets._log import BACK_OFF_LAST_MS, BackOff
+from balsamlift.presets._back_off import BACK_OFF_LAST_MS, BackOff
 from balsamlift.testing._link import Link
 from balsamlift.testing._settings import LinkSettings
 
@@ -127,6 +127,20 @@
     run_with_client(body)
 
 
+def test_log_slower_than_the_bound_on_silence_is_waited_for():
+    async def body(made, client):
+        made.fault(slow_ms=int(SILENCE_MS * 1.5))
+        with pytest.raises(LogUnavailableError):
+            await client.read(0)
+        for _ in range(2):
+            assert (await client.read(0)).next == 0
+        with pytest.raises(LogUnavailableError):
+            await client.append([claim(0)])
+        assert await append_when_unblocked(client, claim(1)) == [1]
+
+    run_with_client(body)
+
+
 @pytest.mark.parametrize("call", ["read", "append"])
 def test_one_silence_is_enough_to_leave_connections_silent_for_good(call):
     async def body(made, _):
--- a/tests/test_presets_service.py
+++ b/tests/test_presets_service.py
@@ -16,6 +16,8 @@
     RefusedError,
 )
 from balsamlift.presets import Checkpoint, new_operation
+from balsamlift.testing._link import Link
+from balsamlift.testing._settings import LinkSettings
 
 NOWHERE = "127.0.0.1:1"
 NEVER_MS = 1_000_000_000  # no checkpoint by itself within a test
@@ -94,6 +96,29 @@
     asyncio.run(main())
 
 
+def test_host_whose_way_to_the_log_goes_silent_follows_a_peer():
+    async def main():
+        async with deployment() as made:
+            link = Link(LinkSettings(target_address=made.address))
+            await link.start()
+            steady = await made.host("a")
+            cut = await made.host("b", log_address=link.ready()["address"])
+            cut.know(steady)
+            await put_in_force(made, "peak")
+            await eventually(lambda: cut.generation() == 1)
+            link.control.update({"stall_forward": True})
+            await put_in_force(made, "ordinary")
+            await eventually(lambda: cut.generation() == 2)
+            assert "log_down" in kinds(cut)
+            link.control.update({"stall_forward": False})
+            await eventually(lambda: cut.presets.log_is_up)
+            await put_in_force(made, "peak")
+            await eventually(lambda: cut.generation() == 3)
+            await link.stop()
+
+    asyncio.run(main())
+
+
 def test_newcomer_alone_in_an_outage_is_not_caught_up():
     async def main():
         async with deployment() as made:
