Tell peers what only one host reads on the list

Cause: the state that the platform's list gives an upstream was no word to peers; hosts that cannot read the list went on sending work to a leaving engine for good (found by the scenario 'only one host can read the host list': 10 more runs after 2 s). Change: while the list says that an upstream is not live, the host that reads it notes so to its peers, renewed before the note expires.

--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -274,6 +274,10 @@
             changed = True
         for upstream in listed:
             changed |= self._take_upstream(upstream)
+            if upstream.state != "live":
+                # Peers that cannot read the list hear it from this host,
+                # again and again, for a note lives a limited time.
+                self._tell_mark(upstream, upstream.state)
         if changed:
             self._tell_change()
 
