Free memory on an engine before its turn for short work

Cause: at the load 1.3 a tenth of the short work found the memory of the engine whose turn it was full (real memory 63-65 of 65.5 thousand tokens, long answers past their forecast) and ran on the others, between prefills.

--- a/src/balsamlift/placement/_pool.py
+++ b/src/balsamlift/placement/_pool.py
@@ -43,12 +43,10 @@
         """Return how many wait."""
         return sum(len(queue) for queue in self.queues.values())
 
-    def bound_ms(self, ticket: Ticket, policy: Policy) -> float:
-        """Return how long a ticket can wait and still be in time."""
-        ask = ticket.ask
-        gaps = [e.expected_gap_ms() for e in self.engines.values()]
-        answer_ms = (ticket.cost - ask.prompt_tokens) * min(gaps, default=0.0)
-        return min(float(policy.queue_wait_ms), ask.deadline_ms - answer_ms)
+    def least_gap_ms(self) -> float:
+        """Return the gap to expect at the fastest engine."""
+        gaps = (e.expected_gap_ms() for e in self.engines.values())
+        return min(gaps, default=0.0)
 
     def wait_ms(self, ticket: Ticket) -> float:
         """Return how long a new ticket would wait."""
@@ -60,7 +58,7 @@
     def check(self, ticket: Ticket, policy: Policy) -> None:
         """Raise `RefusedError` when a new ticket cannot be in time."""
         wait_ms = self.wait_ms(ticket)
-        bound_ms = self.bound_ms(ticket, policy)
+        bound_ms = _bound_ms(ticket, policy, self.least_gap_ms())
         if bound_ms <= 0 or wait_ms > bound_ms:
             raise self._late(ticket, wait_ms, bound_ms)
 
@@ -96,21 +94,25 @@
     def overdue(self, policy: Policy, now_ms: float) -> list[Refusal]:
         """Take out the tickets that the queues ahead make late."""
         refusals: list[Refusal] = []
+        gap_ms = self.least_gap_ms()
         urgent = 0.0
         for queue in self.by_priority():
-            ahead: dict[str, float] = {}
-            for ticket in queue:
-                name = ticket.ask.workspace
-                own = ahead.get(name, 0.0) / queue.share(name)
-                wait_ms = self.rate.wait_ms(urgent + own)
-                bound_ms = self.bound_ms(ticket, policy)
-                if now_ms - ticket.arrived_ms + wait_ms > bound_ms:
-                    queue.remove(ticket)
-                    error = self._late(ticket, wait_ms, bound_ms)
-                    refusals.append(Refusal(ticket, error))
-                    continue
-                ahead[name] = ahead.get(name, 0.0) + ticket.cost
-            urgent += sum(ahead.values())
+            kept = 0.0
+            for line in queue.lines():
+                share = queue.share(line[0].ask.workspace)
+                ahead = 0.0
+                for ticket in line:
+                    wait_ms = self.rate.wait_ms(urgent + ahead / share)
+                    bound_ms = _bound_ms(ticket, policy, gap_ms)
+                    if now_ms - ticket.arrived_ms + wait_ms > bound_ms:
+                        error = self._late(ticket, wait_ms, bound_ms)
+                        refusals.append(Refusal(ticket, error))
+                    else:
+                        ahead += ticket.cost
+                kept += ahead
+            urgent += kept
+        for refusal in refusals:
+            self.queue(refusal.ticket.ask.priority).remove(refusal.ticket)
         return refusals
 
     def _urgent_cost(self, priority: int) -> float:
@@ -137,3 +139,10 @@
         wait_ms = self.wait_ms(ticket)
         own_ms = self._own_ms(ticket)
         return RefusedError("queue_full", retry_after_ms(wait_ms, 0.0, own_ms))
+
+
+def _bound_ms(ticket: Ticket, policy: Policy, gap_ms: float) -> float:
+    """Return how long a ticket can wait and still be in time."""
+    ask = ticket.ask
+    answer_ms = (ticket.cost - ask.prompt_tokens) * gap_ms
+    return min(float(policy.queue_wait_ms), ask.deadline_ms - answer_ms)
--- a/src/balsamlift/placement/_queue.py
+++ b/src/balsamlift/placement/_queue.py
@@ -27,6 +27,10 @@
         for line in list(self._waiting.values()):
             yield from list(line)
 
+    def lines(self) -> list[list[Ticket]]:
+        """Return the tickets of each workspace in order."""
+        return [list(line) for line in self._waiting.values()]
+
     def count(self, workspace: str) -> int:
         """Return how many of one workspace wait."""
         return len(self._waiting.get(workspace, ()))
--- a/src/balsamlift/placement/_scheduler.py
+++ b/src/balsamlift/placement/_scheduler.py
@@ -48,14 +48,17 @@
     """Queue, admit and place the requests of one host."""
 
     def __init__(self, policy: Policy, seed: int) -> None:
-        """Begin with no engines."""
+        """Begin with no engines; seed 0 draws from the system's entropy.
+
+        Hosts of the same seed would make the same choices at once.
+        """
         self.policy = policy
         self.hosts = 1  # live ones, this one included
         self.wall_offset_ms = 0.0  # from the time passed in to wall time
         self.lengths = LengthEstimates()
         self.prefixes = PrefixLengths()
         self._pools: dict[str, Pool] = {}
-        self._random = Random(seed)
+        self._random = Random(seed or None)
         self._retries = RetryBudget()
         self._made_room: list[Refusal] = []
         self._picks: dict[str, Pick] = {
@@ -222,7 +225,10 @@
             eject_slow(list(pool.engines.values()), self.policy, now_ms)
 
     def _pool(self, name: str) -> Pool:
-        return self._pools.setdefault(name, Pool())
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = self._pools[name] = Pool()
+        return pool
 
     def _engine_of(self, ticket: Ticket) -> Engine | None:
         return self._pool(ticket.ask.pool).engines.get(ticket.upstream)
--- a/src/balsamlift/placement/_turns.py
+++ b/src/balsamlift/placement/_turns.py
@@ -18,7 +18,9 @@
 from balsamlift.placement._policy import Policy
 
 LEAST_ENGINES = 3  # with fewer, no engine is kept free
-LEAD_MS = 400.0  # long work started before ends its prefill in this time
+# Before a turn: long work ends its prefill, and some of it leaves, so that
+# there is memory for the short work to come.
+LEAD_MS = 2_500.0
 LINGER_MS = 1_500.0  # most short work ends in this time after a turn
 
 
--- a/src/balsamlift/testing/_experiment_measure.py
+++ b/src/balsamlift/testing/_experiment_measure.py
@@ -13,6 +13,8 @@
 BUCKET_MS = 1_000.0
 SETTLED_BUCKETS = 3  # good ones in a row, to call it recovered
 BAD_SHARE = 0.002  # of the gaps in a bucket, at least
+PROMPT_MS = 1_000.0  # first token of short work
+PROMPT_SHARE = 0.9  # of the short work in a bucket
 
 
 @attrs.define(eq=False)
@@ -54,7 +56,9 @@
     failed: int
     share_least: float  # served over fair, of the worst workspace
     share_ratio: float  # largest to smallest, served over fair
-    recovery_s: float  # -1 without a fault, or never
+    # From the fault on, until stalls and the first tokens of short work
+    # are as usual; the rest of the run when never, -1 without a fault.
+    recovery_s: float
 
 
 class Recorder:
@@ -139,23 +143,49 @@
         )
 
     def _recovery_s(self, fault_ms: float | None) -> float:
-        """Return how long the share of stalled gaps stays up."""
+        """Return how long after the fault the service is impaired."""
         if fault_ms is None:
             return -1.0
         fault = int(fault_ms // BUCKET_MS)
+        buckets = range(fault, int(self.end_ms // BUCKET_MS))
+        stalls = _settled([self._is_smooth(b, fault) for b in buckets])
+        prompt = self._prompt_buckets()
+        first = _settled([prompt.get(b, True) for b in buckets])
+        return float(max(stalls, first))
+
+    def _is_smooth(self, bucket: int, fault: int) -> bool:
+        """Tell whether the share of stalled gaps is as before the fault."""
         before = range(int(self.start_ms // BUCKET_MS), fault)
         usual = _ratio(
             sum(self._stalled[b] for b in before),
             sum(self._counted[b] for b in before),
         )
-        bound = max(2 * usual, BAD_SHARE)
-        good = 0
-        for bucket in range(fault, int(self.end_ms // BUCKET_MS)):
-            share = _ratio(self._stalled[bucket], self._counted[bucket])
-            good = good + 1 if share <= bound else 0
-            if good == SETTLED_BUCKETS:
-                return float(bucket - fault + 1 - SETTLED_BUCKETS)
-        return -1.0
+        share = _ratio(self._stalled[bucket], self._counted[bucket])
+        return share <= max(2 * usual, BAD_SHARE)
+
+    def _prompt_buckets(self) -> dict[int, bool]:
+        """Tell when most short work that arrived began promptly."""
+        arrived: Counter[int] = Counter()
+        prompt: Counter[int] = Counter()
+        for request in self.requests:
+            if not request.arrival.short:
+                continue
+            at_ms = request.arrival.at_ms
+            bucket = int(at_ms // BUCKET_MS)
+            arrived[bucket] += 1
+            wait_ms = request.first_ms - at_ms
+            prompt[bucket] += 0 <= wait_ms <= PROMPT_MS
+        return {b: prompt[b] >= PROMPT_SHARE * arrived[b] for b in arrived}
+
+
+def _settled(good: list[bool]) -> int:
+    """Return the first index of enough good ones in a row, else the end."""
+    row = 0
+    for index, is_good in enumerate(good):
+        row = row + 1 if is_good else 0
+        if row == SETTLED_BUCKETS:
+            return index + 1 - SETTLED_BUCKETS
+    return len(good)
 
 
 def _mean(values: list[float]) -> float:
--- a/src/balsamlift/testing/_experiment_workload.py
+++ b/src/balsamlift/testing/_experiment_workload.py
@@ -174,7 +174,7 @@
     hosts=7,
     engines=5,
     weights=(4.0, 3.0, 2.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0),
-    policy=Policy(),
+    policy=Policy(reserve_share=0.08),
     kinds=(
         WorkKind(
             name="report",
--- a/src/balsamlift/testing/_experiment_world.py
+++ b/src/balsamlift/testing/_experiment_world.py
@@ -7,14 +7,13 @@
 from functools import partial
 from random import Random
 
-import attrs
-
 from balsamlift.exceptions import RefusedError
 from balsamlift.placement import LoadReport, Policy, Scheduler, Ticket
 from balsamlift.placement._engine import Engine
 from balsamlift.testing._engine_model import EngineModel
-from balsamlift.testing._engine_types import EngineParameters, Load, Work
+from balsamlift.testing._engine_types import EngineParameters, Work
 from balsamlift.testing._experiment_measure import Recorder, Request
+from balsamlift.testing._experiment_parts import EngineRun, HostRun
 from balsamlift.testing._experiment_workload import (
     POOL,
     Arrival,
@@ -32,53 +31,10 @@
 LEAVING_MS = 500.0  # until a leaving engine is known everywhere
 ENGINE_RETRY_MS = 500.0  # what a full engine says
 CLOCK_SKEW_MS = 50.0  # standard deviation between the hosts
-DOMAINS = 3
 DRAIN_STEP_MS = 1_000.0
 TRIES = 3  # engines that one request is offered to
 
 
-@attrs.define(eq=False)
-class EngineRun:
-    """Keep one engine model and its faults."""
-
-    index: int
-    model: EngineModel
-    requests: dict[str, Request] = attrs.field(factory=dict)
-    stepping: bool = False
-    slowness: float = 1.0
-    leaving: bool = False
-    dead: bool = False
-    said: list[tuple[float, Load]] = attrs.field(factory=list)
-    preemptions: int = 0
-
-    @property
-    def name(self) -> str:
-        """Return its name."""
-        return f"engine-{self.index}"
-
-    @property
-    def domain(self) -> int:
-        """Return its failure domain."""
-        return self.index % DOMAINS
-
-
-@attrs.define(eq=False)
-class HostRun:
-    """Keep one host's policy state."""
-
-    index: int
-    scheduler: Scheduler
-    dead: bool = False
-    told: dict[str, int] = attrs.field(factory=dict)  # to its peers
-    tickets: dict[Ticket, Request] = attrs.field(factory=dict)
-    by_request: dict[str, Ticket] = attrs.field(factory=dict)
-
-    @property
-    def domain(self) -> int:
-        """Return its failure domain."""
-        return self.index % DOMAINS
-
-
 class World:
     """Run hosts and engines by one heap of timed calls."""
 
@@ -99,7 +55,7 @@
             for i in range(deployment.engines)
         ]
         self.hosts = [
-            HostRun(i, Scheduler(policy, seed * 1_000 + i))
+            HostRun(i, Scheduler(policy, seed * 1_000 + i + 1))
             for i in range(deployment.hosts)
         ]
         self._calls: list[tuple[float, int, Callable[[], None]]] = []
