--- a/tests/scenarios/chaos.py
+++ b/tests/scenarios/chaos.py
@@ -12,7 +12,9 @@
 
 Heal = Callable[[], None]
 
-MOST_FAULTS = 3  # in force together
+MOST_FAULTS = 4  # in force together
+WORK_MS = 80  # of a service, so that faults meet work in progress
+SLOW_WORK_MS = 600
 
 
 class Chaos:
@@ -37,6 +39,11 @@
             "log answers lost": self._log_loses,
         }
 
+    def begin(self) -> None:
+        """Let work take a while, before the first fault."""
+        for service in self._deployment.services:
+            service.set_faults(slow_ms=WORK_MS)
+
     def step(self) -> None:
         """Cause one fault, or heal the oldest when there are enough."""
         full = len(self._heals) >= MOST_FAULTS
@@ -135,8 +142,8 @@
 
     def _slow_services(self) -> tuple[str, Heal] | None:
         service = self._random.choice(self._deployment.services)
-        service.set_faults(slow_ms=400)
-        return "slow", lambda: service.set_faults(slow_ms=0)
+        service.set_faults(slow_ms=SLOW_WORK_MS)
+        return "slow", lambda: service.set_faults(slow_ms=WORK_MS)
 
     def _log_down(self) -> tuple[str, Heal] | None:
         platform = self._deployment
--- a/tests/scenarios/retrying.py
+++ b/tests/scenarios/retrying.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from balsamlift.requests import new_homed_key
 from scenarios.attempts import Attempt, send
 from scenarios.callers import WORKSPACE
 
@@ -21,6 +20,10 @@
 
     attempts: list[Attempt] = attrs.field(factory=list)
 
+    @property
+    def is_homed(self) -> bool:
+        return "." in self.key
+
     @property
     def key(self) -> str:
         return self.attempts[0].key
@@ -31,10 +34,9 @@
 
 
 async def send_often(
-    prefix: str, addresses: list[str], number: int, rng: random.Random
+    key: str, addresses: list[str], number: int, rng: random.Random
 ) -> Retried:
-    """Send one refund to its home and, at random times, to two others."""
-    key = new_homed_key(prefix)
+    """Send one refund to a host and, at random times, to the others."""
     body: dict[str, Any] = {
         "key": key,
         "workspace": WORKSPACE,
