Tell what the list says as long as it says it

Cause: peers were told of a leaving entry only when the list changed; a list that stays as it is answers 304, so the note ran out after 30 s and was not renewed. Change: told after each read of the list, changed or not; a test for it (it waits for a fourth telling of an unchanged list).

--- a/src/balsamlift/peers/_hosts_view.py
+++ b/src/balsamlift/peers/_hosts_view.py
@@ -8,7 +8,8 @@
 
 from balsamlift.operators import JsonHandler
 from balsamlift.peers._peer import Peer
-from balsamlift.peers._upstreams import EntryHost, Upstreams
+from balsamlift.peers._upstream import EntryHost
+from balsamlift.peers._upstreams import Upstreams
 
 if TYPE_CHECKING:
     from balsamlift.peers._membership import Peers
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -32,7 +32,8 @@
 )
 from balsamlift.peers._notes import NOTE_TTL_MS, Notes
 from balsamlift.peers._peer import Peer, describe
-from balsamlift.peers._upstreams import PEER_SOURCE, Upstream, Upstreams
+from balsamlift.peers._upstream import Upstream
+from balsamlift.peers._upstreams import PEER_SOURCE, Upstreams
 from balsamlift.settings import Settings
 from balsamlift.timeline import Timeline
 
--- a/src/balsamlift/peers/_probes.py
+++ b/src/balsamlift/peers/_probes.py
@@ -18,7 +18,8 @@
 from balsamlift.peers._marks import LEAVING_HOLD_S, UpstreamState
 
 if TYPE_CHECKING:
-    from balsamlift.peers._upstreams import Upstream, Upstreams
+    from balsamlift.peers._upstream import Upstream
+    from balsamlift.peers._upstreams import Upstreams
 
 log = logger.bind(part="probes")
 
--- /dev/null
+++ b/src/balsamlift/peers/_upstream.py
@@ -0,0 +1,75 @@
+"""One upstream and one entry host, joined from list and settings."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from balsamlift.peers._hosts_list import UPSTREAM_ROLE, ListEntry
+from balsamlift.peers._marks import STATES, UpstreamState
+from balsamlift.settings import PoolSettings
+
+
+@attrs.frozen(kw_only=True)
+class Upstream:
+    """Describe one upstream as it is known now."""
+
+    name: str
+    pool: str
+    kind: str  # "engine" or "service"
+    address: str
+    failure_domain: str
+    checks_fence: bool = False
+    deterministic: bool = False
+    tells_by_key: bool = False
+    state: UpstreamState = "live"
+
+
+@attrs.frozen(kw_only=True)
+class EntryHost:
+    """Describe one entry host as the platform's list has it."""
+
+    host: str
+    address: str  # for callers
+    operators_address: str
+    peers_address: str
+    failure_domain: str
+    state: str = "live"
+
+
+def join_upstream(
+    entry: ListEntry, pools: Mapping[str, PoolSettings]
+) -> Upstream | None:
+    """Return the upstream of an entry, if its role and pool are known."""
+    pool = pools.get(entry.pool)
+    if entry.role != UPSTREAM_ROLE or pool is None:
+        return None
+    return Upstream(
+        name=entry.name,
+        pool=entry.pool,
+        kind=pool.kind,
+        address=entry.address,
+        failure_domain=entry.failure_domain,
+        checks_fence=pool.checks_fence,
+        deterministic=pool.deterministic,
+        tells_by_key=pool.tells_by_key,
+        state=_state(entry.state),
+    )
+
+
+def join_entry_host(entry: ListEntry) -> EntryHost:
+    """Return the entry host of an entry."""
+    return EntryHost(
+        host=entry.name,
+        address=entry.address,
+        operators_address=entry.operators_address,
+        peers_address=entry.peers_address,
+        failure_domain=entry.failure_domain,
+        state=entry.state,
+    )
+
+
+def _state(text: str) -> UpstreamState:
+    """Return the state; what the list adds one day is no live one."""
+    return next((state for state in STATES if state == text), "leaving")
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -18,12 +18,17 @@
 from balsamlift.operators import JsonHandler, OperatorsServer
 from balsamlift.peers._hosts_list import (
     ENTRY_ROLE,
-    UPSTREAM_ROLE,
     HostsList,
     ListEntry,
 )
-from balsamlift.peers._marks import STATES, Marks, UpstreamState, worse
+from balsamlift.peers._marks import Marks, UpstreamState, worse
 from balsamlift.peers._probes import Probes
+from balsamlift.peers._upstream import (
+    EntryHost,
+    Upstream,
+    join_entry_host,
+    join_upstream,
+)
 from balsamlift.settings import Settings
 from balsamlift.timeline import Timeline
 
@@ -34,33 +39,6 @@
 LIST_TIMEOUT_MS = 2_000
 
 
-@attrs.frozen(kw_only=True)
-class Upstream:
-    """Describe one upstream as it is known now."""
-
-    name: str
-    pool: str
-    kind: str  # "engine" or "service"
-    address: str
-    failure_domain: str
-    checks_fence: bool = False
-    deterministic: bool = False
-    tells_by_key: bool = False
-    state: UpstreamState = "live"
-
-
-@attrs.frozen(kw_only=True)
-class EntryHost:
-    """Describe one entry host as the platform's list has it."""
-
-    host: str
-    address: str  # for callers
-    operators_address: str
-    peers_address: str
-    failure_domain: str
-    state: str = "live"
-
-
 @attrs.define
 class _Known:
     """Hold what the list says of an upstream, and the marks on it."""
@@ -258,13 +236,25 @@
         self._list_down = False
         if entries is not None:
             self._take_list(entries)
+        self._tell_listed()
+
+    def _tell_listed(self) -> None:
+        """Tell peers that cannot read the list what it says.
+
+        After each read, also of a list that has not changed, for a note
+        lives a limited time.
+        """
+        for known in self._known.values():
+            if known.listed.state != "live":
+                self._tell_mark(known.listed, known.listed.state)
 
     def _take_list(self, entries: list[ListEntry]) -> None:
-        hosts = [_entry_host(e) for e in entries if e.role == ENTRY_ROLE]
+        hosts = [join_entry_host(e) for e in entries if e.role == ENTRY_ROLE]
         listed = [
             upstream
             for entry in entries
-            if (upstream := self._join(entry)) is not None
+            if (upstream := join_upstream(entry, self._settings.pools))
+            is not None
         ]
         changed = hosts != self._entry_hosts
         self._entry_hosts = hosts
@@ -274,10 +264,6 @@
             changed = True
         for upstream in listed:
             changed |= self._take_upstream(upstream)
-            if upstream.state != "live":
-                # Peers that cannot read the list hear it from this host,
-                # again and again, for a note lives a limited time.
-                self._tell_mark(upstream, upstream.state)
         if changed:
             self._tell_change()
 
@@ -292,39 +278,6 @@
             self._refresh(known, LIST_SOURCE)
         return False
 
-    def _join(self, entry: ListEntry) -> Upstream | None:
-        """Return the upstream, if its role, pool and state are known."""
-        pool = self._settings.pools.get(entry.pool)
-        if entry.role != UPSTREAM_ROLE or pool is None:
-            return None
-        return Upstream(
-            name=entry.name,
-            pool=entry.pool,
-            kind=pool.kind,
-            address=entry.address,
-            failure_domain=entry.failure_domain,
-            checks_fence=pool.checks_fence,
-            deterministic=pool.deterministic,
-            tells_by_key=pool.tells_by_key,
-            state=_state(entry.state),
-        )
-
-
-def _state(text: str) -> UpstreamState:
-    """Return the state; what the list adds one day is no live one."""
-    return next((state for state in STATES if state == text), "leaving")
-
-
-def _entry_host(entry: ListEntry) -> EntryHost:
-    return EntryHost(
-        host=entry.name,
-        address=entry.address,
-        operators_address=entry.operators_address,
-        peers_address=entry.peers_address,
-        failure_domain=entry.failure_domain,
-        state=entry.state,
-    )
-
 
 class UpstreamsHandler(JsonHandler):
     """Answer `GET /v1/upstreams` with a list of upstreams."""
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -206,6 +206,19 @@
     run(scenario, two_engines)
 
 
+def test_what_the_list_says_is_told_again_and_again() -> None:
+    def prepare(bench: Bench) -> None:
+        bench.fakes.hosts = [bench.entry("e1", state="leaving")]
+
+    async def scenario(bench: Bench) -> None:
+        told: list[Upstream] = []
+        bench.upstreams.on_mark(told.append)
+        await until(lambda: len(told) > 3)
+        assert {(u.name, u.state) for u in told} == {("e1", "leaving")}
+
+    run(scenario, prepare)
+
+
 def test_leaving_is_taken_back_by_the_upstream_itself() -> None:
     async def scenario(bench: Bench) -> None:
         bench.upstreams.mark("e1", "leaving", "peer")
