--- a/src/balsamlift/daemon.py
+++ b/src/balsamlift/daemon.py
@@ -17,6 +17,7 @@
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
+from balsamlift.orders import Orders
 from balsamlift.peers import Peers, Upstreams
 from balsamlift.placement import Placement
 from balsamlift.presets import LogClient, Presets
@@ -96,6 +97,7 @@
             placement=self.placement,
         )
         self.requests = Requests(parts, self.home)
+        self.orders = Orders(self.home.name, clock, http)
         self._register(log_client)
 
     def _register(self, log_client: LogClient) -> None:
@@ -110,6 +112,7 @@
             self.placement,
             self.requests,
             self.callers,
+            self.orders,
             Status(self.settings, self.home),
         ):
             self.kernel.register(service)
@@ -150,7 +153,7 @@
 
 def run(settings: Settings) -> None:
     """Run one daemon until SIGTERM or SIGINT, and leave gracefully."""
-    logs.configure(settings.log_level, settings.log_json)
+    logs.configure(settings.log_level, settings.log_json, host=settings.host)
     asyncio.run(_run(settings))
 
 
