Win no claim over records that were missed

Cause, found by reading: a host paused between the append of its claim and the read could miss another host's earlier claim, expired meanwhile, and take its own, the first one left, for the winner. The key would have run twice.

Change: that the claims are complete for the key is checked again when the claim is settled; otherwise the call is refused and its claim put aside, to be won only once the claims are complete.

Before: with the check taken out, test_claim_that_hides_behind_a_gap_is_not_won fails (the claim is told won); after: passes. The second test fails likewise without the claims put aside.

--- a/src/balsamlift/presets/_claimant.py
+++ b/src/balsamlift/presets/_claimant.py
@@ -65,30 +65,45 @@
         Raises `RefusedError` when this call did not win and nothing is
         known of the key, `KeyFormatError`, and `KeyTooOldError`.
         """
+        key_ms = created_ms(key)
+        if key_ms is None:
+            raise KeyFormatError(key)
+        self._check_complete(key_ms)
         if self._reader.claims.winner(key) is not None:
             return self._result(key, "")
-        self._check(key)
+        self._check_open(key, key_ms)
         claim = Claim(new_operation(), key, self._host)
+        try:
+            return await self._append_and_read(claim, key_ms)
+        except RefusedError:
+            self._abandon(claim.op)
+            raise
+
+    async def _append_and_read(self, claim: Claim, key_ms: int) -> ClaimResult:
+        """Append, then read on until the key has a winner."""
+        key = claim.key
         offset = await self._append(claim)
         await self._progress.wait_until(
             lambda: self._is_settled(key, offset), CLAIM_WAIT_S
         )
+        # Again: this host may have missed records meanwhile, and with them
+        # an earlier claim.
+        self._check_complete(key_ms)
         if self._reader.claims.winner(key) is not None:
             return self._result(key, claim.op)
         if offset is not None and self._reader.state.offset > offset:
-            raise self._void(key)
-        self._abandon(claim.op)
+            raise self._void(key, key_ms)
         raise RefusedError("log_down", self._later_ms())
 
-    def _check(self, key: str) -> None:
-        claims = self._reader.claims
-        key_ms = created_ms(key)
-        if key_ms is None:
-            raise KeyFormatError(key)
-        if claims.is_too_old(key_ms):
-            raise KeyTooOldError(key)
-        if not claims.is_complete_for(key_ms):
+    def _check_complete(self, key_ms: int) -> None:
+        """Refuse while a claim of a key of that time may be unknown."""
+        if not self._reader.claims.is_complete_for(key_ms):
             raise RefusedError("claims_not_folded", NOT_FOLDED_RETRY_MS)
+
+    def _check_open(self, key: str, key_ms: int) -> None:
+        """Refuse what would be void or could not be appended."""
+        if self._reader.claims.is_too_old(key_ms):
+            raise KeyTooOldError(key)
         if self._retry_after_ms() > 0 or not self._reader.follows:
             raise RefusedError("log_down", self._later_ms())
 
@@ -117,10 +132,9 @@
         state: Literal["won", "lost"] = "won" if won else "lost"
         return ClaimResult(state, winner.host, winner.offset)
 
-    def _void(self, key: str) -> RequestError:
+    def _void(self, key: str, key_ms: int) -> RequestError:
         """Return why the log's readers do not count a claim of `key`."""
-        key_ms = created_ms(key)
-        if key_ms is None or self._reader.claims.is_too_new(key_ms):
+        if self._reader.claims.is_too_new(key_ms):
             return KeyFormatError(key)
         return KeyTooOldError(key)
 
