Look upstreams up again only after a change

Each admission rebuilt the list of engines and their order of turns, in time proportional to the engines. The list is now taken on a change and once a second. A place taken again after a loss counts its tokens from 0.

--- a/src/balsamlift/placement/_needs.py
+++ b/src/balsamlift/placement/_needs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, Protocol, runtime_checkable
 
 
@@ -37,6 +37,9 @@
     def in_pool(self, pool: str) -> Sequence[Any]:
         """Return the usable upstreams of a pool."""
 
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back after each change of them."""
+
 
 @runtime_checkable
 class PeersService(Protocol):
--- a/src/balsamlift/placement/_pool.py
+++ b/src/balsamlift/placement/_pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -11,6 +11,7 @@
 from balsamlift.placement._engine import Engine
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._queue import FairQueue
+from balsamlift.placement._turns import ring_of
 from balsamlift.placement._waiting import ServiceRate, retry_after_ms
 
 
@@ -27,9 +28,16 @@
     """Keep the engines and the queues of one pool."""
 
     engines: dict[str, Engine] = attrs.field(factory=dict)
+    ring: list[str] = attrs.field(factory=list)  # in the order of turns
     queues: dict[int, FairQueue] = attrs.field(factory=dict)
     rate: ServiceRate = attrs.field(factory=ServiceRate)
 
+    def set_engines(self, engines: Iterable[Engine]) -> None:
+        """Replace the engines in use; those known keep their state."""
+        known = self.engines
+        self.engines = {e.name: known.get(e.name, e) for e in engines}
+        self.ring = ring_of(self.engines)
+
     def queue(self, priority: int) -> FairQueue:
         """Return the queue of a priority."""
         return self.queues.setdefault(priority, FairQueue())
--- a/src/balsamlift/placement/_scheduler.py
+++ b/src/balsamlift/placement/_scheduler.py
@@ -69,10 +69,7 @@
 
     def set_engines(self, pool: str, engines: Iterable[Engine]) -> None:
         """Replace the engines in use; those known keep their state."""
-        known = self._pool(pool).engines
-        self._pool(pool).engines = {
-            engine.name: known.get(engine.name, engine) for engine in engines
-        }
+        self._pool(pool).set_engines(engines)
 
     def engines(self, pool: str) -> list[Engine]:
         """Return the engines in use of a pool."""
@@ -278,6 +275,7 @@
         if engine is None:
             return False
         ticket.upstream = engine.name
+        ticket.tokens = 0
         engine.tickets[ticket.ask.key] = ticket
         engine.profile = engine.profile.plus(add)
         return True
@@ -288,8 +286,6 @@
             hosts=self.hosts,
             now_ms=now_ms,
             random=self._random,
-            turn=turn_at(
-                list(pool.engines), self.policy, now_ms + self.wall_offset_ms
-            ),
+            turn=turn_at(pool.ring, self.policy, now_ms + self.wall_offset_ms),
             refresh=lambda engine: self._refresh(engine, now_ms),
         )
--- a/src/balsamlift/placement/_service.py
+++ b/src/balsamlift/placement/_service.py
@@ -28,6 +28,7 @@
 log = logger.bind(part="placement")
 
 LOOK_S = 0.05  # between two looks at the queues
+SEE_AGAIN_MS = 1_000.0  # upstreams are looked up anew, without any change
 RETRY_MS = 1_000  # when an upstream names no time
 
 
@@ -43,7 +44,9 @@
         self._waiters: dict[Ticket, asyncio.Future[None]] = {}
         self._upstreams: dict[str, Upstream] = {}
         self._pools: set[str] = set()
+        self._seen: set[str] = set()  # pools with their upstreams up to date
         self._announced: set[str] = set()
+        self._see_again_ms = 0.0
         self._looks: asyncio.Task[None] | None = None
 
     async def start(self, kernel: Kernel) -> None:
@@ -53,6 +56,7 @@
         self._presets = kernel.find("presets", PresetsService)  # type: ignore[type-abstract]
         self._metrics = kernel.find("metrics", MetricsService)  # type: ignore[type-abstract]
         self._timeline = kernel.find("timeline", TimelineService)  # type: ignore[type-abstract]
+        self._source.on_change(self._seen.clear)
         self._poll = LoadPoll(self._clock, self._scheduler)
         self._looks = asyncio.create_task(self._look_often())
 
@@ -169,14 +173,22 @@
         wall_ms = self._clock.now().timestamp() * 1_000
         self._scheduler.wall_offset_ms = wall_ms - now_ms
         self._scheduler.hosts = len(self._peers.live()) + 1
+        if now_ms >= self._see_again_ms:
+            self._see_again_ms = now_ms + SEE_AGAIN_MS
+            self._seen.clear()
         for pool in self._pools:
             self._see_pool(pool)
+            for engine in self._scheduler.engines(pool):
+                engine.peers_tokens = self._peers.in_flight(engine.name)
         self._poll.look(self._upstreams)
         self._scheduler.tick(now_ms)
         self._decide()
         self._announce(now_ms)
 
     def _see_pool(self, pool: str) -> None:
+        if pool in self._seen:
+            return
+        self._seen.add(pool)
         upstreams = self._source.in_pool(pool)
         for upstream in upstreams:
             self._upstreams[upstream.name] = upstream
@@ -189,8 +201,6 @@
                 for u in upstreams
             ],
         )
-        for engine in self._scheduler.engines(pool):
-            engine.peers_tokens = self._peers.in_flight(engine.name)
 
     def _announce(self, now_ms: float) -> None:
         announced = set()
--- a/src/balsamlift/placement/_turns.py
+++ b/src/balsamlift/placement/_turns.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -32,13 +32,17 @@
     closed_to_long: frozenset[str] = frozenset()
 
 
-def turn_at(names: Sequence[str], policy: Policy, wall_ms: float) -> Turn:
-    """Return whose turn it is; all hosts order the engines alike."""
-    count = len(names)
+def ring_of(names: Iterable[str]) -> list[str]:
+    """Return engines in the order of their turns, alike on all hosts."""
+    return sorted(names, key=_place)
+
+
+def turn_at(ring: Sequence[str], policy: Policy, wall_ms: float) -> Turn:
+    """Return whose turn it is."""
+    count = len(ring)
     if count < LEAST_ENGINES or not policy.short_share:
         return Turn()
     width = max(round(count * policy.short_share), 1)
-    ring = sorted(names, key=_place)
     turn, passed = divmod(wall_ms, policy.short_turn_ms)
     first = int(turn)
     short = [ring[(first + i) % count] for i in range(width)]
--- a/tests/test_placement_scheduler.py
+++ b/tests/test_placement_scheduler.py
@@ -13,6 +13,7 @@
 from balsamlift.placement._forecast import generation_profile
 from balsamlift.placement._lengths import LengthEstimates, survival
 from balsamlift.placement._queue import FairQueue
+from balsamlift.placement._turns import ring_of, turn_at
 
 POOL = "drafting"
 
@@ -176,3 +177,30 @@
     assert shares == sorted(shares)
     assert shares[0] < 0.2
     assert shares[-1] == 1.0
+
+
+def test_each_engine_has_its_turn_and_two_are_never_short_at_once():
+    ring = ring_of(f"e{i}" for i in range(5))
+    policy = Policy()
+    seen = set()
+    for step in range(300):
+        turn = turn_at(ring, policy, step * 100.0)
+        assert len(turn.short) == 1
+        assert turn.short <= turn.closed_to_long
+        assert len(turn.closed_to_long) <= 3
+        seen |= turn.short
+    assert seen == set(ring)
+
+
+def test_long_work_keeps_off_the_engine_that_has_its_turn():
+    scheduler = make_scheduler(engines=5)
+    (short,) = turn_at(
+        ring_of(e.name for e in scheduler.engines(POOL)), Policy(), 3_000.0
+    ).short
+    placed = fill(scheduler, 40, 3_000.0, max_tokens=200)
+    assert {t.upstream for t in placed} == {
+        e.name for e in scheduler.engines(POOL) if e.name != short
+    }
+    ticket = scheduler.enqueue(make_ask("s", priority=0), 3_000.0)
+    scheduler.decide(3_000.0)
+    assert ticket.upstream == short
--- a/tests/test_placement_service.py
+++ b/tests/test_placement_service.py
@@ -38,6 +38,9 @@
     def in_pool(self, pool):
         return [u for u in self.upstreams if u.pool == pool]
 
+    def on_change(self, callback):
+        self.changed = callback
+
     def in_flight(self, upstream):
         return 0
 
@@ -128,6 +131,7 @@
         with pytest.raises(asyncio.CancelledError):
             await waiting
         services["upstreams"].upstreams.append(FakeUpstream("u1"))
+        services["upstreams"].changed()
         ticket = await placement.admit(make_ask("k2"))
         assert placement.choose(ticket, frozenset()).name == "u1"
         while services["peers"].told.get("u1") != 1:
