Renew notes from the list less often

Cause: what the list says is told after each read, and a copy living 5 s longer counted as a new note, so each leaving upstream would go round all hosts every 5 s. A note "live", which no host sends, would also have ended the receiving task. Change: 15 s for "leaving", 5 s as before for "dead"; "live" is no note; a message that cannot be taken in is logged and skipped.

--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -222,7 +222,11 @@
 
     async def _keep_receiving(self) -> None:
         async for message in self._listener.messages(self._metrics):
-            self._take(message)
+            try:
+                self._take(message)
+            except Exception:
+                # One bad message must not make this host deaf.
+                log.exception("could not take a message in")
 
     def _take(self, message: PeerMessage) -> None:
         self._timeline.observe(message.stamp)
--- a/src/balsamlift/peers/_notes.py
+++ b/src/balsamlift/peers/_notes.py
@@ -9,7 +9,9 @@
 from balsamlift.peers._messages import UpstreamNote
 
 NOTE_TTL_MS = 30_000  # longer than the platform's list lags
-RENEWAL_S = 5.0  # a copy that lives this much longer is a new note
+# A copy that lives this much longer is a new note. What the list says is
+# told after each read, which must not make a new note each time.
+RENEWAL_S = {"dead": 5.0, "leaving": 15.0}
 MAX_NOTES = 5_000
 
 _MS_PER_S = 1_000
@@ -40,11 +42,14 @@
         self, note: UpstreamNote, now_s: float, *, is_own: bool = False
     ) -> bool:
         """Keep a note and tell whether it was news."""
+        if note.state not in RENEWAL_S:
+            return False
         key = note.name, note.address, note.state
         expires_s = now_s + min(note.ttl_ms, NOTE_TTL_MS) / _MS_PER_S
         known = self._kept.get(key)
         if expires_s <= now_s or (
-            known is not None and expires_s < known.expires_s + RENEWAL_S
+            known is not None
+            and expires_s < known.expires_s + RENEWAL_S[note.state]
         ):
             return False
         self._kept.pop(key, None)
--- a/tests/test_peers_tables.py
+++ b/tests/test_peers_tables.py
@@ -160,3 +160,15 @@
     assert notes.to_apply({"e1": "a:1"}.__getitem__) == []
     assert not notes.add(note(ttl_ms=NOTE_TTL_MS - 10), now_s=1.0)
     assert notes.add(note(), now_s=20.0)
+
+
+def test_live_is_no_note() -> None:
+    notes = Notes()
+    assert not notes.add(attrs.evolve(note(), state="live"), now_s=0.0)
+
+
+def test_telling_a_note_each_second_renews_it_now_and_then() -> None:
+    notes = Notes()
+    news = sum(notes.add(note(), float(now_s)) for now_s in range(60))
+    assert news == 4
+    assert notes.changed_since(0, 60.0)
