Make the numbers of orders part of the settings

They are now the section orders of the settings (OrderSettings, defaults as before), checked: renew_ms above send_ms and margin_ms together, so that a lease is renewed while orders may still be given, and term_ms above renew_ms. The class OrderOptions is gone.

--- a/src/balsamlift/daemon.py
+++ b/src/balsamlift/daemon.py
@@ -97,7 +97,9 @@
             placement=self.placement,
         )
         self.requests = Requests(parts, self.home)
-        self.orders = Orders(self.home.name, clock, http)
+        self.orders = Orders(
+            self.home.name, clock, http, settings=settings.orders
+        )
         self._register(log_client)
 
     def _register(self, log_client: LogClient) -> None:
--- a/src/balsamlift/orders/__init__.py
+++ b/src/balsamlift/orders/__init__.py
@@ -1,6 +1,5 @@
 """Orders to engines: one host at a time gives them, under a lease."""
 
-from balsamlift.orders._options import OrderOptions
 from balsamlift.orders._service import Orders
 
-__all__ = ["OrderOptions", "Orders"]
+__all__ = ["Orders"]
--- a/src/balsamlift/orders/_giver.py
+++ b/src/balsamlift/orders/_giver.py
@@ -18,9 +18,9 @@
     read_state,
     send_order,
 )
-from balsamlift.orders._options import OrderOptions
 from balsamlift.peers import Upstream, Upstreams
 from balsamlift.presets import PoolPreset
+from balsamlift.settings import OrderSettings
 from balsamlift.timeline import Timeline
 
 log = logger.bind(part="orders")
@@ -48,7 +48,7 @@
     http: HttpClient
     timeline: Timeline
     upstreams: Upstreams
-    options: OrderOptions
+    settings: OrderSettings
     fence: Callable[[int], int | None]
     holds_lease: Callable[[], bool]
 
@@ -76,7 +76,7 @@
                 await self._sweep(wanted)
             elif not self._means.holds_lease():
                 self._looked = False
-            await self._sleep(self._means.options.sweep_ms)
+            await self._sleep(self._means.settings.sweep_ms)
 
     async def _sweep(self, wanted: Wanted) -> None:
         if wanted.generation != self._brought_for:
@@ -93,7 +93,7 @@
         engines.sort(key=lambda upstream: upstream.name not in self._ordered)
         rest = iter(engines)
         # Never all engines at once: some capacity is left on a switch.
-        at_once = min(self._means.options.loads_at_once, len(engines) - 1)
+        at_once = min(self._means.settings.loads_at_once, len(engines) - 1)
         async with asyncio.TaskGroup() as group:
             for _ in range(max(1, at_once)):
                 group.create_task(self._bring_all(rest, wanted))
@@ -104,7 +104,7 @@
             state = await self._read(upstream)
             if state is not None and state.loading:
                 self._ordered.add(upstream.name)
-            await self._sleep(self._means.options.read_ms)
+            await self._sleep(self._means.settings.read_ms)
         self._looked = True
 
     async def _bring_all(
@@ -115,7 +115,7 @@
             if upstream is None:
                 return
             await self._bring(upstream, wanted)
-            await self._sleep(self._means.options.read_ms)
+            await self._sleep(self._means.settings.read_ms)
 
     def _still(self, wanted: Wanted) -> bool:
         if self._wanted() != wanted:
@@ -124,9 +124,9 @@
 
     async def _bring(self, upstream: Upstream, wanted: Wanted) -> None:
         """Bring one engine to the wanted state, however often it takes."""
-        options = self._means.options
+        settings = self._means.settings
         clock = self._means.clock
-        give_up_s = clock.monotonic() + options.load_ms / MS_PER_S
+        give_up_s = clock.monotonic() + settings.load_ms / MS_PER_S
         order_at_s = clock.monotonic()
         differed = False
         while self._still(wanted) and clock.monotonic() < give_up_s:
@@ -139,12 +139,12 @@
             differed = True
             if clock.monotonic() >= order_at_s:
                 await self._order(upstream, wanted)
-                order_at_s = clock.monotonic() + options.repeat_ms / MS_PER_S
-            await self._sleep(options.poll_ms)
+                order_at_s = clock.monotonic() + settings.repeat_ms / MS_PER_S
+            await self._sleep(settings.poll_ms)
 
     async def _read(self, upstream: Upstream) -> EngineState | None:
-        options = self._means.options
-        return await read_state(self._means.http, upstream, options.send_ms)
+        settings = self._means.settings
+        return await read_state(self._means.http, upstream, settings.send_ms)
 
     async def _order(self, upstream: Upstream, wanted: Wanted) -> None:
         means = self._means
@@ -163,7 +163,7 @@
         )
         try:
             await send_order(
-                means.http, upstream, order, means.options.send_ms
+                means.http, upstream, order, means.settings.send_ms
             )
         except OrderRefusedError as error:
             log.warning("{}.", error)
--- a/src/balsamlift/orders/_service.py
+++ b/src/balsamlift/orders/_service.py
@@ -15,9 +15,9 @@
 from balsamlift.kernel import Kernel
 from balsamlift.orders._giver import Means, PoolGiver, Wanted
 from balsamlift.orders._lease import LeaseView
-from balsamlift.orders._options import OrderOptions
 from balsamlift.peers import Peers, Upstreams
 from balsamlift.presets import InForce, Lease, Presets, new_operation
+from balsamlift.settings import OrderSettings
 from balsamlift.timeline import Timeline
 
 log = logger.bind(part="orders")
@@ -37,13 +37,13 @@
         clock: Clock,
         http: HttpClient,
         *,
-        options: OrderOptions | None = None,
+        settings: OrderSettings | None = None,
         rng: random.Random | None = None,
     ) -> None:
         """`holder` names this incarnation of this host."""
         self._clock = clock
         self._http = http
-        self._options = options or OrderOptions()
+        self._settings = settings or OrderSettings()
         self._rng = rng or random.Random()
         self._view = LeaseView(holder, clock)
         self._held = False
@@ -62,7 +62,7 @@
             http=self._http,
             timeline=self._timeline,
             upstreams=kernel.find("upstreams", Upstreams),
-            options=self._options,
+            settings=self._settings,
             fence=self.fence,
             holds_lease=lambda: self.holds_lease,
         )
@@ -87,7 +87,7 @@
         engine that checks it.
         """
         in_force = self._presets.in_force()
-        needs_ms = self._options.send_ms + self._options.margin_ms
+        needs_ms = self._settings.send_ms + self._settings.margin_ms
         if self._view.left_s * MS_PER_S <= needs_ms:
             return None
         if in_force is None or in_force.generation != generation:
@@ -104,7 +104,7 @@
             if in_force is not None:
                 self._start_givers(in_force)
                 self._consider_append(in_force)
-            await self._clock.sleep(self._options.look_ms / MS_PER_S)
+            await self._clock.sleep(self._settings.look_ms / MS_PER_S)
 
     def _note_holding(self) -> None:
         holds = self.holds_lease
@@ -142,7 +142,7 @@
     def _needs_renewal(self, in_force: InForce) -> bool:
         if not self.holds_lease:
             return False
-        short = self._view.left_s * MS_PER_S < self._options.renew_ms
+        short = self._view.left_s * MS_PER_S < self._settings.renew_ms
         return short or self._view.offset < in_force.offset
 
     def _may_take(self) -> bool:
@@ -157,7 +157,7 @@
         now_s = self._clock.monotonic()
         if self._try_at_s is None:
             hosts = len(self._peers.live()) + 1
-            spread_s = hosts * self._options.spread_ms / MS_PER_S
+            spread_s = hosts * self._settings.spread_ms / MS_PER_S
             self._try_at_s = now_s + self._rng.uniform(0, spread_s)
         if now_s < self._try_at_s:
             return False
@@ -169,7 +169,7 @@
             op=new_operation(),
             holder=self._view.holder,
             previous_offset=self._view.begin_append(),
-            term_ms=self._options.term_ms,
+            term_ms=self._settings.term_ms,
         )
         try:
             offset = await self._presets.append(record)
--- a/src/balsamlift/settings.py
+++ b/src/balsamlift/settings.py
@@ -17,6 +17,7 @@
     one_of,
     remote_address,
 )
+from balsamlift.exceptions import FieldError
 
 POOL_KINDS = ("engine", "service")
 LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
@@ -114,6 +115,52 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class OrderSettings:
+    """Bound the lease, the orders to engines and the loads they cause."""
+
+    term_ms: int = attrs.field(
+        default=10_000, validator=between(100, _HOUR_MS)
+    )
+    # With less than this left, the holder renews its lease.
+    renew_ms: int = attrs.field(default=4_000, validator=between(50, _HOUR_MS))
+    # Between two looks at the lease.
+    look_ms: int = attrs.field(default=200, validator=between(1, _MINUTE_MS))
+    # Of the tries for a lapsed lease, per live host.
+    spread_ms: int = attrs.field(default=100, validator=between(1, _MINUTE_MS))
+    # An order waits no longer for its answer.
+    send_ms: int = attrs.field(default=2_000, validator=between(10, _HOUR_MS))
+    # Of the lease, beyond `send_ms`.
+    margin_ms: int = attrs.field(default=500, validator=between(10, _HOUR_MS))
+    # Between two sweeps over the engines of a pool.
+    sweep_ms: int = attrs.field(default=1_000, validator=between(1, _HOUR_MS))
+    # Between reading two engines.
+    read_ms: int = attrs.field(default=100, validator=between(1, _MINUTE_MS))
+    # Between reading one engine again while it loads.
+    poll_ms: int = attrs.field(default=200, validator=between(1, _MINUTE_MS))
+    # An order without effect is given again.
+    repeat_ms: int = attrs.field(default=3_000, validator=between(1, _HOUR_MS))
+    # An engine is waited for no longer.
+    load_ms: int = attrs.field(default=120_000, validator=between(1, DAY_MS))
+    # Per pool, and never all of its engines.
+    loads_at_once: int = attrs.field(default=1, validator=between(1, 1_000))
+
+    def __attrs_post_init__(self) -> None:
+        """Check that a lease is renewed while orders may still be given."""
+        order_ms = self.send_ms + self.margin_ms
+        if self.renew_ms <= order_ms:
+            raise FieldError(
+                "renew_ms",
+                f"more than send_ms and margin_ms together ({order_ms}), "
+                f"not {self.renew_ms}",
+            )
+        if self.term_ms <= self.renew_ms:
+            raise FieldError(
+                "term_ms",
+                f"more than renew_ms ({self.renew_ms}), not {self.term_ms}",
+            )
+
+
 @attrs.frozen(kw_only=True)
 class Settings:
     """Hold all settings of one daemon.
@@ -138,6 +185,7 @@
     peers: PeerSettings = attrs.field(factory=PeerSettings)
     limits: LimitSettings = attrs.field(factory=LimitSettings)
     streams: StreamSettings = attrs.field(factory=StreamSettings)
+    orders: OrderSettings = attrs.field(factory=OrderSettings)
     log_level: str = attrs.field(default="INFO", validator=one_of(*LOG_LEVELS))
     log_json: bool = False
     # 0 draws a seed from the system's entropy.
--- a/tests/_orders_bench.py
+++ b/tests/_orders_bench.py
@@ -9,14 +9,15 @@
 
 from balsamlift.clock import SystemClock
 from balsamlift.kernel import Kernel
-from balsamlift.orders import OrderOptions, Orders
+from balsamlift.orders import Orders
 from balsamlift.peers import Peers, Upstream, Upstreams
 from balsamlift.presets import PoolPreset
+from balsamlift.settings import OrderSettings
 from balsamlift.testing import EngineSettings
 from balsamlift.testing._engine import Engine
 
 POOL = "drafting"
-OPTIONS = OrderOptions(
+SETTINGS = OrderSettings(
     term_ms=3_000,
     renew_ms=1_800,
     look_ms=20,
@@ -78,14 +79,14 @@
 class Giver:
     """A host with the service `orders`, which can be held up."""
 
-    def __init__(self, host, engines, options):
+    def __init__(self, host, engines, settings):
         self.host = host
         self.clock = PausingClock()
         self.orders = Orders(
             f"{host.name}~1",
             self.clock,
             host.http,
-            options=options,
+            settings=settings,
             rng=random.Random(host.name),
         )
         self._engines = engines
@@ -123,8 +124,8 @@
 
     async def giver(self, name, **changes):
         host = await self.made.host(name)
-        options = attrs.evolve(OPTIONS, **changes)
-        giver = Giver(host, self.engines, options)
+        settings = attrs.evolve(SETTINGS, **changes)
+        giver = Giver(host, self.engines, settings)
         self.givers.append(giver)
         await giver.start()
         return giver
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,7 +1,7 @@
 import asyncio
 
 import pytest
-from _orders_bench import OPTIONS, world
+from _orders_bench import SETTINGS, world
 from presets_bench import eventually
 
 from balsamlift.orders._lease import LeaseView
@@ -254,4 +254,4 @@
     view = LeaseView("a", clock)
     view.observe(lease(7, "a"))
     assert view.left_s == 0
-    assert view.free_in_s == OPTIONS.term_ms / 1_000 + 7
+    assert view.free_in_s == SETTINGS.term_ms / 1_000 + 7
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -73,6 +73,8 @@
         ("shutdwn_ms", 120, "did you mean shutdown_ms?"),
         ("limits.zzz", 120, "a known field: body_bytes"),
         ("peers.silence_ms", 250, "more than heartbeat_ms (250)"),
+        ("orders.renew_ms", 2_500, "send_ms and margin_ms together (2500)"),
+        ("orders.term_ms", 4_000, "more than renew_ms (4000)"),
         ("log_level", "info", 'one of "TRACE", "DEBUG", "INFO"'),
     ],
 )
--- a/tests/test_settings_page.py
+++ b/tests/test_settings_page.py
@@ -19,6 +19,7 @@
 )
 from balsamlift.settings import (
     LimitSettings,
+    OrderSettings,
     PeerSettings,
     PlatformSettings,
     PoolSettings,
@@ -34,6 +35,7 @@
     PeerSettings,
     LimitSettings,
     StreamSettings,
+    OrderSettings,
     Preset,
     KindPreset,
     WorkspacePreset,
