Keep linking when the list holds a bad address

Cause: dialling a text that is no address raised, which ended the task that opens links, so the host met no further peers. Change: the failure is logged, the link sends nothing until its address changes.

--- a/src/balsamlift/peers/_link.py
+++ b/src/balsamlift/peers/_link.py
@@ -155,12 +155,21 @@
         self._moved_s = now_s
 
     def _dial(self) -> None:
-        self._socket = pynng.Push0(
+        push = pynng.Push0(
             send_buffer_size=SEND_BUFFER,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
-        self._socket.dial(f"tcp://{self.address}", block=False)
+        try:
+            push.dial(f"tcp://{self.address}", block=False)
+        except pynng.NNGException as error:
+            # The platform's list may hold any text.
+            log.warning(
+                "cannot dial {} at {}: {}", self.host, self.address, error
+            )
+            push.close()
+            return
+        self._socket = push
 
     def _close(self) -> None:
         if self._socket is not None:
@@ -169,10 +178,11 @@
 
     def _send(self) -> None:
         """Send one message; when the buffer is full, its news wait."""
+        if self._socket is None:
+            return
         draft = self._compose(self)
         data = encode_message(draft.message)
         try:
-            assert self._socket is not None
             self._socket.send(data, block=False)
         except pynng.NNGException:
             self._metrics.count("peers.sends_dropped")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -457,6 +457,22 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("address", ["nonsense", "127.0.0.1", "1.2.3.4:x"])
+def test_a_bad_address_on_the_list_disturbs_nothing(address: str) -> None:
+    async def scenario(cluster: Cluster) -> None:
+        first = await cluster.add("h00")
+        cluster.listed["bad"] = {
+            "name": "bad",
+            "role": "entry",
+            "peers_address": address,
+        }
+        await until(lambda: first.peers._links.find("bad"))
+        await cluster.add("h01")
+        await until(lambda: first.live() == ["h01"])
+
+    run(scenario)
+
+
 def test_address_in_use() -> None:
     async def scenario(cluster: Cluster) -> None:
         first = await cluster.add("h00")
