Say unknown where another attempt may have run

Cause: a host that could not claim a key without a home (log down, claims not folded) answered refused, which is false when another host has run an earlier attempt at the key; a key too old to be claimed was answered refused too. Ruled out: asking peers whether they folded a claim; in an outage none has all of them.

--- a/src/balsamlift/requests/_messages.py
+++ b/src/balsamlift/requests/_messages.py
@@ -24,7 +24,9 @@
     """Hold one request as a caller sends it.
 
     `delivery` "whole" holds the tokens back until the answer is whole, so
-    that an engine lost midway costs time but no answer.
+    that an engine lost midway costs time but no answer. `first_attempt`
+    says that the key was not sent before: only then can a host that cannot
+    claim a key without a home say that it did not run.
     """
 
     key: str
@@ -39,10 +41,12 @@
     deadline_ms: int | None = None
     delivery: str = STREAM
     payload: Any = None
+    first_attempt: bool = False
 
     def digest(self) -> bytes:
         """Return what tells this request from any other."""
-        encoded = msgspec.json.encode(self, order="deterministic")
+        request = attrs.evolve(self, first_attempt=False)
+        encoded = msgspec.json.encode(request, order="deterministic")
         return hashlib.sha256(encoded).digest()
 
 
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -92,6 +92,7 @@
         target = self.deployment.hosts[host]
         if key is None:
             key = new_homed_key(self.prefix_of(host))
+        is_first = all(a.key != key for a in self.attempts)
         attempt = Attempt(key, kind)
         self.attempts.append(attempt)
         body = {
@@ -99,6 +100,7 @@
             "workspace": callers.WORKSPACE,
             "kind": kind,
             "payload": {"kind": kind, "amount": 12},
+            "first_attempt": is_first,
         }
         work = attempts.send(attempt, target.address, body)
         self._futures.append(self.background.begin(work))
