--- /dev/null
+++ b/bench/placement_cost.py
@@ -0,0 +1,223 @@
+"""Measure what placement and the list of upstreams cost, as slopes.
+
+Usage:
+  placement_cost.py [--repeats N] [--out FILE]
+  placement_cost.py (-h | --help)
+
+No network: the scheduler and the list are driven directly, with 10 to
+4,500 engines and 10 to 19,000 workspaces. Prints and writes processor time
+per admission and per look at the queues, and the memory kept.
+
+Options:
+  --repeats N  Runs of each case [default: 3].
+  --out FILE   Where it goes [default: bench/results/placement_cost.json].
+  -h --help    Show this.
+"""
+
+from __future__ import annotations
+
+import gc
+import itertools
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+
+import attrs
+import msgspec
+from docopt import docopt
+from readings import (
+    Machine,
+    Spread,
+    load_average,
+    machine,
+    spread,
+    write_result,
+)
+
+from balsamlift.peers._hosts_list import ListEntry
+from balsamlift.placement import Policy
+from balsamlift.placement._ask import Ask
+from balsamlift.placement._engine import Engine, LoadReport
+from balsamlift.placement._scheduler import Scheduler
+
+T = TypeVar("T")
+
+UPSTREAMS = (10, 100, 1_000, 4_500)
+WORKSPACES = (10, 1_000, 19_000)
+FEW_ENGINES = 10
+ASKS = 50
+POOL = "drafting"
+SEED = 1
+US = 1e6
+MEMORY_TOKENS = 10_000_000
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamsCost:
+    """Hold the cost with a number of upstreams in one pool."""
+
+    upstreams: int
+    admit_us: Spread  # enqueue, decide, choose, finish
+    set_engines_us: Spread  # done at each admission and each look
+    look_us: Spread  # expected tokens of every engine, and a decision
+    list_decode_us: Spread  # one changed list of hosts
+    list_bytes: int
+    kept_bytes: int  # by the scheduler
+
+
+@attrs.frozen(kw_only=True)
+class WorkspacesCost:
+    """Hold the cost with a number of workspaces that ask in turn."""
+
+    workspaces: int
+    admit_us: Spread
+    kept_bytes: int
+
+
+@attrs.frozen(kw_only=True)
+class Result:
+    """Hold everything that one call measured."""
+
+    machine: Machine
+    load: float
+    upstreams: list[UpstreamsCost]
+    workspaces: list[WorkspacesCost]
+
+
+def main() -> None:
+    """Measure, print and write."""
+    arguments = docopt(__doc__ or "")
+    repeats = int(arguments["--repeats"])
+    result = Result(
+        machine=machine(),
+        load=load_average(),
+        upstreams=[_with_upstreams(n, repeats) for n in UPSTREAMS],
+        workspaces=[_with_workspaces(n, repeats) for n in WORKSPACES],
+    )
+    print(msgspec.json.format(msgspec.json.encode(result)).decode())
+    write_result(Path(arguments["--out"]), result)
+
+
+def _with_upstreams(count: int, repeats: int) -> UpstreamsCost:
+    scheduler, kept_bytes = _traced(lambda: _scheduler(count))
+    listed = msgspec.json.encode(_entries(count))
+
+    numbers = itertools.count()
+
+    def admit() -> None:
+        for number in itertools.islice(numbers, ASKS):
+            _admit(scheduler, number, "bench")
+
+    def look() -> None:
+        for engine in scheduler.engines(POOL):
+            scheduler.expected_tokens(POOL, engine.name, 0.0)
+        scheduler.decide(0.0)
+
+    def decode() -> None:
+        msgspec.json.decode(listed, type=list[ListEntry])
+
+    return UpstreamsCost(
+        upstreams=count,
+        admit_us=_time_us(admit, repeats, ASKS),
+        set_engines_us=_time_us(
+            lambda: scheduler.set_engines(POOL, _engines(count)), repeats
+        ),
+        look_us=_time_us(look, repeats),
+        list_decode_us=_time_us(decode, repeats),
+        list_bytes=len(listed),
+        kept_bytes=kept_bytes,
+    )
+
+
+def _with_workspaces(count: int, repeats: int) -> WorkspacesCost:
+    scheduler = _scheduler(FEW_ENGINES)
+    numbers = itertools.count()
+
+    def admit(most: int) -> None:
+        for number in itertools.islice(numbers, most):
+            _admit(scheduler, number, f"workspace-{number % count}")
+
+    _, kept_bytes = _traced(lambda: admit(count))
+    return WorkspacesCost(
+        workspaces=count,
+        admit_us=_time_us(lambda: admit(ASKS), repeats, ASKS),
+        kept_bytes=kept_bytes,
+    )
+
+
+def _scheduler(count: int) -> Scheduler:
+    scheduler = Scheduler(Policy(), SEED)
+    scheduler.set_engines(POOL, _engines(count))
+    report = LoadReport(
+        running=0, queued=0, memory_used=0, memory_total=MEMORY_TOKENS
+    )
+    for engine in scheduler.engines(POOL):
+        scheduler.report(POOL, engine.name, report, 0.0)
+    return scheduler
+
+
+def _engines(count: int) -> list[Engine]:
+    return [Engine(f"engine-{n}", f"domain-{n % 11}") for n in range(count)]
+
+
+def _entries(count: int) -> list[ListEntry]:
+    return [
+        ListEntry(
+            name=f"engine-{n}",
+            role="upstream",
+            pool=POOL,
+            address=f"10.{n >> 8}.{n & 255}.1:7000",
+            failure_domain=f"domain-{n % 11}",
+        )
+        for n in range(count)
+    ]
+
+
+def _admit(scheduler: Scheduler, number: int, workspace: str) -> None:
+    """Take one request from its arrival to its whole answer."""
+    now_ms = 1_000.0 * number
+    ask = Ask(
+        key=f"key-{number}",
+        workspace=workspace,
+        kind="report",
+        pool=POOL,
+        weight=1.0,
+        priority=1,
+        prompt_tokens=100,
+        prefix="",
+        max_tokens=1_000,
+        quantile=0.9,
+        deadline_ms=100_000,
+    )
+    ticket = scheduler.enqueue(ask, now_ms)
+    scheduler.decide(now_ms)
+    scheduler.choose(ticket, frozenset(), now_ms)
+    scheduler.started(ticket)
+    scheduler.finished(ticket, 100)
+
+
+def _traced(make: Callable[[], T]) -> tuple[T, int]:
+    """Return what `make` made and the bytes that it keeps."""
+    gc.collect()
+    tracemalloc.start()
+    made = make()
+    gc.collect()
+    kept_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return made, kept_bytes
+
+
+def _time_us(run: Callable[[], None], repeats: int, per: int = 1) -> Spread:
+    run()
+    times = []
+    for _ in range(repeats):
+        before_s = time.process_time()
+        run()
+        times.append((time.process_time() - before_s) * US / per)
+    return spread(times)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,397 @@
+"""Measure what the path through one host costs.
+
+Usage:
+  relay.py [--repeats N] [--out FILE]
+  relay.py (-h | --help)
+
+One engine stand-in, one platform stand-in, one host, and load from
+processes of their own. Prints and writes: time to first token and gaps
+direct and through the host, tokens relayed per second of the host's
+processor time, and the host's resident memory.
+
+Options:
+  --repeats N  Runs of each case [default: 2].
+  --out FILE   Where the results go [default: bench/results/relay.json].
+  -h --help    Show this.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+import time
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+import attrs
+import msgspec
+from docopt import docopt
+from readings import (
+    Machine,
+    Spread,
+    cpu_s,
+    load_average,
+    machine,
+    percentile,
+    resident_mb,
+    spread,
+    write_result,
+)
+from stream_load import DIRECT, THROUGH, Job, Report
+
+from balsamlift._http import HttpClient
+from balsamlift.testing import Process, start_host, start_stand_in
+
+# The adaptive concurrency of an engine begins at 16 and grows slowly, so
+# that one engine is listed under many names.
+NAMES = 40
+STEP_MS = 20.0
+ANSWER_TOKENS = 200
+WARM_S = 7.0  # one answer's time and more: all streams have begun
+MEASURE_S = 8.0
+CPU_FROM_S = 1.0  # after the warm time, so that both agree
+CPU_FOR_S = 6.0
+LOADS = 4  # processes
+DELAY_STREAMS = 100
+MEMORY_STREAMS = 500
+FRAMES = (1, 4, 8, 16)
+READY_S = 30.0
+
+
+@attrs.frozen(kw_only=True)
+class Delay:
+    """Compare the two ways of one run, in milliseconds."""
+
+    tokens_per_frame: int
+    first_token_direct_p50: float
+    first_token_direct_p99: float
+    first_token_through_p50: float
+    first_token_through_p99: float
+    gap_direct_p50: float
+    gap_direct_p99: float
+    gap_through_p50: float
+    gap_through_p99: float
+    behind_p50: float  # the same token on both ways
+    behind_p99: float
+    load: float
+
+
+@attrs.frozen(kw_only=True)
+class Rate:
+    """Hold the tokens relayed and the processor time of one run."""
+
+    streams: int
+    tokens_per_frame: int
+    tokens_per_s: float
+    tokens_per_frame_seen: float
+    cpu_share: float  # of one core
+    tokens_per_cpu_s: float
+    resident_mb: float
+    not_whole: int
+    load: float
+
+
+@attrs.frozen(kw_only=True)
+class Result:
+    """Hold everything that one call measured."""
+
+    machine: Machine
+    step_ms: float
+    idle_mb: Spread
+    idle_cpu_share: Spread
+    added_first_token_p50_ms: Spread
+    added_first_token_p99_ms: Spread
+    added_gap_p50_ms: Spread
+    added_gap_p99_ms: Spread
+    behind_p99_ms: Spread
+    delays: list[Delay]
+    rates: list[Rate]
+
+
+@attrs.frozen
+class Bench:
+    """Hold the processes of one case."""
+
+    host: Process
+    engine: Process
+
+    def job(self, way: str, streams: int, **changes: Any) -> Job:
+        """Return the job of one load process."""
+        job = Job(
+            way=way,
+            host=self.host.ready["callers_address"],
+            engine=self.engine.address,
+            streams=streams // LOADS,
+            tokens=ANSWER_TOKENS,
+            step_ms=STEP_MS,
+            warm_s=WARM_S,
+            measure_s=MEASURE_S,
+        )
+        return attrs.evolve(job, **changes)
+
+
+def main() -> None:
+    """Measure, print and write."""
+    arguments = docopt(__doc__ or "")
+    repeats = int(arguments["--repeats"])
+    idle = [_measure_idle() for _ in range(repeats)]
+    delays = [
+        _measure_delay(tokens_per_frame)
+        for tokens_per_frame in (4,)
+        for _ in range(repeats)
+    ]
+    rates = [
+        _measure_rate(MEMORY_STREAMS, tokens_per_frame)
+        for tokens_per_frame in FRAMES
+        for _ in range(repeats)
+    ]
+    result = _sum_up(idle, delays, rates)
+    write_result(Path(arguments["--out"]), result)
+
+
+def _sum_up(
+    idle: list[tuple[float, float]], delays: list[Delay], rates: list[Rate]
+) -> Result:
+    def added(name: str) -> Spread:
+        way, _, rest = name.rpartition("_")
+        return spread(
+            [
+                getattr(d, f"{way}_through_{rest}")
+                - getattr(d, f"{way}_direct_{rest}")
+                for d in delays
+            ]
+        )
+
+    return Result(
+        machine=machine(),
+        step_ms=STEP_MS,
+        idle_mb=spread([mb for mb, _ in idle]),
+        idle_cpu_share=spread([share for _, share in idle]),
+        added_first_token_p50_ms=added("first_token_p50"),
+        added_first_token_p99_ms=added("first_token_p99"),
+        added_gap_p50_ms=added("gap_p50"),
+        added_gap_p99_ms=added("gap_p99"),
+        behind_p99_ms=spread([d.behind_p99 for d in delays]),
+        delays=delays,
+        rates=rates,
+    )
+
+
+def _measure_idle() -> tuple[float, float]:
+    with ExitStack() as stack:
+        bench = start(stack, tokens_per_frame=4, names=1)
+        time.sleep(5.0)
+        before_s = cpu_s(bench.host.pid)
+        time.sleep(10.0)
+        share = (cpu_s(bench.host.pid) - before_s) / 10.0
+        found = resident_mb(bench.host.pid), round(share, 4)
+    _show("idle", found)
+    return found
+
+
+def _measure_delay(tokens_per_frame: int) -> Delay:
+    with ExitStack() as stack:
+        bench = start(stack, tokens_per_frame)
+        jobs = bench.job(DIRECT, DELAY_STREAMS)
+        direct = _merge(run(jobs))
+        jobs = bench.job(THROUGH, DELAY_STREAMS)
+        through = _merge(run(jobs))
+        load = load_average()
+        paired = _merge(run(attrs.evolve(jobs, paired=True)))
+    ways = {"direct": direct, "through": through}
+    figures = {
+        f"{what}_{way}_p{percent}": percentile(
+            getattr(report, f"{what}_ms"), percent
+        )
+        for way, report in ways.items()
+        for what in ("first_token", "gap")
+        for percent in (50, 99)
+    }
+    delay = Delay(
+        tokens_per_frame=tokens_per_frame,
+        behind_p50=percentile(paired.behind_ms, 50),
+        behind_p99=percentile(paired.behind_ms, 99),
+        load=load,
+        **figures,
+    )
+    _show("delay", delay)
+    return delay
+
+
+def _measure_rate(streams: int, tokens_per_frame: int) -> Rate:
+    with ExitStack() as stack:
+        bench = start(stack, tokens_per_frame)
+        loads = _start_loads(bench.job(THROUGH, streams))
+        time.sleep(WARM_S + CPU_FROM_S)
+        before_s, began_s = cpu_s(bench.host.pid), time.monotonic()
+        time.sleep(CPU_FOR_S)
+        used_s = cpu_s(bench.host.pid) - before_s
+        passed_s = time.monotonic() - began_s
+        held_mb = resident_mb(bench.host.pid)
+        load = load_average()
+        report = _merge(_collect(loads))
+    tokens_per_s = report.tokens / MEASURE_S
+    cpu_share = used_s / passed_s
+    rate = Rate(
+        streams=streams,
+        tokens_per_frame=tokens_per_frame,
+        tokens_per_s=round(tokens_per_s),
+        tokens_per_frame_seen=round(report.tokens / report.frames, 2),
+        cpu_share=round(cpu_share, 3),
+        tokens_per_cpu_s=round(tokens_per_s / cpu_share),
+        resident_mb=held_mb,
+        not_whole=report.not_whole,
+        load=load,
+    )
+    _show("rate", rate)
+    return rate
+
+
+def start(
+    stack: ExitStack, tokens_per_frame: int, names: int = NAMES
+) -> Bench:
+    """Start a platform, an engine and a host with a preset in force."""
+    platform = stack.enter_context(start_stand_in("platform", {}))
+    engine = stack.enter_context(
+        start_stand_in("engine", _engine(tokens_per_frame))
+    )
+    host = stack.enter_context(start_host(_host(platform.address)))
+    asyncio.run(_prepare(platform.address, engine.address, host, names))
+    return Bench(host, engine)
+
+
+def _engine(tokens_per_frame: int) -> dict[str, Any]:
+    return {
+        "tokens_per_frame": tokens_per_frame,
+        "flush_ms": 2_000,  # frames leave full
+        "retention_ms": 1_000,
+        "parameters": {
+            "memory_tokens": 100_000_000,
+            "step_base_ms": STEP_MS,
+            "step_per_sequence_ms": 0.0,
+            "step_per_1k_context_ms": 0.0,
+            "prefill_tokens_per_ms": 1e9,
+            "prefill_tokens_per_step": 1_000_000,
+            "max_running": 4_000,
+            "queue_limit": 4_000,
+        },
+    }
+
+
+def _host(platform: str) -> dict[str, Any]:
+    return {
+        "host": "entry-1",
+        "failure_domain": "domain-1",
+        "callers_address": "127.0.0.1:0",
+        "operators_address": "127.0.0.1:0",
+        "peers_address": "127.0.0.1:0",
+        "platform": {"log_address": platform, "hosts_address": platform},
+        "pools": {"drafting": {"kind": "engine", "tells_by_key": True}},
+    }
+
+
+def _preset() -> dict[str, Any]:
+    kind = {"pool": "drafting", "deadline_ms": 600_000}
+    return {
+        "name": "bench",
+        "kinds": {"report": kind},
+        "workspaces": {"bench": {}},
+        "pools": {"drafting": {"model": "model-a", "version": "1"}},
+        "policy": {"queue_requests": 2_000, "gap_target_ms": 10_000},
+    }
+
+
+async def _prepare(
+    platform: str, engine: str, host: Process, names: int
+) -> None:
+    http = HttpClient()
+    ready = host.ready
+    entries = [
+        {
+            "name": f"engine-{number}",
+            "role": "upstream",
+            "pool": "drafting",
+            "address": engine,
+            "failure_domain": "domain-1",
+            "state": "live",
+        }
+        for number in range(names)
+    ]
+    entries.append(
+        {
+            "name": ready["host"],
+            "role": "entry",
+            "address": ready["callers_address"],
+            "operators_address": ready["operators_address"],
+            "peers_address": ready["peers_address"],
+            "failure_domain": "domain-1",
+            "state": "live",
+        }
+    )
+    for entry in entries:
+        url = f"http://{platform}/v1/hosts/{entry['name']}"
+        await http.call("PUT", url, entry, timeout_ms=5_000)
+    await asyncio.to_thread(_publish, platform)
+    url = f"http://{ready['callers_address']}/v1/addresses?workspace=bench"
+    async with asyncio.timeout(READY_S):
+        while (await http.call("GET", url, timeout_ms=5_000)).status != 200:
+            await asyncio.sleep(0.1)
+    await asyncio.sleep(3.0)  # the list of hosts lags
+    http.close()
+
+
+def _publish(platform: str) -> None:
+    commands = (
+        ["publish", "/dev/stdin"],
+        ["switch", _preset()["name"]],
+    )
+    for command in commands:
+        subprocess.run(
+            [
+                *(sys.executable, "-m", "balsamlift", "preset"),
+                *(*command, "--log", platform),
+            ],
+            input=msgspec.json.encode(_preset()),
+            stdout=subprocess.DEVNULL,
+            check=True,
+        )
+
+
+def run(job: Job) -> list[Report]:
+    """Run a job in all load processes to its end."""
+    return _collect(_start_loads(job))
+
+
+def _start_loads(job: Job) -> list[subprocess.Popen[bytes]]:
+    script = str(Path(__file__).with_name("stream_load.py"))
+    text = msgspec.json.encode(job).decode()
+    return [
+        subprocess.Popen(
+            [sys.executable, script, text], stdout=subprocess.PIPE
+        )
+        for _ in range(LOADS)
+    ]
+
+
+def _collect(loads: list[subprocess.Popen[bytes]]) -> list[Report]:
+    outputs = [load.communicate()[0] for load in loads]
+    return [msgspec.json.decode(output, type=Report) for output in outputs]
+
+
+def _merge(reports: list[Report]) -> Report:
+    merged = Report()
+    for report in reports:
+        for field in attrs.fields(Report):
+            both = getattr(merged, field.name) + getattr(report, field.name)
+            setattr(merged, field.name, both)
+    return merged
+
+
+def _show(title: str, figures: Any) -> None:
+    print(title, msgspec.json.encode(figures).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
