Bound the streams that a host has open to callers

Cause: limits.streams was a setting that nothing read; seen by test_streams_to_callers_are_bounded failing first (21 streams on a host with 20, never told so). Change: each POST and GET at the callers' address holds a slot; without one it is answered 503 streams_full with Retry-After, and not as "refused": the key may run already from an earlier try. Peers' passes need no slot.

--- a/src/balsamlift/requests/_callers.py
+++ b/src/balsamlift/requests/_callers.py
@@ -17,6 +17,7 @@
 from balsamlift.requests._handlers import RequestsHandler
 from balsamlift.requests._replies import MissingRouteHandler, TypedHandler
 from balsamlift.requests._service import Requests
+from balsamlift.requests._slots import Slots
 
 LIST_LENGTH = 4
 RETRY_AFTER_S = 1
@@ -61,9 +62,11 @@
         """Begin to accept connections of callers and peers."""
         self._requests = kernel.find("requests", Requests)
         operators = kernel.find("operators", OperatorsServer)
-        peers = {"requests": self._requests, "trusted": True}
+        peers = {"requests": self._requests}
         operators.add_routes([("/v1/peer" + PATTERN, RequestsHandler, peers)])
-        callers = {"requests": self._requests, "trusted": False}
+        limits = self._requests.parts.settings.limits
+        slots = Slots(limits.streams)
+        callers = {"requests": self._requests, "slots": slots}
         application = Application(
             [
                 (r"/v1/addresses", AddressesHandler, {"callers": self}),
@@ -71,7 +74,7 @@
             ],
             default_handler_class=MissingRouteHandler,
         )
-        drained_bytes = self._body_bytes() * DRAINED_BODIES
+        drained_bytes = limits.body_bytes * DRAINED_BODIES
         self._server = HTTPServer(
             application,
             max_body_size=drained_bytes,
@@ -85,9 +88,6 @@
             self._server.stop()
             await self._server.close_all_connections()
 
-    def _body_bytes(self) -> int:
-        return self._requests.parts.settings.limits.body_bytes
-
     def places(self, failure_domain: str) -> list[Place]:
         """Return hosts for a caller: those near first, one elsewhere.
 
--- a/src/balsamlift/requests/_errors.py
+++ b/src/balsamlift/requests/_errors.py
@@ -24,6 +24,16 @@
     code = "bad_query"
 
 
+class StreamsFullError(RequestError):
+    """Tell that this host has no stream left, whatever becomes of the key.
+
+    No outcome: the key may run already, from an earlier try.
+    """
+
+    status = 503
+    code = "streams_full"
+
+
 class BadKeyError(RequestError):
     """Tell that the key has neither of the known forms."""
 
--- a/src/balsamlift/requests/_handlers.py
+++ b/src/balsamlift/requests/_handlers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
 import msgspec
@@ -17,12 +18,14 @@
     BadQueryError,
     BodyTooLargeError,
     IndexPastEndError,
+    StreamsFullError,
 )
 from balsamlift.requests._execution import Execution
 from balsamlift.requests._messages import decode_request
 from balsamlift.requests._remote import HOPS_HEADER, MAX_HOPS
 from balsamlift.requests._replies import METHOD_NOT_ALLOWED, TypedHandler
 from balsamlift.requests._service import Requests
+from balsamlift.requests._slots import Slots
 from balsamlift.streams import (
     HEARTBEAT,
     REFUSED,
@@ -37,6 +40,7 @@
 
 STATUS = {REFUSED: 503, UNKNOWN: 504}
 BEARER = "Bearer "
+RETRY_AFTER_S = 1
 MAX_INDEX_DIGITS = 12
 
 
@@ -48,10 +52,17 @@
     would reset the connection before the caller has read why.
     """
 
-    def initialize(self, requests: Requests, trusted: bool) -> None:
-        """Keep the service; peers are trusted to have checked tokens."""
+    def initialize(
+        self, requests: Requests, slots: Slots | None = None
+    ) -> None:
+        """Keep the service, and the slots for callers' streams.
+
+        Peers are trusted to have checked tokens and limits; they need no
+        slots.
+        """
         self._requests = requests
-        self._trusted = trusted
+        self._trusted = slots is None
+        self._slots = slots
         self._timeline = requests.parts.timeline
         self._closed = False
         self._body = bytearray()
@@ -81,9 +92,10 @@
         body = decode_request(bytes(self._body))
         self._body.clear()
         self._authorize(body.workspace)
-        execution = self._requests.submit(body, self._hops())
-        _check_index(execution, 0)
-        await self._deliver(execution, 0)
+        with self._slot():
+            execution = self._requests.submit(body, self._hops())
+            _check_index(execution, 0)
+            await self._deliver(execution, 0)
 
     async def get(self, key: str | None) -> None:
         """Stream an answer from an index on."""
@@ -92,11 +104,12 @@
         workspace = self.query("workspace")
         self._authorize(workspace)
         first_index = self._index()
-        execution = self._requests.follow(
-            key, workspace, first_index, self._engine(), self._hops()
-        )
-        _check_index(execution, first_index)
-        await self._deliver(execution, first_index)
+        with self._slot():
+            execution = self._requests.follow(
+                key, workspace, first_index, self._engine(), self._hops()
+            )
+            _check_index(execution, first_index)
+            await self._deliver(execution, first_index)
 
     async def delete(self, key: str | None) -> None:
         """Cancel a request."""
@@ -110,6 +123,8 @@
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer an error with its type's code."""
         error = kwargs.get("exc_info", (None, None, None))[1]
+        if isinstance(error, StreamsFullError):
+            self.set_header("Retry-After", RETRY_AFTER_S)
         if not isinstance(error, RefusedError):
             super().write_error(status_code, **kwargs)
             return
@@ -132,6 +147,9 @@
         # What a peer passes on, its callers' limit has been applied to.
         return not self._trusted and self._body_bytes > self._limit()
 
+    def _slot(self) -> AbstractContextManager[None]:
+        return self._slots.taken() if self._slots else nullcontext()
+
     def _authorize(self, workspace: str) -> None:
         if self._trusted:
             return
