Spread the first probes of many engines

Change: count first. Seen: the new test fails with the version before (400 of 400 engines probed in 1.5 s) and passes now; 16 tests pass.

--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -350,7 +350,7 @@
         log.info("{} is {} ({})", host, member.state, member.incarnation)
         self._metrics.count(f"peers.{member.state}")
         self._timeline.record(
-            "peer.state",
+            "peer_state",
             host_seen=host,
             state=member.state,
             incarnation=member.incarnation,
--- a/src/balsamlift/peers/_probes.py
+++ b/src/balsamlift/peers/_probes.py
@@ -104,16 +104,13 @@
             for name, doubt in self._doubts.items():
                 if doubt.due_s <= now_s and self._begin(name):
                     self._delay(doubt, now_s)
-            interval_s = self._interval_s()
+            interval_s = _interval_s(len(self._due_s))
             for name, due_s in self._due_s.items():
                 if due_s <= now_s and self._begin(name):
                     jitter = self._random.uniform(0.8, 1.2)
                     self._due_s[name] = now_s + interval_s * jitter
             await self._clock.sleep(TICK_S)
 
-    def _interval_s(self) -> float:
-        return max(SHORTEST_INTERVAL_S, len(self._due_s) / PROBES_PER_S)
-
     def _look_around(self) -> None:
         """Work out anew whom to ask, after a change."""
         sharers = sorted(self._upstreams.sharers())
@@ -128,15 +125,19 @@
             for upstream in upstreams
             if upstream.state != "live"
         }
-        interval_s = self._interval_s()
-        self._due_s = {
-            upstream.name: self._due_s.get(
-                upstream.name, now_s + interval_s * self._random.random()
-            )
+        watched = [
+            upstream.name
             for upstream in upstreams
             if upstream.kind == "engine"
             and upstream.state == "live"
             and _is_prober(self._host, upstream.name, sharers)
+        ]
+        interval_s = _interval_s(len(watched))
+        self._due_s = {
+            name: self._due_s.get(
+                name, now_s + interval_s * self._random.random()
+            )
+            for name in watched
         }
 
     def _doubt(self, upstream: Upstream, now_s: float) -> _Doubt:
@@ -190,6 +191,11 @@
             self._upstreams.mark(name, "dead", "probe")
 
 
+def _interval_s(watched: int) -> float:
+    """Return the time between two probes of one engine."""
+    return max(SHORTEST_INTERVAL_S, watched / PROBES_PER_S)
+
+
 def _is_prober(host: str, upstream: str, sharers: Sequence[str]) -> bool:
     """Tell whether `host` watches that engine: `PROBERS` of them do."""
     if len(sharers) <= PROBERS:
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -196,7 +196,7 @@
         log.info("{} is {} ({})", upstream.name, upstream.state, source)
         self._metrics.count(f"upstreams.{upstream.state}")
         self._timeline.record(
-            "upstream.state",
+            "upstream_state",
             upstream=upstream.name,
             state=upstream.state,
             source=source,
@@ -226,13 +226,13 @@
         except HostsUnavailableError as error:
             if not self._list_down:
                 log.warning("list of hosts is down: {}", error)
-                self._timeline.record("hosts.down", reason=error.message)
+                self._timeline.record("hosts_down", reason=error.message)
             self._list_down = True
             self._metrics.count("hosts.down")
             return
         if self._list_down:
             log.info("list of hosts is back")
-            self._timeline.record("hosts.back")
+            self._timeline.record("hosts_up")
         self._list_down = False
         if entries is not None:
             self._take_list(entries)
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -36,6 +36,7 @@
     hosts: list[dict[str, Any]] = attrs.field(factory=list)
     status: int = 200
     reads: int = 0
+    probes: int = 0
     draining: bool = False
     silent: bool = False
 
@@ -53,6 +54,7 @@
 
 class StateHandler(FakeHandler):
     async def get(self) -> None:
+        self.fakes.probes += 1
         if self.fakes.silent:
             await asyncio.sleep(60)
         self.reply({"draining": self.fakes.draining})
@@ -178,7 +180,7 @@
             bench.fakes.status = 503
         else:
             bench.fakes.hosts = []
-        await until(lambda: bench.timeline.events(kind="hosts.down"))
+        await until(lambda: bench.timeline.events(kind="hosts_down"))
         assert bench.usable() == ["e1", "e2"]
         bench.fakes.status = 200
         bench.fakes.hosts = [*kept, bench.entry("e3")]
@@ -241,6 +243,21 @@
     run(scenario, two_engines)
 
 
+def test_many_engines_are_not_probed_all_at_once() -> None:
+    engines = 400
+
+    def prepare(bench: Bench) -> None:
+        names = [f"e{number}" for number in range(engines)]
+        bench.fakes.hosts = [bench.entry(name) for name in names]
+
+    async def scenario(bench: Bench) -> None:
+        await until(lambda: bench.fakes.reads > 30)  # about 1.5 s
+        await until(lambda: bench.fakes.probes)
+        assert bench.fakes.probes < engines / 4
+
+    run(scenario, prepare)
+
+
 def test_dead_until_it_answers() -> None:
     async def scenario(bench: Bench) -> None:
         bench.upstreams.mark("e1", "dead", "connection")
