Write all kinds of events alike

Some kinds were dotted, some had underscores, and a list that came back was 'hosts.back' where a log was 'log_up'. All have underscores now; tests and the help text follow. 'upstream.state' etc. were in no release.

--- a/src/balsamlift/_commands/_timeline.py
+++ b/src/balsamlift/_commands/_timeline.py
@@ -32,7 +32,7 @@
   -h --help      Show this text.
 
 Example:
-  balsamlift timeline --at=127.0.11.1:7101 --kind=upstream.state
+  balsamlift timeline --at=127.0.11.1:7101 --kind=upstream_state
 
 Exit codes: 0 all hosts have answered, 1 some or all have not (what came is
 shown), 2 wrong usage.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -374,7 +374,7 @@
 
 
 def declared_dead(host: Host, peer: str) -> bool:
-    events = host.timeline.events(kind="peer.state")
+    events = host.timeline.events(kind="peer_state")
     return any(
         event.detail["host_seen"] == peer and event.detail["state"] == "dead"
         for event in events
@@ -400,7 +400,7 @@
         taken_s = asyncio.get_running_loop().time() - started_s
         assert taken_s < 2
         for host in hosts[2:]:
-            seen = host.timeline.events(kind="upstream.state")
+            seen = host.timeline.events(kind="upstream_state")
             marked = {event.detail["upstream"] for event in seen}
             assert "e1" in marked
 
