--- a/src/balsamlift/requests/_engine.py
+++ b/src/balsamlift/requests/_engine.py
@@ -22,6 +22,7 @@
     FAILED,
     UNKNOWN,
     WHOLE,
+    WHOLE_REASONS,
     FrameError,
     GenerationEnd,
     OtherTokensError,
@@ -39,6 +40,7 @@
 RESUME_TRIES = 6
 RESUME_PAUSE_S = 0.1
 NOT_FOUND = 404
+NOT_REPRODUCIBLE = "not_reproducible"
 
 
 @attrs.frozen(kw_only=True)
@@ -98,7 +100,8 @@
     if execution.delivered == 0:
         execution.answer.reset()
         return None
-    if _is_deterministic(work):
+    # Another try would be another generation too: its prefix has differed.
+    if _is_deterministic(work) and error.reason != NOT_REPRODUCIBLE:
         return None
     return execution.fail(error.reason)
 
@@ -273,9 +276,13 @@
         raise StreamSilentError("ended without an end")
 
     def _on_start(self, start: Start) -> None:
+        if not start.generation:
+            raise FrameError("a start without a generation")
         if self.generation and start.generation != self.generation:
             raise FrameError("another generation answered")
-        if start.key and start.key != self._work.execution.key:
+        execution = self._work.execution
+        mine = (execution.key, execution.workspace)
+        if (start.key, start.workspace) != mine:
             raise LostError("foreign_generation", ended=False)
         self.frames += 1
         if self._pending is not None:
@@ -321,19 +328,23 @@
         try:
             self._work.execution.answer.verify(frame)
         except OtherTokensError as error:
-            raise LostError("not_reproducible", ended=True) from error
+            raise LostError(NOT_REPRODUCIBLE, ended=True) from error
         self._verified = max(self._verified, frame.index + len(frame.tokens))
         if self._verified >= self._held:
             self._begin()
 
     def _on_end(self, end: GenerationEnd) -> Outcome:
         execution = self._work.execution
+        if not self.generation or end.generation != self.generation:
+            raise FrameError("the end of another generation")
         if end.reason == "reclaimed":
             raise LostError("engine_reclaimed", ended=True)
         if end.reason == "cancelled":
             return execution.fail("cancelled")
+        if end.reason not in WHOLE_REASONS:
+            raise LostError("end_unknown", ended=True)
         if self._verified < self._held:
-            raise LostError("not_reproducible", ended=True)
+            raise LostError(NOT_REPRODUCIBLE, ended=True)
         if end.tokens != execution.answer.next_index:
             raise TokenGapError("the end counts other tokens")
         return Outcome(
--- a/src/balsamlift/requests/_handlers.py
+++ b/src/balsamlift/requests/_handlers.py
@@ -117,8 +117,8 @@
             raise HTTPError(METHOD_NOT_ALLOWED)
         workspace = self.query("workspace")
         self._authorize(workspace)
-        await self._requests.cancel(key, workspace)
-        self.reply(200, b'{"cancelled":true}')
+        cancelled = await self._requests.cancel(key, workspace)
+        self.reply(200, msgspec.json.encode({"cancelled": cancelled}))
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer an error with its type's code."""
--- a/src/balsamlift/requests/_remote.py
+++ b/src/balsamlift/requests/_remote.py
@@ -26,8 +26,10 @@
 from balsamlift.requests._parts import Parts
 from balsamlift.streams import (
     FAILED,
+    REFUSED,
     UNKNOWN,
     WHOLE,
+    WHOLE_REASONS,
     Accepted,
     FrameError,
     GenerationEnd,
@@ -48,9 +50,22 @@
 PAUSE_S = 0.1
 ASK_AGAIN_MS = 1_000
 NOT_FOUND = 404
+CONFLICT = 409
+GONE = 410
+SERVER_ERROR = 500
 RELAYS = 2  # peers asked to reach a home that this host cannot reach
 
 
+@attrs.frozen(kw_only=True)
+class _Error:
+    error: str
+
+
+@attrs.frozen(kw_only=True)
+class _Cancelled:
+    cancelled: bool
+
+
 @attrs.define(eq=False)
 class _Pass:
     """Hold one request on its way to its home."""
@@ -60,6 +75,7 @@
     body: RequestBody | None
     engine: tuple[str, str] | None
     hops: int
+    tries: int = 0
 
 
 class Remote:
@@ -104,7 +120,7 @@
         """Follow a request at another host into an own execution."""
         await self._follow(_Pass(home, execution, body, None, 0))
 
-    async def cancel(self, home: Home, key: str, workspace: str) -> None:
+    async def cancel(self, home: Home, key: str, workspace: str) -> bool:
         """Have the home cancel; raise `KeyMissingError` where it can't."""
         for peer in self._routes(home, 0):
             url = _url(peer, f"/{quote(key)}?workspace={quote(workspace)}")
@@ -115,7 +131,7 @@
             except CallError:
                 continue
             if answer.status == 200:
-                return
+                return answer.decode(_Cancelled).cancelled
         raise KeyMissingError("no such request within reach")
 
     def _spawn(
@@ -161,13 +177,14 @@
     async def _try(self, passed: _Pass, peer: Peer) -> Outcome | None:
         execution = passed.execution
         stream = self._open(passed, peer)
+        passed.tries += 1
         self._parts.timeline.record(
             "passed_on", request=execution.key, to=peer.host
         )
         try:
             return await _read_home(execution, stream)
         except StreamStatusError as error:
-            return _status_outcome(execution, error)
+            return _status_outcome(passed, error)
         except (StreamError, FrameError) as error:
             self._parts.timeline.record(
                 "pass_lost",
@@ -269,17 +286,33 @@
     return f"http://{peer.operators_address}/v1/peer/requests{path}"
 
 
-def _status_outcome(
-    execution: Execution, error: StreamStatusError
-) -> Outcome | None:
+def _status_outcome(passed: _Pass, error: StreamStatusError) -> Outcome | None:
     """Return the outcome that a home answered with a status."""
     try:
         return msgspec.json.decode(error.body, type=Outcome)
     except msgspec.DecodeError:
         pass
+    execution = passed.execution
     if error.status == NOT_FOUND and execution.accepted is None:
         return execution.fail("key_missing", UNKNOWN)
-    return None
+    if error.status == NOT_FOUND or error.status >= SERVER_ERROR:
+        return None
+    return _client_error_outcome(passed, error)
+
+
+def _client_error_outcome(passed: _Pass, error: StreamStatusError) -> Outcome:
+    """Return what a home says of a request that the caller must mend."""
+    try:
+        code = msgspec.json.decode(error.body, type=_Error).error
+    except msgspec.DecodeError:
+        code = f"status_{error.status}"
+    if error.status == GONE:
+        return passed.execution.fail(code, FAILED)
+    # What an earlier try has begun may run, whatever this one was told.
+    certain = passed.body is not None and passed.tries == 1
+    if certain or error.status == CONFLICT:
+        return Outcome(outcome=REFUSED, reason=code)
+    return passed.execution.fail(code, UNKNOWN)
 
 
 async def _read_home(execution: Execution, stream: Stream) -> Outcome:
@@ -321,6 +354,13 @@
 def _engine_outcome(execution: Execution, end: GenerationEnd) -> Outcome:
     if end.reason in ("cancelled", "reclaimed"):
         return execution.fail(end.reason, FAILED)
+    if (
+        execution.start is None
+        or end.generation != execution.answer.generation
+    ):
+        raise FrameError("the end of another generation")
+    if end.reason not in WHOLE_REASONS:
+        return execution.fail("end_unknown", FAILED)
     if end.tokens != execution.answer.next_index:
         raise TokenGapError("the end counts other tokens")
     return Outcome(
--- a/src/balsamlift/requests/_service.py
+++ b/src/balsamlift/requests/_service.py
@@ -109,16 +109,20 @@
             key.home, key_text, workspace, first_index, engine, hops
         )
 
-    async def cancel(self, key_text: str, workspace: str) -> None:
-        """End a request of this workspace; raise `KeyMissingError`."""
+    async def cancel(self, key_text: str, workspace: str) -> bool:
+        """End a request; return whether it is cancelled, or had ended.
+
+        Raises `KeyMissingError`.
+        """
         key = parse_key(key_text)
         if isinstance(key, HomedKey) and key.home != self.home:
-            await self.remote.cancel(key.home, key_text, workspace)
-            return
+            return await self.remote.cancel(key.home, key_text, workspace)
         execution = self._find_own(key, workspace)
         if execution.task is not None and execution.outcome is None:
             execution.task.cancel()
             await asyncio.gather(execution.task, return_exceptions=True)
+        outcome = execution.outcome
+        return outcome is not None and outcome.reason == "cancelled"
 
     async def wait_idle(self, bound_s: float) -> bool:
         """Wait until nothing runs and nobody reads; return whether so."""
--- a/src/balsamlift/streams/_frames.py
+++ b/src/balsamlift/streams/_frames.py
@@ -17,6 +17,8 @@
 FAILED = "failed"
 UNKNOWN = "unknown"
 
+WHOLE_REASONS = frozenset({"stop", "length"})  # of an upstream's end
+
 HEARTBEAT = b"event: heartbeat\ndata: {}\n\n"
 _SEPARATOR = b"\n\n"
 MAX_EVENT_BYTES = 4 << 20
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -509,6 +509,27 @@
         token_frame(0, "a", "b"),
         end_frame(1),
     ],
+    "an end of another generation": lambda b: [
+        start_frame(b),
+        token_frame(0, "a"),
+        end_frame(1, generation="h"),
+    ],
+    "an end of another kind": lambda b: [
+        start_frame(b),
+        token_frame(0, "a"),
+        end_frame(1, reason="exploded"),
+    ],
+    "an end before the start": lambda b: [end_frame(0)],
+    "a start without a key": lambda b: [
+        event("start", generation="g"),
+        token_frame(0, "a"),
+        end_frame(1),
+    ],
+    "another workspace": lambda b: [
+        start_frame(b | {"workspace": "rival"}),
+        token_frame(0, "a"),
+        end_frame(1),
+    ],
     "no end": lambda b: [start_frame(b), token_frame(0, "a")],
     "nothing": lambda b: [],
 }
@@ -528,3 +549,36 @@
     body = world.body(kind="odd", prompt="model")
     assert ask(world.hosts[0], body)[-1][1]["outcome"] == "whole"
     assert world.odd.bodies[body["key"]]["model"] == "m"
+
+
+@pytest.mark.parametrize("host", [0, 1])
+def test_a_key_reused_gets_no_answer_of_another_request(world, host):
+    body = world.body(prompt="[length=3]")
+    ask(world.hosts[0], body)
+    told = ask(world.hosts[host], body | {"prompt": "[length=4]"})
+    assert tokens_in(told) == []
+    [(status, answer)] = told
+    if host:
+        assert (answer["outcome"], answer["reason"]) == (
+            "refused",
+            "key_reused",
+        )
+    else:
+        assert (status, answer["error"]) == (409, "key_reused")
+
+
+def test_a_wrong_request_is_told_so_by_another_host(world):
+    [(_, told)] = ask(world.hosts[1], world.body(kind="poem"))
+    assert (told["outcome"], told["reason"]) == ("refused", "kind_unknown")
+
+
+@pytest.mark.parametrize("host", [0, 1])
+def test_what_has_ended_is_not_told_cancelled(world, host):
+    body = world.body(prompt="[length=3]")
+    ask(world.hosts[0], body)
+    path = f"/v1/requests/{body['key']}?workspace=museum"
+    assert call(world.hosts[host], "DELETE", path) == (
+        200,
+        {"cancelled": False},
+    )
+    assert follow(world.hosts[0], body["key"])[-1][1]["outcome"] == "whole"
