--- a/tests/scenarios/deployment.py
+++ b/tests/scenarios/deployment.py
@@ -24,6 +24,7 @@
     start_service,
 )
 
+LOG_RETENTION_MS = 600_000
 MOST_ADDRESSES = 4  # that a host names to a caller
 PRESETS = ("ordinary", "peak", "maintenance")
 
@@ -36,6 +37,7 @@
     pools: PoolShape = attrs.field(factory=PoolShape)
     policy: dict[str, Any] = attrs.field(factory=dict)
     platform: dict[str, Any] = attrs.field(factory=dict)
+    orders: dict[str, int] = attrs.field(factory=dict)
 
 
 class Deployment:
@@ -74,28 +76,30 @@
             {"address": "127.0.4.1:0", "hosts_lag_ms": 0} | self.plan.platform,
         )
         started = [
-            ("engine", n, start_engine(n, self.plan.engines))
-            for n in range(1, engines + 1)
+            ("engine", n, self._start_engine(n)) for n in range(1, engines + 1)
         ] + [("service", n, start_service(n)) for n in range(1, services + 1)]
         for number in range(1, host_count + 1):
             self.start_host(number)
         for kind, number, process in started:
             stand_in = put_behind_link(self.background, process, kind, number)
             self.stand_ins[stand_in.name] = stand_in
+            if kind == "engine" and self.plan.engines.fetches_weights:
+                self._wait_listed(stand_in.name)
             self.list_entry(stand_in.name, stand_in.entry)
         for host in self.hosts.values():
             self.list_entry(host.name, host.entry)
         self._publish_all()
         self.wait_serving()
 
-    def start_host(self, number: int, **overrides: Any) -> TestHost:
+    def start_host(self, number: int) -> TestHost:
         """Start a host, not yet in the platform's list."""
         host = hosts.start(
             self.background,
             number,
             self.platform_address,
             self.plan.pools,
-            **overrides,
+            self.plan.platform.get("log_retention_ms", LOG_RETENTION_MS),
+            self.plan.orders,
         )
         self.hosts[number] = host
         return host
@@ -198,6 +202,20 @@
         for process in processes:
             process.close()
 
+    def _start_engine(self, number: int) -> Process:
+        return start_engine(number, self.plan.engines, self.platform_address)
+
+    def _wait_listed(self, name: str) -> None:
+        """Wait until a stand-in that knows the platform is in its list.
+
+        What it reports there is to be replaced by the address of its link.
+        """
+        wait_until(lambda: self._lists(name), f"{name} is listed")
+
+    def _lists(self, name: str) -> bool:
+        listed = control.get(self.platform_address, "/v1/hosts")
+        return any(entry["name"] == name for entry in listed["hosts"])
+
     def _publish_all(self) -> None:
         self.background.run(self._publish())
         self.switch(PRESETS[0])
--- a/tests/scenarios/hosts.py
+++ b/tests/scenarios/hosts.py
@@ -151,7 +151,8 @@
     number: int,
     platform_address: str,
     pools: PoolShape,
-    **overrides: Any,
+    log_retention_ms: int,
+    orders: dict[str, int],
 ) -> TestHost:
     """Start host `number`; it is not yet in the platform's list."""
     log_link = TestLink(background, platform_address)
@@ -167,6 +168,7 @@
             "log_address": log_link.address,
             "hosts_address": list_link.address,
             "log_silence_ms": 1_000,
+            "log_retention_ms": log_retention_ms,
             "hosts_poll_ms": 200,
         },
         "pools": pools.settings(),
@@ -177,8 +179,8 @@
             "heartbeat_ms": 500,
             "upstream_silence_ms": 2_000,
         },
+        "orders": orders,
         "seed": number,
-        **overrides,
     }
     process = start_host(settings)
     return TestHost(number, process, log_link, list_link)
--- a/tests/scenarios/upstreams.py
+++ b/tests/scenarios/upstreams.py
@@ -84,9 +84,14 @@
     memory_tokens: int = 65_536
     step_base_ms: float = DEFAULT_STEP_MS
     queue_limit: int = 64
+    checks_fence: bool = True
+    model_load_ms: int = 500
+    fetches_weights: bool = False
 
 
-def start_engine(number: int, shape: EngineShape) -> Process:
+def start_engine(
+    number: int, shape: EngineShape, platform_address: str
+) -> Process:
     return start_stand_in(
         "engine",
         {
@@ -98,6 +103,11 @@
             "version": VERSION,
             "seed": number,
             "deterministic": shape.deterministic,
+            "checks_fence": shape.checks_fence,
+            "model_load_ms": shape.model_load_ms,
+            "platform_address": (
+                platform_address if shape.fetches_weights else ""
+            ),
             "load_lag_ms": 200,
             "parameters": {
                 "memory_tokens": shape.memory_tokens,
