--- a/src/balsamlift/placement/_pool.py
+++ b/src/balsamlift/placement/_pool.py
@@ -60,7 +60,7 @@
         """Return how long a new ticket would wait."""
         ask = ticket.ask
         queue = self.queue(ask.priority)
-        own = queue.cost(ask.workspace) / queue.share(ask.workspace)
+        own = queue.tokens_before(ask.workspace, queue.cost(ask.workspace))
         return self.rate.wait_ms(self._urgent_cost(ask.priority) + own)
 
     def check(self, ticket: Ticket, policy: Policy) -> None:
@@ -107,10 +107,11 @@
         for queue in self.by_priority():
             kept = 0.0
             for line in queue.lines():
-                share = queue.share(line[0].ask.workspace)
+                name = line[0].ask.workspace
                 ahead = 0.0
                 for ticket in line:
-                    wait_ms = self.rate.wait_ms(urgent + ahead / share)
+                    before = queue.tokens_before(name, ahead)
+                    wait_ms = self.rate.wait_ms(urgent + before)
                     bound_ms = _bound_ms(ticket, policy, gap_ms)
                     if now_ms - ticket.arrived_ms + wait_ms > bound_ms:
                         error = self._late(ticket, wait_ms, bound_ms)
@@ -132,8 +133,7 @@
         )
 
     def _own_ms(self, ticket: Ticket) -> float:
-        share = self.queue(ticket.ask.priority).share(ticket.ask.workspace)
-        return self.rate.wait_ms(ticket.cost / share)
+        return self.rate.wait_ms(ticket.cost)
 
     def _late(
         self, ticket: Ticket, wait_ms: float, bound_ms: float
--- a/src/balsamlift/placement/_queue.py
+++ b/src/balsamlift/placement/_queue.py
@@ -17,6 +17,7 @@
         """Begin empty."""
         self._waiting: OrderedDict[str, deque[Ticket]] = OrderedDict()
         self._deficits: dict[str, float] = {}
+        self._costs: dict[str, float] = {}  # of all that wait
 
     def __len__(self) -> int:
         """Return how many wait."""
@@ -35,13 +36,20 @@
         """Return how many of one workspace wait."""
         return len(self._waiting.get(workspace, ()))
 
-    def share(self, workspace: str) -> float:
-        """Return the part of the service that a workspace gets."""
-        weights = {
-            name: line[0].ask.weight for name, line in self._waiting.items()
-        }
-        own = weights.pop(workspace, 1.0)
-        return own / (own + sum(weights.values()))
+    def tokens_before(self, workspace: str, ahead: float) -> float:
+        """Return the tokens served before the next of a workspace.
+
+        `ahead` are its own; each other workspace is served in
+        proportion to its weight until it has nothing left.
+        """
+        line = self._waiting.get(workspace)
+        own = line[0].ask.weight if line else 1.0
+        total = ahead
+        for name, other in self._waiting.items():
+            if name != workspace:
+                served = (ahead + QUANTUM) * other[0].ask.weight / own
+                total += min(served, self.cost(name))
+        return total
 
     def load(self, workspace: str) -> float:
         """Return how many of a workspace wait, per unit of weight."""
@@ -54,13 +62,14 @@
 
     def cost(self, workspace: str) -> float:
         """Return the tokens expected of what a workspace has waiting."""
-        return sum(t.cost for t in self._waiting.get(workspace, ()))
+        return self._costs.get(workspace, 0.0)
 
     def push(self, ticket: Ticket) -> None:
         """Add a ticket at the end of its workspace's line."""
         name = ticket.ask.workspace
         self._waiting.setdefault(name, deque()).append(ticket)
         self._deficits.setdefault(name, 0.0)
+        self._costs[name] = self._costs.get(name, 0.0) + ticket.cost
 
     def remove(self, ticket: Ticket) -> bool:
         """Take out one ticket; return whether it waited."""
@@ -69,7 +78,7 @@
         if line is None or ticket not in line:
             return False
         line.remove(ticket)
-        self._forget_empty(name)
+        self._took(ticket)
         return True
 
     def newest_of(self, workspace: str) -> Ticket:
@@ -90,7 +99,7 @@
             name = ticket.ask.workspace
             self._waiting[name].popleft()
             self._deficits[name] -= ticket.cost
-            self._forget_empty(name)
+            self._took(ticket)
             placed.append(ticket)
         return placed
 
@@ -102,7 +111,10 @@
             self._deficits[name] += QUANTUM * line[0].ask.weight
             self._waiting.move_to_end(name)
 
-    def _forget_empty(self, name: str) -> None:
+    def _took(self, ticket: Ticket) -> None:
+        name = ticket.ask.workspace
+        self._costs[name] -= ticket.cost
         if not self._waiting[name]:
             del self._waiting[name]
             del self._deficits[name]
+            del self._costs[name]
--- a/tests/test_placement_scheduler.py
+++ b/tests/test_placement_scheduler.py
@@ -204,3 +204,17 @@
     ticket = scheduler.enqueue(make_ask("s", priority=0), 3_000.0)
     scheduler.decide(3_000.0)
     assert ticket.upstream == short
+
+
+def test_the_wait_counts_what_others_are_served_meanwhile():
+    queue = FairQueue()
+    for index in range(10):
+        ask = make_ask(f"l{index}", workspace="large", weight=4.0)
+        queue.push(Ticket(ask, 0.0, cost=1_000.0))
+    small = Ticket(make_ask("s", workspace="small"), 0.0, cost=500.0)
+    queue.push(small)
+    assert queue.tokens_before("small", 500.0) == 500.0 + 4 * (500 + 256)
+    assert queue.tokens_before("small", 50_000.0) == 50_000.0 + 10_000.0
+    assert queue.remove(small)
+    assert queue.cost("small") == 0.0
+    assert queue.cost("large") == 10_000.0
