--- a/tests/scenarios/orders.feature
+++ b/tests/scenarios/orders.feature
@@ -89,3 +89,31 @@
     And no call of the load was told falsely
     And every call of the load was told "whole" or "refused"
     And no call of the load ran on a model that its preset does not name
+
+  Scenario: two lease holders are killed, one after the other
+    Given engines that take 1500 ms to load weights
+    And a weight store that gives out 2 loads a second
+    And a short lease on orders
+    And a deployment of 3 hosts, 4 engines and 1 service
+    And presets with new versions and with another model
+    When an operator switches the engines to "version-2"
+    And an engine loads
+    And the host that holds the lease is killed
+    And an engine loads for another holder
+    And the host that holds the lease is killed
+    Then all engines end at version 2 of "draft"
+    And another host holds the lease
+    And never more than one engine loaded at a time
+    And the weight store was never asked over its rate
+
+  Scenario: the log loses the answers of appends during a switch
+    Given engines that take 200 ms to load weights
+    And a weight store that gives out 4 loads a second
+    And a short lease on orders
+    And a deployment of 3 hosts, 3 engines and 1 service
+    And presets with new versions and with another model
+    And a log that loses the answers of appends
+    When an operator switches the engines to "version-2"
+    Then all engines end at version 2 of "draft"
+    And never more than one engine loaded at a time
+    And each engine has loaded 1 time
--- a/tests/scenarios/orders_steps.py
+++ b/tests/scenarios/orders_steps.py
@@ -211,6 +211,12 @@
     )
 
 
+@when("an engine loads for another holder")
+def loads_for_other(orders: Orders) -> None:
+    assert orders.wait_holder() is not orders.giver
+    engine_loads(orders)
+
+
 @when("the host that holds the lease is killed")
 def kill_holder(orders: Orders) -> None:
     orders.giver = orders.wait_holder()
