--- a/tests/scenarios/at_most_once.feature
+++ b/tests/scenarios/at_most_once.feature
@@ -56,7 +56,7 @@
     And the refund ran once
 
   Scenario: the home shuts down while the request runs
-    Given services that take 500 ms
+    Given services that take 1800 ms
     When a refund is sent to host 1
     And the refund runs on a service
     And host 1 is told to shut down
@@ -124,3 +124,16 @@
     When a refund without a home is sent to every host
     Then every attempt at the refund is told "whole"
     And the refund ran once
+
+  Scenario: the caller's library hears nothing and its host is killed
+    Given services that take 200 ms
+    When a caller asks for a lookup
+    Then the lookup is told "whole"
+    When the answers of every host to callers stall
+    And a caller asks for a refund
+    And the refund runs on a service
+    And the host of the refund is killed
+    And the caller of the refund has tried 3 times
+    And the answers of every host to callers pass again
+    Then the refund is told "unknown"
+    And the refund ran once
--- a/tests/scenarios/callers.py
+++ b/tests/scenarios/callers.py
@@ -26,9 +26,9 @@
     length: int  # tokens that a whole answer has; 0 for services
     keys: list[str] = attrs.field(factory=list)  # under which bytes left
     tokens: list[str] = attrs.field(factory=list)
-    token_s: list[float] = attrs.field(factory=list)
     progress: Progress | None = None
     outcome: Outcome | None = None
+    tries: int = 0  # connections to hosts
     error: BalsamliftError | None = None
     done: bool = False
 
@@ -89,6 +89,7 @@
         return self.call.progress
 
     def _open(self, progress: Progress, place: Place) -> Stream:
+        self.call.tries += 1
         if progress.key not in self.call.keys:
             self.call.keys.append(progress.key)
         return super()._open(progress, place)
--- a/tests/scenarios/orders_steps.py
+++ b/tests/scenarios/orders_steps.py
@@ -52,7 +52,8 @@
         self.watch: LoadWatch | None = None
         self.giver: TestHost | None = None  # that was frozen or killed
         self.thawed_ms = 0
-        self.named: dict[int, str] = {}  # the model, by generation
+        # Model and version that the preset names, by generation.
+        self.named: dict[int, tuple[str, str]] = {}
 
     @property
     def engines(self) -> list[StandIn]:
@@ -155,7 +156,7 @@
         preset = structure(raw, Preset, name)
         result = world.background.run(operator.publish(preset))
         assert result.state == "accepted", result
-    orders.named[world.deployment.generation] = MODEL
+    orders.named[world.deployment.generation] = (MODEL, VERSION)
     orders.wait_holder()
 
 
@@ -189,7 +190,7 @@
     result = world.deployment.switch(name)
     assert result.state == "accepted", result
     assert result.generation is not None
-    orders.named[result.generation] = MODELS[name][0]
+    orders.named[result.generation] = MODELS[name]
 
 
 @when("the next order to an engine is held on its way")
@@ -353,7 +354,9 @@
 
 @then("no call of the load ran on a model that its preset does not name")
 def named_models(world: World, orders: Orders) -> None:
+    """A version may lag or lead while engines are brought to it."""
     assert world.load is not None
+    versions = {version for _, version in orders.named.values()}
     seen = set()
     for call in world.load.calls:
         progress = call.progress
@@ -361,7 +364,9 @@
             continue
         assert progress.accepted is not None
         generation = progress.accepted.preset_generation
-        assert progress.start.model == orders.named[generation], progress
+        model, _ = orders.named[generation]
+        assert progress.start.model == model, progress
+        assert progress.start.version in versions, progress
         seen.add(generation)
     assert seen == set(orders.named), seen
 
--- a/tests/scenarios/shutdown.feature
+++ b/tests/scenarios/shutdown.feature
@@ -1,7 +1,8 @@
 Feature: A graceful shutdown cuts nothing off
 
   Scenario: a host shuts down with streams in flight
-    Given a deployment of 3 hosts, 2 engines and 1 service
+    Given engines that decode a token every 20 ms
+    And a deployment of 3 hosts, 2 engines and 1 service
     When 9 callers ask for a report each
     And each report has begun
     And host 1 is shut down
@@ -10,7 +11,8 @@
     And host 1 ended cleanly
 
   Scenario: every host is replaced in turn under load
-    Given a deployment of 3 hosts, 2 engines and 1 service
+    Given engines that decode a token every 20 ms
+    And a deployment of 3 hosts, 2 engines and 1 service
     And a steady load of every kind from callers that keep old addresses
     When every host is replaced in turn
     And the load ends
--- a/tests/scenarios/steps_callers.py
+++ b/tests/scenarios/steps_callers.py
@@ -45,6 +45,15 @@
     assert not call.done, "the answer ended too early for this scenario"
 
 
+@when(
+    parsers.re(rf"the caller of the {KIND} has tried (?P<count>\d+) times"),
+    converters={"count": int},
+)
+def has_tried(world: World, kind: str, count: int) -> None:
+    call = world.call(kind)
+    wait_until(lambda: call.tries >= count, f"the caller tries {count} times")
+
+
 @when(parsers.re(f"each {KIND} has begun"))
 def each_begun(world: World, kind: str) -> None:
     calls = world.calls_of(kind)
--- a/tests/scenarios/steps_faults.py
+++ b/tests/scenarios/steps_faults.py
@@ -77,7 +77,9 @@
 
 @when(parsers.re(f"the host of the {KIND} is killed"))
 def kill_host_of(world: World, kind: str) -> None:
-    _host_of(world, kind).kill()
+    host = _host_of(world, kind)
+    host.kill()
+    world.host_links.by_host[host.name].cut()
 
 
 @when(parsers.re(f"the host of the {KIND} is frozen"))
@@ -170,3 +172,31 @@
 def silence_services(world: World) -> None:
     for service in world.deployment.services:
         service.link.silence()
+
+
+@when("the answers of every host to callers stall")
+def stall_answers(world: World) -> None:
+    for link in world.host_links.by_host.values():
+        link.set(stall_backward=True)
+
+
+@when("the answers of every host to callers pass again")
+def pass_answers(world: World) -> None:
+    for link in world.host_links.by_host.values():
+        link.restore()
+
+
+@when("every host is killed")
+def kill_all(world: World) -> None:
+    for host in world.deployment.hosts.values():
+        host.kill()
+
+
+@when("every host starts again")
+def start_all(world: World) -> None:
+    deployment = world.deployment
+    deployment.past_hosts.extend(deployment.hosts.values())
+    for number in deployment.hosts:
+        deployment.start_host(number)
+    for host in deployment.hosts.values():
+        deployment.list_entry(host.name, host.entry)
