Begin anew at once where a lost engine costs nothing

Change: two refused connections are enough where the work is idempotent and nothing was delivered, or the pool is deterministic; elsewhere six as before, because then a lost engine is a lost answer. Silent connections are followed in a loop, no longer by recursion.

--- a/src/balsamlift/requests/_engine.py
+++ b/src/balsamlift/requests/_engine.py
@@ -39,6 +39,7 @@
 
 RESUME_TRIES = 6
 RESUME_PAUSE_S = 0.1
+REFUSED_TRIES = 2  # where the work may begin anew elsewhere
 NOT_FOUND = 404
 NOT_REPRODUCIBLE = "not_reproducible"
 
@@ -195,34 +196,50 @@
 
 async def _resume(work: Work, upstream: Upstream, reader: _Reader) -> Outcome:
     """Follow the same generation over fresh connections."""
-    streams = work.parts.settings.streams
-    pause_s = RESUME_PAUSE_S
-    for _ in range(RESUME_TRIES):
+    failed = 0
+    refused = 0
+    while failed < RESUME_TRIES:
+        if refused >= REFUSED_TRIES and _may_rerun(work):
+            break
         before = reader.frames
-        stream = work.parts.streams.open(
-            "GET",
-            f"http://{upstream.address}/v1/generations/{reader.generation}"
-            f"?from={reader.next_index}",
-            connect_ms=streams.connect_ms,
-            silence_ms=streams.upstream_silence_ms,
-        )
-        work.record("resumed", upstream=upstream.name, index=reader.next_index)
         try:
-            return await reader.read(stream)
+            return await reader.read(_open_again(work, upstream, reader))
         except StreamStatusError as error:
             if error.status == NOT_FOUND:
                 raise LostError("engine_forgot", ended=True) from error
+        except StreamUnreachableError:
+            refused += 1
         except (StreamError, FrameError):
-            pass
+            refused = 0
         if reader.frames > before:
             # It moved on; silent connections may come any number of times.
-            return await _resume(work, upstream, reader)
-        await work.parts.clock.sleep(pause_s)
-        pause_s *= 2
+            failed = 0
+            continue
+        await work.parts.clock.sleep(RESUME_PAUSE_S * 2**failed)
+        failed += 1
     work.parts.upstreams.mark(upstream.name, "dead", "resume")
     raise LostError("engine_lost", ended=False)
 
 
+def _open_again(work: Work, upstream: Upstream, reader: _Reader) -> Stream:
+    work.record("resumed", upstream=upstream.name, index=reader.next_index)
+    streams = work.parts.settings.streams
+    return work.parts.streams.open(
+        "GET",
+        f"http://{upstream.address}/v1/generations/{reader.generation}"
+        f"?from={reader.next_index}",
+        connect_ms=streams.connect_ms,
+        silence_ms=streams.upstream_silence_ms,
+    )
+
+
+def _may_rerun(work: Work) -> bool:
+    """Return whether another engine may begin anew at no loss."""
+    if not work.idempotent:
+        return False
+    return work.execution.delivered == 0 or _is_deterministic(work)
+
+
 async def cancel_generation(
     work: Work, upstream: Upstream, reader: _Reader
 ) -> None:
