Wait for what the scenarios watch

Cause: under load three scenarios failed in a whole run (of 68) for faults of the harness: the monitor of the configuration had not made its first round (twice), and a report ended before its second silence. Change: the verdict waits for a whole round of readings; that report decodes a token every 40 ms. Ruled out: the product, whose answers were right.

--- a/tests/scenarios/steps_configuration.py
+++ b/tests/scenarios/steps_configuration.py
@@ -78,7 +78,7 @@
 def never_back(world: World) -> None:
     monitor = world.monitor
     assert monitor is not None
-    assert monitor.readings > 0
+    monitor.wait_round()
     assert not monitor.steps_back
 
 
--- a/tests/scenarios/streams.feature
+++ b/tests/scenarios/streams.feature
@@ -10,7 +10,8 @@
     And the report ran once
 
   Scenario: the connections to the engine go silent twice
-    Given a deployment of 3 hosts, 2 engines and 1 service
+    Given engines that decode a token every 40 ms
+    And a deployment of 3 hosts, 2 engines and 1 service
     When a caller asks for a report
     And 5 tokens of the report have arrived
     And the open connections to the engine of the report go silent
