--- a/src/balsamlift/requests/_execution.py
+++ b/src/balsamlift/requests/_execution.py
@@ -112,6 +112,7 @@
             return
         self.outcome = outcome
         self.finished_s = now_s
+        self.answer.compact()
         self.notify()
 
     def watch(self) -> None:
--- a/src/balsamlift/streams/_answer.py
+++ b/src/balsamlift/streams/_answer.py
@@ -11,6 +11,8 @@
 
 from balsamlift.streams._frames import FrameError, Tokens
 
+COMPACT_FRAMES = 64  # joined to one when an answer is complete
+
 
 class TokenGapError(FrameError):
     """Tell that tokens are missing before the ones that came."""
@@ -115,6 +117,13 @@
         for chunk in self._chunks_from(index):
             yield chunk.index + chunk.count, chunk.data()
 
+    def compact(self) -> None:
+        """Join small frames: for an answer that is complete and kept."""
+        joined: list[_Chunk] = []
+        for start in range(0, len(self._chunks), COMPACT_FRAMES):
+            joined.append(_join(self._chunks[start : start + COMPACT_FRAMES]))
+        self._chunks = joined
+
     def _add(self, tokens: list[str]) -> None:
         encoded = msgspec.json.encode(tokens)
         chunk = _Chunk(self.generation, self.next_index, len(tokens), encoded)
@@ -132,5 +141,14 @@
             yield chunk.after(index) if chunk.index < index else chunk
 
 
+def _join(chunks: list[_Chunk]) -> _Chunk:
+    """Return one chunk with the tokens of several of one generation."""
+    first = chunks[0]
+    inner = [chunk.tokens_json[1:-1] for chunk in chunks]
+    count = sum(chunk.count for chunk in chunks)
+    tokens_json = b"[%b]" % b",".join(inner)
+    return _Chunk(chunks[-1].generation, first.index, count, tokens_json)
+
+
 def _index_of(chunk: _Chunk) -> int:
     return chunk.index
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -47,6 +47,10 @@
         index = self.answer.next_index
         self.frame(index, min(count, len(SOURCE) - index))
 
+    @rule()
+    def compact(self):
+        self.answer.compact()
+
     @rule()
     def other_generation(self):
         frame = Tokens(
