Ask upstreams by key, and read their refusals, in one place

Tidying: the question by key and the reading of a refusal stood in two and three modules with their own data classes. They stand once now, in requests/_answers.py. Nothing changes in behaviour.

--- a/src/balsamlift/requests/_by_key.py
+++ b/src/balsamlift/requests/_by_key.py
@@ -7,16 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
 
 import attrs
-import msgspec
 
-from balsamlift._http import CallError
 from balsamlift.peers import Upstream
+from balsamlift.requests._answers import DONE, RUNNING, KeyState, ask_key
 from balsamlift.requests._execution import Execution
 from balsamlift.requests._parts import Parts
-from balsamlift.requests._service_call import DONE, RUNNING, whole_result
+from balsamlift.requests._service_call import whole_result
 from balsamlift.streams import Outcome
 
 MOST_ASKED = 32  # upstreams; a lost home must not cost a call to thousands
@@ -25,16 +23,6 @@
 POLL_PAUSE_S = 0.25
 
 
-@attrs.frozen(kw_only=True)
-class KeyState:
-    """Hold what an upstream tells of a key."""
-
-    state: str
-    workspace: str = ""
-    generation: str = ""
-    result: Any = None
-
-
 @attrs.frozen
 class Found:
     """Name the upstream that knows a key, and what it tells."""
@@ -71,15 +59,8 @@
 async def _ask(
     parts: Parts, execution: Execution, upstream: Upstream
 ) -> Found | None:
-    url = f"http://{upstream.address}/v1/keys/{execution.key}"
-    try:
-        answer = await parts.http.call(
-            "GET", url, timeout_ms=ASK_TIMEOUT_MS, fresh=True
-        )
-        key_state = answer.decode(KeyState)
-    except (CallError, msgspec.DecodeError):
-        return None
-    if key_state.state not in (DONE, RUNNING):
+    key_state = await ask_key(parts, upstream, execution.key, ASK_TIMEOUT_MS)
+    if key_state is None or key_state.state not in (DONE, RUNNING):
         return None
     if upstream.kind == "engine":
         # Its stream says whose generation it is.
--- a/src/balsamlift/requests/_engine.py
+++ b/src/balsamlift/requests/_engine.py
@@ -6,10 +6,10 @@
 import contextlib
 
 import attrs
-import msgspec
 
 from balsamlift._http import CallError
 from balsamlift.peers import Upstream
+from balsamlift.requests._answers import ask_key, read_refusal
 from balsamlift.requests._work import (
     LostError,
     NotRunError,
@@ -44,19 +44,6 @@
 NOT_REPRODUCIBLE = "not_reproducible"
 
 
-@attrs.frozen(kw_only=True)
-class _Refusal:
-    ran: bool = True
-    reason: str = "status"
-    retry_after_ms: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class _KeyState:
-    state: str
-    generation: str = ""
-
-
 async def run_on_engines(work: Work) -> Outcome:
     """Try engines until there is an outcome."""
     while True:
@@ -163,10 +150,7 @@
 
 
 def _status_error(error: StreamStatusError) -> NotRunError | LostError:
-    try:
-        refusal = msgspec.json.decode(error.body, type=_Refusal)
-    except msgspec.DecodeError:
-        refusal = _Refusal()
+    refusal = read_refusal(error.body)
     if not refusal.ran:
         return NotRunError(refusal.reason, refusal.retry_after_ms)
     return LostError(f"engine_status_{error.status}", ended=False)
@@ -174,24 +158,11 @@
 
 async def _ask_by_key(work: Work, upstream: Upstream) -> str:
     """Return the generation that runs under the key; raise `LostError`."""
-    lost = LostError("engine_silent", ended=False)
-    if not upstream.tells_by_key:
-        raise lost
-    url = f"http://{upstream.address}/v1/keys/{work.execution.key}"
-    try:
-        answer = await work.parts.http.call(
-            "GET",
-            url,
-            timeout_ms=work.parts.settings.streams.upstream_silence_ms,
-            fresh=True,
-        )
-        state = answer.decode(_KeyState)
-    except (CallError, msgspec.DecodeError) as error:
-        raise lost from error
-    if not state.generation:
-        # Absent proves nothing: the request may still be on its way.
-        raise lost
-    return state.generation
+    timeout_ms = work.parts.settings.streams.upstream_silence_ms
+    told = await ask_key(work.parts, upstream, work.execution.key, timeout_ms)
+    if told is None or not told.generation:
+        raise LostError("engine_silent", ended=False)
+    return told.generation
 
 
 async def _resume(work: Work, upstream: Upstream, reader: _Reader) -> Outcome:
--- a/src/balsamlift/requests/_service_call.py
+++ b/src/balsamlift/requests/_service_call.py
@@ -10,6 +10,12 @@
 
 from balsamlift._http import Answer, CallError
 from balsamlift.peers import Upstream
+from balsamlift.requests._answers import (
+    DONE,
+    RUNNING,
+    ask_key,
+    read_refusal,
+)
 from balsamlift.requests._work import (
     LostError,
     NotRunError,
@@ -23,8 +29,6 @@
 POLL_PAUSE_S = 0.25
 OK = 200
 SERVER_ERROR = 500
-DONE = "done"
-RUNNING = "running"
 
 
 @attrs.frozen(kw_only=True)
@@ -32,19 +36,6 @@
     result: Any = None
 
 
-@attrs.frozen(kw_only=True)
-class _Refusal:
-    ran: bool = True
-    reason: str = "status"
-    retry_after_ms: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class _KeyState:
-    state: str
-    result: Any = None
-
-
 async def run_on_services(work: Work) -> Outcome:
     """Try plain services until there is an outcome."""
     while True:
@@ -103,10 +94,7 @@
 def _outcome(work: Work, answer: Answer) -> Outcome:
     if answer.status == OK:
         return whole_result(answer.decode(_CallAnswer).result)
-    try:
-        refusal = answer.decode(_Refusal)
-    except msgspec.DecodeError:
-        refusal = _Refusal()
+    refusal = read_refusal(answer.body)
     if not refusal.ran:
         raise NotRunError(refusal.reason, refusal.retry_after_ms)
     reason = f"service_status_{answer.status}"
@@ -124,19 +112,13 @@
 
 async def _ask_by_key(work: Work, upstream: Upstream) -> Outcome:
     """Learn by key what became of a call whose answer is lost."""
-    url = f"http://{upstream.address}/v1/keys/{work.execution.key}"
-    while upstream.tells_by_key and work.left_s() > 0:
-        try:
-            answer = await work.parts.http.call(
-                "GET", url, timeout_ms=_silence_ms(work), fresh=True
-            )
-            state = answer.decode(_KeyState)
-        except (CallError, msgspec.DecodeError):
-            break
-        if state.state == DONE:
-            return whole_result(state.result)
-        if state.state != RUNNING:
-            # Absent proves nothing: the call may still be on its way.
+    while work.left_s() > 0:
+        told = await ask_key(
+            work.parts, upstream, work.execution.key, _silence_ms(work)
+        )
+        if told is not None and told.state == DONE:
+            return whole_result(told.result)
+        if told is None or told.state != RUNNING:
             break
         await work.parts.clock.sleep(POLL_PAUSE_S)
     raise LostError("service_silent", ended=False)
