--- a/src/balsamlift/_commands/_serve.py
+++ b/src/balsamlift/_commands/_serve.py
@@ -28,7 +28,7 @@
 finish what it has taken, within `shutdown_ms`, and exit.
 
 Example:
-  balsamlift serve examples/warisan-pulih/entry-1.json5
+  balsamlift serve examples/warisan-pulih/hosts/entry-1.json5
 
 Exit codes: 0 stopped as told, 1 failed, 2 wrong usage or settings.
 """
