--- /dev/null
+++ b/src/balsamlift/requests/_adoption.py
@@ -0,0 +1,121 @@
+"""Bring an answer from its upstream when the home is gone.
+
+Reading a generation again runs nothing again, so any host may do it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from urllib.parse import quote
+
+import attrs
+
+from balsamlift.peers import Upstream
+from balsamlift.requests._by_key import find_by_key, wait_result
+from balsamlift.requests._execution import Execution
+from balsamlift.requests._parts import Parts
+from balsamlift.streams import (
+    FAILED,
+    UNKNOWN,
+    WHOLE,
+    WHOLE_REASONS,
+    FrameError,
+    GenerationEnd,
+    Outcome,
+    Start,
+    Stream,
+    StreamError,
+    StreamSilentError,
+    StreamStatusError,
+    StreamUnreachableError,
+    TokenGapError,
+    Tokens,
+)
+
+TRIES = 4
+PAUSE_S = 0.1
+
+
+async def ask_upstreams(parts: Parts, execution: Execution) -> Outcome | None:
+    """Return the outcome that an upstream tells by key, if one does."""
+    found = await find_by_key(parts, execution)
+    if found is None:
+        return None
+    if found.upstream.kind == "engine":
+        generation = found.key_state.generation
+        return await adopt(parts, execution, found.upstream.name, generation)
+    return await wait_result(parts, execution, found)
+
+
+async def adopt(
+    parts: Parts, execution: Execution, upstream_name: str, generation: str
+) -> Outcome | None:
+    """Read the whole generation from its engine; None if it can't."""
+    upstream = parts.upstreams.find(upstream_name)
+    if upstream is None or upstream.kind != "engine":
+        return None
+    parts.timeline.record(
+        "adopted", request=execution.key, upstream=upstream_name
+    )
+    execution.restart_reading()
+    for _ in range(TRIES):
+        stream = _open(parts, execution, upstream, generation)
+        try:
+            return await _read(execution, stream, upstream_name)
+        except (StreamUnreachableError, StreamStatusError):
+            return None
+        except (StreamError, FrameError):
+            await parts.clock.sleep(PAUSE_S)
+    return None
+
+
+def _open(
+    parts: Parts, execution: Execution, upstream: Upstream, generation: str
+) -> Stream:
+    streams = parts.settings.streams
+    return parts.streams.open(
+        "GET",
+        f"http://{upstream.address}/v1/generations/{quote(generation)}"
+        f"?from={execution.answer.next_index}",
+        connect_ms=streams.connect_ms,
+        silence_ms=streams.upstream_silence_ms,
+    )
+
+
+async def _read(
+    execution: Execution, stream: Stream, upstream: str
+) -> Outcome:
+    async with contextlib.aclosing(stream.events()) as events:
+        async for event in events:
+            if event.name == "token":
+                execution.take(event.decode(Tokens))
+            elif event.name == "start":
+                start = event.decode(Start)
+                mine = (execution.key, execution.workspace)
+                if (start.key, start.workspace) != mine:
+                    return execution.fail("foreign_generation", UNKNOWN)
+                execution.answer.begin(start.generation)
+                execution.begin(attrs.evolve(start, upstream=upstream))
+            elif event.name == "end":
+                return _outcome(execution, event.decode(GenerationEnd))
+    raise StreamSilentError("ended without an end")
+
+
+def _outcome(execution: Execution, end: GenerationEnd) -> Outcome:
+    if end.reason in ("cancelled", "reclaimed"):
+        return execution.fail(end.reason, FAILED)
+    if (
+        execution.start is None
+        or end.generation != execution.answer.generation
+    ):
+        raise FrameError("the end of another generation")
+    if end.reason not in WHOLE_REASONS:
+        return execution.fail("end_unknown", FAILED)
+    if end.tokens != execution.answer.next_index:
+        raise TokenGapError("the end counts other tokens")
+    return Outcome(
+        outcome=WHOLE,
+        reason=end.reason,
+        tokens=end.tokens,
+        digest=execution.answer.digest,
+    )
--- a/src/balsamlift/requests/_engine.py
+++ b/src/balsamlift/requests/_engine.py
@@ -298,11 +298,9 @@
             self._verify(frame)
             if self._verified < self._held:
                 return
-        execution = self._work.execution
-        added = execution.answer.append(frame)
+        added = self._work.execution.take(frame)
         if not added:
             return
-        execution.notify()
         now_s = self._work.parts.clock.monotonic()
         gap_ms = (now_s - self._last_s) * 1_000
         self._last_s = now_s
--- a/src/balsamlift/requests/_execution.py
+++ b/src/balsamlift/requests/_execution.py
@@ -14,6 +14,7 @@
     Answer,
     Outcome,
     Start,
+    Tokens,
 )
 
 _DROPPED = Answer()  # shared by all whose tokens are forgotten
@@ -106,6 +107,13 @@
         self.start = start
         self.notify()
 
+    def take(self, frame: Tokens) -> int:
+        """Add the new tokens of a frame and return their number."""
+        added = self.answer.append(frame)
+        if added:
+            self.notify()
+        return added
+
     def finish(self, outcome: Outcome, now_s: float) -> None:
         """Say how it ended: the first word stands."""
         if self.outcome is not None:
--- a/src/balsamlift/requests/_remote.py
+++ b/src/balsamlift/requests/_remote.py
@@ -18,7 +18,7 @@
 
 from balsamlift._http import CallError
 from balsamlift.peers import Peer
-from balsamlift.requests._by_key import find_by_key, wait_result
+from balsamlift.requests._adoption import adopt, ask_upstreams
 from balsamlift.requests._errors import KeyMissingError
 from balsamlift.requests._execution import Execution
 from balsamlift.requests._keys import Home
@@ -28,19 +28,14 @@
     FAILED,
     REFUSED,
     UNKNOWN,
-    WHOLE,
-    WHOLE_REASONS,
     Accepted,
     FrameError,
-    GenerationEnd,
     Outcome,
     Start,
     Stream,
     StreamError,
     StreamSilentError,
     StreamStatusError,
-    StreamUnreachableError,
-    TokenGapError,
     Tokens,
 )
 
@@ -232,55 +227,15 @@
         engine = passed.engine
         if execution.start is not None and execution.start.upstream:
             engine = (execution.start.upstream, execution.start.generation)
-        outcome = None
         if engine is not None:
-            outcome = await self._adopt(execution, *engine)
+            outcome = await adopt(self._parts, execution, *engine)
         else:
-            outcome = await self._ask_upstreams(execution)
+            outcome = await ask_upstreams(self._parts, execution)
         if outcome is not None:
             return outcome
         unknown = execution.fail("home_lost", UNKNOWN)
         return attrs.evolve(unknown, retry_after_ms=ASK_AGAIN_MS)
 
-    async def _ask_upstreams(self, execution: Execution) -> Outcome | None:
-        found = await find_by_key(self._parts, execution)
-        if found is None:
-            return None
-        if found.upstream.kind == "engine":
-            generation = found.key_state.generation
-            return await self._adopt(
-                execution, found.upstream.name, generation
-            )
-        return await wait_result(self._parts, execution, found)
-
-    async def _adopt(
-        self, execution: Execution, upstream_name: str, generation: str
-    ) -> Outcome | None:
-        """Read the whole generation from its engine; None if it can't."""
-        upstream = self._parts.upstreams.find(upstream_name)
-        if upstream is None or upstream.kind != "engine":
-            return None
-        self._parts.timeline.record(
-            "adopted", request=execution.key, upstream=upstream_name
-        )
-        execution.restart_reading()
-        streams = self._parts.settings.streams
-        for _ in range(TRIES):
-            stream = self._parts.streams.open(
-                "GET",
-                f"http://{upstream.address}/v1/generations"
-                f"/{quote(generation)}?from={execution.answer.next_index}",
-                connect_ms=streams.connect_ms,
-                silence_ms=streams.upstream_silence_ms,
-            )
-            try:
-                return await _read_engine(execution, stream, upstream_name)
-            except (StreamUnreachableError, StreamStatusError):
-                return None
-            except (StreamError, FrameError):
-                await self._parts.clock.sleep(PAUSE_S)
-        return None
-
 
 def _url(peer: Peer, path: str) -> str:
     return f"http://{peer.operators_address}/v1/peer/requests{path}"
@@ -319,7 +274,7 @@
     async with contextlib.aclosing(stream.events()) as events:
         async for event in events:
             if event.name == "token":
-                _append(execution, event.decode(Tokens))
+                execution.take(event.decode(Tokens))
             elif event.name == "accepted":
                 execution.accept(event.decode(Accepted))
             elif event.name == "start":
@@ -329,48 +284,3 @@
             elif event.name == "end":
                 return event.decode(Outcome)
     raise StreamSilentError("ended without an end")
-
-
-async def _read_engine(
-    execution: Execution, stream: Stream, upstream: str
-) -> Outcome:
-    async with contextlib.aclosing(stream.events()) as events:
-        async for event in events:
-            if event.name == "token":
-                _append(execution, event.decode(Tokens))
-            elif event.name == "start":
-                start = event.decode(Start)
-                mine = (execution.key, execution.workspace)
-                if (start.key, start.workspace) != mine:
-                    return execution.fail("foreign_generation", UNKNOWN)
-                execution.answer.begin(start.generation)
-                execution.begin(attrs.evolve(start, upstream=upstream))
-            elif event.name == "end":
-                end = event.decode(GenerationEnd)
-                return _engine_outcome(execution, end)
-    raise StreamSilentError("ended without an end")
-
-
-def _engine_outcome(execution: Execution, end: GenerationEnd) -> Outcome:
-    if end.reason in ("cancelled", "reclaimed"):
-        return execution.fail(end.reason, FAILED)
-    if (
-        execution.start is None
-        or end.generation != execution.answer.generation
-    ):
-        raise FrameError("the end of another generation")
-    if end.reason not in WHOLE_REASONS:
-        return execution.fail("end_unknown", FAILED)
-    if end.tokens != execution.answer.next_index:
-        raise TokenGapError("the end counts other tokens")
-    return Outcome(
-        outcome=WHOLE,
-        reason=end.reason,
-        tokens=end.tokens,
-        digest=execution.answer.digest,
-    )
-
-
-def _append(execution: Execution, frame: Tokens) -> None:
-    if execution.answer.append(frame):
-        execution.notify()
