--- a/src/balsamlift/_http.py
+++ b/src/balsamlift/_http.py
@@ -64,10 +64,14 @@
         self,
         stamp: Callable[[], str] = _no_stamp,
         observe: Callable[[str], None] = _ignore_stamp,
+        most_calls: int = MAX_CLIENTS,
     ) -> None:
-        """Stamp each call and observe each answer's stamp."""
+        """Stamp each call and observe each answer's stamp.
+
+        Of more than `most_calls` at once, some wait.
+        """
         self._client = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CLIENTS
+            force_instance=True, max_clients=most_calls
         )
         self._stamp = stamp
         self._observe = observe
--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -240,3 +240,24 @@
     def __init__(self, upstream: str, reason: str) -> None:
         """Name the upstream and the cause."""
         super().__init__(upstream, f"order without an answer: {reason}")
+
+
+class NotConfiguredError(BalsamliftError):
+    """Tell that no configuration is known yet."""
+
+    def __init__(self) -> None:
+        """Say so."""
+        super().__init__("no configuration is known yet")
+
+
+class UpstreamBrokenError(UpstreamError):
+    """Tell that an upstream broke its answer off or sent no answer."""
+
+
+class NoUpstreamError(BalsamliftError):
+    """Tell that no upstream of a pool may take the request now."""
+
+    def __init__(self, pool: str) -> None:
+        """Name the pool."""
+        super().__init__(f"no upstream of {pool!r} may take the request")
+        self.pool = pool
--- a/src/balsamlift/logs.py
+++ b/src/balsamlift/logs.py
@@ -4,7 +4,7 @@
 
 import sys
 from datetime import UTC
-from typing import TYPE_CHECKING, TextIO
+from typing import TYPE_CHECKING, Any, TextIO
 
 import attrs
 import msgspec
@@ -29,6 +29,7 @@
     host: str
     message: str
     error: str = ""
+    details: dict[str, Any] = attrs.field(factory=dict)  # what decided it
 
 
 def configure(
@@ -58,7 +59,7 @@
         return
 
     def write(message: Message) -> None:
-        line = msgspec.json.encode(_line(message.record))
+        line = msgspec.json.encode(_line(message.record), enc_hook=str)
         stream.write(line.decode() + "\n")
         stream.flush()
 
@@ -84,4 +85,9 @@
         host=str(record["extra"]["host"]),
         message=record["message"],
         error=error,
+        details={
+            name: value
+            for name, value in record["extra"].items()
+            if name not in ("part", "host")
+        },
     )
--- a/src/balsamlift/peers/_configuration.py
+++ b/src/balsamlift/peers/_configuration.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import Protocol, runtime_checkable
 
 from balsamlift.exceptions import ServiceMissingError
 from balsamlift.kernel import Kernel
 
+# Presets, or the routes of a deployment that has no presets.
+SERVICES = ("presets", "routing")
+
 
 @runtime_checkable
 class Configuration(Protocol):
@@ -47,8 +51,8 @@
         if self._kernel is None:
             return NoConfiguration()
         kind: type[Configuration] = Configuration  # type: ignore[type-abstract]
-        try:
-            self._found = self._kernel.find("presets", kind)
-        except ServiceMissingError:
-            return NoConfiguration()
-        return self._found
+        for name in SERVICES:
+            with suppress(ServiceMissingError):
+                self._found = self._kernel.find(name, kind)
+                return self._found
+        return NoConfiguration()
--- a/src/balsamlift/peers/_upstream.py
+++ b/src/balsamlift/peers/_upstream.py
@@ -23,6 +23,7 @@
     checks_fence: bool = False
     deterministic: bool = False
     tells_by_key: bool = False
+    slots: int = 0  # requests that it runs at once; 0: not told
     state: UpstreamState = "live"
 
 
@@ -41,8 +42,13 @@
 def join_upstream(
     entry: ListEntry, pools: Mapping[str, PoolSettings]
 ) -> Upstream | None:
-    """Return the upstream of an entry, if its role and pool are known."""
+    """Return the upstream of an entry, if its role and pool are known.
+
+    An entry that tells its kind needs no pool in the settings.
+    """
     pool = pools.get(entry.pool)
+    if pool is None and entry.kind:
+        pool = PoolSettings(kind=entry.kind)
     if entry.role != UPSTREAM_ROLE or pool is None:
         return None
     return Upstream(
@@ -54,6 +60,7 @@
         checks_fence=pool.checks_fence,
         deterministic=pool.deterministic,
         tells_by_key=pool.tells_by_key,
+        slots=entry.slots,
         state=_state(entry.state),
     )
 
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
+from typing import Protocol
 
 import attrs
 from loguru import logger
@@ -37,6 +38,19 @@
 PEER_SOURCE = "peer"  # the source of a mark that is a peer's word
 LIST_SOURCE = "list"
 LIST_TIMEOUT_MS = 2_000
+# Entries that lapsed while the list was down are back within two seconds of
+# its return, where the upstream lives; the platform's operators promise so.
+RETURN_S = 2.0
+
+
+class UpstreamList(Protocol):
+    """Read the list of upstreams and entry hosts."""
+
+    async def read(self) -> list[ListEntry] | None:
+        """Return all entries, or None when nothing has changed.
+
+        May wait for a change; raises `HostsUnavailableError`.
+        """
 
 
 @attrs.define
@@ -68,14 +82,25 @@
     name = "upstreams"
 
     def __init__(
-        self, settings: Settings, clock: Clock, http: HttpClient
+        self,
+        settings: Settings,
+        clock: Clock,
+        http: HttpClient,
+        source: UpstreamList | None = None,
     ) -> None:
-        """Read the list that `settings.platform` names, when started."""
+        """Read from `source`, or from the list that the settings name.
+
+        Upstreams of another source are not probed: only those of our own
+        interface tell their state by key.
+        """
         self._settings = settings
         self._clock = clock
-        self._list = HostsList(
+        self._list = source or HostsList(
             http, settings.platform.hosts_address, LIST_TIMEOUT_MS
         )
+        self._is_probing = source is None
+        self._trusted_s = -RETURN_S  # removals count from then on
+        self._lapsed: set[str] = set()
         self._random = random.Random(settings.seed or None)
         self._known: dict[str, _Known] = {}
         self._usable: dict[str, list[Upstream]] = {}
@@ -96,7 +121,8 @@
         operators.add_routes([(r"/v1/upstreams", UpstreamsHandler, arguments)])
         await self._read_list()
         self._task = asyncio.create_task(self._keep_reading())
-        self._probes.start()
+        if self._is_probing:
+            self._probes.start()
 
     async def stop(self) -> None:
         """End reading the list and probing."""
@@ -233,9 +259,11 @@
         if self._list_down:
             log.info("list of hosts is back")
             self._timeline.record("hosts_up")
+            self._trusted_s = self._clock.monotonic() + RETURN_S
         self._list_down = False
         if entries is not None:
             self._take_list(entries)
+        self._drop_lapsed()
         self._tell_listed()
 
     def _tell_listed(self) -> None:
@@ -258,15 +286,27 @@
         ]
         changed = hosts != self._entry_hosts
         self._entry_hosts = hosts
-        names = {upstream.name for upstream in listed}
-        for gone in self._known.keys() - names:
-            del self._known[gone]  # its marks go too: back is a new one
-            changed = True
+        self._lapsed = self._known.keys() - {u.name for u in listed}
         for upstream in listed:
             changed |= self._take_upstream(upstream)
         if changed:
             self._tell_change()
 
+    def _drop_lapsed(self) -> None:
+        """Drop what is no longer listed, once the list can be trusted.
+
+        An upstream that could not renew its entry while the list was down
+        lives on; dropping it at once would leave its pool empty.
+        """
+        if not self._lapsed or self._clock.monotonic() < self._trusted_s:
+            return
+        for name in self._lapsed:
+            listed = self._known.pop(name).listed  # its marks go too
+            self._tell_mark(listed, "leaving")
+            log.info("{} is no longer listed", name)
+        self._lapsed = set()
+        self._tell_change()
+
     def _take_upstream(self, listed: Upstream) -> bool:
         """Take in one entry; tell whether it is another incarnation."""
         known = self._known.get(listed.name)
--- /dev/null
+++ b/src/balsamlift/platform/__init__.py
@@ -0,0 +1,6 @@
+"""The adapter to the users' platform: it translates and decides nothing."""
+
+from balsamlift.platform._daemon import PlatformDaemon, run
+from balsamlift.platform._settings import NodeSettings, load_node_settings
+
+__all__ = ["NodeSettings", "PlatformDaemon", "load_node_settings", "run"]
--- /dev/null
+++ b/src/balsamlift/platform/_daemon.py
@@ -0,0 +1,131 @@
+"""The daemon on the platform: the product's services and the adapter."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+
+from loguru import logger
+
+from balsamlift import logs
+from balsamlift._http import HttpClient
+from balsamlift.clock import Clock, SystemClock
+from balsamlift.kernel import Kernel
+from balsamlift.metrics import Metrics
+from balsamlift.operators import OperatorsServer
+from balsamlift.peers import Peers, Upstreams
+from balsamlift.platform._decode import HostRecord
+from balsamlift.platform._engines import PlatformEngines
+from balsamlift.platform._settings import NodeSettings, load_node_settings
+from balsamlift.platform._store import Store
+from balsamlift.platform._watch import (
+    ConfigurationWatch,
+    HostRegistration,
+    UpstreamsSource,
+)
+from balsamlift.platform._web import PlatformServer
+from balsamlift.relay import Directory, Frontend, Relay, Routing
+from balsamlift.requests import new_incarnation
+from balsamlift.timeline import Timeline
+
+log = logger.bind(part="daemon")
+
+# Callers may keep a list three times as long as told: with 2 s, a host that
+# leaves is out of all lists before its grace of 8 s is over.
+KEEP_MS = 2_000
+# Left of the grace for ending what still runs, and the process itself.
+GRACE_MARGIN_S = 0.4
+MOST_STORE_CALLS = 16  # at once; each handle takes 4.3 KB from the start
+
+
+class PlatformDaemon:
+    """Hold the services of one host on the platform."""
+
+    def __init__(self, node: NodeSettings, clock: Clock) -> None:
+        """Make every service; those with addresses listen from here on."""
+        self._node = node
+        settings = node.product_settings()
+        rng = random.Random()
+        self.kernel = Kernel()
+        timeline = Timeline(
+            settings.host, clock, settings.limits.timeline_events
+        )
+        http = HttpClient(most_calls=MOST_STORE_CALLS)
+        store = Store(node.store_address, http)
+        self.frontend = Frontend(node.callers_address, clock)
+        self.upstreams = Upstreams(
+            settings, clock, http, UpstreamsSource(store, clock)
+        )
+        self.peers = Peers(
+            settings, new_incarnation(), self.frontend.address, clock, rng
+        )
+        record = HostRecord(
+            callers_address=self.frontend.address,
+            operators_address=settings.operators_address,
+            peers_address=self.peers.address,
+            failure_domain=settings.failure_domain,
+            written_s=0.0,
+        )
+        services = (
+            OperatorsServer(settings.operators_address),
+            timeline,
+            Metrics(),
+            Routing(),
+            self.frontend,
+            ConfigurationWatch(store, clock),
+            HostRegistration(store, clock, settings.host, record),
+            self.upstreams,
+            self.peers,
+            Directory(settings.failure_domain, KEEP_MS),
+            Relay(node.relay_settings(), PlatformEngines(http), clock, rng),
+            PlatformServer(node.directory_address, node.readiness_address),
+        )
+        for service in services:
+            self.kernel.register(service)
+
+    async def start(self) -> None:
+        """Start every service."""
+        await self.kernel.start()
+        log.info("started")
+
+    async def leave(self) -> None:
+        """Serve what runs, and callers with an older list, then stop."""
+        log.bind(running=len(self.frontend.tasks)).info("leaving")
+        self.peers.announce_leaving()
+        self.frontend.is_closing = True
+        bound_s = self._node.grace_s - GRACE_MARGIN_S
+        try:
+            async with asyncio.timeout(bound_s):
+                await asyncio.sleep(3 * KEEP_MS / 1_000)
+                await self.frontend.wait_idle()
+        except TimeoutError:
+            log.bind(running=len(self.frontend.tasks)).warning(
+                "requests still run at the end of the grace"
+            )
+        log.info("stopped")
+
+
+def run(file: str | None = None) -> None:
+    """Run one daemon until SIGTERM, then leave within the grace."""
+    node = load_node_settings(file)
+    logs.configure(json=True, host=node.host)
+    asyncio.run(_run(node))
+
+
+async def _run(node: NodeSettings) -> None:
+    daemon = PlatformDaemon(node, SystemClock())
+    leave = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, leave.set)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    await daemon.start()
+    await leave.wait()
+    await daemon.leave()
+
+
+def _note_reload() -> None:
+    # Addresses cannot change while a process runs; all else that changes
+    # comes through the store.
+    log.info("settings file changed; read at the next start")
--- /dev/null
+++ b/src/balsamlift/platform/_decode.py
@@ -0,0 +1,202 @@
+"""Records of the platform, decoded into the product's own types."""
+
+from __future__ import annotations
+
+import msgspec
+
+from balsamlift.exceptions import PlatformError
+from balsamlift.peers import ENTRY_ROLE, UPSTREAM_ROLE, ListEntry
+from balsamlift.relay import (
+    CallerLimits,
+    Configuration,
+    EngineTraits,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+
+
+class RecordError(PlatformError):
+    """Tell that a record is not what its key says."""
+
+
+class _Share(msgspec.Struct):
+    Service: str
+    Weight: int
+
+
+class _Route(msgspec.Struct):
+    Name: str
+    Hostname: str
+    PathPrefix: str
+    RouteType: str
+    TimeoutMs: int
+    TargetLatencyMs: int  # to the first event on a stream
+    Priority: int = 0
+    Service: str = ""  # or else TrafficSplit
+    TrafficSplit: list[_Share] = []
+    MaxAttempts: int = 1
+    Public: bool = False
+    StreamResume: bool = False
+    TargetGapMs: int = 0
+
+
+class _Engine(msgspec.Struct):
+    Slots: int
+    KvCapacityTokens: int
+    Moves: bool = False
+    Backups: bool = False
+
+
+class _Service(msgspec.Struct):
+    Name: str
+    MaxConnections: int = 0
+    Engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    MaxHeaderBytes: int
+    MaxBodyBytes: int
+
+
+class _Tenant(msgspec.Struct):
+    Name: str
+    ApiKeys: list[str] = []
+    Priority: int | None = None
+
+
+class _Manifest(msgspec.Struct):
+    Version: int
+    Routes: list[_Route]
+    Services: list[_Service]
+    Limits: _Limits
+    Tenants: list[_Tenant] = []
+
+
+class _Upstream(msgspec.Struct):
+    Service: str
+    Address: str
+    Zone: str
+    Slots: int = 0
+    LifecycleState: str = "ready"
+
+
+class HostRecord(msgspec.Struct, frozen=True):
+    """Hold what a host of ours tells the others through the store."""
+
+    callers_address: str
+    operators_address: str
+    peers_address: str
+    failure_domain: str
+    written_s: float  # wall time, to leave out hosts long gone
+
+
+_KINDS: dict[str, RouteKind] = {
+    "idempotent": "idempotent",
+    "non_idempotent": "non_idempotent",
+    "streaming": "stream",
+}
+_STATES = {"ready": "live", "draining": "leaving"}
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Return the configuration in a record; raise `RecordError`."""
+    try:
+        manifest = msgspec.json.decode(data, type=_Manifest)
+    except msgspec.MsgspecError as error:
+        raise RecordError(f"no configuration: {error}") from error
+    return Configuration(
+        version=manifest.Version,
+        routes=tuple(_route(route) for route in manifest.Routes),
+        services=tuple(_service(service) for service in manifest.Services),
+        workspaces=tuple(
+            Workspace(
+                name=tenant.Name,
+                keys=tuple(tenant.ApiKeys),
+                priority=tenant.Priority,
+            )
+            for tenant in manifest.Tenants
+        ),
+        limits=CallerLimits(
+            header_bytes=manifest.Limits.MaxHeaderBytes,
+            body_bytes=manifest.Limits.MaxBodyBytes,
+        ),
+    )
+
+
+def decode_upstream(key: str, data: bytes) -> ListEntry:
+    """Return the entry of an upstream; raise `RecordError`."""
+    try:
+        upstream = msgspec.json.decode(data, type=_Upstream)
+    except msgspec.MsgspecError as error:
+        raise RecordError(f"no upstream {key}: {error}") from error
+    return ListEntry(
+        name=key,
+        role=UPSTREAM_ROLE,
+        pool=upstream.Service,
+        address=upstream.Address,
+        failure_domain=upstream.Zone,
+        state=_STATES.get(upstream.LifecycleState, "leaving"),
+        slots=upstream.Slots,
+        kind="service",
+    )
+
+
+def decode_host(key: str, data: bytes) -> HostRecord:
+    """Return what a host of ours wrote; raise `RecordError`."""
+    try:
+        return msgspec.json.decode(data, type=HostRecord)
+    except msgspec.MsgspecError as error:
+        raise RecordError(f"no host {key}: {error}") from error
+
+
+def host_entry(key: str, record: HostRecord) -> ListEntry:
+    """Return the list's entry for a host of ours."""
+    return ListEntry(
+        name=key,
+        role=ENTRY_ROLE,
+        address=record.callers_address,
+        operators_address=record.operators_address,
+        peers_address=record.peers_address,
+        failure_domain=record.failure_domain,
+    )
+
+
+def _route(route: _Route) -> Route:
+    shares = route.TrafficSplit or [_Share(route.Service, 1)]
+    return Route(
+        name=route.Name,
+        host=route.Hostname,
+        path_prefix=route.PathPrefix,
+        # An unknown kind is taken as the strictest.
+        kind=_KINDS.get(route.RouteType, "non_idempotent"),
+        services=tuple(
+            ServiceShare(service=share.Service, weight=share.Weight)
+            for share in shares
+        ),
+        timeout_ms=route.TimeoutMs,
+        target_ms=route.TargetLatencyMs,
+        gap_ms=route.TargetGapMs,
+        priority=route.Priority,
+        most_attempts=route.MaxAttempts,
+        is_public=route.Public,
+        may_resume=route.StreamResume,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.Engine
+    return Service(
+        name=service.Name,
+        most_connections=service.MaxConnections,
+        engine=None
+        if engine is None
+        else EngineTraits(
+            slots=engine.Slots,
+            memory_tokens=engine.KvCapacityTokens,
+            can_move=engine.Moves,
+            can_back_up=engine.Backups,
+        ),
+    )
--- /dev/null
+++ b/src/balsamlift/platform/_engines.py
@@ -0,0 +1,74 @@
+"""Orders to engines on the platform: moving a running generation."""
+
+from __future__ import annotations
+
+import msgspec
+
+from balsamlift._http import Answer, CallError, HttpClient
+from balsamlift.peers import Upstream
+from balsamlift.platform._names import MOVE_PATH
+from balsamlift.relay import Copy, CopyError, CopyRefusedError
+
+# 1.3 GB of a long report take 0.5 s between failure domains; several in a
+# row wait for each other.
+MOVE_MS = 4_000
+CONNECT_MS = 300
+_OK = 200
+_NO_ROOM = 503
+
+
+class _Moved(msgspec.Struct):
+    """Hold the engine's answer to a move."""
+
+    Handle: str = ""
+    Created: int = 0  # events generated so far
+
+
+class PlatformEngines:
+    """Order engines over HTTP."""
+
+    def __init__(self, http: HttpClient) -> None:
+        """Call through `http`."""
+        self._http = http
+
+    async def copy(
+        self,
+        source: Upstream,
+        request_id: str,
+        target: Upstream,
+        *,
+        stop: bool,
+    ) -> Copy:
+        """Copy the memory of a running generation; raise `CopyError`."""
+        body: dict[str, str | bool] = {
+            "InstanceId": request_id,
+            "To": target.address,
+        }
+        if stop:
+            body["Last"] = True
+        try:
+            answer = await self._http.call(
+                "POST",
+                f"http://{source.address}{MOVE_PATH}",
+                body,
+                timeout_ms=MOVE_MS,
+                connect_ms=CONNECT_MS,
+                headers={"Content-Type": "application/json"},
+            )
+        except CallError as error:
+            raise CopyError(source.name, error.message) from error
+        moved = _decode(source, answer)
+        if answer.status == _OK:
+            return Copy(moved.Handle, source, target)
+        if answer.status == _NO_ROOM:
+            raise CopyRefusedError(source.name, "no room", moved.Handle)
+        raise CopyError(source.name, f"status {answer.status}")
+
+
+def _decode(source: Upstream, answer: Answer) -> _Moved:
+    if not answer.body:
+        return _Moved()
+    try:
+        return msgspec.json.decode(answer.body, type=_Moved)
+    except msgspec.MsgspecError as error:
+        raise CopyError(source.name, "no answer to a move") from error
--- /dev/null
+++ b/src/balsamlift/platform/_names.py
@@ -0,0 +1,44 @@
+"""Names on the platform's wire."""
+
+from __future__ import annotations
+
+from balsamlift.relay import HeaderNames
+
+HEADERS = HeaderNames(
+    request_id="X-Attempt-Id",
+    deadline_ms="X-Deadline-Ms",
+    signature="X-Response-Signature",
+    workspace="X-Tenant",
+    expected_incarnation="X-Expected-Instance",
+    not_executed="X-Not-Executed",
+    priority="X-Request-Priority",
+    token_usage="X-Token-Usage",
+    length_hint="X-Length-Hint",
+    backup_address="X-Kv-Backup",
+    resume_source="Kv-From",
+    last_event_id="Last-Event-Id",
+    auth_scheme="Token",
+    reserved=frozenset(
+        {
+            "authorization",  # upstreams are never shown a key
+            "x-deadline-ms",
+            "x-tenant",
+            "x-expected-instance",
+            "x-request-priority",
+            "x-hold",
+            "x-pin-ms",
+            "x-kv-backup",
+            "kv-from",
+            "kv-fetch",
+        }
+    ),
+)
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+UPSTREAMS_TOPIC = "keyed.servers"
+HOSTS_TOPIC = "keyed.hosts"  # our own
+
+READY_PATH = "/readyz"
+ADDRESSES_PATH = "/resolution"
+MOVE_PATH = "/kv-move"
--- /dev/null
+++ b/src/balsamlift/platform/_settings.py
@@ -0,0 +1,159 @@
+"""Settings of a process as the platform writes them."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from balsamlift._address import join_address
+from balsamlift.exceptions import SettingsError
+from balsamlift.platform._names import HEADERS
+from balsamlift.relay import RelaySettings, RetryLimits
+from balsamlift.settings import (
+    PeerSettings,
+    PlatformSettings,
+    PoolSettings,
+    Settings,
+)
+
+FILE_VARIABLE = "BALSAMLIFT_NODE_FILE"
+
+# Of the ports that the platform leaves to us, counted from the first.
+PEERS_PORT = 0
+OPERATORS_PORT = 1
+
+# News of load age by this much before others see them; half a second of
+# age lets two hosts pick the same engine for a long prompt.
+HEARTBEAT_MS = 250
+SILENCE_MS = 1_500  # six heartbeats
+LISTED_POOL = "listed"
+
+
+@attrs.frozen(kw_only=True)
+class NodeSettings:
+    """Hold what the platform tells one process."""
+
+    host: str
+    failure_domain: str
+    region: str
+    ip: str
+    first_port: int  # of those free for traffic between hosts
+    callers_address: str
+    readiness_address: str
+    directory_address: str
+    store_address: str
+    grace_s: float  # from SIGTERM to SIGKILL
+    most_keep_s: float  # that a caller may keep a list of addresses
+    retries: RetryLimits
+
+    def product_settings(self) -> Settings:
+        """Return the product's own settings."""
+        return Settings(
+            host=self.host,
+            failure_domain=self.failure_domain,
+            region=self.region,
+            callers_address=self.callers_address,
+            operators_address=self._own_address(OPERATORS_PORT),
+            peers_address=self._own_address(PEERS_PORT),
+            platform=PlatformSettings(
+                log_address=self.store_address,
+                hosts_address=self.store_address,
+                hosts_poll_ms=200,
+            ),
+            # The list tells the kind of each upstream; settings name a pool.
+            pools={LISTED_POOL: PoolSettings(kind="service")},
+            peers=PeerSettings(
+                heartbeat_ms=HEARTBEAT_MS, silence_ms=SILENCE_MS
+            ),
+            log_json=True,
+        )
+
+    def relay_settings(self) -> RelaySettings:
+        """Return the settings of the relay."""
+        return RelaySettings(
+            failure_domain=self.failure_domain,
+            retries=self.retries,
+            names=HEADERS,
+        )
+
+    def _own_address(self, port: int) -> str:
+        return join_address(self.ip, self.first_port + port)
+
+
+def load_node_settings(file: str | None = None) -> NodeSettings:
+    """Return the settings in a file; raise `SettingsError`.
+
+    Without a file, the one that the platform's variable names.
+    """
+    name = file or os.environ.get(FILE_VARIABLE, "")
+    if not name:
+        raise SettingsError(
+            "the environment", FILE_VARIABLE, "the path of a settings file"
+        )
+    try:
+        fields = tomllib.loads(Path(name).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(name, "(whole)", f"TOML ({error})") from error
+    return decode_node_settings(fields, name)
+
+
+def decode_node_settings(fields: dict[str, Any], file: str) -> NodeSettings:
+    """Return the settings in a table; raise `SettingsError`.
+
+    The platform adds fields as it grows: unknown ones are left out.
+    """
+    read = _Reader(fields, file)
+    return NodeSettings(
+        host=read.text("NodeName"),
+        failure_domain=read.text("Zone"),
+        region=read.text("Region"),
+        ip=read.text("Ip"),
+        first_port=read.first_port(),
+        callers_address=read.text("Listen", "Frontend"),
+        readiness_address=read.text("Listen", "Readiness"),
+        directory_address=read.text("Listen", "Directory"),
+        store_address=read.text("Platform", "Address"),
+        grace_s=read.number("Bounds", "GraceS"),
+        most_keep_s=read.number("Bounds", "ttl_max_s"),
+        retries=RetryLimits(
+            ratio=read.number("Bounds", "RetryBudgetRatio"),
+            extra=int(read.number("Bounds", "BudgetExtraRetries")),
+            window_s=read.number("Bounds", "BudgetWindowS"),
+        ),
+    )
+
+
+class _Reader:
+    """Read fields of nested tables, and name the one that is wrong."""
+
+    def __init__(self, fields: dict[str, Any], file: str) -> None:
+        self._fields = fields
+        self._file = file
+
+    def _find(self, path: tuple[str, ...]) -> Any:
+        value: Any = self._fields
+        for name in path:
+            value = value.get(name) if isinstance(value, dict) else None
+        return value
+
+    def text(self, *path: str) -> str:
+        value = self._find(path)
+        if not isinstance(value, str) or not value:
+            raise SettingsError(self._file, ".".join(path), "a text")
+        return value
+
+    def number(self, *path: str) -> float:
+        value = self._find(path)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise SettingsError(self._file, ".".join(path), "a number")
+        return float(value)
+
+    def first_port(self) -> int:
+        value = self._find(("InternalPorts",))
+        if not isinstance(value, list) or not value:
+            raise SettingsError(self._file, "InternalPorts", "two ports")
+        return int(value[0])
--- /dev/null
+++ b/src/balsamlift/platform/_store.py
@@ -0,0 +1,183 @@
+"""The one client of the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import struct
+from urllib.parse import urlencode
+
+import attrs
+import msgspec
+from loguru import logger
+
+from balsamlift._http import Answer, CallError, HttpClient
+from balsamlift.exceptions import PlatformError
+
+log = logger.bind(part="store")
+
+# A call takes 4 ms; a store that is slow takes some 60 times as long.
+SILENCE_MS = 1_000
+CONNECT_MS = 500
+_OK = 200
+_GONE = 410
+_NUMBERS = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+
+
+class StoreError(PlatformError):
+    """Tell that a call to the store was not done, or may not have been."""
+
+
+class HistoryLostError(StoreError):
+    """Tell that records to be read are no longer kept."""
+
+
+@attrs.frozen
+class KeyedRecord:
+    """Hold one record of a keyed topic; without a value, the key is gone."""
+
+    key: str
+    value: bytes | None
+
+
+@attrs.frozen
+class Newest:
+    """Hold the newest record of each key, and from where to read on."""
+
+    records: list[KeyedRecord]
+    end: int
+
+
+class _Item(msgspec.Struct):
+    """Hold one record as the store lists it."""
+
+    Key: str
+    Value: str  # base64
+
+
+class _Page(msgspec.Struct):
+    """Hold one page of the newest records."""
+
+    Items: list[_Item]
+    HasMore: bool
+    EndOffset: int
+
+
+class Store:
+    """Read and append records; every call has its own bound on silence."""
+
+    def __init__(self, address: str, http: HttpClient) -> None:
+        """Call the store at `address`, "IP:port"."""
+        self._url = f"http://{address}"
+        self._http = http
+        self._is_down = False
+
+    async def newest(self, topic: str) -> Newest:
+        """Return the newest record of each key; raise `StoreError`."""
+        records: list[KeyedRecord] = []
+        end: int | None = None
+        after = ""
+        while True:
+            query = {"Topic": topic, "part": "0"}
+            if after:
+                query["After"] = after
+            answer = await self._call("GET", "/log-newest", query)
+            try:
+                page = msgspec.json.decode(answer.body, type=_Page)
+                records += [
+                    KeyedRecord(i.Key, base64.b64decode(i.Value))
+                    for i in page.Items
+                ]
+            except (msgspec.MsgspecError, ValueError) as error:
+                raise StoreError(f"no page of records: {error}") from error
+            # Pages are no snapshot: what changes meanwhile is read again.
+            end = page.EndOffset if end is None else end
+            if not page.HasMore or not page.Items:
+                return Newest(records, end)
+            after = page.Items[-1].Key
+
+    async def read(self, topic: str, start: int, wait_ms: int) -> Newest:
+        """Return the records from `start` on, waiting for one.
+
+        Raises `HistoryLostError` when some of them are gone, else
+        `StoreError`.
+        """
+        query = {
+            "Topic": topic,
+            "part": "0",
+            "From": str(start),
+            "WaitMs": str(wait_ms),
+        }
+        answer = await self._call("GET", "/log-read", query, wait_ms)
+        return _decode_read(answer.body, start)
+
+    async def append(self, topic: str, key: str, value: bytes) -> None:
+        """Append a keyed record; raise `StoreError`."""
+        name = key.encode()
+        content = bytes([len(name)]) + name + value
+        body = _LENGTH.pack(len(content)) + content
+        query = {"Topic": topic, "part": "0"}
+        await self._call("POST", "/log-append", query, body=body)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        wait_ms: int = 0,
+        body: bytes = b"",
+    ) -> Answer:
+        url = f"{self._url}{path}?{urlencode(query)}"
+        try:
+            answer = await self._http.call(
+                method,
+                url,
+                body,
+                timeout_ms=wait_ms + SILENCE_MS,
+                connect_ms=CONNECT_MS,
+            )
+        except CallError as error:
+            self._note(path, error.message)
+            raise StoreError(error.message) from error
+        if answer.status == _GONE:
+            raise HistoryLostError(path)
+        if answer.status != _OK:
+            self._note(path, f"status {answer.status}")
+            raise StoreError(f"{path}: status {answer.status}")
+        self._note(path, "")
+        return answer
+
+    def _note(self, path: str, trouble: str) -> None:
+        """Log when the store is lost and when it is back."""
+        if bool(trouble) == self._is_down:
+            return
+        self._is_down = bool(trouble)
+        if trouble:
+            log.bind(call=path, reason=trouble).warning("store lost")
+        else:
+            log.bind(call=path).info("store is back")
+
+
+def _decode_read(body: bytes, start: int) -> Newest:
+    """Return the records of a read and the offset after the last."""
+    try:
+        _NUMBERS.unpack_from(body)
+        records = []
+        at = _NUMBERS.size
+        while at < len(body):
+            (length,) = _LENGTH.unpack_from(body, at)
+            at += _LENGTH.size
+            content = body[at : at + length]
+            if len(content) != length:
+                break  # cut at the limit of a call: read again from there
+            at += length
+            records.append(_decode_keyed(content))
+    except (struct.error, IndexError, UnicodeDecodeError) as error:
+        raise StoreError(f"no records: {error}") from error
+    return Newest(records, start + len(records))
+
+
+def _decode_keyed(content: bytes) -> KeyedRecord:
+    size = content[0]
+    key = content[1 : 1 + size].decode()
+    return KeyedRecord(key, content[1 + size :] or None)
--- /dev/null
+++ b/src/balsamlift/platform/_watch.py
@@ -0,0 +1,229 @@
+"""Follow the records of operators, upstreams and our own hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from balsamlift._tasks import end_task
+from balsamlift.clock import Clock
+from balsamlift.exceptions import HostsUnavailableError
+from balsamlift.kernel import Kernel
+from balsamlift.peers import ListEntry
+from balsamlift.platform._decode import (
+    HostRecord,
+    RecordError,
+    decode_configuration,
+    decode_host,
+    decode_upstream,
+    host_entry,
+)
+from balsamlift.platform._names import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    HOSTS_TOPIC,
+    UPSTREAMS_TOPIC,
+)
+from balsamlift.platform._store import (
+    HistoryLostError,
+    KeyedRecord,
+    Store,
+    StoreError,
+)
+from balsamlift.relay import Routing
+
+log = logger.bind(part="store")
+
+# A read waits this long at the store. A connection that has gone silent is
+# noticed one second later, and a configuration has to be in force within
+# two seconds of its acknowledgement, from three seconds after the silence.
+CONFIGURATION_WAIT_MS = 2_000
+UPSTREAMS_WAIT_MS = 1_000
+RETRY_S = 0.2  # after a call that failed
+# Hosts write their entry again well before others take it as gone.
+HOST_RENEWAL_S = 15.0
+HOST_LIFETIME_S = 60.0
+HOSTS_POLL_S = 10.0
+
+
+class Follower:
+    """Keep the newest value of each key of one topic."""
+
+    def __init__(self, store: Store, topic: str) -> None:
+        """Begin with nothing read."""
+        self._store = store
+        self._topic = topic
+        self._next: int | None = None
+        self.values: dict[str, bytes] = {}
+
+    async def read(self, wait_ms: int) -> bool:
+        """Wait for news; tell whether there were any. Raise `StoreError`."""
+        if self._next is None:
+            return await self._read_newest()
+        try:
+            news = await self._store.read(self._topic, self._next, wait_ms)
+        except HistoryLostError:
+            log.bind(topic=self._topic, offset=self._next).info(
+                "history is gone, reading the newest records"
+            )
+            return await self._read_newest()
+        for record in news.records:
+            self._take(record)
+        self._next = news.end
+        return bool(news.records)
+
+    async def _read_newest(self) -> bool:
+        newest = await self._store.newest(self._topic)
+        self.values = {}
+        for record in newest.records:
+            self._take(record)
+        self._next = newest.end
+        return True
+
+    def _take(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self.values.pop(record.key, None)
+        else:
+            self.values[record.key] = record.value
+
+
+class ConfigurationWatch:
+    """Offer each configuration that operators write."""
+
+    name = "configuration_watch"
+
+    def __init__(self, store: Store, clock: Clock) -> None:
+        """Follow the topic of operators."""
+        self._follower = Follower(store, CONFIGURATION_TOPIC)
+        self._clock = clock
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to follow."""
+        self._routing = kernel.find("routing", Routing)
+        self._task = asyncio.create_task(self._keep_reading())
+
+    async def stop(self) -> None:
+        """End following."""
+        await end_task(self._task)
+
+    async def _keep_reading(self) -> None:
+        while True:
+            try:
+                await self._follower.read(CONFIGURATION_WAIT_MS)
+            except StoreError:
+                # Logged by the store as it was lost.
+                await self._clock.sleep(RETRY_S)
+                continue
+            data = self._follower.values.get(CONFIGURATION_KEY)
+            if data is not None:
+                offer(self._routing, data, "store")
+            else:
+                await self._clock.sleep(RETRY_S)
+
+
+def offer(routing: Routing, data: bytes, source: str) -> None:
+    """Offer a configuration as operators wrote it."""
+    if data == routing.encoded:
+        return
+    try:
+        configuration = decode_configuration(data)
+    except RecordError as error:
+        log.bind(source=source).error("{}", error)
+        return
+    routing.offer(configuration, data, source)
+
+
+class UpstreamsSource:
+    """Read upstreams and our own hosts from the store, as one list."""
+
+    def __init__(self, store: Store, clock: Clock) -> None:
+        """Follow both topics."""
+        self._upstreams = Follower(store, UPSTREAMS_TOPIC)
+        self._hosts = Follower(store, HOSTS_TOPIC)
+        self._clock = clock
+        self._hosts_due_s = 0.0
+
+    async def read(self) -> list[ListEntry] | None:
+        """Return all entries, or None when nothing has changed."""
+        try:
+            changed = await self._upstreams.read(UPSTREAMS_WAIT_MS)
+            if self._clock.monotonic() >= self._hosts_due_s:
+                changed |= await self._hosts.read(0)
+                self._hosts_due_s = self._clock.monotonic() + HOSTS_POLL_S
+        except StoreError as error:
+            raise HostsUnavailableError(error.message) from error
+        if not changed:
+            return None
+        return [*self._upstream_entries(), *self._host_entries()]
+
+    def _upstream_entries(self) -> list[ListEntry]:
+        return _decode_all(self._upstreams.values, decode_upstream)
+
+    def _host_entries(self) -> list[ListEntry]:
+        oldest_s = self._clock.now().timestamp() - HOST_LIFETIME_S
+
+        def decode(key: str, data: bytes) -> ListEntry | None:
+            record = decode_host(key, data)
+            if record.written_s < oldest_s:
+                return None
+            return host_entry(key, record)
+
+        return _decode_all(self._hosts.values, decode)
+
+
+def _decode_all(
+    values: dict[str, bytes],
+    decode: Callable[[str, bytes], ListEntry | None],
+) -> list[ListEntry]:
+    entries = []
+    for key, data in values.items():
+        try:
+            entry = decode(key, data)
+        except RecordError as error:
+            log.error("{}", error)
+            continue
+        if entry is not None:
+            entries.append(entry)
+    return entries
+
+
+class HostRegistration:
+    """Write this host's entry, so that the others find it."""
+
+    name = "host_registration"
+
+    def __init__(
+        self, store: Store, clock: Clock, host: str, record: HostRecord
+    ) -> None:
+        """Write `record` under the host's name."""
+        self._store = store
+        self._clock = clock
+        self._host = host
+        self._record = record
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Write the entry and keep it fresh."""
+        del kernel
+        self._task = asyncio.create_task(self._keep_writing())
+
+    async def stop(self) -> None:
+        """Let the entry expire."""
+        await end_task(self._task)
+
+    async def _keep_writing(self) -> None:
+        while True:
+            written_s = self._clock.now().timestamp()
+            record = msgspec.structs.replace(self._record, written_s=written_s)
+            try:
+                await self._store.append(
+                    HOSTS_TOPIC, self._host, msgspec.json.encode(record)
+                )
+            except StoreError:
+                await self._clock.sleep(RETRY_S)
+                continue
+            await self._clock.sleep(HOST_RENEWAL_S)
--- /dev/null
+++ b/src/balsamlift/platform/_web.py
@@ -0,0 +1,79 @@
+"""Answers to callers who ask where to connect, and to the platform."""
+
+from __future__ import annotations
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from balsamlift._address import split_address
+from balsamlift.kernel import Kernel
+from balsamlift.operators import JsonHandler
+from balsamlift.platform._names import ADDRESSES_PATH, READY_PATH
+from balsamlift.relay import Directory
+
+
+class AddressesHandler(JsonHandler):
+    """Answer where callers should connect."""
+
+    def initialize(self, directory: Directory) -> None:
+        """Ask `directory`."""
+        self._directory = directory
+
+    def get(self) -> None:
+        """Answer with addresses, or 503 when no host is ready."""
+        answer = self._directory.find(self.get_query_argument("Zone", ""))
+        if not answer.addresses:
+            self.send_error(503)
+            return
+        self.reply(
+            {
+                "Addresses": answer.addresses,
+                "TtlS": answer.keep_ms / 1_000,
+            }
+        )
+
+
+class ReadyHandler(RequestHandler):
+    """Answer whether this host takes requests."""
+
+    def initialize(self, directory: Directory) -> None:
+        """Ask `directory`."""
+        self._directory = directory
+
+    def get(self) -> None:
+        """Answer 200 or 503."""
+        self.set_status(200 if self._directory.is_ready else 503)
+
+
+class PlatformServer:
+    """Serve the two addresses that the platform asks for."""
+
+    name = "platform_server"
+
+    def __init__(self, directory_address: str, readiness_address: str) -> None:
+        """Bind both."""
+        self._addresses = (directory_address, readiness_address)
+        self._servers: list[HTTPServer] = []
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to answer."""
+        arguments = {"directory": kernel.find("directory", Directory)}
+        application = Application(
+            [
+                (ADDRESSES_PATH, AddressesHandler, arguments),
+                (READY_PATH, ReadyHandler, arguments),
+            ],
+            log_function=lambda handler: None,
+        )
+        for address in self._addresses:
+            ip, port = split_address(address)
+            server = HTTPServer(application)
+            server.add_sockets(bind_sockets(port, ip))
+            self._servers.append(server)
+
+    async def stop(self) -> None:
+        """Close both."""
+        for server in self._servers:
+            server.stop()
+            await server.close_all_connections()
--- /dev/null
+++ b/src/balsamlift/relay/__init__.py
@@ -0,0 +1,47 @@
+"""Pass requests of callers on to upstreams, whole and at most once."""
+
+from balsamlift.relay._configuration import (
+    CallerLimits,
+    Configuration,
+    EngineTraits,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+from balsamlift.relay._directory import AddressAnswer, Directory
+from balsamlift.relay._engines import (
+    Copy,
+    CopyError,
+    CopyRefusedError,
+    EngineCalls,
+)
+from balsamlift.relay._frontend import Frontend
+from balsamlift.relay._retries import RetryLimits
+from balsamlift.relay._routing import Routing
+from balsamlift.relay._service import Relay, RelaySettings
+from balsamlift.relay._wire import HeaderNames
+
+__all__ = [
+    "AddressAnswer",
+    "CallerLimits",
+    "Configuration",
+    "Copy",
+    "CopyError",
+    "CopyRefusedError",
+    "Directory",
+    "EngineCalls",
+    "EngineTraits",
+    "Frontend",
+    "HeaderNames",
+    "Relay",
+    "RelaySettings",
+    "RetryLimits",
+    "Route",
+    "RouteKind",
+    "Routing",
+    "Service",
+    "ServiceShare",
+    "Workspace",
+]
--- /dev/null
+++ b/src/balsamlift/relay/_admission.py
@@ -0,0 +1,119 @@
+"""Decide from its head and the configuration what may become of a request."""
+
+from __future__ import annotations
+
+import random
+
+from balsamlift.exceptions import NotConfiguredError
+from balsamlift.relay._configuration import Route, Workspace
+from balsamlift.relay._request import Call, CallerRequest, Refusal
+from balsamlift.relay._routing import Routing, Table, pick_service
+from balsamlift.relay._wire import HeaderNames
+
+# A host that has just started knows a configuration within two calls to the
+# platform, 4 ms each, and their connection; twice as long for a slow one.
+RETRY_UNCONFIGURED_MS = 200
+
+NOT_CONFIGURED = Refusal(
+    status=503,
+    reason="not configured",
+    retry_after_ms=RETRY_UNCONFIGURED_MS,
+)
+NO_REQUEST_ID = Refusal(status=400, reason="no request id")
+NO_ROUTE = Refusal(status=404, reason="no route")
+UNKNOWN_KEY = Refusal(status=401, reason="unknown key")
+
+
+class Admission:
+    """Turn requests into calls, or say why not."""
+
+    def __init__(
+        self, routing: Routing, names: HeaderNames, rng: random.Random
+    ) -> None:
+        """Look routes up in `routing`."""
+        self._routing = routing
+        self._names = names
+        self._random = rng
+
+    def admit(self, request: CallerRequest) -> Call | Refusal:
+        """Return the call that a request makes, or its refusal."""
+        try:
+            table = self._routing.table()
+        except NotConfiguredError:
+            return NOT_CONFIGURED
+        request_id = request.headers.get(self._names.request_id, "")
+        if not request_id:
+            return NO_REQUEST_ID
+        path = request.target.partition("?")[0]
+        host = request.headers.get("Host", "").partition(":")[0]
+        route = table.find_route(host, path)
+        if route is None:
+            return NO_ROUTE
+        key = self._key(request)
+        workspace = table.find_workspace(key) if key else None
+        if workspace is None and table.needs_keys and not route.is_public:
+            return UNKNOWN_KEY
+        return self._call(request, request_id, table, route, key, workspace)
+
+    def _call(
+        self,
+        request: CallerRequest,
+        request_id: str,
+        table: Table,
+        route: Route,
+        key: str,
+        workspace: Workspace | None,
+    ) -> Call:
+        priority = route.priority
+        if workspace is not None and workspace.priority is not None:
+            priority = workspace.priority
+        bound_s = request.arrived_s + route.timeout_ms / 1_000
+        deadline_s = self._deadline_s(request, bound_s)
+        return Call(
+            request=request,
+            request_id=request_id,
+            table=table,
+            route=route,
+            workspace=workspace,
+            key=key,
+            service=pick_service(route, self._random),
+            priority=priority,
+            deadline_s=deadline_s,
+            give_up_s=min(bound_s, deadline_s),
+        )
+
+    def _deadline_s(self, request: CallerRequest, default_s: float) -> float:
+        text = request.headers.get(self._names.deadline_ms, "")
+        if not text.isdecimal():
+            return default_s
+        return request.arrived_s + int(text) / 1_000
+
+    def _key(self, request: CallerRequest) -> str:
+        text = request.headers.get("Authorization", "")
+        scheme, _, key = text.partition(" ")
+        if scheme.lower() != self._names.auth_scheme.lower():
+            return ""
+        return key.strip()
+
+    def still_allows(self, call: Call) -> bool:
+        """Tell whether the configuration in force now allows a call.
+
+        A request that has waited may have lost its key or its route.
+        """
+        table = self._routing.table()
+        if table is call.table:
+            return True
+        path = call.request.target.partition("?")[0]
+        route = table.find_route(call.route.host, path)
+        if route is None:
+            return False
+        if call.service not in {share.service for share in route.services}:
+            return False
+        if route.is_public or not table.needs_keys:
+            return True
+        workspace = table.find_workspace(call.key)
+        return (
+            workspace is not None
+            and call.workspace is not None
+            and workspace.name == call.workspace.name
+        )
--- /dev/null
+++ b/src/balsamlift/relay/_balance.py
@@ -0,0 +1,109 @@
+"""Choose an upstream for each call, by what all hosts have in flight."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Collection, Iterator
+from contextlib import contextmanager
+
+from balsamlift.clock import Clock
+from balsamlift.peers import Peers, Upstream, Upstreams
+from balsamlift.relay._health import UpstreamHealth
+
+# An upstream that fails each request counts as if it had this many calls
+# more in flight than it has.
+FAILURE_CALLS = 12.0
+# One call in flight less does not outweigh the bytes between failure
+# domains; two do.
+OTHER_DOMAIN_CALLS = 1.5
+
+
+class Balancer:
+    """Know the load of upstreams and share new calls out."""
+
+    def __init__(
+        self,
+        upstreams: Upstreams,
+        peers: Peers,
+        clock: Clock,
+        rng: random.Random,
+        failure_domain: str,
+    ) -> None:
+        """Count calls of this host and add what `peers` tell."""
+        self._upstreams = upstreams
+        self._peers = peers
+        self._clock = clock
+        self._random = rng
+        self._failure_domain = failure_domain
+        self._own: Counter[str] = Counter()
+        self._on_release: list[Callable[[], None]] = []
+        self.health = UpstreamHealth()
+        upstreams.on_change(self._forget)
+
+    def load(self, upstream: str) -> int:
+        """Return what all hosts together have in flight there."""
+        return self._own[upstream] + self._peers.in_flight(upstream)
+
+    def own_load(self, upstream: str) -> int:
+        """Return what this host has in flight there."""
+        return self._own[upstream]
+
+    def add(self, upstream: str, n: int) -> None:
+        """Add to what this host has in flight; `n` may be negative."""
+        self._own[upstream] += n
+        self._peers.set_in_flight(upstream, self._own[upstream])
+        if n < 0:
+            for callback in self._on_release:
+                callback()
+
+    @contextmanager
+    def hold(self, upstream: str, n: int) -> Iterator[None]:
+        """Count `n` as in flight while the context is open."""
+        self.add(upstream, n)
+        try:
+            yield
+        finally:
+            self.add(upstream, -n)
+
+    def on_release(self, callback: Callable[[], None]) -> None:
+        """Call back whenever something is no longer in flight."""
+        self._on_release.append(callback)
+
+    def usable(self, pool: str, tried: Collection[str]) -> list[Upstream]:
+        """Return the upstreams to choose from.
+
+        Those left alone after failures come back in when there is no other.
+        """
+        listed = [
+            u for u in self._upstreams.in_pool(pool) if u.name not in tried
+        ]
+        now_s = self._clock.monotonic()
+        sound = [
+            u for u in listed if not self.health.is_ejected(u.name, now_s)
+        ]
+        return sound or listed
+
+    def least_busy(self, pool: str, tried: Collection[str]) -> Upstream | None:
+        """Return the upstream for a call that takes one slot."""
+        choices = self.usable(pool, tried)
+        if not choices:
+            return None
+        return min(choices, key=self._call_cost)
+
+    def _call_cost(self, upstream: Upstream) -> tuple[float, float]:
+        cost = float(self.load(upstream.name))
+        cost += FAILURE_CALLS * self.health.failure_share(upstream.name)
+        cost += self.domain_cost(upstream) * OTHER_DOMAIN_CALLS
+        return cost, self._random.random()
+
+    def domain_cost(self, upstream: Upstream) -> int:
+        """Return 0 in this host's failure domain and 1 elsewhere."""
+        return int(upstream.failure_domain != self._failure_domain)
+
+    def _forget(self) -> None:
+        live = {upstream.name for upstream in self._upstreams.all()}
+        self.health.forget(live)
+        for name in [n for n, count in self._own.items() if not count]:
+            if name not in live:
+                del self._own[name]
--- /dev/null
+++ b/src/balsamlift/relay/_configuration.py
@@ -0,0 +1,82 @@
+"""The configuration of a relay: routes, services and workspaces."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import attrs
+
+RouteKind = Literal["idempotent", "non_idempotent", "stream"]
+
+
+@attrs.frozen(kw_only=True)
+class ServiceShare:
+    """Hold the part of a route's requests that one service gets."""
+
+    service: str
+    weight: int
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Say where the requests of one host name and path prefix go."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    services: tuple[ServiceShare, ...]
+    timeout_ms: int
+    target_ms: int  # to the whole answer, or to the first event of a stream
+    gap_ms: int = 0  # the longest pause between events; 0: no stream
+    priority: int = 0  # 0 is served first
+    most_attempts: int = 1  # upstreams that may run one request
+    is_public: bool = False  # needs no key
+    may_resume: bool = False  # a caller may ask to go on after an event
+
+
+@attrs.frozen(kw_only=True)
+class EngineTraits:
+    """Describe the engines of a service that generates."""
+
+    slots: int
+    memory_tokens: int  # of one engine
+    can_move: bool = False
+    can_back_up: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """Describe the upstreams that share one pool."""
+
+    name: str
+    most_connections: int  # of one upstream, from all hosts together
+    engine: EngineTraits | None = None  # None: it does not generate
+
+
+@attrs.frozen(kw_only=True)
+class Workspace:
+    """Hold who calls with which keys."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None  # goes before the route's
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """Bound what callers may send."""
+
+    header_bytes: int
+    body_bytes: int
+
+
+@attrs.frozen(kw_only=True)
+class Configuration:
+    """Hold one version of all that operators decide."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    workspaces: tuple[Workspace, ...]
+    limits: CallerLimits
--- /dev/null
+++ b/src/balsamlift/relay/_generation.py
@@ -0,0 +1,277 @@
+"""One generation: from its first upstream to its last event."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from contextlib import suppress
+from typing import Literal
+
+import attrs
+from loguru import logger
+from tornado.iostream import StreamClosedError
+
+from balsamlift._tasks import end_task
+from balsamlift.exceptions import (
+    UpstreamBrokenError,
+    UpstreamError,
+    UpstreamUnreachableError,
+)
+from balsamlift.metrics import Metrics
+from balsamlift.peers import Upstream
+from balsamlift.relay._attempt import Attempt
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._engines import Copy, CopyRefusedError, EngineCalls
+from balsamlift.relay._events import EventError, EventSplitter
+from balsamlift.relay._exchange import Exchange, Reply
+from balsamlift.relay._headers import caller_headers
+from balsamlift.relay._needs import Need
+from balsamlift.relay._request import Call, Responder
+from balsamlift.relay._rooms import Holding, Rooms
+from balsamlift.relay._wire import HeaderNames
+
+log = logger.bind(part="generations")
+
+# Parts of an answer that wait for a caller who does not read, 64 KB each.
+PARTS_AHEAD = 8
+# An engine admits what goes on from a copy before all else; one that does
+# not answer within this time will not take it.
+RESUME_S = 1.0
+# Between two tries to move a generation off an engine that leaves.
+MOVE_AGAIN_S = 0.15
+
+Signal = Literal["whole", "broken", "leaving"]
+
+
+@attrs.frozen(kw_only=True)
+class Tools:
+    """Hold what every generation works with."""
+
+    exchange: Exchange
+    balancer: Balancer
+    rooms: Rooms
+    engines: EngineCalls
+    names: HeaderNames
+    metrics: Metrics
+
+
+class Generation:
+    """Relay the events of one generation, over as many engines as it takes.
+
+    The caller sees one stream. Never do two engines work on it: the next
+    one is asked only after the one before has stopped, or is left at once
+    when the next has taken over.
+    """
+
+    def __init__(
+        self,
+        tools: Tools,
+        call: Call,
+        need: Need,
+        traits: EngineTraits,
+        responder: Responder,
+        holding: Holding,
+    ) -> None:
+        """Prepare to relay to `responder`."""
+        self._tools = tools
+        self._call = call
+        self._need = need
+        self._traits = traits
+        self._responder = responder
+        self._holding = holding
+        self._splitter = EventSplitter()
+        self._inbox: asyncio.Queue[bytes | Signal] = asyncio.Queue()
+        self._room = asyncio.Semaphore(PARTS_AHEAD)
+        self._pump: asyncio.Task[None] | None = None
+        self._reply: Reply | None = None
+        self._moving: asyncio.Task[Copy | None] | None = None
+        self.moves = 0
+
+    @property
+    def upstream(self) -> Upstream | None:
+        """Return the engine at work on it."""
+        return self._reply.upstream if self._reply else None
+
+    def leave(self) -> None:
+        """Go on at another engine, as this one is leaving."""
+        self._inbox.put_nowait("leaving")
+
+    async def relay(self, reply: Reply) -> str:
+        """Relay the answer that `reply` begins; return the outcome."""
+        responder = self._responder
+        self._begin(reply)
+        head = reply.head
+        try:
+            await responder.start(
+                head.status, head.reason, caller_headers(head.headers)
+            )
+            return await self._relay()
+        except StreamClosedError:
+            return "caller gone"
+        finally:
+            await end_task(self._moving)
+            await self._end_pump()
+
+    # Reading from the engine at work
+
+    def _begin(self, reply: Reply) -> None:
+        self._reply = reply
+        self._pump = asyncio.create_task(self._keep_pumping(reply))
+
+    async def _end_pump(self) -> None:
+        """Close the engine's connection, unless it ended by itself."""
+        pump, self._pump = self._pump, None
+        if pump is None:
+            return
+        is_over = pump.done()
+        await end_task(pump)
+        if self._reply is not None and not is_over:
+            self._reply.connection.close()
+
+    async def _keep_pumping(self, reply: Reply) -> None:
+        try:
+            async for part in reply.connection.read_body(reply.head):
+                await self._room.acquire()
+                self._inbox.put_nowait(part)
+        except UpstreamBrokenError as error:
+            log.bind(
+                request=self._call.request_id,
+                upstream=reply.upstream.name,
+                event=self._splitter.last_id,
+            ).info("{}", error)
+            self._inbox.put_nowait("broken")
+            return
+        self._tools.exchange.give_back(reply.connection)
+        self._inbox.put_nowait("whole")
+
+    async def _relay(self) -> str:
+        while True:
+            item = await self._inbox.get()
+            if isinstance(item, bytes):
+                self._room.release()
+                if not await self._pass_on(item):
+                    return await self._fail("events out of order")
+            elif item == "whole":
+                if self._splitter.rest:
+                    return await self._fail("ended within an event")
+                self._responder.finish()
+                return "whole"
+            elif item == "leaving":
+                self._start_moving()
+            elif not await self._go_on():
+                return await self._fail("engine lost")
+
+    async def _pass_on(self, data: bytes) -> bool:
+        try:
+            events = self._splitter.feed(data)
+        except EventError as error:
+            log.bind(request=self._call.request_id).warning("{}", error)
+            return False
+        if events:
+            await self._responder.write(events)
+        return True
+
+    async def _fail(self, reason: str) -> str:
+        await self._end_pump()
+        self._responder.abort()
+        return reason
+
+    # Moving to another engine
+
+    def _start_moving(self) -> None:
+        if not self._traits.can_move or self._moving is not None:
+            return
+        self._moving = asyncio.create_task(self._move())
+
+    async def _move(self) -> Copy | None:
+        """Copy the memory while the engine works, then stop it there.
+
+        The stop closes the engine's stream without its end, which is when
+        `_go_on` takes over. Returns None when it could not be copied and
+        so runs on where it is.
+        """
+        reply = self._reply
+        assert reply is not None
+        source = reply.upstream
+        tried = {source.name}
+        while True:
+            target = self._target(tried)
+            if target is None:
+                await asyncio.sleep(MOVE_AGAIN_S)
+                tried = {source.name}
+                continue
+            tokens = self._need.tokens
+            self._tools.balancer.add(target.name, tokens)
+            try:
+                return await self._copy(source, target)
+            except CopyRefusedError as error:
+                if error.handle:
+                    return Copy(error.handle, source, source)
+                self._log_copy(source, target, str(error))
+                tried.add(target.name)
+            except UpstreamError as error:
+                self._log_copy(source, target, str(error))
+                return None
+            finally:
+                self._tools.balancer.add(target.name, -tokens)
+
+    async def _copy(self, source: Upstream, target: Upstream) -> Copy:
+        engines = self._tools.engines
+        request_id = self._call.request_id
+        await engines.copy(source, request_id, target, stop=False)
+        copy = await engines.copy(source, request_id, target, stop=True)
+        self._log_copy(source, target, "copied")
+        return copy
+
+    def _log_copy(self, source: Upstream, target: Upstream, how: str) -> None:
+        log.bind(
+            request=self._call.request_id,
+            upstream=source.name,
+            target=target.name,
+            event=self._splitter.last_id,
+            tokens=self._need.tokens,
+        ).info("move: {}", how)
+
+    def _target(self, tried: Sequence[str] | set[str]) -> Upstream | None:
+        return self._tools.rooms.find(
+            self._call.service, self._traits, self._need.tokens, tried
+        )
+
+    async def _go_on(self) -> bool:
+        """Go on where the memory is, after the engine at work has ended."""
+        moving, self._moving = self._moving, None
+        if moving is None:
+            return False
+        copy = await moving
+        if copy is None:
+            return False
+        before = self._reply
+        assert before is not None
+        reply = await self._resume(copy, copy.target)
+        if reply is None:
+            return False
+        self.moves += 1
+        self._tools.metrics.count("generations.moved")
+        await self._end_pump()
+        self._holding.move(copy.target)
+        self._splitter = EventSplitter(self._splitter.last_id)
+        self._begin(reply)
+        return True
+
+    async def _resume(self, copy: Copy, target: Upstream) -> Reply | None:
+        names = self._tools.names
+        extra = [(names.resume_source, f"{copy.source.address}/{copy.handle}")]
+        if self._splitter.last_id >= 0:
+            extra.append((names.last_event_id, str(self._splitter.last_id)))
+        # The copy is the same run: it stopped before it goes on.
+        attempt = Attempt(is_idempotent=False)
+        with suppress(UpstreamUnreachableError, UpstreamBrokenError):
+            async with asyncio.timeout(RESUME_S):
+                reply = await self._tools.exchange.send(
+                    self._call, attempt, target, extra
+                )
+            if reply.is_success:
+                return reply
+            reply.connection.close()
+        return None
--- /dev/null
+++ b/src/balsamlift/relay/_generations.py
@@ -0,0 +1,181 @@
+"""Calls to engines: find room, start, and relay until the end."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+from loguru import logger
+
+from balsamlift.exceptions import (
+    UpstreamBrokenError,
+    UpstreamUnreachableError,
+)
+from balsamlift.peers import Upstream, Upstreams
+from balsamlift.relay._admission import Admission
+from balsamlift.relay._attempt import Attempt
+from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._exchange import Reply
+from balsamlift.relay._generation import Generation, Tools
+from balsamlift.relay._headers import caller_headers
+from balsamlift.relay._needs import Need, read_need
+from balsamlift.relay._refusals import give_up, timed_out
+from balsamlift.relay._request import Call, Refusal, Responder
+from balsamlift.relay._retries import Retries
+from balsamlift.relay._rooms import Holding
+
+log = logger.bind(part="generations")
+
+MOST_SENDS = 4  # engines asked to start one generation
+MOST_FAILURE_BYTES = 65_536  # of an engine's answer that is no stream
+# Where the operators tell nothing of the engines of a service.
+UNTOLD = EngineTraits(slots=1, memory_tokens=1 << 40)
+
+
+@attrs.frozen
+class _Started:
+    """Hold an engine's answer and the memory held there."""
+
+    reply: Reply
+    holding: Holding
+
+
+class Generations:
+    """Run generations, and take them off engines that leave."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        admission: Admission,
+        retries: Retries,
+        upstreams: Upstreams,
+    ) -> None:
+        """Watch `upstreams` for engines that leave."""
+        self._tools = tools
+        self._admission = admission
+        self._retries = retries
+        self._upstreams = upstreams
+        self._running: set[Generation] = set()
+        upstreams.on_change(self._look)
+
+    async def run(self, call: Call, responder: Responder) -> str:
+        """Answer the caller; return the outcome for the log."""
+        attempt = Attempt(is_idempotent=False)
+        need = read_need(call.request.headers, self._tools.names)
+        service = call.table.services.get(call.service)
+        traits = (service.engine if service else None) or UNTOLD
+        try:
+            async with asyncio.timeout_at(call.give_up_s):
+                result = await self._start(call, attempt, need, traits)
+                if isinstance(result, _Started):
+                    return await self._relay(
+                        result, call, need, traits, responder
+                    )
+        except TimeoutError:
+            if responder.is_started:
+                responder.abort()
+                return "timed out midway"
+            result = timed_out(attempt)
+        responder.refuse(result)
+        return result.reason
+
+    async def _start(
+        self, call: Call, attempt: Attempt, need: Need, traits: EngineTraits
+    ) -> _Started | Refusal:
+        tried: set[str] = set()
+        while True:
+            holding = await self._tools.rooms.wait(
+                call.service, traits, need.tokens, call.priority, tried
+            )
+            try:
+                if not self._admission.still_allows(call):
+                    return give_up(attempt, "configuration changed", 0)
+                result = await self._send(call, attempt, holding.upstream)
+            except BaseException:
+                holding.release()
+                raise
+            if isinstance(result, Reply):
+                return _Started(result, holding)
+            holding.release()
+            tried.add(holding.upstream.name)
+            spent = attempt.sends >= MOST_SENDS
+            if spent or not attempt.certainly_not_run:
+                return result
+            if not self._retries.spend(call.service):
+                return result
+
+    async def _send(
+        self, call: Call, attempt: Attempt, upstream: Upstream
+    ) -> Reply | Refusal:
+        health = self._tools.balancer.health
+        now_s = asyncio.get_running_loop().time()
+        try:
+            reply = await self._tools.exchange.send(call, attempt, upstream)
+        except (UpstreamUnreachableError, UpstreamBrokenError) as error:
+            health.broke(upstream.name, now_s)
+            log.bind(
+                request=call.request_id,
+                upstream=upstream.name,
+                may_have_run=attempt.may_have_run,
+            ).warning("{}", error)
+            return give_up(attempt, "engine gave no answer")
+        if reply.meaning == "not_executed":
+            reply.connection.close()
+            log.bind(
+                request=call.request_id,
+                upstream=upstream.name,
+                status=reply.head.status,
+                load=self._tools.balancer.load(upstream.name),
+            ).info("engine refused")
+            return give_up(attempt, "engines full")
+        return reply
+
+    async def _relay(
+        self,
+        started: _Started,
+        call: Call,
+        need: Need,
+        traits: EngineTraits,
+        responder: Responder,
+    ) -> str:
+        reply = started.reply
+        generation = Generation(
+            self._tools, call, need, traits, responder, started.holding
+        )
+        self._running.add(generation)
+        try:
+            if not reply.is_success:
+                return await self._pass_failure(reply, responder)
+            self._tools.balancer.health.succeeded(reply.upstream.name)
+            return await generation.relay(reply)
+        finally:
+            self._running.discard(generation)
+            started.holding.release()
+
+    async def _pass_failure(self, reply: Reply, responder: Responder) -> str:
+        """Pass on an answer that is no stream, as the engine gave it."""
+        try:
+            body = await self._tools.exchange.read_whole(
+                reply, MOST_FAILURE_BYTES
+            )
+        except UpstreamBrokenError:
+            responder.refuse(Refusal(status=502, reason="engine broke off"))
+            return "engine broke off"
+        head = reply.head
+        headers = caller_headers(head.headers)
+        headers["Content-Length"] = str(len(body))
+        await responder.start(head.status, head.reason, headers)
+        if body:
+            await responder.write(body)
+        responder.finish()
+        return f"answered {head.status}"
+
+    def _look(self) -> None:
+        """Take generations off engines that leave or are no longer listed."""
+        for generation in self._running:
+            upstream = generation.upstream
+            if upstream is None:
+                continue
+            known = self._upstreams.find(upstream.name)
+            if known is None or known.state == "leaving":
+                generation.leave()
--- /dev/null
+++ b/src/balsamlift/relay/_rooms.py
@@ -0,0 +1,154 @@
+"""Find engines with room for generations; let the rest wait in order."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Collection
+
+import attrs
+
+from balsamlift.peers import Upstream
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._configuration import EngineTraits
+
+# Memory of an engine that is given out: lengths are estimates, and running
+# out of memory preempts a generation in mid-stream.
+FILLED_PART = 0.9
+# How much more memory in use elsewhere outweighs the bytes between failure
+# domains, as a part of an engine's memory: 5% is half of a long report.
+OTHER_DOMAIN_PART = 0.05
+
+
+@attrs.define(eq=False)
+class _Waiting:
+    """Hold one generation that found no room."""
+
+    pool: str
+    traits: EngineTraits
+    tokens: int
+    tried: Collection[str]
+    placed: asyncio.Future[Holding]
+
+
+class Holding:
+    """Hold memory of one engine at a time for one generation."""
+
+    def __init__(
+        self, balancer: Balancer, upstream: Upstream, tokens: int
+    ) -> None:
+        """Hold it from here on; `release` gives it back."""
+        self._balancer = balancer
+        self.upstream = upstream
+        self.tokens = tokens
+        balancer.add(upstream.name, tokens)
+
+    def move(self, upstream: Upstream) -> None:
+        """Hold as much of another engine instead."""
+        self._balancer.add(upstream.name, self.tokens)
+        self._balancer.add(self.upstream.name, -self.tokens)
+        self.upstream = upstream
+
+    def release(self) -> None:
+        """Give the memory back, once."""
+        tokens, self.tokens = self.tokens, 0
+        if tokens:
+            self._balancer.add(self.upstream.name, -tokens)
+
+
+class Rooms:
+    """Give out the memory of engines, the most urgent first."""
+
+    def __init__(self, balancer: Balancer) -> None:
+        """Count memory as `balancer` does, in tokens."""
+        self._balancer = balancer
+        self._waiting: list[tuple[tuple[int, int], _Waiting]] = []
+        self._numbers = itertools.count()
+        balancer.on_release(self.look)
+
+    def find(
+        self,
+        pool: str,
+        traits: EngineTraits,
+        tokens: int,
+        tried: Collection[str] = (),
+    ) -> Upstream | None:
+        """Return the engine with the most room for `tokens`, if any has."""
+        most = traits.memory_tokens * FILLED_PART
+        fitting = [
+            u
+            for u in self._balancer.usable(pool, tried)
+            if self._balancer.load(u.name) + tokens <= most
+        ]
+        if not fitting:
+            return None
+        return min(fitting, key=lambda u: self._cost(u, traits))
+
+    async def wait(
+        self,
+        pool: str,
+        traits: EngineTraits,
+        tokens: int,
+        priority: int,
+        tried: Collection[str] = (),
+    ) -> Holding:
+        """Hold `tokens` of an engine, as soon as one has room.
+
+        A request that is larger than an engine waits for an empty one.
+        """
+        tokens = min(tokens, int(traits.memory_tokens * FILLED_PART))
+        if not self._must_wait(pool, priority):
+            upstream = self.find(pool, traits, tokens, tried)
+            if upstream is not None:
+                return Holding(self._balancer, upstream, tokens)
+        placed: asyncio.Future[Holding] = (
+            asyncio.get_running_loop().create_future()
+        )
+        entry = _Waiting(pool, traits, tokens, tried, placed)
+        place = ((priority, next(self._numbers)), entry)
+        self._waiting.append(place)
+        self._waiting.sort(key=lambda item: item[0])
+        try:
+            return await placed
+        except asyncio.CancelledError:
+            if placed.done() and not placed.cancelled():
+                placed.result().release()
+            raise
+        finally:
+            if place in self._waiting:
+                self._waiting.remove(place)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many wait."""
+        return len(self._waiting)
+
+    def look(self) -> None:
+        """Place those that wait, in order, as far as there is room."""
+        blocked: set[str] = set()
+        for place in list(self._waiting):
+            entry = place[1]
+            if entry.pool in blocked or entry.placed.done():
+                continue
+            upstream = self.find(
+                entry.pool, entry.traits, entry.tokens, entry.tried
+            )
+            if upstream is None:
+                # Smaller work behind it must not starve it.
+                blocked.add(entry.pool)
+                continue
+            self._waiting.remove(place)
+            holding = Holding(self._balancer, upstream, entry.tokens)
+            entry.placed.set_result(holding)
+
+    def _must_wait(self, pool: str, priority: int) -> bool:
+        return any(
+            entry.pool == pool and place[0] <= priority
+            for place, entry in self._waiting
+        )
+
+    def _cost(self, upstream: Upstream, traits: EngineTraits) -> float:
+        load = self._balancer.load(upstream.name) / traits.memory_tokens
+        failures = self._balancer.health.failure_share(upstream.name)
+        domain = self._balancer.domain_cost(upstream) * OTHER_DOMAIN_PART
+        return load + failures + domain
--- /dev/null
+++ b/src/balsamlift/relay/_routing.py
@@ -0,0 +1,155 @@
+"""The routes in force: looked up per request, only ever moved forward."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import attrs
+from loguru import logger
+
+from balsamlift.exceptions import NotConfiguredError
+from balsamlift.kernel import Kernel
+from balsamlift.relay._configuration import (
+    Configuration,
+    Route,
+    Service,
+    Workspace,
+)
+
+log = logger.bind(part="routing")
+
+
+@attrs.frozen
+class Table:
+    """Hold one configuration in the form in which requests look it up."""
+
+    configuration: Configuration
+    services: dict[str, Service]
+    _routes: dict[str, dict[str, Route]]  # by host, then by path prefix
+    _workspaces: dict[str, Workspace]  # by key
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration."""
+        return self.configuration.version
+
+    @property
+    def needs_keys(self) -> bool:
+        """Tell whether callers have to name their workspace by a key."""
+        return bool(self.configuration.workspaces)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path`.
+
+        Every prefix ends with a slash, so that the cost is one look-up per
+        segment of the path, however many routes there are.
+        """
+        routes = self._routes.get(host.lower())
+        if routes is None:
+            return None
+        end = len(path)
+        while end > 0:
+            end = path.rfind("/", 0, end)
+            if end < 0:
+                return None
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+    def find_workspace(self, key: str) -> Workspace | None:
+        """Return the workspace that holds a key."""
+        return self._workspaces.get(key)
+
+
+def compile_table(configuration: Configuration) -> Table:
+    """Return the look-up form of a configuration."""
+    routes: dict[str, dict[str, Route]] = {}
+    for route in configuration.routes:
+        routes.setdefault(route.host.lower(), {})[route.path_prefix] = route
+    return Table(
+        configuration,
+        {service.name: service for service in configuration.services},
+        routes,
+        {
+            key: workspace
+            for workspace in configuration.workspaces
+            for key in workspace.keys
+        },
+    )
+
+
+def pick_service(route: Route, rng: random.Random) -> str:
+    """Return one of the route's services, drawn by weight."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    names = [share.service for share in route.services]
+    weights = [share.weight for share in route.services]
+    if not any(weights):
+        return names[0]
+    return rng.choices(names, weights)[0]
+
+
+class Routing:
+    """Hold the newest configuration that this host has seen.
+
+    The version only goes up: a slow source, or a peer that lags, never
+    brings an older configuration back.
+    """
+
+    name = "routing"
+
+    def __init__(self) -> None:
+        """Begin without a configuration."""
+        self._table: Table | None = None
+        self._on_change: list[Callable[[Table], None]] = []
+        self.encoded = b""  # as read, to pass on to peers
+        self.caught_up = False
+
+    async def start(self, kernel: Kernel) -> None:
+        """Have nothing to find."""
+
+    async def stop(self) -> None:
+        """Have nothing to end."""
+
+    @property
+    def offset(self) -> int:
+        """Return the version in force; 0 when there is none."""
+        return self._table.version if self._table else 0
+
+    @property
+    def is_configured(self) -> bool:
+        """Tell whether there is a configuration."""
+        return self._table is not None
+
+    def table(self) -> Table:
+        """Return what is in force; raise `NotConfiguredError`."""
+        if self._table is None:
+            raise NotConfiguredError
+        return self._table
+
+    def offer(
+        self, configuration: Configuration, encoded: bytes, source: str
+    ) -> bool:
+        """Take a configuration if it is newer; tell whether it was."""
+        if configuration.version <= self.offset:
+            return False
+        before = self.offset
+        self._table = compile_table(configuration)
+        self.encoded = encoded
+        self.caught_up = True
+        log.bind(
+            version=configuration.version,
+            version_before=before,
+            source=source,
+            routes=len(configuration.routes),
+            workspaces=len(configuration.workspaces),
+        ).info("configuration in force")
+        for callback in self._on_change:
+            callback(self._table)
+        return True
+
+    def on_change(self, callback: Callable[[Table], None]) -> None:
+        """Call back with each configuration that comes into force."""
+        self._on_change.append(callback)
--- /dev/null
+++ b/src/balsamlift/relay/_service.py
@@ -0,0 +1,178 @@
+"""The relay: every request of a caller, from its head to its last byte."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import attrs
+from loguru import logger
+
+from balsamlift._tasks import end_task
+from balsamlift.clock import Clock
+from balsamlift.kernel import Kernel
+from balsamlift.metrics import Metrics
+from balsamlift.peers import Peers, Upstreams
+from balsamlift.relay._admission import Admission
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._engines import EngineCalls
+from balsamlift.relay._exchange import Exchange
+from balsamlift.relay._frontend import Frontend
+from balsamlift.relay._generation import Tools
+from balsamlift.relay._generations import Generations
+from balsamlift.relay._plain import PlainCalls
+from balsamlift.relay._pool import ConnectionPool
+from balsamlift.relay._request import (
+    Call,
+    CallerRequest,
+    Refusal,
+    Responder,
+)
+from balsamlift.relay._retries import Retries, RetryLimits
+from balsamlift.relay._rooms import Rooms
+from balsamlift.relay._routing import Routing, Table
+from balsamlift.relay._wire import HeaderNames
+
+log = logger.bind(part="relay")
+
+# Peers' news of load come with their heartbeats; work that waits for room
+# looks at them this often.
+LOOK_S = 0.1
+# Idle connections are looked through this often.
+SWEEP_S = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class RelaySettings:
+    """Hold what the relay is told at its start."""
+
+    failure_domain: str
+    retries: RetryLimits
+    names: HeaderNames
+
+
+class Relay:
+    """Answer callers with what upstreams say, and never twice or falsely."""
+
+    name = "relay"
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        engines: EngineCalls,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Prepare; `start` finds the other services."""
+        self._settings = settings
+        self._engines = engines
+        self._clock = clock
+        self._random = rng
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, kernel: Kernel) -> None:
+        """Find the other services and begin to serve callers."""
+        self._metrics = kernel.find("metrics", Metrics)
+        self._upstreams = kernel.find("upstreams", Upstreams)
+        peers = kernel.find("peers", Peers)
+        routing = kernel.find("routing", Routing)
+        frontend = kernel.find("frontend", Frontend)
+        names = self._settings.names
+        self._pool = ConnectionPool(self._clock, self._metrics)
+        balancer = Balancer(
+            self._upstreams,
+            peers,
+            self._clock,
+            self._random,
+            self._settings.failure_domain,
+        )
+        self._rooms = Rooms(balancer)
+        self._retries = Retries(
+            self._settings.retries,
+            lambda: len(peers.live()) + 1,
+            self._clock,
+        )
+        exchange = Exchange(self._pool, names, self._clock)
+        self._admission = Admission(routing, names, self._random)
+        self._plain = PlainCalls(
+            exchange, balancer, self._admission, self._retries
+        )
+        tools = Tools(
+            exchange=exchange,
+            balancer=balancer,
+            rooms=self._rooms,
+            engines=self._engines,
+            names=names,
+            metrics=self._metrics,
+        )
+        self._generations = Generations(
+            tools, self._admission, self._retries, self._upstreams
+        )
+        self._frontend = frontend
+        routing.on_change(self._take_limits)
+        frontend.serve(self.handle)
+        self._tasks = [
+            asyncio.create_task(self._keep_looking()),
+            asyncio.create_task(self._keep_sweeping()),
+        ]
+
+    async def stop(self) -> None:
+        """Close the connections to upstreams."""
+        for task in self._tasks:
+            await end_task(task)
+        self._pool.close()
+
+    async def handle(
+        self, request: CallerRequest, responder: Responder
+    ) -> None:
+        """Answer one request, and log how it ended."""
+        admitted = self._admission.admit(request)
+        if isinstance(admitted, Refusal):
+            responder.refuse(admitted)
+            self._log_refused(request, admitted)
+            return
+        outcome = "caller gone"
+        try:
+            outcome = await self._run(admitted, responder)
+        finally:
+            self._log_outcome(admitted, outcome)
+
+    async def _run(self, call: Call, responder: Responder) -> str:
+        self._retries.requested(call.service)
+        if call.route.kind == "stream":
+            return await self._generations.run(call, responder)
+        return await self._plain.run(call, responder)
+
+    def _log_refused(self, request: CallerRequest, refusal: Refusal) -> None:
+        self._metrics.count(f"relay.refused.{refusal.status}")
+        log.bind(
+            request=request.headers.get(self._settings.names.request_id, ""),
+            status=refusal.status,
+            target=request.target[:80],
+        ).info("{}", refusal.reason)
+
+    def _log_outcome(self, call: Call, outcome: str) -> None:
+        took_ms = (self._clock.monotonic() - call.request.arrived_s) * 1_000
+        self._metrics.count(f"relay.{call.route.kind}.{outcome}"[:80])
+        self._metrics.observe_ms(f"relay.{call.route.kind}", took_ms)
+        log.bind(
+            request=call.request_id,
+            route=call.route.name,
+            service=call.service,
+            version=call.table.version,
+            took_ms=round(took_ms, 1),
+        ).info("{}", outcome)
+
+    def _take_limits(self, table: Table) -> None:
+        self._frontend.body_bytes = table.configuration.limits.body_bytes
+
+    async def _keep_looking(self) -> None:
+        while True:
+            await self._clock.sleep(LOOK_S)
+            if self._rooms.waiting:
+                self._rooms.look()
+
+    async def _keep_sweeping(self) -> None:
+        while True:
+            await self._clock.sleep(SWEEP_S)
+            self._pool.sweep({u.name for u in self._upstreams.all()})
