Pass configuration and list on to hosts that the platform turns away

Cause: the platform's store may serve some hosts and turn others away for 9 s, while keys are revoked and every 3.3 s an engine is replaced. A host turned away kept an old configuration and, after 12 s, knew no live engine. Connections to upstreams are closed by the system after 2 s without an acknowledgement, so that one that went silent does not hang. Ruled out: peers reading each other's store (no address for it). Tests: test_peers_sharing.py, six; two failed at first: an entry with keyword fields was not decoded by position.

--- a/src/balsamlift/peers/_heard.py
+++ b/src/balsamlift/peers/_heard.py
@@ -19,6 +19,7 @@
     caught_up: bool = False
     chose_us: bool = False
     missed: bool = False  # until a message that tells all has come
+    wants_list: bool = False
 
     def take(self, message: PeerMessage, now_s: float) -> None:
         """Take in a message of this incarnation."""
@@ -31,6 +32,7 @@
         self.offset = message.offset
         self.caught_up = message.caught_up
         self.chose_us = message.chosen
+        self.wants_list = message.wants_list
 
 
 class HeardPeers:
--- a/src/balsamlift/peers/_hosts_list.py
+++ b/src/balsamlift/peers/_hosts_list.py
@@ -15,9 +15,12 @@
 _NOT_MODIFIED = 304
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen
 class ListEntry:
-    """Hold one entry of the list as the platform gives it."""
+    """Hold one entry of the list as the platform gives it.
+
+    Peers send it by position: new fields go last.
+    """
 
     name: str
     role: str
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -32,6 +32,7 @@
 )
 from balsamlift.peers._notes import NOTE_TTL_MS, Notes
 from balsamlift.peers._peer import Peer, describe
+from balsamlift.peers._sharing import ConfigurationSharing
 from balsamlift.peers._upstream import Upstream
 from balsamlift.peers._upstreams import PEER_SOURCE, Upstreams
 from balsamlift.settings import Settings
@@ -99,6 +100,7 @@
         )
         self._on_change: list[Callable[[], None]] = []
         self._configuration = ConfigurationFinder()
+        self._sharing = ConfigurationSharing(clock)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self, kernel: Kernel) -> None:
@@ -202,6 +204,15 @@
         """Tell whether this host is leaving."""
         return self._members.own.state == "leaving"
 
+    def share_configuration(
+        self, read: Callable[[], bytes], take: Callable[[bytes], None]
+    ) -> None:
+        """Pass the configuration on to hosts that cannot read it.
+
+        `read` returns it encoded, `take` is handed one that a peer sent.
+        """
+        self._sharing.connect(read, take)
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call back after each change of a host."""
         self._on_change.append(callback)
@@ -238,6 +249,9 @@
             message.host, message.counts, full=message.counts_are_full
         )
         self._take_notes(message.notes)
+        self._sharing.take(message.configuration)
+        if message.listed:
+            self._upstreams.take_from_peer(message.listed)
         self._correct(message)
         self._answer(message)
 
@@ -290,12 +304,17 @@
     # Sending
 
     def _compose(self, link: Link) -> Draft:
+        heard = self._heard.find(link.host)
+        wants_list = heard is not None and heard.wants_list
         status = Status(
             stamp=self._timeline.stamp(),
             offset=self.offset,
             caught_up=self.caught_up,
             chosen=link.host in self._links.chosen,
             wants_members=self._wants_members(),
+            configuration=self._sharing.due(link.host, heard, self.offset),
+            wants_list=self._upstreams.is_cut_off,
+            listed=self._upstreams.to_share() if wants_list else [],
         )
         return self._composer.compose(link, status)
 
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from balsamlift.exceptions import PeerMessageError
+from balsamlift.peers._hosts_list import ListEntry
 from balsamlift.peers._marks import STATES, UpstreamState
 
 MemberState = UpstreamState  # hosts go through the same states
@@ -72,9 +73,13 @@
     counts: dict[str, int] = attrs.field(factory=dict)
     counts_are_full: bool = False
     notes: list[UpstreamNote] = attrs.field(factory=list)
+    # For a receiver that cannot read the platform itself:
+    configuration: bytes = b""  # as operators wrote it
+    wants_list: bool = False  # the sender cannot read the list
+    listed: list[ListEntry] = attrs.field(factory=list)
 
 
-for _class in (Member, UpstreamNote, PeerMessage):
+for _class in (Member, UpstreamNote, ListEntry, PeerMessage):
     attrs.resolve_types(_class)
 
 # Fields go by position: names would be half of the bytes.
--- /dev/null
+++ b/src/balsamlift/peers/_sharing.py
@@ -0,0 +1,49 @@
+"""What hosts pass on to those that cannot read the platform themselves."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from balsamlift.clock import Clock
+from balsamlift.peers._heard import Heard
+
+# A host that reads the platform itself has a new configuration within some
+# 10 ms; one that lags for longer is told, and again if that was lost.
+BEHIND_S = 0.4
+AGAIN_S = 1.0
+
+
+class ConfigurationSharing:
+    """Pass the newest configuration on to peers that lag behind it."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Share nothing until `connect`."""
+        self._clock = clock
+        self._read: Callable[[], bytes] = bytes
+        self._take: Callable[[bytes], None] | None = None
+        self._behind_s: dict[str, float] = {}
+
+    def connect(
+        self, read: Callable[[], bytes], take: Callable[[bytes], None]
+    ) -> None:
+        """Send what `read` returns and hand what comes to `take`."""
+        self._read = read
+        self._take = take
+
+    def due(self, host: str, heard: Heard | None, offset: int) -> bytes:
+        """Return the configuration if that peer is to be told, else none."""
+        if heard is None or heard.offset >= offset:
+            self._behind_s.pop(host, None)
+            return b""
+        now_s = self._clock.monotonic()
+        since_s = self._behind_s.setdefault(host, now_s)
+        if now_s - since_s < BEHIND_S:
+            return b""
+        # Wait before it is sent again: it is on its way.
+        self._behind_s[host] = now_s + AGAIN_S - BEHIND_S
+        return self._read()
+
+    def take(self, configuration: bytes) -> None:
+        """Take in what a peer passed on."""
+        if configuration and self._take is not None:
+            self._take(configuration)
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -101,6 +101,7 @@
         self._is_probing = source is None
         self._trusted_s = -RETURN_S  # removals count from then on
         self._lapsed: set[str] = set()
+        self._entries: list[ListEntry] = []  # of upstreams, as last read
         self._random = random.Random(settings.seed or None)
         self._known: dict[str, _Known] = {}
         self._usable: dict[str, list[Upstream]] = {}
@@ -181,6 +182,33 @@
         if is_new:
             self._tell_mark(known.listed, "leaving")
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Tell whether this host cannot read the list."""
+        return self._list_down
+
+    def to_share(self) -> list[ListEntry]:
+        """Return the upstreams, for a peer that cannot read the list.
+
+        None where this host cannot read it either: what it knows is old.
+        """
+        return [] if self._list_down else list(self._entries)
+
+    def take_from_peer(self, entries: list[ListEntry]) -> None:
+        """Take in the list that a peer read, while this host cannot.
+
+        It only adds: what is not listed any more, peers tell as leaving.
+        """
+        if not self._list_down:
+            return
+        changed = False
+        for entry in entries:
+            listed = join_upstream(entry, self._settings.pools)
+            if listed is not None:
+                changed |= self._take_upstream(listed)
+        if changed:
+            self._tell_change()
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call back after each change of the list or of a state."""
         self._on_change.append(callback)
@@ -278,6 +306,7 @@
 
     def _take_list(self, entries: list[ListEntry]) -> None:
         hosts = [join_entry_host(e) for e in entries if e.role == ENTRY_ROLE]
+        self._entries = [e for e in entries if e.role != ENTRY_ROLE]
         listed = [
             upstream
             for entry in entries
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -23,6 +23,7 @@
     ConfigurationWatch,
     HostRegistration,
     UpstreamsSource,
+    offer,
 )
 from balsamlift.platform._web import PlatformServer
 from balsamlift.relay import Directory, Frontend, Relay, Routing
@@ -53,6 +54,7 @@
         )
         http = HttpClient(most_calls=MOST_STORE_CALLS)
         store = Store(node.store_address, http)
+        routing = Routing()
         self.frontend = Frontend(node.callers_address, clock)
         self.upstreams = Upstreams(
             settings, clock, http, UpstreamsSource(store, clock)
@@ -71,7 +73,7 @@
             OperatorsServer(settings.operators_address),
             timeline,
             Metrics(),
-            Routing(),
+            routing,
             self.frontend,
             ConfigurationWatch(store, clock),
             HostRegistration(store, clock, settings.host, record),
@@ -83,6 +85,10 @@
         )
         for service in services:
             self.kernel.register(service)
+        self.peers.share_configuration(
+            lambda: routing.encoded,
+            lambda data: offer(routing, data, "peer"),
+        )
 
     async def start(self) -> None:
         """Start every service."""
--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -31,6 +31,10 @@
 # A connection within a deployment takes a few milliseconds; one that is lost
 # with its packet is sent again by the system after a second.
 CONNECT_S = 0.5
+# Links lose packets for seconds, and a lost one is sent again after 0.2 s,
+# 0.4 s and 0.8 s; beyond that, the other end is gone.
+SILENCE_S = 2
+PROBE_S = 1
 MOST_HEAD_BYTES = 65_536
 MOST_LINE_BYTES = 1_024  # of a chunk's size or a trailer
 READ_BYTES = 65_536
@@ -90,6 +94,7 @@
             stream.close()
             raise
         stream.set_nodelay(True)
+        watch_silence(stream.socket)
         self._stream = stream
 
     def close(self) -> None:
@@ -246,6 +251,24 @@
         self._idle_until_s = self._clock.monotonic() + idle_s
 
 
+def watch_silence(sock: socket.socket) -> None:
+    """Let the system close a connection whose other end is gone.
+
+    A connection may go silent for good while new ones work. Bytes without
+    an acknowledgement, and a quiet peer that does not answer probes, end it
+    after `SILENCE_S`.
+    """
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, SILENCE_S // PROBE_S),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_S * 1_000),
+    )
+    for level, name, value in options:
+        sock.setsockopt(level, name, value)
+
+
 def _ignore_failure(write: asyncio.Future[None]) -> None:
     # A connection that fails while writing fails the reading as well,
     # where it is reported.
--- /dev/null
+++ b/tests/test_peers_sharing.py
@@ -0,0 +1,213 @@
+"""What hosts pass on to one that the platform turns away."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from balsamlift._http import HttpClient
+from balsamlift.clock import SystemClock
+from balsamlift.exceptions import HostsUnavailableError
+from balsamlift.kernel import Kernel
+from balsamlift.metrics import Metrics
+from balsamlift.operators import OperatorsServer
+from balsamlift.peers import (
+    ENTRY_ROLE,
+    UPSTREAM_ROLE,
+    ListEntry,
+    Peers,
+    Upstreams,
+)
+from balsamlift.relay import Routing
+from balsamlift.settings import (
+    PeerSettings,
+    PlatformSettings,
+    PoolSettings,
+    Settings,
+)
+from balsamlift.testing.relay import configuration
+from balsamlift.timeline import Timeline
+
+DEADLINE_S = 15.0
+
+
+class SkippingClock(SystemClock):
+    """A clock whose monotonic time can be moved on."""
+
+    skipped_s = 0.0
+
+    def monotonic(self) -> float:
+        return super().monotonic() + self.skipped_s
+
+
+def engine(name: str, state: str = "live") -> ListEntry:
+    return ListEntry(
+        name=name,
+        role=UPSTREAM_ROLE,
+        pool="p",
+        address="127.0.0.1:9",
+        state=state,
+        kind="service",
+    )
+
+
+class List:
+    """A list of upstreams that can be out of reach."""
+
+    def __init__(self) -> None:
+        self.entries: list[ListEntry] = []
+        self.is_down = False
+        self.reads = 0
+
+    async def read(self) -> list[ListEntry] | None:
+        self.reads += 1
+        if self.is_down:
+            raise HostsUnavailableError("out of reach")
+        return list(self.entries)
+
+
+class Host:
+    """One host: peers, upstreams and a configuration."""
+
+    def __init__(self, name: str) -> None:
+        settings = Settings(
+            host=name,
+            failure_domain="d1",
+            callers_address="127.0.0.1:0",
+            operators_address="127.0.0.1:0",
+            peers_address="127.0.0.1:0",
+            platform=PlatformSettings(
+                log_address="127.0.0.1:9",
+                hosts_address="127.0.0.1:9",
+                hosts_poll_ms=20,
+            ),
+            pools={"q": PoolSettings(kind="service")},
+            peers=PeerSettings(heartbeat_ms=50, silence_ms=1_000),
+        )
+        self.clock = SkippingClock()
+        self.list = List()
+        self.routing = Routing()
+        self.upstreams = Upstreams(
+            settings, self.clock, HttpClient(most_calls=1), self.list
+        )
+        self.peers = Peers(
+            settings, "first", "127.0.0.1:1", self.clock, random.Random(name)
+        )
+        self.peers.share_configuration(lambda: self.routing.encoded, self.take)
+        self.kernel = Kernel()
+        for service in (
+            OperatorsServer("127.0.0.1:0"),
+            Timeline(name, self.clock, 100),
+            Metrics(),
+            self.routing,
+            self.upstreams,
+            self.peers,
+        ):
+            self.kernel.register(service)
+
+    def take(self, data: bytes) -> None:
+        self.routing.offer(configuration(int(data)), data, "peer")
+
+    def entry(self) -> ListEntry:
+        return ListEntry(
+            name=self.peers.own.host,
+            role=ENTRY_ROLE,
+            peers_address=self.peers.address,
+        )
+
+    def names(self) -> set[str]:
+        return {u.name for u in self.upstreams.in_pool("p")}
+
+    async def reads(self, number: int = 3) -> None:
+        """Wait for some more reads of the list."""
+        wanted = self.list.reads + number
+        await until(lambda: self.list.reads >= wanted)
+
+
+async def until(condition: Callable[[], object]) -> None:
+    async with asyncio.timeout(DEADLINE_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def run(scenario: Callable[[Host, Host], Awaitable[None]]) -> None:
+    async def main() -> None:
+        one, two = Host("one"), Host("two")
+        listed = [one.entry(), two.entry(), engine("e1"), engine("e2")]
+        for host in (one, two):
+            host.list.entries = list(listed)
+            await host.kernel.start()
+        try:
+            await until(lambda: one.peers.live() and two.peers.live())
+            await scenario(one, two)
+        finally:
+            await one.kernel.stop()
+            await two.kernel.stop()
+
+    asyncio.run(main())
+
+
+def test_a_host_that_is_turned_away_follows_the_configuration() -> None:
+    async def scenario(one: Host, two: Host) -> None:
+        two.list.is_down = True
+        one.take(b"5")
+        await until(lambda: two.routing.offset == 5)
+        one.take(b"9")
+        await until(lambda: two.routing.offset == 9)
+
+    run(scenario)
+
+
+def test_a_host_that_is_turned_away_learns_of_new_upstreams() -> None:
+    async def scenario(one: Host, two: Host) -> None:
+        two.list.is_down = True
+        await until(lambda: two.upstreams.is_cut_off)
+        one.list.entries += [engine("e3")]
+        await until(lambda: "e3" in two.names())
+
+    run(scenario)
+
+
+def test_a_host_that_is_turned_away_learns_of_removed_upstreams() -> None:
+    async def scenario(one: Host, two: Host) -> None:
+        two.list.is_down = True
+        await until(lambda: two.upstreams.is_cut_off)
+        one.list.entries = [e for e in one.list.entries if e.name != "e1"]
+        await until(lambda: two.names() == {"e2"})
+
+    run(scenario)
+
+
+def test_a_host_that_reads_the_list_itself_is_told_nothing() -> None:
+    async def scenario(one: Host, two: Host) -> None:
+        two.list.entries = [e for e in two.list.entries if e.name != "e2"]
+        await until(lambda: two.names() == {"e1"})
+        await two.reads()
+        assert two.names() == {"e1"}
+
+    run(scenario)
+
+
+def test_an_upstream_that_is_removed_gets_no_more_work() -> None:
+    async def scenario(one: Host, two: Host) -> None:
+        one.list.entries = [e for e in one.list.entries if e.name != "e1"]
+        await until(lambda: one.names() == {"e2"})
+
+    run(scenario)
+
+
+def test_entries_that_lapsed_with_the_list_have_time_to_come_back() -> None:
+    async def scenario(one: Host, two: Host) -> None:
+        for host in (one, two):
+            host.list.is_down = True
+            await until(lambda host=host: host.upstreams.is_cut_off)
+        for host in (one, two):
+            host.list.entries = host.list.entries[:2]
+            host.list.is_down = False
+        await one.reads()
+        assert one.names() == {"e1", "e2"}
+        one.list.entries += [engine("e1")]
+        await one.reads()
+        one.clock.skipped_s = 2.5
+        await until(lambda: one.names() == {"e1"})
+
+    run(scenario)
--- /dev/null
+++ b/tests/test_relay_routing.py
@@ -0,0 +1,160 @@
+"""Routes: longest prefix, versions that only go up, what a wait changes."""
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from tornado.httputil import HTTPHeaders
+
+from balsamlift.exceptions import NotConfiguredError
+from balsamlift.relay import Configuration, Route, ServiceShare, Workspace
+from balsamlift.relay._admission import Admission
+from balsamlift.relay._request import Call, CallerRequest, Refusal
+from balsamlift.relay._routing import Routing, compile_table, pick_service
+from balsamlift.testing.relay import (
+    HOST,
+    KEY,
+    NAMES,
+    WORKSPACE,
+    configuration,
+    route,
+)
+
+PREFIXES = ("/", "/a/", "/a/b/", "/a/b/c/", "/b/")
+
+
+def with_routes(*routes: Route) -> Configuration:
+    return configuration(routes=routes)
+
+
+def request(path: str, host: str = HOST, key: str = KEY) -> CallerRequest:
+    headers = HTTPHeaders()
+    headers.add("Host", host)
+    headers.add(NAMES.request_id, "r1")
+    headers.add(NAMES.deadline_ms, "1000")
+    if key:
+        headers.add("Authorization", f"Token {key}")
+    return CallerRequest(
+        method="POST", target=path, headers=headers, body=b"", arrived_s=0.0
+    )
+
+
+def admit(routing: Routing, path: str, **fields: str) -> Call | Refusal:
+    admission = Admission(routing, NAMES, random.Random(1))
+    return admission.admit(request(path, **fields))
+
+
+def offered(routing: Routing, version: int, **fields: object) -> bool:
+    return routing.offer(
+        configuration(version, **fields), b"%d" % version, "test"
+    )
+
+
+@given(st.lists(st.sampled_from(PREFIXES), unique=True), st.text("abc/"))
+def test_finds_the_longest_prefix(prefixes: list[str], rest: str) -> None:
+    table = compile_table(
+        with_routes(*(route("idempotent", p, "plain") for p in prefixes))
+    )
+    path = f"/{rest}"
+    found = table.find_route(HOST, path)
+    fitting = [p for p in prefixes if path.startswith(p)]
+    expected = max(fitting, key=len, default=None)
+    assert (found.path_prefix if found else None) == expected
+
+
+def test_the_version_only_goes_up() -> None:
+    routing = Routing()
+    with pytest.raises(NotConfiguredError):
+        routing.table()
+    assert offered(routing, 3)
+    assert not offered(routing, 2)
+    assert not offered(routing, 3)
+    assert routing.table().version == 3
+    assert offered(routing, 9)
+    assert routing.offset == 9
+
+
+@given(st.lists(st.integers(1, 50)))
+def test_the_newest_version_wins_in_any_order(versions: list[int]) -> None:
+    routing = Routing()
+    newest = 0
+    for version in versions:
+        offered(routing, version)
+        newest = max(newest, version)
+        assert routing.offset == newest
+
+
+def test_weights_share_requests_out() -> None:
+    shares = (
+        ServiceShare(service="a", weight=90),
+        ServiceShare(service="b", weight=10),
+    )
+    split = route("idempotent", "/a/", "a", services=shares)
+    rng = random.Random(3)
+    counts = Counter(pick_service(split, rng) for _ in range(1_000))
+    assert 60 < counts["b"] < 140
+
+
+@pytest.mark.parametrize(
+    ("path", "fields", "status"),
+    [
+        ("/nowhere/", {}, 404),
+        ("/order/1", {"host": "other.example"}, 404),
+        ("/order/1", {"key": "unknown"}, 401),
+        ("/order/1", {"key": ""}, 401),
+    ],
+)
+def test_says_what_is_wrong(
+    path: str, fields: dict[str, str], status: int
+) -> None:
+    routing = Routing()
+    offered(routing, 1)
+    refusal = admit(routing, path, **fields)
+    assert isinstance(refusal, Refusal)
+    assert refusal.status == status
+
+
+def test_a_public_route_needs_no_key() -> None:
+    routing = Routing()
+    offered(
+        routing,
+        1,
+        routes=(route("idempotent", "/open/", "plain", is_public=True),),
+    )
+    call = admit(routing, "/open/1", key="unknown")
+    assert isinstance(call, Call)
+    assert call.workspace is None
+
+
+def test_a_workspace_priority_goes_before_that_of_the_route() -> None:
+    routing = Routing()
+    workspace = Workspace(name=WORKSPACE, keys=(KEY,), priority=7)
+    offered(routing, 1, workspaces=(workspace,))
+    call = admit(routing, "/order/1")
+    assert isinstance(call, Call)
+    assert call.priority == 7
+
+
+@pytest.mark.parametrize(
+    ("later", "allowed"),
+    [
+        ({}, True),
+        ({"workspaces": (Workspace(name=WORKSPACE, keys=("other",)),)}, False),
+        ({"workspaces": (Workspace(name="other", keys=(KEY,)),)}, False),
+        ({"routes": ()}, False),
+        ({"routes": (route("non_idempotent", "/order/", "else"),)}, False),
+        ({"routes": (route("non_idempotent", "/", "plain"),)}, True),
+    ],
+)
+def test_a_call_that_waited_is_looked_at_again(
+    later: dict[str, object], allowed: bool
+) -> None:
+    routing = Routing()
+    offered(routing, 1)
+    admission = Admission(routing, NAMES, random.Random(1))
+    call = admission.admit(request("/order/1"))
+    assert isinstance(call, Call)
+    offered(routing, 2, **later)
+    assert admission.still_allows(call) is allowed
