Let generations leave an engine in turn

Change: each host reads the engine's list of runs and works out the same order; a generation copies and stops in its turn. Streams log first event, longest pause and moves.

--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -46,6 +46,8 @@
 class _Engine(msgspec.Struct):
     Slots: int
     KvCapacityTokens: int
+    KvTokenBytes: int = 0  # of memory, for one token
+    LinkMbps: float = 0.0
     Moves: bool = False
     Backups: bool = False
 
@@ -196,6 +198,8 @@
         else EngineTraits(
             slots=engine.Slots,
             memory_tokens=engine.KvCapacityTokens,
+            token_bytes=engine.KvTokenBytes,
+            link_mbps=engine.LinkMbps,
             can_move=engine.Moves,
             can_back_up=engine.Backups,
         ),
--- a/src/balsamlift/platform/_engines.py
+++ b/src/balsamlift/platform/_engines.py
@@ -6,17 +6,25 @@
 
 from balsamlift._http import Answer, CallError, HttpClient
 from balsamlift.peers import Upstream
-from balsamlift.platform._names import MOVE_PATH
-from balsamlift.relay import Copy, CopyError, CopyRefusedError
+from balsamlift.platform._names import MOVE_PATH, REPORT_PATH
+from balsamlift.relay import Copy, CopyError, CopyRefusedError, Run
 
 # 1.3 GB of a long report take 0.5 s between failure domains; several in a
 # row wait for each other.
 MOVE_MS = 4_000
+REPORT_MS = 300
 CONNECT_MS = 300
 _OK = 200
 _NO_ROOM = 503
 
 
+class _Report(msgspec.Struct):
+    """Hold the part of an engine's report that is used."""
+
+    # Each: id of the request, tokens in memory, events made, priority.
+    Runs: list[tuple[str, int, int, int]] = []
+
+
 class _Moved(msgspec.Struct):
     """Hold the engine's answer to a move."""
 
@@ -31,6 +39,23 @@
         """Call through `http`."""
         self._http = http
 
+    async def runs(self, upstream: Upstream) -> list[Run]:
+        """Return what an engine runs; raise `CopyError`."""
+        try:
+            answer = await self._http.call(
+                "GET",
+                f"http://{upstream.address}{REPORT_PATH}",
+                timeout_ms=REPORT_MS,
+                connect_ms=CONNECT_MS,
+            )
+            report = answer.decode(_Report)
+        except (CallError, msgspec.MsgspecError) as error:
+            raise CopyError(upstream.name, f"no report: {error}") from error
+        return [
+            Run(request_id=request_id, tokens=tokens, events=events)
+            for request_id, tokens, events, _ in report.Runs
+        ]
+
     async def copy(
         self,
         source: Upstream,
--- a/src/balsamlift/platform/_names.py
+++ b/src/balsamlift/platform/_names.py
@@ -42,3 +42,4 @@
 READY_PATH = "/readyz"
 ADDRESSES_PATH = "/resolution"
 MOVE_PATH = "/kv-move"
+REPORT_PATH = "/report"
--- a/src/balsamlift/relay/__init__.py
+++ b/src/balsamlift/relay/__init__.py
@@ -16,6 +16,7 @@
     CopyError,
     CopyRefusedError,
     EngineCalls,
+    Run,
 )
 from balsamlift.relay._frontend import Frontend
 from balsamlift.relay._retries import RetryLimits
@@ -41,6 +42,7 @@
     "Route",
     "RouteKind",
     "Routing",
+    "Run",
     "Service",
     "ServiceShare",
     "Workspace",
--- a/src/balsamlift/relay/_configuration.py
+++ b/src/balsamlift/relay/_configuration.py
@@ -41,6 +41,8 @@
 
     slots: int
     memory_tokens: int  # of one engine
+    token_bytes: int = 0  # of memory
+    link_mbps: float = 0.0  # between engines; 0: not told
     can_move: bool = False
     can_back_up: bool = False
 
--- a/src/balsamlift/relay/_engines.py
+++ b/src/balsamlift/relay/_engines.py
@@ -36,9 +36,21 @@
     target: Upstream  # where it lies; the source itself if it never left
 
 
+@attrs.frozen
+class Run:
+    """Hold what an engine tells of one generation that it runs."""
+
+    request_id: str
+    tokens: int  # in its memory
+    events: int  # made so far
+
+
 class EngineCalls(Protocol):
     """Move generations between engines."""
 
+    async def runs(self, upstream: Upstream) -> list[Run]:
+        """Return what an engine runs, some 100 ms ago; raise `CopyError`."""
+
     async def copy(
         self,
         source: Upstream,
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from typing import Literal
 
+import attrs
 from loguru import logger
 from tornado.iostream import StreamClosedError
 
@@ -21,6 +22,7 @@
 from balsamlift.relay._backup import Backup
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._engines import Copy, CopyRefusedError
+from balsamlift.relay._evacuation import wait_s
 from balsamlift.relay._events import EventError, EventSplitter
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._headers import caller_headers
@@ -38,17 +40,18 @@
 RESUME_S = 1.0
 # Between two tries to move a generation off an engine that leaves.
 MOVE_AGAIN_S = 0.15
-# Copies off one engine wait for each other. A generation is stopped for its
-# last copy only after one that took no longer than this: callers take a
-# pause of up to 180 ms as in time, and a full copy takes 220 to 450 ms.
-QUICK_COPY_S = 0.06
-# An engine is gone 1.5 s or more after its notice: stop it then at the
-# latest, with what time is left for the last copy.
-STOP_BY_S = 1.1
-
 Signal = Literal["whole", "broken", "leaving"]
 
 
+@attrs.define
+class Course:
+    """Hold what a caller saw of a generation, for the log."""
+
+    first_ms: int | None = None  # until the first event was passed on
+    gap_ms: int = 0  # the longest pause between events
+    moves: int = 0
+
+
 class Generation:
     """Relay the events of one generation, over as many engines as it takes.
 
@@ -81,7 +84,8 @@
         self._pump: asyncio.Task[None] | None = None
         self._reply: Reply | None = None
         self._moving: asyncio.Task[Copy | None] | None = None
-        self.moves = 0
+        self._seen_s = asyncio.get_running_loop().time()
+        self.course = Course()
 
     @property
     def upstream(self) -> Upstream | None:
@@ -165,9 +169,20 @@
             log.bind(request=self._call.request_id).warning("{}", error)
             return False
         if events:
+            self._note_events()
             await self._responder.write(events)
         return True
 
+    def _note_events(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        gap_ms = (now_s - self._seen_s) * 1_000
+        self._seen_s = now_s
+        if self.course.first_ms is None:
+            arrived_s = self._call.request.arrived_s
+            self.course.first_ms = round((now_s - arrived_s) * 1_000)
+        else:
+            self.course.gap_ms = max(self.course.gap_ms, round(gap_ms))
+
     async def _fail(self, reason: str) -> str:
         await self._end_pump()
         self._responder.abort()
@@ -191,6 +206,7 @@
         assert reply is not None
         source = reply.upstream
         tried = {source.name}
+        has_waited = False
         while True:
             target = self._target(tried)
             if target is None:
@@ -200,6 +216,9 @@
             tokens = self._need.tokens
             self._tools.balancer.add(target.name, tokens)
             try:
+                if not has_waited:
+                    await self._wait_for_turn(source, target)
+                    has_waited = True
                 return await self._copy(source, target)
             except CopyRefusedError as error:
                 if error.handle:
@@ -215,21 +234,23 @@
     async def _copy(self, source: Upstream, target: Upstream) -> Copy:
         engines = self._tools.engines
         request_id = self._call.request_id
-        loop = asyncio.get_running_loop()
-        noticed_s = loop.time()
-        copies = 0
-        while True:
-            began_s = loop.time()
-            await engines.copy(source, request_id, target, stop=False)
-            copies += 1
-            now_s = loop.time()
-            is_quick = now_s - began_s <= QUICK_COPY_S
-            if is_quick or now_s - noticed_s >= STOP_BY_S:
-                break
+        await engines.copy(source, request_id, target, stop=False)
         copy = await engines.copy(source, request_id, target, stop=True)
-        self._log_copy(source, target, f"copied, {copies} times")
+        self._log_copy(source, target, "copied")
         return copy
 
+    async def _wait_for_turn(self, source: Upstream, target: Upstream) -> None:
+        """Let those go first that leave the engine before."""
+        try:
+            runs = await self._tools.engines.runs(source)
+        except UpstreamError as error:
+            self._log_copy(source, target, str(error))
+            return
+        is_near = source.failure_domain == target.failure_domain
+        turn_s = wait_s(runs, self._call.request_id, self._traits, is_near)
+        self._log_copy(source, target, f"waits {turn_s:.2f} s")
+        await asyncio.sleep(turn_s)
+
     def _log_copy(self, source: Upstream, target: Upstream, how: str) -> None:
         log.bind(
             request=self._call.request_id,
@@ -279,7 +300,7 @@
         if reply is None:
             self._backup.release()
             return False
-        self.moves += 1
+        self.course.moves += 1
         self._tools.metrics.count("generations.moved")
         await self._end_pump()
         self._forget_parts()
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -189,7 +189,18 @@
             if not reply.is_success:
                 return await self._pass_failure(reply, responder)
             self._tools.balancer.health.succeeded(reply.upstream.name)
-            return await generation.relay(reply)
+            outcome = await generation.relay(reply)
+            course = generation.course
+            log.bind(
+                request=call.request_id,
+                upstream=started.holding.upstream.name,
+                first_ms=course.first_ms,
+                gap_ms=course.gap_ms,
+                moves=course.moves,
+                prompt_tokens=need.prompt_tokens,
+                output_tokens=need.output_tokens,
+            ).info("stream: {}", outcome)
+            return outcome
         finally:
             self._running.discard(generation)
             started.holding.release()
--- a/src/balsamlift/testing/_relay_world.py
+++ b/src/balsamlift/testing/_relay_world.py
@@ -29,6 +29,7 @@
     RetryLimits,
     Route,
     Routing,
+    Run,
     Service,
     ServiceShare,
     Workspace,
@@ -131,8 +132,13 @@
         """Begin with room everywhere."""
         self.copies: list[tuple[str, str, str, bool]] = []
         self.has_room = True
+        self.running: dict[str, list[Run]] = {}
         self.on_stop: list[asyncio.Event] = []
 
+    async def runs(self, upstream: Upstream) -> list[Run]:
+        """Return what a test says that engine runs."""
+        return self.running.get(upstream.name, [])
+
     async def copy(
         self,
         source: Upstream,
