--- /dev/null
+++ b/src/balsamlift/testing/_keyed_store.py
@@ -0,0 +1,161 @@
+"""A stand-in of the platform's store of keyed records, with its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import struct
+from typing import Literal
+
+import attrs
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+Fault = Literal["", "silent", "busy", "many", "lost"]
+
+_NUMBERS = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+_STATUS: dict[Fault, int] = {"busy": 503, "many": 429}
+PAGE = 3  # records a page, so that tests see several
+
+
+@attrs.define
+class Topic:
+    """Hold the records of one topic, from the first one kept."""
+
+    first: int = 0
+    records: list[tuple[str, bytes]] = attrs.field(factory=list)
+    newest: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
+    grown: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def end(self) -> int:
+        """Return the offset after the last record."""
+        return self.first + len(self.records)
+
+    def append(self, key: str, value: bytes) -> None:
+        """Append a record; without a value, the key is dropped."""
+        if value:
+            self.newest[key] = (self.end, value)
+        else:
+            self.newest.pop(key, None)
+        self.records.append((key, value))
+        self.grown.set()
+        self.grown = asyncio.Event()
+
+
+class KeyedStore:
+    """Serve keyed topics on a port of 127.0.0.1."""
+
+    def __init__(self) -> None:
+        """Begin empty; `start` listens."""
+        self.topics: dict[str, Topic] = {}
+        self.fault: Fault = ""
+        self.calls: list[str] = []
+        self._server = HTTPServer(
+            Application(
+                [
+                    ("/log-newest", _Newest, {"store": self}),
+                    ("/log-read", _Read, {"store": self}),
+                    ("/log-append", _Append, {"store": self}),
+                ],
+                log_function=lambda handler: None,
+            )
+        )
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen."""
+        sockets = bind_sockets(0, "127.0.0.1")
+        self._server.add_sockets(sockets)
+        self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Close the port and every connection."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic, made on first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def forget(self, name: str) -> None:
+        """Drop the history of a topic; the newest of each key is kept."""
+        topic = self.topic(name)
+        topic.first = topic.end
+        topic.records.clear()
+        topic.grown.set()
+        topic.grown = asyncio.Event()
+
+
+class _Handler(RequestHandler):
+    def initialize(self, store: KeyedStore) -> None:
+        self.store = store
+
+    async def prepare(self) -> None:
+        self.store.calls.append(self.request.path)
+        fault = self.store.fault
+        if fault == "silent":
+            await asyncio.Event().wait()
+        elif fault in _STATUS:
+            self.send_error(_STATUS[fault])
+
+    def topic(self) -> Topic:
+        return self.store.topic(self.get_query_argument("Topic"))
+
+
+class _Newest(_Handler):
+    def get(self) -> None:
+        topic = self.topic()
+        after = self.get_query_argument("After", "")
+        keys = sorted(key for key in topic.newest if key > after)
+        items = [
+            {
+                "Key": key,
+                "Value": base64.b64encode(topic.newest[key][1]).decode(),
+                "Offset": topic.newest[key][0],
+            }
+            for key in keys[:PAGE]
+        ]
+        self.write(
+            {
+                "Items": items,
+                "HasMore": len(keys) > PAGE,
+                "EndOffset": topic.end,
+            }
+        )
+
+
+class _Read(_Handler):
+    async def get(self) -> None:
+        topic = self.topic()
+        start = int(self.get_query_argument("From"))
+        wait_s = int(self.get_query_argument("WaitMs", "0")) / 1_000
+        if start >= topic.end and wait_s:
+            waiting = topic.grown.wait()
+            try:
+                await asyncio.wait_for(waiting, wait_s)
+            except TimeoutError:
+                self.write(_NUMBERS.pack(topic.end, topic.first))
+                return
+        if start < topic.first:
+            self.set_status(410)
+            self.write({"FirstOffset": topic.first})
+            return
+        self.write(_NUMBERS.pack(topic.end, topic.first))
+        for key, value in topic.records[start - topic.first :]:
+            content = bytes([len(key)]) + key.encode() + value
+            self.write(_LENGTH.pack(len(content)) + content)
+
+
+class _Append(_Handler):
+    async def post(self) -> None:
+        topic = self.topic()
+        content = self.request.body[_LENGTH.size :]
+        size = content[0]
+        key = content[1 : 1 + size].decode()
+        topic.append(key, content[1 + size :])
+        if self.store.fault == "lost":
+            await asyncio.Event().wait()
+        self.write({"Offset": topic.end - 1, "EndOffset": topic.end})
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,222 @@
+"""Following the platform's store through each of its faults."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+
+import pytest
+from test_platform_decode import MANIFEST
+
+import balsamlift.platform._store as store_module
+from balsamlift._http import HttpClient
+from balsamlift.clock import SystemClock
+from balsamlift.exceptions import HostsUnavailableError
+from balsamlift.kernel import Kernel
+from balsamlift.platform._decode import HostRecord
+from balsamlift.platform._names import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    HOSTS_TOPIC,
+    UPSTREAMS_TOPIC,
+)
+from balsamlift.platform._store import HistoryLostError, Store, StoreError
+from balsamlift.platform._watch import (
+    ConfigurationWatch,
+    Follower,
+    HostRegistration,
+    UpstreamsSource,
+)
+from balsamlift.relay import Routing
+from balsamlift.testing.platform import Fault, KeyedStore
+
+DEADLINE_S = 20.0
+
+
+def run(test: Callable[[KeyedStore, Store], Awaitable[None]]) -> None:
+    async def main() -> None:
+        stand_in = KeyedStore()
+        await stand_in.start()
+        store = Store(stand_in.address, HttpClient(most_calls=8))
+        try:
+            async with asyncio.timeout(DEADLINE_S):
+                await test(stand_in, store)
+        finally:
+            await stand_in.stop()
+
+    asyncio.run(main())
+
+
+async def until(condition: Callable[[], object]) -> None:
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def manifest(version: int) -> bytes:
+    return json.dumps({**MANIFEST, "Version": version}).encode()
+
+
+def upstream(state: str = "ready") -> bytes:
+    fields = {
+        "Service": "s",
+        "Address": "10.1.0.9:80",
+        "Zone": "north",
+        "LifecycleState": state,
+    }
+    return json.dumps(fields).encode()
+
+
+def test_reads_all_pages_of_the_newest_records() -> None:
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        for number in range(8):
+            stand_in.topic("keyed.t").append(f"k{number}", b"%d" % number)
+        newest = await store.newest("keyed.t")
+        assert len(newest.records) == 8
+        assert newest.end == 8
+
+    run(test)
+
+
+def test_appends_what_it_reads_back() -> None:
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        await store.append("keyed.t", "name", b"value")
+        news = await store.read("keyed.t", 0, 0)
+        assert [(r.key, r.value) for r in news.records] == [("name", b"value")]
+
+    run(test)
+
+
+@pytest.mark.parametrize("fault", ["silent", "busy", "many"])
+def test_each_fault_is_typed_and_passes(
+    fault: Fault, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store_module, "SILENCE_MS", 200)
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        stand_in.fault = fault
+        with pytest.raises(StoreError):
+            await store.newest("keyed.t")
+        stand_in.fault = ""
+        assert (await store.newest("keyed.t")).records == []
+
+    run(test)
+
+
+def test_lost_history_has_its_own_type() -> None:
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        stand_in.topic("keyed.t").append("k", b"v")
+        stand_in.forget("keyed.t")
+        with pytest.raises(HistoryLostError):
+            await store.read("keyed.t", 0, 0)
+
+    run(test)
+
+
+def test_a_follower_keeps_values_over_lost_history() -> None:
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        topic = stand_in.topic("keyed.t")
+        topic.append("a", b"1")
+        follower = Follower(store, "keyed.t")
+        assert await follower.read(0)
+        topic.append("b", b"2")
+        topic.append("a", b"")
+        stand_in.forget("keyed.t")
+        assert await follower.read(0)
+        assert follower.values == {"b": b"2"}
+        assert not await follower.read(10)
+
+    run(test)
+
+
+def test_a_configuration_is_in_force_at_once_and_after_faults(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(store_module, "SILENCE_MS", 200)
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        routing = Routing()
+        kernel = Kernel()
+        kernel.register(routing)
+        kernel.register(ConfigurationWatch(store, SystemClock()))
+        await kernel.start()
+        topic = stand_in.topic(CONFIGURATION_TOPIC)
+        topic.append(CONFIGURATION_KEY, manifest(3))
+        await until(lambda: routing.offset == 3)
+        for version, fault in ((5, "busy"), (8, "silent"), (9, "many")):
+            stand_in.fault = fault
+            topic.append(CONFIGURATION_KEY, manifest(version))
+            await asyncio.sleep(0.3)
+            stand_in.fault = ""
+            await until(lambda version=version: routing.offset == version)
+        stand_in.forget(CONFIGURATION_TOPIC)
+        topic.append(CONFIGURATION_KEY, manifest(12))
+        await until(lambda: routing.offset == 12)
+        topic.append(CONFIGURATION_KEY, manifest(11))
+        await asyncio.sleep(0.05)
+        assert routing.offset == 12
+        await kernel.stop()
+
+    run(test)
+
+
+def test_a_record_that_is_no_configuration_changes_nothing() -> None:
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        routing = Routing()
+        kernel = Kernel()
+        kernel.register(routing)
+        kernel.register(ConfigurationWatch(store, SystemClock()))
+        await kernel.start()
+        topic = stand_in.topic(CONFIGURATION_TOPIC)
+        topic.append(CONFIGURATION_KEY, manifest(3))
+        await until(lambda: routing.offset == 3)
+        topic.append(CONFIGURATION_KEY, b"{}")
+        topic.append(CONFIGURATION_KEY, manifest(4))
+        await until(lambda: routing.offset == 4)
+        await kernel.stop()
+
+    run(test)
+
+
+def test_lists_upstreams_and_hosts() -> None:
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        clock = SystemClock()
+        stand_in.topic(UPSTREAMS_TOPIC).append("i-1", upstream())
+        stand_in.topic(UPSTREAMS_TOPIC).append("i-2", b"no record")
+        record = HostRecord(
+            callers_address="10.1.0.19:80",
+            operators_address="10.1.0.19:81",
+            peers_address="10.1.0.19:82",
+            failure_domain="north",
+            written_s=0.0,
+        )
+        registration = HostRegistration(store, clock, "h-1", record)
+        await registration.start(Kernel())
+        await until(lambda: stand_in.topic(HOSTS_TOPIC).records)
+        entries = await UpstreamsSource(store, clock).read()
+        assert entries is not None
+        assert {e.name for e in entries} == {"i-1", "h-1"}
+        await registration.stop()
+
+    run(test)
+
+
+def test_a_list_out_of_reach_is_told_as_such() -> None:
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        source = UpstreamsSource(store, SystemClock())
+        stand_in.fault = "busy"
+        with pytest.raises(HostsUnavailableError):
+            await source.read()
+
+    run(test)
+
+
+def test_a_host_long_gone_is_not_listed() -> None:
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        stand_in.topic(HOSTS_TOPIC).append(
+            "old",
+            b'{"callers_address":"a","operators_address":"b",'
+            b'"peers_address":"c","failure_domain":"d","written_s":1.0}',
+        )
+        entries = await UpstreamsSource(store, SystemClock()).read()
+        assert entries == []
+
+    run(test)
