Let the list outlive a peer's word; dissolve four import circles

Cause: a host that was turned away takes lapsed upstreams for gone and tells its peers; where nothing probes, their mark stayed for good. And the circles between peers/_hosts_view and _membership, _probes and _upstreams, presets/_routes and _service, testing/_engine and _engine_handlers. Change: a list that is followed drops marks after 3 s; protocols at the one end of each circle, and the engine is handed its calls. Ruled out: a shorter life of all notes (probed upstreams need the 30 s). Test: test_peers_sharing.py, 'does not outlive the list': failed (e1 stayed leaving until the deadline of 15 s), passes.

--- a/src/balsamlift/peers/_hosts_view.py
+++ b/src/balsamlift/peers/_hosts_view.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Sequence
+from typing import Protocol
 
 import attrs
 
 from balsamlift.operators import JsonHandler
+from balsamlift.peers._messages import Member
 from balsamlift.peers._peer import Peer
 from balsamlift.peers._upstream import EntryHost
 from balsamlift.peers._upstreams import Upstreams
 
-if TYPE_CHECKING:
-    from balsamlift.peers._membership import Peers
-
 UNKNOWN = "unknown"
 
 
@@ -33,10 +32,29 @@
     is_heard: bool = False  # directly, not only through others
 
 
+class KnownHosts(Protocol):
+    """Tell of this host and its peers."""
+
+    @property
+    def own(self) -> Member:
+        """Return this host's own entry."""
+
+    @property
+    def offset(self) -> int:
+        """Return up to where this host has the configuration."""
+
+    @property
+    def caught_up(self) -> bool:
+        """Tell whether that is all of it."""
+
+    def live(self) -> Sequence[Peer]:
+        """Return the other hosts that live."""
+
+
 class HostsHandler(JsonHandler):
     """Answer `GET /v1/hosts` with a list of hosts."""
 
-    def initialize(self, peers: Peers, upstreams: Upstreams) -> None:
+    def initialize(self, peers: KnownHosts, upstreams: Upstreams) -> None:
         """Keep the two parts that know hosts."""
         self._peers = peers
         self._upstreams = upstreams
--- a/src/balsamlift/peers/_marks.py
+++ b/src/balsamlift/peers/_marks.py
@@ -10,6 +10,9 @@
 
 LEAVING_HOLD_S = 10.0  # before the upstream's own "not draining" counts
 UNTOLD_HOLD_S = 30.0  # where it tells nothing: longer than the list lags
+# Where the list is followed as it changes: a peer that was cut off takes
+# lapsed upstreams for gone, which must not stop work for longer than this.
+FOLLOWED_HOLD_S = 3.0
 
 _RANKS: dict[str, int] = {state: n for n, state in enumerate(STATES)}
 
@@ -65,6 +68,12 @@
                 del self._since_s[key]
         return False
 
+    def listed_live(self, now_s: float) -> None:
+        """Take in that a list followed as it changes shows it live."""
+        for key, since_s in list(self._since_s.items()):
+            if now_s - since_s >= FOLLOWED_HOLD_S:
+                del self._since_s[key]
+
     def _drop_dead(self) -> None:
         self._since_s.pop(("dead", False), None)
         self._since_s.pop(("dead", True), None)
--- a/src/balsamlift/peers/_probes.py
+++ b/src/balsamlift/peers/_probes.py
@@ -5,8 +5,8 @@
 import asyncio
 import random
 import zlib
-from collections.abc import Sequence
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
 import attrs
 import msgspec
@@ -16,10 +16,7 @@
 from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
 from balsamlift.peers._marks import LEAVING_HOLD_S, UpstreamState
-
-if TYPE_CHECKING:
-    from balsamlift.peers._upstream import Upstream
-    from balsamlift.peers._upstreams import Upstreams
+from balsamlift.peers._upstream import Upstream
 
 log = logger.bind(part="probes")
 
@@ -53,6 +50,28 @@
     delay_s: float
 
 
+class Probed(Protocol):
+    """List the upstreams, and take in what probes find."""
+
+    def all(self) -> Sequence[Upstream]:
+        """Return every upstream."""
+
+    def find(self, name: str) -> Upstream | None:
+        """Return the upstream of that name."""
+
+    def mark(self, name: str, state: UpstreamState, source: str) -> None:
+        """Take in a state that was seen."""
+
+    def answered(self, name: str, draining: bool | None) -> None:
+        """Take in an answer; None: it does not tell whether it drains."""
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back after each change."""
+
+    def sharers(self) -> Sequence[str]:
+        """Return the hosts that probing is shared with."""
+
+
 class Probes:
     """Ask for the state of upstreams, at a bounded rate.
 
@@ -63,7 +82,7 @@
 
     def __init__(
         self,
-        upstreams: Upstreams,
+        upstreams: Probed,
         clock: Clock,
         http: HttpClient,
         rng: random.Random,
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -292,6 +292,8 @@
         if entries is not None:
             self._take_list(entries)
         self._drop_lapsed()
+        if not self._is_probing:
+            self._trust_list()
         self._tell_listed()
 
     def _tell_listed(self) -> None:
@@ -321,6 +323,14 @@
         if changed:
             self._tell_change()
 
+    def _trust_list(self) -> None:
+        """Let the list outlive what was seen before."""
+        now_s = self._clock.monotonic()
+        for known in list(self._known.values()):
+            if known.marks.worst != "live" and known.listed.state == "live":
+                known.marks.listed_live(now_s)
+                self._refresh(known, LIST_SOURCE)
+
     def _drop_lapsed(self) -> None:
         """Drop what is no longer listed, once the list can be trusted.
 
--- a/src/balsamlift/presets/_routes.py
+++ b/src/balsamlift/presets/_routes.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import attrs
 
 from balsamlift.operators import JsonHandler, Routes
 from balsamlift.presets._preset import Preset
-from balsamlift.presets._state import Change
-
-if TYPE_CHECKING:
-    from balsamlift.presets._service import Presets
+from balsamlift.presets._state import Change, FoldState
 
 NO_CONTENT = 204
 BAD_REQUEST = 400
@@ -41,7 +38,26 @@
     history: list[Change]
 
 
-def preset_routes(presets: Presets) -> Routes:
+class KnownPresets(Protocol):
+    """Tell what is published and in force."""
+
+    @property
+    def state(self) -> FoldState:
+        """Return the state that the log's records fold into."""
+
+    @property
+    def caught_up(self) -> bool:
+        """Tell whether the end of the log was reached."""
+
+    @property
+    def log_is_up(self) -> bool:
+        """Tell whether the log answers."""
+
+    def fold_bytes(self, offset: int = 0) -> bytes | None:
+        """Return the fold encoded, when it is further than `offset`."""
+
+
+def preset_routes(presets: KnownPresets) -> Routes:
     """Return the routes for the operators' address."""
     arguments = {"presets": presets}
     return [
@@ -53,7 +69,7 @@
 class PresetsHandler(JsonHandler):
     """Answer `GET /v1/presets`."""
 
-    def initialize(self, presets: Presets) -> None:
+    def initialize(self, presets: KnownPresets) -> None:
         """Keep the service."""
         self._presets = presets
 
@@ -65,7 +81,7 @@
 class PeerFoldHandler(JsonHandler):
     """Answer `GET /v1/peer/fold?from=OFFSET`."""
 
-    def initialize(self, presets: Presets) -> None:
+    def initialize(self, presets: KnownPresets) -> None:
         """Keep the service."""
         self._presets = presets
 
@@ -84,7 +100,7 @@
         self.finish(body)
 
 
-def _view(presets: Presets) -> PresetsView:
+def _view(presets: KnownPresets) -> PresetsView:
     state = presets.state
     in_force = state.in_force
     return PresetsView(
--- a/src/balsamlift/testing/__main__.py
+++ b/src/balsamlift/testing/__main__.py
@@ -27,6 +27,7 @@
 from balsamlift.clock import SystemClock
 from balsamlift.exceptions import SettingsError
 from balsamlift.testing._engine import Engine
+from balsamlift.testing._engine_handlers import engine_routes
 from balsamlift.testing._link import Link
 from balsamlift.testing._platform import Platform
 from balsamlift.testing._service import PlainService
@@ -41,7 +42,9 @@
 EXIT_SETTINGS = 2
 
 _MAKERS: dict[str, Callable[[str], StandIn]] = {
-    "engine": lambda file: Engine(load(file, EngineSettings), SystemClock()),
+    "engine": lambda file: Engine(
+        load(file, EngineSettings), SystemClock(), engine_routes
+    ),
     "service": lambda file: PlainService(
         load(file, ServiceSettings), SystemClock()
     ),
--- a/src/balsamlift/testing/_engine.py
+++ b/src/balsamlift/testing/_engine.py
@@ -5,13 +5,13 @@
 import asyncio
 import os
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 
 from balsamlift.clock import Clock
 from balsamlift.testing._engine_faults import EngineFaults
-from balsamlift.testing._engine_handlers import engine_routes
 from balsamlift.testing._engine_model import EngineModel
 from balsamlift.testing._engine_reports import EngineReports
 from balsamlift.testing._engine_types import Step
@@ -29,6 +29,7 @@
     HostEntry,
     Listener,
     Registration,
+    Routes,
     control_routes,
 )
 from balsamlift.testing._tokens import token_text
@@ -42,8 +43,14 @@
 class Engine:
     """Run one engine."""
 
-    def __init__(self, settings: EngineSettings, clock: Clock) -> None:
-        """Bind the address."""
+    def __init__(
+        self,
+        settings: EngineSettings,
+        clock: Clock,
+        make_routes: Callable[[Engine], Routes],
+    ) -> None:
+        """Bind the address; `make_routes` returns the calls to serve."""
+        self._make_routes = make_routes
         self.settings = settings
         self.clock = clock
         self.control = Control(EngineFaults())
@@ -77,7 +84,7 @@
 
     async def start(self) -> None:
         """Accept connections, decode, and report to the platform."""
-        routes = engine_routes(self)
+        routes = self._make_routes(self)
         self._listener.start(routes + control_routes(self.control, self.count))
         self.control.on_change(self._apply)
         self._task = asyncio.create_task(self._decode())
--- a/src/balsamlift/testing/_engine_handlers.py
+++ b/src/balsamlift/testing/_engine_handlers.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 from tornado.iostream import StreamClosedError
 
+from balsamlift.testing._engine import Engine
 from balsamlift.testing._generation import (
     Generation,
     GenerationRequest,
@@ -16,9 +17,6 @@
 from balsamlift.testing._platform import FOREVER_S
 from balsamlift.testing._stand_in import JsonHandler, Routes
 
-if TYPE_CHECKING:
-    from balsamlift.testing._engine import Engine
-
 _HEARTBEAT_S = 1.0
 _FRAME_TOKENS = 64
 _NO_DATA: dict[str, Any] = {}
--- a/tests/test_peers_sharing.py
+++ b/tests/test_peers_sharing.py
@@ -211,3 +211,17 @@
         await until(lambda: one.names() == {"e1"})
 
     run(scenario)
+
+
+def test_the_word_of_a_peer_does_not_outlive_the_list() -> None:
+    """A host that was cut off may take a live upstream for gone."""
+
+    async def scenario(one: Host, two: Host) -> None:
+        two.list.entries = [e for e in two.list.entries if e.name != "e1"]
+        await until(lambda: one.names() == {"e2"})
+        two.list.entries += [engine("e1")]
+        await until(lambda: two.names() == {"e1", "e2"})
+        one.clock.skipped_s = 4.0
+        await until(lambda: one.names() == {"e1", "e2"})
+
+    run(scenario)
