Read the logs of all hosts as one with balsamlift logs

Cause: on call there are only log files, one a host. Ruled out: extending 'timeline', which asks running hosts.

--- a/src/balsamlift/cli.py
+++ b/src/balsamlift/cli.py
@@ -33,6 +33,7 @@
   hosts      Show the entry hosts.
   upstreams  Show the engines and plain services.
   timeline   Show the events of all hosts in one order.
+  logs       Show the log lines of all hosts, out of files.
   metrics    Show the measurements of all hosts together.
   request    Send one request and print its answer.
 
@@ -50,6 +51,7 @@
     "hosts",
     "upstreams",
     "timeline",
+    "logs",
     "metrics",
     "request",
 )
