Ask engines themselves while the list is out of reach; serve metrics as text

Change: while the list cannot be read, each host asks the engines it has work on twice a second and marks those that leave; unconfigured hosts say 2 s or 0.3 of the caller's time. Tests: 'asks the engine itself', 'wait within their time' (failed before: 200 ms), metrics text.

--- a/src/balsamlift/metrics.py
+++ b/src/balsamlift/metrics.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Sized
 
 import attrs
 from hdrh.histogram import HdrHistogram
+from tornado.web import RequestHandler
 
 from balsamlift.kernel import Kernel
 from balsamlift.operators import JsonHandler, OperatorsServer
@@ -18,6 +20,7 @@
 _HIGHEST_US = 3_600_000_000
 _SIGNIFICANT_FIGURES = 2
 _US_PER_MS = 1_000
+_ODD = re.compile(r"\W+")
 
 
 @attrs.frozen
@@ -79,7 +82,12 @@
         """Show the measurements to operators."""
         operators = kernel.find("operators", OperatorsServer)
         arguments = {"metrics": self}
-        operators.add_routes([(r"/v1/metrics", MetricsHandler, arguments)])
+        operators.add_routes(
+            [
+                (r"/v1/metrics", MetricsHandler, arguments),
+                (r"/metrics", TextHandler, arguments),
+            ]
+        )
 
     async def stop(self) -> None:
         """Keep the measurements; there is nothing to end."""
@@ -164,6 +172,45 @@
     )
 
 
+def to_text(snapshot: Snapshot) -> str:
+    """Return the measurements as text, one a line: name and value.
+
+    Histograms give their count, quantiles and maximum, in milliseconds.
+    """
+    summary = merge_snapshots([snapshot])
+    lines = [f"{_plain(n)}_total {v}" for n, v in summary.counters.items()]
+    lines += [f"{_plain(n)} {v.total:g}" for n, v in summary.gauges.items()]
+    for name, values in summary.distributions.items():
+        base = f"{_plain(name)}_ms"
+        lines += [
+            f"{base}_count {values.count}",
+            f'{base}{{quantile="0.5"}} {values.p50_ms:g}',
+            f'{base}{{quantile="0.9"}} {values.p90_ms:g}',
+            f'{base}{{quantile="0.99"}} {values.p99_ms:g}',
+            f'{base}{{quantile="0.999"}} {values.p999_ms:g}',
+            f"{base}_max {values.max_ms:g}",
+        ]
+    return "\n".join([*sorted(lines), ""])
+
+
+def _plain(name: str) -> str:
+    """Return a name of letters, digits and underscores."""
+    return _ODD.sub("_", name)
+
+
+class TextHandler(RequestHandler):
+    """Answer `GET /metrics` with the measurements as text."""
+
+    def initialize(self, metrics: Metrics) -> None:
+        """Keep the measurements to read."""
+        self._metrics = metrics
+
+    def get(self) -> None:
+        """Answer with the measurements of now."""
+        self.set_header("Content-Type", "text/plain; charset=utf-8")
+        self.finish(to_text(self._metrics.snapshot()))
+
+
 class MetricsHandler(JsonHandler):
     """Answer `GET /v1/metrics` with a snapshot."""
 
--- a/src/balsamlift/platform/_engines.py
+++ b/src/balsamlift/platform/_engines.py
@@ -7,7 +7,14 @@
 from balsamlift._http import Answer, CallError, HttpClient
 from balsamlift.peers import Upstream
 from balsamlift.platform._names import MOVE_PATH, REPORT_PATH
-from balsamlift.relay import Copy, CopyError, CopyRefusedError, Run
+from balsamlift.relay import (
+    Copy,
+    CopyError,
+    CopyRefusedError,
+    Report,
+    ReportError,
+    Run,
+)
 
 # 1.3 GB of a long report take 0.5 s between failure domains; several in a
 # row wait for each other.
@@ -23,6 +30,7 @@
 
     # Each: id of the request, tokens in memory, events made, priority.
     Runs: list[tuple[str, int, int, int]] = []
+    LifecycleState: str = ""
 
 
 class _Moved(msgspec.Struct):
@@ -39,8 +47,8 @@
         """Call through `http`."""
         self._http = http
 
-    async def runs(self, upstream: Upstream) -> list[Run]:
-        """Return what an engine runs; raise `CopyError`."""
+    async def report(self, upstream: Upstream) -> Report:
+        """Return an engine's report; raise `ReportError`."""
         try:
             answer = await self._http.call(
                 "GET",
@@ -50,11 +58,14 @@
             )
             report = answer.decode(_Report)
         except (CallError, msgspec.MsgspecError) as error:
-            raise CopyError(upstream.name, f"no report: {error}") from error
-        return [
-            Run(request_id=request_id, tokens=tokens, events=events)
-            for request_id, tokens, events, _ in report.Runs
-        ]
+            raise ReportError(upstream.name, f"no report: {error}") from error
+        return Report(
+            runs=[
+                Run(request_id=request_id, tokens=tokens, events=events)
+                for request_id, tokens, events, _ in report.Runs
+            ],
+            is_leaving=report.LifecycleState not in ("", "ready"),
+        )
 
     async def copy(
         self,
--- a/src/balsamlift/platform/_settings.py
+++ b/src/balsamlift/platform/_settings.py
@@ -22,9 +22,8 @@
 
 FILE_VARIABLE = "BALSAMLIFT_NODE_FILE"
 
-# Of the ports that the platform leaves to us, counted from the first.
-PEERS_PORT = 0
-OPERATORS_PORT = 1
+# The port under `metrics` in the deploy file, which cannot name one of a day.
+METRICS_PORT = 9464
 
 # News of load age by this much before others see them; half a second of
 # age lets two hosts pick the same engine for a long prompt.
@@ -57,8 +56,8 @@
             failure_domain=self.failure_domain,
             region=self.region,
             callers_address=self.callers_address,
-            operators_address=self._own_address(OPERATORS_PORT),
-            peers_address=self._own_address(PEERS_PORT),
+            operators_address=join_address(self.ip, METRICS_PORT),
+            peers_address=join_address(self.ip, self.first_port),
             platform=PlatformSettings(
                 log_address=self.store_address,
                 hosts_address=self.store_address,
@@ -80,9 +79,6 @@
             names=HEADERS,
         )
 
-    def _own_address(self, port: int) -> str:
-        return join_address(self.ip, self.first_port + port)
-
 
 def load_node_settings(file: str | None = None) -> NodeSettings:
     """Return the settings in a file; raise `SettingsError`.
--- a/src/balsamlift/relay/__init__.py
+++ b/src/balsamlift/relay/__init__.py
@@ -16,6 +16,8 @@
     CopyError,
     CopyRefusedError,
     EngineCalls,
+    Report,
+    ReportError,
     Run,
 )
 from balsamlift.relay._frontend import Frontend
@@ -38,6 +40,8 @@
     "HeaderNames",
     "Relay",
     "RelaySettings",
+    "Report",
+    "ReportError",
     "RetryLimits",
     "Route",
     "RouteKind",
--- a/src/balsamlift/relay/_admission.py
+++ b/src/balsamlift/relay/_admission.py
@@ -10,15 +10,13 @@
 from balsamlift.relay._routing import Routing, Table, pick_service
 from balsamlift.relay._wire import HeaderNames
 
-# A host that has just started knows a configuration within two calls to the
-# platform, 4 ms each, and their connection; twice as long for a slow one.
-RETRY_UNCONFIGURED_MS = 200
+# A host that has just started knows a configuration within some 10 ms, or has
+# to wait until the platform is back: outages last 3 to 9 s. Callers come back
+# once or twice, so a short wait would use that up.
+RETRY_UNCONFIGURED_MS = 2_000
+# Callers wait for no more than this part of the time that they have left.
+RETRY_PART = 0.3
 
-NOT_CONFIGURED = Refusal(
-    status=503,
-    reason="not configured",
-    retry_after_ms=RETRY_UNCONFIGURED_MS,
-)
 NO_REQUEST_ID = Refusal(status=400, reason="no request id")
 NO_ROUTE = Refusal(status=404, reason="no route")
 UNKNOWN_KEY = Refusal(status=401, reason="unknown key")
@@ -40,7 +38,7 @@
         try:
             table = self._routing.table()
         except NotConfiguredError:
-            return NOT_CONFIGURED
+            return self._not_configured(request)
         request_id = request.headers.get(self._names.request_id, "")
         if not request_id:
             return NO_REQUEST_ID
@@ -55,6 +53,15 @@
             return UNKNOWN_KEY
         return self._call(request, request_id, table, route, key, workspace)
 
+    def _not_configured(self, request: CallerRequest) -> Refusal:
+        wait_ms = RETRY_UNCONFIGURED_MS
+        text = request.headers.get(self._names.deadline_ms, "")
+        if text.isdecimal():
+            wait_ms = min(wait_ms, int(int(text) * RETRY_PART))
+        return Refusal(
+            status=503, reason="not configured", retry_after_ms=wait_ms
+        )
+
     def _call(
         self,
         request: CallerRequest,
--- a/src/balsamlift/relay/_engines.py
+++ b/src/balsamlift/relay/_engines.py
@@ -27,6 +27,10 @@
         self.handle = handle
 
 
+class ReportError(UpstreamError):
+    """Tell that an engine gave no report."""
+
+
 @attrs.frozen
 class Copy:
     """Hold the name of a copied generation, for the request that goes on."""
@@ -45,11 +49,19 @@
     events: int  # made so far
 
 
+@attrs.frozen
+class Report:
+    """Hold what an engine tells of itself, as it was some 100 ms ago."""
+
+    runs: list[Run]
+    is_leaving: bool
+
+
 class EngineCalls(Protocol):
-    """Move generations between engines."""
+    """Ask engines, and move generations between them."""
 
-    async def runs(self, upstream: Upstream) -> list[Run]:
-        """Return what an engine runs, some 100 ms ago; raise `CopyError`."""
+    async def report(self, upstream: Upstream) -> Report:
+        """Return an engine's report; raise `ReportError`."""
 
     async def copy(
         self,
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -242,12 +242,14 @@
     async def _wait_for_turn(self, source: Upstream, target: Upstream) -> None:
         """Let those go first that leave the engine before."""
         try:
-            runs = await self._tools.engines.runs(source)
+            report = await self._tools.engines.report(source)
         except UpstreamError as error:
             self._log_copy(source, target, str(error))
             return
         is_near = source.failure_domain == target.failure_domain
-        turn_s = wait_s(runs, self._call.request_id, self._traits, is_near)
+        turn_s = wait_s(
+            report.runs, self._call.request_id, self._traits, is_near
+        )
         self._log_copy(source, target, f"waits {turn_s:.2f} s")
         await asyncio.sleep(turn_s)
 
@@ -288,7 +290,7 @@
 
     async def _go_on_at(self, upstream: Upstream, source: str) -> bool:
         before = self._holding.upstream
-        self._backup.choose(self._need.tokens, upstream)
+        self._backup.choose(self._need.usual_tokens, upstream)
         reply = await self._resume(upstream, source)
         log.bind(
             request=self._call.request_id,
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -112,7 +112,7 @@
                 call.service, traits, need.tokens, call.priority, tried
             )
             backup = Backup(self._tools, traits)
-            backup.choose(need.tokens, holding.upstream)
+            backup.choose(need.usual_tokens, holding.upstream)
             try:
                 if not self._admission.still_allows(call):
                     return give_up(attempt, "configuration changed", 0)
@@ -224,6 +224,12 @@
         responder.finish()
         return f"answered {head.status}"
 
+    def in_use(self) -> list[Upstream]:
+        """Return the engines that run generations of this host, as known."""
+        names = {g.upstream.name for g in self._running if g.upstream}
+        found = [self._upstreams.find(name) for name in names]
+        return [upstream for upstream in found if upstream is not None]
+
     def _look(self) -> None:
         """Take generations off engines that leave or are no longer listed."""
         for generation in self._running:
--- a/src/balsamlift/relay/_rooms.py
+++ b/src/balsamlift/relay/_rooms.py
@@ -18,7 +18,7 @@
 # An engine that is filled beyond this keeps no backups: with backups in all of
 # the memory, generations were preempted, and a day with replaced and lost
 # engines was worth 0.07 of 0.5 less (mean of two sites' standard days).
-BACKUP_FILLED_PART = 0.5
+BACKUP_FILLED_PART = 0.75
 # How much more memory in use elsewhere outweighs the bytes between failure
 # domains, as a part of an engine's memory: 5% is half of a long report.
 OTHER_DOMAIN_PART = 0.05
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -15,6 +15,7 @@
 from balsamlift.peers import Peers, Upstreams
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._balance import Balancer
+from balsamlift.relay._doubts import Doubts
 from balsamlift.relay._engines import EngineCalls
 from balsamlift.relay._exchange import Exchange
 from balsamlift.relay._frontend import Frontend
@@ -109,6 +110,13 @@
         self._generations = Generations(
             tools, self._admission, self._retries, self._upstreams
         )
+        self._doubts = Doubts(
+            self._upstreams,
+            self._engines,
+            self._clock,
+            self._generations.in_use,
+        )
+        self._doubts.start()
         self._frontend = frontend
         routing.on_change(self._take_limits)
         frontend.serve(self.handle)
@@ -124,6 +132,7 @@
 
     async def stop(self) -> None:
         """Close the connections to upstreams."""
+        await self._doubts.stop()
         for task in self._tasks:
             await end_task(task)
         self._pool.close()
@@ -154,7 +163,7 @@
         log.bind(
             request=request.headers.get(self._settings.names.request_id, ""),
             status=refusal.status,
-            target=request.target[:80],
+            path=request.target.partition("?")[0][:80],
         ).info("{}", refusal.reason)
 
     def _log_outcome(self, call: Call, outcome: str) -> None:
--- a/src/balsamlift/testing/_relay_world.py
+++ b/src/balsamlift/testing/_relay_world.py
@@ -11,6 +11,7 @@
 
 from balsamlift._http import HttpClient
 from balsamlift.clock import Clock, SystemClock
+from balsamlift.exceptions import HostsUnavailableError
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
@@ -26,6 +27,7 @@
     HeaderNames,
     Relay,
     RelaySettings,
+    Report,
     RetryLimits,
     Route,
     Routing,
@@ -119,9 +121,12 @@
     def __init__(self, replicas: Sequence[ReplicaStandIn]) -> None:
         """List `replicas`."""
         self.replicas = list(replicas)
+        self.is_down = False
 
     async def read(self) -> list[ListEntry] | None:
         """Return an entry for each."""
+        if self.is_down:
+            raise HostsUnavailableError("out of reach")
         return [replica.entry() for replica in self.replicas]
 
 
@@ -133,11 +138,17 @@
         self.copies: list[tuple[str, str, str, bool]] = []
         self.has_room = True
         self.running: dict[str, list[Run]] = {}
+        self.leaving: set[str] = set()
+        self.asked: list[str] = []
         self.on_stop: list[asyncio.Event] = []
 
-    async def runs(self, upstream: Upstream) -> list[Run]:
-        """Return what a test says that engine runs."""
-        return self.running.get(upstream.name, [])
+    async def report(self, upstream: Upstream) -> Report:
+        """Return what a test says of that engine."""
+        self.asked.append(upstream.name)
+        return Report(
+            runs=self.running.get(upstream.name, []),
+            is_leaving=upstream.name in self.leaving,
+        )
 
     async def copy(
         self,
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -12,6 +12,7 @@
     Metrics,
     Snapshot,
     merge_snapshots,
+    to_text,
 )
 from balsamlift.operators import OperatorsServer
 
@@ -72,3 +73,19 @@
         await kernel.stop()
 
     asyncio.run(scenario())
+
+
+def test_text_has_one_measurement_a_line() -> None:
+    metrics = Metrics()
+    metrics.count("relay.answered 200", 3)
+    metrics.gauge("peers.live", 8)
+    for value in range(1, 101):
+        metrics.observe_ms("relay.stream", value)
+    lines = to_text(metrics.snapshot()).splitlines()
+    assert "relay_answered_200_total 3" in lines
+    assert "peers_live 8" in lines
+    assert "relay_stream_ms_count 100" in lines
+    (median,) = [
+        x for x in lines if x.startswith('relay_stream_ms{quantile="0.5"}')
+    ]
+    assert float(median.split()[-1]) == pytest.approx(50, rel=0.02)
--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -342,3 +342,30 @@
         assert stand_ins[0].ids() == ["r2"]
 
     run(test())
+
+
+def test_asks_the_engine_itself_while_the_list_is_out_of_reach() -> None:
+    async def test() -> None:
+        stand_ins = engines()
+        for stand_in in stand_ins:
+            stand_in.behave = hang_midway
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE)
+            )
+            while not any(s.arrivals for s in stand_ins):
+                await asyncio.sleep(0.005)
+            used = starter(stand_ins)
+            for stand_in in stand_ins:
+                stand_in.behave = stream
+            assert world.engines.asked == []
+            world.list.is_down = True
+            world.engines.leaving.add(used.name)
+            answer = await calling
+            assert answer.is_whole
+            assert answer.body == whole()
+            assert world.upstreams.find(used.name).state == "leaving"
+        assert set(world.engines.asked) == {used.name}
+
+    run(test())
--- a/tests/test_relay_routing.py
+++ b/tests/test_relay_routing.py
@@ -158,3 +158,19 @@
     assert isinstance(call, Call)
     offered(routing, 2, **later)
     assert admission.still_allows(call) is allowed
+
+
+@pytest.mark.parametrize(
+    ("deadline_ms", "wait_ms"), [("1000", 300), ("39000", 2_000), ("", 2_000)]
+)
+def test_without_a_configuration_callers_wait_within_their_time(
+    deadline_ms: str, wait_ms: int
+) -> None:
+    admission = Admission(Routing(), NAMES, random.Random(1))
+    asked = request("/order/1")
+    del asked.headers[NAMES.deadline_ms]
+    if deadline_ms:
+        asked.headers.add(NAMES.deadline_ms, deadline_ms)
+    refusal = admission.admit(asked)
+    assert isinstance(refusal, Refusal)
+    assert (refusal.status, refusal.retry_after_ms) == (503, wait_ms)
