--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Sequence
 from contextlib import suppress
 from typing import Literal
@@ -38,6 +39,9 @@
 # An engine admits what goes on from a copy before all else; one that does
 # not answer within this time will not take it.
 RESUME_S = 1.0
+# Between two reports of an engine that leaves; they lag by some 100 ms, and
+# each is priced.
+LOOK_AGAIN_S = 0.25
 # Between two tries to move a generation off an engine that leaves.
 MOVE_AGAIN_S = 0.15
 Signal = Literal["whole", "broken", "leaving"]
@@ -240,18 +244,28 @@
         return copy
 
     async def _wait_for_turn(self, source: Upstream, target: Upstream) -> None:
-        """Let those go first that leave the engine before."""
-        try:
-            report = await self._tools.engines.report(source)
-        except UpstreamError as error:
-            self._log_copy(source, target, str(error))
-            return
+        """Let those go first that leave the engine before.
+
+        Some of them end by themselves or go on at a backup: the list of
+        runs is read again, and the turn only ever comes nearer.
+        """
+        loop = asyncio.get_running_loop()
         is_near = source.failure_domain == target.failure_domain
-        turn_s = wait_s(
-            report.runs, self._call.request_id, self._traits, is_near
-        )
-        self._log_copy(source, target, f"waits {turn_s:.2f} s")
-        await asyncio.sleep(turn_s)
+        turn_s = math.inf
+        while loop.time() < turn_s:
+            try:
+                report = await self._tools.engines.report(source)
+            except UpstreamError as error:
+                self._log_copy(source, target, str(error))
+                return
+            ahead_s = wait_s(
+                report.runs, self._call.request_id, self._traits, is_near
+            )
+            if turn_s == math.inf:
+                self._log_copy(source, target, f"waits {ahead_s:.2f} s")
+            turn_s = min(turn_s, loop.time() + ahead_s)
+            left_s = turn_s - loop.time()
+            await asyncio.sleep(min(left_s, LOOK_AGAIN_S))
 
     def _log_copy(self, source: Upstream, target: Upstream, how: str) -> None:
         log.bind(
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -185,6 +185,8 @@
             started.backup,
         )
         self._running.add(generation)
+        if self._has_left(reply.upstream):
+            generation.leave()  # the notice came before the first event
         try:
             if not reply.is_success:
                 return await self._pass_failure(reply, responder)
@@ -234,8 +236,9 @@
         """Take generations off engines that leave or are no longer listed."""
         for generation in self._running:
             upstream = generation.upstream
-            if upstream is None:
-                continue
-            known = self._upstreams.find(upstream.name)
-            if known is None or known.state == "leaving":
+            if upstream is not None and self._has_left(upstream):
                 generation.leave()
+
+    def _has_left(self, upstream: Upstream) -> bool:
+        known = self._upstreams.find(upstream.name)
+        return known is None or known.state == "leaving"
--- a/src/balsamlift/relay/_needs.py
+++ b/src/balsamlift/relay/_needs.py
@@ -7,7 +7,6 @@
 
 from balsamlift.relay._wire import HeaderNames
 
-
 # Callers' own estimates are right at the median and often far off; with this
 # much on top, about two in three answers stay below.
 HINT_MARGIN = 1.3
--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -369,3 +369,38 @@
         assert set(world.engines.asked) == {used.name}
 
     run(test())
+
+
+def test_a_notice_before_the_first_event_counts_too() -> None:
+    begin = asyncio.Event()
+
+    async def late(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        if NAMES.resume_source in request.headers:
+            await stream(connection, request)
+            return
+        await begin.wait()
+        await hang_midway(connection, request)
+
+    async def test() -> None:
+        stand_ins = engines()
+        for stand_in in stand_ins:
+            stand_in.behave = late
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE)
+            )
+            while not any(s.arrivals for s in stand_ins):
+                await asyncio.sleep(0.005)
+            used = starter(stand_ins)
+            used.state = "leaving"
+            while world.upstreams.find(used.name).state == "live":
+                await asyncio.sleep(0.005)
+            begin.set()
+            answer = await calling
+        assert answer.is_whole
+        assert answer.body == whole()
+
+    run(test())
