--- /dev/null
+++ b/tests/test_platform_daemon.py
@@ -0,0 +1,200 @@
+"""The daemon as a process: serve, follow, reload, leave."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from test_platform_decode import MANIFEST, SETTINGS
+
+from balsamlift.platform._names import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    HEADERS,
+    UPSTREAMS_TOPIC,
+)
+from balsamlift.platform._settings import FILE_VARIABLE, METRICS_PORT
+from balsamlift.testing.platform import KeyedStore
+from balsamlift.testing.relay import (
+    ReplicaConnection,
+    ReplicaRequest,
+    ReplicaStandIn,
+    read_answer,
+)
+
+ROOT = Path(__file__).parent.parent
+IP = "127.0.77.1"  # no other test listens there
+PORTS = {"Frontend": 7781, "Readiness": 7782, "Directory": 7783}
+FIRST_PORT = 7790
+HOST = "shop.example"
+DEADLINE_S = 40.0
+GRACE_S = 3
+
+
+def settings_text(store_address: str) -> str:
+    """Return a settings file as the platform writes it."""
+    lines = [
+        'NodeName = "edge-north-1"',
+        'Zone = "north"',
+        'Region = "land"',
+        f'Ip = "{IP}"',
+        f"InternalPorts = [{FIRST_PORT}, {FIRST_PORT + 15}]",
+        "[Listen]",
+        *(f'{name} = "{IP}:{port}"' for name, port in PORTS.items()),
+        "[Platform]",
+        f'Address = "{store_address}"',
+        "[Bounds]",
+    ]
+    bounds = {**SETTINGS["Bounds"], "GraceS": GRACE_S}
+    lines += [f"{name} = {value}" for name, value in bounds.items()]
+    return "\n".join(lines)
+
+
+def manifest() -> bytes:
+    route = {**MANIFEST["Routes"][0], "RouteType": "non_idempotent"}
+    route |= {"Hostname": HOST, "PathPrefix": "/a/", "Service": "plain"}
+    return json.dumps({**MANIFEST, "Routes": [route]}).encode()
+
+
+def entry(replica: ReplicaStandIn) -> bytes:
+    fields = {"Service": "plain", "Address": replica.address, "Zone": "north"}
+    return json.dumps(fields).encode()
+
+
+class World:
+    """The daemon, a store and one upstream."""
+
+    def __init__(self) -> None:
+        self.store = KeyedStore()
+        self.replica = ReplicaStandIn("i-1", "plain", HEADERS)
+
+    async def start(self, folder: Path) -> None:
+        await self.store.start()
+        await self.replica.start()
+        self.store.topic(CONFIGURATION_TOPIC).append(
+            CONFIGURATION_KEY, manifest()
+        )
+        self.store.topic(UPSTREAMS_TOPIC).append("i-1", entry(self.replica))
+        file = folder / "settings.toml"
+        file.write_text(settings_text(self.store.address))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "deploy/serve.py",
+            cwd=ROOT,
+            env={**os.environ, FILE_VARIABLE: str(file)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        while await self.get("Readiness", "/readyz") != 200:
+            await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self.replica.stop()
+        await self.store.stop()
+
+    async def get(self, name: str, path: str) -> int:
+        """Return the status of a GET; 0 where nobody listens."""
+        try:
+            answer = await self.request(name, f"GET {path} HTTP/1.1")
+        except OSError:
+            return 0
+        return answer.status
+
+    async def request(self, name: str, *lines: str):
+        port = PORTS.get(name, METRICS_PORT)
+        reader, writer = await asyncio.open_connection(IP, port)
+        head = [*lines, f"Host: {HOST}", "Content-Length: 0", "", ""]
+        writer.write("\r\n".join(head).encode())
+        try:
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+    async def call(self, request_id: str):
+        return await self.request(
+            "Frontend",
+            "POST /a/1 HTTP/1.1",
+            f"{HEADERS.request_id}: {request_id}",
+            f"{HEADERS.deadline_ms}: 5000",
+            "Authorization: Token k1",
+        )
+
+    async def log_lines(self) -> list[dict[str, object]]:
+        assert self.process.stdout is not None
+        text = await self.process.stdout.read()
+        return [json.loads(line) for line in text.decode().splitlines()]
+
+
+def run(test: Callable[[World], Awaitable[None]], folder: Path) -> None:
+    async def main() -> None:
+        world = World()
+        try:
+            async with asyncio.timeout(DEADLINE_S):
+                await world.start(folder)
+                await test(world)
+        finally:
+            await world.stop()
+
+    asyncio.run(main())
+
+
+def test_serves_and_shows_itself(tmp_path: Path) -> None:
+    async def test(world: World) -> None:
+        answer = await world.call("r1")
+        assert (answer.status, answer.body) == (200, b"done")
+        (arrived,) = world.replica.arrivals
+        assert arrived.headers[HEADERS.workspace] == "t-1"
+        found = await world.request(
+            "Directory", f"GET /resolution?Name={HOST}&Zone=north HTTP/1.1"
+        )
+        addresses = json.loads(found.body)["Addresses"]
+        assert addresses == [f"{IP}:{PORTS['Frontend']}"]
+        metrics = await world.request("metrics", "GET /metrics HTTP/1.1")
+        assert b"relay_non_idempotent_ms_count 1" in metrics.body
+        world.process.send_signal(signal.SIGHUP)
+        assert (await world.call("r2")).status == 200
+
+    run(test, tmp_path)
+
+
+def test_leaves_within_its_grace_and_cuts_nothing_off(tmp_path: Path) -> None:
+    go_on = asyncio.Event()
+
+    async def slow(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await go_on.wait()
+        await connection.answer(request, b"late")
+
+    async def test(world: World) -> None:
+        world.replica.behave = slow
+        running = asyncio.create_task(world.call("r1"))
+        while not world.replica.arrivals:
+            await asyncio.sleep(0.01)
+        world.process.send_signal(signal.SIGTERM)
+        while await world.get("Readiness", "/readyz") == 200:
+            await asyncio.sleep(0.01)
+        # Callers may still hold this host's address.
+        late = asyncio.create_task(world.call("r2"))
+        while len(world.replica.arrivals) < 2:
+            await asyncio.sleep(0.01)
+        go_on.set()
+        for answer in (await running, await late):
+            assert (answer.status, answer.body) == (200, b"late")
+            assert answer.headers["Connection"] == "close"
+        assert await world.process.wait() == 0
+        lines = await world.log_lines()
+        messages = [str(line["message"]) for line in lines]
+        for expected in ("started", "configuration in force", "leaving"):
+            assert expected in messages
+        assert messages[-1] == "stopped"
+        text = json.dumps(lines)
+        assert '"k1"' not in text  # a key of a caller
+        assert "r1" in text
+
+    run(test, tmp_path)
