Tell callers without an upstream when one can be there; log losses by topic

Change: 2 s, or 0.3 of the caller's time. Test: 'come back within their time' of test_relay_plain.py.

--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -70,7 +70,7 @@
         """Call the store at `address`, "IP:port"."""
         self._url = f"http://{address}"
         self._http = http
-        self._is_down = False
+        self._lost: set[str] = set()  # topics whose last call failed
 
     async def newest(self, topic: str) -> Newest:
         """Return the newest record of each key; raise `StoreError`."""
@@ -137,25 +137,29 @@
                 connect_ms=CONNECT_MS,
             )
         except CallError as error:
-            self._note(path, error.message)
+            self._note(query["Topic"], error.message)
             raise StoreError(error.message) from error
         if answer.status == _GONE:
             raise HistoryLostError(path)
         if answer.status != _OK:
-            self._note(path, f"status {answer.status}")
+            self._note(query["Topic"], f"status {answer.status}")
             raise StoreError(f"{path}: status {answer.status}")
-        self._note(path, "")
+        self._note(query["Topic"], "")
         return answer
 
-    def _note(self, path: str, trouble: str) -> None:
-        """Log when the store is lost and when it is back."""
-        if bool(trouble) == self._is_down:
+    def _note(self, topic: str, trouble: str) -> None:
+        """Log when a topic is lost and when it is back.
+
+        The store may serve some partitions and not others.
+        """
+        if bool(trouble) == (topic in self._lost):
             return
-        self._is_down = bool(trouble)
         if trouble:
-            log.bind(call=path, reason=trouble).warning("store lost")
+            self._lost.add(topic)
+            log.bind(topic=topic, reason=trouble).warning("store lost")
         else:
-            log.bind(call=path).info("store is back")
+            self._lost.discard(topic)
+            log.bind(topic=topic).info("store is back")
 
 
 def _decode_read(body: bytes, start: int) -> Newest:
--- a/src/balsamlift/relay/_plain.py
+++ b/src/balsamlift/relay/_plain.py
@@ -17,7 +17,11 @@
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._exchange import Exchange, Reply
 from balsamlift.relay._headers import caller_headers
-from balsamlift.relay._refusals import give_up, timed_out
+from balsamlift.relay._refusals import (
+    give_up,
+    no_upstream,
+    timed_out,
+)
 from balsamlift.relay._request import Call, Refusal, Responder
 from balsamlift.relay._retries import Retries
 
@@ -80,7 +84,8 @@
         while True:
             upstream = self._balancer.least_busy(call.service, tried)
             if upstream is None:
-                return give_up(attempt, "no upstream")
+                now_s = asyncio.get_running_loop().time()
+                return no_upstream(attempt, call, now_s)
             if not self._admission.still_allows(call):
                 return give_up(attempt, "configuration changed", 0)
             tried.add(upstream.name)
--- a/src/balsamlift/relay/_refusals.py
+++ b/src/balsamlift/relay/_refusals.py
@@ -3,11 +3,22 @@
 from __future__ import annotations
 
 from balsamlift.relay._attempt import Attempt
-from balsamlift.relay._request import Refusal
+from balsamlift.relay._request import Call, Refusal
 
-# Upstreams that leave are replaced, and lists of them are read, within
-# fractions of a second: a caller that comes back earlier finds the same.
+# A full upstream has room again after some of its calls, 20 ms each.
 RETRY_MS = 100
+# Where there is no upstream, the list is out of reach or a replacement is on
+# its way: 2 to 4 s.
+RETRY_NO_UPSTREAM_MS = 2_000
+# Callers wait for no more than a third of the time that they have left.
+RETRY_PART = 0.3
+
+
+def no_upstream(attempt: Attempt, call: Call, now_s: float) -> Refusal:
+    """Return the truth about a call that no upstream may take now."""
+    left_ms = max(call.deadline_s - now_s, 0.0) * 1_000
+    wait_ms = int(min(RETRY_NO_UPSTREAM_MS, left_ms * RETRY_PART))
+    return give_up(attempt, "no upstream", wait_ms)
 
 
 def give_up(
--- a/tests/test_relay_plain.py
+++ b/tests/test_relay_plain.py
@@ -388,3 +388,14 @@
         assert not stand_ins[0].arrivals
 
     run(test())
+
+
+def test_without_an_upstream_callers_come_back_within_their_time() -> None:
+    async def test() -> None:
+        async with RelayWorld([]) as world:
+            world.configure()
+            answer = await world.call("/order/1")
+        assert answer.status == 503
+        assert 0.8 <= float(answer.headers["Retry-After"]) <= 0.9
+
+    run(test())
