--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -48,8 +48,8 @@
 QUICK_COPY_S = 0.06
 # An engine is gone 1.5 s or more after its notice: the stop is by then.
 STOP_BY_S = 1.1
-# The answer to the last copy comes when it is done: 0.5 s after the stop, where
-# the link is shared with copies of others.
+# The answer to the last copy comes when it is done: 0.5 s after the stop,
+# where the link is shared with copies of others.
 COPY_ANSWER_S = 1.0
 # Between two tries to move a generation off an engine that leaves.
 MOVE_AGAIN_S = 0.15
