Give the move of a generation a module

Change: _move.py; no behaviour. Ruled out: nothing to measure. Before and after: 15 tests of generations passed.

--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
-from collections.abc import Sequence
 from contextlib import suppress
-from typing import Literal
 
 import attrs
 from loguru import logger
@@ -15,18 +12,17 @@
 from balsamlift._tasks import end_task
 from balsamlift.exceptions import (
     UpstreamBrokenError,
-    UpstreamError,
     UpstreamUnreachableError,
 )
 from balsamlift.peers import Upstream
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._backup import Backup
 from balsamlift.relay._configuration import EngineTraits
-from balsamlift.relay._engines import Copy, CopyRefusedError
-from balsamlift.relay._evacuation import wait_s
+from balsamlift.relay._engines import Copy
 from balsamlift.relay._events import EventError, EventSplitter
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._headers import caller_headers
+from balsamlift.relay._move import Move
 from balsamlift.relay._needs import Need
 from balsamlift.relay._request import Call, Responder
 from balsamlift.relay._rooms import Holding
@@ -39,20 +35,10 @@
 # An engine admits what goes on from a copy before all else; one that does
 # not answer within this time will not take it.
 RESUME_S = 1.0
-# Between two reports of an engine that leaves; they lag by some 100 ms, and
-# each is priced.
-LOOK_AGAIN_S = 0.25
-# A generation is stopped for its last copy after one that took no longer than
-# this, which tells that the link is free: callers take a pause of up to 180 ms
-# as in time, and the first copy of a report takes 220 to 450 ms.
-QUICK_COPY_S = 0.06
-# An engine is gone 1.5 s or more after its notice: the stop is by then.
-STOP_BY_S = 1.1
 # The answer to the last copy comes when it is done: 0.5 s after the stop,
 # where the link is shared with copies of others.
 COPY_ANSWER_S = 1.0
-# Between two tries to move a generation off an engine that leaves.
-MOVE_AGAIN_S = 0.15
+
 Signal = Literal["whole", "broken", "leaving"]
 
 
@@ -97,7 +83,6 @@
         self._pump: asyncio.Task[None] | None = None
         self._reply: Reply | None = None
         self._moving: asyncio.Task[Copy | None] | None = None
-        self._stop_by_s = 0.0
         self._seen_s = asyncio.get_running_loop().time()
         self.course = Course()
 
@@ -207,102 +192,14 @@
     def _start_moving(self) -> None:
         if not self._traits.can_move or self._moving is not None:
             return
-        loop = asyncio.get_running_loop()
-        self._stop_by_s = loop.time() + STOP_BY_S
-        self._moving = asyncio.create_task(self._move())
-
-    async def _move(self) -> Copy | None:
-        """Copy the memory while the engine works, then stop it there.
-
-        The stop closes the engine's stream without its end, which is when
-        `_go_on` takes over. Returns None when it could not be copied and
-        so runs on where it is.
-        """
-        reply = self._reply
-        assert reply is not None
-        source = reply.upstream
-        tried = {source.name}
-        has_waited = False
-        while True:
-            target = self._target(tried)
-            if target is None:
-                await asyncio.sleep(MOVE_AGAIN_S)
-                tried = {source.name}
-                continue
-            tokens = self._need.tokens
-            self._tools.balancer.add(target.name, tokens)
-            try:
-                if not has_waited:
-                    await self._wait_for_turn(source, target)
-                    has_waited = True
-                return await self._copy(source, target)
-            except CopyRefusedError as error:
-                if error.handle:
-                    return Copy(error.handle, source, source)
-                self._log_copy(source, target, str(error))
-                tried.add(target.name)
-            except UpstreamError as error:
-                self._log_copy(source, target, str(error))
-                return None
-            finally:
-                self._tools.balancer.add(target.name, -tokens)
-
-    async def _copy(self, source: Upstream, target: Upstream) -> Copy:
-        engines = self._tools.engines
-        request_id = self._call.request_id
-        loop = asyncio.get_running_loop()
-        while True:
-            began_s = loop.time()
-            await engines.copy(source, request_id, target, stop=False)
-            now_s = loop.time()
-            is_quick = now_s - began_s <= QUICK_COPY_S
-            if is_quick or now_s >= self._stop_by_s:
-                break
-        copy = await engines.copy(source, request_id, target, stop=True)
-        self._log_copy(source, target, "copied")
-        return copy
-
-    async def _wait_for_turn(self, source: Upstream, target: Upstream) -> None:
-        """Let those go first that leave the engine before.
-
-        Some of them end by themselves or go on at a backup: the list of
-        runs is read again, and the turn only ever comes nearer.
-        """
-        loop = asyncio.get_running_loop()
-        is_near = source.failure_domain == target.failure_domain
-        turn_s = math.inf
-        while loop.time() < turn_s:
-            try:
-                report = await self._tools.engines.report(source)
-            except UpstreamError as error:
-                self._log_copy(source, target, str(error))
-                return
-            ahead_s = wait_s(
-                report.runs, self._call.request_id, self._traits, is_near
-            )
-            if turn_s == math.inf:
-                self._log_copy(source, target, f"waits {ahead_s:.2f} s")
-            turn_s = min(turn_s, loop.time() + ahead_s)
-            left_s = turn_s - loop.time()
-            await asyncio.sleep(min(left_s, LOOK_AGAIN_S))
-
-    def _log_copy(self, source: Upstream, target: Upstream, how: str) -> None:
-        log.bind(
-            request=self._call.request_id,
-            upstream=source.name,
-            target=target.name,
-            event=self._splitter.last_id,
-            tokens=self._need.tokens,
-        ).info("move: {}", how)
-
-    def _target(self, tried: Sequence[str] | set[str]) -> Upstream | None:
-        return self._tools.rooms.find(
-            self._call.service,
+        move = Move(
+            self._tools,
+            self._call,
+            self._need,
             self._traits,
-            self._need.tokens,
-            tried,
-            near=self._holding.upstream.failure_domain,
+            self._holding.upstream,
         )
+        self._moving = asyncio.create_task(move.run())
 
     async def _go_on(self) -> bool:
         """Go on where the memory is, after the engine at work has ended."""
