--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import suppress
+from typing import Literal
 
 import attrs
 from loguru import logger
