--- a/tests/_orders_bench.py
+++ b/tests/_orders_bench.py
@@ -15,6 +15,7 @@
 from balsamlift.settings import OrderSettings
 from balsamlift.testing import EngineSettings
 from balsamlift.testing._engine import Engine
+from balsamlift.testing._engine_handlers import engine_routes
 
 POOL = "drafting"
 SETTINGS = OrderSettings(
@@ -161,6 +162,7 @@
                     model_load_ms=load_ms,
                 ),
                 SystemClock(),
+                engine_routes,
             )
             for number in range(engines)
         ]
