Leave what hosts share out of messages that share nothing

The three fields added to each message made encoding and decoding one slower by a fifth: 30 to 36 us, measured in the same minute. Change: one optional field.

--- a/src/balsamlift/peers/_composer.py
+++ b/src/balsamlift/peers/_composer.py
@@ -10,10 +10,9 @@
 from balsamlift.clock import Clock
 from balsamlift.peers._counts import OwnCounts
 from balsamlift.peers._heard import HeardPeers
-from balsamlift.peers._hosts_list import ListEntry
 from balsamlift.peers._link import Draft, Link, Told
 from balsamlift.peers._members import Members
-from balsamlift.peers._messages import Member, PeerMessage
+from balsamlift.peers._messages import Member, PeerMessage, Shared
 from balsamlift.peers._notes import Notes
 
 RECENT_MEMBERS = 32  # changes that a new link tells; the rest it is asked for
@@ -30,9 +29,7 @@
     caught_up: bool
     chosen: bool
     wants_members: bool
-    configuration: bytes = b""
-    wants_list: bool = False
-    listed: list[ListEntry] = attrs.field(factory=list)
+    shared: Shared | None = None
 
 
 class Composer:
@@ -78,9 +75,7 @@
             counts=self._counts_for(link, is_full),
             counts_are_full=is_full,
             notes=self._notes.changed_since(link.told.notes, now_s),
-            configuration=status.configuration,
-            wants_list=status.wants_list,
-            listed=status.listed,
+            shared=status.shared,
         )
         told = Told(
             self._members.change, self._counts.change, self._notes.change
--- a/src/balsamlift/peers/_heard.py
+++ b/src/balsamlift/peers/_heard.py
@@ -32,7 +32,8 @@
         self.offset = message.offset
         self.caught_up = message.caught_up
         self.chose_us = message.chosen
-        self.wants_list = message.wants_list
+        shared = message.shared
+        self.wants_list = shared is not None and shared.wants_list
 
 
 class HeardPeers:
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -28,6 +28,7 @@
 from balsamlift.peers._messages import (
     Member,
     PeerMessage,
+    Shared,
     UpstreamNote,
 )
 from balsamlift.peers._notes import NOTE_TTL_MS, Notes
@@ -249,9 +250,9 @@
             message.host, message.counts, full=message.counts_are_full
         )
         self._take_notes(message.notes)
-        self._sharing.take(message.configuration)
-        if message.listed:
-            self._upstreams.take_from_peer(message.listed)
+        if message.shared is not None:
+            self._sharing.take(message.shared.configuration)
+            self._upstreams.take_from_peer(message.shared.listed)
         self._correct(message)
         self._answer(message)
 
@@ -304,20 +305,28 @@
     # Sending
 
     def _compose(self, link: Link) -> Draft:
-        heard = self._heard.find(link.host)
-        wants_list = heard is not None and heard.wants_list
         status = Status(
             stamp=self._timeline.stamp(),
             offset=self.offset,
             caught_up=self.caught_up,
             chosen=link.host in self._links.chosen,
             wants_members=self._wants_members(),
-            configuration=self._sharing.due(link.host, heard, self.offset),
-            wants_list=self._upstreams.is_cut_off,
-            listed=self._upstreams.to_share() if wants_list else [],
+            shared=self._shared(link.host),
         )
         return self._composer.compose(link, status)
 
+    def _shared(self, host: str) -> Shared | None:
+        """Return what a peer, or this host, lacks of the platform."""
+        heard = self._heard.find(host)
+        configuration = self._sharing.due(host, heard, self.offset)
+        wants_list = self._upstreams.is_cut_off
+        listed = []
+        if heard is not None and heard.wants_list:
+            listed = self._upstreams.to_share()
+        if not (configuration or wants_list or listed):
+            return None
+        return Shared(wants_list, configuration, listed)
+
     def _wants_members(self) -> bool:
         """Tell whether this host knows few of the hosts on the list."""
         listed = len(self._upstreams.entry_hosts())
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -51,6 +51,15 @@
     ttl_ms: int
 
 
+@attrs.frozen
+class Shared:
+    """Hold what goes between hosts when one cannot read the platform."""
+
+    wants_list: bool = False  # the sender cannot read the list
+    configuration: bytes = b""  # as operators wrote it
+    listed: list[ListEntry] = attrs.field(factory=list)
+
+
 @attrs.frozen
 class PeerMessage:
     """Hold one heartbeat and the news that go with it.
@@ -73,13 +82,12 @@
     counts: dict[str, int] = attrs.field(factory=dict)
     counts_are_full: bool = False
     notes: list[UpstreamNote] = attrs.field(factory=list)
-    # For a receiver that cannot read the platform itself:
-    configuration: bytes = b""  # as operators wrote it
-    wants_list: bool = False  # the sender cannot read the list
-    listed: list[ListEntry] = attrs.field(factory=list)
+    # Left out of nearly all messages: three more fields would cost a fifth of
+    # the time to encode and decode one (30 to 36 us).
+    shared: Shared | None = None
 
 
-for _class in (Member, UpstreamNote, ListEntry, PeerMessage):
+for _class in (Member, UpstreamNote, ListEntry, Shared, PeerMessage):
     attrs.resolve_types(_class)
 
 # Fields go by position: names would be half of the bytes.
