--- a/src/balsamlift/peers/_hosts_list.py
+++ b/src/balsamlift/peers/_hosts_list.py
@@ -30,7 +30,6 @@
     peers_address: str = ""
     failure_domain: str = ""
     state: str = "live"
-    slots: int = 0
     kind: str = ""  # "engine" or "service", where the list tells it
 
 
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -28,12 +28,11 @@
 from balsamlift.peers._messages import (
     Member,
     PeerMessage,
-    Shared,
     UpstreamNote,
 )
-from balsamlift.peers._notes import NOTE_TTL_MS, Notes
+from balsamlift.peers._notes import Notes, new_note
 from balsamlift.peers._peer import Peer, describe
-from balsamlift.peers._sharing import ConfigurationSharing
+from balsamlift.peers._sharing import Sharing
 from balsamlift.peers._upstream import Upstream
 from balsamlift.peers._upstreams import PEER_SOURCE, Upstreams
 from balsamlift.settings import Settings
@@ -101,7 +100,7 @@
         )
         self._on_change: list[Callable[[], None]] = []
         self._configuration = ConfigurationFinder()
-        self._sharing = ConfigurationSharing(clock)
+        self.sharing = Sharing(clock)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self, kernel: Kernel) -> None:
@@ -205,15 +204,6 @@
         """Tell whether this host is leaving."""
         return self._members.own.state == "leaving"
 
-    def share_configuration(
-        self, read: Callable[[], bytes], take: Callable[[bytes], None]
-    ) -> None:
-        """Pass the configuration on to hosts that cannot read it.
-
-        `read` returns it encoded, `take` is handed one that a peer sent.
-        """
-        self._sharing.connect(read, take)
-
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call back after each change of a host."""
         self._on_change.append(callback)
@@ -250,9 +240,7 @@
             message.host, message.counts, full=message.counts_are_full
         )
         self._take_notes(message.notes)
-        if message.shared is not None:
-            self._sharing.take(message.shared.configuration)
-            self._upstreams.take_from_peer(message.shared.listed)
+        self.sharing.take(message.shared, self._upstreams)
         self._correct(message)
         self._answer(message)
 
@@ -305,28 +293,20 @@
     # Sending
 
     def _compose(self, link: Link) -> Draft:
+        heard = self._heard.find(link.host)
+        shared = self.sharing.compose(
+            link.host, heard, self.offset, self._upstreams
+        )
         status = Status(
             stamp=self._timeline.stamp(),
             offset=self.offset,
             caught_up=self.caught_up,
             chosen=link.host in self._links.chosen,
             wants_members=self._wants_members(),
-            shared=self._shared(link.host),
+            shared=shared,
         )
         return self._composer.compose(link, status)
 
-    def _shared(self, host: str) -> Shared | None:
-        """Return what a peer, or this host, lacks of the platform."""
-        heard = self._heard.find(host)
-        configuration = self._sharing.due(host, heard, self.offset)
-        wants_list = self._upstreams.is_cut_off
-        listed = []
-        if heard is not None and heard.wants_list:
-            listed = self._upstreams.to_share()
-        if not (configuration or wants_list or listed):
-            return None
-        return Shared(wants_list, configuration, listed)
-
     def _wants_members(self) -> bool:
         """Tell whether this host knows few of the hosts on the list."""
         listed = len(self._upstreams.entry_hosts())
@@ -408,13 +388,8 @@
     # Upstreams
 
     def _note(self, upstream: Upstream) -> None:
-        note = UpstreamNote(
-            name=upstream.name,
-            address=upstream.address,
-            state=upstream.state,
-            ttl_ms=NOTE_TTL_MS,
-        )
-        if self._notes.add(note, self._clock.monotonic(), is_own=True):
+        now_s = self._clock.monotonic()
+        if self._notes.add(new_note(upstream), now_s, is_own=True):
             self._links.wake()
 
     def _apply_notes(self) -> None:
--- a/src/balsamlift/peers/_notes.py
+++ b/src/balsamlift/peers/_notes.py
@@ -7,6 +7,7 @@
 import attrs
 
 from balsamlift.peers._messages import UpstreamNote
+from balsamlift.peers._upstream import Upstream
 
 NOTE_TTL_MS = 30_000  # longer than the platform's list lags
 # A copy that lives this much longer is a new note. What the list says is
@@ -18,6 +19,16 @@
 _NoteKey = tuple[str, str, str]
 
 
+def new_note(upstream: Upstream) -> UpstreamNote:
+    """Return a note on an upstream as it is seen now."""
+    return UpstreamNote(
+        name=upstream.name,
+        address=upstream.address,
+        state=upstream.state,
+        ttl_ms=NOTE_TTL_MS,
+    )
+
+
 @attrs.define
 class _Kept:
     note: UpstreamNote
--- a/src/balsamlift/peers/_sharing.py
+++ b/src/balsamlift/peers/_sharing.py
@@ -6,6 +6,8 @@
 
 from balsamlift.clock import Clock
 from balsamlift.peers._heard import Heard
+from balsamlift.peers._messages import Shared
+from balsamlift.peers._upstreams import Upstreams
 
 # A host that reads the platform itself has a new configuration within some
 # 10 ms; one that lags for longer is told, and again if that was lost.
@@ -13,8 +15,8 @@
 AGAIN_S = 1.0
 
 
-class ConfigurationSharing:
-    """Pass the newest configuration on to peers that lag behind it."""
+class Sharing:
+    """Pass configuration and list on to peers that cannot read them."""
 
     def __init__(self, clock: Clock) -> None:
         """Share nothing until `connect`."""
@@ -30,7 +32,35 @@
         self._read = read
         self._take = take
 
-    def due(self, host: str, heard: Heard | None, offset: int) -> bytes:
+    def compose(
+        self,
+        host: str,
+        heard: Heard | None,
+        offset: int,
+        upstreams: Upstreams,
+    ) -> Shared | None:
+        """Return what a peer, or this host, lacks; None: nothing.
+
+        `offset` is of the configuration here, `heard` what the peer told.
+        """
+        configuration = self._due(host, heard, offset)
+        wants_list = upstreams.is_cut_off
+        listed = []
+        if heard is not None and heard.wants_list:
+            listed = upstreams.to_share()
+        if not (configuration or wants_list or listed):
+            return None
+        return Shared(wants_list, configuration, listed)
+
+    def take(self, shared: Shared | None, upstreams: Upstreams) -> None:
+        """Take in what a peer passed on, if anything."""
+        if shared is None:
+            return
+        if shared.configuration and self._take is not None:
+            self._take(shared.configuration)
+        upstreams.take_from_peer(shared.listed)
+
+    def _due(self, host: str, heard: Heard | None, offset: int) -> bytes:
         """Return the configuration if that peer is to be told, else none."""
         if heard is None or heard.offset >= offset:
             self._behind_s.pop(host, None)
@@ -42,8 +72,3 @@
         # Wait before it is sent again: it is on its way.
         self._behind_s[host] = now_s + AGAIN_S - BEHIND_S
         return self._read()
-
-    def take(self, configuration: bytes) -> None:
-        """Take in what a peer passed on."""
-        if configuration and self._take is not None:
-            self._take(configuration)
--- a/src/balsamlift/peers/_upstream.py
+++ b/src/balsamlift/peers/_upstream.py
@@ -23,7 +23,6 @@
     checks_fence: bool = False
     deterministic: bool = False
     tells_by_key: bool = False
-    slots: int = 0  # requests that it runs at once; 0: not told
     state: UpstreamState = "live"
 
 
@@ -60,7 +59,6 @@
         checks_fence=pool.checks_fence,
         deterministic=pool.deterministic,
         tells_by_key=pool.tells_by_key,
-        slots=entry.slots,
         state=_state(entry.state),
     )
 
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -90,7 +90,7 @@
         )
         for service in services:
             self.kernel.register(service)
-        self.peers.share_configuration(
+        self.peers.sharing.connect(
             lambda: routing.encoded,
             lambda data: offer(routing, data, "peer"),
         )
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -33,18 +33,14 @@
     PathPrefix: str
     RouteType: str
     TimeoutMs: int
-    TargetLatencyMs: int  # to the first event on a stream
     Priority: int = 0
     Service: str = ""  # or else TrafficSplit
     TrafficSplit: list[_Share] = []
     MaxAttempts: int = 1
     Public: bool = False
-    StreamResume: bool = False
-    TargetGapMs: int = 0
 
 
 class _Engine(msgspec.Struct):
-    Slots: int
     KvCapacityTokens: int
     KvTokenBytes: int = 0  # of memory, for one token
     LinkMbps: float = 0.0
@@ -59,7 +55,6 @@
 
 
 class _Limits(msgspec.Struct):
-    MaxHeaderBytes: int
     MaxBodyBytes: int
 
 
@@ -81,7 +76,6 @@
     Service: str
     Address: str
     Zone: str
-    Slots: int = 0
     LifecycleState: str = "ready"
 
 
@@ -122,7 +116,6 @@
             for tenant in manifest.Tenants
         ),
         limits=CallerLimits(
-            header_bytes=manifest.Limits.MaxHeaderBytes,
             body_bytes=manifest.Limits.MaxBodyBytes,
         ),
     )
@@ -141,7 +134,6 @@
         address=upstream.Address,
         failure_domain=upstream.Zone,
         state=_STATES.get(upstream.LifecycleState, "leaving"),
-        slots=upstream.Slots,
         kind="service",
     )
 
@@ -179,12 +171,9 @@
             for share in shares
         ),
         timeout_ms=route.TimeoutMs,
-        target_ms=route.TargetLatencyMs,
-        gap_ms=route.TargetGapMs,
         priority=route.Priority,
         most_attempts=route.MaxAttempts,
         is_public=route.Public,
-        may_resume=route.StreamResume,
     )
 
 
@@ -196,7 +185,6 @@
         engine=None
         if engine is None
         else EngineTraits(
-            slots=engine.Slots,
             memory_tokens=engine.KvCapacityTokens,
             token_bytes=engine.KvTokenBytes,
             link_mbps=engine.LinkMbps,
--- a/src/balsamlift/relay/_configuration.py
+++ b/src/balsamlift/relay/_configuration.py
@@ -27,19 +27,15 @@
     kind: RouteKind
     services: tuple[ServiceShare, ...]
     timeout_ms: int
-    target_ms: int  # to the whole answer, or to the first event of a stream
-    gap_ms: int = 0  # the longest pause between events; 0: no stream
     priority: int = 0  # 0 is served first
     most_attempts: int = 1  # upstreams that may run one request
     is_public: bool = False  # needs no key
-    may_resume: bool = False  # a caller may ask to go on after an event
 
 
 @attrs.frozen(kw_only=True)
 class EngineTraits:
     """Describe the engines of a service that generates."""
 
-    slots: int
     memory_tokens: int  # of one engine
     token_bytes: int = 0  # of memory
     link_mbps: float = 0.0  # between engines; 0: not told
@@ -69,7 +65,6 @@
 class CallerLimits:
     """Bound what callers may send."""
 
-    header_bytes: int
     body_bytes: int
 
 
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -36,7 +36,7 @@
 START_S = 1.0
 TOKEN_S = 0.012
 # Where the operators tell nothing of the engines of a service.
-UNTOLD = EngineTraits(slots=1, memory_tokens=1 << 40)
+UNTOLD = EngineTraits(memory_tokens=1 << 40)
 
 
 @attrs.frozen
