End a request as soon as its caller's connection closes

Change: the connection's own close callback. Two tests of callers who leave passed because the deadline of the call ended the work; they now have half of that time. Ruled out: the wait for room (its cancellation gives the room back).

--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -114,6 +114,7 @@
 
     def __init__(self, frontend: Frontend, connection: HTTPConnection) -> None:
         self._frontend = frontend
+        self._connection = connection
         self._responder = TornadoResponder(
             connection, lambda: frontend.is_closing
         )
@@ -156,6 +157,10 @@
             arrived_s=self._arrived_s,
         )
         self._task = asyncio.create_task(self._run(request))
+        # Tornado tells a message of its connection's end only while it is
+        # being read; from here on, the callback does.
+        assert isinstance(self._connection, HTTP1Connection)
+        self._connection.set_close_callback(self.on_connection_close)
         self._frontend.tasks.add(self._task)
         self._task.add_done_callback(self._frontend.tasks.discard)
 
--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -13,6 +13,7 @@
     ReplicaRequest,
     ReplicaStandIn,
     event,
+    read_answer,
     request_bytes,
 )
 
@@ -269,8 +270,9 @@
             while not any(s.arrivals for s in stand_ins):
                 await asyncio.sleep(0.01)
             writer.close()
-            while any(s.open for s in stand_ins):
-                await asyncio.sleep(0.01)
+            async with asyncio.timeout(1.5):  # of 3 s until its deadline
+                while any(s.open for s in stand_ins):
+                    await asyncio.sleep(0.01)
 
     run(test())
 
@@ -414,3 +416,45 @@
         assert answer.body == whole(4)
 
     run(test())
+
+
+@pytest.mark.parametrize("kept", [False, True])
+def test_a_caller_who_leaves_while_waiting_is_not_sent_on(kept: bool) -> None:
+    """`kept`: the connection has carried an answer before."""
+    go_on = asyncio.Event()
+
+    async def slow(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        if request.headers[NAMES.request_id] == "full":
+            await go_on.wait()
+        await stream(connection, request)
+
+    async def test() -> None:
+        stand_ins = engines(1)
+        stand_ins[0].behave = slow
+        full = [f"{NAMES.token_usage}: 8000,500", f"{NAMES.length_hint}: 100"]
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            reader, writer = await world.connect()
+            if kept:
+                writer.write(request_bytes("/draft/0", "r0", headers=USAGE))
+                assert (await read_answer(reader)).is_whole
+            first = asyncio.create_task(
+                world.call("/draft/1", "full", headers=full)
+            )
+            while "full" not in stand_ins[0].ids():
+                await asyncio.sleep(0.005)
+            body = b"x" * 3_000
+            writer.write(
+                request_bytes("/draft/2", "gone", body=body, headers=full)
+            )
+            await asyncio.sleep(0.1)
+            writer.close()
+            await asyncio.sleep(0.1)
+            go_on.set()
+            await first
+            await world.call("/draft/3", "after", headers=USAGE)
+        assert "gone" not in stand_ins[0].ids()
+
+    run(test())
--- a/tests/test_relay_plain.py
+++ b/tests/test_relay_plain.py
@@ -285,8 +285,9 @@
             while not stand_ins[0].arrivals:
                 await asyncio.sleep(0.01)
             writer.close()
-            while stand_ins[0].open:
-                await asyncio.sleep(0.01)
+            async with asyncio.timeout(1.5):  # of 3 s until its deadline
+                while stand_ins[0].open:
+                    await asyncio.sleep(0.01)
 
     run(test())
 
