--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -33,6 +33,7 @@
     PathPrefix: str
     RouteType: str
     TimeoutMs: int
+    TargetLatencyMs: int  # to the first event on a stream
     Priority: int = 0
     Service: str = ""  # or else TrafficSplit
     TrafficSplit: list[_Share] = []
@@ -171,6 +172,7 @@
             for share in shares
         ),
         timeout_ms=route.TimeoutMs,
+        target_ms=route.TargetLatencyMs,
         priority=route.Priority,
         most_attempts=route.MaxAttempts,
         is_public=route.Public,
--- a/src/balsamlift/relay/_configuration.py
+++ b/src/balsamlift/relay/_configuration.py
@@ -27,6 +27,7 @@
     kind: RouteKind
     services: tuple[ServiceShare, ...]
     timeout_ms: int
+    target_ms: int  # to the whole answer, or to the first event of a stream
     priority: int = 0  # 0 is served first
     most_attempts: int = 1  # upstreams that may run one request
     is_public: bool = False  # needs no key
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -21,7 +21,7 @@
 from balsamlift.relay._generation import Generation
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._needs import Need, read_need
-from balsamlift.relay._refusals import give_up, timed_out
+from balsamlift.relay._refusals import give_up, no_room, timed_out
 from balsamlift.relay._request import Call, Refusal, Responder
 from balsamlift.relay._retries import Retries
 from balsamlift.relay._rooms import Holding
@@ -35,6 +35,10 @@
 # and a token takes 7 ms and more, 10 ms with a usual batch.
 START_S = 1.0
 TOKEN_S = 0.012
+# Callers leave a stream that has not begun after four times the target. What
+# begins after the target is worth a seventh of its worth; what is held until
+# its caller leaves costs all of it.
+WAIT_TARGETS = 1.0
 # Where the operators tell nothing of the engines of a service.
 UNTOLD = EngineTraits(memory_tokens=1 << 40)
 
@@ -109,9 +113,10 @@
     ) -> _Started | Refusal:
         tried: set[str] = set()
         while True:
-            holding = await self._tools.rooms.wait(
-                call.service, traits, need.tokens, call.priority, tried
-            )
+            holding = await self._wait_for_room(call, need, traits, tried)
+            if holding is None:
+                now_s = asyncio.get_running_loop().time()
+                return no_room(attempt, call, now_s)
             backup = Backup(self._tools, traits)
             backup.choose(need.tokens, holding.upstream)
             unread = Holding(
@@ -143,6 +148,20 @@
             if not self._retries.spend(call.service):
                 return result
 
+    async def _wait_for_room(
+        self, call: Call, need: Need, traits: EngineTraits, tried: set[str]
+    ) -> Holding | None:
+        """Return room in an engine; None where it comes too late."""
+        target_s = call.route.target_ms / 1_000
+        wait_by_s = call.request.arrived_s + target_s * WAIT_TARGETS
+        try:
+            async with asyncio.timeout_at(wait_by_s):
+                return await self._tools.rooms.wait(
+                    call.service, traits, need.tokens, call.priority, tried
+                )
+        except TimeoutError:
+            return None
+
     async def _send(
         self,
         call: Call,
--- a/src/balsamlift/testing/_relay_world.py
+++ b/src/balsamlift/testing/_relay_world.py
@@ -86,6 +86,7 @@
         "kind": kind,
         "services": (ServiceShare(service=service, weight=1),),
         "timeout_ms": 5_000,
+        "target_ms": 1_000,
         "most_attempts": 2 if kind == "idempotent" else 1,
     }
     values.update(fields)
--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -458,3 +458,36 @@
         assert "gone" not in stand_ins[0].ids()
 
     run(test())
+
+
+def test_what_finds_no_room_in_time_is_refused_with_when_to_come_back() -> (
+    None
+):
+    go_on = asyncio.Event()
+
+    async def slow(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await go_on.wait()
+        await stream(connection, request)
+
+    async def test() -> None:
+        stand_ins = engines(1)
+        stand_ins[0].behave = slow
+        full = [f"{NAMES.token_usage}: 8000,500", f"{NAMES.length_hint}: 100"]
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            first = asyncio.create_task(
+                world.call("/draft/1", "full", headers=full)
+            )
+            while not stand_ins[0].arrivals:
+                await asyncio.sleep(0.005)
+            refused = await world.call("/draft/2", "late", headers=full)
+            go_on.set()
+            assert (await first).is_whole
+        assert refused.status == 503
+        # 0.3 of the 2 s that are left after the target of 1 s.
+        assert 0.4 < float(refused.headers["Retry-After"]) <= 0.6
+        assert stand_ins[0].ids() == ["full"]
+
+    run(test())
