Answer heads over their limit, and end those that come too slowly

Cause: a head over tornado's 64 KB closed the connection without an answer, whatever limit operators set; a head sent byte by byte held its connection for two minutes, as did an idle one. The longest time that callers may keep a list of hosts was read and not applied. Change: callers' connections are streams of our own that know since when a head is awaited or read. Over the operators' limit: 431, also where the head is too large to be read whole; too slow: 408, which promises that nothing has run; idle for longer than 1.25 of the limit: closed. The list's time is cut to the platform's. Ruled out: tornado's own idle timeout, which is one for heads and rests.

--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -48,6 +48,7 @@
     def __init__(self, node: NodeSettings, clock: Clock) -> None:
         """Make every service; those with addresses listen from here on."""
         self._node = node
+        self._keep_ms = min(KEEP_MS, int(node.most_keep_s * 1_000))
         settings = node.product_settings()
         rng = random.Random()
         self.kernel = Kernel()
@@ -84,7 +85,7 @@
             HostRegistration(store, clock, settings.host, record),
             self.upstreams,
             self.peers,
-            Directory(settings.failure_domain, KEEP_MS),
+            Directory(settings.failure_domain, self._keep_ms),
             self.relay,
             PlatformServer(node.directory_address, node.readiness_address),
         )
@@ -112,7 +113,7 @@
         self.relay.leave(bound_s)
         try:
             async with asyncio.timeout(bound_s):
-                await asyncio.sleep(3 * KEEP_MS / 1_000)
+                await asyncio.sleep(3 * self._keep_ms / 1_000)
                 await self.frontend.wait_idle()
         except TimeoutError:
             log.bind(running=len(self.frontend.tasks)).warning(
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -7,6 +7,7 @@
 from balsamlift.exceptions import PlatformError
 from balsamlift.peers import ENTRY_ROLE, UPSTREAM_ROLE, ListEntry
 from balsamlift.relay import (
+    FIRST_LIMITS,
     CallerLimits,
     Configuration,
     EngineTraits,
@@ -57,6 +58,9 @@
 
 class _Limits(msgspec.Struct):
     MaxBodyBytes: int
+    MaxHeaderBytes: int = FIRST_LIMITS.head_bytes  # of the whole head
+    HeaderTimeoutMs: int = FIRST_LIMITS.head_timeout_ms
+    IdleTimeoutMs: int = FIRST_LIMITS.idle_timeout_ms
 
 
 class _Tenant(msgspec.Struct):
@@ -118,6 +122,9 @@
         ),
         limits=CallerLimits(
             body_bytes=manifest.Limits.MaxBodyBytes,
+            head_bytes=manifest.Limits.MaxHeaderBytes,
+            head_timeout_ms=manifest.Limits.HeaderTimeoutMs,
+            idle_timeout_ms=manifest.Limits.IdleTimeoutMs,
         ),
     )
 
--- a/src/balsamlift/relay/_configuration.py
+++ b/src/balsamlift/relay/_configuration.py
@@ -64,9 +64,12 @@
 
 @attrs.frozen(kw_only=True)
 class CallerLimits:
-    """Bound what callers may send."""
+    """Bound what callers may send, and how long they may take."""
 
     body_bytes: int
+    head_bytes: int  # of the request line and all headers
+    head_timeout_ms: int  # from the first byte of a head to its last
+    idle_timeout_ms: int  # between two requests on one connection
 
 
 @attrs.frozen(kw_only=True)
--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from http.client import responses
+from typing import Any
 
 from loguru import logger
 from tornado.http1connection import HTTP1Connection
@@ -17,20 +19,34 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.netutil import bind_sockets
+from tornado.netutil import add_accept_handler, bind_sockets
 
 from balsamlift._address import join_address, split_address
+from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
 from balsamlift.kernel import Kernel
+from balsamlift.relay._callers_stream import (
+    MOST_READ_HEAD_BYTES,
+    CallerStream,
+)
+from balsamlift.relay._configuration import CallerLimits
 from balsamlift.relay._request import CallerRequest, Refusal, Responder
 
 log = logger.bind(part="callers")
 
-MOST_HEADER_BYTES = 65_536
-MOST_BODY_BYTES = 4_194_304  # until a configuration says otherwise
-# Callers keep connections open between requests for as long as operators
-# say, a quarter of a minute; with a margin, so that they close first.
-IDLE_S = 120.0
+# Until a configuration says otherwise. Operators let callers rest for a
+# quarter of a minute; no caller is late before the first one has come.
+FIRST_LIMITS = CallerLimits(
+    body_bytes=4_194_304,
+    head_bytes=65_536,
+    head_timeout_ms=30_000,
+    idle_timeout_ms=120_000,
+)
+# Connections are looked through this often for callers that are late, who
+# may so be a quarter of a second over their limit.
+LATE_LOOK_S = 0.25
+# A whole body may take as long as the longest generation.
+BODY_TIMEOUT_S = 120.0
 
 Handle = Callable[[CallerRequest, Responder], Awaitable[None]]
 
@@ -112,9 +128,14 @@
 class _Message(HTTPMessageDelegate):
     """Collect one request, then run it as a task of its own."""
 
-    def __init__(self, frontend: Frontend, connection: HTTPConnection) -> None:
+    def __init__(
+        self, frontend: Frontend, connection: HTTP1Connection
+    ) -> None:
+        assert isinstance(connection.stream, CallerStream)
         self._frontend = frontend
         self._connection = connection
+        self._stream = connection.stream
+        self._stream.expect_head()
         self._responder = TornadoResponder(
             connection, lambda: frontend.is_closing
         )
@@ -131,8 +152,12 @@
         self._start_line = start_line
         self._headers = headers
         self._arrived_s = self._frontend.clock.monotonic()
+        self._stream.end_head()
+        limits = self._frontend.limits
         length = headers.get("Content-Length", "")
-        if length.isdecimal() and int(length) > self._frontend.body_bytes:
+        if _head_bytes(start_line, headers) > limits.head_bytes:
+            self._refuse(431)
+        elif length.isdecimal() and int(length) > limits.body_bytes:
             self._refuse(413)
 
     def data_received(self, chunk: bytes) -> None:
@@ -140,7 +165,7 @@
             return
         self._size += len(chunk)
         self._parts.append(chunk)
-        if self._size > self._frontend.body_bytes:
+        if self._size > self._frontend.limits.body_bytes:
             self._refuse(413)
 
     def finish(self) -> None:
@@ -159,7 +184,6 @@
         self._task = asyncio.create_task(self._run(request))
         # Tornado tells a message of its connection's end only while it is
         # being read; from here on, the callback does.
-        assert isinstance(self._connection, HTTP1Connection)
         self._connection.set_close_callback(self.on_connection_close)
         self._frontend.tasks.add(self._task)
         self._task.add_done_callback(self._frontend.tasks.discard)
@@ -195,15 +219,18 @@
         bound_port = self._sockets[0].getsockname()[1]
         self.address = join_address(ip, bound_port)
         self.clock = clock
-        self.body_bytes = MOST_BODY_BYTES
+        self.limits = FIRST_LIMITS
         self.is_closing = False  # answers tell callers to go elsewhere
         self.tasks: set[asyncio.Task[None]] = set()
         self._handle: Handle = _refuse_all
+        self._streams: set[CallerStream] = set()
+        self._ends: list[Callable[[], None]] = []  # of accepting
+        self._look: asyncio.Task[None] | None = None
         self._server = HTTPServer(
             self,
-            max_header_size=MOST_HEADER_BYTES,
+            max_header_size=MOST_READ_HEAD_BYTES,
             max_body_size=1 << 40,  # checked here, for a fitting status
-            idle_connection_timeout=IDLE_S,
+            body_timeout=BODY_TIMEOUT_S,
         )
 
     def serve(self, handle: Handle) -> None:
@@ -221,29 +248,52 @@
     ) -> HTTPMessageDelegate:
         """Return the collector of the next request."""
         del server_conn
+        assert isinstance(request_conn, HTTP1Connection)
         return _Message(self, request_conn)
 
-    def on_close(self, server_conn: object) -> None:
-        """Have nothing to end: each request watches its connection."""
-
     async def start(self, kernel: Kernel) -> None:
         """Begin to accept connections."""
         del kernel
-        self._server.add_sockets(self._sockets)
+        self._ends = [
+            add_accept_handler(each, self._accept) for each in self._sockets
+        ]
+        self._look = asyncio.create_task(self._keep_looking())
 
     async def stop(self) -> None:
         """Close the address and its connections."""
-        self._server.stop()
+        for end in self._ends:
+            end()
+        for each in self._sockets:
+            each.close()
+        await end_task(self._look)
         for task in list(self.tasks):
             task.cancel()
         await self._server.close_all_connections()
 
+    def _accept(self, connection: socket.socket, address: Any) -> None:
+        stream = CallerStream(connection, self.clock)
+        self._streams.add(stream)
+        self._server.handle_stream(stream, address)
+
+    async def _keep_looking(self) -> None:
+        while True:
+            await self.clock.sleep(LATE_LOOK_S)
+            self._streams = {s for s in self._streams if not s.closed()}
+            for stream in self._streams:
+                stream.end_if_late(self.limits)
+
     async def wait_idle(self) -> None:
         """Wait until no request runs."""
         while self.tasks:
             await asyncio.wait(set(self.tasks))
 
 
+def _head_bytes(line: RequestStartLine, headers: HTTPHeaders) -> int:
+    """Return the length of a head as it is written in full."""
+    size = len(" ".join((line.method, line.path, line.version))) + 4
+    return size + sum(len(n) + len(v) + 4 for n, v in headers.get_all())
+
+
 async def _refuse_all(request: CallerRequest, responder: Responder) -> None:
     del request
     responder.refuse(Refusal(status=503, reason="starting", retry_after_ms=0))
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -179,7 +179,7 @@
         ).info("{}", outcome)
 
     def _take_limits(self, table: Table) -> None:
-        self._frontend.body_bytes = table.configuration.limits.body_bytes
+        self._frontend.limits = table.configuration.limits
 
     async def _keep_looking(self) -> None:
         while True:
--- a/src/balsamlift/testing/_relay_world.py
+++ b/src/balsamlift/testing/_relay_world.py
@@ -76,6 +76,13 @@
 WORKSPACE = "bench"
 ENGINE = EngineTraits(memory_tokens=10_000, can_move=True, can_back_up=True)
 
+LIMITS = CallerLimits(
+    body_bytes=1_000_000,
+    head_bytes=16_384,
+    head_timeout_ms=5_000,
+    idle_timeout_ms=15_000,
+)
+
 
 def route(kind: str, path: str, service: str, **fields: object) -> Route:
     """Return a route with the usual bounds."""
@@ -107,7 +114,7 @@
             Service(name="model", most_connections=100, engine=ENGINE),
         ),
         "workspaces": (Workspace(name=WORKSPACE, keys=(KEY,)),),
-        "limits": CallerLimits(body_bytes=1_000_000),
+        "limits": LIMITS,
     }
     values.update(fields)
     return Configuration(**values)  # type: ignore[arg-type]
--- a/src/balsamlift/testing/relay.py
+++ b/src/balsamlift/testing/relay.py
@@ -3,6 +3,7 @@
 from balsamlift.testing._relay_world import (
     HOST,
     KEY,
+    LIMITS,
     NAMES,
     WORKSPACE,
     CallerAnswer,
@@ -23,6 +24,7 @@
 __all__ = [
     "HOST",
     "KEY",
+    "LIMITS",
     "NAMES",
     "WORKSPACE",
     "CallerAnswer",
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -48,7 +48,7 @@
         f'Address = "{store_address}"',
         "[Bounds]",
     ]
-    bounds = {**SETTINGS["Bounds"], "GraceS": GRACE_S}
+    bounds = {**SETTINGS["Bounds"], "GraceS": GRACE_S, "ttl_max_s": 1}
     lines += [f"{name} = {value}" for name, value in bounds.items()]
     return "\n".join(lines)
 
@@ -152,8 +152,10 @@
         found = await world.request(
             "Directory", f"GET /resolution?Name={HOST}&Zone=north HTTP/1.1"
         )
-        addresses = json.loads(found.body)["Addresses"]
-        assert addresses == [f"{IP}:{PORTS['Frontend']}"]
+        assert json.loads(found.body) == {
+            "Addresses": [f"{IP}:{PORTS['Frontend']}"],
+            "TtlS": 1,  # what the platform allows at most
+        }
         metrics = await world.request("metrics", "GET /metrics HTTP/1.1")
         assert b"relay_non_idempotent_ms_count 1" in metrics.body
         world.process.send_signal(signal.SIGHUP)
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+import attrs
 import pytest
 
 import balsamlift
@@ -22,6 +23,7 @@
     decode_node_settings,
 )
 from balsamlift.platform._store import StoreError, _decode_read
+from balsamlift.relay import FIRST_LIMITS, CallerLimits
 
 MANIFEST: dict[str, Any] = {
     "Version": 7,
@@ -66,7 +68,12 @@
         },
         {"Name": "one", "MaxConnections": 100},
     ],
-    "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304},
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 4194304,
+        "HeaderTimeoutMs": 5000,
+        "IdleTimeoutMs": 15000,
+    },
     "Tenants": [{"Name": "t-1", "ApiKeys": ["k1", "k2"], "Priority": 1}],
 }
 
@@ -111,6 +118,18 @@
     assert engine.can_move
     assert configuration.services[1].engine is None
     assert configuration.workspaces[0].keys == ("k1", "k2")
+    assert configuration.limits == CallerLimits(
+        body_bytes=4_194_304,
+        head_bytes=16_384,
+        head_timeout_ms=5_000,
+        idle_timeout_ms=15_000,
+    )
+
+
+def test_limits_that_are_not_told_are_wide() -> None:
+    manifest = {**MANIFEST, "Limits": {"MaxBodyBytes": 1}}
+    configuration = decode_configuration(json.dumps(manifest).encode())
+    assert configuration.limits == attrs.evolve(FIRST_LIMITS, body_bytes=1)
 
 
 def test_an_unknown_kind_is_taken_as_the_strictest() -> None:
--- /dev/null
+++ b/tests/test_relay_frontend.py
@@ -0,0 +1,133 @@
+"""Callers who send too much or too slowly: told so, and nothing passed on."""
+
+import asyncio
+from collections.abc import Awaitable
+
+import attrs
+import pytest
+
+from balsamlift.testing.relay import (
+    LIMITS,
+    NAMES,
+    RelayWorld,
+    ReplicaConnection,
+    ReplicaRequest,
+    ReplicaStandIn,
+    read_answer,
+    request_bytes,
+)
+
+DEADLINE_S = 15.0
+QUICK = attrs.evolve(LIMITS, head_timeout_ms=300, idle_timeout_ms=400)
+
+
+def run(test: Awaitable[None]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(DEADLINE_S):
+            await test
+
+    asyncio.run(bounded())
+
+
+def replica() -> ReplicaStandIn:
+    return ReplicaStandIn("plain-1", "plain", NAMES)
+
+
+# Both are over the limit of 16 KB; the second is too large to be read whole,
+# by so little that no byte is left unread, which could reset the connection.
+@pytest.mark.parametrize("size", [20_000, 262_100])
+def test_a_head_over_the_limit_is_told_so_and_not_passed_on(size) -> None:
+    async def test() -> None:
+        stand_in = replica()
+        async with RelayWorld([stand_in]) as world:
+            world.configure()
+            reader, writer = await world.connect()
+            writer.write(request_bytes("/order/1", "big")[:-2])
+            writer.write(b"Filler: " + b"x" * size)
+            if size < 100_000:  # of more, the end is not waited for
+                writer.write(b"\r\n\r\n")
+            answer = await read_answer(reader)
+            writer.close()
+            next_answer = await world.call("/order/2", "next")
+        assert answer.status == 431
+        assert next_answer.status == 200
+        assert stand_in.ids() == ["next"]
+
+    run(test())
+
+
+def test_a_head_within_the_limit_is_passed_on() -> None:
+    async def test() -> None:
+        async with RelayWorld([replica()]) as world:
+            world.configure()
+            headers = ["Filler: " + "x" * 15_000]
+            answer = await world.call("/order/1", headers=headers)
+        assert answer.status == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize("start", [b"P", request_bytes("/order/1")[:-2]])
+def test_a_head_that_comes_too_slowly_ends_with_408(start) -> None:
+    async def test() -> None:
+        stand_in = replica()
+        async with RelayWorld([stand_in]) as world:
+            world.configure(limits=QUICK)
+            reader, writer = await world.connect()
+            writer.write(start)
+            answer = await read_answer(reader)
+            assert await reader.read() == b""
+            writer.close()
+        assert answer.status == 408
+        assert answer.headers["Connection"] == "close"
+        assert not stand_in.arrivals
+
+    run(test())
+
+
+def test_an_idle_connection_is_closed_after_its_limit() -> None:
+    async def test() -> None:
+        async with RelayWorld([replica()]) as world:
+            world.configure(limits=QUICK)
+            reader, writer = await world.connect()
+            writer.write(request_bytes("/order/1"))
+            answer = await read_answer(reader)
+            assert await reader.read() == b""  # closed without a word
+            writer.close()
+        assert answer.status == 200
+
+    run(test())
+
+
+def test_a_connection_rests_four_fifths_of_its_limit_unharmed() -> None:
+    async def test() -> None:
+        async with RelayWorld([replica()]) as world:
+            limits = attrs.evolve(LIMITS, idle_timeout_ms=2_000)
+            world.configure(limits=limits)
+            reader, writer = await world.connect()
+            for i in range(2):
+                writer.write(request_bytes("/order/1", f"r{i}"))
+                assert (await read_answer(reader)).status == 200
+                await asyncio.sleep(1.6)
+            writer.close()
+
+    run(test())
+
+
+def test_no_limit_on_heads_ends_a_request_that_runs() -> None:
+    async def slow(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await asyncio.sleep(1.5)
+        await connection.answer(request, b"late")
+
+    async def test() -> None:
+        stand_in = replica()
+        stand_in.behave = slow
+        async with RelayWorld([stand_in]) as world:
+            world.configure(limits=QUICK)
+            answer = await world.call("/order/1")
+        assert answer.status == 200
+        assert answer.body == b"late"
+
+    run(test())
