Ask the store less often: few hosts read for all, and back off

Cause: calls to the store are priced, refused ones too. Each host asked five times a second while the store refused it, and read the configuration every 2 s. Change: nine hosts, the first in an order that is the same on all, read the list as they did and tell what leaves, as before; the others read it once in 0.75 of the time that a leaving upstream still works. A read for the configuration waits until the bounds of the platform less what a silent connection takes (3 s and 5 s instead of 2 s). Failed calls back off to 0.8 s with jitter. BackOff moves up from presets, one copy for all. Ruled out: one reader; configuration passed on by readers only, since a cut of all readers from the store alone would be noticed too late.

--- a/src/balsamlift/peers/_heard.py
+++ b/src/balsamlift/peers/_heard.py
@@ -61,6 +61,15 @@
         heard = self.find_incarnation(host, incarnation)
         return heard is not None and self._is_recent(heard)
 
+    def reads_list(self, host: str) -> bool:
+        """Tell whether a peer said just now that it can read the list."""
+        heard = self._heard.get(host)
+        return (
+            heard is not None
+            and not heard.wants_list
+            and self._is_recent(heard)
+        )
+
     def askers(self) -> set[str]:
         """Return the peers that chose this host and were heard just now."""
         return {
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -32,6 +32,7 @@
 )
 from balsamlift.peers._notes import Notes, new_note
 from balsamlift.peers._peer import Peer, describe
+from balsamlift.peers._readers import is_reader
 from balsamlift.peers._sharing import Sharing
 from balsamlift.peers._upstream import Upstream
 from balsamlift.peers._upstreams import PEER_SOURCE, Upstreams
@@ -117,6 +118,7 @@
         self._upstreams.on_mark(self._note)
         self._upstreams.on_change(self._apply_notes)
         self._upstreams.share_probes(self._sharers)
+        self._upstreams.share_reading(self._reads_for_others)
         self._tasks = [
             asyncio.create_task(self._keep_receiving()),
             asyncio.create_task(self._keep_links()),
@@ -220,6 +222,16 @@
         live = [peer.host for peer in self.live() if not peer.leaving]
         return [self.own.host, *live]
 
+    def _reads_for_others(self) -> bool:
+        """Tell whether this host tells the others how the list changes."""
+        readers = [
+            peer.host
+            for peer in self.live()
+            if not peer.leaving and self._heard.reads_list(peer.host)
+        ]
+        most = self._settings.platform.hosts_readers
+        return is_reader(self.own.host, readers, most)
+
     # Receiving
 
     async def _keep_receiving(self) -> None:
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -10,6 +10,7 @@
 import attrs
 from loguru import logger
 
+from balsamlift._back_off import BackOff
 from balsamlift._http import HttpClient
 from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
@@ -41,6 +42,10 @@
 # Entries that lapsed while the list was down are back within two seconds of
 # its return, where the upstream lives; the platform's operators promise so.
 RETURN_S = 2.0
+# Calls that are refused cost as much as others: 30 hosts that try five times
+# a second for nine seconds make a tenth of a day's calls. Once the platform
+# is back, a host has three seconds to know of all that happened.
+AGAIN_MOST_MS = 800
 
 
 class UpstreamList(Protocol):
@@ -109,9 +114,15 @@
         self._on_change: list[Callable[[], None]] = []
         self._on_mark: list[Callable[[Upstream], None]] = []
         self._sharers: Callable[[], Sequence[str]] = self._listed_hosts
+        self._reads_for_others: Callable[[], bool] = lambda: True
         self._probes = Probes(self, clock, http, self._random, settings.host)
         self._task: asyncio.Task[None] | None = None
         self._list_down = False
+        self._back_off = BackOff(
+            self._random,
+            settings.platform.hosts_poll_ms,
+            max(settings.platform.hosts_poll_ms, AGAIN_MOST_MS),
+        )
 
     async def start(self, kernel: Kernel) -> None:
         """Read the list once, then keep reading it."""
@@ -225,6 +236,10 @@
         """Share probing with these hosts, this one among them."""
         self._sharers = sharers
 
+    def share_reading(self, reads_for_others: Callable[[], bool]) -> None:
+        """Read the list less often while others tell of its changes."""
+        self._reads_for_others = reads_for_others
+
     def sharers(self) -> Sequence[str]:
         """Return the hosts that probing is shared with."""
         return self._sharers()
@@ -268,9 +283,15 @@
             callback(upstream)
 
     async def _keep_reading(self) -> None:
-        poll_s = self._settings.platform.hosts_poll_ms / 1_000
+        platform = self._settings.platform
         while True:
-            await self._clock.sleep(poll_s * self._random.uniform(0.8, 1.2))
+            pause_ms = platform.hosts_poll_ms
+            if not self._reads_for_others():
+                pause_ms = platform.hosts_follow_ms
+            pause_s = pause_ms / 1_000 * self._random.uniform(0.8, 1.2)
+            if self._list_down:
+                pause_s = self._back_off.failed()
+            await self._clock.sleep(pause_s)
             await self._read_list()
 
     async def _read_list(self) -> None:
@@ -289,6 +310,7 @@
             self._timeline.record("hosts_up")
             self._trusted_s = self._clock.monotonic() + RETURN_S
         self._list_down = False
+        self._back_off.succeeded()
         if entries is not None:
             self._take_list(entries)
         self._drop_lapsed()
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -81,7 +81,7 @@
             Metrics(),
             routing,
             self.frontend,
-            ConfigurationWatch(store, clock),
+            ConfigurationWatch(store, clock, node.read_wait_ms),
             HostRegistration(store, clock, settings.host, record),
             self.upstreams,
             self.peers,
--- a/src/balsamlift/platform/_settings.py
+++ b/src/balsamlift/platform/_settings.py
@@ -29,8 +29,20 @@
 # age lets two hosts pick the same engine for a long prompt.
 HEARTBEAT_MS = 250
 SILENCE_MS = 1_500  # six heartbeats
+# Calls to the store are priced: with 78 hosts that all read each change of
+# the list, 270 a second, which cost 0.13 of a day's worth. Nine hosts tell
+# the others; these read often enough to know by themselves of an upstream
+# that leaves, a sixth of the pause given or taken.
+LIST_PAUSE_MS = 200
+LIST_READERS = 9
+FOLLOW_PART = 0.75  # of the time in which an upstream that leaves still works
 LISTED_POOL = "listed"
 
+# Of the time until a change has to be in force, kept for noticing that an
+# answer is missing (1 s), a pause, a fresh connection and the read itself.
+SILENCE_MARGIN_MS = 2_000
+LEAST_READ_WAIT_MS = 1_000
+
 
 @attrs.frozen(kw_only=True)
 class NodeSettings:
@@ -47,8 +59,22 @@
     store_address: str
     grace_s: float  # from SIGTERM to SIGKILL
     most_keep_s: float  # that a caller may keep a list of addresses
+    drain_ms: float  # that an upstream still works after it said it leaves
+    apply_ms: float  # in which a new configuration has to be in force
+    contact_ms: float  # out of touch so long ago, a host need not follow
     retries: RetryLimits
 
+    @property
+    def read_wait_ms(self) -> int:
+        """Return how long a read for a configuration may wait.
+
+        A connection may go silent for good, which counts as being out of
+        touch from then on. It has to be noticed, and the configuration
+        read, before a change has to be in force.
+        """
+        bound_ms = self.contact_ms + self.apply_ms
+        return max(int(bound_ms - SILENCE_MARGIN_MS), LEAST_READ_WAIT_MS)
+
     def product_settings(self) -> Settings:
         """Return the product's own settings."""
         return Settings(
@@ -61,12 +87,15 @@
             platform=PlatformSettings(
                 log_address=self.store_address,
                 hosts_address=self.store_address,
-                hosts_poll_ms=200,
+                hosts_poll_ms=LIST_PAUSE_MS,
+                hosts_readers=LIST_READERS,
+                hosts_follow_ms=int(self.drain_ms * FOLLOW_PART),
             ),
             # The list tells the kind of each upstream; settings name a pool.
             pools={LISTED_POOL: PoolSettings(kind="service")},
             peers=PeerSettings(
-                heartbeat_ms=HEARTBEAT_MS, silence_ms=SILENCE_MS
+                heartbeat_ms=HEARTBEAT_MS,
+                silence_ms=SILENCE_MS,
             ),
             log_json=True,
         )
@@ -115,6 +144,9 @@
         store_address=read.text("Platform", "Address"),
         grace_s=read.number("Bounds", "GraceS"),
         most_keep_s=read.number("Bounds", "ttl_max_s"),
+        drain_ms=read.number("Bounds", "DrainMs"),
+        apply_ms=read.number("Bounds", "ConfigApplyMs"),
+        contact_ms=read.number("Bounds", "ContactMs"),
         retries=RetryLimits(
             ratio=read.number("Bounds", "RetryBudgetRatio"),
             extra=int(read.number("Bounds", "BudgetExtraRetries")),
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -8,6 +8,7 @@
 import msgspec
 from loguru import logger
 
+from balsamlift._back_off import BackOff
 from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
 from balsamlift.exceptions import HostsUnavailableError
@@ -37,12 +38,13 @@
 
 log = logger.bind(part="store")
 
-# A read waits this long at the store. A connection that has gone silent is
-# noticed one second later, and a configuration has to be in force within
-# two seconds of its acknowledgement, from three seconds after the silence.
-CONFIGURATION_WAIT_MS = 2_000
+# A read of the list waits this long at the store. A connection that has gone
+# silent is noticed one second later.
 UPSTREAMS_WAIT_MS = 1_000
-RETRY_S = 0.2  # after a call that failed
+# After a call that failed, and twice as long after each more. Calls that are
+# refused are priced too.
+RETRY_MS = 200.0
+RETRY_MOST_MS = 800.0
 # Hosts write their entry again well before others take it as gone.
 HOST_RENEWAL_S = 15.0
 HOST_LIFETIME_S = 60.0
@@ -95,10 +97,12 @@
 
     name = "configuration_watch"
 
-    def __init__(self, store: Store, clock: Clock) -> None:
-        """Follow the topic of operators."""
+    def __init__(self, store: Store, clock: Clock, wait_ms: int) -> None:
+        """Follow the topic of operators; a read waits for `wait_ms`."""
         self._follower = Follower(store, CONFIGURATION_TOPIC)
         self._clock = clock
+        self._wait_ms = wait_ms
+        self._back_off = BackOff(None, RETRY_MS, RETRY_MOST_MS)
         self._task: asyncio.Task[None] | None = None
 
     async def start(self, kernel: Kernel) -> None:
@@ -113,16 +117,17 @@
     async def _keep_reading(self) -> None:
         while True:
             try:
-                await self._follower.read(CONFIGURATION_WAIT_MS)
+                await self._follower.read(self._wait_ms)
             except StoreError:
                 # Logged by the store as it was lost.
-                await self._clock.sleep(RETRY_S)
+                await self._clock.sleep(self._back_off.failed())
                 continue
+            self._back_off.succeeded()
             data = self._follower.values.get(CONFIGURATION_KEY)
             if data is not None:
                 offer(self._routing, data, "store")
             else:
-                await self._clock.sleep(RETRY_S)
+                await self._clock.sleep(RETRY_MS / 1_000)
 
 
 def offer(routing: Routing, data: bytes, source: str) -> None:
@@ -204,6 +209,7 @@
         self._clock = clock
         self._host = host
         self._record = record
+        self._back_off = BackOff(None, RETRY_MS, RETRY_MOST_MS)
         self._task: asyncio.Task[None] | None = None
 
     async def start(self, kernel: Kernel) -> None:
@@ -224,6 +230,7 @@
                     HOSTS_TOPIC, self._host, msgspec.json.encode(record)
                 )
             except StoreError:
-                await self._clock.sleep(RETRY_S)
+                await self._clock.sleep(self._back_off.failed())
                 continue
+            self._back_off.succeeded()
             await self._clock.sleep(HOST_RENEWAL_S)
--- a/src/balsamlift/presets/_log.py
+++ b/src/balsamlift/presets/_log.py
@@ -11,17 +11,18 @@
 import msgspec
 from loguru import logger
 
+from balsamlift._back_off import BackOff
 from balsamlift._http import Answer, CallError, HttpClient
 from balsamlift.clock import Clock
 from balsamlift.exceptions import LogBlockedError, LogUnavailableError
 from balsamlift.kernel import Kernel
-from balsamlift.presets._back_off import BackOff, SilenceBound
 from balsamlift.presets._records import (
     Entry,
     Record,
     decode_record,
     encode_record,
 )
+from balsamlift.presets._silence import SilenceBound
 
 log = logger.bind(part="log")
 
--- a/src/balsamlift/presets/_operator.py
+++ b/src/balsamlift/presets/_operator.py
@@ -9,6 +9,7 @@
 import attrs
 from loguru import logger
 
+from balsamlift._back_off import BackOff
 from balsamlift._http import HttpClient
 from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import (
@@ -17,7 +18,6 @@
     LogUnreadableError,
     OffsetGapError,
 )
-from balsamlift.presets._back_off import BackOff
 from balsamlift.presets._log import LogClient
 from balsamlift.presets._preset import Preset
 from balsamlift.presets._reader import Reader
--- a/src/balsamlift/presets/_service.py
+++ b/src/balsamlift/presets/_service.py
@@ -9,12 +9,12 @@
 
 from loguru import logger
 
+from balsamlift._back_off import BackOff
 from balsamlift._http import HttpClient
 from balsamlift.clock import Clock
 from balsamlift.exceptions import LogUnavailableError, OffsetGapError
 from balsamlift.kernel import Kernel
 from balsamlift.operators import OperatorsServer
-from balsamlift.presets._back_off import BackOff
 from balsamlift.presets._checkpointer import Checkpointer
 from balsamlift.presets._claimant import Claimant, ClaimResult
 from balsamlift.presets._claims import ClaimBounds
--- a/src/balsamlift/settings.py
+++ b/src/balsamlift/settings.py
@@ -56,6 +56,12 @@
     hosts_poll_ms: int = attrs.field(
         default=1_000, validator=between(10, _MINUTE_MS)
     )
+    # Hosts that read the list for all; the others go by what these tell, and
+    # read it themselves this often.
+    hosts_readers: int = attrs.field(default=9, validator=between(1, 10_000))
+    hosts_follow_ms: int = attrs.field(
+        default=1_000, validator=between(10, _MINUTE_MS)
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_presets_log.py
+++ b/tests/test_presets_log.py
@@ -5,11 +5,11 @@
 import pytest
 from presets_bench import SILENCE_MS, deployment
 
+from balsamlift._back_off import MOST_MS, BackOff
 from balsamlift._http import HttpClient
 from balsamlift.clock import SystemClock
 from balsamlift.exceptions import LogBlockedError, LogUnavailableError
 from balsamlift.presets import Claim, LogClient
-from balsamlift.presets._back_off import BACK_OFF_LAST_MS, BackOff
 from balsamlift.testing._link import Link
 from balsamlift.testing._settings import LinkSettings
 
@@ -191,7 +191,7 @@
     back_off = BackOff(random.Random(1))
     delays = [back_off.failed() for _ in range(12)]
     assert delays[0] <= 0.1
-    assert all(delay <= BACK_OFF_LAST_MS / 1_000 for delay in delays)
+    assert all(delay <= MOST_MS / 1_000 for delay in delays)
     assert len(set(delays)) == len(delays)
     assert back_off.failed(at_least_ms=60_000) == 60
     back_off.succeeded()
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -115,6 +115,7 @@
                 log_address="127.0.0.1:9",
                 hosts_address=server.address,
                 hosts_poll_ms=50,
+                hosts_follow_ms=2_000,
             ),
             pools={
                 "drafting": PoolSettings(kind="engine", checks_fence=True),
@@ -313,3 +314,31 @@
     assert marks.worst == "dead"
     marks.answered(draining, after_s)
     assert marks.worst == state
+
+
+def test_a_host_that_others_tell_reads_the_list_less_often() -> None:
+    async def scenario(bench: Bench) -> None:
+        bench.upstreams.share_reading(lambda: False)
+        await asyncio.sleep(0.2)  # a read may be under way
+        before = bench.fakes.reads
+        await asyncio.sleep(1.0)  # twenty reads otherwise
+        assert bench.fakes.reads - before <= 1
+        bench.upstreams.share_reading(lambda: True)
+        await until(lambda: bench.fakes.reads > before + 3)
+
+    run(scenario, two_engines)
+
+
+def test_a_list_that_is_down_is_asked_less_and_less_often() -> None:
+    async def scenario(bench: Bench) -> None:
+        await until(lambda: bench.fakes.reads > 3)
+        bench.fakes.status = 503
+        await until(lambda: bench.upstreams.is_cut_off)
+        before = bench.fakes.reads
+        await asyncio.sleep(2.0)  # forty reads otherwise
+        # 25 to 50 ms, then twice as long each time up to 800.
+        assert bench.fakes.reads - before <= 12
+        bench.fakes.status = 200
+        await until(lambda: not bench.upstreams.is_cut_off)
+
+    run(scenario, two_engines)
