Log where a generation is placed, and every try of a call

Cause: a request's lines told how it ended, not which engine was chosen by which load, nor when a call went to another upstream or could not for want of budget; an upstream that gave no answer in time was left alone without a line. No test showed that each kind of decision is logged.

--- a/src/balsamlift/peers/_gathering.py
+++ b/src/balsamlift/peers/_gathering.py
@@ -158,7 +158,8 @@
         self._avoided_s: dict[str, float] = {}
         self._sums: Mapping[str, int] = {}
         self._summed_s: float | None = None
-        self._dialled: str = ""
+        self._told_host = ""
+        self._dialled = ""
         self._req: pynng.Req0 | None = None
         self._wake = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
@@ -231,6 +232,9 @@
         if found is None:
             self._summed_s = None
             return
+        if found.host != self._told_host:
+            self._told_host = found.host
+            log.bind(host_told=found.host).info("counts are gathered there")
         update = self._update(wants_sums=wants_sums)
         if found.host == self._host:
             sums: CountsSums | None = self._gatherer.take(update)
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -215,6 +215,13 @@
         if not self.hears_all:
             await self._gathering.refresh()
 
+    @property
+    def counts_basis(self) -> str:
+        """Return what `in_flight` rests on: heard, gathered or scaled."""
+        if self.hears_all:
+            return "heard"
+        return "gathered" if self._gathering.is_fresh else "scaled"
+
     @property
     def hears_all(self) -> bool:
         """Tell whether the other hosts are no more than the fan-out."""
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -118,6 +118,7 @@
         self._probes = Probes(self, clock, http, self._random, settings.host)
         self._task: asyncio.Task[None] | None = None
         self._list_down = False
+        self._was_reader = True
         self._back_off = BackOff(
             self._random,
             settings.platform.hosts_poll_ms,
@@ -286,7 +287,7 @@
         platform = self._settings.platform
         while True:
             pause_ms = platform.hosts_poll_ms
-            if not self._reads_for_others():
+            if not self._is_reader():
                 pause_ms = platform.hosts_follow_ms
             pause_s = pause_ms / 1_000 * self._random.uniform(0.8, 1.2)
             if self._list_down:
@@ -294,6 +295,15 @@
             await self._clock.sleep(pause_s)
             await self._read_list()
 
+    def _is_reader(self) -> bool:
+        """Tell whether this host reads for others; log when that changes."""
+        reads = self._reads_for_others()
+        if reads != self._was_reader:
+            role = "reads the list for others" if reads else "is told the list"
+            log.info("{}", role)
+            self._was_reader = reads
+        return reads
+
     async def _read_list(self) -> None:
         """Read the list; when it is down, the last one stays in force."""
         try:
--- a/src/balsamlift/relay/_backup.py
+++ b/src/balsamlift/relay/_backup.py
@@ -30,6 +30,11 @@
             source, self._traits, tokens
         )
 
+    @property
+    def upstream(self) -> str:
+        """Return the name of the engine that keeps the copy; "": none."""
+        return self._holding.upstream.name if self._holding else ""
+
     def headers(self) -> list[tuple[str, str]]:
         """Return the headers that name it to the engine at work."""
         if self._holding is None:
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -55,6 +55,11 @@
         """Return what all hosts together have in flight there."""
         return self._own[upstream] + self._peers.in_flight(upstream)
 
+    @property
+    def counts_basis(self) -> str:
+        """Return what the other hosts' part of a load rests on."""
+        return self._peers.counts_basis
+
     def own_load(self, upstream: str) -> int:
         """Return what this host has in flight there."""
         return self._own[upstream]
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -22,7 +22,7 @@
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._needs import Need, read_need
 from balsamlift.relay._refusals import give_up, no_room, timed_out
-from balsamlift.relay._request import Call, Refusal, Responder
+from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retries import Retries
 from balsamlift.relay._rooms import Holding
 from balsamlift.relay._tools import Tools
@@ -82,7 +82,7 @@
         took_s = START_S + need.output_tokens * TOKEN_S
         return took_s <= left_s
 
-    async def run(self, call: Call, responder: Responder) -> str:
+    async def run(self, call: Call, responder: Responder) -> Outcome:
         """Answer the caller; return the outcome for the log."""
         attempt = Attempt(is_idempotent=False)
         need = read_need(call.request.headers, self._tools.names)
@@ -90,23 +90,25 @@
             # Another host will finish it; this one would have to cut it off.
             refusal = give_up(attempt, "host is leaving", 0)
             responder.refuse(refusal)
-            return refusal.reason
+            return Outcome(refusal.reason)
         service = call.table.services.get(call.service)
         traits = (service.engine if service else None) or UNTOLD
         try:
             async with asyncio.timeout_at(call.give_up_s):
                 result = await self._start(call, attempt, need, traits)
                 if isinstance(result, _Started):
-                    return await self._relay(
+                    text = await self._relay(
                         result, call, need, traits, responder
                     )
+                    upstream = result.holding.upstream.name
+                    return Outcome(text, upstream, attempt.sends)
         except TimeoutError:
             if responder.is_started:
                 responder.abort()
-                return "timed out midway"
+                return Outcome("timed out midway", sends=attempt.sends)
             result = timed_out(attempt)
         responder.refuse(result)
-        return result.reason
+        return Outcome(result.reason, sends=attempt.sends)
 
     async def _start(
         self, call: Call, attempt: Attempt, need: Need, traits: EngineTraits
@@ -119,6 +121,7 @@
                 return no_room(attempt, call, now_s)
             backup = Backup(self._tools, traits)
             backup.choose(need.tokens, holding.upstream)
+            self._log_placed(call, holding, backup)
             unread = Holding(
                 self._tools.balancer,
                 holding.upstream,
@@ -163,6 +166,23 @@
         except TimeoutError:
             return None
 
+    def _log_placed(
+        self, call: Call, holding: Holding, backup: Backup
+    ) -> None:
+        waited_s = asyncio.get_running_loop().time() - call.request.arrived_s
+        balancer = self._tools.balancer
+        upstream = holding.upstream.name
+        log.bind(
+            request=call.request_id,
+            upstream=upstream,
+            tokens=holding.tokens,
+            load=balancer.load(upstream),  # with it
+            unread=balancer.load(prefill_key(upstream)),  # before it
+            counts=balancer.counts_basis,
+            backup=backup.upstream,
+            waited_ms=round(waited_s * 1_000),
+        ).info("placed")
+
     async def _send(
         self,
         call: Call,
@@ -177,12 +197,13 @@
                 call, attempt, upstream, extra
             )
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
-            health.broke(upstream.name, now_s)
+            out_s = health.broke(upstream.name, now_s)
             log.bind(
                 request=call.request_id,
                 upstream=upstream.name,
+                out_ms=round(out_s * 1_000),
                 may_have_run=attempt.may_have_run,
-            ).warning("{}", error)
+            ).warning("left alone: {}", error)
             return give_up(attempt, "engine gave no answer")
         if reply.meaning == "not_executed":
             reply.connection.close()
--- a/src/balsamlift/relay/_plain.py
+++ b/src/balsamlift/relay/_plain.py
@@ -22,7 +22,7 @@
     no_upstream,
     timed_out,
 )
-from balsamlift.relay._request import Call, Refusal, Responder
+from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retries import Retries
 
 log = logger.bind(part="calls")
@@ -58,7 +58,7 @@
         self._admission = admission
         self._retries = retries
 
-    async def run(self, call: Call, responder: Responder) -> str:
+    async def run(self, call: Call, responder: Responder) -> Outcome:
         """Answer the caller; return the outcome for the log."""
         attempt = Attempt(call.is_idempotent)
         try:
@@ -68,7 +68,7 @@
             result = timed_out(attempt)
         if isinstance(result, Refusal):
             responder.refuse(result)
-            return result.reason
+            return Outcome(result.reason, sends=attempt.sends)
         head = result.reply.head
         headers = caller_headers(head.headers)
         headers["Content-Length"] = str(len(result.body))
@@ -76,7 +76,8 @@
         if result.body and call.method != "HEAD":
             await responder.write(result.body)
         responder.finish()
-        return f"answered {head.status}"
+        text = f"answered {head.status}"
+        return Outcome(text, result.reply.upstream.name, attempt.sends)
 
     async def _answer(self, call: Call, attempt: Attempt) -> _Answer | Refusal:
         tried: set[str] = set()
@@ -126,18 +127,12 @@
                         reply, MOST_ANSWER_BYTES
                     )
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
-            out_s = health.broke(upstream.name, loop.time())
-            log.bind(
-                request=call.request_id,
-                upstream=upstream.name,
-                out_ms=round(out_s * 1_000),
-                may_have_run=attempt.may_have_run,
-            ).warning("{}", error)
+            self._leave_alone(call, attempt, upstream, str(error))
             raise
         except TimeoutError as error:
             if bound_s is None or loop.time() >= call.give_up_s:
                 raise
-            health.broke(upstream.name, loop.time())
+            self._leave_alone(call, attempt, upstream, "no answer yet")
             raise UpstreamBrokenError(
                 upstream.name, "no answer yet"
             ) from error
@@ -147,6 +142,19 @@
             health.failed(upstream.name)
         return _Answer(reply, body)
 
+    def _leave_alone(
+        self, call: Call, attempt: Attempt, upstream: Upstream, why: str
+    ) -> None:
+        """Send nothing there for a while, and log for how long."""
+        now_s = asyncio.get_running_loop().time()
+        out_s = self._balancer.health.broke(upstream.name, now_s)
+        log.bind(
+            request=call.request_id,
+            upstream=upstream.name,
+            out_ms=round(out_s * 1_000),
+            may_have_run=attempt.may_have_run,
+        ).warning("left alone: {}", why)
+
     def _most(self, call: Call) -> int:
         return max(call.route.most_attempts, 1)
 
@@ -156,4 +164,10 @@
             return False
         if attempt.may_have_run and attempt.sends >= self._most(call):
             return False
-        return self._retries.spend(call.service)
+        is_allowed = self._retries.spend(call.service)
+        log.bind(
+            request=call.request_id,
+            sends=attempt.sends,
+            may_have_run=attempt.may_have_run,
+        ).info("tries another" if is_allowed else "retry budget spent")
+        return is_allowed
--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -57,6 +57,15 @@
     retry_after_ms: int | None = None  # with 503: it has not run
 
 
+@attrs.frozen
+class Outcome:
+    """Hold how a call ended, for the log."""
+
+    text: str
+    upstream: str = ""  # that answered last, if any
+    sends: int = 0
+
+
 class Responder(Protocol):
     """Answer one caller."""
 
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -25,6 +25,7 @@
 from balsamlift.relay._request import (
     Call,
     CallerRequest,
+    Outcome,
     Refusal,
     Responder,
 )
@@ -148,13 +149,13 @@
             responder.refuse(admitted)
             self._log_refused(request, admitted)
             return
-        outcome = "caller gone"
+        outcome = Outcome("caller gone")
         try:
             outcome = await self._run(admitted, responder)
         finally:
             self._log_outcome(admitted, outcome)
 
-    async def _run(self, call: Call, responder: Responder) -> str:
+    async def _run(self, call: Call, responder: Responder) -> Outcome:
         self._retries.requested(call.service)
         if call.route.kind == "stream":
             return await self._generations.run(call, responder)
@@ -168,17 +169,19 @@
             path=request.target.partition("?")[0][:80],
         ).info("{}", refusal.reason)
 
-    def _log_outcome(self, call: Call, outcome: str) -> None:
+    def _log_outcome(self, call: Call, outcome: Outcome) -> None:
         took_ms = (self._clock.monotonic() - call.request.arrived_s) * 1_000
-        self._metrics.count(f"relay.{call.route.kind}.{outcome}"[:80])
+        self._metrics.count(f"relay.{call.route.kind}.{outcome.text}"[:80])
         self._metrics.observe_ms(f"relay.{call.route.kind}", took_ms)
         log.bind(
             request=call.request_id,
             route=call.route.name,
             service=call.service,
             version=call.table.version,
+            upstream=outcome.upstream,
+            sends=outcome.sends,
             took_ms=round(took_ms, 1),
-        ).info("{}", outcome)
+        ).info("{}", outcome.text)
 
     def _take_limits(self, table: Table) -> None:
         self._frontend.limits = table.configuration.limits
--- /dev/null
+++ b/tests/test_relay_decisions.py
@@ -0,0 +1,396 @@
+"""Each decision on a request is one log line; no line holds a key or a body.
+
+Every scenario below is played, and then each log call of the relay must have
+been reached by one of them: a new one needs a scenario here.
+"""
+
+import ast
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Iterator
+from functools import cache
+from pathlib import Path
+from typing import Any
+
+import attrs
+import pytest
+from loguru import logger
+
+import balsamlift.relay
+from balsamlift.relay import CopyRefusedError
+from balsamlift.testing.relay import (
+    KEY,
+    LIMITS,
+    NAMES,
+    RelayWorld,
+    ReplicaConnection,
+    ReplicaRequest,
+    ReplicaStandIn,
+    configuration,
+    event,
+    request_bytes,
+    route,
+)
+
+DEADLINE_S = 15.0
+BODY = b"body-of-a-caller"
+USAGE = [f"{NAMES.token_usage}: 1000,200", f"{NAMES.length_hint}: 100"]
+LARGE = [f"{NAMES.token_usage}: 8000,500", f"{NAMES.length_hint}: 100"]
+RELAY = Path(balsamlift.relay.__file__).parent
+
+Scenario = Callable[[RelayWorld, list[ReplicaStandIn]], Awaitable[None]]
+
+
+@attrs.frozen
+class Expected:
+    """What a scenario has to log: the text, and the fields with it."""
+
+    scenario: Scenario
+    text: str
+    fields: tuple[str, ...]
+
+
+async def stream(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    first = int(request.headers.get(NAMES.last_event_id, "-1")) + 1
+    await connection.begin_stream(request)
+    await connection.events(first, 9)
+    await connection.end_stream()
+
+
+async def hang_midway(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    await connection.begin_stream(request)
+    await connection.events(0, 4)
+    await connection.reader.read()
+
+
+async def repeat(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    await connection.begin_stream(request)
+    await connection.events(0, 2)
+    await connection.events(2, 4)
+    await connection.end_stream()
+
+
+async def refuse(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    await connection.refuse(request)
+
+
+async def reset(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    connection.reset()
+
+
+async def hang(connection: ReplicaConnection, request: ReplicaRequest) -> None:
+    await connection.reader.read()
+
+
+def behave(stand_ins: list[ReplicaStandIn], how: Any) -> None:
+    for stand_in in stand_ins:
+        stand_in.behave = how
+
+
+# Plain calls
+
+
+async def unknown_key(world: RelayWorld, _: list[ReplicaStandIn]) -> None:
+    await world.call("/order/1", "r1", body=BODY, key="another-key")
+
+
+async def unknown_route(world: RelayWorld, _: list[ReplicaStandIn]) -> None:
+    await world.call("/nowhere/1", "r1", body=BODY)
+
+
+async def answered(world: RelayWorld, _: list[ReplicaStandIn]) -> None:
+    await world.call("/order/1", "r1", body=BODY)
+
+
+async def lost_and_repeated(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    behave(stand_ins, reset)
+    await world.call("/view/1", "r1", method="GET")
+
+
+async def late_and_repeated(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    behave(stand_ins, hang)
+    headers = [f"{NAMES.deadline_ms}: 400"]
+    await world.call("/view/1", "r1", method="GET", headers=headers)
+
+
+async def budget_spent(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    behave(stand_ins, refuse)
+    world.relay._retries.spend = lambda service: False  # type: ignore[method-assign]
+    await world.call("/order/1", "r1", body=BODY)
+
+
+# Heads
+
+
+async def large_head(world: RelayWorld, _: list[ReplicaStandIn]) -> None:
+    reader, writer = await world.connect()
+    writer.write(request_bytes("/order/1")[:-2] + b"Filler: " + b"x" * 262_100)
+    await reader.read()
+    writer.close()
+
+
+async def slow_head(world: RelayWorld, _: list[ReplicaStandIn]) -> None:
+    limits = attrs.evolve(LIMITS, head_timeout_ms=100)
+    world.configure(2, limits=limits)
+    reader, writer = await world.connect()
+    writer.write(request_bytes("/order/1")[:-2])
+    await reader.read()
+    writer.close()
+
+
+# Generations
+
+
+async def begin(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> tuple[asyncio.Task[Any], ReplicaStandIn]:
+    behave(stand_ins, hang_midway)
+    calling = asyncio.create_task(
+        world.call("/draft/1", "r1", body=BODY, headers=USAGE)
+    )
+    models = [s for s in stand_ins if s.pool == "model"]
+    while not any(s.arrivals for s in models):
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.05)
+    (used,) = [s for s in models if s.arrivals]
+    return calling, used
+
+
+async def generated(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    behave(stand_ins, stream)
+    await world.call("/draft/1", "r1", body=BODY, headers=USAGE)
+
+
+async def engines_refuse(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    behave(stand_ins, refuse)
+    await world.call("/draft/1", "r1", body=BODY, headers=USAGE)
+
+
+async def engine_gives_nothing(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    behave(stand_ins, reset)
+    await world.call("/draft/1", "r1", body=BODY, headers=USAGE)
+
+
+async def engine_repeats(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    behave(stand_ins, repeat)
+    await world.call("/draft/1", "r1", body=BODY, headers=USAGE)
+
+
+async def no_room(world: RelayWorld, stand_ins: list[ReplicaStandIn]) -> None:
+    routes = configuration().routes
+    routes = (*routes[:2], route("stream", "/draft/", "model", target_ms=100))
+    world.configure(2, routes=routes)
+    behave(stand_ins, hang_midway)
+    tasks = [
+        asyncio.create_task(world.call("/draft/1", f"l{n}", headers=LARGE))
+        for n in range(3)
+    ]
+    await asyncio.sleep(0.1)
+    await world.call("/draft/1", "r1", body=BODY, headers=LARGE)
+    for task in tasks:
+        task.cancel()
+
+
+async def caller_leaves(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    behave(stand_ins, hang_midway)
+    _, writer = await world.connect()
+    writer.write(request_bytes("/draft/1", "r1", headers=USAGE))
+    while not any(s.arrivals for s in stand_ins):
+        await asyncio.sleep(0.01)
+    writer.close()
+    while any(s.open for s in stand_ins):
+        await asyncio.sleep(0.01)
+
+
+async def goes_on_at_backup(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    calling, used = await begin(world, stand_ins)
+    behave(stand_ins, stream)
+    used.state = "leaving"
+    await calling
+
+
+async def is_lost(world: RelayWorld, stand_ins: list[ReplicaStandIn]) -> None:
+    calling, used = await begin(world, stand_ins)
+    behave(stand_ins, refuse)
+    for task in list(used.open):
+        task.cancel()
+    await calling
+
+
+async def moved(world: RelayWorld, stand_ins: list[ReplicaStandIn]) -> None:
+    calling, used = await begin(world, stand_ins)
+    stopped = asyncio.Event()
+    world.engines.on_stop.append(stopped)
+
+    async def not_from_backup(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        if request.headers[NAMES.resume_source].endswith("/r1"):
+            await connection.refuse(request)
+        else:
+            await stream(connection, request)
+
+    behave(stand_ins, not_from_backup)
+    used.state = "leaving"
+    await stopped.wait()
+    for task in list(used.open):
+        task.cancel()
+    await calling
+
+
+async def move_refused(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    calling, used = await begin(world, stand_ins)
+
+    async def copy(*_: object, **__: object) -> None:
+        raise CopyRefusedError("model-0", "no room")
+
+    world.engines.copy = copy  # type: ignore[assignment]
+    behave(stand_ins, refuse)
+    used.state = "leaving"
+    await asyncio.sleep(0.5)
+    calling.cancel()
+
+
+PLACED = ("request", "upstream", "tokens", "load", "counts", "waited_ms")
+ENDED = ("request", "route", "service", "version", "took_ms")
+EXPECTED = [
+    Expected(unknown_key, "unknown key", ("request", "status", "path")),
+    Expected(unknown_route, "no route", ("request", "status", "path")),
+    Expected(answered, "answered 200", (*ENDED, "upstream", "sends")),
+    Expected(answered, "configuration in force", ("version", "source")),
+    Expected(lost_and_repeated, "left alone: ", ("request", "out_ms")),
+    Expected(lost_and_repeated, "tries another", ("request", "sends")),
+    Expected(late_and_repeated, "left alone: no answer", ("request",)),
+    Expected(budget_spent, "retry budget spent", ("request", "sends")),
+    Expected(budget_spent, "upstreams full", ENDED),
+    Expected(large_head, "head too large", ("status", "peer")),
+    Expected(slow_head, "head came too slowly", ("status", "peer")),
+    Expected(generated, "placed", (*PLACED, "unread", "backup")),
+    Expected(generated, "stream: whole", ("request", "upstream", "first_ms")),
+    Expected(generated, "whole", (*ENDED, "upstream", "sends")),
+    Expected(engines_refuse, "engine refused", ("request", "load")),
+    Expected(engine_gives_nothing, "left alone: ", ("request", "out_ms")),
+    Expected(engine_gives_nothing, "engine gave no answer", ENDED),
+    Expected(engine_repeats, "", ("request",)),
+    Expected(no_room, "no room", ENDED),
+    Expected(caller_leaves, "caller gone", ENDED),
+    Expected(goes_on_at_backup, "went on", ("request", "target", "event")),
+    Expected(is_lost, "could not go on", ("request", "target", "event")),
+    Expected(is_lost, "engine lost", ENDED),
+    Expected(moved, "move: waits", ("request", "target", "tokens")),
+    Expected(moved, "move: copied", ("request", "target", "tokens")),
+    Expected(move_refused, "move: ", ("request", "target", "tokens")),
+]
+
+
+def make_stand_ins() -> list[ReplicaStandIn]:
+    plain = [ReplicaStandIn(f"plain-{i}", "plain", NAMES) for i in range(2)]
+    models = [ReplicaStandIn(f"model-{i}", "model", NAMES) for i in range(3)]
+    return [*plain, *models]
+
+
+@cache
+def records(scenario: Scenario) -> list[dict[str, Any]]:
+    """Play a scenario; return what was logged meanwhile."""
+    logged: list[dict[str, Any]] = []
+
+    async def play() -> None:
+        async with asyncio.timeout(DEADLINE_S):
+            stand_ins = make_stand_ins()
+            async with RelayWorld(stand_ins) as world:
+                world.configure()
+                await scenario(world, stand_ins)
+
+    number = logger.add(lambda m: logged.append(dict(m.record)), level=0)
+    try:
+        asyncio.run(play())
+    finally:
+        logger.remove(number)
+    return logged
+
+
+@pytest.mark.parametrize(
+    "expected", EXPECTED, ids=lambda e: f"{e.scenario.__name__}-{e.text}"
+)
+def test_a_decision_is_logged_with_what_decided_it(expected: Expected) -> None:
+    found = [
+        record
+        for record in records(expected.scenario)
+        if record["message"].startswith(expected.text)
+        and all(field in record["extra"] for field in expected.fields)
+    ]
+    assert found
+    if "request" in expected.fields:
+        named = [record["extra"]["request"] for record in found]
+        assert "r1" in named
+
+
+def log_calls() -> Iterator[tuple[str, range]]:
+    """Yield file and lines of each log call in the relay."""
+    for path in RELAY.glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if (
+                isinstance(node, ast.Call)
+                and isinstance(node.func, ast.Attribute)
+                and node.func.attr in ("info", "warning", "error", "exception")
+                and ast.unparse(node.func).startswith("log")
+            ):
+                assert node.end_lineno is not None
+                yield path.name, range(node.lineno, node.end_lineno + 1)
+
+
+def test_every_log_call_of_the_relay_is_reached() -> None:
+    reached = {
+        (record["file"].name, record["line"])
+        for expected in EXPECTED
+        for record in records(expected.scenario)
+    }
+    missed = [
+        (name, lines.start)
+        for name, lines in log_calls()
+        if not any((name, line) in reached for line in lines)
+    ]
+    assert missed == []
+
+
+def test_no_line_holds_a_key_or_a_body() -> None:
+    lines = [
+        json.dumps([record["message"], record["extra"]], default=str)
+        for expected in EXPECTED
+        for record in records(expected.scenario)
+    ]
+    assert len(lines) > len(EXPECTED)
+    secrets = (KEY, "another-key", BODY.decode(), event(1).decode()[:12])
+    assert [
+        line for line in lines if any(secret in line for secret in secrets)
+    ] == []
