--- a/src/balsamlift/peers/_gathering.py
+++ b/src/balsamlift/peers/_gathering.py
@@ -147,7 +147,7 @@
         address: str,
     ) -> None:
         """Gather at `address` too, should it be this host's turn."""
-        self._host = own_host
+        self.host = own_host
         self._clock = clock
         self._own = own
         self._incarnation = incarnation
@@ -205,7 +205,7 @@
 
     def _update(self, *, wants_sums: bool = False) -> CountsUpdate:
         return CountsUpdate(
-            self._host,
+            self.host,
             self._incarnation,
             next(self._seqs),
             self._own(),
@@ -236,7 +236,7 @@
             self._told_host = found.host
             log.bind(host_told=found.host).info("counts are gathered there")
         update = self._update(wants_sums=wants_sums)
-        if found.host == self._host:
+        if found.host == self.host:
             sums: CountsSums | None = self._gatherer.take(update)
         else:
             sums = await self._ask(found, update)
@@ -252,7 +252,7 @@
         known = {each.host: each for each in self._hosts()}
         if not known:
             return None
-        known[self._host] = GatheringHost(self._host, self.address)
+        known[self.host] = GatheringHost(self.host, self.address)
         now_s = self._clock.monotonic()
         for host in rank_hosts(known):
             if self._avoided_s.get(host, 0.0) <= now_s:
--- /dev/null
+++ b/src/balsamlift/peers/_load.py
@@ -0,0 +1,98 @@
+"""What all hosts together have in flight at each upstream."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from balsamlift._address import join_address, split_address
+from balsamlift.clock import Clock
+from balsamlift.metrics import Metrics
+from balsamlift.peers._counts import OwnCounts, PeerCounts
+from balsamlift.peers._gathering import Gathering, GatheringHost
+from balsamlift.peers._members import Members
+from balsamlift.settings import Settings
+
+
+class Load:
+    """Know counts by whichever way the number of hosts allows.
+
+    Up to the fan-out every host hears all others. Beyond it one gathers what
+    all tell; without its word, the sum of those heard is scaled up.
+    """
+
+    def __init__(
+        self, settings: Settings, incarnation: str, ip: str, clock: Clock
+    ) -> None:
+        """Gather at the address in the settings, or at any port of `ip`."""
+        self.own = OwnCounts()
+        self.heard = PeerCounts()
+        self._fan_out = settings.peers.fan_out
+        self._gathering = Gathering(
+            settings.host,
+            clock,
+            self.own.full,
+            incarnation,
+            settings.counts_address or join_address(ip, 0),
+        )
+        self.address = self._gathering.address
+
+    def start(
+        self, members: Members, wake: Callable[[], None], metrics: Metrics
+    ) -> None:
+        """Begin; `wake` sends on every link at once."""
+        self._members = members
+        self._wake = wake
+        self._gathering.start(self._gathering_hosts, metrics)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        await self._gathering.stop()
+
+    @property
+    def hears_all(self) -> bool:
+        """Tell whether the other hosts are no more than the fan-out."""
+        return self._members.live_others <= self._fan_out
+
+    @property
+    def basis(self) -> str:
+        """Return what the sums rest on: heard, gathered or scaled."""
+        if self.hears_all:
+            return "heard"
+        return "gathered" if self._gathering.is_fresh else "scaled"
+
+    def others(self, upstream: str) -> int:
+        """Return what the other hosts have in flight there."""
+        if not self.hears_all and self._gathering.is_fresh:
+            return self._gathering.others(upstream)
+        total = self.heard.total(upstream)
+        told = self.heard.hosts()
+        if self.hears_all or not told:
+            return total
+        return round(total * self._members.live_others / told)
+
+    def tell(self) -> None:
+        """Tell the other hosts of this one's counts at once."""
+        if self.hears_all:
+            self._wake()
+        else:
+            self._gathering.tell()
+
+    async def refresh(self) -> None:
+        """Have sums of now, where hosts do not hear from all others."""
+        if not self.hears_all:
+            await self._gathering.refresh()
+
+    def _gathering_hosts(self) -> list[GatheringHost]:
+        """Return the other hosts that may gather; none while hosts are few."""
+        if self.hears_all:
+            return []
+        return [
+            GatheringHost(member.host, member.counts_address)
+            for member in self._members.others()
+            if member.state == "live" and member.counts_address
+        ]
+
+
+def ip_of(address: str) -> str:
+    """Return the IP number of "IP:port"."""
+    return split_address(address)[0]
--- a/src/balsamlift/peers/_members.py
+++ b/src/balsamlift/peers/_members.py
@@ -25,12 +25,18 @@
         self._members: dict[str, Member] = {}
         self._changes: dict[str, int] = {}  # by host, oldest first
         self._incarnations: dict[str, list[str]] = {}
+        self._dead: set[str] = set()
         self._put(own)
 
     def __len__(self) -> int:
         """Return the number of entries, this host's among them."""
         return len(self._members)
 
+    @property
+    def live_others(self) -> int:
+        """Return the number of other hosts that are not dead."""
+        return len(self._members) - 1 - len(self._dead)
+
     def find(self, host: str) -> Member | None:
         """Return the entry of a host."""
         return self._members.get(host)
@@ -80,6 +86,7 @@
         self._members.pop(host, None)
         self._changes.pop(host, None)
         self._incarnations.pop(host, None)
+        self._dead.discard(host)
 
     def changed_since(self, change: int) -> list[Member]:
         """Return the entries that changed after that number."""
@@ -112,6 +119,10 @@
 
     def _put(self, member: Member) -> None:
         self._members[member.host] = member
+        if member.state == "dead":
+            self._dead.add(member.host)
+        else:
+            self._dead.discard(member.host)
         self._note_change(member.host)
         seen = self._incarnations.setdefault(member.host, [])
         if member.incarnation in seen:
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -10,7 +10,6 @@
 import attrs
 from loguru import logger
 
-from balsamlift._address import join_address, split_address
 from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
 from balsamlift.kernel import Kernel
@@ -18,37 +17,30 @@
 from balsamlift.operators import OperatorsServer
 from balsamlift.peers._composer import Composer, Status
 from balsamlift.peers._configuration import ConfigurationFinder
-from balsamlift.peers._counts import OwnCounts, PeerCounts
-from balsamlift.peers._gathering import Gathering, GatheringHost
 from balsamlift.peers._heard import HeardPeers
 from balsamlift.peers._hosts_view import HostsHandler
 from balsamlift.peers._link import Draft, Link
 from balsamlift.peers._links import Links
 from balsamlift.peers._listener import Listener
+from balsamlift.peers._load import Load, ip_of
 from balsamlift.peers._marks import UpstreamState
 from balsamlift.peers._members import Members
 from balsamlift.peers._messages import (
     Member,
     PeerMessage,
-    UpstreamNote,
 )
-from balsamlift.peers._notes import Notes, new_note
+from balsamlift.peers._notes import Notes
 from balsamlift.peers._peer import Peer, describe
 from balsamlift.peers._readers import is_reader
 from balsamlift.peers._sharing import Sharing
-from balsamlift.peers._upstream import Upstream
-from balsamlift.peers._upstreams import PEER_SOURCE, Upstreams
+from balsamlift.peers._told import ToldUpstreams
+from balsamlift.peers._upstreams import Upstreams
 from balsamlift.settings import Settings
 from balsamlift.timeline import Timeline
 
 log = logger.bind(part="peers")
 
 
-def _any_port(address: str) -> str:
-    ip, _ = split_address(address)
-    return join_address(ip, 0)
-
-
 class Peers:
     """Know the other hosts: who lives, and what they have in flight.
 
@@ -76,15 +68,7 @@
         self._clock = clock
         self._listener = Listener(settings.peers_address)
         self.address = self._listener.address
-        self._own_counts = OwnCounts()
-        self._peer_counts = PeerCounts()
-        self._gathering = Gathering(
-            settings.host,
-            clock,
-            self._own_counts.full,
-            incarnation,
-            settings.counts_address or _any_port(self.address),
-        )
+        self._load = Load(settings, incarnation, ip_of(self.address), clock)
         self._members = Members(
             Member(
                 host=settings.host,
@@ -96,16 +80,17 @@
                 callers_address=callers_address,
                 peers_address=self.address,
                 failure_domain=settings.failure_domain,
-                counts_address=self._gathering.address,
+                counts_address=self._load.address,
             )
         )
         self._dead_since_s: dict[str, float] = {}
         self._notes = Notes()
+        self._told = ToldUpstreams(self._notes, clock)
         silence_s = settings.peers.silence_ms / 1_000
         self._heard = HeardPeers(clock, silence_s)
         self._composer = Composer(
             self._members,
-            self._own_counts,
+            self._load.own,
             self._notes,
             self._heard,
             clock,
@@ -130,9 +115,8 @@
         arguments = {"peers": self, "upstreams": self._upstreams}
         operators.add_routes([(r"/v1/hosts", HostsHandler, arguments)])
         self._links.start(self._metrics)
-        self._gathering.start(self._gathering_hosts, self._metrics)
-        self._upstreams.on_mark(self._note)
-        self._upstreams.on_change(self._apply_notes)
+        self._load.start(self._members, self._links.wake, self._metrics)
+        self._told.start(self._upstreams, self._links.wake)
         self._upstreams.share_probes(self._sharers)
         self._upstreams.share_reading(self._reads_for_others)
         self._tasks = [
@@ -147,7 +131,7 @@
         self._listener.close()
         for task in self._tasks:
             await end_task(task)
-        await self._gathering.stop()
+        await self._load.stop()
         await self._links.stop()
 
     @property
@@ -185,64 +169,36 @@
         return self._members.incarnations(host)
 
     def in_flight(self, upstream: str) -> int:
-        """Return the sum of the live peers' counts for an upstream.
-
-        With more hosts than partners, one gathers what all tell; without
-        its word, the partners' sum is scaled up.
-        """
-        if self._gathering.is_fresh:
-            return self._gathering.others(upstream)
-        total = self._peer_counts.total(upstream)
-        told = self._peer_counts.hosts()
-        live = len(self._members) - 1 - len(self._dead_since_s)
-        if self.hears_all or not told:
-            return total
-        return round(total * live / told)
+        """Return the sum of the other hosts' counts for an upstream."""
+        return self._load.others(upstream)
 
     def set_in_flight(self, upstream: str, n: int) -> None:
         """Tell peers of this host's count with the next heartbeat."""
-        self._own_counts.set(upstream, n)
+        self._load.own.set(upstream, n)
 
     def tell_counts(self) -> None:
         """Tell peers of this host's counts at once."""
-        if self.hears_all:
-            self._links.wake()
-        else:
-            self._gathering.tell()
+        self._load.tell()
 
     async def refresh_counts(self) -> None:
         """Have counts of now, where hosts do not hear from all others."""
-        if not self.hears_all:
-            await self._gathering.refresh()
+        await self._load.refresh()
 
     @property
     def counts_basis(self) -> str:
         """Return what `in_flight` rests on: heard, gathered or scaled."""
-        if self.hears_all:
-            return "heard"
-        return "gathered" if self._gathering.is_fresh else "scaled"
+        return self._load.basis
 
     @property
     def hears_all(self) -> bool:
-        """Tell whether the other hosts are no more than the fan-out."""
-        live = len(self._members) - 1 - len(self._dead_since_s)
-        return live <= self._settings.peers.fan_out
-
-    def _gathering_hosts(self) -> list[GatheringHost]:
-        """Return the other hosts that may gather; none while hosts are few."""
-        if self.hears_all:
-            return []
-        return [
-            GatheringHost(member.host, member.counts_address)
-            for member in self._members.others()
-            if member.state == "live" and member.counts_address
-        ]
+        """Tell whether hosts are so few that each hears all others."""
+        return self._load.hears_all
 
     def note_upstream(self, name: str, state: UpstreamState) -> None:
         """Tell peers at once that an upstream is leaving or dead."""
         upstream = self._upstreams.find(name)
         if upstream is not None and state != "live":
-            self._note(attrs.evolve(upstream, state=state))
+            self._told.tell(attrs.evolve(upstream, state=state))
 
     def announce_leaving(self) -> None:
         """Tell peers at once that this host is leaving."""
@@ -303,10 +259,10 @@
             return
         for member in message.members:
             self._take_member(member)
-        self._peer_counts.take(
+        self._load.heard.take(
             message.host, message.counts, full=message.counts_are_full
         )
-        self._take_notes(message.notes)
+        self._told.take(message.notes)
         self.sharing.take(message.shared, self._upstreams)
         self._correct(message)
         self._answer(message)
@@ -318,7 +274,7 @@
         if message.incarnation in seen[:-1]:
             return False  # from before its restart
         if not self._heard.find_incarnation(host, message.incarnation):
-            self._peer_counts.drop(host)
+            self._load.heard.drop(host)
         return self._heard.take(message)
 
     def _take_member(self, member: Member) -> None:
@@ -330,13 +286,6 @@
         elif self._members.merge(member):
             self._member_changed(member.host)
 
-    def _take_notes(self, notes: list[UpstreamNote]) -> None:
-        now_s = self._clock.monotonic()
-        news = [note for note in notes if self._notes.add(note, now_s)]
-        if news:
-            self._apply_notes()
-            self._links.wake()
-
     def _correct(self, message: PeerMessage) -> None:
         """Let a sender know when our entry for it is not its own."""
         known = self._members.find(message.host)
@@ -436,33 +385,18 @@
 
     def _drop_counts(self, host: str) -> None:
         """Drop a host's counts, and ask for all of them should it come."""
-        self._peer_counts.drop(host)
+        self._load.heard.drop(host)
         self._heard.miss(host)
 
     def _forget(self) -> None:
         """Drop what is too old to matter."""
         now_s = self._clock.monotonic()
         self._notes.expire(now_s)
-        told = self._links.told_counts(default=self._own_counts.change)
-        self._own_counts.drop_told(told)
+        told = self._links.told_counts(default=self._load.own.change)
+        self._load.own.drop_told(told)
         keep_s = self._settings.limits.key_lifetime_ms / 1_000
         for host, since_s in list(self._dead_since_s.items()):
             if now_s - since_s > keep_s:
                 del self._dead_since_s[host]
                 self._heard.forget(host)
                 self._members.forget(host)
-
-    # Upstreams
-
-    def _note(self, upstream: Upstream) -> None:
-        now_s = self._clock.monotonic()
-        if self._notes.add(new_note(upstream), now_s, is_own=True):
-            self._links.wake()
-
-    def _apply_notes(self) -> None:
-        for note in self._notes.to_apply(self._find_address):
-            self._upstreams.mark(note.name, note.state, PEER_SOURCE)
-
-    def _find_address(self, name: str) -> str:
-        upstream = self._upstreams.find(name)
-        return upstream.address if upstream else ""
