Soak real daemons under randomized faults from outside

A link stops only once its connections have ended. Open: links between hosts and clocks are not touched by it.

--- a/src/balsamlift/testing/_link.py
+++ b/src/balsamlift/testing/_link.py
@@ -14,6 +14,7 @@
 
 _CHUNK_BYTES = 65_536
 _BACKLOG = 1_024
+_END_LOOK_S = 0.01
 
 
 @attrs.frozen(kw_only=True)
@@ -58,6 +59,8 @@
     async def stop(self) -> None:
         """Close everything."""
         self._close()
+        while self._open:  # each ends once both of its ways have
+            await asyncio.sleep(_END_LOOK_S)
         await self._control_listener.stop()
 
     def ready(self) -> dict[str, Any]:
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized run of real daemons under faults from outside them."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,48 @@
+"""Play seeds: soak [--first=SEED] [--length=SECONDS] COUNT.
+
+Usage:
+  soak [--first=SEED] [--length=SECONDS] COUNT
+
+Options:
+  --first=SEED      The first seed; by default one that is drawn.
+  --length=SECONDS  How long faults come in one run [default: 10].
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import tempfile
+from pathlib import Path
+
+from docopt import docopt
+
+from soak.run import run_seed
+
+
+def main() -> int:
+    """Play the seeds one after the other; return 1 if one breaks."""
+    options = docopt(__doc__)
+    first = options["--first"] or random.randrange(1_000_000_000)
+    worst = 0
+    for seed in range(int(first), int(first) + int(options["COUNT"])):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        result = asyncio.run(
+            run_seed(seed, float(options["--length"]), folder)
+        )
+        kind = "planned" if result.plan.is_planned_only else "any"
+        print(
+            f"seed {seed} ({kind}): {len(result.plan.faults)} faults, "
+            f"{result.served} of {result.requests} served, "
+            f"{len(result.broken)} promises broken",
+            flush=True,
+        )
+        for line in result.broken:
+            print(f"  {line}  (logs in {folder})", flush=True)
+            worst = 1
+    return worst
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/upstreams.py
@@ -0,0 +1,125 @@
+"""Upstreams that fail by chance and tell what they ran."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+
+import attrs
+
+from balsamlift.platform._names import HEADERS
+from balsamlift.testing._link import Link, LinkFaults
+from balsamlift.testing._settings import LinkSettings
+from balsamlift.testing.relay import (
+    ReplicaConnection,
+    ReplicaRequest,
+    ReplicaStandIn,
+)
+from soak.promises import Promises, last_event, stream_event
+
+SOUND = attrs.asdict(LinkFaults())
+EVENT_GAP_S = 0.01
+LONGEST_WORK_S = 0.04
+
+
+class Upstreams:
+    """Hold the upstreams of a run, each behind a link of its own."""
+
+    def __init__(self, promises: Promises, rng: random.Random) -> None:
+        """Tell `promises` what runs."""
+        self.promises = promises
+        self.is_calm = False  # none fails any more
+        self.live: dict[str, tuple[ReplicaStandIn, Link]] = {}
+        self._random = rng
+        self._numbers = itertools.count()
+
+    async def add(self, service: str) -> str:
+        """Start one; return its name."""
+        name = f"{service}-{next(self._numbers)}"
+        replica = ReplicaStandIn(name, service, HEADERS)
+        replica.behave = self._stream if service == "model" else self._answer
+        await replica.start()
+        link = Link(LinkSettings(name=name, target_address=replica.address))
+        await link.start()
+        self.live[name] = (replica, link)
+        return name
+
+    def address(self, name: str) -> str:
+        """Return where hosts reach one."""
+        return str(self.live[name][1].ready()["address"])
+
+    def service(self, name: str) -> str:
+        """Return the service of one."""
+        return self.live[name][0].pool
+
+    def set_link(self, name: str, faults: dict[str, object]) -> None:
+        """Break or mend the link to one."""
+        if name in self.live:
+            self.live[name][1].control.update({**SOUND, **faults})
+
+    async def stop(self, name: str) -> None:
+        """End one at once."""
+        replica, link = self.live.pop(name)
+        await link.stop()
+        await replica.stop()
+
+    async def stop_all(self) -> None:
+        """End them all."""
+        for name in list(self.live):
+            await self.stop(name)
+
+    def _chance(self) -> float:
+        return 1.0 if self.is_calm else self._random.random()
+
+    def _begin(self, request: ReplicaRequest) -> str:
+        request_id = request.headers[HEADERS.request_id]
+        self.promises.ran(
+            request_id,
+            request.headers.get(HEADERS.workspace, ""),
+            has_key="Authorization" in request.headers,
+            resumes=HEADERS.resume_source in request.headers,
+        )
+        return request_id
+
+    async def _answer(
+        self, connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        chance = self._chance()
+        if chance < 0.04:
+            await connection.refuse(request)
+            return
+        request_id = self._begin(request)
+        await asyncio.sleep(self._random.uniform(0, LONGEST_WORK_S))
+        body = f"{request_id} at {len(self.promises.told)}".encode()
+        if chance < 0.06:
+            connection.reset()
+        elif chance < 0.08:
+            await connection.head(request, 200, "Content-Length: 500")
+            await connection.send(body)
+            connection.reset()
+        else:
+            status = 500 if chance < 0.12 else 200
+            self.promises.answered(request_id, status, body)
+            await connection.answer(request, body, status)
+            if chance > 0.97 and not self.is_calm:
+                await connection.answer(request, b"a second answer")
+
+    async def _stream(
+        self, connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        chance = self._chance()
+        resumes = HEADERS.resume_source in request.headers
+        if chance < (0.5 if resumes else 0.04):
+            await connection.refuse(request)
+            return
+        request_id = self._begin(request)
+        first = int(request.headers.get(HEADERS.last_event_id, "-1")) + 1
+        await connection.begin_stream(request)
+        for number in range(first, last_event(request_id) + 1):
+            await connection.chunk(stream_event(request_id, number))
+            await asyncio.sleep(EVENT_GAP_S)
+            if chance < 0.08 and number > first + 3:
+                connection.reset()
+                return
+        await connection.end_stream()
