Share the set-up of the relay's tests

Cause: ways in which upstreams behave, and the bounded run, stood in up to four test files. No check changes.

--- /dev/null
+++ b/tests/_relay_bench.py
@@ -0,0 +1,63 @@
+"""What tests of the relay share: bounded runs, and ways upstreams behave."""
+
+import asyncio
+from collections.abc import Awaitable
+
+from balsamlift.testing.relay import (
+    NAMES,
+    ReplicaConnection,
+    ReplicaRequest,
+    ReplicaStandIn,
+)
+
+DEADLINE_S = 15.0
+LAST = 9  # event of a stream
+USAGE = [f"{NAMES.token_usage}: 1000,200", f"{NAMES.length_hint}: 100"]
+
+
+def run(test: Awaitable[None]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(DEADLINE_S):
+            await test
+
+    asyncio.run(bounded())
+
+
+async def until_arrived(stand_ins: list[ReplicaStandIn]) -> ReplicaStandIn:
+    """Wait until one engine has a request, and return it."""
+    while not any(s.arrivals for s in stand_ins):
+        await asyncio.sleep(0.005)
+    (used,) = [s for s in stand_ins if s.arrivals]
+    return used
+
+
+def first_event(request: ReplicaRequest) -> int:
+    return int(request.headers.get(NAMES.last_event_id, "-1")) + 1
+
+
+async def stream(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    await connection.begin_stream(request)
+    await connection.events(first_event(request), LAST)
+    await connection.end_stream()
+
+
+async def hang_midway(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    await connection.begin_stream(request)
+    await connection.events(0, 4)
+    await connection.reader.read()
+
+
+async def refuse(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    await connection.refuse(request)
+
+
+async def reset(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    connection.reset()
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -14,6 +14,15 @@
 
 import attrs
 import pytest
+from _relay_bench import (
+    DEADLINE_S,
+    USAGE,
+    hang_midway,
+    refuse,
+    reset,
+    stream,
+    until_arrived,
+)
 from loguru import logger
 
 import balsamlift.relay
@@ -32,9 +41,7 @@
     route,
 )
 
-DEADLINE_S = 15.0
 BODY = b"body-of-a-caller"
-USAGE = [f"{NAMES.token_usage}: 1000,200", f"{NAMES.length_hint}: 100"]
 LARGE = [f"{NAMES.token_usage}: 8000,500", f"{NAMES.length_hint}: 100"]
 RELAY = Path(balsamlift.relay.__file__).parent
 
@@ -50,23 +57,6 @@
     fields: tuple[str, ...]
 
 
-async def stream(
-    connection: ReplicaConnection, request: ReplicaRequest
-) -> None:
-    first = int(request.headers.get(NAMES.last_event_id, "-1")) + 1
-    await connection.begin_stream(request)
-    await connection.events(first, 9)
-    await connection.end_stream()
-
-
-async def hang_midway(
-    connection: ReplicaConnection, request: ReplicaRequest
-) -> None:
-    await connection.begin_stream(request)
-    await connection.events(0, 4)
-    await connection.reader.read()
-
-
 async def repeat(
     connection: ReplicaConnection, request: ReplicaRequest
 ) -> None:
@@ -76,18 +66,6 @@
     await connection.end_stream()
 
 
-async def refuse(
-    connection: ReplicaConnection, request: ReplicaRequest
-) -> None:
-    await connection.refuse(request)
-
-
-async def reset(
-    connection: ReplicaConnection, request: ReplicaRequest
-) -> None:
-    connection.reset()
-
-
 async def hang(connection: ReplicaConnection, request: ReplicaRequest) -> None:
     await connection.reader.read()
 
@@ -164,40 +142,28 @@
     calling = asyncio.create_task(
         world.call("/draft/1", "r1", body=BODY, headers=USAGE)
     )
-    models = [s for s in stand_ins if s.pool == "model"]
-    while not any(s.arrivals for s in models):
-        await asyncio.sleep(0.005)
+    used = await until_arrived(stand_ins)
     await asyncio.sleep(0.05)
-    (used,) = [s for s in models if s.arrivals]
     return calling, used
 
 
-async def generated(
-    world: RelayWorld, stand_ins: list[ReplicaStandIn]
-) -> None:
-    behave(stand_ins, stream)
-    await world.call("/draft/1", "r1", body=BODY, headers=USAGE)
-
-
-async def engines_refuse(
-    world: RelayWorld, stand_ins: list[ReplicaStandIn]
-) -> None:
-    behave(stand_ins, refuse)
-    await world.call("/draft/1", "r1", body=BODY, headers=USAGE)
+def generation_with(how: Any) -> Scenario:
+    """Return a generation whose engines all behave so."""
 
+    async def scenario(
+        world: RelayWorld, stand_ins: list[ReplicaStandIn]
+    ) -> None:
+        behave(stand_ins, how)
+        await world.call("/draft/1", "r1", body=BODY, headers=USAGE)
 
-async def engine_gives_nothing(
-    world: RelayWorld, stand_ins: list[ReplicaStandIn]
-) -> None:
-    behave(stand_ins, reset)
-    await world.call("/draft/1", "r1", body=BODY, headers=USAGE)
+    scenario.__name__ = f"engines_{how.__name__}"
+    return scenario
 
 
-async def engine_repeats(
-    world: RelayWorld, stand_ins: list[ReplicaStandIn]
-) -> None:
-    behave(stand_ins, repeat)
-    await world.call("/draft/1", "r1", body=BODY, headers=USAGE)
+generated = generation_with(stream)
+engines_refuse = generation_with(refuse)
+engines_reset = generation_with(reset)
+engines_repeat = generation_with(repeat)
 
 
 async def no_room(world: RelayWorld, stand_ins: list[ReplicaStandIn]) -> None:
@@ -299,9 +265,9 @@
     Expected(generated, "stream: whole", ("request", "upstream", "first_ms")),
     Expected(generated, "whole", (*ENDED, "upstream", "sends")),
     Expected(engines_refuse, "engine refused", ("request", "load")),
-    Expected(engine_gives_nothing, "left alone: ", ("request", "out_ms")),
-    Expected(engine_gives_nothing, "engine gave no answer", ENDED),
-    Expected(engine_repeats, "", ("request",)),
+    Expected(engines_reset, "left alone: ", ("request", "out_ms")),
+    Expected(engines_reset, "engine gave no answer", ENDED),
+    Expected(engines_repeat, "", ("request",)),
     Expected(no_room, "no room", ENDED),
     Expected(caller_leaves, "caller gone", ENDED),
     Expected(goes_on_at_backup, "went on", ("request", "target", "event")),
--- a/tests/test_relay_frontend.py
+++ b/tests/test_relay_frontend.py
@@ -1,10 +1,10 @@
 """Callers who send too much or too slowly: told so, and nothing passed on."""
 
 import asyncio
-from collections.abc import Awaitable
 
 import attrs
 import pytest
+from _relay_bench import run
 
 from balsamlift.testing.relay import (
     LIMITS,
@@ -17,18 +17,9 @@
     request_bytes,
 )
 
-DEADLINE_S = 15.0
 QUICK = attrs.evolve(LIMITS, head_timeout_ms=300, idle_timeout_ms=400)
 
 
-def run(test: Awaitable[None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(DEADLINE_S):
-            await test
-
-    asyncio.run(bounded())
-
-
 def replica() -> ReplicaStandIn:
     return ReplicaStandIn("plain-1", "plain", NAMES)
 
--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -1,9 +1,17 @@
 """Generations: one stream to the caller, over as many engines as it takes."""
 
 import asyncio
-from collections.abc import Awaitable
 
 import pytest
+from _relay_bench import (
+    LAST,
+    USAGE,
+    hang_midway,
+    refuse,
+    run,
+    stream,
+    until_arrived,
+)
 
 from balsamlift.testing.relay import (
     NAMES,
@@ -17,18 +25,6 @@
     request_bytes,
 )
 
-DEADLINE_S = 15.0
-LAST = 9
-USAGE = [f"{NAMES.token_usage}: 1000,200", f"{NAMES.length_hint}: 100"]
-
-
-def run(test: Awaitable[None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(DEADLINE_S):
-            await test
-
-    asyncio.run(bounded())
-
 
 def whole(last: int = LAST) -> bytes:
     return b"".join(event(number) for number in range(last + 1))
@@ -38,26 +34,6 @@
     return [ReplicaStandIn(f"model-{i}", "model", NAMES) for i in range(n)]
 
 
-def first_event(request: ReplicaRequest) -> int:
-    return int(request.headers.get(NAMES.last_event_id, "-1")) + 1
-
-
-async def stream(
-    connection: ReplicaConnection, request: ReplicaRequest
-) -> None:
-    await connection.begin_stream(request)
-    await connection.events(first_event(request), LAST)
-    await connection.end_stream()
-
-
-async def hang_midway(
-    connection: ReplicaConnection, request: ReplicaRequest
-) -> None:
-    await connection.begin_stream(request)
-    await connection.events(0, 4)
-    await connection.reader.read()
-
-
 async def break_midway(
     connection: ReplicaConnection, request: ReplicaRequest
 ) -> None:
@@ -73,10 +49,7 @@
 ) -> tuple[asyncio.Task[CallerAnswer], ReplicaStandIn]:
     """Begin a generation; return the call and the engine that has it."""
     calling = asyncio.create_task(world.call("/draft/1", headers=USAGE))
-    while not any(s.arrivals for s in stand_ins):
-        await asyncio.sleep(0.005)
-    (used,) = [s for s in stand_ins if s.arrivals]
-    return calling, used
+    return calling, await until_arrived(stand_ins)
 
 
 def test_relays_a_stream_whole() -> None:
@@ -211,11 +184,6 @@
 
 
 def test_an_engine_that_refuses_is_left_for_another() -> None:
-    async def refuse(
-        connection: ReplicaConnection, request: ReplicaRequest
-    ) -> None:
-        await connection.refuse(request)
-
     async def test() -> None:
         stand_ins = engines()
         stand_ins[0].behave = refuse
--- a/tests/test_relay_plain.py
+++ b/tests/test_relay_plain.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+from _relay_bench import refuse, reset, run
 
 from balsamlift.testing.relay import (
     HOST,
@@ -19,16 +20,6 @@
     route,
 )
 
-DEADLINE_S = 15.0
-
-
-def run(test: Awaitable[None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(DEADLINE_S):
-            await test
-
-    asyncio.run(bounded())
-
 
 def replicas(n: int = 2) -> list[ReplicaStandIn]:
     return [ReplicaStandIn(f"plain-{i}", "plain", NAMES) for i in range(n)]
@@ -42,18 +33,6 @@
     await connection.answer(request, b"broken", status=500)
 
 
-async def refuse(
-    connection: ReplicaConnection, request: ReplicaRequest
-) -> None:
-    await connection.refuse(request)
-
-
-async def reset(
-    connection: ReplicaConnection, request: ReplicaRequest
-) -> None:
-    connection.reset()
-
-
 async def truncate(
     connection: ReplicaConnection, request: ReplicaRequest
 ) -> None:
