--- a/src/balsamlift/_validators.py
+++ b/src/balsamlift/_validators.py
@@ -107,6 +107,12 @@
         raise FieldError(field.name, expected)
 
 
+def address_or_empty(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
+    """Accept an address, or nothing."""
+    if value:
+        address(_, field, value)
+
+
 def remote_address(_: Any, field: attrs.Attribute[Any], value: Any) -> None:
     """Accept an address that can be connected to: its port is not 0."""
     address(_, field, value)
--- a/src/balsamlift/settings.py
+++ b/src/balsamlift/settings.py
@@ -10,6 +10,7 @@
 from balsamlift._validators import (
     DAY_MS,
     address,
+    address_or_empty,
     between,
     identifier,
     longer_than,
@@ -180,10 +181,7 @@
     operators_address: str = attrs.field(validator=address)
     peers_address: str = attrs.field(validator=address)
     # Where counts of all hosts are gathered; by default any free port.
-    counts_address: str = attrs.field(
-        default="",
-        validator=attrs.validators.or_(attrs.validators.in_([""]), address),
-    )
+    counts_address: str = attrs.field(default="", validator=address_or_empty)
     region: str = attrs.field(default="region-1", validator=identifier)
     platform: PlatformSettings
     pools: dict[str, PoolSettings] = attrs.field(validator=names(MOST_POOLS))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -61,6 +61,7 @@
         ("callers_address", "127.0.0.1:+7", "IP number"),
         ("callers_address", "127.0.0.1:65536", "IP number"),
         ("callers_address", 7000, "a text"),
+        ("counts_address", "localhost:7000", "IP number"),
         ("host", "entry.1", "letters, digits"),
         ("host", "entry~1", "letters, digits"),
         ("host", "", "letters, digits"),
