Tell incarnations of an upstream apart, and let bad entries harm no other

Cause: an upstream may start again under the id that it had, and others may write to its topic. The product took the id for the incarnation: connections, counts, failures, marks and backups of the one before were held against the next. An entry with an unknown state was a leaving upstream, a record with bytes that are no text failed the whole read, for ever, and a bad entry was logged at each read. Change: the list's entry carries the start of the upstream. `Upstream.name` names one incarnation, `id` what the list and the upstream call all of them; all that is kept by name ends with the incarnation. Only the latest start counts, whatever comes late. The adapter decodes each value once, takes an entry only when it has every field of its kind, an address of an IP number, a known state and a name that a header can hold, and logs a bad one once. A report that tells another start ends the one before. Ruled out: requiring the start.

--- a/src/balsamlift/peers/_hosts_list.py
+++ b/src/balsamlift/peers/_hosts_list.py
@@ -31,6 +31,7 @@
     failure_domain: str = ""
     state: str = "live"
     kind: str = ""  # "engine" or "service", where the list tells it
+    started_ms: int = 0  # wall time of its start, where the list tells it
 
 
 @attrs.frozen
--- a/src/balsamlift/peers/_upstream.py
+++ b/src/balsamlift/peers/_upstream.py
@@ -13,7 +13,11 @@
 
 @attrs.frozen(kw_only=True)
 class Upstream:
-    """Describe one upstream as it is known now."""
+    """Describe one incarnation of an upstream as it is known now.
+
+    `name` tells it from incarnations before and after; `id` is what the list
+    and the upstream itself call all of them.
+    """
 
     name: str
     pool: str
@@ -24,6 +28,10 @@
     deterministic: bool = False
     tells_by_key: bool = False
     state: UpstreamState = "live"
+    id: str = attrs.field(
+        default=attrs.Factory(lambda self: self.name, takes_self=True)
+    )
+    started_ms: int = 0  # wall time; 0: not told
 
 
 @attrs.frozen(kw_only=True)
@@ -51,7 +59,9 @@
     if entry.role != UPSTREAM_ROLE or pool is None:
         return None
     return Upstream(
-        name=entry.name,
+        name=_incarnation_name(entry),
+        id=entry.name,
+        started_ms=entry.started_ms,
         pool=entry.pool,
         kind=pool.kind,
         address=entry.address,
@@ -75,6 +85,13 @@
     )
 
 
+def _incarnation_name(entry: ListEntry) -> str:
+    """Return a name that no other incarnation of the upstream has."""
+    if not entry.started_ms:
+        return entry.name
+    return f"{entry.name}@{entry.started_ms}"
+
+
 def _state(text: str) -> UpstreamState:
     """Return the state; what the list adds one day is no live one."""
     return next((state for state in STATES if state == text), "leaving")
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -2,19 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
-from collections.abc import Callable, Sequence
-from typing import Protocol
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 from loguru import logger
 
-from balsamlift._back_off import BackOff
 from balsamlift._http import HttpClient
-from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
-from balsamlift.exceptions import HostsUnavailableError
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.operators import JsonHandler, OperatorsServer
@@ -23,6 +18,8 @@
     HostsList,
     ListEntry,
 )
+from balsamlift.peers._incarnations import take_latest
+from balsamlift.peers._list_reader import ListReader, UpstreamList
 from balsamlift.peers._marks import Marks, UpstreamState, worse
 from balsamlift.peers._probes import Probes
 from balsamlift.peers._upstream import (
@@ -39,23 +36,6 @@
 PEER_SOURCE = "peer"  # the source of a mark that is a peer's word
 LIST_SOURCE = "list"
 LIST_TIMEOUT_MS = 2_000
-# Entries that lapsed while the list was down are back within two seconds of
-# its return, where the upstream lives; the platform's operators promise so.
-RETURN_S = 2.0
-# Calls that are refused cost as much as others: 30 hosts that try five times
-# a second for nine seconds make a tenth of a day's calls. Once the platform
-# is back, a host has three seconds to know of all that happened.
-AGAIN_MOST_MS = 800
-
-
-class UpstreamList(Protocol):
-    """Read the list of upstreams and entry hosts."""
-
-    async def read(self) -> list[ListEntry] | None:
-        """Return all entries, or None when nothing has changed.
-
-        May wait for a change; raises `HostsUnavailableError`.
-        """
 
 
 @attrs.define
@@ -100,30 +80,27 @@
         """
         self._settings = settings
         self._clock = clock
-        self._list = source or HostsList(
-            http, settings.platform.hosts_address, LIST_TIMEOUT_MS
-        )
         self._is_probing = source is None
-        self._trusted_s = -RETURN_S  # removals count from then on
+        self._random = random.Random(settings.seed or None)
+        self._reader = ListReader(
+            source
+            or HostsList(
+                http, settings.platform.hosts_address, LIST_TIMEOUT_MS
+            ),
+            settings.platform,
+            clock,
+            self._random,
+            self._take_reading,
+        )
         self._lapsed: set[str] = set()
         self._entries: list[ListEntry] = []  # of upstreams, as last read
-        self._random = random.Random(settings.seed or None)
         self._known: dict[str, _Known] = {}
         self._usable: dict[str, list[Upstream]] = {}
         self._entry_hosts: list[EntryHost] = []
         self._on_change: list[Callable[[], None]] = []
         self._on_mark: list[Callable[[Upstream], None]] = []
         self._sharers: Callable[[], Sequence[str]] = self._listed_hosts
-        self._reads_for_others: Callable[[], bool] = lambda: True
         self._probes = Probes(self, clock, http, self._random, settings.host)
-        self._task: asyncio.Task[None] | None = None
-        self._list_down = False
-        self._was_reader = True
-        self._back_off = BackOff(
-            self._random,
-            settings.platform.hosts_poll_ms,
-            max(settings.platform.hosts_poll_ms, AGAIN_MOST_MS),
-        )
 
     async def start(self, kernel: Kernel) -> None:
         """Read the list once, then keep reading it."""
@@ -132,15 +109,14 @@
         operators = kernel.find("operators", OperatorsServer)
         arguments = {"upstreams": self}
         operators.add_routes([(r"/v1/upstreams", UpstreamsHandler, arguments)])
-        await self._read_list()
-        self._task = asyncio.create_task(self._keep_reading())
+        await self._reader.start(self._timeline, self._metrics)
         if self._is_probing:
             self._probes.start()
 
     async def stop(self) -> None:
         """End reading the list and probing."""
         await self._probes.stop()
-        await end_task(self._task)
+        await self._reader.stop()
 
     def all(self) -> list[Upstream]:
         """Return every upstream on the list, whatever its state."""
@@ -197,28 +173,23 @@
     @property
     def is_cut_off(self) -> bool:
         """Tell whether this host cannot read the list."""
-        return self._list_down
+        return self._reader.is_down
 
     def to_share(self) -> list[ListEntry]:
         """Return the upstreams, for a peer that cannot read the list.
 
         None where this host cannot read it either: what it knows is old.
         """
-        return [] if self._list_down else list(self._entries)
+        return [] if self.is_cut_off else list(self._entries)
 
     def take_from_peer(self, entries: list[ListEntry]) -> None:
         """Take in the list that a peer read, while this host cannot.
 
         It only adds: what is not listed any more, peers tell as leaving.
         """
-        if not self._list_down:
+        if not self.is_cut_off:
             return
-        changed = False
-        for entry in entries:
-            listed = join_upstream(entry, self._settings.pools)
-            if listed is not None:
-                changed |= self._take_upstream(listed)
-        if changed:
+        if self._take_listed(self._join(entries)):
             self._tell_change()
 
     def on_change(self, callback: Callable[[], None]) -> None:
@@ -239,7 +210,7 @@
 
     def share_reading(self, reads_for_others: Callable[[], bool]) -> None:
         """Read the list less often while others tell of its changes."""
-        self._reads_for_others = reads_for_others
+        self._reader.share(reads_for_others)
 
     def sharers(self) -> Sequence[str]:
         """Return the hosts that probing is shared with."""
@@ -283,47 +254,14 @@
         for callback in self._on_mark:
             callback(upstream)
 
-    async def _keep_reading(self) -> None:
-        platform = self._settings.platform
-        while True:
-            pause_ms = platform.hosts_poll_ms
-            if not self._is_reader():
-                pause_ms = platform.hosts_follow_ms
-            pause_s = pause_ms / 1_000 * self._random.uniform(0.8, 1.2)
-            if self._list_down:
-                pause_s = self._back_off.failed()
-            await self._clock.sleep(pause_s)
-            await self._read_list()
-
-    def _is_reader(self) -> bool:
-        """Tell whether this host reads for others; log when that changes."""
-        reads = self._reads_for_others()
-        if reads != self._was_reader:
-            role = "reads the list for others" if reads else "is told the list"
-            log.info("{}", role)
-            self._was_reader = reads
-        return reads
-
-    async def _read_list(self) -> None:
-        """Read the list; when it is down, the last one stays in force."""
-        try:
-            entries = await self._list.read()
-        except HostsUnavailableError as error:
-            if not self._list_down:
-                log.warning("list of hosts is down: {}", error)
-                self._timeline.record("hosts_down", reason=error.message)
-            self._list_down = True
-            self._metrics.count("hosts.down")
-            return
-        if self._list_down:
-            log.info("list of hosts is back")
-            self._timeline.record("hosts_up")
-            self._trusted_s = self._clock.monotonic() + RETURN_S
-        self._list_down = False
-        self._back_off.succeeded()
+    # Taking in the list
+
+    def _take_reading(self, entries: list[ListEntry] | None) -> None:
+        """Take in one reading of the list; None: it has not changed."""
         if entries is not None:
             self._take_list(entries)
-        self._drop_lapsed()
+        if self._reader.can_remove:
+            self._drop(self._lapsed)
         if not self._is_probing:
             self._trust_list()
         self._tell_listed()
@@ -341,20 +279,38 @@
     def _take_list(self, entries: list[ListEntry]) -> None:
         hosts = [join_entry_host(e) for e in entries if e.role == ENTRY_ROLE]
         self._entries = [e for e in entries if e.role != ENTRY_ROLE]
-        listed = [
-            upstream
-            for entry in entries
-            if (upstream := join_upstream(entry, self._settings.pools))
-            is not None
-        ]
         changed = hosts != self._entry_hosts
         self._entry_hosts = hosts
-        self._lapsed = self._known.keys() - {u.name for u in listed}
-        for upstream in listed:
-            changed |= self._take_upstream(upstream)
+        listed = self._join(entries)
+        changed |= self._take_listed(listed)
+        ids = {upstream.id for upstream in listed}
+        self._lapsed = {
+            name
+            for name, known in self._known.items()
+            if known.listed.id not in ids
+        }
         if changed:
             self._tell_change()
 
+    def _join(self, entries: Iterable[ListEntry]) -> list[Upstream]:
+        joined = [join_upstream(e, self._settings.pools) for e in entries]
+        return [upstream for upstream in joined if upstream is not None]
+
+    def _take_listed(self, listed: Iterable[Upstream]) -> bool:
+        """Take in the latest incarnations; tell whether any is new."""
+        known = [known.listed for known in self._known.values()]
+        latest = take_latest(listed, known)
+        changed = False
+        for upstream in latest:
+            changed |= self._take_upstream(upstream)
+        ids = {upstream.id for upstream in latest}
+        names = {upstream.name for upstream in latest}
+        # An upstream that has started again holds nothing of before.
+        self._drop(
+            {u.name for u in known if u.id in ids and u.name not in names}
+        )
+        return changed
+
     def _trust_list(self) -> None:
         """Let the list outlive what was seen before."""
         now_s = self._clock.monotonic()
@@ -363,20 +319,16 @@
                 known.marks.listed_live(now_s)
                 self._refresh(known, LIST_SOURCE)
 
-    def _drop_lapsed(self) -> None:
-        """Drop what is no longer listed, once the list can be trusted.
-
-        An upstream that could not renew its entry while the list was down
-        lives on; dropping it at once would leave its pool empty.
-        """
-        if not self._lapsed or self._clock.monotonic() < self._trusted_s:
-            return
-        for name in self._lapsed:
+    def _drop(self, names: Iterable[str]) -> None:
+        """Drop incarnations that are gone, and tell peers."""
+        dropped = self._known.keys() & set(names)
+        for name in dropped:
             listed = self._known.pop(name).listed  # its marks go too
             self._tell_mark(listed, "leaving")
             log.info("{} is no longer listed", name)
-        self._lapsed = set()
-        self._tell_change()
+        self._lapsed -= dropped
+        if dropped:
+            self._tell_change()
 
     def _take_upstream(self, listed: Upstream) -> bool:
         """Take in one entry; tell whether it is another incarnation."""
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from balsamlift._address import AddressError, split_address
 from balsamlift.exceptions import PlatformError
 from balsamlift.peers import ENTRY_ROLE, UPSTREAM_ROLE, ListEntry
 from balsamlift.relay import (
@@ -78,10 +79,21 @@
 
 
 class _Upstream(msgspec.Struct):
+    """Hold an entry of the list.
+
+    Each upstream writes all of these fields: an entry that lacks one is by
+    another writer.
+    """
+
     Service: str
     Address: str
     Zone: str
-    LifecycleState: str = "ready"
+    Version: str  # of its software
+    Slots: int
+    LifecycleState: str
+    Sequence: int  # of its own counts, from its start on
+    ColdRemainingMs: float  # for how long it is slow after its start
+    born: int = 0  # wall time of its start; not all tell it
 
 
 class HostRecord(msgspec.Struct, frozen=True):
@@ -100,13 +112,16 @@
     "streaming": "stream",
 }
 _STATES = {"ready": "live", "draining": "leaving"}
+# An entry takes some 300 bytes; one of megabytes is not worth decoding.
+MOST_ENTRY_BYTES = 65_536
+MOST_ID_CHARACTERS = 200
 
 
 def decode_configuration(data: bytes) -> Configuration:
     """Return the configuration in a record; raise `RecordError`."""
     try:
         manifest = msgspec.json.decode(data, type=_Manifest)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise RecordError(f"no configuration: {error}") from error
     return Configuration(
         version=manifest.Version,
@@ -130,28 +145,46 @@
 
 
 def decode_upstream(key: str, data: bytes) -> ListEntry:
-    """Return the entry of an upstream; raise `RecordError`."""
+    """Return the entry of an upstream; raise `RecordError`.
+
+    Others may write to the list too: what is not in every respect the entry
+    of an upstream names none.
+    """
+    if len(data) > MOST_ENTRY_BYTES:
+        raise RecordError(f"no upstream: an entry of {len(data)} bytes")
     try:
         upstream = msgspec.json.decode(data, type=_Upstream)
-    except msgspec.MsgspecError as error:
-        raise RecordError(f"no upstream {key}: {error}") from error
+        split_address(upstream.Address)
+    except (msgspec.MsgspecError, RecursionError, AddressError) as error:
+        raise RecordError(f"no upstream: {error}") from error
+    if not _is_id(key):
+        raise RecordError("no upstream: not the name of one")
+    if upstream.LifecycleState not in _STATES or upstream.born < 0:
+        raise RecordError("no upstream: a state or start that is none")
     return ListEntry(
         name=key,
         role=UPSTREAM_ROLE,
         pool=upstream.Service,
         address=upstream.Address,
         failure_domain=upstream.Zone,
-        state=_STATES.get(upstream.LifecycleState, "leaving"),
+        state=_STATES[upstream.LifecycleState],
         kind="service",
+        started_ms=upstream.born,
     )
 
 
-def decode_host(key: str, data: bytes) -> HostRecord:
+def _is_id(key: str) -> bool:
+    """Tell whether a key can name an upstream in a header."""
+    is_visible = key.isascii() and key.isprintable() and " " not in key
+    return is_visible and 0 < len(key) <= MOST_ID_CHARACTERS
+
+
+def decode_host(data: bytes) -> HostRecord:
     """Return what a host of ours wrote; raise `RecordError`."""
     try:
         return msgspec.json.decode(data, type=HostRecord)
-    except msgspec.MsgspecError as error:
-        raise RecordError(f"no host {key}: {error}") from error
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise RecordError(f"no host: {error}") from error
 
 
 def host_entry(key: str, record: HostRecord) -> ListEntry:
--- a/src/balsamlift/platform/_engines.py
+++ b/src/balsamlift/platform/_engines.py
@@ -31,6 +31,8 @@
     # Each: id of the request, tokens in memory, events made, priority.
     Runs: list[tuple[str, int, int, int]] = []
     LifecycleState: str = ""
+    born: int = 0  # wall time of its start
+    leaves_ms: float | None = None  # until it is gone, once it leaves
 
 
 class _Moved(msgspec.Struct):
@@ -57,7 +59,7 @@
                 connect_ms=CONNECT_MS,
             )
             report = answer.decode(_Report)
-        except (CallError, msgspec.MsgspecError) as error:
+        except (CallError, msgspec.MsgspecError, RecursionError) as error:
             raise ReportError(upstream.name, f"no report: {error}") from error
         return Report(
             runs=[
@@ -65,6 +67,8 @@
                 for request_id, tokens, events, _ in report.Runs
             ],
             is_leaving=report.LifecycleState not in ("", "ready"),
+            started_ms=report.born,
+            leaves_s=_seconds(report.leaves_ms),
         )
 
     async def copy(
@@ -101,6 +105,10 @@
         raise CopyError(source.name, f"status {answer.status}")
 
 
+def _seconds(value_ms: float | None) -> float | None:
+    return None if value_ms is None else value_ms / 1_000
+
+
 def _decode(source: Upstream, answer: Answer) -> _Moved:
     if not answer.body:
         return _Moved()
--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -34,7 +34,11 @@
 
 @attrs.frozen
 class KeyedRecord:
-    """Hold one record of a keyed topic; without a value, the key is gone."""
+    """Hold one record of a keyed topic; without a value, the key is gone.
+
+    Bytes of the key that are no text are replaced: nothing of ours has such
+    a key.
+    """
 
     key: str
     value: bytes | None
@@ -84,12 +88,9 @@
             answer = await self._call("GET", "/log-newest", query)
             try:
                 page = msgspec.json.decode(answer.body, type=_Page)
-                records += [
-                    KeyedRecord(i.Key, base64.b64decode(i.Value))
-                    for i in page.Items
-                ]
-            except (msgspec.MsgspecError, ValueError) as error:
+            except (msgspec.MsgspecError, RecursionError) as error:
                 raise StoreError(f"no page of records: {error}") from error
+            records += [_listed_record(item) for item in page.Items]
             # Pages are no snapshot: what changes meanwhile is read again.
             end = page.EndOffset if end is None else end
             if not page.HasMore or not page.Items:
@@ -162,6 +163,14 @@
             log.bind(topic=topic).info("store is back")
 
 
+def _listed_record(item: _Item) -> KeyedRecord:
+    """Return a record of a page; a value that cannot be read stays so."""
+    try:
+        return KeyedRecord(item.Key, base64.b64decode(item.Value))
+    except ValueError:
+        return KeyedRecord(item.Key, item.Value.encode())
+
+
 def _decode_read(body: bytes, start: int) -> Newest:
     """Return the records of a read and the offset after the last."""
     try:
@@ -176,12 +185,13 @@
                 break  # cut at the limit of a call: read again from there
             at += length
             records.append(_decode_keyed(content))
-    except (struct.error, IndexError, UnicodeDecodeError) as error:
+    except struct.error as error:
         raise StoreError(f"no records: {error}") from error
     return Newest(records, start + len(records))
 
 
 def _decode_keyed(content: bytes) -> KeyedRecord:
-    size = content[0]
-    key = content[1 : 1 + size].decode()
+    """Return a record, whatever its bytes: others come after it."""
+    size = content[0] if content else 0
+    key = content[1 : 1 + size].decode(errors="replace")
     return KeyedRecord(key, content[1 + size :] or None)
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Generic, TypeVar
 
 import msgspec
 from loguru import logger
@@ -38,6 +39,8 @@
 
 log = logger.bind(part="store")
 
+T = TypeVar("T")
+
 # A read of the list waits this long at the store. A connection that has gone
 # silent is noticed one second later.
 UPSTREAMS_WAIT_MS = 1_000
@@ -142,6 +145,32 @@
     routing.offer(configuration, data, source)
 
 
+class _Decoded(Generic[T]):
+    """Decode each value once, however often the list is read."""
+
+    def __init__(self, decode: Callable[[str, bytes], T]) -> None:
+        """Decode with `decode`, which raises `RecordError`."""
+        self._decode = decode
+        self._read: dict[str, tuple[bytes, T | None]] = {}
+
+    def update(self, values: dict[str, bytes]) -> list[T]:
+        """Return what the values say, without those that say nothing."""
+        self._read = {
+            key: self._look(key, data) for key, data in values.items()
+        }
+        return [item for _, item in self._read.values() if item is not None]
+
+    def _look(self, key: str, data: bytes) -> tuple[bytes, T | None]:
+        before = self._read.get(key)
+        if before is not None and before[0] == data:
+            return before
+        try:
+            return data, self._decode(key, data)
+        except RecordError as error:
+            log.bind(key=key[:80], size_bytes=len(data)).error("{}", error)
+            return data, None
+
+
 class UpstreamsSource:
     """Read upstreams and our own hosts from the store, as one list."""
 
@@ -149,6 +178,10 @@
         """Follow both topics."""
         self._upstreams = Follower(store, UPSTREAMS_TOPIC)
         self._hosts = Follower(store, HOSTS_TOPIC)
+        self._decoded_upstreams = _Decoded(decode_upstream)
+        self._decoded_hosts = _Decoded(
+            lambda key, data: (key, decode_host(data))
+        )
         self._clock = clock
         self._hosts_due_s = 0.0
 
@@ -163,37 +196,16 @@
             raise HostsUnavailableError(error.message) from error
         if not changed:
             return None
-        return [*self._upstream_entries(), *self._host_entries()]
-
-    def _upstream_entries(self) -> list[ListEntry]:
-        return _decode_all(self._upstreams.values, decode_upstream)
+        upstreams = self._decoded_upstreams.update(self._upstreams.values)
+        return [*upstreams, *self._host_entries()]
 
     def _host_entries(self) -> list[ListEntry]:
         oldest_s = self._clock.now().timestamp() - HOST_LIFETIME_S
-
-        def decode(key: str, data: bytes) -> ListEntry | None:
-            record = decode_host(key, data)
-            if record.written_s < oldest_s:
-                return None
-            return host_entry(key, record)
-
-        return _decode_all(self._hosts.values, decode)
-
-
-def _decode_all(
-    values: dict[str, bytes],
-    decode: Callable[[str, bytes], ListEntry | None],
-) -> list[ListEntry]:
-    entries = []
-    for key, data in values.items():
-        try:
-            entry = decode(key, data)
-        except RecordError as error:
-            log.error("{}", error)
-            continue
-        if entry is not None:
-            entries.append(entry)
-    return entries
+        return [
+            host_entry(key, record)
+            for key, record in self._decoded_hosts.update(self._hosts.values)
+            if record.written_s >= oldest_s
+        ]
 
 
 class HostRegistration:
--- a/src/balsamlift/relay/_doubts.py
+++ b/src/balsamlift/relay/_doubts.py
@@ -64,5 +64,7 @@
         except ReportError:
             # Its generations notice by themselves when it is gone.
             return
-        if report.is_leaving:
+        # One that has started again holds nothing of what this host sent it.
+        has_ended = report.started_ms not in (0, upstream.started_ms)
+        if report.is_leaving or has_ended:
             self._upstreams.mark(upstream.name, "leaving", REPORT_SOURCE)
--- a/src/balsamlift/relay/_engines.py
+++ b/src/balsamlift/relay/_engines.py
@@ -55,6 +55,8 @@
 
     runs: list[Run]
     is_leaving: bool
+    started_ms: int = 0  # wall time of the engine's start; 0: not told
+    leaves_s: float | None = None  # from then until it is gone, if it knows
 
 
 class EngineCalls(Protocol):
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -66,7 +66,7 @@
         ran_before = attempt.may_have_run
         attempt.sending()
         headers = upstream_headers(
-            call, self._names, upstream.name, self._left_ms(call), extra
+            call, self._names, upstream.id, self._left_ms(call), extra
         )
         connection.send(
             call.method, call.request.target, headers, call.request.body
--- a/src/balsamlift/relay/_headers.py
+++ b/src/balsamlift/relay/_headers.py
@@ -45,7 +45,7 @@
 def upstream_headers(
     call: Call,
     names: HeaderNames,
-    incarnation: str,
+    upstream_id: str,
     left_ms: int,
     extra: Iterable[tuple[str, str]] = (),
 ) -> list[tuple[str, str]]:
@@ -57,7 +57,7 @@
     dropped = names.reserved | {name.lower() for name, _ in extra}
     headers = list(_passed_on(call.request.headers, dropped))
     headers.append((names.deadline_ms, str(max(left_ms, 0))))
-    headers.append((names.expected_incarnation, incarnation))
+    headers.append((names.expected_incarnation, upstream_id))
     if call.workspace is not None:
         headers.append((names.workspace, call.workspace.name))
     if call.route.kind == "stream":
--- a/src/balsamlift/testing/_relay_world.py
+++ b/src/balsamlift/testing/_relay_world.py
@@ -144,6 +144,7 @@
         self.has_room = True
         self.running: dict[str, list[Run]] = {}
         self.leaving: set[str] = set()
+        self.started_ms: dict[str, int] = {}
         self.asked: list[str] = []
         self.on_stop: list[asyncio.Event] = []
 
@@ -153,6 +154,7 @@
         return Report(
             runs=self.running.get(upstream.name, []),
             is_leaving=upstream.name in self.leaving,
+            started_ms=self.started_ms.get(upstream.id, 0),
         )
 
     async def copy(
--- a/src/balsamlift/testing/_replica.py
+++ b/src/balsamlift/testing/_replica.py
@@ -132,6 +132,7 @@
         self.connections = 0
         self.address = ""  # "IP:port", once it listens
         self.state = "live"
+        self.started_ms = 0  # as the list tells it
         self.open: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
@@ -160,6 +161,7 @@
             failure_domain="north",
             state=self.state,
             kind="service",
+            started_ms=self.started_ms,
         )
 
     def ids(self) -> list[str]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -171,7 +171,11 @@
             "Service": self._upstreams.service(name),
             "Address": self._upstreams.address(name),
             "Zone": "north",
+            "Version": "v1",
+            "Slots": 24,
             "LifecycleState": state,
+            "Sequence": 1,
+            "ColdRemainingMs": 0,
         }
         entry = json.dumps(fields).encode()
         self._store.topic(UPSTREAMS_TOPIC).append(name, entry)
