Have changes in force in time after the store was silent

Hosts could not help one another as all waited in step. Change: a read waits for `contact_ms` less 1.5 s instead of `contact_ms` and `apply_ms` less 2 s (1.5 s for 3 s on the small sites), and for nothing until the store has answered once after a failure; the list is read likewise. A topic of hosts that is out of reach no longer hides that of upstreams, whose news were lost with the read. Tests: test_platform_store.py, four tests seen failing before (a change after a silence; the bound, for four values; hosts out of reach). Ruled out: a cut between hosts (they heard one another), and a store that answered late (it answered the list's reads at once).

--- a/src/balsamlift/platform/_settings.py
+++ b/src/balsamlift/platform/_settings.py
@@ -42,8 +42,9 @@
 LISTED_POOL = "listed"
 
 # Of the time until a change has to be in force, kept for noticing that an
-# answer is missing (1 s), a pause, a fresh connection and the read itself.
-SILENCE_MARGIN_MS = 2_000
+# answer is missing (1 s), a pause of 0.2 s, a fresh connection and the read
+# itself, of which a busy host takes 0.2 s.
+SILENCE_MARGIN_MS = 1_500
 LEAST_READ_WAIT_MS = 1_000
 
 
@@ -71,12 +72,13 @@
     def read_wait_ms(self) -> int:
         """Return how long a read for a configuration may wait.
 
-        A connection may go silent for good, which counts as being out of
-        touch from then on. It has to be noticed, and the configuration
-        read, before a change has to be in force.
+        A read that is sent just before the store falls silent, or its
+        connection does, is lost. That has to be noticed, and the
+        configuration read, when the host counts as in touch again: changes
+        of meanwhile have to be in force then.
         """
-        bound_ms = self.contact_ms + self.apply_ms
-        return max(int(bound_ms - SILENCE_MARGIN_MS), LEAST_READ_WAIT_MS)
+        wait_ms = int(self.contact_ms - SILENCE_MARGIN_MS)
+        return max(wait_ms, LEAST_READ_WAIT_MS)
 
     def product_settings(self) -> Settings:
         """Return the product's own settings."""
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -118,13 +118,19 @@
         await end_task(self._task)
 
     async def _keep_reading(self) -> None:
+        wait_ms = self._wait_ms
         while True:
             try:
-                await self._follower.read(self._wait_ms)
+                await self._follower.read(wait_ms)
             except StoreError:
-                # Logged by the store as it was lost.
+                # Logged by the store as it was lost. Until it answers again,
+                # a read waits for nothing: one that is sent just before the
+                # store comes back would be missed for as long as it may wait
+                # (with 3 s, changes were in force 3 s late).
+                wait_ms = 0
                 await self._clock.sleep(self._back_off.failed())
                 continue
+            wait_ms = self._wait_ms
             self._back_off.succeeded()
             data = self._follower.values.get(CONFIGURATION_KEY)
             if data is not None:
@@ -183,22 +189,43 @@
             lambda key, data: (key, decode_host(data))
         )
         self._clock = clock
+        self._wait_ms = UPSTREAMS_WAIT_MS
         self._hosts_due_s = 0.0
+        self._hosts_back_off = BackOff(None, RETRY_MS, RETRY_MOST_MS)
 
     async def read(self) -> list[ListEntry] | None:
         """Return all entries, or None when nothing has changed."""
         try:
-            changed = await self._upstreams.read(UPSTREAMS_WAIT_MS)
-            if self._clock.monotonic() >= self._hosts_due_s:
-                changed |= await self._hosts.read(0)
-                self._hosts_due_s = self._clock.monotonic() + HOSTS_POLL_S
+            changed = await self._upstreams.read(self._wait_ms)
         except StoreError as error:
+            self._wait_ms = 0  # until it answers, see `ConfigurationWatch`
             raise HostsUnavailableError(error.message) from error
+        self._wait_ms = UPSTREAMS_WAIT_MS
+        changed |= await self._read_hosts()
         if not changed:
             return None
         upstreams = self._decoded_upstreams.update(self._upstreams.values)
         return [*upstreams, *self._host_entries()]
 
+    async def _read_hosts(self) -> bool:
+        """Read our own hosts when that is due; tell whether any changed.
+
+        The store may serve one topic and not the other: without news of
+        hosts, those of upstreams still count.
+        """
+        if self._clock.monotonic() < self._hosts_due_s:
+            return False
+        try:
+            changed = await self._hosts.read(0)
+        except StoreError:
+            # Logged by the store as it was lost.
+            pause_s = self._hosts_back_off.failed()
+            self._hosts_due_s = self._clock.monotonic() + pause_s
+            return False
+        self._hosts_back_off.succeeded()
+        self._hosts_due_s = self._clock.monotonic() + HOSTS_POLL_S
+        return changed
+
     def _host_entries(self) -> list[ListEntry]:
         oldest_s = self._clock.now().timestamp() - HOST_LIFETIME_S
         return [
--- a/src/balsamlift/testing/_keyed_store.py
+++ b/src/balsamlift/testing/_keyed_store.py
@@ -52,6 +52,7 @@
         """Begin empty; `start` listens."""
         self.topics: dict[str, Topic] = {}
         self.fault: Fault = ""
+        self.silent_topics: set[str] = set()  # that answer nothing
         self.calls: list[str] = []
         self._server = HTTPServer(
             Application(
@@ -96,7 +97,8 @@
     async def prepare(self) -> None:
         self.store.calls.append(self.request.path)
         fault = self.store.fault
-        if fault == "silent":
+        topic = self.get_query_argument("Topic")
+        if fault == "silent" or topic in self.store.silent_topics:
             await asyncio.Event().wait()
         elif fault in _STATUS:
             self.send_error(_STATUS[fault])
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
 from loguru import logger
-from test_platform_decode import ENTRY, MANIFEST
+from test_platform_decode import ENTRY, MANIFEST, SETTINGS
 
 import balsamlift.platform._store as store_module
+import balsamlift.platform._watch as watch_module
 from balsamlift._http import HttpClient
 from balsamlift.clock import SystemClock
 from balsamlift.exceptions import HostsUnavailableError
@@ -20,6 +22,7 @@
     HOSTS_TOPIC,
     UPSTREAMS_TOPIC,
 )
+from balsamlift.platform._settings import decode_node_settings
 from balsamlift.platform._store import HistoryLostError, Store, StoreError
 from balsamlift.platform._watch import (
     ConfigurationWatch,
@@ -153,6 +156,61 @@
     run(test)
 
 
+def test_a_change_after_a_silence_is_in_force_in_time() -> None:
+    """A read into the silent store, just before it is back, is lost.
+
+    From then on a host has `contact_ms` until it counts as in touch.
+    """
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        node = decode_node_settings(SETTINGS, "settings.toml")
+        routing = Routing()
+        kernel = Kernel()
+        kernel.register(routing)
+        kernel.register(
+            ConfigurationWatch(store, SystemClock(), node.read_wait_ms)
+        )
+        await kernel.start()
+        topic = stand_in.topic(CONFIGURATION_TOPIC)
+        topic.append(CONFIGURATION_KEY, manifest(3))
+        await until(lambda: routing.offset == 3)
+        stand_in.fault = "silent"
+        # The first read after the one in flight goes into the silence too.
+        stand_in.calls.clear()
+        await until(lambda: len(stand_in.calls) >= 2)
+        stand_in.fault = ""
+        began_s = time.monotonic()
+        topic.append(CONFIGURATION_KEY, manifest(4))
+        await until(lambda: routing.offset == 4)
+        assert time.monotonic() - began_s < node.contact_ms / 1_000
+        await kernel.stop()
+
+    run(test)
+
+
+@pytest.mark.parametrize("contact_ms", [2_500, 3_000, 4_000, 10_000])
+def test_a_lost_read_is_noticed_within_the_bound(contact_ms: int) -> None:
+    fields = {**SETTINGS, "Bounds": {**SETTINGS["Bounds"]}}
+    fields["Bounds"]["ContactMs"] = contact_ms
+    node = decode_node_settings(fields, "settings.toml")
+    noticed_ms = node.read_wait_ms + store_module.SILENCE_MS
+    assert noticed_ms + watch_module.RETRY_MS < contact_ms
+
+
+def test_hosts_out_of_reach_hide_no_upstreams() -> None:
+    """The store may serve one topic and not the other."""
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        stand_in.silent_topics.add(HOSTS_TOPIC)
+        stand_in.topic(UPSTREAMS_TOPIC).append("i-1", upstream())
+        source = UpstreamsSource(store, SystemClock())
+        entries = await source.read()
+        assert entries is not None
+        assert [e.name for e in entries] == ["i-1"]
+
+    run(test)
+
+
 def test_a_record_that_is_no_configuration_changes_nothing() -> None:
     async def test(stand_in: KeyedStore, store: Store) -> None:
         routing = Routing()
