--- a/src/balsamlift/relay/_link_turn.py
+++ b/src/balsamlift/relay/_link_turn.py
@@ -63,12 +63,12 @@
     @contextmanager
     def hold(self) -> Iterator[None]:
         """Tell the other hosts that the link is in use meanwhile."""
-        with self._balancer.hold(self._link, 1):
-            self._balancer.tell()
-            try:
-                yield
-            finally:
+        try:
+            with self._balancer.hold(self._link, 1):
                 self._balancer.tell()
+                yield
+        finally:
+            self._balancer.tell()
 
     async def wait(self, needed_s: float) -> None:
         """Wait for the turn of a copy that takes this long."""
