--- /dev/null
+++ b/bench/list_cost.py
@@ -0,0 +1,84 @@
+"""Measure what one change of the platform's list costs a host.
+
+Run: python bench/list_cost.py. Prints JSON: processor time of one reading of
+the list in which one entry has changed, by the number of upstreams: decoding
+it, and taking it in.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import time
+from collections.abc import Callable
+from functools import partial
+
+from balsamlift.peers import ListEntry, Upstream
+from balsamlift.peers._incarnations import take_latest
+from balsamlift.peers._upstream import join_upstream
+from balsamlift.platform._decode import decode_upstream
+from balsamlift.platform._watch import _Decoded
+
+SIZES = (26, 450, 4_500)
+CHANGES = 20
+
+
+def main() -> None:
+    """Print what a change costs at each size, in milliseconds."""
+    results = [_measure(size) for size in SIZES]
+    print(json.dumps({"load_average": os.getloadavg()[0], "sizes": results}))
+
+
+def _measure(size: int) -> dict[str, float]:
+    rng = random.Random(size)
+    values = {f"i-{n:06}": _entry(n, 0) for n in range(size)}
+    decoded = _Decoded(decode_upstream)
+    entries = decoded.update(values)
+    known = _join(entries)
+    decode_ms = join_ms = 0.0
+    for change in range(CHANGES):
+        number = rng.randrange(size)
+        values[f"i-{number:06}"] = _entry(number, change + 1)
+        decode_ms += _timed_ms(lambda: decoded.update(values))
+        entries = decoded.update(values)
+        join_ms += _timed_ms(partial(_take, entries, known))
+    return {
+        "upstreams": size,
+        "decode_ms": round(decode_ms / CHANGES, 2),
+        "join_ms": round(join_ms / CHANGES, 2),
+    }
+
+
+def _take(entries: list[ListEntry], known: list[Upstream]) -> None:
+    take_latest(_join(entries), known)
+
+
+def _join(entries: list[ListEntry]) -> list[Upstream]:
+    joined = [join_upstream(entry, {}) for entry in entries]
+    return [upstream for upstream in joined if upstream is not None]
+
+
+def _entry(number: int, sequence: int) -> bytes:
+    fields = {
+        "Service": "model",
+        "Address": f"10.1.{number // 250}.{number % 250}:8080",
+        "Zone": "north",
+        "Version": "v1",
+        "Slots": 24,
+        "LifecycleState": "ready",
+        "Sequence": sequence,
+        "ColdRemainingMs": 0,
+        "born": 1_700_000_000_000 + number,
+    }
+    return json.dumps(fields).encode()
+
+
+def _timed_ms(call: Callable[[], object]) -> float:
+    began_s = time.process_time()
+    call()
+    return (time.process_time() - began_s) * 1_000
+
+
+if __name__ == "__main__":
+    main()
