--- a/tests/test_relay_incarnations.py
+++ b/tests/test_relay_incarnations.py
@@ -1,6 +1,7 @@
 """An upstream that starts again under its id holds nothing of before."""
 
 import asyncio
+from collections.abc import Callable
 
 from _relay_bench import (
     LAST,
@@ -68,56 +69,44 @@
     run(test())
 
 
-def test_a_generation_leaves_an_engine_that_has_started_again() -> None:
-    async def test() -> None:
-        stand_ins = [
-            ReplicaStandIn(f"model-{i}", "model", NAMES) for i in range(2)
-        ]
+async def draft_over(
+    start_again: Callable[[RelayWorld, ReplicaStandIn], None],
+) -> None:
+    """Have the engine of a draft start again; the draft has to end whole."""
+    stand_ins = [
+        ReplicaStandIn(f"model-{i}", "model", NAMES) for i in range(2)
+    ]
+    for stand_in in stand_ins:
+        stand_in.behave = hang_midway
+        stand_in.started_ms = FIRST_MS
+    async with RelayWorld(stand_ins) as world:
+        world.configure()
+        calling = asyncio.create_task(world.call("/draft/1", headers=USAGE))
+        used = await until_arrived(stand_ins)
         for stand_in in stand_ins:
-            stand_in.behave = hang_midway
-            stand_in.started_ms = FIRST_MS
-        async with RelayWorld(stand_ins) as world:
-            world.configure()
-            calling = asyncio.create_task(
-                world.call("/draft/1", headers=USAGE)
-            )
-            used = await until_arrived(stand_ins)
-            for stand_in in stand_ins:
-                stand_in.behave = stream
-            await asyncio.sleep(0.05)
-            used.started_ms = SECOND_MS
-            answer = await calling
-        assert answer.is_whole
-        assert answer.body == WHOLE
-        # It went on at the other: what started again knows nothing of it.
-        assert len(used.arrivals) == 1
+            stand_in.behave = stream
+        await asyncio.sleep(0.05)
+        start_again(world, used)
+        answer = await calling
+    assert answer.is_whole
+    assert answer.body == WHOLE
+    # It went on at the other: what started again knows nothing of it.
+    assert len(used.arrivals) == 1
 
-    run(test())
+
+def test_a_generation_leaves_an_engine_that_has_started_again() -> None:
+    def listed(world: RelayWorld, used: ReplicaStandIn) -> None:
+        del world
+        used.started_ms = SECOND_MS
+
+    run(draft_over(listed))
 
 
 def test_an_engine_tells_itself_that_it_has_started_again() -> None:
     """The list is out of reach while the engine crashes and comes back."""
 
-    async def test() -> None:
-        stand_ins = [
-            ReplicaStandIn(f"model-{i}", "model", NAMES) for i in range(2)
-        ]
-        for stand_in in stand_ins:
-            stand_in.behave = hang_midway
-            stand_in.started_ms = FIRST_MS
-        async with RelayWorld(stand_ins) as world:
-            world.configure()
-            calling = asyncio.create_task(
-                world.call("/draft/1", headers=USAGE)
-            )
-            used = await until_arrived(stand_ins)
-            for stand_in in stand_ins:
-                stand_in.behave = stream
-            world.list.is_down = True
-            world.engines.started_ms[used.name] = SECOND_MS
-            answer = await calling
-        assert answer.is_whole
-        assert answer.body == WHOLE
-        assert len(used.arrivals) == 1
+    def reported(world: RelayWorld, used: ReplicaStandIn) -> None:
+        world.list.is_down = True
+        world.engines.started_ms[used.name] = SECOND_MS
 
-    run(test())
+    run(draft_over(reported))
