Split membership: what is received is a module of its own

The parts that it needs are named, not reached for. Ruled out: moving the links as well; they share the watch over silent hosts. Tests: those of peers, scenarios of leaving, the soak and the daemon pass.

--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -25,13 +25,11 @@
 from balsamlift.peers._load import Load, ip_of
 from balsamlift.peers._marks import UpstreamState
 from balsamlift.peers._members import Members
-from balsamlift.peers._messages import (
-    Member,
-    PeerMessage,
-)
+from balsamlift.peers._messages import Member
 from balsamlift.peers._notes import Notes
 from balsamlift.peers._peer import Peer, describe
 from balsamlift.peers._readers import is_reader
+from balsamlift.peers._receiver import Receiver
 from balsamlift.peers._sharing import Sharing
 from balsamlift.peers._told import ToldUpstreams
 from balsamlift.peers._upstreams import Upstreams
@@ -119,6 +117,18 @@
         self._told.start(self._upstreams, self._links.wake)
         self._upstreams.share_probes(self._sharers)
         self._upstreams.share_reading(self._reads_for_others)
+        self._receiver = Receiver(
+            members=self._members,
+            heard=self._heard,
+            load=self._load,
+            links=self._links,
+            told=self._told,
+            sharing=self.sharing,
+            upstreams=self._upstreams,
+            timeline=self._timeline,
+            addresses=self._addresses,
+            on_member=self._member_changed,
+        )
         self._tasks = [
             asyncio.create_task(self._keep_receiving()),
             asyncio.create_task(self._keep_links()),
@@ -248,64 +258,11 @@
     async def _keep_receiving(self) -> None:
         async for message in self._listener.messages(self._metrics):
             try:
-                self._take(message)
+                self._receiver.take(message)
             except Exception:
                 # One bad message must not make this host deaf.
                 log.exception("could not take a message in")
 
-    def _take(self, message: PeerMessage) -> None:
-        self._timeline.observe(message.stamp)
-        if message.host == self.own.host or not self._take_heard(message):
-            return
-        for member in message.members:
-            self._take_member(member)
-        self._load.heard.take(
-            message.host, message.counts, full=message.counts_are_full
-        )
-        self._told.take(message.notes)
-        self.sharing.take(message.shared, self._upstreams)
-        self._correct(message)
-        self._answer(message)
-
-    def _take_heard(self, message: PeerMessage) -> bool:
-        """Note that the sender lives; return false for what is outdated."""
-        host = message.host
-        seen = self._members.incarnations(host)
-        if message.incarnation in seen[:-1]:
-            return False  # from before its restart
-        if not self._heard.find_incarnation(host, message.incarnation):
-            self._load.heard.drop(host)
-        return self._heard.take(message)
-
-    def _take_member(self, member: Member) -> None:
-        link = self._links.find(member.host)
-        is_heard = self._heard.hears(member.host, member.incarnation)
-        if member.state == "dead" and link and is_heard:
-            # Only the host itself can outdo this, so let it know.
-            link.extra_members[member.host] = member
-        elif self._members.merge(member):
-            self._member_changed(member.host)
-
-    def _correct(self, message: PeerMessage) -> None:
-        """Let a sender know when our entry for it is not its own."""
-        known = self._members.find(message.host)
-        if known is None:
-            return
-        is_other = known.incarnation != message.incarnation
-        if is_other or known.state == "dead":
-            self._members.touch(message.host)
-
-    def _answer(self, message: PeerMessage) -> None:
-        link = self._links.find(message.host)
-        if link is not None:
-            link.heard(message.acked_seq, message.missed)
-            if message.wants_members:
-                link.told = attrs.evolve(link.told, members=0)
-            return
-        address = self._addresses().get(message.host)
-        if address and message.chosen:
-            self._links.open(message.host, address)
-
     # Sending
 
     def _compose(self, link: Link) -> Draft:
