Have a few of many hosts read the platform's store for all

Change: with more hosts than hear one another, two read, and so does any that others ask. The exchange of counts, which every host makes once a second anyway, also carries how far the asking host knows the records and what it lacks. Each host knows at which moment what it holds was all that the store had, whoever read it, and reads by itself once that is longer ago than ConfigApplyMs and DrainMs allow. So the bound holds with any reader slow, frozen, cut or gone. While the list may lapse after an outage nothing of it is told. Few hosts, and bounds too short to be told in time, read as before.

Ruled out: sending the configuration itself with the answer. 195 copies of some 10 KB do not fit the 10 Mbit/s of the smallest links in time; hosts pass it on to one another as before. A hub that is a fixed host: it is the one that gathers counts already, by rank of those alive.

--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -67,6 +67,14 @@
     """Tell that the log gave no answer; an append may have taken effect."""
 
 
+class StoreError(PlatformError):
+    """Tell that a call to the store was not done, or may not have been."""
+
+
+class HistoryLostError(StoreError):
+    """Tell that records to be read are no longer kept."""
+
+
 class UpstreamError(BalsamliftError):
     """Be the base of failures of an upstream."""
 
--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -1,5 +1,6 @@
 """The other hosts, and the upstreams that all hosts share."""
 
+from balsamlift.peers._follower import Follower, Pace
 from balsamlift.peers._hosts_list import (
     ENTRY_ROLE,
     UPSTREAM_ROLE,
@@ -9,6 +10,8 @@
 from balsamlift.peers._marks import UpstreamState
 from balsamlift.peers._membership import Peers
 from balsamlift.peers._peer import Peer
+from balsamlift.peers._records import Newest, Record
+from balsamlift.peers._shared_records import SharedRecords, Sources
 from balsamlift.peers._upstream import EntryHost, Upstream
 from balsamlift.peers._upstreams import Upstreams
 
@@ -16,9 +19,15 @@
     "ENTRY_ROLE",
     "UPSTREAM_ROLE",
     "EntryHost",
+    "Follower",
     "ListEntry",
+    "Newest",
+    "Pace",
     "Peer",
     "Peers",
+    "Record",
+    "SharedRecords",
+    "Sources",
     "Upstream",
     "UpstreamList",
     "UpstreamState",
--- /dev/null
+++ b/src/balsamlift/peers/_follower.py
@@ -0,0 +1,201 @@
+"""Follow one topic of the platform's store: read it, or be told.
+
+With many hosts, a few read and the others ask one of these once a second. A
+host knows at which moment what it holds was all that the store had, whoever
+read it; once that is too long ago, it reads by itself. So a change is in
+force in time whatever becomes of the hosts that read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextlib import suppress
+
+import attrs
+from loguru import logger
+
+from balsamlift.clock import Clock
+from balsamlift.exceptions import HistoryLostError, StoreError
+from balsamlift.peers._records import (
+    Newest,
+    Record,
+    RecordStore,
+    RecordTable,
+)
+
+log = logger.bind(part="store")
+
+# A host that is told looks this often whether it now reads for others.
+LOOK_S = 1.0
+LEAST_LOOK_S = 0.02  # a timer that fires early must not keep it busy
+# A host that is told and read in vain tries again after half of this to all
+# of it. The hosts that read try each second, and tell it as soon as they can:
+# 195 hosts that all tried each second of an outage of 8 s would make a third
+# as many calls as they make in a calm hour.
+ALONE_AGAIN_S = 4.0
+
+
+@attrs.frozen(kw_only=True)
+class Pace:
+    """Bound how old what a host holds of a topic may be."""
+
+    wait_ms: int  # that a read waits at the store for news
+    most_age_s: float  # of what it was told, before a host reads by itself
+
+
+@attrs.frozen
+class TopicNews:
+    """Hold what one host tells another of a topic."""
+
+    end: int  # the offset after the last record known
+    age_ms: int  # since these were all the records
+    is_whole: bool  # every key, instead of what has changed
+    records: list[Record]
+
+
+def _always() -> bool:
+    return True
+
+
+class Follower:
+    """Keep the newest record of each key of one topic."""
+
+    def __init__(
+        self, store: RecordStore, topic: str, clock: Clock, pace: Pace
+    ) -> None:
+        """Begin with nothing known, reading by itself; see `share`."""
+        self._store = store
+        self._topic = topic
+        self._clock = clock
+        self._pace = pace
+        self._table = RecordTable()
+        self._reads: Callable[[], bool] = _always
+        self._confirmed_s: float | None = None
+        self._again_s = 0.0
+        self._told = asyncio.Event()
+
+    def share(self, reads: Callable[[], bool]) -> None:
+        """Read only while `reads()`, or when what was told is too old."""
+        self._reads = reads
+
+    @property
+    def reads(self) -> bool:
+        """Tell whether this host reads the topic all the time."""
+        return self._reads()
+
+    @property
+    def end(self) -> int | None:
+        """Return the offset after the last record known; None: none is."""
+        return self._table.end
+
+    @property
+    def age_s(self) -> float:
+        """Return for how long there may have been records not known here."""
+        if self._confirmed_s is None:
+            return float("inf")
+        return max(self._clock.monotonic() - self._confirmed_s, 0.0)
+
+    def values(self) -> dict[str, bytes]:
+        """Return the value of each key."""
+        return self._table.values()
+
+    def confirm(self, at_s: float) -> None:
+        """Note that what is known was all there was at that moment."""
+        self._confirmed_s = max(at_s, self._confirmed_s or at_s)
+
+    async def follow(self, wait_ms: int | None = None) -> bool:
+        """Wait for news; tell whether there were any.
+
+        Where this host reads, the read waits for `wait_ms`, or as long as
+        the pace says. Raises `StoreError` after a read in vain.
+        """
+        while not self._told.is_set():
+            if self._reads():
+                wait_ms = self._pace.wait_ms if wait_ms is None else wait_ms
+                return await self.read(wait_ms)
+            if self._is_overdue():
+                return await self._read_alone()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self._look_s()):
+                    await self._told.wait()
+        self._told.clear()
+        return True
+
+    async def read(self, wait_ms: int) -> bool:
+        """Read what follows; raise `StoreError`."""
+        if self._table.end is None:
+            return await self._read_newest()
+        sent_s = self._clock.monotonic()
+        try:
+            news = await self._store.read(
+                self._topic, self._table.end, wait_ms
+            )
+        except HistoryLostError:
+            log.bind(topic=self._topic, offset=self._table.end).info(
+                "history is gone, reading the newest records"
+            )
+            return await self._read_newest()
+        # An answer without records was given when the wait was over.
+        waited_s = 0.0 if news.records else wait_ms / 1_000
+        self.confirm(min(sent_s + waited_s, self._clock.monotonic()))
+        return self._table.take(news)
+
+    def news_since(self, start: int | None) -> TopicNews | None:
+        """Return what a host lacks that knows the topic up to `start`."""
+        if self._table.end is None or self._confirmed_s is None:
+            return None
+        records = None if start is None else self._table.since(start)
+        return TopicNews(
+            end=self._table.end,
+            age_ms=round(self.age_s * 1_000),
+            is_whole=records is None,
+            records=self._table.all() if records is None else records,
+        )
+
+    def take(self, news: TopicNews, asked_s: float) -> None:
+        """Take in what another host answered to what was asked then."""
+        end = self._table.end
+        if end is not None and news.end < end:
+            return  # it knows less
+        if end is None and not news.is_whole:
+            return  # what comes before was asked for too
+        newest = Newest(news.records, news.end)
+        if news.is_whole:
+            self._table.take_whole(newest)
+        else:
+            self._table.take(newest)
+        self.confirm(asked_s - news.age_ms / 1_000)
+        if news.records or end is None:
+            self._told.set()
+
+    def _is_overdue(self) -> bool:
+        now_s = self._clock.monotonic()
+        return self.age_s > self._pace.most_age_s and now_s >= self._again_s
+
+    def _look_s(self) -> float:
+        """Return how long to wait for what may be told."""
+        now_s = self._clock.monotonic()
+        left_s = self._pace.most_age_s - self.age_s
+        due_s = max(left_s, self._again_s - now_s, LEAST_LOOK_S)
+        return min(due_s, LOOK_S)
+
+    async def _read_alone(self) -> bool:
+        age_s = self.age_s
+        try:
+            is_news = await self.read(0)
+        except StoreError:
+            pause_s = random.uniform(0.5, 1.0) * ALONE_AGAIN_S
+            self._again_s = self._clock.monotonic() + pause_s
+            raise
+        log.bind(topic=self._topic, age_s=round(age_s, 3)).info(
+            "told nothing for too long, read the topic"
+        )
+        return is_news
+
+    async def _read_newest(self) -> bool:
+        sent_s = self._clock.monotonic()
+        self._table.take_whole(await self._store.newest(self._topic))
+        self.confirm(sent_s)
+        return True
--- a/src/balsamlift/peers/_gathering.py
+++ b/src/balsamlift/peers/_gathering.py
@@ -1,5 +1,8 @@
 """In-flight counts of all hosts, gathered at one of them.
 
+The gathering host answers with what it knows of the platform's records too,
+so that the others need not read them.
+
 Up to the fan-out, each host hears the counts of all others. Beyond it, a sum
 scaled up from the partners says little of an engine with room for six
 generations: of 1,149 generations on 78 hosts, 261 were preempted and 270 sent
@@ -32,6 +35,7 @@
     encode_counts,
 )
 from balsamlift.peers._readers import rank_hosts
+from balsamlift.peers._shared_records import Position, SharedRecords
 
 log = logger.bind(part="peers")
 
@@ -46,6 +50,9 @@
 ANSWER_MS = 80
 # One that did not answer is passed over for this long.
 AVOID_S = 1.0
+# Hosts asked in a row when one does not answer: what this host goes by must
+# not grow old over one that has just died.
+MOST_ASKED = 3
 ANSWERERS = 4  # that wait for messages at once; each answers immediately
 MOST_BYTES = 1 << 20
 
@@ -54,9 +61,14 @@
     """Add up what the hosts tell, and tell each what the others have."""
 
     def __init__(
-        self, address: str, clock: Clock, own: Callable[[], CountsUpdate]
+        self,
+        address: str,
+        clock: Clock,
+        own: Callable[[], CountsUpdate],
+        records: SharedRecords,
     ) -> None:
         """Listen on "IP:port"; raises `PeersAddressError`."""
+        self._records = records
         self._rep = pynng.Rep0(recv_max_size=MOST_BYTES)
         ip, port = split_address(address)
         try:
@@ -101,9 +113,10 @@
                 self._counts.drop(host)
                 del self._told_s[host]
                 del self._latest[host]
+        word = self._records.answer(update.position)
         if not update.wants_sums:
-            return CountsSums({})
-        return CountsSums(self._counts.sums_without(update.host))
+            return CountsSums({}, word)
+        return CountsSums(self._counts.sums_without(update.host), word)
 
     def _is_news(self, update: CountsUpdate) -> bool:
         before = self._latest.get(update.host)
@@ -146,14 +159,16 @@
         own: Callable[[], dict[str, int]],
         incarnation: str,
         address: str,
+        records: SharedRecords | None = None,
     ) -> None:
         """Gather at `address` too, should it be this host's turn."""
+        self._records = records or SharedRecords(clock)
         self.host = own_host
         self._clock = clock
         self._own = own
         self._incarnation = incarnation
         self._seqs = itertools.count(1)
-        self._gatherer = Gatherer(address, clock, self._update)
+        self._gatherer = Gatherer(address, clock, self._update, self._records)
         self.address = self._gatherer.address
         self._hosts: Callable[[], Collection[GatheringHost]] = tuple
         self._avoided_s: dict[str, float] = {}
@@ -204,13 +219,16 @@
         self._wake.set()
         await asyncio.wait([waiter], timeout=2 * ANSWER_MS / 1_000)
 
-    def _update(self, *, wants_sums: bool = False) -> CountsUpdate:
+    def _update(
+        self, *, wants_sums: bool = False, position: Position | None = None
+    ) -> CountsUpdate:
         return CountsUpdate(
             self.host,
             self._incarnation,
             next(self._seqs),
             self._own(),
             wants_sums=wants_sums,
+            position=position,
         )
 
     async def _keep_telling(self) -> None:
@@ -229,21 +247,34 @@
 
     async def _exchange(self, *, wants_sums: bool) -> None:
         """Tell the gathering host, and take its sums in if wanted."""
-        found = self._find()
-        if found is None:
-            self._summed_s = None
-            return
-        if found.host != self._told_host:
-            self._told_host = found.host
-            log.bind(host_told=found.host).info("counts are gathered there")
-        update = self._update(wants_sums=wants_sums)
-        if found.host == self.host:
-            sums: CountsSums | None = self._gatherer.take(update)
-        else:
-            sums = await self._ask(found, update)
-        if sums is None:
+        for _ in range(MOST_ASKED):
+            found = self._find()
+            if found is None:
+                self._summed_s = None
+                return
+            if found.host != self._told_host:
+                self._told_host = found.host
+                log.bind(host_told=found.host).info("counts gathered there")
+            asked_s = self._clock.monotonic()
+            sums = await self._tell_host(found, wants_sums)
+            if sums is not None:
+                self._take_sums(sums, asked_s, wants_sums)
+                return
             self._avoided_s[found.host] = self._clock.monotonic() + AVOID_S
-            return
+
+    async def _tell_host(
+        self, found: GatheringHost, wants_sums: bool
+    ) -> CountsSums | None:
+        if found.host == self.host:
+            return self._gatherer.take(self._update(wants_sums=wants_sums))
+        position = self._records.position()
+        update = self._update(wants_sums=wants_sums, position=position)
+        return await self._ask(found, update)
+
+    def _take_sums(
+        self, sums: CountsSums, asked_s: float, wants_sums: bool
+    ) -> None:
+        self._records.take(sums.word, asked_s)
         if wants_sums:
             self._sums = sums.counts
             self._summed_s = self._clock.monotonic()
--- a/src/balsamlift/peers/_load.py
+++ b/src/balsamlift/peers/_load.py
@@ -10,6 +10,7 @@
 from balsamlift.peers._counts import OwnCounts, PeerCounts
 from balsamlift.peers._gathering import Gathering, GatheringHost
 from balsamlift.peers._members import Members
+from balsamlift.peers._shared_records import SharedRecords
 from balsamlift.settings import Settings
 
 
@@ -21,7 +22,12 @@
     """
 
     def __init__(
-        self, settings: Settings, incarnation: str, ip: str, clock: Clock
+        self,
+        settings: Settings,
+        incarnation: str,
+        ip: str,
+        clock: Clock,
+        records: SharedRecords,
     ) -> None:
         """Gather at the address in the settings, or at any port of `ip`."""
         self.own = OwnCounts()
@@ -33,6 +39,7 @@
             self.own.full,
             incarnation,
             settings.counts_address or join_address(ip, 0),
+            records,
         )
         self.address = self._gathering.address
 
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -30,6 +30,7 @@
 from balsamlift.peers._peer import Peer, describe
 from balsamlift.peers._readers import is_reader
 from balsamlift.peers._receiver import Receiver
+from balsamlift.peers._shared_records import SharedRecords
 from balsamlift.peers._sharing import Sharing
 from balsamlift.peers._told import ToldUpstreams
 from balsamlift.peers._upstreams import Upstreams
@@ -38,6 +39,9 @@
 
 log = logger.bind(part="peers")
 
+# One is asked by all others; the second knows as much when it is gone.
+READERS_OF_MANY = 2
+
 
 class Peers:
     """Know the other hosts: who lives, and what they have in flight.
@@ -66,7 +70,14 @@
         self._clock = clock
         self._listener = Listener(settings.peers_address)
         self.address = self._listener.address
-        self._load = Load(settings, incarnation, ip_of(self.address), clock)
+        self.records = SharedRecords(clock)
+        self._load = Load(
+            settings,
+            incarnation,
+            ip_of(self.address),
+            clock,
+            self.records,
+        )
         self._members = Members(
             Member(
                 host=settings.host,
@@ -116,7 +127,7 @@
         self._load.start(self._members, self._links.wake, self._metrics)
         self._told.start(self._upstreams, self._links.wake)
         self._upstreams.share_probes(self._sharers)
-        self._upstreams.share_reading(self._reads_for_others)
+        self._upstreams.share_reading(self._reads_often)
         self._receiver = Receiver(
             members=self._members,
             heard=self._heard,
@@ -243,14 +254,33 @@
         live = [peer.host for peer in self.live() if not peer.leaving]
         return [self.own.host, *live]
 
-    def _reads_for_others(self) -> bool:
+    def _reads_often(self) -> bool:
+        """Tell whether to read the list often.
+
+        Among many hosts the source waits for news by itself.
+        """
+        return not self.hears_all or self.reads_for_others()
+
+    @property
+    def reads_records(self) -> bool:
+        """Tell whether this host reads the platform's records by itself.
+
+        All of few hosts do. Of many, some read for all, and so does any
+        host that others ask, whatever it thinks of its own rank.
+        """
+        if self.hears_all or self.records.is_asked:
+            return True
+        return self.reads_for_others(READERS_OF_MANY)
+
+    def reads_for_others(self, most: int | None = None) -> bool:
         """Tell whether this host tells the others how the list changes."""
         readers = [
             peer.host
             for peer in self.live()
             if not peer.leaving and not self._heard.lacks_list(peer.host)
         ]
-        most = self._settings.platform.hosts_readers
+        if most is None:
+            most = self._settings.platform.hosts_readers
         return is_reader(self.own.host, readers, most)
 
     # Receiving
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -9,8 +9,11 @@
 import msgspec
 
 from balsamlift.exceptions import PeerMessageError
+from balsamlift.peers._follower import TopicNews
 from balsamlift.peers._hosts_list import ListEntry
 from balsamlift.peers._marks import STATES, UpstreamState
+from balsamlift.peers._records import Record
+from balsamlift.peers._shared_records import Position, Word
 
 _Message = TypeVar("_Message")
 MemberState = UpstreamState  # hosts go through the same states
@@ -98,6 +101,7 @@
     seq: int  # grows over all updates of the incarnation
     counts: dict[str, int]
     wants_sums: bool  # of all other hosts, as the answer
+    position: Position | None = None  # to be told what is newer
 
 
 @attrs.frozen
@@ -105,6 +109,7 @@
     """Hold what all other hosts have in flight, by upstream."""
 
     counts: dict[str, int]
+    word: Word | None = None
 
 
 for _class in (
@@ -113,6 +118,10 @@
     ListEntry,
     Shared,
     PeerMessage,
+    Record,
+    TopicNews,
+    Position,
+    Word,
     CountsUpdate,
     CountsSums,
 ):
--- /dev/null
+++ b/src/balsamlift/peers/_records.py
@@ -0,0 +1,108 @@
+"""Records of the platform's store, and the newest of each key."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import attrs
+
+# Removals remembered, so that a host that lags is told of them one by one.
+# Upstreams come and go about once a second, and hosts ask once a second: one
+# that lags by more than this many is told everything.
+MOST_REMOVED = 256
+
+
+@attrs.frozen
+class Record:
+    """Hold one record of a topic; without a value, the key is gone.
+
+    Bytes of the key that are no text are replaced: nothing of ours has such
+    a key.
+    """
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+@attrs.frozen
+class Newest:
+    """Hold records of a topic, and the offset from which to read on."""
+
+    records: list[Record]
+    end: int
+
+
+class RecordStore(Protocol):
+    """Read the topics of the platform's store."""
+
+    async def newest(self, topic: str) -> Newest:
+        """Return the newest record of each key; raise `StoreError`."""
+
+    async def read(self, topic: str, start: int, wait_ms: int) -> Newest:
+        """Return the records from `start` on, waiting for one.
+
+        Raises `HistoryLostError` when some of them are gone, else
+        `StoreError`.
+        """
+
+
+class RecordTable:
+    """Hold the newest record of each key, up to an offset."""
+
+    def __init__(self) -> None:
+        """Begin with nothing known."""
+        self.end: int | None = None  # None: nothing was read or told yet
+        self._records: dict[str, Record] = {}
+        self._removed: dict[str, Record] = {}  # oldest first
+        self._forgotten = -1  # offset of the latest removal forgotten
+
+    def values(self) -> dict[str, bytes]:
+        """Return the value of each key."""
+        return {
+            key: record.value
+            for key, record in self._records.items()
+            if record.value is not None
+        }
+
+    def take(self, news: Newest) -> bool:
+        """Take in what follows; tell whether any record was news."""
+        taken = [self._take_record(record) for record in news.records]
+        self.end = max(self.end or 0, news.end)
+        return any(taken)
+
+    def take_whole(self, newest: Newest) -> None:
+        """Take in all that the store has: what is missing there is gone."""
+        kept = {record.key for record in newest.records}
+        for key in self._records.keys() - kept:
+            self._take_record(Record(key, None, max(newest.end - 1, 0)))
+        self.take(newest)
+
+    def since(self, start: int) -> list[Record] | None:
+        """Return what changed from `start` on; None: too much is forgotten."""
+        if start <= self._forgotten:
+            return None
+        both = (*self._records.values(), *self._removed.values())
+        return [record for record in both if record.offset >= start]
+
+    def all(self) -> list[Record]:
+        """Return the newest record of each key that is there."""
+        return list(self._records.values())
+
+    def _take_record(self, record: Record) -> bool:
+        known = self._records.get(record.key) or self._removed.get(record.key)
+        if known is not None and known.offset >= record.offset:
+            return False
+        self._records.pop(record.key, None)
+        self._removed.pop(record.key, None)
+        if record.value is not None:
+            self._records[record.key] = record
+        else:
+            self._removed[record.key] = record
+            self._forget()
+        return True
+
+    def _forget(self) -> None:
+        for key in list(self._removed)[:-MOST_REMOVED]:
+            offset = self._removed.pop(key).offset
+            self._forgotten = max(self._forgotten, offset)
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -175,6 +175,11 @@
         """Tell whether this host cannot read the list."""
         return self._reader.is_down
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether this host's list is whole: read, and not just back."""
+        return not self.is_cut_off and self._reader.can_remove
+
     def to_share(self) -> list[ListEntry]:
         """Return the upstreams, for a peer that cannot read the list.
 
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -17,7 +17,7 @@
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
-from balsamlift.peers import Peers, Upstreams
+from balsamlift.peers import Peers, Sources, Upstreams
 from balsamlift.platform._decode import HostRecord
 from balsamlift.platform._engines import PlatformEngines
 from balsamlift.platform._settings import NodeSettings, load_node_settings
@@ -57,11 +57,13 @@
         )
         http = HttpClient(most_calls=MOST_STORE_CALLS)
         store = Store(node.store_address, http)
-        routing = Routing()
+        self._routing = routing = Routing()
         self.frontend = Frontend(node.callers_address, clock)
-        self.upstreams = Upstreams(
-            settings, clock, http, UpstreamsSource(store, clock)
+        self._configuration = ConfigurationWatch(
+            store, clock, node.configuration_pace
         )
+        self._listed = UpstreamsSource(store, clock, node.list_pace)
+        self.upstreams = Upstreams(settings, clock, http, self._listed)
         self.peers = Peers(
             settings, new_incarnation(), self.frontend.address, clock, rng
         )
@@ -81,7 +83,7 @@
             Metrics(),
             routing,
             self.frontend,
-            ConfigurationWatch(store, clock, node.read_wait_ms),
+            self._configuration,
             HostRegistration(store, clock, settings.host, record),
             self.upstreams,
             self.peers,
@@ -96,9 +98,23 @@
             lambda data: offer(routing, data, "peer"),
         )
 
+    def _share_reading(self) -> None:
+        """Have few hosts read the store for all, once there are many."""
+        sources = Sources(
+            configuration=self._configuration.follower,
+            listed=self._listed.upstreams,
+            copy=self._routing,
+            is_settled=lambda: self.upstreams.is_settled,
+        )
+        for follower in (sources.configuration, sources.listed):
+            follower.share(lambda: self.peers.reads_records)
+        self.peers.records.connect(sources)
+
     async def start(self) -> None:
         """Start every service."""
         await self.kernel.start()
+        if self._node.can_share_reading:
+            self._share_reading()
         log.bind(
             callers_address=self._node.callers_address,
             first_port=self._node.first_port,
--- a/src/balsamlift/platform/_settings.py
+++ b/src/balsamlift/platform/_settings.py
@@ -11,6 +11,7 @@
 
 from balsamlift._address import join_address
 from balsamlift.exceptions import SettingsError
+from balsamlift.peers import Pace
 from balsamlift.platform._names import HEADERS
 from balsamlift.relay import RelaySettings, RetryLimits
 from balsamlift.settings import (
@@ -48,6 +49,20 @@
 LEAST_READ_WAIT_MS = 1_000
 
 
+# A read of the list waits this long at the store where all hosts read. A
+# connection that has gone silent is noticed one second later.
+LIST_WAIT_MS = 1_000
+# Among many hosts, most are told what a few read. A host reads by itself this
+# long before the time in which a change has to be in force: its read takes
+# 10 ms, 240 ms where the store is slow, and it looks each 250 ms.
+OWN_READ_MS = 550
+# What a host is told is older than what the asked one knows by up to this: it
+# asks each second, and two hosts in a row may not answer within 80 ms.
+TOLD_LATE_MS = 1_200
+# With shorter reads than this, hosts that read for others call too often.
+LEAST_SHARED_WAIT_MS = 750
+
+
 @attrs.frozen(kw_only=True)
 class NodeSettings:
     """Hold what the platform tells one process."""
@@ -80,6 +95,39 @@
         wait_ms = int(self.contact_ms - SILENCE_MARGIN_MS)
         return max(wait_ms, LEAST_READ_WAIT_MS)
 
+    @property
+    def _most_age_ms(self) -> int:
+        """Return how old what a host was told may be."""
+        return int(min(self.apply_ms, self.drain_ms)) - OWN_READ_MS
+
+    @property
+    def _shared_wait_ms(self) -> int:
+        """Return how long reads for others may wait: less is told late."""
+        return self._most_age_ms - TOLD_LATE_MS
+
+    @property
+    def can_share_reading(self) -> bool:
+        """Tell whether bounds leave time to be told instead of to read."""
+        return self._shared_wait_ms >= LEAST_SHARED_WAIT_MS
+
+    @property
+    def configuration_pace(self) -> Pace:
+        """Return how the configuration is followed."""
+        wait_ms = self.read_wait_ms
+        if self.can_share_reading:
+            wait_ms = min(wait_ms, self._shared_wait_ms)
+        return Pace(wait_ms=wait_ms, most_age_s=self._most_age_ms / 1_000)
+
+    @property
+    def list_pace(self) -> Pace:
+        """Return how the list of upstreams is followed."""
+        wait_ms = LIST_WAIT_MS
+        if self.can_share_reading:
+            # Between two reads there is a pause, up to a fifth longer.
+            wait_ms = self._shared_wait_ms - int(LIST_PAUSE_MS * 1.25)
+            wait_ms = min(self.read_wait_ms, wait_ms)
+        return Pace(wait_ms=wait_ms, most_age_s=self._most_age_ms / 1_000)
+
     def product_settings(self) -> Settings:
         """Return the product's own settings."""
         return Settings(
--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -6,12 +6,12 @@
 import struct
 from urllib.parse import urlencode
 
-import attrs
 import msgspec
 from loguru import logger
 
 from balsamlift._http import Answer, CallError, HttpClient
-from balsamlift.exceptions import PlatformError
+from balsamlift.exceptions import HistoryLostError, StoreError
+from balsamlift.peers import Newest, Record
 
 log = logger.bind(part="store")
 
@@ -24,39 +24,12 @@
 _LENGTH = struct.Struct(">I")
 
 
-class StoreError(PlatformError):
-    """Tell that a call to the store was not done, or may not have been."""
-
-
-class HistoryLostError(StoreError):
-    """Tell that records to be read are no longer kept."""
-
-
-@attrs.frozen
-class KeyedRecord:
-    """Hold one record of a keyed topic; without a value, the key is gone.
-
-    Bytes of the key that are no text are replaced: nothing of ours has such
-    a key.
-    """
-
-    key: str
-    value: bytes | None
-
-
-@attrs.frozen
-class Newest:
-    """Hold the newest record of each key, and from where to read on."""
-
-    records: list[KeyedRecord]
-    end: int
-
-
 class _Item(msgspec.Struct):
     """Hold one record as the store lists it."""
 
     Key: str
     Value: str  # base64
+    Offset: int = 0
 
 
 class _Page(msgspec.Struct):
@@ -78,7 +51,7 @@
 
     async def newest(self, topic: str) -> Newest:
         """Return the newest record of each key; raise `StoreError`."""
-        records: list[KeyedRecord] = []
+        records: list[Record] = []
         end: int | None = None
         after = ""
         while True:
@@ -163,19 +136,20 @@
             log.bind(topic=topic).info("store is back")
 
 
-def _listed_record(item: _Item) -> KeyedRecord:
+def _listed_record(item: _Item) -> Record:
     """Return a record of a page; a value that cannot be read stays so."""
     try:
-        return KeyedRecord(item.Key, base64.b64decode(item.Value))
+        value = base64.b64decode(item.Value)
     except ValueError:
-        return KeyedRecord(item.Key, item.Value.encode())
+        value = item.Value.encode()
+    return Record(item.Key, value, item.Offset)
 
 
 def _decode_read(body: bytes, start: int) -> Newest:
     """Return the records of a read and the offset after the last."""
     try:
         _NUMBERS.unpack_from(body)
-        records = []
+        records: list[Record] = []
         at = _NUMBERS.size
         while at < len(body):
             (length,) = _LENGTH.unpack_from(body, at)
@@ -184,14 +158,14 @@
             if len(content) != length:
                 break  # cut at the limit of a call: read again from there
             at += length
-            records.append(_decode_keyed(content))
+            records.append(_decode_keyed(content, start + len(records)))
     except struct.error as error:
         raise StoreError(f"no records: {error}") from error
     return Newest(records, start + len(records))
 
 
-def _decode_keyed(content: bytes) -> KeyedRecord:
+def _decode_keyed(content: bytes, offset: int) -> Record:
     """Return a record, whatever its bytes: others come after it."""
     size = content[0] if content else 0
     key = content[1 : 1 + size].decode(errors="replace")
-    return KeyedRecord(key, content[1 + size :] or None)
+    return Record(key, content[1 + size :] or None, offset)
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -12,9 +12,9 @@
 from balsamlift._back_off import BackOff
 from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
-from balsamlift.exceptions import HostsUnavailableError
+from balsamlift.exceptions import HostsUnavailableError, StoreError
 from balsamlift.kernel import Kernel
-from balsamlift.peers import ListEntry
+from balsamlift.peers import Follower, ListEntry, Pace
 from balsamlift.platform._decode import (
     HostRecord,
     RecordError,
@@ -29,21 +29,13 @@
     HOSTS_TOPIC,
     UPSTREAMS_TOPIC,
 )
-from balsamlift.platform._store import (
-    HistoryLostError,
-    KeyedRecord,
-    Store,
-    StoreError,
-)
+from balsamlift.platform._store import Store
 from balsamlift.relay import Routing
 
 log = logger.bind(part="store")
 
 T = TypeVar("T")
 
-# A read of the list waits this long at the store. A connection that has gone
-# silent is noticed one second later.
-UPSTREAMS_WAIT_MS = 1_000
 # After a call that failed, and twice as long after each more. Calls that are
 # refused are priced too.
 RETRY_MS = 200.0
@@ -54,57 +46,15 @@
 HOSTS_POLL_S = 10.0
 
 
-class Follower:
-    """Keep the newest value of each key of one topic."""
-
-    def __init__(self, store: Store, topic: str) -> None:
-        """Begin with nothing read."""
-        self._store = store
-        self._topic = topic
-        self._next: int | None = None
-        self.values: dict[str, bytes] = {}
-
-    async def read(self, wait_ms: int) -> bool:
-        """Wait for news; tell whether there were any. Raise `StoreError`."""
-        if self._next is None:
-            return await self._read_newest()
-        try:
-            news = await self._store.read(self._topic, self._next, wait_ms)
-        except HistoryLostError:
-            log.bind(topic=self._topic, offset=self._next).info(
-                "history is gone, reading the newest records"
-            )
-            return await self._read_newest()
-        for record in news.records:
-            self._take(record)
-        self._next = news.end
-        return bool(news.records)
-
-    async def _read_newest(self) -> bool:
-        newest = await self._store.newest(self._topic)
-        self.values = {}
-        for record in newest.records:
-            self._take(record)
-        self._next = newest.end
-        return True
-
-    def _take(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            self.values.pop(record.key, None)
-        else:
-            self.values[record.key] = record.value
-
-
 class ConfigurationWatch:
     """Offer each configuration that operators write."""
 
     name = "configuration_watch"
 
-    def __init__(self, store: Store, clock: Clock, wait_ms: int) -> None:
-        """Follow the topic of operators; a read waits for `wait_ms`."""
-        self._follower = Follower(store, CONFIGURATION_TOPIC)
+    def __init__(self, store: Store, clock: Clock, pace: Pace) -> None:
+        """Follow the topic of operators at that pace."""
+        self.follower = Follower(store, CONFIGURATION_TOPIC, clock, pace)
         self._clock = clock
-        self._wait_ms = wait_ms
         self._back_off = BackOff(None, RETRY_MS, RETRY_MOST_MS)
         self._task: asyncio.Task[None] | None = None
 
@@ -118,10 +68,10 @@
         await end_task(self._task)
 
     async def _keep_reading(self) -> None:
-        wait_ms = self._wait_ms
+        wait_ms: int | None = None
         while True:
             try:
-                await self._follower.read(wait_ms)
+                await self.follower.follow(wait_ms)
             except StoreError:
                 # Logged by the store as it was lost. Until it answers again,
                 # a read waits for nothing: one that is sent just before the
@@ -130,9 +80,9 @@
                 wait_ms = 0
                 await self._clock.sleep(self._back_off.failed())
                 continue
-            wait_ms = self._wait_ms
+            wait_ms = None
             self._back_off.succeeded()
-            data = self._follower.values.get(CONFIGURATION_KEY)
+            data = self.follower.values().get(CONFIGURATION_KEY)
             if data is not None:
                 offer(self._routing, data, "store")
             else:
@@ -180,39 +130,44 @@
 class UpstreamsSource:
     """Read upstreams and our own hosts from the store, as one list."""
 
-    def __init__(self, store: Store, clock: Clock) -> None:
-        """Follow both topics."""
-        self._upstreams = Follower(store, UPSTREAMS_TOPIC)
-        self._hosts = Follower(store, HOSTS_TOPIC)
+    def __init__(self, store: Store, clock: Clock, pace: Pace) -> None:
+        """Follow both topics; upstreams at that pace."""
+        self.upstreams = Follower(store, UPSTREAMS_TOPIC, clock, pace)
+        self._hosts = Follower(store, HOSTS_TOPIC, clock, pace)
         self._decoded_upstreams = _Decoded(decode_upstream)
         self._decoded_hosts = _Decoded(
             lambda key, data: (key, decode_host(data))
         )
         self._clock = clock
-        self._wait_ms = UPSTREAMS_WAIT_MS
+        self._wait_ms: int | None = None
         self._hosts_due_s = 0.0
         self._hosts_back_off = BackOff(None, RETRY_MS, RETRY_MOST_MS)
 
     async def read(self) -> list[ListEntry] | None:
         """Return all entries, or None when nothing has changed."""
         try:
-            changed = await self._upstreams.read(self._wait_ms)
+            changed = await self.upstreams.follow(self._wait_ms)
         except StoreError as error:
             self._wait_ms = 0  # until it answers, see `ConfigurationWatch`
             raise HostsUnavailableError(error.message) from error
-        self._wait_ms = UPSTREAMS_WAIT_MS
+        self._wait_ms = None
         changed |= await self._read_hosts()
         if not changed:
             return None
-        upstreams = self._decoded_upstreams.update(self._upstreams.values)
+        upstreams = self._decoded_upstreams.update(self.upstreams.values())
         return [*upstreams, *self._host_entries()]
 
     async def _read_hosts(self) -> bool:
         """Read our own hosts when that is due; tell whether any changed.
 
         The store may serve one topic and not the other: without news of
-        hosts, those of upstreams still count.
+        hosts, those of upstreams still count. Hosts tell one another who
+        they are: of many, only those that read for all look for hosts that
+        no other has heard of.
         """
+        is_known = self._hosts.end is not None
+        if is_known and not self.upstreams.reads:
+            return False
         if self._clock.monotonic() < self._hosts_due_s:
             return False
         try:
@@ -230,7 +185,7 @@
         oldest_s = self._clock.now().timestamp() - HOST_LIFETIME_S
         return [
             host_entry(key, record)
-            for key, record in self._decoded_hosts.update(self._hosts.values)
+            for key, record in self._decoded_hosts.update(self._hosts.values())
             if record.written_s >= oldest_s
         ]
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -463,7 +463,7 @@
 
 
 def reads_for_others(host: Host) -> bool:
-    return host.peers._reads_for_others()
+    return host.peers.reads_for_others()
 
 
 def test_partial_mesh() -> None:
--- /dev/null
+++ b/tests/test_peers_follower.py
@@ -0,0 +1,220 @@
+"""Being told the platform's records, and reading once that is too old."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from balsamlift.clock import SystemClock
+from balsamlift.exceptions import StoreError
+from balsamlift.peers import (
+    Follower,
+    Newest,
+    Pace,
+    Record,
+    SharedRecords,
+    Sources,
+)
+from balsamlift.peers._follower import ALONE_AGAIN_S
+from balsamlift.peers._shared_records import Position, Word
+
+DEADLINE_S = 10.0
+PACE = Pace(wait_ms=200, most_age_s=0.6)
+
+
+class HandClock(SystemClock):
+    """A clock that a test moves on by hand."""
+
+    ahead_s = 0.0
+
+    def monotonic(self) -> float:
+        return super().monotonic() + self.ahead_s
+
+
+class FakeStore:
+    """A topic in memory that counts the calls."""
+
+    def __init__(self) -> None:
+        self.records: list[Record] = []
+        self.calls = 0
+        self.is_down = False
+
+    def append(self, key: str, value: bytes | None) -> None:
+        self.records.append(Record(key, value, len(self.records)))
+
+    async def newest(self, topic: str) -> Newest:
+        self._called()
+        newest = {record.key: record for record in self.records}
+        kept = [r for r in newest.values() if r.value is not None]
+        return Newest(kept, len(self.records))
+
+    async def read(self, topic: str, start: int, wait_ms: int) -> Newest:
+        self._called()
+        if len(self.records) <= start:
+            await asyncio.sleep(wait_ms / 1_000)
+        return Newest(self.records[start:], len(self.records))
+
+    def _called(self) -> None:
+        self.calls += 1
+        if self.is_down:
+            raise StoreError("down")
+
+
+class Copy:
+    """A configuration of which only the version matters here."""
+
+    offset = 0
+
+
+class World:
+    """Two hosts: one reads, the other is told."""
+
+    def __init__(self) -> None:
+        self.clock = HandClock()
+        self.read_store, self.told_store = FakeStore(), FakeStore()
+        self.told_store.records = self.read_store.records
+        self.reader = Follower(self.read_store, "t", self.clock, PACE)
+        self.told = Follower(self.told_store, "t", self.clock, PACE)
+        self.told.share(lambda: False)
+        self.reader_copy, self.told_copy = Copy(), Copy()
+        self.reader_says = self.speaker(self.reader, self.reader_copy)
+        self.told_says = self.speaker(self.told, self.told_copy)
+        self.is_settled = True
+
+    def speaker(self, follower: Follower, copy: Copy) -> SharedRecords:
+        records = SharedRecords(self.clock)
+        records.connect(
+            Sources(
+                configuration=follower,
+                listed=follower,
+                copy=copy,
+                is_settled=lambda: self.is_settled,
+            )
+        )
+        return records
+
+    def ask(self) -> Word | None:
+        """Have the told host ask the reading one."""
+        asked_s = self.clock.monotonic()
+        word = self.reader_says.answer(self.told_says.position())
+        self.told_says.take(word, asked_s)
+        return word
+
+
+def run(test: Callable[[World], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with asyncio.timeout(DEADLINE_S):
+            await test(World())
+
+    asyncio.run(main())
+
+
+def test_a_host_that_is_told_does_not_read() -> None:
+    async def test(world: World) -> None:
+        for n in range(5):
+            world.read_store.append("a", b"%d" % n)
+            await world.reader.follow()
+            world.ask()
+            assert await world.told.follow()
+            assert world.told.values() == {"a": b"%d" % n}
+        assert world.told_store.calls == 0
+
+    run(test)
+
+
+def test_a_host_that_is_told_nothing_reads_in_time() -> None:
+    """Counted from when the records were known to be all there were."""
+
+    async def test(world: World) -> None:
+        world.read_store.append("a", b"1")
+        await world.reader.follow()
+        world.ask()
+        assert await world.told.follow()
+        world.read_store.append("a", b"2")
+        assert await world.told.follow()
+        assert world.told.values() == {"a": b"2"}
+        assert world.told_store.calls == 1
+        assert world.told.age_s < PACE.most_age_s
+
+    run(test)
+
+
+def test_the_word_of_a_host_that_cannot_read_grows_old() -> None:
+    async def test(world: World) -> None:
+        world.read_store.append("a", b"1")
+        await world.reader.follow()
+        world.ask()
+        assert await world.told.follow()
+        world.read_store.is_down = True
+        world.read_store.append("a", b"2")
+        following = asyncio.create_task(world.told.follow())
+        while not following.done():
+            world.ask()
+            await asyncio.sleep(0.05)
+        assert world.told.values() == {"a": b"2"}
+
+    run(test)
+
+
+def test_in_an_outage_a_host_that_is_told_asks_rarely() -> None:
+    async def test(world: World) -> None:
+        world.told_store.is_down = True
+        with pytest.raises(StoreError):
+            await world.told.follow()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await world.told.follow()
+        assert world.told_store.calls == 1
+        world.clock.ahead_s = ALONE_AGAIN_S
+        world.told_store.is_down = False
+        assert await world.told.follow()
+
+    run(test)
+
+
+def test_a_list_that_may_lapse_is_not_told() -> None:
+    async def test(world: World) -> None:
+        world.read_store.append("a", b"1")
+        await world.reader.follow()
+        world.is_settled = False
+        word = world.ask()
+        assert word is not None
+        assert word.listed is None
+        assert world.told.end is None
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("own", "told", "is_confirmed"),
+    [(3, 3, True), (4, 3, True), (2, 3, False), (0, 0, False)],
+)
+def test_a_version_is_the_newest_only_if_it_is_here(
+    own: int, told: int, is_confirmed: bool
+) -> None:
+    async def test(world: World) -> None:
+        await world.reader.follow()
+        world.told_copy.offset, world.reader_copy.offset = own, told
+        world.is_settled = False
+        world.ask()
+        assert (world.told.age_s < 1) is is_confirmed
+
+    run(test)
+
+
+def test_a_host_that_is_asked_knows_it_for_a_while() -> None:
+    async def test(world: World) -> None:
+        assert not world.reader_says.is_asked
+        world.ask()
+        assert world.reader_says.is_asked
+        world.clock.ahead_s = 10.0
+        assert not world.reader_says.is_asked
+
+    run(test)
+
+
+def test_a_host_without_records_is_told_nothing() -> None:
+    records = SharedRecords(SystemClock())
+    assert records.position() is None
+    assert records.answer(Position(0, None)) is None
+    assert not records.is_asked
--- a/tests/test_peers_gathering.py
+++ b/tests/test_peers_gathering.py
@@ -18,6 +18,7 @@
 )
 from balsamlift.peers._messages import CountsUpdate, encode_counts
 from balsamlift.peers._readers import is_reader, rank_hosts
+from balsamlift.peers._shared_records import SharedRecords
 
 DEADLINE_S = 20.0
 HOSTS = [f"h{n:02}" for n in range(20)]
@@ -173,7 +174,9 @@
     def __init__(self) -> None:
         self.clock = HandClock()
         own = CountsUpdate("h00", "i", 0, {}, False)
-        self.gatherer = Gatherer("127.0.0.1:0", self.clock, lambda: own)
+        self.gatherer = Gatherer(
+            "127.0.0.1:0", self.clock, lambda: own, SharedRecords(self.clock)
+        )
 
     def take(self, host: str, seq: int, n: int, incarnation: str = "i") -> int:
         counts = {"e1": n} if n else {}
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -15,7 +15,7 @@
 
 import balsamlift
 from balsamlift._address import split_address
-from balsamlift.exceptions import SettingsError
+from balsamlift.exceptions import SettingsError, StoreError
 from balsamlift.platform._decode import (
     RecordError,
     decode_configuration,
@@ -27,7 +27,7 @@
     METRICS_PORT,
     decode_node_settings,
 )
-from balsamlift.platform._store import StoreError, _decode_read
+from balsamlift.platform._store import _decode_read
 from balsamlift.relay import FIRST_LIMITS, CallerLimits
 
 MANIFEST: dict[str, Any] = {
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -13,8 +13,13 @@
 import balsamlift.platform._watch as watch_module
 from balsamlift._http import HttpClient
 from balsamlift.clock import SystemClock
-from balsamlift.exceptions import HostsUnavailableError
+from balsamlift.exceptions import (
+    HistoryLostError,
+    HostsUnavailableError,
+    StoreError,
+)
 from balsamlift.kernel import Kernel
+from balsamlift.peers import Follower, Pace
 from balsamlift.platform._decode import HostRecord
 from balsamlift.platform._names import (
     CONFIGURATION_KEY,
@@ -23,10 +28,9 @@
     UPSTREAMS_TOPIC,
 )
 from balsamlift.platform._settings import decode_node_settings
-from balsamlift.platform._store import HistoryLostError, Store, StoreError
+from balsamlift.platform._store import Store
 from balsamlift.platform._watch import (
     ConfigurationWatch,
-    Follower,
     HostRegistration,
     UpstreamsSource,
 )
@@ -34,6 +38,7 @@
 from balsamlift.testing.platform import Fault, KeyedStore
 
 DEADLINE_S = 20.0
+PACE = Pace(wait_ms=1_000, most_age_s=1.5)
 
 
 def run(test: Callable[[KeyedStore, Store], Awaitable[None]]) -> None:
@@ -113,13 +118,13 @@
     async def test(stand_in: KeyedStore, store: Store) -> None:
         topic = stand_in.topic("keyed.t")
         topic.append("a", b"1")
-        follower = Follower(store, "keyed.t")
+        follower = Follower(store, "keyed.t", SystemClock(), PACE)
         assert await follower.read(0)
         topic.append("b", b"2")
         topic.append("a", b"")
         stand_in.forget("keyed.t")
         assert await follower.read(0)
-        assert follower.values == {"b": b"2"}
+        assert follower.values() == {"b": b"2"}
         assert not await follower.read(10)
 
     run(test)
@@ -134,7 +139,7 @@
         routing = Routing()
         kernel = Kernel()
         kernel.register(routing)
-        kernel.register(ConfigurationWatch(store, SystemClock(), 1_000))
+        kernel.register(ConfigurationWatch(store, SystemClock(), PACE))
         await kernel.start()
         topic = stand_in.topic(CONFIGURATION_TOPIC)
         topic.append(CONFIGURATION_KEY, manifest(3))
@@ -168,7 +173,7 @@
         kernel = Kernel()
         kernel.register(routing)
         kernel.register(
-            ConfigurationWatch(store, SystemClock(), node.read_wait_ms)
+            ConfigurationWatch(store, SystemClock(), node.configuration_pace)
         )
         await kernel.start()
         topic = stand_in.topic(CONFIGURATION_TOPIC)
@@ -203,7 +208,7 @@
     async def test(stand_in: KeyedStore, store: Store) -> None:
         stand_in.silent_topics.add(HOSTS_TOPIC)
         stand_in.topic(UPSTREAMS_TOPIC).append("i-1", upstream())
-        source = UpstreamsSource(store, SystemClock())
+        source = UpstreamsSource(store, SystemClock(), PACE)
         entries = await source.read()
         assert entries is not None
         assert [e.name for e in entries] == ["i-1"]
@@ -216,7 +221,7 @@
         routing = Routing()
         kernel = Kernel()
         kernel.register(routing)
-        kernel.register(ConfigurationWatch(store, SystemClock(), 1_000))
+        kernel.register(ConfigurationWatch(store, SystemClock(), PACE))
         await kernel.start()
         topic = stand_in.topic(CONFIGURATION_TOPIC)
         topic.append(CONFIGURATION_KEY, manifest(3))
@@ -244,7 +249,7 @@
         registration = HostRegistration(store, clock, "h-1", record)
         await registration.start(Kernel())
         await until(lambda: stand_in.topic(HOSTS_TOPIC).records)
-        entries = await UpstreamsSource(store, clock).read()
+        entries = await UpstreamsSource(store, clock, PACE).read()
         assert entries is not None
         assert {e.name for e in entries} == {"i-1", "h-1"}
         await registration.stop()
@@ -254,7 +259,7 @@
 
 def test_a_list_out_of_reach_is_told_as_such() -> None:
     async def test(stand_in: KeyedStore, store: Store) -> None:
-        source = UpstreamsSource(store, SystemClock())
+        source = UpstreamsSource(store, SystemClock(), PACE)
         stand_in.fault = "busy"
         with pytest.raises(HostsUnavailableError):
             await source.read()
@@ -269,7 +274,7 @@
             b'{"callers_address":"a","operators_address":"b",'
             b'"peers_address":"c","failure_domain":"d","written_s":1.0}',
         )
-        entries = await UpstreamsSource(store, SystemClock()).read()
+        entries = await UpstreamsSource(store, SystemClock(), PACE).read()
         assert entries == []
 
     run(test)
@@ -282,7 +287,7 @@
         topic = stand_in.topic(UPSTREAMS_TOPIC)
         topic.append("i-1", upstream())
         topic.append("i-2", b"\xff no record")
-        source = UpstreamsSource(store, SystemClock())
+        source = UpstreamsSource(store, SystemClock(), PACE)
         for _ in range(3):
             topic.append("i-1", upstream())
             entries = await source.read()
