Ask the next host where the store turns the first away

After each change of the configuration half of the hosts read it too, as passing it on took longer than the 1.3 s that were left.

Change: a host whose records are older than a reading host would tell asks up to two more in order of rank; being asked, these read. The answer also brings the configuration, at no more than 50 KB at once and 200 KB a second, what the smallest link carries within the 80 ms that an answer is waited for; the others have it from those, as before.

Ruled out: moving the gathering of counts to a host that is served. In an outage for all it would move from host to host.

The test was seen failing first.

--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -30,6 +30,9 @@
 # A host that is told looks this often whether it now reads for others.
 LOOK_S = 1.0
 LEAST_LOOK_S = 0.02  # a timer that fires early must not keep it busy
+# What a reading host knows is older than its read waits by a pause and the
+# read itself, which takes 240 ms where the store is slow.
+READ_LATE_S = 0.5
 # A host that is told and read in vain tries again after half of this to all
 # of it. The hosts that read try each second, and tell it as soon as they can:
 # 195 hosts that all tried each second of an outage of 8 s would make a third
@@ -97,6 +100,11 @@
             return float("inf")
         return max(self._clock.monotonic() - self._confirmed_s, 0.0)
 
+    @property
+    def is_fresh(self) -> bool:
+        """Tell whether this is as new as what a reading host would tell."""
+        return self.age_s <= self._pace.wait_ms / 1_000 + READ_LATE_S
+
     def values(self) -> dict[str, bytes]:
         """Return the value of each key."""
         return self._table.values()
--- a/src/balsamlift/peers/_gathering.py
+++ b/src/balsamlift/peers/_gathering.py
@@ -259,8 +259,30 @@
             sums = await self._tell_host(found, wants_sums)
             if sums is not None:
                 self._take_sums(sums, asked_s, wants_sums)
+                await self._ask_others(found)
                 return
-            self._avoided_s[found.host] = self._clock.monotonic() + AVOID_S
+            self._avoid(found)
+
+    def _avoid(self, found: GatheringHost) -> None:
+        self._avoided_s[found.host] = self._clock.monotonic() + AVOID_S
+
+    async def _ask_others(self, told: GatheringHost) -> None:
+        """Ask the next hosts for records that the one told cannot read.
+
+        The store may turn that one away and serve others, which read as soon
+        as they are asked.
+        """
+        for found in self._ranked()[:MOST_ASKED]:
+            if self._records.is_fresh:
+                return
+            if found.host in (told.host, self.host):
+                continue
+            asked_s = self._clock.monotonic()
+            sums = await self._tell_host(found, wants_sums=False)
+            if sums is None:
+                self._avoid(found)
+            else:
+                self._records.take(sums.word, asked_s)
 
     async def _tell_host(
         self, found: GatheringHost, wants_sums: bool
@@ -281,15 +303,20 @@
 
     def _find(self) -> GatheringHost | None:
         """Return the host that gathers, as far as this one knows."""
+        return next(iter(self._ranked()), None)
+
+    def _ranked(self) -> list[GatheringHost]:
+        """Return the hosts that may gather, the one to tell first."""
         known = {each.host: each for each in self._hosts()}
         if not known:
-            return None
+            return []
         known[self.host] = GatheringHost(self.host, self.address)
         now_s = self._clock.monotonic()
-        for host in rank_hosts(known):
-            if self._avoided_s.get(host, 0.0) <= now_s:
-                return known[host]
-        return None
+        return [
+            known[host]
+            for host in rank_hosts(known)
+            if self._avoided_s.get(host, 0.0) <= now_s
+        ]
 
     async def _ask(
         self, found: GatheringHost, update: CountsUpdate
--- a/src/balsamlift/peers/_shared_records.py
+++ b/src/balsamlift/peers/_shared_records.py
@@ -1,7 +1,7 @@
 """Tell hosts that ask what this one knows of the platform's records.
 
-Of the configuration only the version is told: hosts pass the text on to one
-another, which no single host's link could carry to hundreds in time.
+A configuration goes out to hosts that ask only as fast as a small link
+carries it; these pass it on to the others, as hosts do among one another.
 """
 
 from __future__ import annotations
@@ -18,6 +18,10 @@
 # A host that others ask reads the topics as long as they do: they ask once a
 # second, and one answer may be missed.
 ASKED_S = 3.0
+# Configurations that one host sends: the links of the smallest carry 625 KB a
+# second, and an answer is waited for no longer than 80 ms.
+SENDABLE_BYTES = 50_000.0
+SENDABLE_BYTES_PER_S = 200_000.0
 
 
 @attrs.frozen
@@ -34,6 +38,7 @@
 
     version: int
     version_age_ms: int | None  # since it was the newest; None: not known
+    configuration: bytes = b""  # as operators wrote it
     listed: TopicNews | None = None
 
 
@@ -44,6 +49,10 @@
     def offset(self) -> int:
         """Return its version; 0 when there is none."""
 
+    @property
+    def encoded(self) -> bytes:
+        """Return it as operators wrote it."""
+
 
 @attrs.frozen(kw_only=True)
 class Sources:
@@ -52,6 +61,7 @@
     configuration: Follower
     listed: Follower
     copy: ConfigurationCopy
+    offer: Callable[[bytes], None]  # a configuration, maybe a newer one
     is_settled: Callable[[], bool]  # entries of the list lapse no more
 
 
@@ -63,6 +73,8 @@
         self._clock = clock
         self._sources: Sources | None = None
         self._asked_s: float | None = None
+        self._sendable_bytes = SENDABLE_BYTES
+        self._refilled_s = clock.monotonic()
 
     def connect(self, sources: Sources) -> None:
         """Speak of these from here on."""
@@ -75,6 +87,14 @@
             return False
         return self._clock.monotonic() - self._asked_s <= ASKED_S
 
+    @property
+    def is_fresh(self) -> bool:
+        """Tell whether this host lacks nothing that another could tell."""
+        if self._sources is None:
+            return True
+        followers = (self._sources.configuration, self._sources.listed)
+        return all(follower.is_fresh for follower in followers)
+
     def position(self) -> Position | None:
         """Return how far this host knows the records."""
         if self._sources is None:
@@ -97,6 +117,7 @@
         return Word(
             version=self._sources.copy.offset,
             version_age_ms=None if isinf(age_s) else round(age_s * 1_000),
+            configuration=self._sendable(self._sources.copy, position),
             listed=listed,
         )
 
@@ -106,7 +127,22 @@
             return
         if word.listed is not None:
             self._sources.listed.take(word.listed, asked_s)
+        if word.configuration:
+            self._sources.offer(word.configuration)
         is_newest = self._sources.copy.offset >= word.version > 0
         if is_newest and word.version_age_ms is not None:
             age_s = word.version_age_ms / 1_000
             self._sources.configuration.confirm(asked_s - age_s)
+
+    def _sendable(self, copy: ConfigurationCopy, position: Position) -> bytes:
+        """Return the configuration for a host that lags, if there is time."""
+        now_s = self._clock.monotonic()
+        refill = (now_s - self._refilled_s) * SENDABLE_BYTES_PER_S
+        self._refilled_s = now_s
+        self._sendable_bytes += refill
+        self._sendable_bytes = min(self._sendable_bytes, SENDABLE_BYTES)
+        size = len(copy.encoded)
+        if position.version >= copy.offset or size > self._sendable_bytes:
+            return b""
+        self._sendable_bytes -= size
+        return copy.encoded
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -104,6 +104,7 @@
             configuration=self._configuration.follower,
             listed=self._listed.upstreams,
             copy=self._routing,
+            offer=lambda data: offer(self._routing, data, "peer"),
             is_settled=lambda: self.upstreams.is_settled,
         )
         for follower in (sources.configuration, sources.listed):
--- a/tests/test_peers_follower.py
+++ b/tests/test_peers_follower.py
@@ -16,7 +16,7 @@
     Sources,
 )
 from balsamlift.peers._follower import ALONE_AGAIN_S
-from balsamlift.peers._shared_records import Position, Word
+from balsamlift.peers._shared_records import SENDABLE_BYTES, Position, Word
 
 DEADLINE_S = 10.0
 PACE = Pace(wait_ms=200, most_age_s=0.6)
@@ -61,9 +61,10 @@
 
 
 class Copy:
-    """A configuration of which only the version matters here."""
+    """A configuration of a few bytes."""
 
     offset = 0
+    encoded = b"routes"
 
 
 class World:
@@ -71,6 +72,7 @@
 
     def __init__(self) -> None:
         self.clock = HandClock()
+        self.offered: list[bytes] = []
         self.read_store, self.told_store = FakeStore(), FakeStore()
         self.told_store.records = self.read_store.records
         self.reader = Follower(self.read_store, "t", self.clock, PACE)
@@ -88,6 +90,7 @@
                 configuration=follower,
                 listed=follower,
                 copy=copy,
+                offer=self.offered.append,
                 is_settled=lambda: self.is_settled,
             )
         )
@@ -218,3 +221,22 @@
     assert records.position() is None
     assert records.answer(Position(0, None)) is None
     assert not records.is_asked
+
+
+def test_a_configuration_goes_to_hosts_that_lag_as_fast_as_it_may() -> None:
+    async def test(world: World) -> None:
+        await world.reader.follow()
+        world.reader_copy.offset = 2
+        world.reader_copy.encoded = bytes(int(SENDABLE_BYTES * 0.4))
+        for _ in range(5):
+            world.ask()
+        assert len(world.offered) == 2
+        world.clock.ahead_s = 1.0
+        world.ask()
+        assert len(world.offered) == 3
+        world.told_copy.offset = 2
+        world.clock.ahead_s = 2.0
+        world.ask()
+        assert len(world.offered) == 3
+
+    run(test)
--- a/tests/test_peers_gathering.py
+++ b/tests/test_peers_gathering.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import pynng
 import pytest
 
 from balsamlift.clock import SystemClock
+from balsamlift.exceptions import StoreError
 from balsamlift.metrics import Metrics
+from balsamlift.peers import Follower, Newest, Pace, Record, Sources
 from balsamlift.peers._gathering import (
     ANSWER_MS,
     FRESH_S,
@@ -242,3 +245,73 @@
     }
     assert len(readers) == min(most, len(HOSTS))
     assert readers == set(rank_hosts(HOSTS)[:most])
+
+
+class Topic:
+    """A topic that a store serves to some hosts only."""
+
+    def __init__(self, is_served: bool) -> None:
+        self.is_served = is_served
+
+    async def newest(self, topic: str) -> Newest:
+        if not self.is_served:
+            raise StoreError("turned away")
+        return Newest([Record("e1", b"1", 0)], 1)
+
+    async def read(self, topic: str, start: int, wait_ms: int) -> Newest:
+        await asyncio.sleep(wait_ms / 1_000)
+        return Newest([], 1)
+
+
+class Unchanged:
+    """A configuration that all hosts have."""
+
+    offset = 1
+    encoded = b"routes"
+
+
+def share_records(gathering: Gathering, clock: HandClock) -> Follower:
+    """Let a host speak of a topic, which the first in rank cannot read."""
+    is_first = gathering.host == rank_hosts(HOSTS[:5])[0]
+    pace = Pace(wait_ms=100, most_age_s=30.0)
+    follower = Follower(Topic(not is_first), "t", clock, pace)
+    follower.confirm(clock.monotonic())  # none has to read for a while
+    records = gathering._records
+    follower.share(lambda: records.is_asked)
+    records.connect(
+        Sources(
+            configuration=follower,
+            listed=follower,
+            copy=Unchanged(),
+            offer=lambda data: None,
+            is_settled=lambda: True,
+        )
+    )
+    return follower
+
+
+async def keep_following(follower: Follower) -> None:
+    while True:
+        with suppress(StoreError):
+            await follower.follow()
+        await asyncio.sleep(0.05)
+
+
+def test_hosts_ask_another_where_the_store_turns_the_first_away() -> None:
+    """That one then reads, and nobody else has to."""
+
+    async def test(cluster: Cluster) -> None:
+        followers = {
+            host: share_records(gathering, cluster.clock)
+            for host, gathering in cluster.by_host.items()
+        }
+        tasks = [
+            asyncio.create_task(keep_following(follower))
+            for follower in followers.values()
+        ]
+        while any(f.values() != {"e1": b"1"} for f in followers.values()):
+            await asyncio.sleep(0.05)
+        for task in tasks:
+            task.cancel()
+
+    run(test)
