Choose fewer partners among many hosts, and write entries rarely

Change: a quarter of the fan-out is chosen instead of half, heartbeats come twice as far apart as among few hosts (500 ms, three within the silence bound): 12 a second each way. An entry is renewed each 200 s and taken as gone after 600 s, and one that cannot be written is tried again after up to 4 s.

Ruled out: a longer silence bound. Hosts that are cut off would be named to callers for longer, which costs more than the processor time saved.

--- a/src/balsamlift/peers/_links.py
+++ b/src/balsamlift/peers/_links.py
@@ -13,8 +13,8 @@
 
 # Where hosts do not all hear one another, load is gathered at one of them,
 # and what is urgent is sent at once: heartbeats need only come often enough
-# for a silence of six of them to hold nearly four.
-MANY_HOSTS_STRETCH = 1.6
+# for a silence of six of them to hold three.
+MANY_HOSTS_STRETCH = 2.0
 
 
 class Links:
--- a/src/balsamlift/peers/_partners.py
+++ b/src/balsamlift/peers/_partners.py
@@ -8,14 +8,16 @@
 from balsamlift.clock import Clock
 from balsamlift.settings import PeerSettings
 
+# With one, a host whose partner dies hears of nothing until it has another.
+FEWEST_CHOSEN = 2
 ROTATE_SILENCES = 4  # times the silence bound until a partner is exchanged
 
 
 class Partners:
     """Hold the chosen hosts: all up to the fan-out, else some at random.
 
-    A chosen host answers, so with more hosts than the fan-out each host
-    chooses half of it, and has about the fan-out of connections. One
+    Of more hosts than the fan-out each chooses a quarter of it. A chosen
+    host answers, so it has about half the fan-out of connections. One
     partner at a time is exchanged, so that news reach everyone.
     """
 
@@ -42,7 +44,7 @@
         self.chosen = frozenset(kept + self._random.sample(rest, missing))
 
     def _most(self) -> int:
-        return max(1, self._fan_out // 2)
+        return max(FEWEST_CHOSEN, self._fan_out // 4)
 
     def _keep(self, usable: list[str]) -> list[str]:
         kept = [host for host in usable if host in self.chosen]
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -40,9 +40,12 @@
 # refused are priced too.
 RETRY_MS = 200.0
 RETRY_MOST_MS = 800.0
-# Hosts write their entry again well before others take it as gone.
-HOST_RENEWAL_S = 15.0
-HOST_LIFETIME_S = 60.0
+# An entry can wait: a host that starts meanwhile finds others, or us by them.
+ENTRY_RETRY_MOST_MS = 4_000.0
+# Hosts tell one another who lives: an entry only has to lead one that starts
+# to some host that does. It is written anew after a third of its life.
+HOST_RENEWAL_S = 200.0
+HOST_LIFETIME_S = 600.0
 HOSTS_POLL_S = 10.0
 
 
@@ -203,7 +206,7 @@
         self._clock = clock
         self._host = host
         self._record = record
-        self._back_off = BackOff(None, RETRY_MS, RETRY_MOST_MS)
+        self._back_off = BackOff(None, RETRY_MS, ENTRY_RETRY_MOST_MS)
         self._task: asyncio.Task[None] | None = None
 
     async def start(self, kernel: Kernel) -> None:
