Dial another engine when one cannot be reached, at no cost of retries

Cause: a generation whose engine refused the connection paid for the next one out of the budget of retries, of which a host among many has less than one in its window.

Change: nothing reached such an engine, so it is no retry; up to four are dialled in vain, as calls to plain services already do. One constant serves both.

Ruled out: a larger share of the budget. Other hosts spend theirs.

The test plays it: 503 before, whole with three of four engines gone after.

--- a/src/balsamlift/relay/_attempt.py
+++ b/src/balsamlift/relay/_attempt.py
@@ -10,6 +10,11 @@
 
 from balsamlift.exceptions import BalsamliftError
 
+# Upstreams dialled in vain for one call. Nothing reaches them, so that they
+# count neither as retries nor against the most attempts of the route; a
+# refusal takes some ms, and the caller can still be told when to come back.
+MOST_UNREACHABLE = 4
+
 
 class AttemptError(BalsamliftError):
     """Tell that a request was about to run a second time."""
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -13,7 +13,7 @@
 )
 from balsamlift.peers import Upstream, Upstreams
 from balsamlift.relay._admission import Admission
-from balsamlift.relay._attempt import Attempt
+from balsamlift.relay._attempt import MOST_UNREACHABLE, Attempt
 from balsamlift.relay._backup import Backup
 from balsamlift.relay._balance import prefill_key
 from balsamlift.relay._configuration import EngineTraits
@@ -114,7 +114,9 @@
         self, call: Call, attempt: Attempt, need: Need, traits: EngineTraits
     ) -> _Started | Refusal:
         tried: set[str] = set()
+        dialled = 0
         while True:
+            sends_before = attempt.sends
             holding = await self._wait_for_room(call, need, traits, tried)
             if holding is None:
                 now_s = asyncio.get_running_loop().time()
@@ -145,6 +147,11 @@
             holding.release()
             backup.release()
             tried.add(holding.upstream.name)
+            if attempt.sends == sends_before:
+                dialled += 1  # nothing reached the engine
+                if dialled >= MOST_UNREACHABLE:
+                    return result
+                continue
             spent = attempt.sends >= MOST_SENDS
             if spent or not attempt.certainly_not_run:
                 return result
--- a/src/balsamlift/relay/_plain.py
+++ b/src/balsamlift/relay/_plain.py
@@ -13,7 +13,7 @@
 )
 from balsamlift.peers import Upstream
 from balsamlift.relay._admission import Admission
-from balsamlift.relay._attempt import Attempt
+from balsamlift.relay._attempt import MOST_UNREACHABLE, Attempt
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._exchange import Exchange, Reply
 from balsamlift.relay._headers import caller_headers
@@ -28,7 +28,6 @@
 log = logger.bind(part="calls")
 
 MOST_ANSWER_BYTES = 4_194_304  # held until whole; a lookup has 1 KB
-MOST_UNREACHABLE = 4  # upstreams dialled in vain for one call
 # A try that may be repeated gets this part of the time left, so that an
 # upstream that hangs leaves time for another.
 TRY_PART = 0.4
--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -13,6 +13,7 @@
     until_arrived,
 )
 
+from balsamlift.relay._attempt import MOST_UNREACHABLE
 from balsamlift.testing.relay import (
     NAMES,
     CallerAnswer,
@@ -459,3 +460,36 @@
         assert stand_ins[0].ids() == ["full"]
 
     run(test())
+
+
+def test_engines_that_cannot_be_reached_cost_no_retry() -> None:
+    """Nothing reached them: a call has enough retries for one of three."""
+
+    async def test() -> None:
+        stand_ins = engines(4)
+        for stand_in in stand_ins:
+            stand_in.behave = stream
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            for stand_in in stand_ins[:3]:
+                await stand_in.stop()
+            answer = await world.call("/draft/1", headers=USAGE)
+        assert answer.status == 200
+        assert answer.body == whole()
+
+    run(test())
+
+
+def test_dialling_in_vain_has_a_bound() -> None:
+    async def test() -> None:
+        stand_ins = engines(MOST_UNREACHABLE + 1)
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            for stand_in in stand_ins[:MOST_UNREACHABLE]:
+                await stand_in.stop()
+            answer = await world.call("/draft/1", headers=USAGE)
+        assert answer.status == 503
+        assert float(answer.headers["Retry-After"]) > 0
+        assert not stand_ins[MOST_UNREACHABLE].arrivals
+
+    run(test())
