Name every host to callers, also where there are more than fit

Cause: an answer to a caller holds 64 addresses at most, and always the first 64 in the order in which this host came to know them. With more in one failure domain, or a domain with fewer than two, the others were never named by this host.

Change: of more hosts than fit each answer names a random choice; the caller's own failure domain stays first.

Ruled out: ranking by a hash of the caller. It would send a busy caller's requests to the same hosts, and callers are not told apart.

--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -87,7 +87,7 @@
             HostRegistration(store, clock, settings.host, record),
             self.upstreams,
             self.peers,
-            Directory(settings.failure_domain, self._keep_ms),
+            Directory(settings.failure_domain, self._keep_ms, rng),
             self.relay,
             PlatformServer(node.directory_address, node.readiness_address),
         )
--- a/src/balsamlift/testing/_relay_world.py
+++ b/src/balsamlift/testing/_relay_world.py
@@ -211,7 +211,7 @@
             settings, "first", self.frontend.address, self.clock, rng
         )
         self.metrics = Metrics()
-        self.directory = Directory("north", 2_000)
+        self.directory = Directory("north", 2_000, rng)
         limits = RetryLimits(ratio=2.0, extra=50, window_s=10.0)
         relay = RelaySettings(
             failure_domain="north", retries=limits, names=NAMES
