--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -75,6 +75,7 @@
         self._pace = pace
         self._table = RecordTable()
         self._reads: Callable[[], bool] = _always
+        self._was_reading = True
         self._confirmed_s: float | None = None
         self._again_s = 0.0
         self._told = asyncio.Event()
@@ -120,7 +121,7 @@
         the pace says. Raises `StoreError` after a read in vain.
         """
         while not self._told.is_set():
-            if self._reads():
+            if self._check_reads():
                 wait_ms = self._wait_ms() if wait_ms is None else wait_ms
                 return await self.read(wait_ms)
             if self._is_overdue():
@@ -182,6 +183,15 @@
         now_s = self._clock.monotonic()
         return self.age_s > self._pace.most_age_s and now_s >= self._again_s
 
+    def _check_reads(self) -> bool:
+        """Tell whether this host reads the topic; log when that changes."""
+        reads = self._reads()
+        if reads != self._was_reading:
+            self._was_reading = reads
+            role = "reads the topic" if reads else "is told the topic"
+            log.bind(topic=self._topic).info("{}", role)
+        return reads
+
     def _wait_ms(self) -> int:
         """Return how long the next read may wait.
 
