Split the gathering of counts: who answers is a module of its own

Change: `_gatherer` answers, `_gathering` asks. No behaviour changes.

Ruled out: moving the rank of hosts along; both readers and gathering use it.

--- a/src/balsamlift/peers/_gathering.py
+++ b/src/balsamlift/peers/_gathering.py
@@ -14,24 +14,21 @@
 
 import asyncio
 import itertools
-import socket
 from collections.abc import Callable, Collection, Mapping
 
 import attrs
 import pynng
 from loguru import logger
 
-from balsamlift._address import join_address, split_address
 from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
-from balsamlift.exceptions import PeerMessageError, PeersAddressError
+from balsamlift.exceptions import PeerMessageError
 from balsamlift.metrics import Metrics
-from balsamlift.peers._counts import PeerCounts
+from balsamlift.peers._gatherer import MOST_BYTES, Gatherer
 from balsamlift.peers._messages import (
     CountsSums,
     CountsUpdate,
     decode_sums,
-    decode_update,
     encode_counts,
 )
 from balsamlift.peers._readers import rank_hosts
@@ -42,8 +39,6 @@
 # Counts are told with each generation that begins or ends; this often at
 # least, so that a host that has just become the one to tell knows all.
 REFRESH_S = 1.0
-# A host that was not heard for this long is taken as gone, with its counts.
-KEEP_S = 3.0
 # Sums older than this are not used: the partners' are newer.
 FRESH_S = 1.5
 # An answer takes 2 to 5 ms; a generation waits no longer for better counts.
@@ -53,92 +48,6 @@
 # Hosts asked in a row when one does not answer: what this host goes by must
 # not grow old over one that has just died.
 MOST_ASKED = 3
-ANSWERERS = 4  # that wait for messages at once; each answers immediately
-MOST_BYTES = 1 << 20
-
-
-class Gatherer:
-    """Add up what the hosts tell, and tell each what the others have."""
-
-    def __init__(
-        self,
-        address: str,
-        clock: Clock,
-        own: Callable[[], CountsUpdate],
-        records: SharedRecords,
-    ) -> None:
-        """Listen on "IP:port"; raises `PeersAddressError`."""
-        self._records = records
-        self._rep = pynng.Rep0(recv_max_size=MOST_BYTES)
-        ip, port = split_address(address)
-        try:
-            listener = self._rep.listen(f"tcp://{join_address(ip, port)}")
-        except pynng.NNGException as error:
-            self._rep.close()
-            raise PeersAddressError(address, str(error)) from error
-        bound_port = socket.ntohs(listener.local_address.port)
-        self.address = join_address(ip, bound_port)
-        self._clock = clock
-        self._own = own
-        self._counts = PeerCounts()
-        self._latest: dict[str, tuple[str, int]] = {}
-        self._told_s: dict[str, float] = {}
-        self._contexts: list[pynng.Context] = []
-        self._tasks: list[asyncio.Task[None]] = []
-
-    def start(self) -> None:
-        """Begin to answer."""
-        self._contexts = [self._rep.new_context() for _ in range(ANSWERERS)]
-        self._tasks = [
-            asyncio.create_task(self._keep_answering(context))
-            for context in self._contexts
-        ]
-
-    async def stop(self) -> None:
-        """Close the address."""
-        for context in self._contexts:
-            context.close()  # first: one cannot be closed after its socket
-        self._rep.close()
-        for task in self._tasks:
-            await end_task(task)
-
-    def take(self, update: CountsUpdate) -> CountsSums:
-        """Take in what a host tells; return what all others have."""
-        now_s = self._clock.monotonic()
-        if self._is_news(update):
-            self._counts.take(update.host, update.counts, full=True)
-            self._told_s[update.host] = now_s
-        for host, told_s in list(self._told_s.items()):
-            if now_s - told_s > KEEP_S:
-                self._counts.drop(host)
-                del self._told_s[host]
-                del self._latest[host]
-        word = self._records.answer(update.position)
-        if not update.wants_sums:
-            return CountsSums({}, word)
-        return CountsSums(self._counts.sums_without(update.host), word)
-
-    def _is_news(self, update: CountsUpdate) -> bool:
-        before = self._latest.get(update.host)
-        if before is not None:
-            incarnation, seq = before
-            if incarnation == update.incarnation and update.seq <= seq:
-                return False
-        self._latest[update.host] = (update.incarnation, update.seq)
-        return True
-
-    async def _keep_answering(self, context: pynng.Context) -> None:
-        while True:
-            try:
-                update = decode_update(await context.arecv())
-                self.take(self._own())
-                # Sums of 24 engines are 2 KB, an update some 50 bytes.
-                await context.asend(encode_counts(self.take(update)))
-            except pynng.Closed:
-                return
-            except (pynng.NNGException, PeerMessageError) as error:
-                # Without an answer, the sender goes by its partners.
-                log.warning("counts not taken in: {}", error)
 
 
 @attrs.frozen
--- a/tests/test_peers_gathering.py
+++ b/tests/test_peers_gathering.py
@@ -11,11 +11,10 @@
 from balsamlift.exceptions import StoreError
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Follower, Newest, Pace, Record, Sources
+from balsamlift.peers._gatherer import KEEP_S, Gatherer
 from balsamlift.peers._gathering import (
     ANSWER_MS,
     FRESH_S,
-    KEEP_S,
-    Gatherer,
     Gathering,
     GatheringHost,
 )
