--- a/tests/test_peers_links.py
+++ b/tests/test_peers_links.py
@@ -8,6 +8,7 @@
 from balsamlift.clock import SystemClock
 from balsamlift.peers._link import Draft, Link
 from balsamlift.peers._links import MANY_HOSTS_STRETCH, Links
+from balsamlift.peers._partners import Partners
 from balsamlift.platform._settings import FAN_OUT, HEARTBEAT_MS, SILENCE_MS
 from balsamlift.settings import PeerSettings
 
@@ -52,3 +53,24 @@
 def test_rarer_heartbeats_leave_room_for_a_lost_one() -> None:
     """Silence is judged after some three and a half of them."""
     assert SILENCE_MS >= 3 * HEARTBEAT_MS * MANY_HOSTS_STRETCH
+
+
+@pytest.mark.parametrize(
+    ("hosts", "most_a_second"), [(8, 28.0), (74, 12.0), (195, 12.0)]
+)
+def test_heartbeats_of_an_idle_host_do_not_grow_with_the_hosts(
+    hosts: int, most_a_second: float
+) -> None:
+    """Before: 30 a second beyond 13 hosts, 7,100 in all at 74."""
+    names = [f"h{n}" for n in range(hosts)]
+    links: dict[str, set[str]] = {name: set() for name in names}
+    for n, name in enumerate(names):
+        partners = Partners(SETTINGS, SystemClock(), random.Random(n))
+        partners.choose([other for other in names if other != name], [])
+        for chosen in partners.chosen:
+            links[name].add(chosen)
+            links[chosen].add(name)  # who is chosen answers
+    stretch = MANY_HOSTS_STRETCH if hosts - 1 > FAN_OUT else 1.0
+    mean_links = sum(map(len, links.values())) / hosts
+    a_second = mean_links / (HEARTBEAT_MS / 1_000 * stretch)
+    assert a_second <= most_a_second
