--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -35,7 +35,7 @@
 READ_LATE_S = 0.5
 # A host that is told and read in vain tries again after half of this to all
 # of it. Hosts that read try each second and tell it as soon as they can; with
-# this, 195 hosts made under 900 calls in an outage of 8 s (virtual time).
+# this, 195 hosts made some 900 calls in an outage of 8 s (virtual time).
 ALONE_AGAIN_MS = 4_000.0
 
 
