Keep no backups while the engines of a pool are crowded

Of engines that had just come up empty, each was sent backups of up to half its memory, and then filled with generations to 0.9 of it, as the others are: backups count for other backups only, and their memory does not yield.

Change: no backup where the engines of the pool together are filled beyond 0.6. Where there is room, backups are made as before.

--- a/src/balsamlift/relay/_rooms.py
+++ b/src/balsamlift/relay/_rooms.py
@@ -19,6 +19,10 @@
 # between engines from moves. Mean worth of six days on the second deployment:
 # no backups 0.559, to 0.5 0.579, to 0.7 0.537.
 BACKUP_FILLED_PART = 0.5
+# Nor does any while the engines of the pool together are filled beyond this.
+# One that has just come up is empty, is sent backups of all, and then filled
+# with generations as the others are: its memory runs out.
+BACKUP_POOL_FILLED_PART = 0.6
 # Prompts that wait to be read weigh this much more than memory in use. Two
 # reports that are being read, 0.2 s each with nothing else, keep a third away
 # from an empty engine beside others that are half full.
@@ -117,12 +121,13 @@
         Backups take what generations leave, and give way to them: they
         count for other backups only.
         """
+        others = self._balancer.usable(source.pool, {source.name})
+        filled = sum(self._filled(u) for u in others)
+        room = traits.memory_tokens * len(others)
+        if filled + tokens > room * BACKUP_POOL_FILLED_PART:
+            return None
         most = traits.memory_tokens * BACKUP_FILLED_PART - tokens
-        fitting = [
-            u
-            for u in self._balancer.usable(source.pool, {source.name})
-            if self._filled(u) <= most
-        ]
+        fitting = [u for u in others if self._filled(u) <= most]
         if not fitting:
             return None
         # A backup has the time of the whole generation to be copied.
--- a/tests/test_relay_rooms.py
+++ b/tests/test_relay_rooms.py
@@ -11,7 +11,7 @@
 from balsamlift.clock import SystemClock
 from balsamlift.peers import Peers, Upstream, Upstreams
 from balsamlift.relay import EngineTraits
-from balsamlift.relay._balance import Balancer
+from balsamlift.relay._balance import Balancer, backup_key
 from balsamlift.relay._rooms import FILLED_PART, Holding, Rooms
 
 POOL = "model"
@@ -165,3 +165,31 @@
         assert bench.balancer.load("e1") == 0
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize(("load", "kept_at"), [(5_000, "e1"), (9_000, None)])
+def test_a_crowded_pool_keeps_no_backups(
+    load: int, kept_at: str | None
+) -> None:
+    """Not at the one engine that has just come up empty either.
+
+    It is filled with generations next, as the others are.
+    """
+    bench = Bench(source="north", e1="north", e2="north", e3="north")
+    for name in ("source", "e2", "e3"):
+        bench.others.counts[name] = load
+    source = bench.balancer.usable(POOL, {"e1", "e2", "e3"})[0]
+    holding = bench.rooms.hold_backup(source, TRAITS, 1_000)
+    assert (holding.upstream.name if holding else None) == kept_at
+
+
+def test_backups_of_a_crowded_moment_leave_room_for_generations() -> None:
+    """Thirty generations back up beside engines that are mostly full."""
+    bench = Bench(source="north", e1="north", e2="north", e3="north")
+    for name in ("e2", "e3"):
+        bench.others.counts[name] = 8_000
+    source = bench.balancer.usable(POOL, {"e1", "e2", "e3"})[0]
+    for _ in range(30):
+        bench.rooms.hold_backup(source, TRAITS, 1_000)
+    kept = bench.balancer.load(backup_key("e1"))
+    assert kept <= 2_000  # was 5_000, half of the engine
