Look once more at room that leaving generations claim

And what had been copied no longer counted at the target until that engine answered, up to a second later.

Change: relay/_claims holds the room, looks again after 30 ms, and gives it back where more is held than there is; the next choice comes after a pause of its own. The room stays held until the generation has gone on.

Ruled out: holding only when the turn has come: newcomers take the room meanwhile.

Figures: in virtual time, 12 claims on engines with room for two each: eight beyond it before, none after, in 1 s at most.

--- /dev/null
+++ b/src/balsamlift/relay/_claims.py
@@ -0,0 +1,79 @@
+"""Claim room for what leaves an engine, while other hosts do the same.
+
+All that runs on an engine looks for room elsewhere in the moment of its
+notice, on as many hosts, and each sees the same engine as the best. What is
+held is known to the others some milliseconds later. So a claim is looked at
+once more when that time is over: where too much was held, all that see it
+give it back and choose again, each after a pause of its own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Collection
+
+import attrs
+
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._rooms import Holding, Rooms
+
+# What leaves may fill an engine to its last token: without room it is lost.
+# Beyond, the engine refuses it anyway.
+FILLED_BY_MOVES_PART = 1.0
+# Until the counts of hosts that chose at the same time are known: they are
+# told at once, which takes 3 to 10 ms, more on a busy host.
+SETTLE_S = 0.03
+# The pause before another choice is drawn up to this: five that gave back the
+# same engine then come one at a time, and a notice is 1.5 s and more.
+AGAIN_S = 0.15
+# After so many choices a claim is kept as it is: the engine itself judges, and
+# time for the copy runs out.
+MOST_CHOICES = 5
+
+
+@attrs.frozen(kw_only=True)
+class Wanted:
+    """Hold what is looked for."""
+
+    pool: str
+    traits: EngineTraits
+    tokens: int
+    near: str  # the failure domain to look in first
+
+
+async def claim_room(
+    rooms: Rooms,
+    balancer: Balancer,
+    rng: random.Random,
+    wanted: Wanted,
+    tried: Collection[str],
+) -> Holding | None:
+    """Hold room that no other claim goes beyond; None where there is none."""
+    most = wanted.traits.memory_tokens * FILLED_BY_MOVES_PART
+    for choice in range(MOST_CHOICES):
+        await balancer.refresh()
+        upstream = rooms.find(
+            wanted.pool,
+            wanted.traits,
+            wanted.tokens,
+            tried,
+            near=wanted.near,
+            filled_part=FILLED_BY_MOVES_PART,
+        )
+        if upstream is None:
+            return None
+        holding = Holding(balancer, upstream, wanted.tokens)
+        try:
+            await asyncio.sleep(SETTLE_S)
+            await balancer.refresh()
+        except asyncio.CancelledError:
+            holding.release()
+            raise
+        is_last = choice == MOST_CHOICES - 1
+        if balancer.load(upstream.name) <= most or is_last:
+            return holding
+        holding.release()
+        await asyncio.sleep(rng.uniform(0.0, AGAIN_S))
+    return None
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -84,6 +84,7 @@
         self._room = asyncio.Semaphore(PARTS_AHEAD)
         self._pump: asyncio.Task[None] | None = None
         self._reply: Reply | None = None
+        self._move: Move | None = None
         self._moving: asyncio.Task[Copy | None] | None = None
         self._seen_s = asyncio.get_running_loop().time()
         self.course = Course()
@@ -111,6 +112,7 @@
             return "caller gone"
         finally:
             await end_task(self._moving)
+            self._release_claim()
             await self._end_pump()
 
     # Reading from the engine at work
@@ -195,22 +197,29 @@
     def _start_moving(self) -> None:
         if not self._traits.can_move or self._moving is not None:
             return
-        move = Move(
+        self._move = Move(
             self._tools,
             self._call,
             self._need,
             self._traits,
             self._holding.upstream,
         )
-        self._moving = asyncio.create_task(move.run())
+        self._moving = asyncio.create_task(self._move.run())
 
     async def _go_on(self) -> bool:
         """Go on where the memory is, after the engine at work has ended."""
         copy = await self._end_moving()
-        if copy is None:
-            return await self._go_on_at_backup()
-        source = f"{copy.source.address}/{copy.handle}"
-        return await self._go_on_at(copy.target, source)
+        try:
+            if copy is None:
+                return await self._go_on_at_backup()
+            source = f"{copy.source.address}/{copy.handle}"
+            return await self._go_on_at(copy.target, source)
+        finally:
+            self._release_claim()
+
+    def _release_claim(self) -> None:
+        if self._move is not None:
+            self._move.release()
 
     async def _end_moving(self) -> Copy | None:
         """Return the copy for which the engine was stopped, if it was.
--- a/src/balsamlift/relay/_move.py
+++ b/src/balsamlift/relay/_move.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
 
 from loguru import logger
 
 from balsamlift.exceptions import UpstreamError
 from balsamlift.peers import Upstream
+from balsamlift.relay._claims import Wanted, claim_room
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._engines import Copy, CopyRefusedError
 from balsamlift.relay._evacuation import copy_s
 from balsamlift.relay._link_turn import LinkTurn
 from balsamlift.relay._needs import Need
 from balsamlift.relay._request import Call
+from balsamlift.relay._rooms import Holding
 from balsamlift.relay._tools import Tools
 
 log = logger.bind(part="generations")
@@ -31,9 +32,6 @@
 STOP_BEFORE_S = 0.2
 # Between two tries to find room for a generation off an engine that leaves.
 MOVE_AGAIN_S = 0.1
-# What leaves may fill an engine to its last token: without room it is lost.
-# Beyond, the engine refuses it anyway.
-FILLED_BY_MOVES_PART = 1.0
 
 
 class Move:
@@ -53,6 +51,7 @@
         self._need = need
         self._traits = traits
         self._source = source
+        self._claim: Holding | None = None
         self._turn = LinkTurn(
             tools.balancer, tools.engines, source, call.request_id
         )
@@ -64,29 +63,49 @@
         request goes on where the copy is. Returns None when it could not
         be copied and so runs on where it is.
         """
-        source = self._source
-        balancer = self._tools.balancer
-        tried = {source.name}
+        tried = {self._source.name}
         while True:
-            await balancer.refresh()
-            target = self._target(tried)
+            target = await self._claim_target(tried)
             if target is None:
                 await asyncio.sleep(MOVE_AGAIN_S)
-                tried = {source.name}
+                tried = {self._source.name}
                 continue
             try:
-                with balancer.hold(target.name, self._need.tokens):
-                    balancer.tell()
-                    return await self._move_to(target)
+                return await self._move_to(target)
             except CopyRefusedError as error:
+                self.release()
                 if error.handle:
-                    return Copy(error.handle, source, source)
+                    return Copy(error.handle, self._source, self._source)
                 self._log(target, str(error))
                 tried.add(target.name)
             except UpstreamError as error:
+                self.release()
                 self._log(target, str(error))
                 return None
 
+    def release(self) -> None:
+        """Give back the room at the target, once the generation has it.
+
+        Until then nobody else may take it: the answer of an engine that goes
+        on from a copy takes up to a second.
+        """
+        if self._claim is not None:
+            self._claim.release()
+            self._claim = None
+
+    async def _claim_target(self, tried: set[str]) -> Upstream | None:
+        wanted = Wanted(
+            pool=self._call.service,
+            traits=self._traits,
+            tokens=self._need.tokens,
+            near=self._source.failure_domain,
+        )
+        tools = self._tools
+        self._claim = await claim_room(
+            tools.rooms, tools.balancer, tools.rng, wanted, tried
+        )
+        return self._claim.upstream if self._claim else None
+
     async def _move_to(self, target: Upstream) -> Copy:
         loop = asyncio.get_running_loop()
         await self._turn.wait(self._copy_s(target))
@@ -137,13 +156,3 @@
             target=target.name,
             tokens=self._need.tokens,
         ).info("move: {}", how)
-
-    def _target(self, tried: Collection[str]) -> Upstream | None:
-        return self._tools.rooms.find(
-            self._call.service,
-            self._traits,
-            self._need.tokens,
-            tried,
-            near=self._source.failure_domain,
-            filled_part=FILLED_BY_MOVES_PART,
-        )
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -109,6 +109,7 @@
             names=names,
             metrics=self._metrics,
             upstreams=self._upstreams,
+            rng=self._random,
         )
         self._generations = Generations(
             tools, self._admission, self._retries, self._upstreams
--- a/src/balsamlift/relay/_tools.py
+++ b/src/balsamlift/relay/_tools.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import attrs
 
 from balsamlift.metrics import Metrics
@@ -24,3 +26,4 @@
     names: HeaderNames
     metrics: Metrics
     upstreams: Upstreams
+    rng: random.Random
--- /dev/null
+++ b/tests/test_relay_claims.py
@@ -0,0 +1,153 @@
+"""Hosts that look for room in the same moment do not take the same."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import cast
+
+import pytest
+from _virtual_time import LoopClock, run_virtual
+
+from balsamlift.peers import Peers, Upstream, Upstreams
+from balsamlift.relay import EngineTraits
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._claims import Wanted, claim_room
+from balsamlift.relay._rooms import Holding, Rooms
+
+POOL = "model"
+TRAITS = EngineTraits(memory_tokens=10_000, can_move=True)
+TOKENS = 1_000
+TOLD_S = 0.004  # until the other hosts know what one holds
+
+
+class Counts:
+    """What all hosts hold, as each of them knows it a moment later."""
+
+    def __init__(self) -> None:
+        self.by_host: dict[int, dict[str, int]] = {}
+
+    def sums(self, own: int) -> Counter[str]:
+        others: Counter[str] = Counter()
+        for host, counts in self.by_host.items():
+            if host != own:
+                others.update(counts)
+        return others
+
+
+class HostCounts:
+    """The counts as one host tells and hears them."""
+
+    def __init__(self, counts: Counts, host: int) -> None:
+        self._counts = counts
+        self._host = host
+        self._own: dict[str, int] = {}
+        self._others: Counter[str] = Counter()
+
+    def in_flight(self, upstream: str) -> int:
+        return self._others[upstream]
+
+    def set_in_flight(self, upstream: str, n: int) -> None:
+        self._own[upstream] = n
+
+    def tell_counts(self) -> None:
+        told = dict(self._own)
+        asyncio.get_running_loop().call_later(
+            TOLD_S, self._counts.by_host.__setitem__, self._host, told
+        )
+
+    async def refresh_counts(self) -> None:
+        await asyncio.sleep(TOLD_S)
+        self._others = self._counts.sums(self._host)
+
+
+class Listed:
+    """Engines that are all live, in one failure domain."""
+
+    def __init__(self, number: int) -> None:
+        self._upstreams = [
+            Upstream(
+                name=f"e{i}",
+                pool=POOL,
+                kind="service",
+                address=f"10.0.0.{i}:80",
+                failure_domain="north",
+                state="live",
+            )
+            for i in range(number)
+        ]
+
+    def in_pool(self, pool: str) -> list[Upstream]:
+        return list(self._upstreams)
+
+    def all(self) -> list[Upstream]:
+        return self._upstreams
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        pass
+
+
+async def claim_at_once(
+    claims: int, engines: int, used: int, seed: int
+) -> list[Holding | None]:
+    """Have so many hosts look for room on engines that are that full."""
+    counts = Counts()
+    counts.by_host[-1] = {f"e{i}": used for i in range(engines)}
+    listed = Listed(engines)
+
+    async def claim(host: int) -> Holding | None:
+        balancer = Balancer(
+            cast(Upstreams, listed),
+            cast(Peers, HostCounts(counts, host)),
+            LoopClock(),
+            random.Random(seed),
+            "north",
+        )
+        rng = random.Random(f"{seed}/{host}")
+        # The word of a notice comes to all within a few milliseconds.
+        await asyncio.sleep(rng.uniform(0.0, 0.005))
+        wanted = Wanted(pool=POOL, traits=TRAITS, tokens=TOKENS, near="north")
+        rooms = Rooms(balancer)
+        return await claim_room(rooms, balancer, rng, wanted, ())
+
+    return await asyncio.gather(*(claim(host) for host in range(claims)))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_claims_at_once_do_not_fill_an_engine_beyond_its_memory(
+    seed: int,
+) -> None:
+    """Twelve generations leave at once; eight engines have room for 16.
+
+    Before, all twelve held the same engine, which has room for two: eight of
+    them were refused after their turn at the link had come.
+    """
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        holdings = await claim_at_once(12, engines=8, used=8_000, seed=seed)
+        assert loop.time() < 1.0  # of a notice of 1.5 s and more
+        placed = Counter(h.upstream.name for h in holdings if h)
+        assert placed.total() == 12
+        assert max(placed.values()) <= 2
+
+    run_virtual(test)
+
+
+def test_a_claim_alone_takes_a_moment() -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        (holding,) = await claim_at_once(1, engines=2, used=8_000, seed=1)
+        assert holding is not None
+        assert holding.tokens == TOKENS
+        assert loop.time() < 0.06
+
+    run_virtual(test)
+
+
+def test_nothing_is_held_where_there_is_no_room() -> None:
+    async def test() -> None:
+        holdings = await claim_at_once(3, engines=2, used=9_500, seed=1)
+        assert holdings == [None, None, None]
+
+    run_virtual(test)
