Hand on what a generation asks of its engines as one object

Cause: call, need and engine traits went side by side through four constructors and functions of the relay, and stood again in what claims take.

Change: relay/_job holds the three. No decision changes.

Ruled out: nothing.

Conclusion: reads more easily.

--- a/src/balsamlift/relay/_claims.py
+++ b/src/balsamlift/relay/_claims.py
@@ -10,14 +10,11 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Collection
 
-import attrs
-
-from balsamlift.relay._balance import Balancer
-from balsamlift.relay._configuration import EngineTraits
-from balsamlift.relay._rooms import Holding, Rooms
+from balsamlift.relay._job import Job
+from balsamlift.relay._rooms import Holding
+from balsamlift.relay._tools import Tools
 
 # What leaves may fill an engine to its last token: without room it is lost.
 # Beyond, the engine refuses it anyway.
@@ -33,38 +30,28 @@
 MOST_CHOICES = 5
 
 
-@attrs.frozen(kw_only=True)
-class Wanted:
-    """Hold what is looked for."""
-
-    pool: str
-    traits: EngineTraits
-    tokens: int
-    near: str  # the failure domain to look in first
-
-
 async def claim_room(
-    rooms: Rooms,
-    balancer: Balancer,
-    rng: random.Random,
-    wanted: Wanted,
-    tried: Collection[str],
+    tools: Tools, job: Job, near: str, tried: Collection[str]
 ) -> Holding | None:
-    """Hold room that no other claim goes beyond; None where there is none."""
-    most = wanted.traits.memory_tokens * FILLED_BY_MOVES_PART
+    """Hold room that no other claim goes beyond; None where there is none.
+
+    Looks in the failure domain `near` first, and at none of those `tried`.
+    """
+    balancer = tools.balancer
+    most = job.traits.memory_tokens * FILLED_BY_MOVES_PART
     for choice in range(MOST_CHOICES):
         await balancer.refresh()
-        upstream = rooms.find(
-            wanted.pool,
-            wanted.traits,
-            wanted.tokens,
+        upstream = tools.rooms.find(
+            job.service,
+            job.traits,
+            job.tokens,
             tried,
-            near=wanted.near,
+            near=near,
             filled_part=FILLED_BY_MOVES_PART,
         )
         if upstream is None:
             return None
-        holding = Holding(balancer, upstream, wanted.tokens)
+        holding = Holding(balancer, upstream, job.tokens)
         try:
             await asyncio.sleep(SETTLE_S)
             await balancer.refresh()
@@ -75,5 +62,5 @@
         if balancer.load(upstream.name) <= most or is_last:
             return holding
         holding.release()
-        await asyncio.sleep(rng.uniform(0.0, AGAIN_S))
+        await asyncio.sleep(tools.rng.uniform(0.0, AGAIN_S))
     return None
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -18,14 +18,13 @@
 from balsamlift.peers import Upstream
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._backup import Backup
-from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._engines import Copy
 from balsamlift.relay._events import EventError, EventSplitter
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._headers import caller_headers
+from balsamlift.relay._job import Job
 from balsamlift.relay._move import Move
-from balsamlift.relay._needs import Need
-from balsamlift.relay._request import Call, Responder
+from balsamlift.relay._request import Responder
 from balsamlift.relay._rooms import Holding
 from balsamlift.relay._tools import Tools
 
@@ -64,18 +63,14 @@
     def __init__(
         self,
         tools: Tools,
-        call: Call,
-        need: Need,
-        traits: EngineTraits,
+        job: Job,
         responder: Responder,
         holding: Holding,
         backup: Backup,
     ) -> None:
         """Prepare to relay to `responder`."""
         self._tools = tools
-        self._call = call
-        self._need = need
-        self._traits = traits
+        self._job = job
         self._responder = responder
         self._holding = holding
         self._backup = backup
@@ -138,7 +133,7 @@
                 self._inbox.put_nowait(part)
         except UpstreamBrokenError as error:
             log.bind(
-                request=self._call.request_id,
+                request=self._job.request_id,
                 upstream=reply.upstream.name,
                 event=self._splitter.last_id,
             ).info("{}", error)
@@ -169,7 +164,7 @@
         try:
             events = self._splitter.feed(data)
         except EventError as error:
-            log.bind(request=self._call.request_id).warning("{}", error)
+            log.bind(request=self._job.request_id).warning("{}", error)
             return False
         if events:
             self._note_events()
@@ -182,7 +177,7 @@
         gap_ms = (now_s - self._seen_s) * 1_000
         self._seen_s = now_s
         if self.course.first_ms is None:
-            arrived_s = self._call.request.arrived_s
+            arrived_s = self._job.call.request.arrived_s
             self.course.first_ms = round((now_s - arrived_s) * 1_000)
         else:
             self.course.gap_ms = max(self.course.gap_ms, round(gap_ms))
@@ -195,15 +190,9 @@
     # Moving to another engine
 
     def _start_moving(self) -> None:
-        if not self._traits.can_move or self._moving is not None:
+        if not self._job.traits.can_move or self._moving is not None:
             return
-        self._move = Move(
-            self._tools,
-            self._call,
-            self._need,
-            self._traits,
-            self._holding.upstream,
-        )
+        self._move = Move(self._tools, self._job, self._holding.upstream)
         self._moving = asyncio.create_task(self._move.run())
 
     async def _go_on(self) -> bool:
@@ -238,15 +227,15 @@
         upstream = self._backup.take()
         if upstream is None:
             return False
-        source = f"{upstream.address}/{self._call.request_id}"
+        source = f"{upstream.address}/{self._job.request_id}"
         return await self._go_on_at(upstream, source)
 
     async def _go_on_at(self, upstream: Upstream, source: str) -> bool:
         before = self._holding.upstream
-        self._backup.choose(self._need.tokens, upstream)
+        self._backup.choose(self._job.tokens, upstream)
         reply = await self._resume(upstream, source)
         log.bind(
-            request=self._call.request_id,
+            request=self._job.request_id,
             upstream=before.name,
             target=upstream.name,
             event=self._splitter.last_id,
@@ -282,7 +271,7 @@
         ):
             async with asyncio.timeout(RESUME_S):
                 reply = await self._tools.exchange.send(
-                    self._call, attempt, upstream, extra
+                    self._job.call, attempt, upstream, extra
                 )
             if reply.is_success:
                 return reply
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -20,6 +20,7 @@
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._generation import Generation
 from balsamlift.relay._headers import caller_headers
+from balsamlift.relay._job import Job
 from balsamlift.relay._needs import Need, read_need
 from balsamlift.relay._refusals import give_up, no_room, timed_out
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
@@ -93,13 +94,12 @@
             return Outcome(refusal.reason)
         service = call.table.services.get(call.service)
         traits = (service.engine if service else None) or UNTOLD
+        job = Job(call, need, traits)
         try:
             async with asyncio.timeout_at(call.give_up_s):
-                result = await self._start(call, attempt, need, traits)
+                result = await self._start(job, attempt)
                 if isinstance(result, _Started):
-                    text = await self._relay(
-                        result, call, need, traits, responder
-                    )
+                    text = await self._relay(result, job, responder)
                     upstream = result.holding.upstream.name
                     return Outcome(text, upstream, attempt.sends)
         except TimeoutError:
@@ -110,24 +110,23 @@
         responder.refuse(result)
         return Outcome(result.reason, sends=attempt.sends)
 
-    async def _start(
-        self, call: Call, attempt: Attempt, need: Need, traits: EngineTraits
-    ) -> _Started | Refusal:
+    async def _start(self, job: Job, attempt: Attempt) -> _Started | Refusal:
+        call = job.call
         tried: set[str] = set()
         dialled = 0
         while True:
             sends_before = attempt.sends
-            holding = await self._wait_for_room(call, need, traits, tried)
+            holding = await self._wait_for_room(job, tried)
             if holding is None:
                 now_s = asyncio.get_running_loop().time()
                 return no_room(attempt, call, now_s)
-            backup = Backup(self._tools, traits)
-            backup.choose(need.tokens, holding.upstream)
+            backup = Backup(self._tools, job.traits)
+            backup.choose(job.tokens, holding.upstream)
             self._log_placed(call, holding, backup)
             unread = Holding(
                 self._tools.balancer,
                 holding.upstream,
-                need.prompt_tokens,
+                job.need.prompt_tokens,
                 prefill_key,
             )
             try:
@@ -159,16 +158,17 @@
                 return result
 
     async def _wait_for_room(
-        self, call: Call, need: Need, traits: EngineTraits, tried: set[str]
+        self, job: Job, tried: set[str]
     ) -> Holding | None:
         """Return room in an engine; None where it comes too late."""
+        call = job.call
         target_s = call.route.target_ms / 1_000
         wait_by_s = call.request.arrived_s + target_s * WAIT_TARGETS
         try:
             async with asyncio.timeout_at(wait_by_s):
                 await self._tools.balancer.refresh()
                 return await self._tools.rooms.wait(
-                    call.service, traits, need.tokens, call.priority, tried
+                    call.service, job.traits, job.tokens, call.priority, tried
                 )
         except TimeoutError:
             return None
@@ -226,20 +226,12 @@
     async def _relay(
         self,
         started: _Started,
-        call: Call,
-        need: Need,
-        traits: EngineTraits,
+        job: Job,
         responder: Responder,
     ) -> str:
         reply = started.reply
         generation = Generation(
-            self._tools,
-            call,
-            need,
-            traits,
-            responder,
-            started.holding,
-            started.backup,
+            self._tools, job, responder, started.holding, started.backup
         )
         self._running.add(generation)
         if self._has_left(reply.upstream):
@@ -251,14 +243,14 @@
             outcome = await generation.relay(reply)
             course = generation.course
             log.bind(
-                request=call.request_id,
+                request=job.request_id,
                 upstream=started.holding.upstream.name,
                 first_ms=course.first_ms,
                 gap_ms=course.gap_ms,
                 moves=course.moves,
                 events=course.events,
-                prompt_tokens=need.prompt_tokens,
-                output_tokens=need.output_tokens,
+                prompt_tokens=job.need.prompt_tokens,
+                output_tokens=job.need.output_tokens,
             ).info("stream: {}", outcome)
             return outcome
         finally:
--- a/src/balsamlift/relay/_move.py
+++ b/src/balsamlift/relay/_move.py
@@ -8,13 +8,11 @@
 
 from balsamlift.exceptions import UpstreamError
 from balsamlift.peers import Upstream
-from balsamlift.relay._claims import Wanted, claim_room
-from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._claims import claim_room
 from balsamlift.relay._engines import Copy, CopyRefusedError
 from balsamlift.relay._evacuation import copy_s
+from balsamlift.relay._job import Job
 from balsamlift.relay._link_turn import LinkTurn
-from balsamlift.relay._needs import Need
-from balsamlift.relay._request import Call
 from balsamlift.relay._rooms import Holding
 from balsamlift.relay._tools import Tools
 
@@ -40,20 +38,16 @@
     def __init__(
         self,
         tools: Tools,
-        call: Call,
-        need: Need,
-        traits: EngineTraits,
+        job: Job,
         source: Upstream,
     ) -> None:
         """Count the time from here on: the notice has just come."""
         self._tools = tools
-        self._call = call
-        self._need = need
-        self._traits = traits
+        self._job = job
         self._source = source
         self._claim: Holding | None = None
         self._turn = LinkTurn(
-            tools.balancer, tools.engines, source, call.request_id
+            tools.balancer, tools.engines, source, job.request_id
         )
 
     async def run(self) -> Copy | None:
@@ -94,15 +88,9 @@
             self._claim = None
 
     async def _claim_target(self, tried: set[str]) -> Upstream | None:
-        wanted = Wanted(
-            pool=self._call.service,
-            traits=self._traits,
-            tokens=self._need.tokens,
-            near=self._source.failure_domain,
-        )
         tools = self._tools
         self._claim = await claim_room(
-            tools.rooms, tools.balancer, tools.rng, wanted, tried
+            tools, self._job, self._source.failure_domain, tried
         )
         return self._claim.upstream if self._claim else None
 
@@ -116,7 +104,7 @@
             await self._copy_until_quick(target)
             stopped_s = loop.time()
             copy = await self._tools.engines.copy(
-                self._source, self._call.request_id, target, stop=True
+                self._source, self._job.request_id, target, stop=True
             )
         stop_ms = round((loop.time() - stopped_s) * 1_000)
         self._log(target, f"copied, last part in {stop_ms} ms")
@@ -136,7 +124,7 @@
         while True:
             began_s = loop.time()
             await self._tools.engines.copy(
-                self._source, self._call.request_id, target, stop=False
+                self._source, self._job.request_id, target, stop=False
             )
             took_s = loop.time() - began_s
             is_free = self._turn.is_alone and took_s <= free_s
@@ -146,13 +134,13 @@
     def _copy_s(self, target: Upstream) -> float:
         """Return how long the whole copy takes over a free link."""
         is_near = self._source.failure_domain == target.failure_domain
-        tokens = self._turn.tokens or self._need.tokens
-        return copy_s(self._traits, tokens, is_near)
+        tokens = self._turn.tokens or self._job.tokens
+        return copy_s(self._job.traits, tokens, is_near)
 
     def _log(self, target: Upstream, how: str) -> None:
         log.bind(
-            request=self._call.request_id,
+            request=self._job.request_id,
             upstream=self._source.name,
             target=target.name,
-            tokens=self._need.tokens,
+            tokens=self._job.tokens,
         ).info("move: {}", how)
--- a/tests/test_relay_claims.py
+++ b/tests/test_relay_claims.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from types import SimpleNamespace as Namespace
 from typing import cast
 
 import pytest
@@ -12,8 +13,10 @@
 from balsamlift.peers import Peers, Upstream, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._claims import Wanted, claim_room
+from balsamlift.relay._claims import claim_room
+from balsamlift.relay._job import Job
 from balsamlift.relay._rooms import Holding, Rooms
+from balsamlift.relay._tools import Tools
 
 POOL = "model"
 TRAITS = EngineTraits(memory_tokens=10_000, can_move=True)
@@ -106,9 +109,11 @@
         rng = random.Random(f"{seed}/{host}")
         # The word of a notice comes to all within a few milliseconds.
         await asyncio.sleep(rng.uniform(0.0, 0.005))
-        wanted = Wanted(pool=POOL, traits=TRAITS, tokens=TOKENS, near="north")
-        rooms = Rooms(balancer)
-        return await claim_room(rooms, balancer, rng, wanted, ())
+        tools = Namespace(balancer=balancer, rooms=Rooms(balancer), rng=rng)
+        job = Namespace(service=POOL, traits=TRAITS, tokens=TOKENS)
+        return await claim_room(
+            cast(Tools, tools), cast(Job, job), "north", ()
+        )
 
     return await asyncio.gather(*(claim(host) for host in range(claims)))
 
