--- a/src/balsamlift/relay/_rooms.py
+++ b/src/balsamlift/relay/_rooms.py
@@ -12,9 +12,13 @@
 from balsamlift.relay._balance import Balancer, backup_key, prefill_key
 from balsamlift.relay._configuration import EngineTraits
 
-# Memory of an engine that is given out: lengths are estimates, and running
-# out of memory preempts a generation in mid-stream.
-FILLED_PART = 0.9
+# Memory of an engine that is given out, by what generations are expected to
+# have at their ends. They are not at their ends together, so an engine that is
+# filled by this count has memory left. On a calm, crowded day of 74 hosts, 355
+# of 433 reports came in time, 344 with 0.9; none was refused, three before; 19
+# requests were preempted, 11 before. With 1.1 engines run out of memory 100
+# times a day where they leave often, with this 70 times.
+FILLED_PART = 1.0
 # An engine that is filled beyond this keeps no backups: they take the links
 # between engines from moves. Mean worth of six days on the second deployment:
 # no backups 0.559, to 0.5 0.579, to 0.7 0.537.
