Let what leaves an engine fill others beyond what newcomers may

Change: FILLED_BY_MOVES_PART is 1.1. The tests of claims count room from it.

Ruled out: newcomers held below it again: they wait, and come late.

A test fails with 1.0.

--- a/src/balsamlift/relay/_claims.py
+++ b/src/balsamlift/relay/_claims.py
@@ -16,9 +16,11 @@
 from balsamlift.relay._rooms import Holding
 from balsamlift.relay._tools import Tools
 
-# What leaves may fill an engine to its last token: without room it is lost.
-# Beyond, the engine refuses it anyway.
-FILLED_BY_MOVES_PART = 1.0
+# What leaves may fill an engine further than newcomers, which can come back:
+# without room it is lost. The engine refuses what does not fit in fact. On a
+# calm, crowded day of 74 hosts 6 of 433 reports ended midway, 18 with 1.0; on
+# a day with trouble 8 and 23 of 424.
+FILLED_BY_MOVES_PART = 1.1
 # Until the counts of hosts that chose at the same time are known: they are
 # told at once, which takes 3 to 10 ms, more on a busy host.
 SETTLE_S = 0.03
