--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -39,9 +39,8 @@
     peers_address: str
     failure_domain: str
     key_prefix: str = ""  # of keys that this host is home to
-    taken_over: list[str] = msgspec.field(
-        default_factory=list
-    )  # homes that left
+    # Homes that left and handed their keys to this host.
+    taken_over: list[str] = msgspec.field(default_factory=list)
     counts_address: str = ""  # where it gathers the counts of all hosts
 
     @property
