Model the sharing of what few hosts read

Change: models/shared_reading, with three variants that break: an answer counted as new though its host is cut off, no read by itself, a confirmation without the configuration that it speaks of.

Ruled out: a second reading host in the model: the first may change its state at any moment, which a change of hosts amounts to.

--- /dev/null
+++ b/models/shared_reading.py
@@ -0,0 +1,152 @@
+"""Specification of a host that is told what another reads of the store.
+
+One host reads a topic and answers the other, which asks it again and again.
+The reading host freezes, or is cut off from the store without its knowledge,
+and is well again, at any moment; answers are lost, or come without a
+configuration that is too large to send. Time moves in ticks of half a second.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Literal, NamedTuple
+
+import attrs
+from minicheck import Protocol
+
+from models._verdict import Verdict, search
+
+LAST_TICK = 14
+READ_TICKS = 4  # that a read waits at the store without news
+ASK_TICKS = 2  # between two questions of the host that is told
+MOST_AGE_TICKS = 6  # of what it holds, before it reads by itself
+BOUND_TICKS = 7  # until a change has to be known there
+
+Reader = Literal["well", "frozen", "cut off"]
+Answer = Literal["whole", "lost", "without content"]
+READERS: tuple[Reader, ...] = ("well", "frozen", "cut off")
+ANSWERS: tuple[Answer, ...] = ("whole", "lost", "without content")
+
+
+@attrs.frozen(kw_only=True)
+class Guards:
+    """Switch single guards off, to show that each is needed."""
+
+    age_is_told: bool = True
+    reads_alone: bool = True
+    only_whole_confirms: bool = True
+
+
+class Copy(NamedTuple):
+    """What one host holds, and for how long it may not be all there is."""
+
+    version: int = 0
+    age_ticks: int = 0
+
+
+class State(NamedTuple):
+    """The whole system."""
+
+    tick: int = 0
+    version: int = 0  # in the store
+    changed_for: int = 0  # ticks since the change
+    reader: Reader = "well"
+    read: Copy = Copy()
+    told: Copy = Copy()
+
+
+def steps(state: State, guards: Guards) -> Iterator[tuple[str, State]]:
+    """Yield every step that may come next."""
+    if state.version == 0:
+        yield "change", state._replace(version=1)
+    for reader in READERS:
+        if reader != state.reader:
+            yield f"reader {reader}", state._replace(reader=reader)
+    if state.tick >= LAST_TICK:
+        return
+    asks = state.tick % ASK_TICKS == 0 and state.reader != "frozen"
+    for answer in ANSWERS if asks else ANSWERS[1:2]:
+        yield f"tick, answer {answer}", _tick(state, answer, guards)
+
+
+def _tick(state: State, answer: Answer, guards: Guards) -> State:
+    read = _read(state)
+    told = _hear(_older(state.told), read, answer, guards)
+    if guards.reads_alone and told.age_ticks >= MOST_AGE_TICKS:
+        told = Copy(state.version)
+    return state._replace(
+        tick=state.tick + 1,
+        changed_for=state.changed_for + (state.version > 0),
+        read=read,
+        told=told,
+    )
+
+
+def _read(state: State) -> Copy:
+    """Return what the reading host holds after a tick."""
+    is_news = state.read.version < state.version
+    is_over = state.read.age_ticks >= READ_TICKS
+    if state.reader == "well" and (is_news or is_over):
+        return Copy(state.version)
+    return _older(state.read)
+
+
+def _hear(told: Copy, read: Copy, answer: Answer, guards: Guards) -> Copy:
+    """Return what the other holds after an answer of the reading host."""
+    if answer == "lost":
+        return told
+    version = told.version
+    if answer == "whole":
+        version = max(version, read.version)
+    lacks = version < read.version
+    if lacks and guards.only_whole_confirms:
+        return told
+    age_ticks = read.age_ticks if guards.age_is_told else 0
+    return Copy(version, min(told.age_ticks, age_ticks))
+
+
+def _older(copy: Copy) -> Copy:
+    return copy._replace(age_ticks=copy.age_ticks + 1)
+
+
+def knows_in_time(state: State) -> bool:
+    """Tell whether the host that is told knows each change in time."""
+    is_behind = state.told.version < state.version
+    return not is_behind or state.changed_for < BOUND_TICKS
+
+
+def sharing(name: str, guards: Guards) -> Protocol:
+    """Return the specification for the checker."""
+
+    def transitions(state: tuple[State]) -> list[tuple[str, tuple[State]]]:
+        return [(label, (after,)) for label, after in steps(state[0], guards)]
+
+    return Protocol(
+        name=name,
+        candidate=True,
+        fields=("state",),
+        initial=(State(),),
+        transitions=transitions,
+        invariants={
+            knows_in_time.__name__: lambda fields: knows_in_time(
+                fields["state"]
+            )
+        },
+    )
+
+
+BROKEN = {
+    "what is told counts as new": Guards(age_is_told=False),
+    "never reads by itself": Guards(reads_alone=False),
+    "confirmed without the content": Guards(only_whole_confirms=False),
+}
+
+
+def sound_verdict() -> Verdict:
+    """Check the specification with every guard."""
+    return search(sharing("shared reading", Guards()))
+
+
+def broken_verdict(name: str) -> Verdict:
+    """Check one broken variant."""
+    return search(sharing(name, BROKEN[name]))
