Let no topic that the store serves wait for one that it does not

Change: a topic whose last read alone was answered keeps its own time.

The test fails without the change.

--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -223,6 +223,7 @@
         except StoreError:
             self._lone_reads.failed(self._topic)
             raise
+        self._lone_reads.served(self._topic)
         log.bind(topic=self._topic, age_s=round(age_s, 3)).info(
             "told nothing for too long, read the topic"
         )
--- a/src/balsamlift/peers/_lone_reads.py
+++ b/src/balsamlift/peers/_lone_reads.py
@@ -29,6 +29,7 @@
         self._clock = clock
         self._back_off = BackOff(rng, AGAIN_MS, AGAIN_MS)
         self._again_s: dict[str, float] = {}
+        self._served: set[str] = set()  # topics whose last such read was
 
     def add(self, topic: str) -> None:
         """Space out the reads of this topic too."""
@@ -38,10 +39,18 @@
         """Return when the topic may be read, on the clock."""
         return self._again_s.get(topic, 0.0)
 
+    def served(self, topic: str) -> None:
+        """Note that the store answered a read of the topic."""
+        self._served.add(topic)
+
     def failed(self, topic: str) -> None:
-        """Note that a read of the topic was in vain."""
+        """Note that a read of the topic was in vain.
+
+        A topic that the store serves does not wait for one that it does not.
+        """
+        self._served.discard(topic)
         due_s = self._clock.monotonic() + self._back_off.failed()
-        for other, again_s in self._again_s.items():
-            self._again_s[other] = max(again_s, due_s)
+        for other in self._again_s.keys() - self._served:
+            self._again_s[other] = max(self._again_s[other], due_s)
         yield_s = YIELD_S if len(self._again_s) > 1 else 0.0
         self._again_s[topic] = due_s + yield_s
--- a/tests/test_peers_follower.py
+++ b/tests/test_peers_follower.py
@@ -284,3 +284,18 @@
     assert lone_reads.again_s("routes") == pytest.approx(list_s + YIELD_S)
     lone_reads.failed("list")
     assert lone_reads.again_s("routes") < lone_reads.again_s("list")
+
+
+def test_a_topic_that_is_served_waits_for_no_other() -> None:
+    """The store may serve some topics only; these have to be known in time."""
+    lone_reads = LoneReads(HandClock(), random.Random(1))
+    for topic in ("routes", "list"):
+        lone_reads.add(topic)
+    lone_reads.failed("routes")
+    lone_reads.served("list")
+    before_s = lone_reads.again_s("list")
+    lone_reads.failed("routes")
+    assert lone_reads.again_s("list") == before_s
+    lone_reads.failed("list")
+    lone_reads.failed("routes")
+    assert lone_reads.again_s("list") > before_s
