--- a/src/balsamlift/relay/_rooms.py
+++ b/src/balsamlift/relay/_rooms.py
@@ -23,7 +23,7 @@
 # between engines from moves. Mean worth of six days on the second deployment:
 # no backups 0.559, to 0.5 0.579, to 0.7 0.537.
 BACKUP_FILLED_PART = 0.5
-# Nor does any while the engines of the pool together are filled beyond this.
+# No engine keeps any while those of the pool together are filled beyond this.
 # One that has just come up is empty, is sent backups of all, and then filled
 # with generations as the others are: its memory runs out.
 BACKUP_POOL_FILLED_PART = 0.6
