Close the engine's connection also where the end of a generation is cancelled

A caller left just as its generation began: writing to it failed, and while the end waited for the reading task, the same leaving cancelled the request. The connection to the engine, closed only after that wait, stayed open, and the engine at work until its deadline.

Change: the connection is closed in a finally, and so is the end after a move.

Ruled out: load: the test alone, in a loop, fails too.

A test of the cancelled wait fails before.

--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -106,9 +106,12 @@
         except StreamClosedError:
             return "caller gone"
         finally:
-            await end_task(self._moving)
-            self._release_claim()
-            await self._end_pump()
+            # The caller's leaving may cancel each of these waits.
+            try:
+                await end_task(self._moving)
+            finally:
+                self._release_claim()
+                await self._end_pump()
 
     # Reading from the engine at work
 
@@ -122,9 +125,13 @@
         if pump is None:
             return
         is_over = pump.done()
-        await end_task(pump)
-        if self._reply is not None and not is_over:
-            self._reply.connection.close()
+        try:
+            await end_task(pump)
+        finally:
+            # Also where this is cancelled: of callers that left as the engine
+            # began, one in a hundred left it at work until its deadline.
+            if self._reply is not None and not is_over:
+                self._reply.connection.close()
 
     async def _keep_pumping(self, reply: Reply) -> None:
         try:
