End a generation at its engine without a wait

Change: _end_pump cancels the reading task and closes the connection at once; there is nothing left that could be cancelled in between.

Ruled out: try and finally around each of the waits.

--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -106,12 +106,11 @@
         except StreamClosedError:
             return "caller gone"
         finally:
-            # The caller's leaving may cancel each of these waits.
+            self._end_pump()
             try:
                 await end_task(self._moving)
             finally:
                 self._release_claim()
-                await self._end_pump()
 
     # Reading from the engine at work
 
@@ -119,19 +118,19 @@
         self._reply = reply
         self._pump = asyncio.create_task(self._keep_pumping(reply))
 
-    async def _end_pump(self) -> None:
-        """Close the engine's connection, unless it ended by itself."""
+    def _end_pump(self) -> None:
+        """Close the engine's connection, unless it ended by itself.
+
+        Nothing is waited for: the caller's leaving cancels waits, and one in
+        a hundred callers that left as the engine began kept it at work until
+        the deadline.
+        """
         pump, self._pump = self._pump, None
-        if pump is None:
+        if pump is None or pump.done():
             return
-        is_over = pump.done()
-        try:
-            await end_task(pump)
-        finally:
-            # Also where this is cancelled: of callers that left as the engine
-            # began, one in a hundred left it at work until its deadline.
-            if self._reply is not None and not is_over:
-                self._reply.connection.close()
+        pump.cancel()
+        if self._reply is not None:
+            self._reply.connection.close()
 
     async def _keep_pumping(self, reply: Reply) -> None:
         try:
@@ -155,17 +154,17 @@
             if isinstance(item, bytes):
                 self._room.release()
                 if not await self._pass_on(item):
-                    return await self._fail("events out of order")
+                    return self._fail("events out of order")
             elif item == "whole":
                 if self._splitter.rest:
-                    return await self._fail("ended within an event")
+                    return self._fail("ended within an event")
                 self._responder.finish()
                 return "whole"
             elif item == "leaving":
                 if not await self._go_on_at_backup():
                     self._start_moving()
             elif not await self._go_on():
-                return await self._fail("engine lost")
+                return self._fail("engine lost")
 
     async def _pass_on(self, data: bytes) -> bool:
         try:
@@ -189,8 +188,8 @@
         else:
             self.course.gap_ms = max(self.course.gap_ms, round(gap_ms))
 
-    async def _fail(self, reason: str) -> str:
-        await self._end_pump()
+    def _fail(self, reason: str) -> str:
+        self._end_pump()
         self._responder.abort()
         return reason
 
@@ -253,7 +252,7 @@
             return False
         self.course.moves += 1
         self._tools.metrics.count("generations.moved")
-        await self._end_pump()
+        self._end_pump()
         self._forget_parts()
         self._holding.move(upstream)
         self._splitter = EventSplitter(self._splitter.last_id)
--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -26,6 +26,8 @@
     request_bytes,
 )
 
+CALLERS_WHO_LEAVE = 400  # one in a hundred is enough to see the fault
+
 
 def whole(last: int = LAST) -> bytes:
     return b"".join(event(number) for number in range(last + 1))
@@ -246,6 +248,31 @@
     run(test())
 
 
+def test_callers_who_leave_as_it_begins_end_the_generation() -> None:
+    """Before, one in a hundred left its engine at work until the deadline."""
+
+    async def test() -> None:
+        stand_ins = engines()
+        for stand_in in stand_ins:
+            stand_in.behave = hang_midway
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            for n in range(CALLERS_WHO_LEAVE):
+                _, writer = await world.connect()
+                writer.write(request_bytes("/draft/1", f"r{n}", headers=USAGE))
+                while sum(len(s.arrivals) for s in stand_ins) <= n:
+                    await asyncio.sleep(0)
+                # Somewhere between the request's arrival and its first events.
+                for _ in range(n % 20):
+                    await asyncio.sleep(0)
+                writer.close()
+                async with asyncio.timeout(1.5):  # of 3 s until its deadline
+                    while any(s.open for s in stand_ins):
+                        await asyncio.sleep(0)
+
+    run(test())
+
+
 def test_waits_for_room_in_order_of_urgency() -> None:
     started: list[str] = []
     go_on = asyncio.Event()
