Make the models' specifications in one place

Change: models/_specification; each names its first state, steps and checks.

Ruled out: nothing.

Conclusion: reads more easily.

--- a/models/order_lease.py
+++ b/models/order_lease.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 import attrs
 from minicheck import Protocol
@@ -27,6 +27,7 @@
     ranked,
     with_host,
 )
+from models._specification import specify
 from models._verdict import Verdict, describe, search
 
 BROKEN_STATES = 30_000  # a shortest counterexample lies well within
@@ -253,25 +254,12 @@
 def protocol(name: str, guards: Guards) -> Protocol:
     """Return the specification for the checker."""
 
-    def transitions(state: tuple[State]) -> list[tuple[str, tuple[State]]]:
-        return [
-            (label, (ranked(after),))
-            for label, after in steps(state[0], guards)
-        ]
-
-    def on_state(check: Callable[[State], bool]) -> object:
-        return lambda fields: check(fields["state"])
+    def ranked_steps(state: State) -> Iterator[tuple[str, State]]:
+        for label, after in steps(state, guards):
+            yield label, ranked(after)
 
     checks = (one_holder, one_giver, never_reverted, never_misrouted)
-    return Protocol(
-        name=name,
-        candidate=True,
-        fields=("state",),
-        initial=(FIRST,),
-        transitions=transitions,
-        invariants={check.__name__: on_state(check) for check in checks},
-        goal=on_state(converged),
-    )
+    return specify(name, FIRST, ranked_steps, checks, goal=converged)
 
 
 SOUND = {
--- a/models/platform_view.py
+++ b/models/platform_view.py
@@ -8,12 +8,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Literal, NamedTuple
 
 import attrs
 from minicheck import Protocol
 
+from models._specification import specify
 from models._verdict import Verdict, search
 
 LAST_VERSION = 2
@@ -194,9 +195,6 @@
 def view(name: str, guards: Guards) -> Protocol:
     """Return the specification for the checker."""
 
-    def transitions(state: tuple[State]) -> list[tuple[str, tuple[State]]]:
-        return [(label, (after,)) for label, after in steps(state[0], guards)]
-
     def leaves_in_time(state: State) -> bool:
         """Tell whether new work stopped in time, at hosts that can know."""
         if state.left_for <= LEAVING_BOUND or not state.store_up:
@@ -217,9 +215,6 @@
             return True
         return all(sends_work(state, h, guards) for h in state.hosts)
 
-    def on_state(check: Callable[[State], bool]) -> object:
-        return lambda fields: check(fields["state"])
-
     checks = (
         never_goes_back,
         follows,
@@ -227,14 +222,7 @@
         lapsed_is_kept,
         comes_back,
     )
-    return Protocol(
-        name=name,
-        candidate=True,
-        fields=("state",),
-        initial=(State(),),
-        transitions=transitions,
-        invariants={check.__name__: on_state(check) for check in checks},
-    )
+    return specify(name, State(), lambda state: steps(state, guards), checks)
 
 
 BROKEN = {
--- a/models/request_keys.py
+++ b/models/request_keys.py
@@ -10,12 +10,13 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Literal, NamedTuple
 
 import attrs
 from minicheck import Protocol
 
+from models._specification import specify
 from models._verdict import Verdict, describe, search
 from models.unhomed_keys import UNHOMED_BROKEN, UNHOMED_SOUND, unhomed
 
@@ -245,21 +246,11 @@
 
 def homed(name: str, guards: Guards) -> Protocol:
     """Return the specification for the checker."""
-
-    def transitions(state: tuple[State]) -> list[tuple[str, tuple[State]]]:
-        return [(label, (after,)) for label, after in steps(state[0], guards)]
-
-    def on_state(check: Callable[[State], bool]) -> object:
-        return lambda fields: check(fields["state"])
-
-    checks = (at_most_once, refused_never_ran, whole_ran_once)
-    return Protocol(
-        name=name,
-        candidate=True,
-        fields=("state",),
-        initial=(State(),),
-        transitions=transitions,
-        invariants={check.__name__: on_state(check) for check in checks},
+    return specify(
+        name,
+        State(),
+        lambda state: steps(state, guards),
+        (at_most_once, refused_never_ran, whole_ran_once),
     )
 
 
--- a/models/shared_reading.py
+++ b/models/shared_reading.py
@@ -14,6 +14,7 @@
 import attrs
 from minicheck import Protocol
 
+from models._specification import specify
 from models._verdict import Verdict, search
 
 LAST_TICK = 14
@@ -117,21 +118,11 @@
 
 def sharing(name: str, guards: Guards) -> Protocol:
     """Return the specification for the checker."""
-
-    def transitions(state: tuple[State]) -> list[tuple[str, tuple[State]]]:
-        return [(label, (after,)) for label, after in steps(state[0], guards)]
-
-    return Protocol(
-        name=name,
-        candidate=True,
-        fields=("state",),
-        initial=(State(),),
-        transitions=transitions,
-        invariants={
-            knows_in_time.__name__: lambda fields: knows_in_time(
-                fields["state"]
-            )
-        },
+    return specify(
+        name,
+        State(),
+        lambda state: steps(state, guards),
+        (knows_in_time,),
     )
 
 
--- a/models/unhomed_keys.py
+++ b/models/unhomed_keys.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import attrs
 from minicheck import Protocol
 
+from models._specification import specify
+
 KEY_AGE = 1  # a claim of an older key is void
 RETENTION = 2  # the log keeps a record at least that long
 LAST_TIME = 4
@@ -170,21 +172,11 @@
 
 def unhomed(name: str, guards: Guards) -> Protocol:
     """Return the specification for the checker."""
-
-    def transitions(state: tuple[State]) -> list[tuple[str, tuple[State]]]:
-        return [(label, (after,)) for label, after in steps(state[0], guards)]
-
-    def on_state(check: Callable[[State], bool]) -> object:
-        return lambda fields: check(fields["state"])
-
-    checks = (at_most_once, whole_ran_once)
-    return Protocol(
-        name=name,
-        candidate=True,
-        fields=("state",),
-        initial=(State(),),
-        transitions=transitions,
-        invariants={check.__name__: on_state(check) for check in checks},
+    return specify(
+        name,
+        State(),
+        lambda state: steps(state, guards),
+        (at_most_once, whole_ran_once),
     )
 
 
