--- a/src/balsamlift/relay/_claims.py
+++ b/src/balsamlift/relay/_claims.py
@@ -27,9 +27,9 @@
 # The pause before another choice is drawn up to this: five that gave back the
 # same engine then come one at a time, and a notice is 1.5 s and more.
 AGAIN_S = 0.15
-# After so many choices a claim is kept as it is: the engine itself judges, and
-# time for the copy runs out.
-MOST_CHOICES = 5
+# After so many claims in vain, what is held is kept as it is: the engine
+# judges by itself, and time for the copy runs out.
+MOST_IN_VAIN = 4
 
 
 async def claim_room(
@@ -39,30 +39,39 @@
 
     Looks in the failure domain `near` first, and at none of those `tried`.
     """
-    balancer = tools.balancer
     most = job.traits.memory_tokens * FILLED_BY_MOVES_PART
-    for choice in range(MOST_CHOICES):
-        await balancer.refresh()
-        upstream = tools.rooms.find(
-            job.service,
-            job.traits,
-            job.tokens,
-            tried,
-            near=near,
-            filled_part=FILLED_BY_MOVES_PART,
-        )
-        if upstream is None:
+    for _ in range(MOST_IN_VAIN):
+        holding = await _hold_best(tools, job, near, tried)
+        if holding is None:
             return None
-        holding = Holding(balancer, upstream, job.tokens)
-        try:
-            await asyncio.sleep(SETTLE_S)
-            await balancer.refresh()
-        except asyncio.CancelledError:
-            holding.release()
-            raise
-        is_last = choice == MOST_CHOICES - 1
-        if balancer.load(upstream.name) <= most or is_last:
+        if tools.balancer.load(holding.upstream.name) <= most:
             return holding
         holding.release()
         await asyncio.sleep(tools.rng.uniform(0.0, AGAIN_S))
-    return None
+    return await _hold_best(tools, job, near, tried)
+
+
+async def _hold_best(
+    tools: Tools, job: Job, near: str, tried: Collection[str]
+) -> Holding | None:
+    """Hold the best room there is, until what others hold is known."""
+    balancer = tools.balancer
+    await balancer.refresh()
+    upstream = tools.rooms.find(
+        job.service,
+        job.traits,
+        job.tokens,
+        tried,
+        near=near,
+        filled_part=FILLED_BY_MOVES_PART,
+    )
+    if upstream is None:
+        return None
+    holding = Holding(balancer, upstream, job.tokens)
+    try:
+        await asyncio.sleep(SETTLE_S)
+        await balancer.refresh()
+    except asyncio.CancelledError:
+        holding.release()
+        raise
+    return holding
--- /dev/null
+++ b/tests/_listed_engines.py
@@ -0,0 +1,39 @@
+"""Engines of one pool, as the list of upstreams would give them."""
+
+from collections.abc import Callable
+
+from balsamlift.peers import Upstream
+
+POOL = "model"
+
+
+class ListedEngines:
+    """Engines that are all live."""
+
+    def __init__(self, domains: dict[str, str]) -> None:
+        """Name each engine with its failure domain."""
+        self._upstreams = [
+            Upstream(
+                name=name,
+                pool=POOL,
+                kind="service",
+                address=f"10.0.0.{i}:80",
+                failure_domain=domain,
+                state="live",
+            )
+            for i, (name, domain) in enumerate(domains.items())
+        ]
+
+    def in_pool(self, pool: str) -> list[Upstream]:
+        return list(self._upstreams)
+
+    def all(self) -> list[Upstream]:
+        return self._upstreams
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        pass
+
+
+def engines_of_one_domain(number: int) -> ListedEngines:
+    """Return engines e0, e1 and so on, all in the failure domain north."""
+    return ListedEngines({f"e{i}": "north" for i in range(number)})
--- a/tests/test_relay_claims.py
+++ b/tests/test_relay_claims.py
@@ -3,14 +3,14 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
 from types import SimpleNamespace as Namespace
 from typing import cast
 
 import pytest
+from _listed_engines import POOL, engines_of_one_domain
 from _virtual_time import LoopClock, run_virtual
 
-from balsamlift.peers import Peers, Upstream, Upstreams
+from balsamlift.peers import Peers, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._claims import FILLED_BY_MOVES_PART, claim_room
@@ -18,7 +18,6 @@
 from balsamlift.relay._rooms import FILLED_PART, Holding, Rooms
 from balsamlift.relay._tools import Tools
 
-POOL = "model"
 TRAITS = EngineTraits(memory_tokens=10_000, can_move=True)
 TOKENS = 1_000
 MOST = round(TRAITS.memory_tokens * FILLED_BY_MOVES_PART)
@@ -65,39 +64,13 @@
         self._others = self._counts.sums(self._host)
 
 
-class Listed:
-    """Engines that are all live, in one failure domain."""
-
-    def __init__(self, number: int) -> None:
-        self._upstreams = [
-            Upstream(
-                name=f"e{i}",
-                pool=POOL,
-                kind="service",
-                address=f"10.0.0.{i}:80",
-                failure_domain="north",
-                state="live",
-            )
-            for i in range(number)
-        ]
-
-    def in_pool(self, pool: str) -> list[Upstream]:
-        return list(self._upstreams)
-
-    def all(self) -> list[Upstream]:
-        return self._upstreams
-
-    def on_change(self, callback: Callable[[], None]) -> None:
-        pass
-
-
 async def claim_at_once(
     claims: int, engines: int, used: int, seed: int
 ) -> list[Holding | None]:
     """Have so many hosts look for room on engines that are that full."""
     counts = Counts()
     counts.by_host[-1] = {f"e{i}": used for i in range(engines)}
-    listed = Listed(engines)
+    listed = engines_of_one_domain(engines)
 
     async def claim(host: int) -> Holding | None:
         balancer = Balancer(
--- a/tests/test_relay_filling.py
+++ b/tests/test_relay_filling.py
@@ -10,19 +10,18 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable
 from typing import cast
 
 import attrs
 import pytest
+from _listed_engines import POOL, engines_of_one_domain
 
 from balsamlift.clock import SystemClock
-from balsamlift.peers import Peers, Upstream, Upstreams
+from balsamlift.peers import Peers, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._rooms import FILLED_PART, Holding, Rooms
 
-POOL = "model"
 MEMORY_TOKENS = 21_800
 TRAITS = EngineTraits(memory_tokens=MEMORY_TOKENS)
 TOKEN_S = 0.0087
@@ -46,32 +45,6 @@
         pass
 
 
-class Listed:
-    """Engines that are all live."""
-
-    def __init__(self) -> None:
-        self._upstreams = [
-            Upstream(
-                name=f"e{i}",
-                pool=POOL,
-                kind="service",
-                address=f"10.0.0.{i}:80",
-                failure_domain="north",
-                state="live",
-            )
-            for i in range(ENGINES)
-        ]
-
-    def in_pool(self, pool: str) -> list[Upstream]:
-        return list(self._upstreams)
-
-    def all(self) -> list[Upstream]:
-        return self._upstreams
-
-    def on_change(self, callback: Callable[[], None]) -> None:
-        pass
-
-
 @attrs.define(eq=False)
 class Running:
     """One generation on an engine."""
@@ -112,7 +85,7 @@
         self.day = Day()
         self._filled_part = filled_part
         self._balancer = Balancer(
-            cast(Upstreams, Listed()),
+            cast(Upstreams, engines_of_one_domain(ENGINES)),
             cast(Peers, NoOthers()),
             SystemClock(),
             random.Random(seed),
--- a/tests/test_relay_rooms.py
+++ b/tests/test_relay_rooms.py
@@ -3,18 +3,17 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
 from typing import Any, cast
 
 import pytest
+from _listed_engines import POOL, ListedEngines
 
 from balsamlift.clock import SystemClock
-from balsamlift.peers import Peers, Upstream, Upstreams
+from balsamlift.peers import Peers, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer, backup_key
 from balsamlift.relay._rooms import FILLED_PART, Holding, Rooms
 
-POOL = "model"
 TRAITS = EngineTraits(memory_tokens=10_000)
 MOST = int(TRAITS.memory_tokens * FILLED_PART)
 
@@ -40,39 +39,13 @@
         self.told.append(dict(self._own))
 
 
-class Listed:
-    """Engines that are all live."""
-
-    def __init__(self, domains: dict[str, str]) -> None:
-        self._upstreams = [
-            Upstream(
-                name=name,
-                pool=POOL,
-                kind="service",
-                address=f"10.0.0.{i}:80",
-                failure_domain=domain,
-                state="live",
-            )
-            for i, (name, domain) in enumerate(domains.items())
-        ]
-
-    def in_pool(self, pool: str) -> list[Upstream]:
-        return list(self._upstreams)
-
-    def all(self) -> list[Upstream]:
-        return self._upstreams
-
-    def on_change(self, callback: Callable[[], None]) -> None:
-        pass
-
-
 class Bench:
     """Rooms of one host among others."""
 
     def __init__(self, **domains: str) -> None:
         self.others = OtherHosts()
         self.balancer = Balancer(
-            cast(Upstreams, Listed(domains)),
+            cast(Upstreams, ListedEngines(domains)),
             cast(Peers, self.others),
             SystemClock(),
             random.Random(5),
