Serve no evacuated failure domain

Cause: records evacuate/DOMAIN lie in the operators' topic beside the configuration, and nothing read them.

Change: the follower of that topic offers what it holds to `Evacuations`. Hosts that are told have it with the configuration's version, and take that version for all there is only with it; every heartbeat carries it too, so a host that the store turns away, or that starts in an outage, knows it before it can serve. The newest word, by the topic's offset, counts. Nothing new goes there: first tries, retries, moves, backups, going on from a copy. What waits for room is refused at once where no engine is left, with when to come back. What runs there ends there.

Ruled out: a topic or read of its own (the bounds of the configuration's read cover it); a copy of the mechanism for lagging hosts (an evacuation is some twenty bytes, so each heartbeat holds it); moving early what runs there (it ends within seconds, and engines elsewhere are full).

Tests: virtual time at 40 and 87 hosts with readers frozen, killed, cut off, half of all killed, a third turned away; a silent store and a lost history; callers and engines in one process. All seen failing with the guards taken out.

--- a/src/balsamlift/_commands/_hosts.py
+++ b/src/balsamlift/_commands/_hosts.py
@@ -8,6 +8,7 @@
 from balsamlift._commands._exit import ExitCode
 from balsamlift._commands._views import show_view
 
+COLUMNS = ["host", "state", "evacuated"]
 USAGE = """Show the entry hosts, as one or several of them see each other.
 
 Usage:
@@ -31,4 +32,4 @@
 def run(argv: Sequence[str]) -> ExitCode:
     """Run the command."""
     arguments = Arguments(USAGE, argv)
-    return show_view(arguments, "/v1/hosts", ["host", "state"])
+    return show_view(arguments, "/v1/hosts", COLUMNS)
--- a/src/balsamlift/_commands/_upstreams.py
+++ b/src/balsamlift/_commands/_upstreams.py
@@ -8,6 +8,7 @@
 from balsamlift._commands._exit import ExitCode
 from balsamlift._commands._views import show_view
 
+COLUMNS = ["name", "pool", "state", "is_evacuated"]
 USAGE = """Show the engines and plain services, as one or several hosts do.
 
 Usage:
@@ -31,4 +32,4 @@
 def run(argv: Sequence[str]) -> ExitCode:
     """Run the command."""
     arguments = Arguments(USAGE, argv)
-    return show_view(arguments, "/v1/upstreams", ["name", "pool", "state"])
+    return show_view(arguments, "/v1/upstreams", COLUMNS)
--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -1,5 +1,6 @@
 """The other hosts, and the upstreams that all hosts share."""
 
+from balsamlift.peers._evacuations import EvacuationNews, Evacuations
 from balsamlift.peers._follower import Follower, Pace
 from balsamlift.peers._hosts_list import (
     ENTRY_ROLE,
@@ -20,6 +21,8 @@
     "ENTRY_ROLE",
     "UPSTREAM_ROLE",
     "EntryHost",
+    "EvacuationNews",
+    "Evacuations",
     "Follower",
     "ListEntry",
     "LoneReads",
--- a/src/balsamlift/peers/_composer.py
+++ b/src/balsamlift/peers/_composer.py
@@ -9,6 +9,7 @@
 
 from balsamlift.clock import Clock
 from balsamlift.peers._counts import OwnCounts
+from balsamlift.peers._evacuations import EvacuationNews
 from balsamlift.peers._heard import HeardPeers
 from balsamlift.peers._link import Draft, Link, Told
 from balsamlift.peers._members import Members
@@ -30,6 +31,7 @@
     chosen: bool
     wants_members: bool
     shared: Shared | None = None
+    evacuations: EvacuationNews | None = None
 
 
 class Composer:
@@ -76,6 +78,7 @@
             counts_are_full=is_full,
             notes=self._notes.changed_since(link.told.notes, now_s),
             shared=status.shared,
+            evacuations=status.evacuations,
         )
         told = Told(
             self._members.change, self._counts.change, self._notes.change
--- a/src/balsamlift/peers/_hosts_view.py
+++ b/src/balsamlift/peers/_hosts_view.py
@@ -30,6 +30,7 @@
     offset: int = 0
     caught_up: bool = False
     is_heard: bool = False  # directly, not only through others
+    evacuated: str = ""  # failure domains, as that host itself knows them
 
 
 class KnownHosts(Protocol):
@@ -82,6 +83,7 @@
             offset=self._peers.offset,
             caught_up=self._peers.caught_up,
             is_heard=True,
+            evacuated=" ".join(sorted(self._upstreams.evacuations.domains)),
         )
 
 
--- a/src/balsamlift/peers/_receiver.py
+++ b/src/balsamlift/peers/_receiver.py
@@ -44,6 +44,10 @@
             message.host, message.counts, full=message.counts_are_full
         )
         self._told.take(message.notes)
+        # Before the configuration: a host that has just started must not
+        # serve by that alone.
+        if message.evacuations is not None:
+            self._upstreams.evacuations.offer(message.evacuations, "peer")
         self._sharing.take(message.shared, self._upstreams)
         self._correct(message)
         self._answer(message)
--- a/src/balsamlift/peers/_shared_records.py
+++ b/src/balsamlift/peers/_shared_records.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from balsamlift.clock import Clock
+from balsamlift.peers._evacuations import EvacuationNews, Evacuations
 from balsamlift.peers._follower import Follower, TopicNews
 
 # A host that others ask reads the topics as long as they do: they ask once a
@@ -39,6 +40,7 @@
     version_age_ms: int | None  # since it was the newest; None: not known
     configuration: bytes = b""  # as operators wrote it
     listed: TopicNews | None = None
+    evacuations: EvacuationNews | None = None  # as old as the version
 
 
 class ConfigurationCopy(Protocol):
@@ -62,6 +64,7 @@
     copy: ConfigurationCopy
     offer: Callable[[bytes], None]  # a configuration, maybe a newer one
     is_settled: Callable[[], bool]  # entries of the list lapse no more
+    evacuations: Evacuations  # in the topic of the configuration
 
 
 class SharedRecords:
@@ -118,6 +121,7 @@
             version_age_ms=None if isinf(age_s) else round(age_s * 1_000),
             configuration=self._sendable(self._sources.copy, position),
             listed=listed,
+            evacuations=self._sources.evacuations.news,
         )
 
     def take(self, answer: RecordsAnswer | None, asked_s: float) -> None:
@@ -126,9 +130,16 @@
             return
         if answer.listed is not None:
             self._sources.listed.take(answer.listed, asked_s)
+        if answer.evacuations is not None:
+            self._sources.evacuations.offer(
+                answer.evacuations, "peer", answer.version_age_ms
+            )
         if answer.configuration:
             self._sources.offer(answer.configuration)
-        is_newest = self._sources.copy.offset >= answer.version > 0
+        is_newest = (
+            answer.evacuations is not None
+            and self._sources.copy.offset >= answer.version > 0
+        )
         if is_newest and answer.version_age_ms is not None:
             age_s = answer.version_age_ms / 1_000
             self._sources.configuration.confirm(asked_s - age_s)
--- a/src/balsamlift/peers/_upstream.py
+++ b/src/balsamlift/peers/_upstream.py
@@ -32,6 +32,7 @@
         default=attrs.Factory(lambda self: self.name, takes_self=True)
     )
     started_ms: int = 0  # wall time; 0: not told
+    is_evacuated: bool = False  # its failure domain gets no new work
 
 
 @attrs.frozen(kw_only=True)
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -13,6 +13,7 @@
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.operators import JsonHandler, OperatorsServer
+from balsamlift.peers._evacuations import Evacuations
 from balsamlift.peers._hosts_list import (
     ENTRY_ROLE,
     HostsList,
@@ -43,6 +44,7 @@
     """Hold what the list says of an upstream, and the marks on it."""
 
     listed: Upstream
+    evacuations: Evacuations
     marks: Marks = attrs.field(factory=Marks)
     upstream: Upstream = attrs.field(init=False)
 
@@ -53,7 +55,11 @@
         """Work the state out anew; tell whether it has changed."""
         state = worse(self.listed.state, self.marks.worst)
         before = getattr(self, "upstream", None)
-        self.upstream = attrs.evolve(self.listed, state=state)
+        self.upstream = attrs.evolve(
+            self.listed,
+            state=state,
+            is_evacuated=self.evacuations.covers(self.listed.failure_domain),
+        )
         return self.upstream != before
 
 
@@ -61,7 +67,8 @@
     """Know which upstreams may take new work.
 
     The list, the upstream's own word, failed connections and peers' words
-    all count at once, and the most pessimistic wins.
+    all count at once, and the most pessimistic wins. None in an evacuated
+    failure domain may.
     """
 
     name = "upstreams"
@@ -81,6 +88,7 @@
         self._settings = settings
         self._clock = clock
         self._is_probing = source is None
+        self._metrics = Metrics()  # until `start`: evacuations may come first
         self._random = random.Random(settings.seed or None)
         self._reader = ListReader(
             source
@@ -92,6 +100,8 @@
             self._random,
             self._take_reading,
         )
+        self.evacuations = Evacuations()
+        self.evacuations.on_change(self._take_evacuations)
         self._lapsed: set[str] = set()
         self._entries: list[ListEntry] = []  # of upstreams, as last read
         self._known: dict[str, _Known] = {}
@@ -139,6 +149,27 @@
             self._usable[pool] = usable
         return list(usable)
 
+    def is_evacuated(self, pool: str) -> bool:
+        """Tell whether evacuations alone leave a pool without upstreams."""
+        return not self.in_pool(pool) and any(
+            known.upstream.is_evacuated and known.upstream.state == "live"
+            for known in self._known.values()
+            if known.listed.pool == pool
+        )
+
+    def is_in_evacuation(self, upstream: Upstream) -> bool:
+        """Tell whether its failure domain is evacuated, listed or not."""
+        return self.evacuations.covers(upstream.failure_domain)
+
+    def may_take_work(self, name: str) -> bool:
+        """Tell whether an upstream is there, stays and is not evacuated."""
+        upstream = self.find(name)
+        return (
+            upstream is not None
+            and upstream.state != "leaving"
+            and not upstream.is_evacuated
+        )
+
     def entry_hosts(self) -> list[EntryHost]:
         """Return the entry hosts on the list, this one among them."""
         return list(self._entry_hosts)
@@ -225,7 +256,11 @@
         return [host.host for host in self._entry_hosts]
 
     def _work_out_usable(self, pool: str) -> list[Upstream]:
-        members = [k for k in self._known.values() if k.listed.pool == pool]
+        members = [
+            known
+            for known in self._known.values()
+            if known.listed.pool == pool and not known.upstream.is_evacuated
+        ]
         live = [k.upstream for k in members if k.upstream.state == "live"]
         return live or [
             k.upstream
@@ -249,6 +284,13 @@
         )
         self._tell_change()
 
+    def _take_evacuations(self) -> None:
+        for known in self._known.values():
+            known.refresh()
+        domains = self.evacuations.domains
+        self._metrics.gauge("upstreams.evacuated_domains", len(domains))
+        self._tell_change()
+
     def _tell_change(self) -> None:
         self._usable.clear()
         for callback in self._on_change:
@@ -339,7 +381,7 @@
         """Take in one entry; tell whether it is another incarnation."""
         known = self._known.get(listed.name)
         if known is None or known.listed.address != listed.address:
-            self._known[listed.name] = _Known(listed)
+            self._known[listed.name] = _Known(listed, self.evacuations)
             return True
         if known.listed != listed:
             known.listed = listed
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -60,11 +60,11 @@
         store = Store(node.store_address, http)
         self._routing = routing = Routing()
         self.frontend = Frontend(node.callers_address, clock)
-        self._configuration = ConfigurationWatch(
-            store, clock, node.configuration_pace
-        )
         self._listed = UpstreamsSource(store, clock, node.list_pace)
         self.upstreams = Upstreams(settings, clock, http, self._listed)
+        self._configuration = ConfigurationWatch(
+            store, clock, node.configuration_pace, self.upstreams.evacuations
+        )
         self.peers = Peers(
             settings, new_incarnation(), self.frontend.address, clock, rng
         )
@@ -107,6 +107,7 @@
             copy=self._routing,
             offer=lambda data: offer(self._routing, data, "peer"),
             is_settled=lambda: self.upstreams.is_settled,
+            evacuations=self.upstreams.evacuations,
         )
         lone_reads = LoneReads(self._clock)
         for follower in (sources.configuration, sources.listed):
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import msgspec
 
 from balsamlift._address import AddressError, split_address
 from balsamlift.exceptions import PlatformError
 from balsamlift.peers import ENTRY_ROLE, UPSTREAM_ROLE, ListEntry
+from balsamlift.platform._names import EVACUATION_PREFIX
 from balsamlift.relay import (
     FIRST_LIMITS,
     CallerLimits,
@@ -144,6 +147,18 @@
     )
 
 
+def decode_evacuations(values: Mapping[str, bytes]) -> list[str]:
+    """Return the failure domains that the operators' records evacuate.
+
+    A record is there for as long as the evacuation lasts, whatever it holds.
+    """
+    return sorted(
+        key.removeprefix(EVACUATION_PREFIX)
+        for key in values
+        if key.startswith(EVACUATION_PREFIX)
+    )
+
+
 def decode_upstream(key: str, data: bytes) -> ListEntry:
     """Return the entry of an upstream; raise `RecordError`.
 
--- a/src/balsamlift/platform/_names.py
+++ b/src/balsamlift/platform/_names.py
@@ -36,6 +36,7 @@
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"  # in the same topic; a failure domain follows
 UPSTREAMS_TOPIC = "keyed.servers"
 HOSTS_TOPIC = "keyed.hosts"  # our own
 
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -14,11 +14,18 @@
 from balsamlift.clock import Clock
 from balsamlift.exceptions import HostsUnavailableError, StoreError
 from balsamlift.kernel import Kernel
-from balsamlift.peers import Follower, ListEntry, Pace
+from balsamlift.peers import (
+    EvacuationNews,
+    Evacuations,
+    Follower,
+    ListEntry,
+    Pace,
+)
 from balsamlift.platform._decode import (
     HostRecord,
     RecordError,
     decode_configuration,
+    decode_evacuations,
     decode_host,
     decode_upstream,
     host_entry,
@@ -50,12 +57,15 @@
 
 
 class ConfigurationWatch:
-    """Offer each configuration that operators write."""
+    """Offer each configuration and evacuation that operators write."""
 
     name = "configuration_watch"
 
-    def __init__(self, store: Store, clock: Clock, pace: Pace) -> None:
+    def __init__(
+        self, store: Store, clock: Clock, pace: Pace, evacuations: Evacuations
+    ) -> None:
         """Follow the topic of operators at that pace."""
+        self._evacuations = evacuations
         self.follower = Follower(store, CONFIGURATION_TOPIC, clock, pace)
         self._clock = clock
         self._back_off = BackOff(None, RETRY_MS, RETRY_MOST_MS)
@@ -85,12 +95,20 @@
                 continue
             wait_ms = None
             self._back_off.succeeded()
-            data = self.follower.values().get(CONFIGURATION_KEY)
+            values = self.follower.values()
+            self._offer_evacuations(values)
+            data = values.get(CONFIGURATION_KEY)
             if data is not None:
                 offer(self._routing, data, "store")
             else:
                 await self._clock.sleep(RETRY_MS / 1_000)
 
+    def _offer_evacuations(self, values: dict[str, bytes]) -> None:
+        if self.follower.end is not None:
+            domains = decode_evacuations(values)
+            news = EvacuationNews(self.follower.end, domains)
+            self._evacuations.offer(news, "store", age_ms=0)
+
 
 def offer(routing: Routing, data: bytes, source: str) -> None:
     """Offer a configuration as operators wrote it."""
--- a/src/balsamlift/relay/_backup.py
+++ b/src/balsamlift/relay/_backup.py
@@ -48,8 +48,7 @@
         self.release()
         if holding is None:
             return None
-        known = self._tools.upstreams.find(holding.upstream.name)
-        if known is None or known.state == "leaving":
+        if not self._tools.upstreams.may_take_work(holding.upstream.name):
             return None
         return holding.upstream
 
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -121,6 +121,10 @@
         ]
         return sound or listed
 
+    def is_evacuated(self, pool: str) -> bool:
+        """Tell whether evacuations alone leave a pool without upstreams."""
+        return self._upstreams.is_evacuated(pool)
+
     def least_busy(self, pool: str, tried: Collection[str]) -> Upstream | None:
         """Return the upstream for a call that takes one slot."""
         choices = self.usable(pool, tried)
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -265,6 +265,8 @@
         self._room = asyncio.Semaphore(PARTS_AHEAD)
 
     async def _resume(self, upstream: Upstream, source: str) -> Reply | None:
+        if self._tools.upstreams.is_in_evacuation(upstream):
+            return None
         names = self._tools.names
         extra = [(names.resume_source, source), *self._backup.headers()]
         if self._splitter.last_id >= 0:
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -22,7 +22,12 @@
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._job import Job
 from balsamlift.relay._needs import Need, read_need
-from balsamlift.relay._refusals import give_up, no_room, timed_out
+from balsamlift.relay._refusals import (
+    give_up,
+    no_room,
+    no_upstream,
+    timed_out,
+)
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retries import Retries
 from balsamlift.relay._rooms import Holding
@@ -119,6 +124,8 @@
             holding = await self._wait_for_room(job, tried)
             if holding is None:
                 now_s = asyncio.get_running_loop().time()
+                if self._tools.balancer.is_evacuated(call.service):
+                    return no_upstream(attempt, call, now_s)
                 return no_room(attempt, call, now_s)
             backup = Backup(self._tools, job.traits)
             backup.choose(job.tokens, holding.upstream)
--- a/src/balsamlift/relay/_move.py
+++ b/src/balsamlift/relay/_move.py
@@ -102,6 +102,8 @@
         self._log(target, f"begins, {place} ahead, {left_s:.2f} s left")
         with self._turn.hold():
             await self._copy_until_quick(target)
+            if self._tools.upstreams.is_in_evacuation(target):
+                raise CopyRefusedError(target.name, "evacuated")
             stopped_s = loop.time()
             copy = await self._tools.engines.copy(
                 self._source, self._job.request_id, target, stop=True
--- a/src/balsamlift/relay/_rooms.py
+++ b/src/balsamlift/relay/_rooms.py
@@ -47,7 +47,7 @@
     traits: EngineTraits
     tokens: int
     tried: Collection[str]
-    placed: asyncio.Future[Holding]
+    placed: asyncio.Future[Holding | None]
 
 
 class Holding:
@@ -149,17 +149,20 @@
         tokens: int,
         priority: int,
         tried: Collection[str] = (),
-    ) -> Holding:
+    ) -> Holding | None:
         """Hold `tokens` of an engine, as soon as one has room.
 
         A request that is larger than an engine waits for an empty one.
+        Returns None, at once, where every engine is evacuated.
         """
+        if self._balancer.is_evacuated(pool):
+            return None
         tokens = min(tokens, int(traits.memory_tokens * FILLED_PART))
         if not self._must_wait(pool, priority):
             upstream = self.find(pool, traits, tokens, tried)
             if upstream is not None:
                 return Holding(self._balancer, upstream, tokens)
-        placed: asyncio.Future[Holding] = (
+        placed: asyncio.Future[Holding | None] = (
             asyncio.get_running_loop().create_future()
         )
         entry = _Waiting(pool, traits, tokens, tried, placed)
@@ -170,7 +173,9 @@
             return await placed
         except asyncio.CancelledError:
             if placed.done() and not placed.cancelled():
-                placed.result().release()
+                holding = placed.result()
+                if holding is not None:
+                    holding.release()
             raise
         finally:
             if place in self._waiting:
@@ -191,6 +196,10 @@
             upstream = self.find(
                 entry.pool, entry.traits, entry.tokens, entry.tried
             )
+            if upstream is None and self._balancer.is_evacuated(entry.pool):
+                self._waiting.remove(place)
+                entry.placed.set_result(None)
+                continue
             if upstream is None:
                 # Smaller work behind it must not starve it.
                 blocked.add(entry.pool)
--- a/src/balsamlift/testing/_replica.py
+++ b/src/balsamlift/testing/_replica.py
@@ -122,12 +122,14 @@
         pool: str,
         names: HeaderNames,
         behave: Behave = answer_ok,
+        failure_domain: str = "north",
     ) -> None:
         """Prepare; `start` listens."""
         self.name = name
         self.pool = pool
         self.names = names
         self.behave = behave
+        self.failure_domain = failure_domain
         self.arrivals: list[ReplicaRequest] = []
         self.connections = 0
         self.address = ""  # "IP:port", once it listens
@@ -158,7 +160,7 @@
             role=UPSTREAM_ROLE,
             pool=self.pool,
             address=self.address,
-            failure_domain="north",
+            failure_domain=self.failure_domain,
             state=self.state,
             kind="service",
             started_ms=self.started_ms,
--- a/tests/_listed_engines.py
+++ b/tests/_listed_engines.py
@@ -27,6 +27,12 @@
     def in_pool(self, pool: str) -> list[Upstream]:
         return list(self._upstreams)
 
+    def is_evacuated(self, pool: str) -> bool:
+        return False
+
+    def is_in_evacuation(self, upstream: Upstream) -> bool:
+        return False
+
     def all(self) -> list[Upstream]:
         return self._upstreams
 
--- /dev/null
+++ b/tests/test_peers_evacuations.py
@@ -0,0 +1,51 @@
+"""What is evacuated, by words that come in any order."""
+
+import itertools
+
+import pytest
+from loguru import logger
+
+from balsamlift.peers import EvacuationNews, Evacuations
+
+WORDS = [
+    EvacuationNews(1, []),
+    EvacuationNews(4, ["north"]),
+    EvacuationNews(5, ["north", "south"]),
+    EvacuationNews(9, ["south"]),
+]
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(range(4))))
+def test_the_newest_word_counts_in_whatever_order_they_come(order) -> None:
+    evacuations = Evacuations()
+    for n in order:
+        evacuations.offer(WORDS[n], "peer")
+    assert evacuations.domains == {"south"}
+    assert evacuations.covers("south")
+    assert not evacuations.covers("north")
+
+
+def test_each_change_is_told_and_logged_once() -> None:
+    lines: list[dict[str, object]] = []
+    sink = logger.add(lambda message: lines.append(message.record["extra"]))
+    evacuations = Evacuations()
+    changes: list[frozenset[str]] = []
+    evacuations.on_change(lambda: changes.append(evacuations.domains))
+    try:
+        for word in (WORDS[1], WORDS[1], WORDS[0], EvacuationNews(6, [])):
+            evacuations.offer(word, "peer", age_ms=40)
+        evacuations.offer(EvacuationNews(7, []), "store")
+    finally:
+        logger.remove(sink)
+    assert changes == [{"north"}, frozenset()]
+    assert [line["evacuated"] for line in lines] == [["north"], []]
+    assert lines[0]["age_ms"] == 40
+    assert lines[0]["offset"] == 4
+    assert lines[0]["source"] == "peer"
+
+
+def test_nothing_is_told_to_others_before_anything_is_known() -> None:
+    evacuations = Evacuations()
+    assert evacuations.news is None
+    evacuations.offer(WORDS[0], "store")
+    assert evacuations.news == WORDS[0]
--- a/tests/test_peers_follower.py
+++ b/tests/test_peers_follower.py
@@ -4,11 +4,14 @@
 import random
 from collections.abc import Awaitable, Callable
 
+import msgspec
 import pytest
 
 from balsamlift.clock import SystemClock
 from balsamlift.exceptions import StoreError
 from balsamlift.peers import (
+    EvacuationNews,
+    Evacuations,
     Follower,
     Newest,
     Pace,
@@ -86,11 +89,20 @@
         self.told = Follower(self.told_store, "t", self.clock, PACE)
         self.told.share(lambda: False)
         self.reader_copy, self.told_copy = Copy(), Copy()
-        self.reader_says = self.speaker(self.reader, self.reader_copy)
-        self.told_says = self.speaker(self.told, self.told_copy)
+        self.reader_evacuations = Evacuations()
+        self.reader_evacuations.offer(EvacuationNews(0, []), "store")
+        self.told_evacuations = Evacuations()
+        self.reader_says = self.speaker(
+            self.reader, self.reader_copy, self.reader_evacuations
+        )
+        self.told_says = self.speaker(
+            self.told, self.told_copy, self.told_evacuations
+        )
         self.is_settled = True
 
-    def speaker(self, follower: Follower, copy: Copy) -> SharedRecords:
+    def speaker(
+        self, follower: Follower, copy: Copy, evacuations: Evacuations
+    ) -> SharedRecords:
         records = SharedRecords(self.clock)
         records.connect(
             Sources(
@@ -99,6 +111,7 @@
                 copy=copy,
                 offer=self.offered.append,
                 is_settled=lambda: self.is_settled,
+                evacuations=evacuations,
             )
         )
         return records
@@ -299,3 +312,34 @@
     lone_reads.failed("list")
     lone_reads.failed("routes")
     assert lone_reads.again_s("list") > before_s
+
+
+def test_evacuations_come_with_the_configuration() -> None:
+    async def test(world: World) -> None:
+        await world.reader.follow()
+        world.reader_evacuations.offer(EvacuationNews(5, ["north"]), "store")
+        world.ask()
+        assert world.told_evacuations.domains == {"north"}
+        world.reader_evacuations.offer(EvacuationNews(6, []), "store")
+        world.ask()
+        assert world.told_evacuations.domains == frozenset()
+
+    run(test)
+
+
+def test_a_version_without_a_word_of_evacuations_is_not_all_there_is() -> None:
+    """A host that went by it would not read an evacuation by itself."""
+
+    async def test(world: World) -> None:
+        await world.reader.follow()
+        world.told_copy.offset = world.reader_copy.offset = 3
+        world.is_settled = False
+        answer = world.reader_says.answer(world.told_says.position())
+        assert answer is not None
+        mute = msgspec.structs.replace(answer, evacuations=None)
+        world.told_says.take(mute, world.clock.monotonic())
+        assert world.told.age_s > 1
+        world.told_says.take(answer, world.clock.monotonic())
+        assert world.told.age_s < 1
+
+    run(test)
--- a/tests/test_peers_gathering.py
+++ b/tests/test_peers_gathering.py
@@ -10,7 +10,14 @@
 from balsamlift.clock import SystemClock
 from balsamlift.exceptions import StoreError
 from balsamlift.metrics import Metrics
-from balsamlift.peers import Follower, Newest, Pace, Record, Sources
+from balsamlift.peers import (
+    Evacuations,
+    Follower,
+    Newest,
+    Pace,
+    Record,
+    Sources,
+)
 from balsamlift.peers._gatherer import KEEP_S, Gatherer
 from balsamlift.peers._gathering import (
     ANSWER_MS,
@@ -284,6 +291,7 @@
             copy=Unchanged(),
             offer=lambda data: None,
             is_settled=lambda: True,
+            evacuations=Evacuations(),
         )
     )
     return follower
--- a/tests/test_peers_messages.py
+++ b/tests/test_peers_messages.py
@@ -67,7 +67,7 @@
 def test_fields_that_an_older_version_lacks_have_their_defaults() -> None:
     fields = msgspec.msgpack.decode(encode_message(HEARTBEAT))
     message = decode_message(msgspec.msgpack.encode(fields[:-1]))
-    assert message.shared is None
+    assert message.evacuations is None
     assert message.members == HEARTBEAT.members
 
 
--- a/tests/test_peers_sharing.py
+++ b/tests/test_peers_sharing.py
@@ -13,6 +13,7 @@
 from balsamlift.peers import (
     ENTRY_ROLE,
     UPSTREAM_ROLE,
+    EvacuationNews,
     ListEntry,
     Peers,
     Upstreams,
@@ -45,6 +46,7 @@
         role=UPSTREAM_ROLE,
         pool="p",
         address="127.0.0.1:9",
+        failure_domain="north",
         state=state,
         kind="service",
     )
@@ -225,3 +227,32 @@
         await until(lambda: one.names() == {"e1", "e2"})
 
     run(scenario)
+
+
+def test_a_host_that_is_turned_away_follows_evacuations() -> None:
+    async def scenario(one: Host, two: Host) -> None:
+        one.upstreams.evacuations.offer(EvacuationNews(4, ["north"]), "store")
+        await until(lambda: two.upstreams.evacuations.domains)
+        assert two.names() == set()
+        assert two.upstreams.is_evacuated("p")
+        one.upstreams.evacuations.offer(EvacuationNews(7, []), "store")
+        await until(lambda: two.names() == {"e1", "e2"})
+        assert not two.upstreams.is_evacuated("p")
+
+    run(scenario)
+
+
+def test_a_host_knows_evacuations_before_it_can_serve() -> None:
+    """One that starts in an outage has its configuration from others."""
+
+    async def scenario(one: Host, two: Host) -> None:
+        one.upstreams.evacuations.offer(EvacuationNews(4, ["north"]), "store")
+        known: list[frozenset[str]] = []
+        two.routing.on_change(
+            lambda _: known.append(two.upstreams.evacuations.domains)
+        )
+        one.take(b"5")
+        await until(lambda: two.routing.offset == 5)
+        assert known == [{"north"}]
+
+    run(scenario)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -19,11 +19,12 @@
     StoreError,
 )
 from balsamlift.kernel import Kernel
-from balsamlift.peers import Follower, Pace
+from balsamlift.peers import Evacuations, Follower, Pace
 from balsamlift.platform._decode import HostRecord
 from balsamlift.platform._names import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
+    EVACUATION_PREFIX,
     HOSTS_TOPIC,
     UPSTREAMS_TOPIC,
 )
@@ -139,7 +140,9 @@
         routing = Routing()
         kernel = Kernel()
         kernel.register(routing)
-        kernel.register(ConfigurationWatch(store, SystemClock(), PACE))
+        kernel.register(
+            ConfigurationWatch(store, SystemClock(), PACE, Evacuations())
+        )
         await kernel.start()
         topic = stand_in.topic(CONFIGURATION_TOPIC)
         topic.append(CONFIGURATION_KEY, manifest(3))
@@ -173,7 +176,9 @@
         kernel = Kernel()
         kernel.register(routing)
         kernel.register(
-            ConfigurationWatch(store, SystemClock(), node.configuration_pace)
+            ConfigurationWatch(
+                store, SystemClock(), node.configuration_pace, Evacuations()
+            )
         )
         await kernel.start()
         topic = stand_in.topic(CONFIGURATION_TOPIC)
@@ -221,7 +226,9 @@
         routing = Routing()
         kernel = Kernel()
         kernel.register(routing)
-        kernel.register(ConfigurationWatch(store, SystemClock(), PACE))
+        kernel.register(
+            ConfigurationWatch(store, SystemClock(), PACE, Evacuations())
+        )
         await kernel.start()
         topic = stand_in.topic(CONFIGURATION_TOPIC)
         topic.append(CONFIGURATION_KEY, manifest(3))
@@ -297,3 +304,33 @@
         assert len(lines) == 1
 
     run(test)
+
+
+def test_evacuations_are_followed_through_faults_of_the_store() -> None:
+    """Taken back during a silence, and over a history that is gone."""
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        evacuations = Evacuations()
+        kernel = Kernel()
+        kernel.register(Routing())
+        kernel.register(
+            ConfigurationWatch(store, SystemClock(), PACE, evacuations)
+        )
+        topic = stand_in.topic(CONFIGURATION_TOPIC)
+        topic.append(CONFIGURATION_KEY, manifest(3))
+        topic.append(f"{EVACUATION_PREFIX}north", b"{}")
+        await kernel.start()
+        await until(lambda: evacuations.domains == {"north"})
+        topic.append(f"{EVACUATION_PREFIX}south", b"{}")
+        await until(lambda: evacuations.domains == {"north", "south"})
+        stand_in.fault = "silent"
+        topic.append(f"{EVACUATION_PREFIX}north", b"")
+        await asyncio.sleep(0.3)
+        stand_in.fault = ""
+        await until(lambda: evacuations.domains == {"south"})
+        topic.append(f"{EVACUATION_PREFIX}south", b"")
+        stand_in.forget(CONFIGURATION_TOPIC)
+        await until(lambda: not evacuations.domains)
+        await kernel.stop()
+
+    run(test)
--- /dev/null
+++ b/tests/test_relay_evacuated.py
@@ -0,0 +1,180 @@
+"""Nothing goes to an evacuated failure domain; callers are told at once."""
+
+import asyncio
+import time
+
+import pytest
+from _relay_bench import (
+    USAGE,
+    first_event,
+    hang_midway,
+    run,
+    stream,
+    until_arrived,
+)
+
+from balsamlift.peers import EvacuationNews
+from balsamlift.testing.relay import (
+    NAMES,
+    RelayWorld,
+    ReplicaConnection,
+    ReplicaRequest,
+    ReplicaStandIn,
+)
+
+SENDS = 20
+
+
+def replicas(pool: str, domains: list[str]) -> list[ReplicaStandIn]:
+    return [
+        ReplicaStandIn(f"i-{n}", pool, NAMES, failure_domain=domain)
+        for n, domain in enumerate(domains)
+    ]
+
+
+def evacuate(world: RelayWorld, end: int, *domains: str) -> None:
+    news = EvacuationNews(end, list(domains))
+    world.upstreams.evacuations.offer(news, "store")
+
+
+@pytest.mark.parametrize(
+    ("path", "pool"),
+    [("/view/1", "plain"), ("/order/1", "plain"), ("/draft/1", "model")],
+)
+def test_nothing_new_goes_there_until_it_is_taken_back(
+    path: str, pool: str
+) -> None:
+    async def test() -> None:
+        stand_ins = replicas(pool, ["north", "south"])
+        if pool == "model":
+            for stand_in in stand_ins:
+                stand_in.behave = stream
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            evacuate(world, 1, "north")
+            calls = [world.call(path, headers=USAGE) for _ in range(SENDS)]
+            answers = await asyncio.gather(*calls)
+            assert {answer.status for answer in answers} == {200}
+            assert not stand_ins[0].arrivals
+            evacuate(world, 2)
+            calls = [world.call(path, headers=USAGE) for _ in range(SENDS)]
+            await asyncio.gather(*calls)
+            assert stand_ins[0].arrivals
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("path", "pool"), [("/view/1", "plain"), ("/draft/1", "model")]
+)
+def test_with_all_evacuated_callers_are_refused_at_once(
+    path: str, pool: str
+) -> None:
+    async def test() -> None:
+        stand_ins = replicas(pool, ["north", "south"])
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            evacuate(world, 1, "north", "south")
+            began_s = time.monotonic()
+            answer = await world.call(path, headers=USAGE)
+            # Far below the target of 1 s, until which it may wait for room.
+            assert time.monotonic() - began_s < 0.5
+            assert answer.status == 503
+            assert float(answer.headers["Retry-After"]) > 0
+            assert not any(s.arrivals for s in stand_ins)
+
+    run(test())
+
+
+def test_what_waits_for_room_is_refused_as_the_last_domain_is_evacuated() -> (
+    None
+):
+    async def test() -> None:
+        (stand_in,) = replicas("model", ["north"])
+        stand_in.behave = hang_midway
+        async with RelayWorld([stand_in]) as world:
+            world.configure()
+            large = [f"{NAMES.token_usage}: 9000,900"]
+            first = asyncio.create_task(world.call("/draft/1", headers=large))
+            await until_arrived([stand_in])
+            second = asyncio.create_task(world.call("/draft/2", headers=large))
+            await asyncio.sleep(0.1)
+            assert not second.done()
+            evacuate(world, 1, "north")
+            answer = await second
+            assert answer.status == 503
+            assert len(stand_in.arrivals) == 1
+            first.cancel()
+
+    run(test())
+
+
+def test_what_runs_there_ends_there() -> None:
+    go_on = asyncio.Event()
+
+    async def slow(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await connection.begin_stream(request)
+        await connection.events(first_event(request), 4)
+        await go_on.wait()
+        await connection.events(5, 9)
+        await connection.end_stream()
+
+    async def test() -> None:
+        stand_ins = replicas("model", ["north", "south"])
+        for stand_in in stand_ins:
+            stand_in.behave = slow
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE)
+            )
+            used = await until_arrived(stand_ins)
+            evacuate(world, 1, used.failure_domain)
+            await asyncio.sleep(0.1)
+            go_on.set()
+            answer = await calling
+            assert answer.is_whole
+            assert world.engines.copies == []
+
+    run(test())
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_what_leaves_an_engine_goes_to_no_evacuated_one(is_lost: bool) -> None:
+    """Neither by a move, nor to the backup chosen before."""
+    lose = asyncio.Event()
+
+    async def hang(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await connection.begin_stream(request)
+        await connection.events(first_event(request), 4)
+        await lose.wait()
+        connection.reset()
+
+    async def test() -> None:
+        stand_ins = replicas("model", ["north", "south"])
+        for stand_in in stand_ins:
+            stand_in.behave = hang
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE)
+            )
+            used = await until_arrived(stand_ins)
+            (other,) = [s for s in stand_ins if s is not used]
+            evacuate(world, 1, other.failure_domain)
+            if is_lost:
+                await asyncio.sleep(0.05)
+            else:
+                used.state = "leaving"
+                await asyncio.sleep(0.4)
+            lose.set()
+            answer = await calling
+            assert not answer.is_whole
+            assert not other.arrivals
+            assert world.engines.copies == []
+
+    run(test())
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -16,6 +16,8 @@
 from balsamlift.exceptions import StoreError
 from balsamlift.metrics import Metrics
 from balsamlift.peers import (
+    EvacuationNews,
+    Evacuations,
     Follower,
     LoneReads,
     Newest,
@@ -27,6 +29,7 @@
 from balsamlift.peers._membership import READERS_OF_MANY
 from balsamlift.peers._messages import CountsSums, CountsUpdate
 from balsamlift.peers._readers import is_reader, rank_hosts
+from balsamlift.platform._decode import decode_evacuations
 from balsamlift.platform._settings import NodeSettings, decode_node_settings
 
 CALL_S = 0.005
@@ -63,14 +66,29 @@
         self.unanswered: frozenset[str] = NOBODY
 
     def append(self, topic: str) -> int:
+        return self._append(topic, "k", b"%d" % len(self.records[topic]))
+
+    def evacuate(self, failure_domain: str) -> None:
+        self._append(CONFIGURATION, f"evacuate/{failure_domain}", b"{}")
+
+    def take_back(self, failure_domain: str) -> None:
+        self._append(CONFIGURATION, f"evacuate/{failure_domain}", None)
+
+    def _append(self, topic: str, key: str, value: bytes | None) -> int:
         records = self.records[topic]
-        records.append(Record("k", b"%d" % len(records), len(records)))
+        records.append(Record(key, value, len(records)))
         self.changed.set()
         self.changed = asyncio.Event()
         return len(records)
 
     def newest(self, topic: str) -> Newest:
-        return Newest(self.records[topic][-1:], len(self.records[topic]))
+        newest = {record.key: record for record in self.records[topic]}
+        kept = [r for r in newest.values() if r.value is not None]
+        return Newest(kept, len(self.records[topic]))
+
+    def evacuated(self) -> frozenset[str]:
+        values = {r.key: b"" for r in self.newest(CONFIGURATION).records}
+        return frozenset(decode_evacuations(values))
 
 
 class StoreOf:
@@ -144,6 +162,7 @@
         self.name = name
         self.is_well = True  # else dead or frozen
         self.copy = Copy()
+        self.evacuations = Evacuations()
         store = StoreOf(cluster.store, name)
         self.configuration = Follower(
             store, CONFIGURATION, clock, cluster.node.configuration_pace
@@ -157,6 +176,7 @@
                 copy=self.copy,
                 offer=self.copy.offer,
                 is_settled=lambda: True,
+                evacuations=self.evacuations,
             )
         )
         self.gathering = HostGathering(
@@ -181,7 +201,15 @@
             except StoreError:
                 await asyncio.sleep(PAUSE_S)
                 continue
-            value = self.configuration.values().get("k")
+            values = self.configuration.values()
+            assert self.configuration.end is not None
+            self.evacuations.offer(
+                EvacuationNews(
+                    self.configuration.end, decode_evacuations(values)
+                ),
+                "store",
+            )
+            value = values.get("k")
             if value is not None:
                 self.copy.offer(b"%d" % (int(value) + 1))
 
@@ -242,10 +270,16 @@
         """Return after how long these hosts know what is in the store."""
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        ends = {t: len(r) for t, r in self.store.records.items()}
+        version = max(
+            int(record.value or b"0") + 1
+            for record in self.store.records[CONFIGURATION]
+            if record.key == "k"
+        )
+        evacuated = self.store.evacuated()
         while not all(
-            host.copy.offset >= ends[CONFIGURATION]
-            and (host.listed.end or 0) >= ends[LISTED]
+            host.copy.offset >= version
+            and (host.listed.end or 0) >= len(self.store.records[LISTED])
+            and host.evacuations.domains == evacuated
             for host in hosts
         ):
             assert loop.time() < began_s + KNOWN_WITHIN_S
@@ -372,3 +406,48 @@
         assert took_s < 4
 
     run(test, LARGE, 195)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("settings", [LARGE, GROWN])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_evacuations_are_known_in_time(
+    fault: Callable[[Cluster], None], settings: NodeSettings, seed: int
+) -> None:
+    """One, then another beside it, then the first is taken back."""
+
+    async def test(cluster: Cluster) -> None:
+        rng = random.Random(seed)
+        store = cluster.store
+        await asyncio.sleep(rng.uniform(0, 5))
+        fault(cluster)
+        out = store.refused | store.unanswered
+        in_touch = [h for h in cluster.well() if h.name not in out]
+        for change in (
+            lambda: store.evacuate("north"),
+            lambda: store.evacuate("south"),
+            lambda: store.take_back("north"),
+        ):
+            await asyncio.sleep(rng.uniform(0, 2.5))
+            change()
+            took_s = await cluster.until_known(in_touch)
+            assert took_s <= settings.apply_ms / 1_000
+
+    run(test, settings, 40)
+
+
+def test_an_evacuation_taken_back_in_an_outage_ends_soon_after_it() -> None:
+    async def test(cluster: Cluster) -> None:
+        store = cluster.store
+        store.evacuate("north")
+        await cluster.until_known(cluster.well())
+        store.refused = frozenset(cluster.hosts)
+        await asyncio.sleep(2)
+        store.take_back("north")
+        await asyncio.sleep(5)
+        assert cluster.well()[0].evacuations.domains == {"north"}
+        store.refused = NOBODY
+        took_s = await cluster.until_known(cluster.well())
+        assert took_s < 4
+
+    run(test, GROWN, 87)
