Tell hosts of upstreams that fail

Cause: an engine that resets each request has nothing in flight, so that all hosts choose it first, and each finds out for itself.

Change: with the counts that hosts exchange anyhow, each tells for a limited time which upstreams failed it last and which served it (`_words`). One that two hosts see fail, and more than it serves, gets nothing. After that it is on trial: the first four hosts in an order of its own try it, one failure closes it again for longer, one success opens it to all. A host that two upstreams fail in a row is taken to be in trouble itself and tells nothing; where over half of a pool is told to fail, nobody believes it.

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -12,6 +12,7 @@
 from balsamlift.peers._marks import UpstreamState
 from balsamlift.peers._membership import Peers
 from balsamlift.peers._peer import Peer
+from balsamlift.peers._readers import Place
 from balsamlift.peers._records import Newest, Record
 from balsamlift.peers._shared_records import SharedRecords, Sources
 from balsamlift.peers._upstream import EntryHost, Upstream
@@ -30,6 +31,7 @@
     "Pace",
     "Peer",
     "Peers",
+    "Place",
     "Record",
     "SharedRecords",
     "Sources",
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -28,7 +28,7 @@
 from balsamlift.peers._messages import Member
 from balsamlift.peers._notes import Notes
 from balsamlift.peers._peer import Peer, describe
-from balsamlift.peers._readers import is_reader
+from balsamlift.peers._readers import Place, find_place, is_reader
 from balsamlift.peers._receiver import Receiver
 from balsamlift.peers._shared_records import SharedRecords
 from balsamlift.peers._sharing import Sharing
@@ -215,6 +215,15 @@
         """Tell whether hosts are so few that each hears all others."""
         return self._load.hears_all
 
+    def place_for(self, subject: str) -> Place:
+        """Return this host's place among the live ones, for that subject."""
+        others = [
+            member.host
+            for member in self._members.others()
+            if member.state == "live"
+        ]
+        return find_place(self.own.host, others, subject)
+
     def note_upstream(self, name: str, state: UpstreamState) -> None:
         """Tell peers at once that an upstream is leaving or dead."""
         upstream = self._upstreams.find(name)
--- a/src/balsamlift/peers/_readers.py
+++ b/src/balsamlift/peers/_readers.py
@@ -5,6 +5,8 @@
 import zlib
 from collections.abc import Collection, Iterable
 
+import attrs
+
 
 def is_reader(own: str, others: Collection[str], most: int) -> bool:
     """Tell whether `own` reads the platform's list for these hosts."""
@@ -20,5 +22,28 @@
     return sorted(hosts, key=_rank)
 
 
+@attrs.frozen
+class Place:
+    """Hold where a host stands among all live ones, 0 being the first."""
+
+    position: int
+    hosts: int
+
+
+def find_place(own: str, others: Collection[str], subject: str) -> Place:
+    """Return this host's place in the order that belongs to `subject`.
+
+    Each subject has an order of its own, the same on all hosts, so that
+    what only a few do for each is shared out over all.
+    """
+    own_rank = _rank_for(own, subject)
+    before = sum(_rank_for(other, subject) < own_rank for other in others)
+    return Place(before, len(others) + 1)
+
+
+def _rank_for(host: str, subject: str) -> tuple[int, str]:
+    return zlib.crc32(f"{subject}/{host}".encode()), host
+
+
 def _rank(host: str) -> tuple[int, str]:
     return zlib.crc32(host.encode()), host
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -10,6 +10,7 @@
 from balsamlift.clock import Clock
 from balsamlift.peers import Peers, Upstream, Upstreams
 from balsamlift.relay._health import UpstreamHealth
+from balsamlift.relay._words import Words
 
 # An upstream that fails each request counts as if it had this many calls
 # more in flight than it has.
@@ -54,6 +55,12 @@
         self._own: Counter[str] = Counter()
         self._on_release: list[Callable[[], None]] = []
         self.health = UpstreamHealth()
+        self._words = Words(
+            peers.set_in_flight,
+            peers.tell_counts,
+            peers.in_flight,
+            peers.place_for,
+        )
         upstreams.on_change(self._forget)
 
     def load(self, upstream: str) -> int:
@@ -112,12 +119,15 @@
 
         Those left alone after failures come back in when there is no other.
         """
-        listed = [
-            u for u in self._upstreams.in_pool(pool) if u.name not in tried
-        ]
+        members = self._upstreams.in_pool(pool)
+        listed = [u for u in members if u.name not in tried]
         now_s = self._clock.monotonic()
+        broken = self._words.avoided([u.name for u in members])
         sound = [
-            u for u in listed if not self.health.is_ejected(u.name, now_s)
+            u
+            for u in listed
+            if u.name not in broken
+            and not self.health.is_ejected(u.name, now_s)
         ]
         return sound or listed
 
@@ -132,9 +142,37 @@
             return None
         return min(choices, key=self._call_cost)
 
+    def saw_success(self, upstream: str) -> None:
+        """Note a whole answer, or the beginning of one."""
+        self.health.succeeded(upstream)
+        self._words.saw(upstream, self._clock.monotonic(), is_failing=False)
+
+    def saw_failure(self, upstream: str) -> None:
+        """Note an answer that says the request failed."""
+        self.health.failed(upstream)
+        self._words.saw(upstream, self._clock.monotonic(), is_failing=True)
+
+    def saw_break(self, upstream: str) -> float:
+        """Note that no whole answer came; return for how long it is out."""
+        now_s = self._clock.monotonic()
+        self._words.saw(upstream, now_s, is_failing=True)
+        return self.health.broke(upstream, now_s)
+
+    def failure_share(self, upstream: str) -> float:
+        """Return how likely the next request there is to fail, 0 to 1."""
+        return max(
+            self.health.failure_share(upstream),
+            self._words.verdict(upstream).failure_share,
+        )
+
+    def forget_old(self) -> None:
+        """Let what was seen of upstreams run out; call each second."""
+        live = {upstream.name for upstream in self._upstreams.all()}
+        self._words.expire(self._clock.monotonic(), live)
+
     def _call_cost(self, upstream: Upstream) -> tuple[float, float]:
         cost = float(self.load(upstream.name))
-        cost += FAILURE_CALLS * self.health.failure_share(upstream.name)
+        cost += FAILURE_CALLS * self.failure_share(upstream.name)
         cost += self.domain_cost(upstream) * OTHER_DOMAIN_CALLS
         return cost, self._random.random()
 
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -37,6 +37,7 @@
 
 MOST_SENDS = 4  # engines asked to start one generation
 MOST_FAILURE_BYTES = 65_536  # of an engine's answer that is no stream
+TIMED_OUT = 504  # an engine's answer at the caller's deadline
 # What a generation takes on crowded engines: half of them start within 0.6 s
 # and a token takes 7 ms and more, 10 ms with a usual batch.
 START_S = 1.0
@@ -204,14 +205,13 @@
         upstream: Upstream,
         extra: list[tuple[str, str]],
     ) -> Reply | Refusal:
-        health = self._tools.balancer.health
-        now_s = asyncio.get_running_loop().time()
+        balancer = self._tools.balancer
         try:
             reply = await self._tools.exchange.send(
                 call, attempt, upstream, extra
             )
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
-            out_s = health.broke(upstream.name, now_s)
+            out_s = balancer.saw_break(upstream.name)
             log.bind(
                 request=call.request_id,
                 upstream=upstream.name,
@@ -225,7 +225,7 @@
                 request=call.request_id,
                 upstream=upstream.name,
                 status=reply.head.status,
-                load=self._tools.balancer.load(upstream.name),
+                load=balancer.load(upstream.name),
             ).info("engine refused")
             return give_up(attempt, "engines full")
         return reply
@@ -245,8 +245,10 @@
             generation.leave()  # the notice came before the first event
         try:
             if not reply.is_success:
+                if reply.head.status != TIMED_OUT:
+                    self._tools.balancer.saw_failure(reply.upstream.name)
                 return await self._pass_failure(reply, responder)
-            self._tools.balancer.health.succeeded(reply.upstream.name)
+            self._tools.balancer.saw_success(reply.upstream.name)
             outcome = await generation.relay(reply)
             course = generation.course
             log.bind(
--- a/src/balsamlift/relay/_plain.py
+++ b/src/balsamlift/relay/_plain.py
@@ -117,7 +117,6 @@
         if attempt.is_idempotent and attempt.sends + 1 < self._most(call):
             left_s = call.give_up_s - loop.time()
             bound_s = loop.time() + left_s * TRY_PART
-        health = self._balancer.health
         try:
             with self._balancer.hold(upstream.name, 1):
                 async with asyncio.timeout_at(bound_s):
@@ -136,17 +135,18 @@
                 upstream.name, "no answer yet"
             ) from error
         if reply.meaning == "answer":
-            health.succeeded(upstream.name)
+            self._balancer.saw_success(upstream.name)
+        elif reply.meaning == "not_executed":
+            self._balancer.health.failed(upstream.name)  # full, not broken
         else:
-            health.failed(upstream.name)
+            self._balancer.saw_failure(upstream.name)
         return _Answer(reply, body)
 
     def _leave_alone(
         self, call: Call, attempt: Attempt, upstream: Upstream, why: str
     ) -> None:
         """Send nothing there for a while, and log for how long."""
-        now_s = asyncio.get_running_loop().time()
-        out_s = self._balancer.health.broke(upstream.name, now_s)
+        out_s = self._balancer.saw_break(upstream.name)
         log.bind(
             request=call.request_id,
             upstream=upstream.name,
--- a/src/balsamlift/relay/_rooms.py
+++ b/src/balsamlift/relay/_rooms.py
@@ -220,7 +220,7 @@
         load = self._filled(upstream) / traits.memory_tokens
         unread = self._balancer.load(prefill_key(upstream.name))
         load += unread / traits.memory_tokens * PREFILL_WEIGHT
-        failures = self._balancer.health.failure_share(upstream.name)
+        failures = self._balancer.failure_share(upstream.name)
         part = COPY_PART if near else OTHER_DOMAIN_PART
         domain = self._balancer.domain_cost(upstream, near) * part
         return load + failures + domain
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -199,3 +199,4 @@
         while True:
             await self._clock.sleep(SWEEP_S)
             self._pool.sweep({u.name for u in self._upstreams.all()})
+            self._balancer.forget_old()
--- a/tests/test_relay_claims.py
+++ b/tests/test_relay_claims.py
@@ -8,6 +8,7 @@
 
 import pytest
 from _listed_engines import POOL, engines_of_one_domain
+from _shared_counts import Counts, HostCounts
 from _virtual_time import LoopClock, run_virtual
 
 from balsamlift.peers import Peers, Upstreams
@@ -21,54 +22,13 @@
 TRAITS = EngineTraits(memory_tokens=10_000, can_move=True)
 TOKENS = 1_000
 MOST = round(TRAITS.memory_tokens * FILLED_BY_MOVES_PART)
-TOLD_S = 0.004  # until the other hosts know what one holds
-
-
-class Counts:
-    """What all hosts hold, as each of them knows it a moment later."""
-
-    def __init__(self) -> None:
-        self.by_host: dict[int, dict[str, int]] = {}
-
-    def sums(self, own: int) -> Counter[str]:
-        others: Counter[str] = Counter()
-        for host, counts in self.by_host.items():
-            if host != own:
-                others.update(counts)
-        return others
-
-
-class HostCounts:
-    """The counts as one host tells and hears them."""
-
-    def __init__(self, counts: Counts, host: int) -> None:
-        self._counts = counts
-        self._host = host
-        self._own: dict[str, int] = {}
-        self._others: Counter[str] = Counter()
-
-    def in_flight(self, upstream: str) -> int:
-        return self._others[upstream]
-
-    def set_in_flight(self, upstream: str, n: int) -> None:
-        self._own[upstream] = n
-
-    def tell_counts(self) -> None:
-        told = dict(self._own)
-        asyncio.get_running_loop().call_later(
-            TOLD_S, self._counts.by_host.__setitem__, self._host, told
-        )
-
-    async def refresh_counts(self) -> None:
-        await asyncio.sleep(TOLD_S)
-        self._others = self._counts.sums(self._host)
 
 
 async def claim_at_once(
     claims: int, engines: int, used: int, seed: int
 ) -> list[Holding | None]:
     """Have so many hosts look for room on engines that are that full."""
-    counts = Counts()
+    counts = Counts(claims)
     counts.by_host[-1] = {f"e{i}": used for i in range(engines)}
     listed = engines_of_one_domain(engines)
 
--- a/tests/test_relay_filling.py
+++ b/tests/test_relay_filling.py
@@ -17,7 +17,7 @@
 from _listed_engines import POOL, engines_of_one_domain
 
 from balsamlift.clock import SystemClock
-from balsamlift.peers import Peers, Upstreams
+from balsamlift.peers import Peers, Place, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._rooms import FILLED_PART, Holding, Rooms
@@ -44,6 +44,9 @@
     def tell_counts(self) -> None:
         pass
 
+    def place_for(self, subject: str) -> Place:
+        return Place(0, 1)
+
 
 @attrs.define(eq=False)
 class Running:
--- a/tests/test_relay_rooms.py
+++ b/tests/test_relay_rooms.py
@@ -9,7 +9,7 @@
 from _listed_engines import POOL, ListedEngines
 
 from balsamlift.clock import SystemClock
-from balsamlift.peers import Peers, Upstreams
+from balsamlift.peers import Peers, Place, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer, backup_key
 from balsamlift.relay._rooms import FILLED_PART, Holding, Rooms
@@ -32,6 +32,9 @@
     def set_in_flight(self, upstream: str, n: int) -> None:
         self._own[upstream] = n
 
+    def place_for(self, subject: str) -> Place:
+        return Place(0, 1)
+
     async def refresh_counts(self) -> None:
         pass
 
