--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -32,7 +32,7 @@
 LOOK_S = 1.0
 LEAST_LOOK_S = 0.02  # a timer that fires early must not keep it busy
 # What a reading host knows is older than its read waits by a pause and the
-# read itself, which takes 240 ms where the store is slow.
+# read itself, also from a slow store.
 READ_LATE_S = 0.5
 
 
@@ -200,8 +200,7 @@
 
         What is told must not be older than one read. A read that ends with
         news says nothing of the time since it was sent, so the next is as
-        much shorter: with whole waits, news in the middle of a read made all
-        of 195 hosts read by themselves, 45 calls a second instead of 4.
+        much shorter.
         """
         if self._reads is _always:
             return self._pace.wait_ms  # nobody is told
--- a/src/balsamlift/peers/_gatherer.py
+++ b/src/balsamlift/peers/_gatherer.py
@@ -105,7 +105,6 @@
             try:
                 update = decode_update(await context.arecv())
                 self.take(self._own())
-                # Sums of 24 engines are 2 KB, an update some 50 bytes.
                 await context.asend(encode_counts(self.take(update)))
             except pynng.Closed:
                 return
--- a/src/balsamlift/peers/_gathering.py
+++ b/src/balsamlift/peers/_gathering.py
@@ -4,9 +4,8 @@
 so that the others need not read them.
 
 Up to the fan-out, each host hears the counts of all others. Beyond it, a sum
-scaled up from the partners says little of an engine with room for six
-generations: of 1,149 generations on 78 hosts, 261 were preempted and 270 sent
-to a full engine. So all hosts tell one of them, which answers with the sums.
+scaled up from the partners says little of an engine with room for few
+generations. So all hosts tell one of them, which answers with the sums.
 It holds nothing that lasts: another takes its place as soon as it is gone.
 """
 
@@ -41,7 +40,7 @@
 REFRESH_S = 1.0
 # Sums older than this are not used: the partners' are newer.
 FRESH_S = 1.5
-# An answer takes 2 to 5 ms; a generation waits no longer for better counts.
+# A generation waits no longer for better counts.
 ANSWER_MS = 80
 # One that did not answer is passed over for this long.
 AVOID_S = 1.0
--- a/src/balsamlift/peers/_list_reader.py
+++ b/src/balsamlift/peers/_list_reader.py
@@ -23,9 +23,8 @@
 # Entries that lapsed while the list was down are back within two seconds of
 # its return, where the upstream lives; the platform's operators promise so.
 RETURN_S = 2.0
-# Calls that are refused cost as much as others: 30 hosts that try five times
-# a second for nine seconds make a tenth of a day's calls. Once the platform
-# is back, a host has three seconds to know of all that happened.
+# Calls that are refused cost as much as others. Once the platform is back, a
+# host has three seconds to know of all that happened.
 AGAIN_MOST_MS = 800
 
 
--- a/src/balsamlift/peers/_lone_reads.py
+++ b/src/balsamlift/peers/_lone_reads.py
@@ -19,9 +19,7 @@
     """Space out such reads, over all topics of the host.
 
     A store that turned one read away most likely turns the next away too, so
-    one topic at a time tries. In an outage of 8 s, 195 hosts whose two
-    topics tried each for itself made 900 calls, with this 580 (virtual
-    time).
+    one topic at a time tries.
     """
 
     def __init__(self, clock: Clock, rng: random.Random | None = None) -> None:
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -2,9 +2,7 @@
 
 Fields go by position: names would be half of the bytes. A newer version adds
 its fields last, with defaults. Messages are structs of msgspec, not attrs
-classes, as its codec reads and checks these in one step: a heartbeat that
-tells of one host takes 1.7 us to encode and decode, and took 28 us by a
-converter (5,000 of them on one core); a daemon starts without loading it.
+classes, as its codec reads and checks these in one step.
 """
 
 from __future__ import annotations
--- a/src/balsamlift/peers/_partners.py
+++ b/src/balsamlift/peers/_partners.py
@@ -10,10 +10,7 @@
 
 # With one, a host whose partner dies hears of nothing until it has another.
 FEWEST_CHOSEN = 2
-# Of the fan-out, where hosts are more: three partners of 12 make 12 heartbeats
-# a second each way, two make 8. With these, and messages that are encoded in a
-# twentieth of the time, a day of 195 hosts took 520 s of processor time
-# instead of 822.
+# Of the fan-out, where hosts are more.
 CHOSEN_PART = 1 / 6
 ROTATE_SILENCES = 4  # times the silence bound until a partner is exchanged
 
--- a/src/balsamlift/peers/_shared_records.py
+++ b/src/balsamlift/peers/_shared_records.py
@@ -20,8 +20,8 @@
 # A host that others ask reads the topics as long as they do: they ask once a
 # second, and one answer may be missed.
 ASKED_S = 3.0
-# Configurations that one host sends: the links of the smallest carry 625 KB a
-# second, and an answer is waited for no longer than 80 ms.
+# Configurations that one host sends at once, and per second: more would hold
+# up all else on the smallest links.
 SENDABLE_BYTES = 50_000.0
 SENDABLE_BYTES_PER_S = 200_000.0
 
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -34,8 +34,8 @@
 
 log = logger.bind(part="daemon")
 
-# Callers may keep a list three times as long as told: with 2 s, a host that
-# leaves is out of all lists before its grace of 8 s is over.
+# Callers may keep a list three times as long as told: a host that leaves is
+# out of all lists before its grace is over.
 KEEP_MS = 2_000
 # Left of the grace for ending what still runs, and the process itself.
 GRACE_MARGIN_S = 0.4
--- a/src/balsamlift/platform/_settings.py
+++ b/src/balsamlift/platform/_settings.py
@@ -26,17 +26,13 @@
 # The port under `metrics` in the deploy file, which cannot name one of a day.
 METRICS_PORT = 9464
 
-# News of load age by this much before others see them; half a second of
-# age lets two hosts pick the same engine for a long prompt.
+# News of load age by this much before others see them.
 HEARTBEAT_MS = 250
 SILENCE_MS = 1_500  # six heartbeats
-# Each host hears from all others up to this many, which takes 48 messages a
-# second each way. With 77, the hosts had no time left for requests.
+# Each host hears from all others up to this many.
 FAN_OUT = 12
-# Calls to the store are priced: with 78 hosts that all read each change of
-# the list, 270 a second, which cost 0.13 of a day's worth. Five hosts tell
-# the others of what leaves; these read often enough to know it by themselves
-# in time: the pause varies by a fifth, and 0.75 x 1.2 is below 1.
+# Calls to the store are priced: few hosts read the list, and tell the others
+# what leaves.
 LIST_PAUSE_MS = 200
 LIST_READERS = 5
 FOLLOW_PART = 0.75  # of the time in which an upstream that leaves still works
@@ -53,11 +49,11 @@
 # connection that has gone silent is noticed one second later.
 LIST_WAIT_MS = 1_000
 # Among many hosts, most are told what a few read. A host reads by itself this
-# long before the time in which a change has to be in force: its read takes
-# 10 ms, twice 240 ms where the store is slow and its history is gone.
+# long before a change has to be in force: time for its read, also from a slow
+# store whose history is gone.
 OWN_READ_MS = 550
 # What a host is told is older than what the asked one knows by up to this: it
-# asks each second, and two hosts in a row may not answer within 80 ms.
+# asks each second, and two hosts in a row may not answer.
 TOLD_LATE_MS = 1_200
 # With shorter reads than this, hosts that read for others call too often.
 LEAST_SHARED_WAIT_MS = 750
--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -15,7 +15,7 @@
 
 log = logger.bind(part="store")
 
-# A call takes 4 ms; a store that is slow takes some 60 times as long.
+# A store that is slow still answers within this.
 SILENCE_MS = 1_000
 CONNECT_MS = 500
 _OK = 200
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -88,8 +88,7 @@
             except StoreError:
                 # Logged by the store as it was lost. Until it answers again,
                 # a read waits for nothing: one that is sent just before the
-                # store comes back would be missed for as long as it may wait
-                # (with 3 s, changes were in force 3 s late).
+                # store comes back would be missed for as long as it may wait.
                 wait_ms = 0
                 await self._clock.sleep(self._back_off.failed())
                 continue
--- a/src/balsamlift/relay/_admission.py
+++ b/src/balsamlift/relay/_admission.py
@@ -10,9 +10,8 @@
 from balsamlift.relay._routing import Routing, Table, pick_service
 from balsamlift.relay._wire import HeaderNames
 
-# A host that has just started knows a configuration within some 10 ms, or has
-# to wait until the platform is back: outages last 3 to 9 s. Callers come back
-# once or twice, so a short wait would use that up.
+# A host that has just started knows a configuration at once, or has to wait
+# until the platform is back: a short wait would use up the caller's retries.
 RETRY_UNCONFIGURED_MS = 2_000
 # Callers wait for no more than this part of the time that they have left.
 RETRY_PART = 0.3
--- a/src/balsamlift/relay/_backup.py
+++ b/src/balsamlift/relay/_backup.py
@@ -11,8 +11,7 @@
 class Backup:
     """Hold room for the copy of one generation at a time.
 
-    Engines are taken away 1.5 s after their notice, or crash with none; the
-    copy of a long report takes up to 0.5 s, and several leave at once.
+    Engines crash without notice, or leave before all copies are away.
     """
 
     def __init__(self, tools: Tools, traits: EngineTraits) -> None:
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -15,8 +15,7 @@
 # An upstream that fails each request counts as if it had this many calls
 # more in flight than it has.
 FAILURE_CALLS = 12.0
-# One call in flight less does not outweigh the bytes between failure
-# domains; two do.
+# One call in flight less does not outweigh the bytes between failure domains.
 OTHER_DOMAIN_CALLS = 1.5
 
 
@@ -92,8 +91,7 @@
     def tell(self) -> None:
         """Let the other hosts know of what was added without delay.
 
-        Until they do, they may fill the same engine: at 32 generations a
-        second over 24 engines with room for six, a quarter of a second's.
+        Until they do, they may fill the same engine.
         """
         self._peers.tell_counts()
 
--- a/src/balsamlift/relay/_claims.py
+++ b/src/balsamlift/relay/_claims.py
@@ -17,15 +17,12 @@
 from balsamlift.relay._tools import Tools
 
 # What leaves may fill an engine further than newcomers, which can come back:
-# without room it is lost. The engine refuses what does not fit in fact. On a
-# calm, crowded day of 74 hosts 6 of 433 reports ended midway, 18 with 1.0; on
-# a day with trouble 8 and 23 of 424.
+# without room it is lost. The engine refuses what does not fit in fact.
 FILLED_BY_MOVES_PART = 1.1
-# Until the counts of hosts that chose at the same time are known: they are
-# told at once, which takes 3 to 10 ms, more on a busy host.
+# Until the counts of hosts that chose at the same time are known.
 SETTLE_S = 0.03
-# The pause before another choice is drawn up to this: five that gave back the
-# same engine then come one at a time, and a notice is 1.5 s and more.
+# The pause before another choice is drawn up to this, so that those which gave
+# back the same engine come one at a time.
 AGAIN_S = 0.15
 # After so many claims in vain, what is held is kept as it is: the engine
 # judges by itself, and time for the copy runs out.
--- a/src/balsamlift/relay/_doubts.py
+++ b/src/balsamlift/relay/_doubts.py
@@ -10,8 +10,7 @@
 from balsamlift.peers import Upstream, Upstreams
 from balsamlift.relay._engines import EngineCalls, ReportError
 
-# An engine is gone 1.5 s after its notice: two reports in that time, the
-# second of which leaves enough of it for a move.
+# An engine that gives notice must be found out in time for a move.
 ASK_S = 0.5
 REPORT_SOURCE = "report"
 
--- a/src/balsamlift/relay/_evacuation.py
+++ b/src/balsamlift/relay/_evacuation.py
@@ -1,10 +1,8 @@
 """In which order generations leave an engine, and how long they have.
 
-Copies off one engine share its link: 4,000 tokens of 164 KB each take 0.22 s
-of 24 Gbit/s, twice as long to another failure domain, and the engine is gone
-1.5 s or more after its notice. One copy at a time makes sure that those that
-went first are away when the time is over; if all share the link, all are
-late together. Hosts work out the same order from the engine's own list of
+Copies off one engine share its link, and not all of them fit in its notice.
+One copy at a time makes sure that those that went first are away when the
+time is over; if all share the link, all are late together. Hosts work out the same order from the engine's own list of
 runs, and tell one another while a copy is under way.
 """
 
@@ -15,15 +13,14 @@
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._engines import Run
 
-# Between failure domains a copy takes twice as long.
+# Copies between failure domains take longer.
 OTHER_DOMAIN_FACTOR = 2.0
-# Few of the shortest kind make more events: they end by themselves in time.
+# With fewer it may be of a kind that ends by itself in time.
 SHORT_EVENTS = 16
-# A report makes some 200 events, whatever it has made so far: what has just
-# begun has about as much to lose for its memory as what is well under way.
+# Added to what was made: what has just begun has about as much to lose for
+# its memory as what is well under way.
 TYPICAL_EVENTS = 200
-# The shortest time between notice and end seen: 1.54 s. Counts until the
-# engine tells better.
+# Between notice and end, until the engine tells better.
 LEAST_NOTICE_S = 1.5
 _BITS = 8
 _MEGA = 1_000_000
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -35,8 +35,7 @@
 # An engine admits what goes on from a copy before all else; one that does
 # not answer within this time will not take it.
 RESUME_S = 1.0
-# The answer to the last copy comes when it is done: 0.5 s after the stop,
-# where the link is shared with copies of others.
+# The answer to the last copy comes when it is done.
 COPY_ANSWER_S = 1.0
 
 Signal = Literal["whole", "broken", "leaving"]
@@ -121,9 +120,8 @@
     def _end_pump(self) -> None:
         """Close the engine's connection, unless it ended by itself.
 
-        Nothing is waited for: the caller's leaving cancels waits, and one in
-        a hundred callers that left as the engine began kept it at work until
-        the deadline.
+        Nothing is waited for: the caller's leaving cancels waits, and the
+        engine would stay at work until the deadline.
         """
         pump, self._pump = self._pump, None
         if pump is None or pump.done():
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -38,13 +38,11 @@
 MOST_SENDS = 4  # engines asked to start one generation
 MOST_FAILURE_BYTES = 65_536  # of an engine's answer that is no stream
 TIMED_OUT = 504  # an engine's answer at the caller's deadline
-# What a generation takes on crowded engines: half of them start within 0.6 s
-# and a token takes 7 ms and more, 10 ms with a usual batch.
+# What a generation takes on crowded engines.
 START_S = 1.0
 TOKEN_S = 0.012
-# Callers leave a stream that has not begun after four times the target. What
-# begins after the target is worth a seventh of its worth; what is held until
-# its caller leaves costs all of it.
+# What begins after its target is late; a caller who is told sooner can come
+# back in time.
 WAIT_TARGETS = 1.0
 # Where the operators tell nothing of the engines of a service.
 UNTOLD = EngineTraits(memory_tokens=1 << 40)
--- a/src/balsamlift/relay/_health.py
+++ b/src/balsamlift/relay/_health.py
@@ -5,12 +5,11 @@
 import attrs
 
 # An upstream that cannot be reached is left alone this long, twice as long
-# after each failure in a row. A replacement comes after about 4 s, so that
-# waiting longer would miss it.
+# after each failure in a row.
 FIRST_EJECTION_S = 0.5
+# Waiting longer would miss its replacement.
 LONGEST_EJECTION_S = 4.0
-# Weight of the newest answer in the share of failures: after 10 answers the
-# older ones count for a third.
+# Weight of the newest answer in the share of failures.
 FAILURE_WEIGHT = 0.1
 
 
--- a/src/balsamlift/relay/_link_turn.py
+++ b/src/balsamlift/relay/_link_turn.py
@@ -12,12 +12,12 @@
 from balsamlift.relay._engines import EngineCalls
 from balsamlift.relay._evacuation import Departure, place_in_line
 
-# Between two looks at whether the link is free. Hosts that do not hear all
-# others ask the one that gathers counts, which answers within 2 to 5 ms.
+# Between two looks at whether the link is free.
 POLL_S = 0.01
+# The same where another host has to be asked.
 GATHERED_POLL_S = 0.04
 # The next in line waits this much longer than the one before it, so that the
-# word of that one's copy comes first: it takes some 3 ms.
+# word of that one's copy comes first.
 STEP_S = 0.008
 # What cannot be away in time goes after this many others: its copy would
 # only take time from theirs.
--- a/src/balsamlift/relay/_move.py
+++ b/src/balsamlift/relay/_move.py
@@ -19,14 +19,12 @@
 log = logger.bind(part="generations")
 
 # A generation is stopped for its last copy after one that took no longer than
-# this, which tells that the link is free: callers take a pause of up to 180 ms
-# as in time, and the first copy of a report takes 220 to 450 ms.
+# this, which tells that the link is free: callers notice no such pause.
 QUICK_COPY_S = 0.06
 # So does one that took little more than over a free link, while no other host
 # copies from there.
 FREE_LINK_FACTOR = 1.3
-# Before the engine is gone: over a free link the last copy takes 5 to 25 ms
-# (60 seen), behind one more of an average report up to 0.2 s.
+# Before the engine is gone: the last copy may have to wait for another.
 STOP_BEFORE_S = 0.2
 # Between two tries to find room for a generation off an engine that leaves.
 MOVE_AGAIN_S = 0.1
@@ -117,8 +115,7 @@
 
         Another copy may have begun at the same moment, and the target takes
         those of other engines: the last part would wait for all of them, and
-        the caller with it (of some 217 moves in fifteen days, 38 made their
-        caller wait for more than 180 ms without this, 6 with it).
+        the caller with it.
         """
         loop = asyncio.get_running_loop()
         stop_by_s = self._turn.departure.gone_s - STOP_BEFORE_S
--- a/src/balsamlift/relay/_needs.py
+++ b/src/balsamlift/relay/_needs.py
@@ -7,18 +7,13 @@
 
 from balsamlift.relay._wire import HeaderNames
 
-# Lengths of 264 answers in two deployments, of two kinds each: a typical one
-# has a third of the tokens that it may have at most (0.27 to 0.34), within a
-# factor of 1.8 (the standard deviation of its logarithm is 0.5 to 0.7).
-# Callers' estimates are right at the median, but off by a factor of 4.5 (1.2
-# to 1.6). Together they tell most where the estimate has a fifth of the weight
-# (regression of the logarithms: 0.19 to 0.26).
+# A typical answer has this part of the tokens that it may have at most, and
+# its caller's estimate this weight beside it, in logarithms.
 TYPICAL_PART = 1 / 3
 HINT_WEIGHT = 0.2
-# The mean of such lengths lies above the typical one by 12%.
+# The mean of such lengths lies above the typical one.
 MEAN_FACTOR = 1.12
-# Where no bound is told, the estimate stands alone; with this much on top,
-# about two in three answers stay below.
+# Where no bound is told, the estimate stands alone, with this much on top.
 HINT_MARGIN = 1.3
 
 
--- a/src/balsamlift/relay/_refusals.py
+++ b/src/balsamlift/relay/_refusals.py
@@ -5,12 +5,12 @@
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._request import Call, Refusal
 
-# A full upstream has room again after some of its calls, 20 ms each.
+# A full upstream has room again after some of its calls.
 RETRY_MS = 100
 # Where there is no upstream, the list is out of reach or a replacement is on
-# its way: 2 to 4 s.
+# its way.
 RETRY_NO_UPSTREAM_MS = 2_000
-# Engines have room again as generations end, 9 s each and four on an engine.
+# Engines have room again as generations end.
 RETRY_NO_ROOM_MS = 4_000
 # Callers wait for no more than a third of the time that they have left.
 RETRY_PART = 0.3
--- a/src/balsamlift/relay/_rooms.py
+++ b/src/balsamlift/relay/_rooms.py
@@ -13,29 +13,22 @@
 from balsamlift.relay._configuration import EngineTraits
 
 # Memory of an engine that is given out, by what generations are expected to
-# have at their ends. They are not at their ends together, so an engine that is
-# filled by this count has memory left. On a calm, crowded day of 74 hosts, 355
-# of 433 reports came in time, 344 with 0.9; none was refused, three before; 19
-# requests were preempted, 11 before. With 1.1 engines run out of memory 100
-# times a day where they leave often, with this 70 times.
+# have at their ends: they do not all end at once.
 FILLED_PART = 1.0
 # An engine that is filled beyond this keeps no backups: they take the links
-# between engines from moves. Mean worth of six days on the second deployment:
-# no backups 0.559, to 0.5 0.579, to 0.7 0.537.
+# between engines from moves.
 BACKUP_FILLED_PART = 0.5
-# No engine keeps any while those of the pool together are filled beyond this.
-# One that has just come up is empty, is sent backups of all, and then filled
-# with generations as the others are: its memory runs out.
+# No engine keeps any while those of the pool together are filled beyond this:
+# one that has just come up would be sent backups of all.
 BACKUP_POOL_FILLED_PART = 0.6
-# Prompts that wait to be read weigh this much more than memory in use. Two
-# reports that are being read, 0.2 s each with nothing else, keep a third away
-# from an empty engine beside others that are half full.
+# Prompts that wait to be read weigh this much more than memory in use: they
+# hold up the first token of whatever comes after them.
 PREFILL_WEIGHT = 1.5
 # How much more memory in use elsewhere outweighs the bytes between failure
-# domains, as a part of an engine's memory: 5% is half of a long report.
+# domains, as a part of an engine's memory.
 OTHER_DOMAIN_PART = 0.05
-# Copies between failure domains take twice as long: 0.45 s for a report of
-# 4,000 tokens, of the 1.5 s that an engine leaves. So room near it goes first.
+# The same for what leaves an engine: copies between failure domains take twice
+# as long, of the little time that there is.
 COPY_PART = 1.0
 
 
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -37,10 +37,9 @@
 
 log = logger.bind(part="relay")
 
-# Work that waits for room looks this often at what other hosts have given
-# back. Where one host gathers that, thirty that wait would ask it 300 times a
-# second.
+# Work that waits for room looks this often at what other hosts have given back.
 LOOK_S = 0.1
+# The same where another host has to be asked.
 GATHERED_LOOK_S = 0.3
 # Idle connections are looked through this often.
 SWEEP_S = 1.0
--- a/src/balsamlift/settings.py
+++ b/src/balsamlift/settings.py
@@ -203,8 +203,7 @@
 def load_settings(file: str | Path) -> Settings:
     """Return the settings in a file; raise `SettingsError`."""
     # A daemon that is told its settings in another form starts without the
-    # parsers: its imports take 0.224 s of processor time instead of 0.238
-    # (median of 15), without the converter of messages that needed them too.
+    # parsers.
     from balsamlift._loading import load
 
     return load(file, Settings)
