Bound what a cold upstream gets, and keep work in its home regions

Change, cold starts (`relay/_cold_starts`): a host may send a cold upstream its share of a third of the bound, by its place among all hosts that it has ever heard of, in an order of the upstream's own. A third, as groups of hosts that know different others each divide it; what is known of silent hosts counts, so that a cut host does not take all for itself; one that has just started sends nothing there for 3 s. An upstream is cold for as long as its entry told, from when that was heard, and again with each entry that it writes. Homes (`relay/_scope`): a call has a scope, the pool and the regions that route and workspace both allow; queue, choice, moves and backups go by it. Callers are named hosts of their own region, others only where there are too few, and then first in regions where all that they may call may run. What operators leave no upstream is refused at once.

Ruled out: each host 1/N of the bound (nothing at 87 hosts and 3 a second); permits of the host that gathers counts (none while it is out of reach, and a message more before each request); hosts chosen among the live ones only (a host that is cut off knows none but itself, and takes the whole bound).

Relay with three regions; the directory by cases.

--- a/src/balsamlift/peers/_hosts_list.py
+++ b/src/balsamlift/peers/_hosts_list.py
@@ -29,6 +29,8 @@
     state: str = "live"
     kind: str = ""  # "engine" or "service", where the list tells it
     started_ms: int = 0  # wall time of its start, where the list tells it
+    cold_ms: float = 0.0  # for how long it was cold as that was written
+    written: int = 0  # grows with what the upstream writes of itself
 
 
 @attrs.frozen
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -224,6 +224,16 @@
         ]
         return find_place(self.own.host, others, subject)
 
+    def known_place_for(self, subject: str) -> Place:
+        """Return this host's place among all known, also those now silent.
+
+        Hosts that are cut off from one another still agree on these.
+        """
+        others = {member.host for member in self._members.others()}
+        others |= {host.host for host in self._upstreams.entry_hosts()}
+        others.discard(self.own.host)
+        return find_place(self.own.host, others, subject)
+
     def note_upstream(self, name: str, state: UpstreamState) -> None:
         """Tell peers at once that an upstream is leaving or dead."""
         upstream = self._upstreams.find(name)
--- a/src/balsamlift/peers/_upstream.py
+++ b/src/balsamlift/peers/_upstream.py
@@ -33,6 +33,8 @@
     )
     started_ms: int = 0  # wall time; 0: not told
     is_evacuated: bool = False  # its failure domain gets no new work
+    # Monotonic; until then it tolerates few requests.
+    cold_until_s: float = attrs.field(default=0.0, eq=False)
 
 
 @attrs.frozen(kw_only=True)
@@ -60,7 +62,7 @@
     if entry.role != UPSTREAM_ROLE or pool is None:
         return None
     return Upstream(
-        name=_incarnation_name(entry),
+        name=incarnation_name(entry),
         id=entry.name,
         started_ms=entry.started_ms,
         pool=entry.pool,
@@ -86,7 +88,7 @@
     )
 
 
-def _incarnation_name(entry: ListEntry) -> str:
+def incarnation_name(entry: ListEntry) -> str:
     """Return a name that no other incarnation of the upstream has."""
     if not entry.started_ms:
         return entry.name
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -26,6 +26,7 @@
 from balsamlift.peers._upstream import (
     EntryHost,
     Upstream,
+    incarnation_name,
     join_entry_host,
     join_upstream,
 )
@@ -45,6 +46,8 @@
 
     listed: Upstream
     evacuations: Evacuations
+    cold_until_s: float = 0.0
+    written: int | None = None  # when that was told
     marks: Marks = attrs.field(factory=Marks)
     upstream: Upstream = attrs.field(init=False)
 
@@ -59,6 +62,7 @@
             self.listed,
             state=state,
             is_evacuated=self.evacuations.covers(self.listed.failure_domain),
+            cold_until_s=self.cold_until_s,
         )
         return self.upstream != before
 
@@ -149,13 +153,15 @@
             self._usable[pool] = usable
         return list(usable)
 
-    def is_evacuated(self, pool: str) -> bool:
-        """Tell whether evacuations alone leave a pool without upstreams."""
-        return not self.in_pool(pool) and any(
-            known.upstream.is_evacuated and known.upstream.state == "live"
+    def evacuated(self, pool: str) -> list[Upstream]:
+        """Return those that evacuations alone keep from new work."""
+        return [
+            known.upstream
             for known in self._known.values()
             if known.listed.pool == pool
-        )
+            and known.upstream.is_evacuated
+            and known.upstream.state == "live"
+        ]
 
     def is_in_evacuation(self, upstream: Upstream) -> bool:
         """Tell whether its failure domain is evacuated, listed or not."""
@@ -225,7 +231,9 @@
         """
         if not self.is_cut_off:
             return
-        if self._take_listed(self._join(entries)):
+        changed = self._take_listed(self._join(entries))
+        self._take_cold(entries)
+        if changed:
             self._tell_change()
 
     def on_change(self, callback: Callable[[], None]) -> None:
@@ -330,6 +338,7 @@
         self._entry_hosts = hosts
         listed = self._join(entries)
         changed |= self._take_listed(listed)
+        self._take_cold(self._entries)
         ids = {upstream.id for upstream in listed}
         self._lapsed = {
             name
@@ -339,6 +348,19 @@
         if changed:
             self._tell_change()
 
+    def _take_cold(self, entries: Iterable[ListEntry]) -> None:
+        """Take in for how long upstreams are cold, from when it is heard."""
+        now_s = self._clock.monotonic()
+        names = {incarnation_name(entry): entry for entry in entries}
+        for name in self._known.keys() & names.keys():
+            known, entry = self._known[name], names[name]
+            if known.written == entry.written:
+                continue
+            known.written = entry.written
+            known.cold_until_s = now_s + entry.cold_ms / 1_000
+            known.refresh()
+            self._usable.pop(known.listed.pool, None)
+
     def _join(self, entries: Iterable[ListEntry]) -> list[Upstream]:
         joined = [join_upstream(e, self._settings.pools) for e in entries]
         return [upstream for upstream in joined if upstream is not None]
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -88,7 +88,9 @@
             HostRegistration(store, clock, settings.host, record),
             self.upstreams,
             self.peers,
-            Directory(settings.failure_domain, self._keep_ms, rng),
+            Directory(
+                settings.failure_domain, self._keep_ms, rng, node.regions
+            ),
             self.relay,
             PlatformServer(node.directory_address, node.readiness_address),
         )
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -44,6 +44,7 @@
     TrafficSplit: list[_Share] = []
     MaxAttempts: int = 1
     Public: bool = False
+    AllowedRegions: list[str] = []  # none: any
 
 
 class _Engine(msgspec.Struct):
@@ -57,6 +58,7 @@
 class _Service(msgspec.Struct):
     Name: str
     MaxConnections: int = 0
+    ColdPerS: float | None = None  # requests that one tolerates while cold
     Engine: _Engine | None = None
 
 
@@ -71,6 +73,7 @@
     Name: str
     ApiKeys: list[str] = []
     Priority: int | None = None
+    AllowedRegions: list[str] = []  # none: any
 
 
 class _Manifest(msgspec.Struct):
@@ -135,6 +138,7 @@
                 name=tenant.Name,
                 keys=tuple(tenant.ApiKeys),
                 priority=tenant.Priority,
+                regions=frozenset(tenant.AllowedRegions),
             )
             for tenant in manifest.Tenants
         ),
@@ -185,6 +189,8 @@
         state=_STATES[upstream.LifecycleState],
         kind="service",
         started_ms=upstream.born,
+        cold_ms=max(upstream.ColdRemainingMs, 0.0),
+        written=upstream.Sequence,
     )
 
 
@@ -231,6 +237,7 @@
         priority=route.Priority,
         most_attempts=route.MaxAttempts,
         is_public=route.Public,
+        regions=frozenset(route.AllowedRegions),
     )
 
 
@@ -239,6 +246,7 @@
     return Service(
         name=service.Name,
         most_connections=service.MaxConnections,
+        cold_per_s=service.ColdPerS,
         engine=None
         if engine is None
         else EngineTraits(
--- a/src/balsamlift/platform/_settings.py
+++ b/src/balsamlift/platform/_settings.py
@@ -13,7 +13,7 @@
 from balsamlift.exceptions import SettingsError
 from balsamlift.peers import Pace
 from balsamlift.platform._names import HEADERS
-from balsamlift.relay import RelaySettings, RetryLimits
+from balsamlift.relay import ColdLimits, RelaySettings, RetryLimits
 from balsamlift.settings import (
     PeerSettings,
     PlatformSettings,
@@ -78,6 +78,8 @@
     apply_ms: float  # in which a new configuration has to be in force
     contact_ms: float  # out of touch so long ago, a host need not follow
     retries: RetryLimits
+    cold_limits: ColdLimits | None  # None: no bound is in force
+    regions: dict[str, str]  # by failure domain
 
     @property
     def read_wait_ms(self) -> int:
@@ -156,6 +158,8 @@
         return RelaySettings(
             failure_domain=self.failure_domain,
             retries=self.retries,
+            cold_limits=self.cold_limits,
+            regions=self.regions,
             names=HEADERS,
         )
 
@@ -203,6 +207,8 @@
             extra=int(read.number("Bounds", "BudgetExtraRetries")),
             window_s=read.number("Bounds", "BudgetWindowS"),
         ),
+        cold_limits=read.cold_limits(),
+        regions=read.regions(),
     )
 
 
@@ -236,3 +242,19 @@
         if not isinstance(value, list) or not value:
             raise SettingsError(self._file, "InternalPorts", "two ports")
         return int(value[0])
+
+    def cold_limits(self) -> ColdLimits | None:
+        """Return the bound on cold upstreams, where one is in force."""
+        if self._find(("Bounds", "ColdOverage")) is None:
+            return None
+        return ColdLimits(
+            factor=self.number("Bounds", "ColdOverage"),
+            extra_per_s=self.number("Bounds", "ColdSlack"),
+        )
+
+    def regions(self) -> dict[str, str]:
+        """Return the region of each failure domain, this host's at least."""
+        value = self._find(("Zones",))
+        zones = value if isinstance(value, dict) else {}
+        own = {self.text("Zone"): self.text("Region")}
+        return own | {str(zone): str(region) for zone, region in zones.items()}
--- a/src/balsamlift/platform/_web.py
+++ b/src/balsamlift/platform/_web.py
@@ -10,7 +10,7 @@
 from balsamlift.kernel import Kernel
 from balsamlift.operators import JsonHandler
 from balsamlift.platform._names import ADDRESSES_PATH, READY_PATH
-from balsamlift.relay import Directory
+from balsamlift.relay import Caller, Directory
 
 
 class AddressesHandler(JsonHandler):
@@ -22,7 +22,12 @@
 
     def get(self) -> None:
         """Answer with addresses, or 503 when no host is ready."""
-        answer = self._directory.find(self.get_query_argument("Zone", ""))
+        caller = Caller(
+            failure_domain=self.get_query_argument("Zone", ""),
+            region=self.get_query_argument("Region", ""),
+            host_name=self.get_query_argument("Name", ""),
+        )
+        answer = self._directory.find(caller)
         if not answer.addresses:
             self.send_error(503)
             return
--- a/src/balsamlift/relay/__init__.py
+++ b/src/balsamlift/relay/__init__.py
@@ -1,5 +1,6 @@
 """Pass requests of callers on to upstreams, whole and at most once."""
 
+from balsamlift.relay._cold_starts import ColdLimits
 from balsamlift.relay._configuration import (
     CallerLimits,
     Configuration,
@@ -10,7 +11,7 @@
     ServiceShare,
     Workspace,
 )
-from balsamlift.relay._directory import AddressAnswer, Directory
+from balsamlift.relay._directory import AddressAnswer, Caller, Directory
 from balsamlift.relay._engines import (
     Copy,
     CopyError,
@@ -29,7 +30,9 @@
 __all__ = [
     "FIRST_LIMITS",
     "AddressAnswer",
+    "Caller",
     "CallerLimits",
+    "ColdLimits",
     "Configuration",
     "Copy",
     "CopyError",
--- a/src/balsamlift/relay/_admission.py
+++ b/src/balsamlift/relay/_admission.py
@@ -8,6 +8,7 @@
 from balsamlift.relay._configuration import Route, Workspace
 from balsamlift.relay._request import Call, CallerRequest, Refusal
 from balsamlift.relay._routing import Routing, Table, pick_service
+from balsamlift.relay._scope import bound_regions
 from balsamlift.relay._wire import HeaderNames
 
 # A host that has just started knows a configuration at once, or has to wait
@@ -83,6 +84,7 @@
             workspace=workspace,
             key=key,
             service=pick_service(route, self._random),
+            regions=_regions(route, workspace),
             priority=priority,
             deadline_s=deadline_s,
             give_up_s=min(bound_s, deadline_s),
@@ -115,11 +117,22 @@
             return False
         if call.service not in {share.service for share in route.services}:
             return False
+        workspace = table.find_workspace(call.key)
+        if _regions(route, workspace) != call.regions:
+            return False
         if route.is_public or not table.needs_keys:
             return True
-        workspace = table.find_workspace(call.key)
         return (
             workspace is not None
             and call.workspace is not None
             and workspace.name == call.workspace.name
         )
+
+
+def _regions(
+    route: Route, workspace: Workspace | None
+) -> frozenset[str] | None:
+    """Return where a call may run; None: anywhere."""
+    if workspace is None:
+        return bound_regions(route.regions)
+    return bound_regions(route.regions, workspace.regions)
--- a/src/balsamlift/relay/_backup.py
+++ b/src/balsamlift/relay/_backup.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from balsamlift.peers import Upstream
-from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._job import Job
 from balsamlift.relay._rooms import Holding
 from balsamlift.relay._tools import Tools
 
@@ -14,19 +14,20 @@
     Engines crash without notice, or leave before all copies are away.
     """
 
-    def __init__(self, tools: Tools, traits: EngineTraits) -> None:
+    def __init__(self, tools: Tools, job: Job) -> None:
         """Begin with none."""
         self._tools = tools
-        self._traits = traits
+        self._job = job
         self._holding: Holding | None = None
 
-    def choose(self, tokens: int, source: Upstream) -> None:
+    def choose(self, source: Upstream) -> None:
         """Find an engine with room for a copy, other than `source`."""
         self.release()
-        if not self._traits.can_back_up:
+        job = self._job
+        if not job.traits.can_back_up:
             return
         self._holding = self._tools.rooms.hold_backup(
-            source, self._traits, tokens
+            job.scope, source, job.traits, job.tokens
         )
 
     @property
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -4,12 +4,14 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterator, Mapping
 from contextlib import contextmanager
 
 from balsamlift.clock import Clock
 from balsamlift.peers import Peers, Upstream, Upstreams
+from balsamlift.relay._cold_starts import ColdStarts
 from balsamlift.relay._health import UpstreamHealth
+from balsamlift.relay._scope import Scope
 from balsamlift.relay._words import Words
 
 # An upstream that fails each request counts as if it had this many calls
@@ -44,8 +46,15 @@
         clock: Clock,
         rng: random.Random,
         failure_domain: str,
+        cold_starts: ColdStarts | None = None,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
-        """Count calls of this host and add what `peers` tell."""
+        """Count calls of this host and add what `peers` tell.
+
+        `regions` holds the region of each failure domain.
+        """
+        self._cold_starts = cold_starts
+        self._regions = regions or {}
         self._upstreams = upstreams
         self._peers = peers
         self._clock = clock
@@ -112,13 +121,19 @@
         """Call back whenever something is no longer in flight."""
         self._on_release.append(callback)
 
-    def usable(self, pool: str, tried: Collection[str]) -> list[Upstream]:
+    def usable(self, scope: Scope, tried: Collection[str]) -> list[Upstream]:
         """Return the upstreams to choose from.
 
         Those left alone after failures come back in when there is no other.
         """
-        members = self._upstreams.in_pool(pool)
-        listed = [u for u in members if u.name not in tried]
+        members = self._upstreams.in_pool(scope.pool)
+        listed = [
+            u
+            for u in members
+            if u.name not in tried
+            and self._is_in(scope, u)
+            and self._tolerates(u)
+        ]
         now_s = self._clock.monotonic()
         broken = self._words.avoided([u.name for u in members])
         sound = [
@@ -129,16 +144,42 @@
         ]
         return sound or listed
 
-    def is_evacuated(self, pool: str) -> bool:
-        """Tell whether evacuations alone leave a pool without upstreams."""
-        return self._upstreams.is_evacuated(pool)
+    def _tolerates(self, upstream: Upstream) -> bool:
+        return self._cold_starts is None or self._cold_starts.allows(upstream)
 
-    def least_busy(self, pool: str, tried: Collection[str]) -> Upstream | None:
-        """Return the upstream for a call that takes one slot."""
-        choices = self.usable(pool, tried)
+    def sending(self, upstream: Upstream) -> None:
+        """Count a request that was placed, for as long as it is cold."""
+        if self._cold_starts is not None:
+            self._cold_starts.sending(upstream)
+
+    def is_closed(self, scope: Scope) -> bool:
+        """Tell whether operators leave a call no upstream.
+
+        By evacuations, or as its route and workspace share no region.
+        """
+        if scope.regions is not None and not scope.regions:
+            return True
+        if any(
+            self._is_in(scope, u) for u in self._upstreams.in_pool(scope.pool)
+        ):
+            return False
+        evacuated = self._upstreams.evacuated(scope.pool)
+        return any(self._is_in(scope, u) for u in evacuated)
+
+    def _is_in(self, scope: Scope, upstream: Upstream) -> bool:
+        region = self._regions.get(upstream.failure_domain, "")
+        return scope.allows(region)
+
+    def place_call(
+        self, scope: Scope, tried: Collection[str]
+    ) -> Upstream | None:
+        """Return the upstream for a call that is sent there at once."""
+        choices = self.usable(scope, tried)
         if not choices:
             return None
-        return min(choices, key=self._call_cost)
+        upstream = min(choices, key=self._call_cost)
+        self.sending(upstream)
+        return upstream
 
     def saw_success(self, upstream: str) -> None:
         """Note a whole answer, or the beginning of one."""
@@ -167,6 +208,8 @@
         """Let what was seen of upstreams run out; call each second."""
         live = {upstream.name for upstream in self._upstreams.all()}
         self._words.expire(self._clock.monotonic(), live)
+        if self._cold_starts is not None:
+            self._cold_starts.forget(live)
 
     def _call_cost(self, upstream: Upstream) -> tuple[float, float]:
         cost = float(self.load(upstream.name))
--- a/src/balsamlift/relay/_claims.py
+++ b/src/balsamlift/relay/_claims.py
@@ -55,7 +55,7 @@
     balancer = tools.balancer
     await balancer.refresh()
     upstream = tools.rooms.find(
-        job.service,
+        job.scope,
         job.traits,
         job.tokens,
         tried,
@@ -64,7 +64,7 @@
     )
     if upstream is None:
         return None
-    holding = Holding(balancer, upstream, job.tokens)
+    holding = tools.rooms.hold(upstream, job.tokens)
     try:
         await asyncio.sleep(SETTLE_S)
         await balancer.refresh()
--- a/src/balsamlift/relay/_configuration.py
+++ b/src/balsamlift/relay/_configuration.py
@@ -31,6 +31,7 @@
     priority: int = 0  # 0 is served first
     most_attempts: int = 1  # upstreams that may run one request
     is_public: bool = False  # needs no key
+    regions: frozenset[str] = frozenset()  # where it may run; empty: any
 
 
 @attrs.frozen(kw_only=True)
@@ -51,6 +52,7 @@
     name: str
     most_connections: int  # of one upstream, from all hosts together
     engine: EngineTraits | None = None  # None: it does not generate
+    cold_per_s: float | None = None  # requests that one tolerates while cold
 
 
 @attrs.frozen(kw_only=True)
@@ -60,6 +62,7 @@
     name: str
     keys: tuple[str, ...]
     priority: int | None = None  # goes before the route's
+    regions: frozenset[str] = frozenset()  # where its work may run; empty: any
 
 
 @attrs.frozen(kw_only=True)
--- a/src/balsamlift/relay/_directory.py
+++ b/src/balsamlift/relay/_directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Iterator, Mapping, Sequence
 
 import attrs
 
@@ -26,6 +26,34 @@
     keep_ms: int
 
 
+@attrs.frozen
+class Caller:
+    """Hold where a caller is, and the host name that it will call."""
+
+    failure_domain: str
+    region: str = ""  # empty: not told
+    host_name: str = ""
+
+
+@attrs.define
+class NamedHosts:
+    """Hold the hosts that take requests, by where a caller finds them."""
+
+    near: list[str] = attrs.field(factory=list)  # in its failure domain
+    far: list[str] = attrs.field(factory=list)  # in its region
+    abroad: list[str] = attrs.field(factory=list)
+    # Abroad, in regions where all that it may call may run.
+    at_home: list[str] = attrs.field(factory=list)
+
+    def besides_near(self) -> list[str]:
+        """Return other hosts to name; those abroad only if need be."""
+        if len(self.near) + len(self.far) >= FEWEST_NEAR:
+            return self.far
+        if self.near or self.far or self.at_home:
+            return [*self.far, *self.at_home]
+        return self.abroad
+
+
 def choose_addresses(
     near: Sequence[str], far: Sequence[str], rng: random.Random
 ) -> list[str]:
@@ -47,10 +75,18 @@
     name = "directory"
 
     def __init__(
-        self, failure_domain: str, keep_ms: int, rng: random.Random
+        self,
+        failure_domain: str,
+        keep_ms: int,
+        rng: random.Random,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
-        """Let callers keep an answer for `keep_ms`."""
+        """Let callers keep an answer for `keep_ms`.
+
+        `regions` holds the region of each failure domain.
+        """
         self._failure_domain = failure_domain
+        self._regions = regions or {}
         self._random = rng
         self._keep_ms = keep_ms
 
@@ -67,19 +103,38 @@
         """Tell whether this host takes requests."""
         return self._routing.is_configured and not self._peers.leaving
 
-    def find(self, failure_domain: str) -> AddressAnswer:
-        """Return the hosts for a caller there; none if nobody is ready."""
-        near: list[str] = []
-        far: list[str] = []
+    def find(self, caller: Caller) -> AddressAnswer:
+        """Return the hosts for a caller; none if nobody is ready."""
+        named = self._sort(caller)
+        addresses = choose_addresses(
+            named.near, named.besides_near(), self._random
+        )
+        return AddressAnswer(addresses, self._keep_ms)
+
+    def _sort(self, caller: Caller) -> NamedHosts:
+        """Return the hosts that take requests, by where the caller is."""
+        callers_region = self._regions.get(
+            caller.failure_domain, caller.region
+        )
+        homes = self._routing.regions_of(caller.host_name)
+        named = NamedHosts()
+        for address, domain in self._ready():
+            region = self._regions.get(domain, "")
+            if domain == caller.failure_domain:
+                named.near.append(address)
+            elif region == callers_region or not callers_region:
+                named.far.append(address)
+            else:
+                named.abroad.append(address)
+                if homes is None or region in homes:
+                    named.at_home.append(address)
+        return named
+
+    def _ready(self) -> Iterator[tuple[str, str]]:
+        """Yield address and failure domain of each host that is ready."""
         if self.is_ready:
-            own = self._peers.own.callers_address
-            is_near = self._failure_domain == failure_domain
-            (near if is_near else far).append(own)
+            yield self._peers.own.callers_address, self._failure_domain
         for peer in self._peers.live():
             # A peer that was not heard from yet may still be starting.
-            if peer.leaving or not peer.caught_up:
-                continue
-            is_near = peer.failure_domain == failure_domain
-            (near if is_near else far).append(peer.callers_address)
-        addresses = choose_addresses(near, far, self._random)
-        return AddressAnswer(addresses, self._keep_ms)
+            if not peer.leaving and peer.caught_up:
+                yield peer.callers_address, peer.failure_domain
--- a/src/balsamlift/relay/_evacuation.py
+++ b/src/balsamlift/relay/_evacuation.py
@@ -2,8 +2,9 @@
 
 Copies off one engine share its link, and not all of them fit in its notice.
 One copy at a time makes sure that those that went first are away when the
-time is over; if all share the link, all are late together. Hosts work out the same order from the engine's own list of
-runs, and tell one another while a copy is under way.
+time is over; if all share the link, all are late together. Hosts work out the
+same order from the engine's own list of runs, and tell one another while a
+copy is under way.
 """
 
 from __future__ import annotations
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -236,7 +236,7 @@
 
     async def _go_on_at(self, upstream: Upstream, source: str) -> bool:
         before = self._holding.upstream
-        self._backup.choose(self._job.tokens, upstream)
+        self._backup.choose(upstream)
         reply = await self._resume(upstream, source)
         log.bind(
             request=self._job.request_id,
@@ -272,6 +272,7 @@
         # It is the same run: it stops at the one engine as it goes on at
         # the other.
         attempt = Attempt(is_idempotent=False)
+        self._tools.balancer.sending(upstream)
         with suppress(
             UpstreamUnreachableError, UpstreamBrokenError, TimeoutError
         ):
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -123,11 +123,11 @@
             holding = await self._wait_for_room(job, tried)
             if holding is None:
                 now_s = asyncio.get_running_loop().time()
-                if self._tools.balancer.is_evacuated(call.service):
+                if self._tools.balancer.is_closed(call.scope):
                     return no_upstream(attempt, call, now_s)
                 return no_room(attempt, call, now_s)
-            backup = Backup(self._tools, job.traits)
-            backup.choose(job.tokens, holding.upstream)
+            backup = Backup(self._tools, job)
+            backup.choose(holding.upstream)
             self._log_placed(call, holding, backup)
             unread = Holding(
                 self._tools.balancer,
@@ -174,7 +174,7 @@
             async with asyncio.timeout_at(wait_by_s):
                 await self._tools.balancer.refresh()
                 return await self._tools.rooms.wait(
-                    call.service, job.traits, job.tokens, call.priority, tried
+                    call.scope, job.traits, job.tokens, call.priority, tried
                 )
         except TimeoutError:
             return None
--- a/src/balsamlift/relay/_job.py
+++ b/src/balsamlift/relay/_job.py
@@ -7,6 +7,7 @@
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._needs import Need
 from balsamlift.relay._request import Call
+from balsamlift.relay._scope import Scope
 
 
 @attrs.frozen
@@ -23,9 +24,9 @@
         return self.call.request_id
 
     @property
-    def service(self) -> str:
-        """Return the pool whose engines may run it."""
-        return self.call.service
+    def scope(self) -> Scope:
+        """Return which engines may run it."""
+        return self.call.scope
 
     @property
     def tokens(self) -> int:
--- a/src/balsamlift/relay/_plain.py
+++ b/src/balsamlift/relay/_plain.py
@@ -82,7 +82,7 @@
         tried: set[str] = set()
         dialled = 0
         while True:
-            upstream = self._balancer.least_busy(call.service, tried)
+            upstream = self._balancer.place_call(call.scope, tried)
             if upstream is None:
                 now_s = asyncio.get_running_loop().time()
                 return no_upstream(attempt, call, now_s)
--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -9,6 +9,7 @@
 
 from balsamlift.relay._configuration import Route, Workspace
 from balsamlift.relay._routing import Table
+from balsamlift.relay._scope import Scope
 
 
 @attrs.frozen(kw_only=True)
@@ -33,6 +34,7 @@
     workspace: Workspace | None
     key: str
     service: str
+    regions: frozenset[str] | None  # where it may run; None: anywhere
     priority: int  # 0 is served first
     deadline_s: float  # monotonic; the caller waits no longer
     give_up_s: float  # monotonic; the earlier of that and the route's bound
@@ -42,6 +44,11 @@
         """Return the method."""
         return self.request.method
 
+    @property
+    def scope(self) -> Scope:
+        """Return which upstreams may run it."""
+        return Scope(self.service, self.regions)
+
     @property
     def is_idempotent(self) -> bool:
         """Tell whether it may run more than once."""
--- a/src/balsamlift/relay/_rooms.py
+++ b/src/balsamlift/relay/_rooms.py
@@ -11,6 +11,7 @@
 from balsamlift.peers import Upstream
 from balsamlift.relay._balance import Balancer, backup_key, prefill_key
 from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._scope import Scope
 
 # Memory of an engine that is given out, by what generations are expected to
 # have at their ends: they do not all end at once.
@@ -36,7 +37,7 @@
 class _Waiting:
     """Hold one generation that found no room."""
 
-    pool: str
+    scope: Scope
     traits: EngineTraits
     tokens: int
     tried: Collection[str]
@@ -88,7 +89,7 @@
 
     def find(
         self,
-        pool: str,
+        scope: Scope,
         traits: EngineTraits,
         tokens: int,
         tried: Collection[str] = (),
@@ -103,22 +104,31 @@
         most = traits.memory_tokens * filled_part - tokens
         fitting = [
             u
-            for u in self._balancer.usable(pool, tried)
+            for u in self._balancer.usable(scope, tried)
             if self._balancer.load(u.name) <= most
         ]
         if not fitting:
             return None
         return min(fitting, key=lambda u: self._cost(u, traits, near))
 
+    def hold(self, upstream: Upstream, tokens: int) -> Holding:
+        """Hold memory of an engine for what is sent there now."""
+        self._balancer.sending(upstream)
+        return Holding(self._balancer, upstream, tokens)
+
     def hold_backup(
-        self, source: Upstream, traits: EngineTraits, tokens: int
+        self,
+        scope: Scope,
+        source: Upstream,
+        traits: EngineTraits,
+        tokens: int,
     ) -> Holding | None:
         """Hold room for a copy of what runs at `source`, if there is any.
 
         Backups take what generations leave, and give way to them: they
         count for other backups only.
         """
-        others = self._balancer.usable(source.pool, {source.name})
+        others = self._balancer.usable(scope, {source.name})
         filled = sum(self._filled(u) for u in others)
         room = traits.memory_tokens * len(others)
         if filled + tokens > room * BACKUP_POOL_FILLED_PART:
@@ -137,7 +147,7 @@
 
     async def wait(
         self,
-        pool: str,
+        scope: Scope,
         traits: EngineTraits,
         tokens: int,
         priority: int,
@@ -146,19 +156,19 @@
         """Hold `tokens` of an engine, as soon as one has room.
 
         A request that is larger than an engine waits for an empty one.
-        Returns None, at once, where every engine is evacuated.
+        Returns None, at once, where evacuations leave no engine for it.
         """
-        if self._balancer.is_evacuated(pool):
+        if self._balancer.is_closed(scope):
             return None
         tokens = min(tokens, int(traits.memory_tokens * FILLED_PART))
-        if not self._must_wait(pool, priority):
-            upstream = self.find(pool, traits, tokens, tried)
+        if not self._must_wait(scope, priority):
+            upstream = self.find(scope, traits, tokens, tried)
             if upstream is not None:
-                return Holding(self._balancer, upstream, tokens)
+                return self.hold(upstream, tokens)
         placed: asyncio.Future[Holding | None] = (
             asyncio.get_running_loop().create_future()
         )
-        entry = _Waiting(pool, traits, tokens, tried, placed)
+        entry = _Waiting(scope, traits, tokens, tried, placed)
         place = ((priority, next(self._numbers)), entry)
         self._waiting.append(place)
         self._waiting.sort(key=lambda item: item[0])
@@ -181,29 +191,27 @@
 
     def look(self) -> None:
         """Place those that wait, in order, as far as there is room."""
-        blocked: set[str] = set()
+        blocked: set[Scope] = set()
         for place in list(self._waiting):
             entry = place[1]
-            if entry.pool in blocked or entry.placed.done():
+            if entry.scope in blocked or entry.placed.done():
                 continue
             upstream = self.find(
-                entry.pool, entry.traits, entry.tokens, entry.tried
+                entry.scope, entry.traits, entry.tokens, entry.tried
             )
-            if upstream is None and self._balancer.is_evacuated(entry.pool):
-                self._waiting.remove(place)
-                entry.placed.set_result(None)
-                continue
             if upstream is None:
                 # Smaller work behind it must not starve it.
-                blocked.add(entry.pool)
+                blocked.add(entry.scope)
+                if self._balancer.is_closed(entry.scope):
+                    self._waiting.remove(place)
+                    entry.placed.set_result(None)
                 continue
             self._waiting.remove(place)
-            holding = Holding(self._balancer, upstream, entry.tokens)
-            entry.placed.set_result(holding)
+            entry.placed.set_result(self.hold(upstream, entry.tokens))
 
-    def _must_wait(self, pool: str, priority: int) -> bool:
+    def _must_wait(self, scope: Scope, priority: int) -> bool:
         return any(
-            entry.pool == pool and place[0] <= priority
+            entry.scope == scope and place[0] <= priority
             for place, entry in self._waiting
         )
 
--- a/src/balsamlift/relay/_routing.py
+++ b/src/balsamlift/relay/_routing.py
@@ -16,6 +16,7 @@
     Service,
     Workspace,
 )
+from balsamlift.relay._scope import bound_regions
 
 log = logger.bind(part="routing")
 
@@ -58,6 +59,11 @@
                 return route
         return None
 
+    def regions_of(self, host: str) -> frozenset[str] | None:
+        """Return where all routes of a host name may run; None: anywhere."""
+        routes = self._routes.get(host.lower(), {})
+        return bound_regions(*(route.regions for route in routes.values()))
+
     def find_workspace(self, key: str) -> Workspace | None:
         """Return the workspace that holds a key."""
         return self._workspaces.get(key)
@@ -123,6 +129,20 @@
         """Tell whether there is a configuration."""
         return self._table is not None
 
+    def regions_of(self, host: str) -> frozenset[str] | None:
+        """Return where all routes of a host name may run; None: anywhere."""
+        if self._table is None:
+            return None
+        return self._table.regions_of(host)
+
+    def cold_per_s(self, pool: str) -> float | None:
+        """Return what an upstream of a pool tolerates while it is cold.
+
+        None where the configuration tells nothing.
+        """
+        service = self._table.services.get(pool) if self._table else None
+        return service.cold_per_s if service else None
+
     def table(self) -> Table:
         """Return what is in force; raise `NotConfiguredError`."""
         if self._table is None:
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping
 
 import attrs
 from loguru import logger
@@ -15,6 +16,7 @@
 from balsamlift.peers import Peers, Upstreams
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._balance import Balancer
+from balsamlift.relay._cold_starts import ColdLimits, ColdStarts
 from balsamlift.relay._doubts import Doubts
 from balsamlift.relay._engines import EngineCalls
 from balsamlift.relay._exchange import Exchange
@@ -37,7 +39,7 @@
 
 log = logger.bind(part="relay")
 
-# Work that waits for room looks this often at what other hosts have given back.
+# Work that waits for room looks this often at what others have given back.
 LOOK_S = 0.1
 # The same where another host has to be asked.
 GATHERED_LOOK_S = 0.3
@@ -51,6 +53,8 @@
 
     failure_domain: str
     retries: RetryLimits
+    cold_limits: ColdLimits | None = None  # None: no bound is in force
+    regions: Mapping[str, str] = attrs.field(factory=dict)  # by domain
     names: HeaderNames
 
 
@@ -88,6 +92,13 @@
             self._clock,
             self._random,
             self._settings.failure_domain,
+            ColdStarts(
+                self._settings.cold_limits,
+                routing.cold_per_s,
+                peers.known_place_for,
+                self._clock,
+            ),
+            self._settings.regions,
         )
         self._rooms = Rooms(balancer)
         self._retries = Retries(
--- a/src/balsamlift/testing/_relay_world.py
+++ b/src/balsamlift/testing/_relay_world.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 from tornado.httputil import HTTPHeaders
@@ -18,6 +18,7 @@
 from balsamlift.peers import ListEntry, Peers, Upstream, Upstreams
 from balsamlift.relay import (
     CallerLimits,
+    ColdLimits,
     Configuration,
     Copy,
     CopyRefusedError,
@@ -189,9 +190,19 @@
     """Hold a relay and the stand-ins that it sends to."""
 
     def __init__(
-        self, replicas: Sequence[ReplicaStandIn], clock: Clock | None = None
+        self,
+        replicas: Sequence[ReplicaStandIn],
+        clock: Clock | None = None,
+        *,
+        regions: Mapping[str, str] | None = None,
+        cold_limits: ColdLimits | None = None,
     ) -> None:
-        """Prepare; use it as an asynchronous context."""
+        """Prepare; use it as an asynchronous context.
+
+        `regions` holds the region of each failure domain.
+        """
+        self._regions = regions or {}
+        self._cold_limits = cold_limits
         self.clock = clock or SystemClock()
         self.list = StandInList(replicas)
         self.engines = StandInEngines()
@@ -211,10 +222,14 @@
             settings, "first", self.frontend.address, self.clock, rng
         )
         self.metrics = Metrics()
-        self.directory = Directory("north", 2_000, rng)
+        self.directory = Directory("north", 2_000, rng, self._regions)
         limits = RetryLimits(ratio=2.0, extra=50, window_s=10.0)
         relay = RelaySettings(
-            failure_domain="north", retries=limits, names=NAMES
+            failure_domain="north",
+            retries=limits,
+            cold_limits=self._cold_limits,
+            regions=self._regions,
+            names=NAMES,
         )
         self.relay = Relay(relay, self.engines, self.clock, rng)
         for service in (
--- a/src/balsamlift/testing/_replica.py
+++ b/src/balsamlift/testing/_replica.py
@@ -135,6 +135,8 @@
         self.address = ""  # "IP:port", once it listens
         self.state = "live"
         self.started_ms = 0  # as the list tells it
+        self.cold_ms = 0.0
+        self.written = 0  # raise it with each change of `cold_ms`
         self.open: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
@@ -164,6 +166,8 @@
             state=self.state,
             kind="service",
             started_ms=self.started_ms,
+            cold_ms=self.cold_ms,
+            written=self.written,
         )
 
     def ids(self) -> list[str]:
--- a/tests/_listed_engines.py
+++ b/tests/_listed_engines.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 
 from balsamlift.peers import Upstream
+from balsamlift.relay._scope import Scope
 
 POOL = "model"
+SCOPE = Scope(POOL)
 
 
 class ListedEngines:
@@ -27,8 +29,8 @@
     def in_pool(self, pool: str) -> list[Upstream]:
         return list(self._upstreams)
 
-    def is_evacuated(self, pool: str) -> bool:
-        return False
+    def evacuated(self, pool: str) -> list[Upstream]:
+        return []
 
     def is_in_evacuation(self, upstream: Upstream) -> bool:
         return False
--- a/tests/test_peers_sharing.py
+++ b/tests/test_peers_sharing.py
@@ -234,10 +234,10 @@
         one.upstreams.evacuations.offer(EvacuationNews(4, ["north"]), "store")
         await until(lambda: two.upstreams.evacuations.domains)
         assert two.names() == set()
-        assert two.upstreams.is_evacuated("p")
+        assert len(two.upstreams.evacuated("p")) == 2
         one.upstreams.evacuations.offer(EvacuationNews(7, []), "store")
         await until(lambda: two.names() == {"e1", "e2"})
-        assert not two.upstreams.is_evacuated("p")
+        assert two.upstreams.evacuated("p") == []
 
     run(scenario)
 
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -19,6 +19,7 @@
 from balsamlift.platform._decode import (
     RecordError,
     decode_configuration,
+    decode_evacuations,
     decode_host,
     decode_upstream,
 )
@@ -28,7 +29,7 @@
     decode_node_settings,
 )
 from balsamlift.platform._store import _decode_read
-from balsamlift.relay import FIRST_LIMITS, CallerLimits
+from balsamlift.relay import FIRST_LIMITS, CallerLimits, ColdLimits
 
 MANIFEST: dict[str, Any] = {
     "Version": 7,
@@ -344,3 +345,45 @@
     deploy = Path(__file__).parent.parent / "deploy" / "system.toml"
     (role,) = tomllib.loads(deploy.read_text())["roles"].values()
     assert role["metrics"] == f"{METRICS_PORT}/metrics"
+
+
+def test_reads_what_is_bound_to_regions_and_what_is_cold() -> None:
+    route = {**MANIFEST["Routes"][0], "AllowedRegions": ["land", "sea"]}
+    workspace = {"Name": "w", "ApiKeys": ["k"], "AllowedRegions": ["sea"]}
+    service = {**MANIFEST["Services"][0], "ColdPerS": 27.0}
+    manifest = {
+        **MANIFEST,
+        "Routes": [route, MANIFEST["Routes"][1]],
+        "Tenants": [workspace],
+        "Services": [service],
+    }
+    configuration = decode_configuration(json.dumps(manifest).encode())
+    assert configuration.routes[0].regions == {"land", "sea"}
+    assert configuration.routes[1].regions == frozenset()
+    assert configuration.workspaces[0].regions == {"sea"}
+    assert configuration.services[0].cold_per_s == 27.0
+    entry = decode_upstream("i-1", changed(ColdRemainingMs=800.5, Sequence=9))
+    assert (entry.cold_ms, entry.written) == (800.5, 9)
+
+
+def test_reads_evacuations_whatever_their_records_hold() -> None:
+    values = {
+        "config": b"{}",
+        "evacuate/north": b"{}",
+        "evacuate/a/b": b"\xff",
+        "evacuation": b"{}",
+    }
+    assert decode_evacuations(values) == ["a/b", "north"]
+
+
+def test_settings_tell_regions_and_the_bound_on_cold_upstreams() -> None:
+    node = decode_node_settings(SETTINGS, "settings.toml")
+    assert node.cold_limits is None
+    assert node.regions == {SETTINGS["Zone"]: SETTINGS["Region"]}
+    bounds = {**SETTINGS["Bounds"], "ColdOverage": 1.5, "ColdSlack": 5}
+    zones = {"isle": "sea", SETTINGS["Zone"]: SETTINGS["Region"]}
+    fields = {**SETTINGS, "Bounds": bounds, "Zones": zones}
+    node = decode_node_settings(fields, "settings.toml")
+    assert node.cold_limits == ColdLimits(factor=1.5, extra_per_s=5.0)
+    assert node.regions == zones
+    assert node.relay_settings().regions == zones
--- a/tests/test_relay_claims.py
+++ b/tests/test_relay_claims.py
@@ -7,7 +7,7 @@
 from typing import cast
 
 import pytest
-from _listed_engines import POOL, engines_of_one_domain
+from _listed_engines import SCOPE, engines_of_one_domain
 from _shared_counts import Counts, HostCounts
 from _virtual_time import LoopClock, run_virtual
 
@@ -44,7 +44,7 @@
         # The word of a notice comes to all within a few milliseconds.
         await asyncio.sleep(rng.uniform(0.0, 0.005))
         tools = Namespace(balancer=balancer, rooms=Rooms(balancer), rng=rng)
-        job = Namespace(service=POOL, traits=TRAITS, tokens=TOKENS)
+        job = Namespace(scope=SCOPE, traits=TRAITS, tokens=TOKENS)
         return await claim_room(
             cast(Tools, tools), cast(Job, job), "north", ()
         )
--- a/tests/test_relay_filling.py
+++ b/tests/test_relay_filling.py
@@ -14,7 +14,7 @@
 
 import attrs
 import pytest
-from _listed_engines import POOL, engines_of_one_domain
+from _listed_engines import SCOPE, engines_of_one_domain
 
 from balsamlift.clock import SystemClock
 from balsamlift.peers import Peers, Place, Upstreams
@@ -122,7 +122,7 @@
     def _begin(self, asked: Asked, now_s: float) -> bool:
         expected = asked.prompt_tokens + EXPECTED_OUTPUT_TOKENS
         upstream = self._rooms.find(
-            POOL, TRAITS, expected, filled_part=self._filled_part
+            SCOPE, TRAITS, expected, filled_part=self._filled_part
         )
         if upstream is None:
             return False
--- /dev/null
+++ b/tests/test_relay_homes.py
@@ -0,0 +1,142 @@
+"""Work that is bound to regions runs there; callers find hosts there."""
+
+import asyncio
+import random
+from types import SimpleNamespace as Namespace
+from typing import cast
+
+import pytest
+from _relay_bench import USAGE, run, stream
+
+from balsamlift.kernel import Kernel
+from balsamlift.relay import Caller, Directory, Workspace
+from balsamlift.relay._scope import bound_regions
+from balsamlift.testing.relay import (
+    HOST,
+    KEY,
+    NAMES,
+    WORKSPACE,
+    RelayWorld,
+    ReplicaStandIn,
+    route,
+)
+
+REGIONS = {"north": "land", "south": "land", "isle": "sea", "far": "abroad"}
+SENDS = 12
+
+
+@pytest.mark.parametrize(
+    ("homes", "expected"),
+    [
+        ([set(), set()], None),
+        ([{"land"}, set()], {"land"}),
+        ([{"land", "sea"}, {"sea"}], {"sea"}),
+        ([{"land"}, {"sea"}], set()),
+    ],
+)
+def test_route_and_workspace_both_bind(homes, expected) -> None:
+    assert bound_regions(*map(frozenset, homes)) == expected
+
+
+@pytest.mark.parametrize(
+    ("route_homes", "workspace_homes", "allowed"),
+    [
+        ([], [], {"north", "isle", "far"}),
+        (["sea"], [], {"isle"}),
+        ([], ["abroad", "sea"], {"isle", "far"}),
+        (["land", "sea"], ["sea", "abroad"], {"isle"}),
+        (["land"], ["sea"], set()),
+    ],
+)
+@pytest.mark.parametrize("kind", ["idempotent", "stream"])
+def test_work_runs_where_its_homes_allow(
+    kind: str,
+    route_homes: list[str],
+    workspace_homes: list[str],
+    allowed: set[str],
+) -> None:
+    async def test() -> None:
+        pool = "model" if kind == "stream" else "plain"
+        stand_ins = [
+            ReplicaStandIn(f"i-{domain}", pool, NAMES, failure_domain=domain)
+            for domain in ("north", "isle", "far")
+        ]
+        if kind == "stream":
+            for stand_in in stand_ins:
+                stand_in.behave = stream
+        bound = route(kind, "/a/", pool, regions=frozenset(route_homes))
+        workspace = Workspace(
+            name=WORKSPACE, keys=(KEY,), regions=frozenset(workspace_homes)
+        )
+        async with RelayWorld(stand_ins, regions=REGIONS) as world:
+            world.configure(routes=(bound,), workspaces=(workspace,))
+            calls = [
+                world.call("/a/1", f"r{n}", headers=USAGE)
+                for n in range(SENDS)
+            ]
+            answers = await asyncio.gather(*calls)
+        used = {s.failure_domain for s in stand_ins if s.arrivals}
+        assert used <= allowed
+        expected = 200 if allowed else 503
+        assert {answer.status for answer in answers} == {expected}
+
+    run(test())
+
+
+def directory(domains: list[str], homes: list[str] | None) -> Directory:
+    """Return a directory that knows a host in each of these domains."""
+    peers = [
+        Namespace(
+            leaving=False,
+            caught_up=True,
+            failure_domain=domain,
+            callers_address=f"{domain}:{n}",
+        )
+        for n, domain in enumerate(domains)
+    ]
+    found = Directory("north", 2_000, random.Random(7), REGIONS)
+    services = {
+        "peers": Namespace(
+            live=lambda: peers,
+            leaving=True,
+            own=Namespace(callers_address="own"),
+        ),
+        "routing": Namespace(
+            is_configured=True,
+            regions_of=lambda host: None if homes is None else set(homes),
+        ),
+    }
+    kernel = Namespace(find=lambda name, kind: services[name])
+    asyncio.run(found.start(cast(Kernel, kernel)))
+    return found
+
+
+@pytest.mark.parametrize(
+    ("domains", "homes", "caller", "named"),
+    [
+        # Two near ones are enough; else those of the region.
+        (["north", "north", "south"], None, "north", {"north"}),
+        (["north", "south", "isle"], None, "north", {"north", "south"}),
+        (["south", "south", "isle"], ["sea"], "north", {"south"}),
+        # One host in reach: others only where all may run.
+        (["north", "isle"], ["land"], "north", {"north"}),
+        (
+            ["north", "isle", "far"],
+            ["land", "sea"],
+            "north",
+            {"north", "isle"},
+        ),
+        (["north", "isle"], None, "north", {"north", "isle"}),
+        # None in the region: where it may run, or else any host.
+        (["isle", "far"], ["sea"], "north", {"isle"}),
+        (["isle", "far"], ["land"], "north", {"isle", "far"}),
+    ],
+)
+def test_callers_are_named_hosts_of_their_region_or_of_a_home(
+    domains: list[str], homes: list[str] | None, caller: str, named: set[str]
+) -> None:
+    answer = directory(domains, homes).find(
+        Caller(caller, REGIONS[caller], HOST)
+    )
+    found = {address.partition(":")[0] for address in answer.addresses}
+    assert found == named
--- a/tests/test_relay_plain.py
+++ b/tests/test_relay_plain.py
@@ -6,6 +6,7 @@
 import pytest
 from _relay_bench import refuse, reset, run
 
+from balsamlift.relay import Caller
 from balsamlift.testing.relay import (
     HOST,
     KEY,
@@ -295,7 +296,7 @@
             answer = await world.call("/nowhere/1", key="unknown")
             assert answer.status == 503
             assert not world.directory.is_ready
-            assert world.directory.find("north").addresses == []
+            assert world.directory.find(Caller("north")).addresses == []
             world.configure()
             assert world.directory.is_ready
 
--- a/tests/test_relay_rooms.py
+++ b/tests/test_relay_rooms.py
@@ -6,7 +6,7 @@
 from typing import Any, cast
 
 import pytest
-from _listed_engines import POOL, ListedEngines
+from _listed_engines import SCOPE, ListedEngines
 
 from balsamlift.clock import SystemClock
 from balsamlift.peers import Peers, Place, Upstreams
@@ -57,12 +57,12 @@
         self.rooms = Rooms(self.balancer)
 
     def find(self, tokens: int, **fields: Any) -> str | None:
-        found = self.rooms.find(POOL, TRAITS, tokens, **fields)
+        found = self.rooms.find(SCOPE, TRAITS, tokens, **fields)
         return found.name if found else None
 
     def wait(self, tokens: int, priority: int = 0) -> asyncio.Task[Holding]:
         return asyncio.create_task(
-            self.rooms.wait(POOL, TRAITS, tokens, priority)
+            self.rooms.wait(SCOPE, TRAITS, tokens, priority)
         )
 
 
@@ -96,7 +96,7 @@
         name = holding.upstream.name
         assert bench.others.told == [{name: 2_000}]
         other = next(
-            u for u in bench.balancer.usable(POOL, ()) if u.name != name
+            u for u in bench.balancer.usable(SCOPE, ()) if u.name != name
         )
         holding.move(other)
         assert bench.others.told[-1] == {name: 0, other.name: 2_000}
@@ -154,8 +154,8 @@
     bench = Bench(source="north", e1="north", e2="north", e3="north")
     for name in ("source", "e2", "e3"):
         bench.others.counts[name] = load
-    source = bench.balancer.usable(POOL, {"e1", "e2", "e3"})[0]
-    holding = bench.rooms.hold_backup(source, TRAITS, 1_000)
+    source = bench.balancer.usable(SCOPE, {"e1", "e2", "e3"})[0]
+    holding = bench.rooms.hold_backup(SCOPE, source, TRAITS, 1_000)
     assert (holding.upstream.name if holding else None) == kept_at
 
 
@@ -164,8 +164,8 @@
     bench = Bench(source="north", e1="north", e2="north", e3="north")
     for name in ("e2", "e3"):
         bench.others.counts[name] = 8_000
-    source = bench.balancer.usable(POOL, {"e1", "e2", "e3"})[0]
+    source = bench.balancer.usable(SCOPE, {"e1", "e2", "e3"})[0]
     for _ in range(30):
-        bench.rooms.hold_backup(source, TRAITS, 1_000)
+        bench.rooms.hold_backup(SCOPE, source, TRAITS, 1_000)
     kept = bench.balancer.load(backup_key("e1"))
     assert kept <= 2_000  # was 5_000, half of the engine
--- a/tests/test_relay_words.py
+++ b/tests/test_relay_words.py
@@ -7,7 +7,7 @@
 
 import attrs
 import pytest
-from _listed_engines import POOL, engines_of_one_domain
+from _listed_engines import SCOPE, engines_of_one_domain
 from _shared_counts import Counts, HostCounts
 from _virtual_time import LoopClock, run_virtual
 
@@ -106,7 +106,7 @@
         try:
             async with asyncio.timeout(WAIT_S):
                 await balancer.refresh()
-                holding = await rooms.wait(POOL, TRAITS, tokens, 0)
+                holding = await rooms.wait(SCOPE, TRAITS, tokens, 0)
         except TimeoutError:
             course.refused += 1
             return
@@ -184,7 +184,7 @@
         course = await pool.play(20.0)
         names = [f"e{i}" for i in range(ENGINES)]
         for balancer in pool.balancers[cut:]:
-            assert len(balancer.usable(POOL, ())) > ENGINES * 0.9
+            assert len(balancer.usable(SCOPE, ())) > ENGINES * 0.9
             assert all(
                 balancer.failure_share(n) <= ONE_WORD_SHARE for n in names
             )
