Have hosts read large configurations, instead of pushing them

Two versions of some 1,040 routes, 330 KB each, came 0.9 s apart. More than 50 KB is never told with an answer, so that hosts waited until what they knew was too old; meanwhile each host that had a version sent it to all partners that lagged by 0.4 s, again each second, over links of 10 Mbit/s. From 25.4 s on the links stood still: questions between hosts timed out for 3 s, live hosts were taken for dead, the second version was in force 2.0 s (median) to 3.5 s after it was acknowledged, of 3 s allowed, and as a peer's, not the store's.

Change: an answer says that the configuration is too large to be told, and a host that lacks it reads the newest records at once, one copy whatever was written meanwhile. Partners send a large one only to hosts that have lagged for 2 s, which the store turns away.

Ruled out: a higher bound on what is told (85 hosts ask one, on a link that carries four of these a second); the store (the first host had the second version 0.2 s before its acknowledgement).

--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -73,7 +73,9 @@
         self._was_reading = True
         self._confirmed_s: float | None = None
         self._lone_reads = LoneReads(clock)
-        self._told = asyncio.Event()
+        self._is_told = False  # news that nobody has seen yet
+        self._lags = False  # there are news that it was not told
+        self._woken = asyncio.Event()
 
     def share(
         self, reads: Callable[[], bool], lone_reads: LoneReads | None = None
@@ -122,7 +124,8 @@
         Where this host reads, the read waits for `wait_ms`, or as long as
         the pace says. Raises `StoreError` after a read in vain.
         """
-        while not self._told.is_set():
+        while not self._is_told:
+            self._woken.clear()
             if self._check_reads():
                 wait_ms = self._wait_ms() if wait_ms is None else wait_ms
                 return await self.read(wait_ms)
@@ -130,8 +133,8 @@
                 return await self._read_alone()
             with suppress(TimeoutError):
                 async with asyncio.timeout(self._look_s()):
-                    await self._told.wait()
-        self._told.clear()
+                    await self._woken.wait()
+        self._is_told = False
         return True
 
     async def read(self, wait_ms: int) -> bool:
@@ -179,10 +182,16 @@
             self._table.take(newest)
         self.confirm(asked_s - news.age_ms / 1_000)
         if news.records or end is None:
-            self._told.set()
+            self._is_told = True
+            self._woken.set()
+
+    def read_soon(self) -> None:
+        """Read what there is: others know more than they can tell."""
+        self._lags = True
+        self._woken.set()
 
     def _is_overdue(self) -> bool:
-        if self.age_s <= self._pace.most_age_s:
+        if not self._lags and self.age_s <= self._pace.most_age_s:
             return False
         return self._clock.monotonic() >= self._lone_reads.again_s(self._topic)
 
@@ -217,14 +226,18 @@
 
     async def _read_alone(self) -> bool:
         age_s = self.age_s
+        lags, self._lags = self._lags, False
         try:
-            is_news = await self.read(0)
+            # What was written meanwhile is large: once is enough.
+            is_news = await (self._read_newest() if lags else self.read(0))
         except StoreError:
             self._lone_reads.failed(self._topic)
             raise
         self._lone_reads.served(self._topic)
         log.bind(topic=self._topic, age_s=round(age_s, 3)).info(
-            "told nothing for too long, read the topic"
+            "told that there is more, read the topic"
+            if lags
+            else "told nothing for too long, read the topic"
         )
         return is_news
 
--- a/src/balsamlift/peers/_shared_records.py
+++ b/src/balsamlift/peers/_shared_records.py
@@ -26,6 +26,11 @@
 SENDABLE_BYTES_PER_S = 200_000.0
 
 
+def is_too_large(configuration: bytes) -> bool:
+    """Tell whether hosts that lag have to read it from the store."""
+    return len(configuration) > SENDABLE_BYTES
+
+
 class Position(msgspec.Struct, frozen=True, array_like=True):
     """Hold how far a host knows the platform's records."""
 
@@ -41,6 +46,7 @@
     configuration: bytes = b""  # as operators wrote it
     listed: TopicNews | None = None
     evacuations: EvacuationNews | None = None  # as old as the version
+    must_read: bool = False  # the configuration is too large to be told
 
 
 class ConfigurationCopy(Protocol):
@@ -122,6 +128,7 @@
             configuration=self._sendable(self._sources.copy, position),
             listed=listed,
             evacuations=self._sources.evacuations.news,
+            must_read=is_too_large(self._sources.copy.encoded),
         )
 
     def take(self, answer: RecordsAnswer | None, asked_s: float) -> None:
@@ -136,6 +143,8 @@
             )
         if answer.configuration:
             self._sources.offer(answer.configuration)
+        if answer.must_read and answer.version > self._sources.copy.offset:
+            self._sources.configuration.read_soon()
         is_newest = (
             answer.evacuations is not None
             and self._sources.copy.offset >= answer.version > 0
--- a/src/balsamlift/peers/_sharing.py
+++ b/src/balsamlift/peers/_sharing.py
@@ -7,11 +7,15 @@
 from balsamlift.clock import Clock
 from balsamlift.peers._heard import Heard
 from balsamlift.peers._messages import Shared
+from balsamlift.peers._shared_records import is_too_large
 from balsamlift.peers._upstreams import Upstreams
 
 # A host that reads the platform itself has a new configuration within some
 # 10 ms; one that lags for longer is told, and again if that was lost.
 BEHIND_S = 0.4
+# The same for one that is large: its reader has to be done before others send
+# it too, over the same link.
+BEHIND_LARGE_S = 2.0
 AGAIN_S = 1.0
 
 
@@ -67,8 +71,11 @@
             return b""
         now_s = self._clock.monotonic()
         since_s = self._behind_s.setdefault(host, now_s)
-        if now_s - since_s < BEHIND_S:
+        configuration = self._read()
+        is_large = is_too_large(configuration)
+        wait_s = BEHIND_LARGE_S if is_large else BEHIND_S
+        if now_s - since_s < wait_s:
             return b""
         # Wait before it is sent again: it is on its way.
-        self._behind_s[host] = now_s + AGAIN_S - BEHIND_S
-        return self._read()
+        self._behind_s[host] = now_s + AGAIN_S - wait_s
+        return configuration
--- a/tests/test_peers_follower.py
+++ b/tests/test_peers_follower.py
@@ -343,3 +343,29 @@
         assert world.told.age_s < 1
 
     run(test)
+
+
+def test_a_configuration_too_large_to_be_told_is_read_at_once() -> None:
+    """Once, whatever was written meanwhile, and only by hosts that lack it."""
+
+    async def test(world: World) -> None:
+        world.read_store.append("a", b"1")
+        await world.reader.follow()
+        world.ask()
+        assert await world.told.follow()
+        world.is_settled = False  # nothing is told of records
+        world.reader_copy.encoded = bytes(int(SENDABLE_BYTES) + 1)
+        world.ask()
+        following = asyncio.create_task(world.told.follow())
+        await asyncio.sleep(0.05)
+        assert world.told_store.calls == 0
+        for n in (2, 3):
+            world.read_store.append("a", b"%d" % n)
+            world.reader_copy.offset = n
+        world.ask()
+        await asyncio.sleep(0.05)
+        assert following.done()
+        assert world.told.values() == {"a": b"3"}
+        assert world.told_store.calls == 1
+
+    run(test)
--- a/tests/test_peers_sharing.py
+++ b/tests/test_peers_sharing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Awaitable, Callable
 
 from balsamlift._http import HttpClient
@@ -18,6 +19,8 @@
     Peers,
     Upstreams,
 )
+from balsamlift.peers._shared_records import SENDABLE_BYTES
+from balsamlift.peers._sharing import BEHIND_LARGE_S
 from balsamlift.relay import Routing
 from balsamlift.settings import (
     PeerSettings,
@@ -256,3 +259,16 @@
         assert known == [{"north"}]
 
     run(scenario)
+
+
+def test_a_large_configuration_is_left_to_the_store_for_a_while() -> None:
+    """Sent by all partners at once, it holds up all else on a small link."""
+
+    async def scenario(one: Host, two: Host) -> None:
+        one.take(b"5")
+        one.routing.encoded = b"5".ljust(int(SENDABLE_BYTES) + 1)
+        lagged_s = time.monotonic()
+        await until(lambda: two.routing.offset == 5)
+        assert time.monotonic() - lagged_s >= BEHIND_LARGE_S
+
+    run(scenario)
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -37,6 +37,8 @@
 PAUSE_S = 0.2  # after a read, and after one in vain
 DEAD_S = 1.5  # until all hosts know that one has died
 KNOWN_WITHIN_S = 60.0  # virtual time passes without an end otherwise
+LINK_BYTES_PER_S = 600_000.0  # of the smallest hosts, half in use
+LISTED_FACTOR = 4 / 3  # in base64
 NOBODY: frozenset[str] = frozenset()
 CONFIGURATION, LISTED = "configuration", "listed"
 
@@ -61,6 +63,7 @@
     def __init__(self) -> None:
         self.records: dict[str, list[Record]] = {CONFIGURATION: [], LISTED: []}
         self.changed = asyncio.Event()
+        self.version_bytes = 1
         self.calls = 0
         self.refused: frozenset[str] = NOBODY
         self.unanswered: frozenset[str] = NOBODY
@@ -100,6 +103,10 @@
 
     async def newest(self, topic: str) -> Newest:
         await self._call()
+        if topic == CONFIGURATION:
+            await asyncio.sleep(
+                self._store.version_bytes * LISTED_FACTOR / LINK_BYTES_PER_S
+            )
         return self._store.newest(topic)
 
     async def read(self, topic: str, start: int, wait_ms: int) -> Newest:
@@ -112,6 +119,10 @@
             await asyncio.sleep(SILENCE_S)
             raise StoreError("no answer")
         records = self._store.records[topic]
+        versions = sum(record.key == "k" for record in records[start:])
+        if topic == CONFIGURATION:
+            size = versions * self._store.version_bytes
+            await asyncio.sleep(size / LINK_BYTES_PER_S)
         return Newest(records[start:], len(records))
 
     async def _call(self) -> None:
@@ -143,12 +154,13 @@
 class Copy:
     """The configuration in force at one host."""
 
-    def __init__(self) -> None:
+    def __init__(self, store: Store) -> None:
+        self._store = store
         self.offset = 0
 
     @property
     def encoded(self) -> bytes:
-        return b"%d" % self.offset
+        return (b"%d" % self.offset).ljust(self._store.version_bytes)
 
     def offer(self, data: bytes) -> None:
         self.offset = max(self.offset, int(data))
@@ -161,7 +173,7 @@
         clock = LoopClock()
         self.name = name
         self.is_well = True  # else dead or frozen
-        self.copy = Copy()
+        self.copy = Copy(cluster.store)
         self.evacuations = Evacuations()
         store = StoreOf(cluster.store, name)
         self.configuration = Follower(
@@ -451,3 +463,25 @@
         assert took_s < 4
 
     run(test, GROWN, 87)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("size", [40_000, 330_000, 460_000])
+def test_a_large_configuration_is_known_in_time(size: int, seed: int) -> None:
+    """Two in quick succession, too large to be told by the host asked.
+
+    Hosts that were told waited until what they knew was too old, and then
+    read both over a small link.
+    """
+
+    async def test(cluster: Cluster) -> None:
+        rng = random.Random(seed)
+        await asyncio.sleep(rng.uniform(0, 5))
+        cluster.store.version_bytes = size
+        cluster.store.append(CONFIGURATION)
+        await asyncio.sleep(0.88)
+        cluster.store.append(CONFIGURATION)
+        took_s = await cluster.until_known(cluster.well())
+        assert took_s <= GROWN.apply_ms / 1_000
+
+    run(test, GROWN, 87)
