End the tasks that gather counts without an error

A listener that prints errors which nobody takes up, collected after each test, named `Gatherer._keep_answering` ("'NoneType' object is not subscriptable", 5 of 13 tests of gathering): it is asked for the next message of a context that `stop` has just closed. Collected while hypothesis parses source, such an error makes Python 3.11 lose count.

Change: the tasks look whether the address is open still.

--- a/src/balsamlift/peers/_gatherer.py
+++ b/src/balsamlift/peers/_gatherer.py
@@ -58,6 +58,7 @@
         self._told_s: dict[str, float] = {}
         self._contexts: list[pynng.Context] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._is_open = True
 
     def start(self) -> None:
         """Begin to answer."""
@@ -69,6 +70,7 @@
 
     async def stop(self) -> None:
         """Close the address."""
+        self._is_open = False  # a closed context cannot be asked
         for context in self._contexts:
             context.close()  # first: one cannot be closed after its socket
         self._rep.close()
@@ -101,7 +103,7 @@
         return True
 
     async def _keep_answering(self, context: pynng.Context) -> None:
-        while True:
+        while self._is_open:
             try:
                 update = decode_update(await context.arecv())
                 self.take(self._own())
--- a/tests/test_peers_gathering.py
+++ b/tests/test_peers_gathering.py
@@ -1,6 +1,7 @@
 """Counts of many hosts, gathered at one of them."""
 
 import asyncio
+import gc
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
@@ -322,3 +323,23 @@
             task.cancel()
 
     run(test)
+
+
+def test_one_that_stops_as_it_starts_ends_its_tasks_without_an_error() -> None:
+    """Errors that nobody takes up come out when their task is collected."""
+    errors: list[dict[str, object]] = []
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        for pause_s in (None, 0.0, 0.01):
+            gatherer = Told().gatherer
+            gatherer.start()
+            if pause_s is not None:
+                await asyncio.sleep(pause_s)
+            await gatherer.stop()
+            del gatherer
+            gc.collect()
+
+    asyncio.run(main())
+    assert errors == []
