--- a/src/balsamlift/relay/_link_turn.py
+++ b/src/balsamlift/relay/_link_turn.py
@@ -9,8 +9,8 @@
 from balsamlift.exceptions import UpstreamError
 from balsamlift.peers import Upstream
 from balsamlift.relay._balance import Balancer, link_key
+from balsamlift.relay._departure import Departure, place_in_line
 from balsamlift.relay._engines import EngineCalls
-from balsamlift.relay._evacuation import Departure, place_in_line
 
 # Between two looks at whether the link is free.
 POLL_S = 0.01
--- a/src/balsamlift/relay/_move.py
+++ b/src/balsamlift/relay/_move.py
@@ -9,8 +9,8 @@
 from balsamlift.exceptions import UpstreamError
 from balsamlift.peers import Upstream
 from balsamlift.relay._claims import claim_room
+from balsamlift.relay._departure import copy_s
 from balsamlift.relay._engines import Copy, CopyRefusedError
-from balsamlift.relay._evacuation import copy_s
 from balsamlift.relay._job import Job
 from balsamlift.relay._link_turn import LinkTurn
 from balsamlift.relay._rooms import Holding
--- a/tests/test_relay_evacuation.py
+++ b/tests/test_relay_departure.py
@@ -5,7 +5,7 @@
 import pytest
 
 from balsamlift.relay import EngineTraits, Run
-from balsamlift.relay._evacuation import (
+from balsamlift.relay._departure import (
     LEAST_NOTICE_S,
     Departure,
     copy_s,
