--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -91,14 +91,12 @@
         """Return what the other hosts' part of a load rests on."""
         return self._peers.counts_basis
 
-    @property
-    def knows_load(self) -> bool:
-        """Tell whether a load holds what other hosts placed just before."""
-        return self._peers.counts_basis in ("heard", "gathered")
-
-    def draw(self, upstreams: Sequence[Upstream], most: int) -> list[Upstream]:
-        """Return some of them at random, in random order."""
-        return self._random.sample(upstreams, min(most, len(upstreams)))
+    def draw(
+        self, upstreams: Sequence[Upstream], most: int | None
+    ) -> list[Upstream]:
+        """Return some of them, all by default, in random order."""
+        number = len(upstreams) if most is None else min(most, len(upstreams))
+        return self._random.sample(upstreams, number)
 
     def own_load(self, upstream: str) -> int:
         """Return what this host has in flight there."""
--- a/src/balsamlift/relay/_rooms.py
+++ b/src/balsamlift/relay/_rooms.py
@@ -11,29 +11,15 @@
 from balsamlift.peers import Upstream
 from balsamlift.relay._balance import Balancer, backup_key, prefill_key
 from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._placing import STANDARD, PlacingPolicy
 from balsamlift.relay._scope import Scope
 
-# Memory of an engine that is given out, by what generations are expected to
-# have at their ends: they do not all end at once.
-FILLED_PART = 1.0
 # An engine that is filled beyond this keeps no backups: they take the links
 # between engines from moves.
 BACKUP_FILLED_PART = 0.5
 # No engine keeps any while those of the pool together are filled beyond this:
 # one that has just come up would be sent backups of all.
 BACKUP_POOL_FILLED_PART = 0.6
-# Hosts that do not know what the others have placed all see the same engine as
-# the emptiest. The better of so many at random spreads their work.
-DRAWN_BLINDLY = 2
-# Prompts that wait to be read weigh this much more than memory in use: they
-# hold up the first token of whatever comes after them.
-PREFILL_WEIGHT = 1.5
-# How much more memory in use elsewhere outweighs the bytes between failure
-# domains, as a part of an engine's memory.
-OTHER_DOMAIN_PART = 0.05
-# The same for what leaves an engine: copies between failure domains take twice
-# as long, of the little time that there is.
-COPY_PART = 1.0
 
 
 @attrs.define(eq=False)
@@ -83,9 +69,12 @@
 class Rooms:
     """Give out the memory of engines, the most urgent first."""
 
-    def __init__(self, balancer: Balancer) -> None:
+    def __init__(
+        self, balancer: Balancer, policy: PlacingPolicy = STANDARD
+    ) -> None:
         """Count memory as `balancer` does, in tokens."""
         self._balancer = balancer
+        self._policy = policy
         self._waiting: list[tuple[tuple[int, int], _Waiting]] = []
         self._numbers = itertools.count()
         balancer.on_release(self.look)
@@ -97,13 +86,16 @@
         tokens: int,
         tried: Collection[str] = (),
         near: str = "",
-        filled_part: float = FILLED_PART,
+        filled_part: float | None = None,
     ) -> Upstream | None:
         """Return the engine with the most room for `tokens`, if any has.
 
         Prefers the failure domain `near`; by default that of this host.
-        Fills an engine up to `filled_part` of its memory.
+        Fills an engine up to `filled_part` of its memory, or as the policy
+        says.
         """
+        if filled_part is None:
+            filled_part = self._policy.filled_part
         most = traits.memory_tokens * filled_part - tokens
         fitting = [
             u
@@ -112,12 +104,16 @@
         ]
         if not fitting:
             return None
-        most_drawn = len(fitting)
-        if not self._balancer.knows_load:
-            most_drawn = DRAWN_BLINDLY
-        drawn = self._balancer.draw(fitting, most_drawn)
+        drawn = self._balancer.draw(fitting, self._most_drawn())
         return min(drawn, key=lambda u: self._cost(u, traits, near))
 
+    def _most_drawn(self) -> int | None:
+        """Return of how many engines the best is taken; None: of all."""
+        basis = self._balancer.counts_basis
+        if basis in ("old", "scaled"):
+            return self._policy.drawn_blindly
+        return None
+
     def hold(self, upstream: Upstream, tokens: int) -> Holding:
         """Hold memory of an engine for what is sent there now."""
         self._balancer.sending(upstream)
@@ -167,7 +163,9 @@
         """
         if self._balancer.is_closed(scope):
             return None
-        tokens = min(tokens, int(traits.memory_tokens * FILLED_PART))
+        tokens = min(
+            tokens, int(traits.memory_tokens * self._policy.filled_part)
+        )
         if not self._must_wait(scope, priority):
             upstream = self.find(scope, traits, tokens, tried)
             if upstream is not None:
@@ -225,10 +223,11 @@
     def _cost(
         self, upstream: Upstream, traits: EngineTraits, near: str
     ) -> float:
+        policy = self._policy
         load = self._filled(upstream) / traits.memory_tokens
         unread = self._balancer.load(prefill_key(upstream.name))
-        load += unread / traits.memory_tokens * PREFILL_WEIGHT
+        load += unread / traits.memory_tokens * policy.prefill_weight
         failures = self._balancer.failure_share(upstream.name)
-        part = COPY_PART if near else OTHER_DOMAIN_PART
+        part = policy.copy_part if near else policy.other_domain_part
         domain = self._balancer.domain_cost(upstream, near) * part
         return load + failures + domain
--- a/tests/test_relay_claims.py
+++ b/tests/test_relay_claims.py
@@ -16,7 +16,8 @@
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._claims import FILLED_BY_MOVES_PART, claim_room
 from balsamlift.relay._job import Job
-from balsamlift.relay._rooms import FILLED_PART, Holding, Rooms
+from balsamlift.relay._placing import STANDARD
+from balsamlift.relay._rooms import Holding, Rooms
 from balsamlift.relay._tools import Tools
 
 TRAITS = EngineTraits(memory_tokens=10_000, can_move=True)
@@ -100,7 +101,7 @@
 
 def test_what_leaves_finds_room_where_newcomers_do_not() -> None:
     """Else all engines are full as one gives notice, and it is lost."""
-    used = round(TRAITS.memory_tokens * FILLED_PART) - TOKENS // 2
+    used = round(TRAITS.memory_tokens * STANDARD.filled_part) - TOKENS // 2
 
     async def test() -> None:
         (holding,) = await claim_at_once(1, engines=1, used=used, seed=1)
--- a/tests/test_relay_filling.py
+++ b/tests/test_relay_filling.py
@@ -20,7 +20,8 @@
 from balsamlift.peers import CountsBasis, Peers, Place, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._rooms import FILLED_PART, Holding, Rooms
+from balsamlift.relay._placing import STANDARD
+from balsamlift.relay._rooms import Holding, Rooms
 
 MEMORY_TOKENS = 21_800
 TRAITS = EngineTraits(memory_tokens=MEMORY_TOKENS)
@@ -169,7 +170,7 @@
     same time. Filled to 1.1, an engine has no memory left at 8 to 18% of all
     looks, to 1.0 at 1 to 4%.
     """
-    day = play(FILLED_PART, seed)
+    day = play(STANDARD.filled_part, seed)
     assert day.in_time >= 0.985 * day.asked
     assert day.overflows <= 0.05 * day.asked * ENGINES
     cautious = play(0.9, seed)
--- a/tests/test_relay_rooms.py
+++ b/tests/test_relay_rooms.py
@@ -12,10 +12,11 @@
 from balsamlift.peers import CountsBasis, Peers, Place, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer, backup_key
-from balsamlift.relay._rooms import FILLED_PART, Holding, Rooms
+from balsamlift.relay._placing import STANDARD
+from balsamlift.relay._rooms import Holding, Rooms
 
 TRAITS = EngineTraits(memory_tokens=10_000)
-MOST = int(TRAITS.memory_tokens * FILLED_PART)
+MOST = int(TRAITS.memory_tokens * STANDARD.filled_part)
 
 
 class OtherHosts:
@@ -201,6 +202,15 @@
     assert max(prompts.values()) <= READ_TOKENS_PER_S * TARGET_S
 
 
+def test_few_hosts_that_hear_one_another_take_the_best() -> None:
+    engines = {f"e{n}": "north" for n in range(28)}
+    for seed in range(20):
+        bench = Bench(seed=seed, **engines)
+        for name in list(engines)[1:]:
+            bench.others.counts[name] = 1_000
+        assert bench.find(1_000) == "e0"
+
+
 def test_equals_are_chosen_alike() -> None:
     found: Counter[str | None] = Counter()
     for seed in range(300):
