Look at an upstream's words only where hosts have seen it fail

Cause: a profile of a choice among 28 engines: half of 108 us went into verdicts, three counts an engine. Change: whoever sees one fail counts it as on trial too, so one count passes most over.

--- a/src/balsamlift/relay/_words.py
+++ b/src/balsamlift/relay/_words.py
@@ -162,10 +162,13 @@
 
     def avoided(self, pool: Collection[str]) -> set[str]:
         """Return those of a pool that this host is to send nothing now."""
+        # Whoever sees one fail counts it as on trial too: most are passed
+        # over by one look.
         avoided = {
             name
             for name in pool
-            if is_to_avoid(
+            if self._count(trial_key(name)) >= FEWEST_FAILING
+            and is_to_avoid(
                 self.verdict(name), functools.partial(self._place_for, name)
             )
         }
