Log which upstreams are avoided, and scale up no host's word

Cause: read as a newcomer: a change of belief without a line, and a host that goes by a few partners' counts, scaled up, would take one partner's word for that of forty. Change: one line as an upstream is avoided, one as it is no more; words count only where all hosts' are known.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -72,7 +72,7 @@
         self._words = Words(
             peers.set_in_flight,
             peers.tell_counts,
-            peers.in_flight,
+            self._told_words,
             peers.place_for,
         )
         upstreams.on_change(self._forget)
@@ -157,6 +157,15 @@
         ]
         return sound or listed
 
+    def _told_words(self, key: str) -> int:
+        """Return how many other hosts tell that.
+
+        Scaled up from a few partners, one host's word would count as many.
+        """
+        if self._peers.counts_basis == "scaled":
+            return 0
+        return self._peers.in_flight(key)
+
     def _tolerates(self, upstream: Upstream) -> bool:
         return self._cold_starts is None or self._cold_starts.allows(upstream)
 
--- a/src/balsamlift/relay/_words.py
+++ b/src/balsamlift/relay/_words.py
@@ -12,9 +12,12 @@
 from collections.abc import Callable, Collection
 
 import attrs
+from loguru import logger
 
 from balsamlift.peers import Place
 
+log = logger.bind(part="upstreams")
+
 # For how long what a host saw counts; a failure soon after others of the
 # same upstream counts for twice as long.
 FAILING_S = 4.0
@@ -116,6 +119,7 @@
         self._own: dict[str, _Word] = {}
         self._published: frozenset[str] = frozenset()
         self._failed_in_a_row: set[str] = set()
+        self._avoided: set[str] = set()  # as last logged
 
     def saw(self, upstream: str, now_s: float, *, is_failing: bool) -> None:
         """Note what came of a request; tell of a failure at once."""
@@ -144,6 +148,7 @@
             is_new = word.counts(now_s) or self._is_on_trial(name, now_s)
             if not is_new or name not in live:
                 del self._own[name]
+        self._avoided &= set(live)
         self._publish(now_s)
 
     def _is_on_trial(self, name: str, now_s: float) -> bool:
@@ -173,9 +178,22 @@
             )
         }
         if len(avoided) > len(pool) * MOST_BROKEN_PART:
-            return set()
+            avoided = set()
+        self._log_changes(pool, avoided)
         return avoided
 
+    def _log_changes(self, pool: Collection[str], avoided: set[str]) -> None:
+        before = self._avoided & set(pool)
+        for name in avoided ^ before:
+            verdict = self.verdict(name)
+            log.bind(
+                upstream=name,
+                hosts_failing=verdict.failing,
+                hosts_serving=verdict.serving,
+                hosts_careful=verdict.on_trial,
+            ).info("avoided" if name in avoided else "avoided no more")
+        self._avoided = (self._avoided - before) | avoided
+
     def _count(self, key: str) -> int:
         return self._told(key) + (key in self._published)
 
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -247,6 +247,15 @@
     calling.cancel()
 
 
+async def told_to_fail(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    words = {"model-0/failing": 2, "model-0/trial": 2}
+    world.peers._load.heard.take("another", words, full=True)
+    behave(stand_ins, stream)
+    await world.call("/draft/1", headers=USAGE)
+
+
 PLACED = ("request", "upstream", "tokens", "load", "counts", "waited_ms")
 ENDED = ("request", "route", "service", "version", "took_ms")
 EXPECTED = [
@@ -268,6 +277,7 @@
     Expected(engines_reset, "left alone: ", ("request", "out_ms")),
     Expected(engines_reset, "engine gave no answer", ENDED),
     Expected(engines_repeat, "", ("request",)),
+    Expected(told_to_fail, "avoided", ("upstream", "hosts_failing")),
     Expected(no_room, "no room", ENDED),
     Expected(caller_leaves, "caller gone", ENDED),
     Expected(goes_on_at_backup, "went on", ("request", "target", "event")),
--- a/tests/test_relay_words.py
+++ b/tests/test_relay_words.py
@@ -10,6 +10,7 @@
 from _listed_engines import SCOPE, engines_of_one_domain
 from _shared_counts import Counts, HostCounts
 from _virtual_time import LoopClock, run_virtual
+from loguru import logger
 
 from balsamlift.peers import Peers, Place, Upstreams
 from balsamlift.relay import EngineTraits
@@ -277,3 +278,44 @@
         told.others[f"{name}/failing"] = told.others[f"{name}/trial"] = 3
     assert told.words.avoided("abcdef") == set("abc")
     assert told.words.avoided("abcde") == set()
+
+
+def test_one_partners_word_is_not_scaled_up_to_that_of_many() -> None:
+    counts = Counts(87)
+    host = HostCounts(counts, 1)
+    host._others.update({"e0/failing": 43, "e0/trial": 43})
+    balancer = Balancer(
+        cast(Upstreams, engines_of_one_domain(4)),
+        cast(Peers, host),
+        LoopClock(),
+        random.Random(1),
+        "north",
+    )
+
+    async def test() -> None:
+        assert len(balancer.usable(SCOPE, ())) == 3
+        host.basis = "scaled"
+        assert len(balancer.usable(SCOPE, ())) == 4
+
+    run_virtual(test)
+
+
+def test_each_upstream_that_is_avoided_is_logged_once() -> None:
+    lines: list[tuple[str, dict[str, object]]] = []
+    sink = logger.add(
+        lambda message: lines.append(
+            (message.record["message"], message.record["extra"])
+        )
+    )
+    told = Told()
+    told.others["a/failing"] = told.others["a/trial"] = 3
+    try:
+        for _ in range(3):
+            assert told.words.avoided("abc") == {"a"}
+        told.others.clear()
+        assert told.words.avoided("abc") == set()
+    finally:
+        logger.remove(sink)
+    assert [text for text, _ in lines] == ["avoided", "avoided no more"]
+    assert lines[0][1]["hosts_failing"] == 3
+    assert lines[0][1]["upstream"] == "a"
