--- a/src/balsamlift/relay/_rooms.py
+++ b/src/balsamlift/relay/_rooms.py
@@ -204,15 +204,15 @@
             upstream = self.find(
                 entry.scope, entry.traits, entry.tokens, entry.tried
             )
-            if upstream is None:
+            if upstream is not None:
+                self._waiting.remove(place)
+                entry.placed.set_result(self.hold(upstream, entry.tokens))
+            elif self._balancer.is_closed(entry.scope):
+                self._waiting.remove(place)
+                entry.placed.set_result(None)
+            else:
                 # Smaller work behind it must not starve it.
                 blocked.add(entry.scope)
-                if self._balancer.is_closed(entry.scope):
-                    self._waiting.remove(place)
-                    entry.placed.set_result(None)
-                continue
-            self._waiting.remove(place)
-            entry.placed.set_result(self.hold(upstream, entry.tokens))
 
     def _must_wait(self, scope: Scope, priority: int) -> bool:
         return any(
--- a/tests/test_relay_evacuated.py
+++ b/tests/test_relay_evacuated.py
@@ -97,12 +97,20 @@
             large = [f"{NAMES.token_usage}: 9000,900"]
             first = asyncio.create_task(world.call("/draft/1", headers=large))
             await until_arrived([stand_in])
-            second = asyncio.create_task(world.call("/draft/2", headers=large))
+            waiting = [
+                asyncio.create_task(
+                    world.call("/draft/2", f"w{n}", headers=large)
+                )
+                for n in range(6)
+            ]
             await asyncio.sleep(0.1)
-            assert not second.done()
+            assert not any(task.done() for task in waiting)
             evacuate(world, 1, "north")
-            answer = await second
-            assert answer.status == 503
+            evacuated_s = time.monotonic()
+            answers = await asyncio.gather(*waiting)
+            # Within two looks, of 0.1 s; the target is 1 s.
+            assert time.monotonic() - evacuated_s < 0.4
+            assert {answer.status for answer in answers} == {503}
             assert len(stand_in.arrivals) == 1
             first.cancel()
 
