--- a/src/balsamlift/_log_sink.py
+++ b/src/balsamlift/_log_sink.py
@@ -6,8 +6,6 @@
 import os
 from collections import deque
 
-# A host on a crowded day writes some 20 lines of 300 bytes a second: a reader
-# may stand still for half a minute before a line is lost.
 MOST_HELD_BYTES = 256_000
 
 
--- a/tests/test_relay_words.py
+++ b/tests/test_relay_words.py
@@ -18,9 +18,7 @@
 from balsamlift.relay._rooms import Rooms
 from balsamlift.relay._words import (
     FAILING_S,
-    FEWEST_FAILING,
     FIRST_HOSTS,
-    LONGEST_FAILING_S,
     ONE_WORD_SHARE,
     OWN_TROUBLE,
     SERVING_S,
@@ -137,7 +135,7 @@
     """Two of 28 engines reset all requests for a while.
 
     They took a third of all generations before. At most a tenth of their
-    share is to be lost, once two hosts have found out which they are.
+    share is to be lost, once it is known which they are.
     """
 
     async def test() -> None:
@@ -147,7 +145,7 @@
         course = await pool.play(30.0)
         pool.stop()
         share = len(BROKEN) / ENGINES
-        first = len(BROKEN) * FEWEST_FAILING
+        first = len(BROKEN)
         assert course.lost.total() <= first + course.begun * share / 10
         assert course.refused == 0
 
@@ -162,7 +160,7 @@
         pool.broken = BROKEN
         await pool.play(5.6)
         pool.broken = set()
-        await pool.play(LONGEST_FAILING_S)
+        await pool.play(FAILING_S * 2)
         loads = Counter(dict.fromkeys(BROKEN, 0))
         for _ in range(20):
             await pool.play(0.5)
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -466,7 +466,7 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-@pytest.mark.parametrize("size", [40_000, 330_000, 460_000])
+@pytest.mark.parametrize("size", [40_000, 330_000, 460_000, 600_000])
 def test_a_large_configuration_is_known_in_time(size: int, seed: int) -> None:
     """Two in quick succession, too large to be told by the host asked.
 
