Log timings and versions that explain a late configuration

The log did not show how long each read of the store took, how a topic failed once it was already lost, when a host first learned of a newer version, or the time spent decoding and indexing.

Log the following:

- each successful answer of the store of 50,000 bytes or more, with its size and duration;
- a topic that is already lost and fails in a different way;
- the first report of a version newer than any that the host knows;
- for a configuration that comes into force, its size, the time to decode and to index it, and how long it had been known to exist;
- for each refusal by the configuration, the version in force, the newest version known and the time since the configuration was last confirmed as current.

Only logging changes. Tests of the log lines are in test_platform_store.py and test_relay_decisions.py.

--- a/src/balsamlift/_http.py
+++ b/src/balsamlift/_http.py
@@ -33,6 +33,7 @@
         """Keep the address called and whether bytes may have left."""
         super().__init__(f"{url}: {message}")
         self.url = url
+        self.reason = message
         self.sent = sent
 
 
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -109,6 +109,7 @@
             settings.peers, clock, rng, self._compose, self._silent
         )
         self._on_change: list[Callable[[], None]] = []
+        self._on_version: list[Callable[[int, str], None]] = []
         self._configuration = ConfigurationFinder()
         self.sharing = Sharing(clock)
         self._tasks: list[asyncio.Task[None]] = []
@@ -139,6 +140,7 @@
             timeline=self._timeline,
             addresses=self._addresses,
             on_member=self._member_changed,
+            on_version=self._version_received,
         )
         self._tasks = [
             asyncio.create_task(self._keep_receiving()),
@@ -261,6 +263,14 @@
         """Call back after each change of a host."""
         self._on_change.append(callback)
 
+    def on_version(self, callback: Callable[[int, str], None]) -> None:
+        """Call back with each configuration version received, and its host."""
+        self._on_version.append(callback)
+
+    def _version_received(self, version: int, host: str) -> None:
+        for callback in self._on_version:
+            callback(version, host)
+
     def _peer(self, member: Member) -> Peer:
         heard = self._heard.find_incarnation(member.host, member.incarnation)
         return describe(member, heard)
--- a/src/balsamlift/peers/_receiver.py
+++ b/src/balsamlift/peers/_receiver.py
@@ -31,6 +31,7 @@
     _timeline: Timeline
     _addresses: Callable[[], Mapping[str, str]]  # of all other hosts
     _on_member: Callable[[str], None]  # after the entry of a host changed
+    _on_version: Callable[[int, str], None]  # configuration version, host
 
     def take(self, message: PeerMessage) -> None:
         """Take one message in, unless it is from before a restart."""
@@ -48,6 +49,7 @@
         # serve by that alone.
         if message.evacuations is not None:
             self._upstreams.evacuations.offer(message.evacuations, "peer")
+        self._on_version(message.offset, message.host)
         self._sharing.take(message.shared, self._upstreams)
         self._correct(message)
         self._answer(message)
--- a/src/balsamlift/peers/_shared_records.py
+++ b/src/balsamlift/peers/_shared_records.py
@@ -61,6 +61,10 @@
         """Return it as operators wrote it."""
 
 
+def _ignore_version(version: int) -> None:
+    del version
+
+
 @attrs.frozen(kw_only=True)
 class Sources:
     """Hold what a host answers from, and where answers of others go."""
@@ -71,6 +75,7 @@
     offer: Callable[[bytes], None]  # a configuration, maybe a newer one
     is_settled: Callable[[], bool]  # entries of the list lapse no more
     evacuations: Evacuations  # in the topic of the configuration
+    note_version: Callable[[int], None] = _ignore_version  # in an answer
 
 
 class SharedRecords:
@@ -141,6 +146,7 @@
             self._sources.evacuations.offer(
                 answer.evacuations, "peer", answer.version_age_ms
             )
+        self._sources.note_version(answer.version)
         if answer.configuration:
             self._sources.offer(answer.configuration)
         if answer.must_read and answer.version > self._sources.copy.offset:
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -57,8 +57,8 @@
             settings.host, clock, settings.limits.timeline_events
         )
         http = HttpClient(most_calls=MOST_STORE_CALLS)
-        store = Store(node.store_address, http)
-        self._routing = routing = Routing()
+        store = Store(node.store_address, http, clock)
+        self._routing = routing = Routing(clock)
         self.frontend = Frontend(node.callers_address, clock)
         self._listed = UpstreamsSource(store, clock, node.list_pace)
         self.upstreams = Upstreams(settings, clock, http, self._listed)
@@ -96,6 +96,8 @@
         )
         for service in services:
             self.kernel.register(service)
+        routing.set_age_source(lambda: self._configuration.follower.age_s)
+        self.peers.on_version(routing.note_version)
         self.peers.sharing.connect(
             lambda: routing.encoded,
             lambda data: offer(routing, data, "peer"),
@@ -110,6 +112,9 @@
             offer=lambda data: offer(self._routing, data, "peer"),
             is_settled=lambda: self.upstreams.is_settled,
             evacuations=self.upstreams.evacuations,
+            note_version=lambda version: self._routing.note_version(
+                version, "peer"
+            ),
         )
         lone_reads = LoneReads(self._clock)
         for follower in (sources.configuration, sources.listed):
--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import re
 import struct
 from urllib.parse import urlencode
 
@@ -10,6 +11,7 @@
 from loguru import logger
 
 from balsamlift._http import Answer, CallError, HttpClient
+from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import HistoryLostError, StoreError
 from balsamlift.peers import Newest, Record
 
@@ -18,10 +20,13 @@
 # A store that is slow still answers within this.
 SILENCE_MS = 1_000
 CONNECT_MS = 500
+# Answers of at least this size are logged with the time they took.
+LARGE_ANSWER_BYTES = 50_000
 _OK = 200
 _GONE = 410
 _NUMBERS = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
+_DIGITS = re.compile(r"\d+")
 
 
 class _Item(msgspec.Struct):
@@ -43,11 +48,15 @@
 class Store:
     """Read and append records; every call has its own bound on silence."""
 
-    def __init__(self, address: str, http: HttpClient) -> None:
+    def __init__(
+        self, address: str, http: HttpClient, clock: Clock | None = None
+    ) -> None:
         """Call the store at `address`, "IP:port"."""
         self._url = f"http://{address}"
         self._http = http
-        self._lost: set[str] = set()  # topics whose last call failed
+        self._clock = clock or SystemClock()
+        # Last failure by topic; times and sizes make no difference.
+        self._failure_kinds: dict[str, str] = {}
 
     async def newest(self, topic: str) -> Newest:
         """Return the newest record of each key; raise `StoreError`."""
@@ -102,6 +111,7 @@
         body: bytes = b"",
     ) -> Answer:
         url = f"{self._url}{path}?{urlencode(query)}"
+        sent_s = self._clock.monotonic()
         try:
             answer = await self._http.call(
                 method,
@@ -111,29 +121,41 @@
                 connect_ms=CONNECT_MS,
             )
         except CallError as error:
-            self._note(query["Topic"], error.message)
+            kind = _DIGITS.sub("", error.reason)
+            self._note(query["Topic"], error.message, kind)
             raise StoreError(error.message) from error
         if answer.status == _GONE:
             raise HistoryLostError(path)
         if answer.status != _OK:
-            self._note(query["Topic"], f"status {answer.status}")
+            status = f"status {answer.status}"
+            self._note(query["Topic"], f"{path}: {status}", status)
             raise StoreError(f"{path}: status {answer.status}")
-        self._note(query["Topic"], "")
+        self._note(query["Topic"])
+        if len(answer.body) >= LARGE_ANSWER_BYTES:
+            took_s = self._clock.monotonic() - sent_s
+            log.bind(
+                topic=query["Topic"],
+                start=query.get("From"),
+                size_bytes=len(answer.body),
+                took_ms=round(took_s * 1_000),
+            ).info("read a large answer")
         return answer
 
-    def _note(self, topic: str, trouble: str) -> None:
-        """Log when a topic is lost and when it is back.
+    def _note(self, topic: str, trouble: str = "", kind: str = "") -> None:
+        """Log when a topic is lost, fails differently, or is back.
 
         The store may serve some partitions and not others.
         """
-        if bool(trouble) == (topic in self._lost):
+        if kind == self._failure_kinds.get(topic, ""):
             return
-        if trouble:
-            self._lost.add(topic)
-            log.bind(topic=topic, reason=trouble).warning("store lost")
-        else:
-            self._lost.discard(topic)
+        was_lost = bool(self._failure_kinds.pop(topic, ""))
+        if not kind:
             log.bind(topic=topic).info("store is back")
+            return
+        self._failure_kinds[topic] = kind
+        log.bind(topic=topic, reason=trouble).warning(
+            "store still lost" if was_lost else "store lost"
+        )
 
 
 def _listed_record(item: _Item) -> Record:
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -113,12 +113,15 @@
     """Offer a configuration as operators wrote it."""
     if data == routing.encoded:
         return
+    began_s = routing.clock.monotonic()
     try:
         configuration = decode_configuration(data)
     except RecordError as error:
         log.bind(source=source).error("{}", error)
         return
-    routing.offer(configuration, data, source)
+    took_s = routing.clock.monotonic() - began_s
+    decode_ms = round(took_s * 1_000, 1)
+    routing.offer(configuration, data, source, decode_ms)
 
 
 class _Decoded(Generic[T]):
--- a/src/balsamlift/relay/_routing.py
+++ b/src/balsamlift/relay/_routing.py
@@ -4,10 +4,12 @@
 
 import random
 from collections.abc import Callable
+from math import inf
 
 import attrs
 from loguru import logger
 
+from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import NotConfiguredError
 from balsamlift.kernel import Kernel
 from balsamlift.relay._configuration import (
@@ -97,6 +99,10 @@
     return rng.choices(names, weights)[0]
 
 
+def _unknown_age_s() -> float:
+    return inf
+
+
 class Routing:
     """Hold the newest configuration that this host has seen.
 
@@ -106,8 +112,12 @@
 
     name = "routing"
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
         """Begin without a configuration."""
+        self.clock = clock or SystemClock()
+        self._newest_reported = 0  # newest version reported by other hosts
+        self._reported_at_s = 0.0
+        self._age_source: Callable[[], float] = _unknown_age_s
         self._table: Table | None = None
         self._on_change: list[Callable[[Table], None]] = []
         self.encoded = b""  # as read, to pass on to peers
@@ -124,6 +134,30 @@
         """Return the version in force; 0 when there is none."""
         return self._table.version if self._table else 0
 
+    @property
+    def newest_version(self) -> int:
+        """Return the newest version known, whether or not it is in force."""
+        return max(self._newest_reported, self.offset)
+
+    @property
+    def age_s(self) -> float:
+        """Return the time since the configuration was confirmed as current."""
+        return self._age_source()
+
+    def set_age_source(self, age_s: Callable[[], float]) -> None:
+        """Read the age of the configuration from `age_s`."""
+        self._age_source = age_s
+
+    def note_version(self, version: int, source: str) -> None:
+        """Record and log a version newer than any known; ignore others."""
+        if version <= self.newest_version:
+            return
+        self._newest_reported = version
+        self._reported_at_s = self.clock.monotonic()
+        log.bind(version=version, in_force=self.offset, source=source).info(
+            "newer configuration reported"
+        )
+
     @property
     def is_configured(self) -> bool:
         """Tell whether there is a configuration."""
@@ -150,13 +184,21 @@
         return self._table
 
     def offer(
-        self, configuration: Configuration, encoded: bytes, source: str
+        self,
+        configuration: Configuration,
+        encoded: bytes,
+        source: str,
+        decode_ms: float | None = None,
     ) -> bool:
         """Take a configuration if it is newer; tell whether it was."""
         if configuration.version <= self.offset:
             return False
         before = self.offset
+        began_s = self.clock.monotonic()
         self._table = compile_table(configuration)
+        indexed_s = self.clock.monotonic()
+        was_reported = self._newest_reported >= configuration.version
+        known_for_s = indexed_s - self._reported_at_s if was_reported else 0.0
         self.encoded = encoded
         self.caught_up = True
         log.bind(
@@ -165,6 +207,10 @@
             source=source,
             routes=len(configuration.routes),
             workspaces=len(configuration.workspaces),
+            size_bytes=len(encoded),
+            decode_ms=decode_ms,
+            index_ms=round((indexed_s - began_s) * 1_000, 1),
+            known_for_ms=round(known_for_s * 1_000),
         ).info("configuration in force")
         for callback in self._on_change:
             callback(self._table)
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Mapping
+from math import isinf
 
 import attrs
 from loguru import logger
@@ -82,7 +83,7 @@
         self._metrics = kernel.find("metrics", Metrics)
         self._upstreams = kernel.find("upstreams", Upstreams)
         peers = self._peers = kernel.find("peers", Peers)
-        routing = kernel.find("routing", Routing)
+        routing = self._routing = kernel.find("routing", Routing)
         frontend = kernel.find("frontend", Frontend)
         names = self._settings.names
         self._pool = ConnectionPool(self._clock, self._metrics)
@@ -174,10 +175,14 @@
 
     def _log_refused(self, request: CallerRequest, refusal: Refusal) -> None:
         self._metrics.count(f"relay.refused.{refusal.status}")
+        age_s = self._routing.age_s
         log.bind(
             request=request.headers.get(self._settings.names.request_id, ""),
             status=refusal.status,
             path=request.target.partition("?")[0][:80],
+            version=self._routing.offset,
+            newest_version=self._routing.newest_version,
+            version_age_ms=None if isinf(age_s) else round(age_s * 1_000),
         ).info("{}", refusal.reason)
 
     def _log_outcome(self, call: Call, outcome: Outcome) -> None:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -105,6 +105,55 @@
     run(test)
 
 
+def collect_store_logs(lines: list[str]) -> int:
+    """Append the messages logged by the store; return the sink's id."""
+    return logger.add(
+        lambda line: lines.append(line.record["message"]),
+        filter=lambda record: record["extra"].get("part") == "store",
+    )
+
+
+def test_a_changed_kind_of_failure_is_logged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(store_module, "SILENCE_MS", 200)
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        lines: list[str] = []
+        sink = collect_store_logs(lines)
+        faults: tuple[Fault, ...] = ("busy", "many", "silent", "silent")
+        for stand_in.fault in faults:
+            with pytest.raises(StoreError):
+                await store.newest("keyed.t")
+            with pytest.raises(StoreError):
+                await store.read("keyed.t", 0, 0)
+        stand_in.fault = ""
+        await store.newest("keyed.t")
+        logger.remove(sink)
+        assert lines == [
+            "store lost",
+            "store still lost",
+            "store still lost",
+            "store is back",
+        ]
+
+    run(test)
+
+
+def test_only_large_answers_are_logged() -> None:
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        lines: list[str] = []
+        sink = collect_store_logs(lines)
+        size = store_module.LARGE_ANSWER_BYTES
+        for value in (b"1", b"1".ljust(size)):
+            stand_in.topic("keyed.t").append("k", value)
+            await store.read("keyed.t", 0, 0)
+        logger.remove(sink)
+        assert lines == ["read a large answer"]
+
+    run(test)
+
+
 def test_lost_history_has_its_own_type() -> None:
     async def test(stand_in: KeyedStore, store: Store) -> None:
         stand_in.topic("keyed.t").append("k", b"v")
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -256,13 +256,30 @@
     await world.call("/draft/1", headers=USAGE)
 
 
+async def newer_version_reported(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    world.routing.note_version(world.routing.offset + 1, "another")
+    await unknown_route(world, stand_ins)
+
+
+REFUSED = (
+    *("request", "status", "path"),
+    *("version", "newest_version", "version_age_ms"),
+)
+IN_FORCE = (
+    *("version", "source", "size_bytes"),
+    *("decode_ms", "index_ms", "known_for_ms"),
+)
+NEWER = ("version", "in_force", "source")
 PLACED = ("request", "upstream", "tokens", "load", "counts", "waited_ms")
 ENDED = ("request", "route", "service", "version", "took_ms")
 EXPECTED = [
-    Expected(unknown_key, "unknown key", ("request", "status", "path")),
-    Expected(unknown_route, "no route", ("request", "status", "path")),
+    Expected(unknown_key, "unknown key", REFUSED),
+    Expected(unknown_route, "no route", REFUSED),
     Expected(answered, "answered 200", (*ENDED, "upstream", "sends")),
-    Expected(answered, "configuration in force", ("version", "source")),
+    Expected(answered, "configuration in force", IN_FORCE),
+    Expected(newer_version_reported, "newer configuration reported", NEWER),
     Expected(lost_and_repeated, "left alone: ", ("request", "out_ms")),
     Expected(lost_and_repeated, "tries another", ("request", "sends")),
     Expected(late_and_repeated, "left alone: no answer", ("request",)),
