Test that a large answer may take longer than the silence limit

The tests fail: a read of 120 KB that arrives within 0.9 s, with no pause longer than 0.04 s, is aborted by a timeout of 0.3 s on the whole answer ("timed out after 300 milliseconds with 36864 out of 120022 bytes received").

--- a/src/balsamlift/testing/_keyed_store.py
+++ b/src/balsamlift/testing/_keyed_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import json
 import struct
 from typing import Literal
 
@@ -17,6 +18,7 @@
 _NUMBERS = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 _STATUS: dict[Fault, int] = {"busy": 503, "many": 429}
+CHUNK_BYTES = 4_096  # written and flushed at once
 PAGE = 3  # records a page, so that tests see several
 
 
@@ -54,6 +56,8 @@
         self.fault: Fault = ""
         self.silent_topics: set[str] = set()  # that answer nothing
         self.calls: list[str] = []
+        self.bytes_per_s: float | None = None  # None: no limit
+        self.stall_after_bytes: int | None = None  # in each answer
         self._server = HTTPServer(
             Application(
                 [
@@ -106,9 +110,23 @@
     def topic(self) -> Topic:
         return self.store.topic(self.get_query_argument("Topic"))
 
+    async def send_body(self, body: bytes) -> None:
+        """Send `body` at the rate set in the store, and stall where set."""
+        self.set_header("Content-Length", len(body))
+        rate = self.store.bytes_per_s
+        stall_after = self.store.stall_after_bytes
+        for start in range(0, len(body), CHUNK_BYTES):
+            if stall_after is not None and start >= stall_after:
+                await asyncio.Event().wait()
+            chunk = body[start : start + CHUNK_BYTES]
+            if rate is not None:
+                await asyncio.sleep(len(chunk) / rate)
+            self.write(chunk)
+            await self.flush()
+
 
 class _Newest(_Handler):
-    def get(self) -> None:
+    async def get(self) -> None:
         topic = self.topic()
         after = self.get_query_argument("After", "")
         keys = sorted(key for key in topic.newest if key > after)
@@ -120,13 +138,12 @@
             }
             for key in keys[:PAGE]
         ]
-        self.write(
-            {
-                "Items": items,
-                "HasMore": len(keys) > PAGE,
-                "EndOffset": topic.end,
-            }
-        )
+        page = {
+            "Items": items,
+            "HasMore": len(keys) > PAGE,
+            "EndOffset": topic.end,
+        }
+        await self.send_body(json.dumps(page).encode())
 
 
 class _Read(_Handler):
@@ -145,10 +162,11 @@
             self.set_status(410)
             self.write({"FirstOffset": topic.first})
             return
-        self.write(_NUMBERS.pack(topic.end, topic.first))
+        encoded = [_NUMBERS.pack(topic.end, topic.first)]
         for key, value in topic.records[start - topic.first :]:
             content = bytes([len(key)]) + key.encode() + value
-            self.write(_LENGTH.pack(len(content)) + content)
+            encoded.append(_LENGTH.pack(len(content)) + content)
+        await self.send_body(b"".join(encoded))
 
 
 class _Append(_Handler):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -19,7 +19,7 @@
     StoreError,
 )
 from balsamlift.kernel import Kernel
-from balsamlift.peers import Evacuations, Follower, Pace
+from balsamlift.peers import Evacuations, Follower, Newest, Pace
 from balsamlift.platform._decode import HostRecord
 from balsamlift.platform._names import (
     CONFIGURATION_KEY,
@@ -39,6 +39,7 @@
 from balsamlift.testing.platform import Fault, KeyedStore
 
 DEADLINE_S = 20.0
+MOST_CALLS = 8
 PACE = Pace(wait_ms=1_000, most_age_s=1.5)
 
 
@@ -46,7 +47,7 @@
     async def main() -> None:
         stand_in = KeyedStore()
         await stand_in.start()
-        store = Store(stand_in.address, HttpClient(most_calls=8))
+        store = Store(stand_in.address, HttpClient(most_calls=MOST_CALLS))
         try:
             async with asyncio.timeout(DEADLINE_S):
                 await test(stand_in, store)
@@ -154,6 +155,88 @@
     run(test)
 
 
+LARGE_BYTES = 120_000
+READS: list[Callable[[Store], Awaitable[Newest]]] = [
+    lambda store: store.newest("keyed.t"),
+    lambda store: store.read("keyed.t", 0, 0),
+]
+
+
+@pytest.mark.parametrize("read", READS)
+def test_a_large_answer_may_take_longer_than_the_silence_limit(
+    read: Callable[[Store], Awaitable[Newest]],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(store_module, "SILENCE_MS", 300)
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        stand_in.topic("keyed.t").append("k", b"1".ljust(LARGE_BYTES))
+        stand_in.bytes_per_s = LARGE_BYTES / 0.9
+        newest = await read(store)
+        value = newest.records[0].value
+        assert value is not None
+        assert len(value) == LARGE_BYTES
+
+    run(test)
+
+
+@pytest.mark.parametrize("read", READS)
+@pytest.mark.parametrize("bytes_per_s", [None, 4_096 * 8])
+def test_a_stalled_answer_is_aborted(
+    bytes_per_s: float | None,
+    read: Callable[[Store], Awaitable[Newest]],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(store_module, "SILENCE_MS", 300)
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        stand_in.topic("keyed.t").append("k", b"1".ljust(LARGE_BYTES))
+        stand_in.bytes_per_s = bytes_per_s
+        stand_in.stall_after_bytes = 20_000
+        began_s = time.monotonic()
+        with pytest.raises(StoreError):
+            await read(store)
+        assert time.monotonic() - began_s < 5
+        stand_in.stall_after_bytes = stand_in.bytes_per_s = None
+        assert len((await read(store)).records) == 1
+
+    run(test)
+
+
+def test_an_answer_below_the_minimum_rate_is_aborted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(store_module, "SILENCE_MS", 300)
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        stand_in.topic("keyed.t").append("k", b"1".ljust(LARGE_BYTES))
+        # One chunk every 250 ms: within the silence limit, but too slow.
+        stand_in.bytes_per_s = 4_096 * 4
+        began_s = time.monotonic()
+        with pytest.raises(StoreError):
+            await store.read("keyed.t", 0, 0)
+        assert time.monotonic() - began_s < 5
+
+    run(test)
+
+
+def test_aborted_calls_release_their_handles(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against later calls waiting for the handle of an aborted one."""
+    monkeypatch.setattr(store_module, "SILENCE_MS", 100)
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        stand_in.fault = "silent"
+        for _ in range(2 * MOST_CALLS):
+            with pytest.raises(StoreError):
+                await store.newest("keyed.t")
+        stand_in.fault = ""
+        assert (await store.newest("keyed.t")).records == []
+
+    run(test)
+
+
 def test_lost_history_has_its_own_type() -> None:
     async def test(stand_in: KeyedStore, store: Store) -> None:
         stand_in.topic("keyed.t").append("k", b"v")
