Limit the pauses of an answer of any size instead of its total time

Callers received 404 for a route that had been confirmed 4.1 s before.

Every call to the store had a timeout of one second in total. A read of 563,772 bytes over a link of 5 Mbit/s takes 0.9 s with no other traffic. Three hosts aborted it with nine tenths received, treated the store as lost, and started again from the first byte after up to 4 s. An answer larger than the link carries in one second could never be read. The general fault is a total timeout on an answer of unbounded size.

A read is now aborted when no byte has arrived within the silence limit, or when the answer arrives at less than 20,000 bytes per second after the first such interval. Otherwise it may take 60 s after its first-byte limit. The connection of an aborted call is shut down, so that its handle is free at once. The list of hosts, the log of presets and the fold requested from another host had the same fault and are read in the same way.

curl's own low-speed limit was ruled out: it works in whole seconds and counts the wait before the first byte.

--- a/src/balsamlift/_http.py
+++ b/src/balsamlift/_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -11,6 +12,8 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
+from balsamlift._streaming import StallLimits, StreamedBody, Transfer
+from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import BalsamliftError
 
 T = TypeVar("T")
@@ -21,6 +24,8 @@
 _NOT_SENT = frozenset(
     {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
 )
+# Limits an answer that does not stall, on top of the first-byte timeout.
+MAX_READ_S = 60.0
 
 
 class CallError(BalsamliftError):
@@ -66,6 +71,7 @@
         stamp: Callable[[], str] = _no_stamp,
         observe: Callable[[str], None] = _ignore_stamp,
         most_calls: int = MAX_CLIENTS,
+        clock: Clock | None = None,
     ) -> None:
         """Stamp each call and observe each answer's stamp.
 
@@ -76,6 +82,7 @@
         )
         self._stamp = stamp
         self._observe = observe
+        self._clock = clock or SystemClock()
 
     async def call(
         self,
@@ -93,23 +100,81 @@
         `body` is encoded as JSON unless it is bytes. With `fresh` no open
         connection is used again. Raises `CallError`.
         """
-        data = _encode(body) if method in ("POST", "PUT") else None
+        request = self._build_request(method, url, body, connect_ms, headers)
+        request.request_timeout = timeout_ms / 1_000
+        request.prepare_curl_callback = _use_fresh if fresh else None
+        response = await self._fetch(request)
+        return Answer(
+            response.code, dict(response.headers), response.body or b""
+        )
+
+    async def read(
+        self,
+        url: str,
+        limits: StallLimits,
+        *,
+        connect_ms: int = 1_000,
+        headers: dict[str, str] | None = None,
+        fresh: bool = False,
+    ) -> Answer:
+        """Make a GET call and return its answer, which may be of any size.
+
+        `limits` bounds its pauses and its rate, `MAX_READ_S` its total time.
+        Raises `CallError`, also for a stall.
+        """
+        body = StreamedBody(limits, self._clock)
+        transfer = Transfer()
+
+        def prepare(curl: Any) -> None:
+            transfer.attach(curl)
+            if fresh:
+                _use_fresh(curl)
+
+        request = self._build_request("GET", url, None, connect_ms, headers)
+        request.request_timeout = MAX_READ_S + limits.first_byte_ms / 1_000
+        request.streaming_callback = body.append
+        request.prepare_curl_callback = prepare
+        fetch = asyncio.ensure_future(self._fetch(request))
+        try:
+            await self._wait_for_end_or_stall(fetch, body)
+        finally:
+            if not fetch.done():
+                transfer.abort()
+                fetch.add_done_callback(_consume_exception)
+        if not fetch.done():
+            message = f"stalled after {body.size} bytes"
+            raise CallError(url, message, sent=True)
+        response = fetch.result()
+        return Answer(response.code, dict(response.headers), body.join())
+
+    async def _wait_for_end_or_stall(
+        self, fetch: asyncio.Future[HTTPResponse], body: StreamedBody
+    ) -> None:
+        """Return when the call has ended or its body has stalled."""
+        while not fetch.done():
+            left_s = body.deadline_s - self._clock.monotonic()
+            if left_s <= 0:
+                return
+            await asyncio.wait([fetch], timeout=left_s)
+
+    def _build_request(
+        self,
+        method: str,
+        url: str,
+        body: Any,
+        connect_ms: int,
+        headers: dict[str, str] | None,
+    ) -> HTTPRequest:
         sent = dict(headers or {})
         sent[CLOCK_HEADER] = self._stamp()
-        request = HTTPRequest(
+        return HTTPRequest(
             url,
             method=method,
-            body=data,
+            body=_encode(body) if method in ("POST", "PUT") else None,
             headers=sent,
             connect_timeout=connect_ms / 1_000,
-            request_timeout=timeout_ms / 1_000,
             decompress_response=False,
             follow_redirects=False,
-            prepare_curl_callback=_use_fresh if fresh else None,
-        )
-        response = await self._fetch(request)
-        return Answer(
-            response.code, dict(response.headers), response.body or b""
         )
 
     async def _fetch(self, request: HTTPRequest) -> HTTPResponse:
@@ -135,6 +200,12 @@
     return msgspec.json.encode(body)
 
 
+def _consume_exception(fetch: asyncio.Future[HTTPResponse]) -> None:
+    """Keep asyncio from logging the failure of an aborted call."""
+    if not fetch.cancelled():
+        fetch.exception()
+
+
 def _use_fresh(curl: Any) -> None:
     curl.setopt(pycurl.FRESH_CONNECT, 1)
     curl.setopt(pycurl.FORBID_REUSE, 1)
--- a/src/balsamlift/peers/_hosts_list.py
+++ b/src/balsamlift/peers/_hosts_list.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from balsamlift._http import CallError, HttpClient
+from balsamlift._streaming import StallLimits
 from balsamlift.exceptions import HostsUnavailableError
 
 ENTRY_ROLE = "entry"
@@ -70,10 +71,12 @@
     async def _read(self) -> list[ListEntry] | None:
         headers = {"If-None-Match": self._tag} if self._tag else None
         try:
-            answer = await self._http.call(
-                "GET",
+            answer = await self._http.read(
                 self._url,
-                timeout_ms=self._timeout_ms,
+                StallLimits(
+                    first_byte_ms=self._timeout_ms,
+                    silence_ms=self._timeout_ms,
+                ),
                 headers=headers,
                 fresh=self._fresh,
             )
--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -5,22 +5,24 @@
 import base64
 import re
 import struct
+from collections.abc import Awaitable
 from urllib.parse import urlencode
 
 import msgspec
 from loguru import logger
 
 from balsamlift._http import Answer, CallError, HttpClient
+from balsamlift._streaming import StallLimits
 from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import HistoryLostError, StoreError
 from balsamlift.peers import Newest, Record
 
 log = logger.bind(part="store")
 
-# A store that is slow still answers within this.
+# Limits the wait for the first byte and each pause within an answer.
 SILENCE_MS = 1_000
 CONNECT_MS = 500
-# Answers of at least this size are logged with the time they took.
+# Answers of at least this size are logged with their duration.
 LARGE_ANSWER_BYTES = 50_000
 _OK = 200
 _GONE = 410
@@ -55,7 +57,8 @@
         self._url = f"http://{address}"
         self._http = http
         self._clock = clock or SystemClock()
-        # Last failure by topic; times and sizes make no difference.
+        # Last failure of each topic, without digits: a different time or size
+        # in the message is not logged as a new kind of failure.
         self._failure_kinds: dict[str, str] = {}
 
     async def newest(self, topic: str) -> Newest:
@@ -67,7 +70,7 @@
             query = {"Topic": topic, "part": "0"}
             if after:
                 query["After"] = after
-            answer = await self._call("GET", "/log-newest", query)
+            answer = await self._read("/log-newest", query)
             try:
                 page = msgspec.json.decode(answer.body, type=_Page)
             except (msgspec.MsgspecError, RecursionError) as error:
@@ -91,7 +94,7 @@
             "From": str(start),
             "WaitMs": str(wait_ms),
         }
-        answer = await self._call("GET", "/log-read", query, wait_ms)
+        answer = await self._read("/log-read", query, wait_ms)
         return _decode_read(answer.body, start)
 
     async def append(self, topic: str, key: str, value: bytes) -> None:
@@ -99,27 +102,40 @@
         name = key.encode()
         content = bytes([len(name)]) + name + value
         body = _LENGTH.pack(len(content)) + content
+        path = "/log-append"
         query = {"Topic": topic, "part": "0"}
-        await self._call("POST", "/log-append", query, body=body)
-
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        query: dict[str, str],
-        wait_ms: int = 0,
-        body: bytes = b"",
+        call = self._http.call(
+            "POST",
+            self._build_url(path, query),
+            body,
+            timeout_ms=SILENCE_MS,
+            connect_ms=CONNECT_MS,
+        )
+        await self._await_answer(call, path, query)
+
+    async def _read(
+        self, path: str, query: dict[str, str], wait_ms: int = 0
+    ) -> Answer:
+        limits = StallLimits(
+            first_byte_ms=wait_ms + SILENCE_MS, silence_ms=SILENCE_MS
+        )
+        url = self._build_url(path, query)
+        call = self._http.read(url, limits, connect_ms=CONNECT_MS)
+        return await self._await_answer(call, path, query)
+
+    def _build_url(self, path: str, query: dict[str, str]) -> str:
+        return f"{self._url}{path}?{urlencode(query)}"
+
+    async def _await_answer(
+        self, call: Awaitable[Answer], path: str, query: dict[str, str]
     ) -> Answer:
-        url = f"{self._url}{path}?{urlencode(query)}"
+        """Await a call and return its answer; raise `StoreError`.
+
+        Raises `HistoryLostError` when the records asked for are gone.
+        """
         sent_s = self._clock.monotonic()
         try:
-            answer = await self._http.call(
-                method,
-                url,
-                body,
-                timeout_ms=wait_ms + SILENCE_MS,
-                connect_ms=CONNECT_MS,
-            )
+            answer = await call
         except CallError as error:
             kind = _DIGITS.sub("", error.reason)
             self._note(query["Topic"], error.message, kind)
@@ -142,7 +158,7 @@
         return answer
 
     def _note(self, topic: str, trouble: str = "", kind: str = "") -> None:
-        """Log when a topic is lost, fails differently, or is back.
+        """Log when a topic is lost, fails in another way, or is back.
 
         The store may serve some partitions and not others.
         """
--- a/src/balsamlift/presets/_log.py
+++ b/src/balsamlift/presets/_log.py
@@ -13,6 +13,7 @@
 
 from balsamlift._back_off import BackOff
 from balsamlift._http import Answer, CallError, HttpClient
+from balsamlift._streaming import StallLimits
 from balsamlift.clock import Clock
 from balsamlift.exceptions import LogBlockedError, LogUnavailableError
 from balsamlift.kernel import Kernel
@@ -142,10 +143,12 @@
         silence = self._read_silence
         began_s = self._clock.monotonic()
         try:
-            answer = await self._http.call(
-                "GET",
+            answer = await self._http.read(
                 f"{self._url}/read?{query}",
-                timeout_ms=wait_ms + silence.bound_ms,
+                StallLimits(
+                    first_byte_ms=wait_ms + silence.bound_ms,
+                    silence_ms=silence.bound_ms,
+                ),
                 connect_ms=silence.bound_ms,
                 fresh=silence.was_reached,
             )
--- a/src/balsamlift/presets/_peer_folds.py
+++ b/src/balsamlift/presets/_peer_folds.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from balsamlift._http import CallError, HttpClient
+from balsamlift._streaming import StallLimits
 from balsamlift.exceptions import ServiceMissingError
 from balsamlift.kernel import Kernel
 from balsamlift.presets._state import FoldState
@@ -83,10 +84,9 @@
 
     async def _ask(self, peer: _Peer, offset: int) -> FoldState | None:
         url = f"http://{peer.operators_address}/v1/peer/fold?from={offset}"
-        answer = await self._http.call(
-            "GET",
+        answer = await self._http.read(
             url,
-            timeout_ms=SILENCE_MS,
+            StallLimits(first_byte_ms=SILENCE_MS, silence_ms=SILENCE_MS),
             connect_ms=SILENCE_MS,
             fresh=True,
         )
