Do not read records again whose content other hosts have sent

An answer of another host advanced the version in force, but not the offset from which the receiving host reads the topic.

An answer now carries the offset before which its version and evacuations cover every record. A host that holds that version replaces its table of records with them, as the newest records before that offset, and continues reading there. The offset never moves back.

Advancing only the offset was ruled out: it would have kept outdated evacuations in the table of records.

Hosts without this change leave the offset out of their answers, which is read as not known.

--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -185,6 +185,14 @@
             self._is_told = True
             self._woken.set()
 
+    def skip_to(self, end: int, records: list[Record]) -> None:
+        """Continue reading at `end` if it is past the current offset.
+
+        `records` replace the table as the newest of each key before `end`.
+        """
+        if self._table.end is None or end > self._table.end:
+            self._table.take_whole(Newest(records, end))
+
     def read_soon(self) -> None:
         """Read what there is: others know more than they can tell."""
         self._lags = True
--- a/src/balsamlift/peers/_shared_records.py
+++ b/src/balsamlift/peers/_shared_records.py
@@ -16,6 +16,7 @@
 from balsamlift.clock import Clock
 from balsamlift.peers._evacuations import EvacuationNews, Evacuations
 from balsamlift.peers._follower import Follower, TopicNews
+from balsamlift.peers._records import Record
 
 # A host that others ask reads the topics as long as they do: they ask once a
 # second, and one answer may be missed.
@@ -47,6 +48,9 @@
     listed: TopicNews | None = None
     evacuations: EvacuationNews | None = None  # as old as the version
     must_read: bool = False  # the configuration is too large to be told
+    # Offset in the configuration's topic before which every record is covered
+    # by `version` and `evacuations`; None: not known.
+    end: int | None = None
 
 
 class ConfigurationCopy(Protocol):
@@ -76,6 +80,9 @@
     is_settled: Callable[[], bool]  # entries of the list lapse no more
     evacuations: Evacuations  # in the topic of the configuration
     note_version: Callable[[int], None] = _ignore_version  # in an answer
+    # Returns the known configuration and evacuations as the newest records of
+    # their keys before the given offset.
+    snapshot_records: Callable[[int], list[Record]] | None = None
 
 
 class SharedRecords:
@@ -134,6 +141,7 @@
             listed=listed,
             evacuations=self._sources.evacuations.news,
             must_read=is_too_large(self._sources.copy.encoded),
+            end=self._sources.configuration.end,
         )
 
     def take(self, answer: RecordsAnswer | None, asked_s: float) -> None:
@@ -158,6 +166,14 @@
         if is_newest and answer.version_age_ms is not None:
             age_s = answer.version_age_ms / 1_000
             self._sources.configuration.confirm(asked_s - age_s)
+            self._skip_known_records(answer.end)
+
+    def _skip_known_records(self, end: int | None) -> None:
+        """Skip the records before `end` that the known state covers."""
+        sources = self._sources
+        if end is None or sources is None or sources.snapshot_records is None:
+            return
+        sources.configuration.skip_to(end, sources.snapshot_records(end))
 
     def _sendable(self, copy: ConfigurationCopy, position: Position) -> bytes:
         """Return the configuration for a host that lags, if there is time."""
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -17,8 +17,8 @@
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
-from balsamlift.peers import LoneReads, Peers, Sources, Upstreams
-from balsamlift.platform._decode import HostRecord
+from balsamlift.peers import LoneReads, Peers, Record, Sources, Upstreams
+from balsamlift.platform._decode import HostRecord, encode_operator_records
 from balsamlift.platform._engines import PlatformEngines
 from balsamlift.platform._settings import NodeSettings, load_node_settings
 from balsamlift.platform._store import Store
@@ -115,12 +115,18 @@
             note_version=lambda version: self._routing.note_version(
                 version, "peer"
             ),
+            snapshot_records=self._snapshot_records,
         )
         lone_reads = LoneReads(self._clock)
         for follower in (sources.configuration, sources.listed):
             follower.share(lambda: self.peers.reads_records, lone_reads)
         self.peers.records.connect(sources)
 
+    def _snapshot_records(self, end: int) -> list[Record]:
+        """Return the known state as the operators' records before `end`."""
+        evacuated = self.upstreams.evacuations.domains
+        return encode_operator_records(self._routing.encoded, evacuated, end)
+
     async def start(self) -> None:
         """Start every service."""
         await self.kernel.start()
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
 from balsamlift._address import AddressError, split_address
 from balsamlift.exceptions import PlatformError
-from balsamlift.peers import ENTRY_ROLE, UPSTREAM_ROLE, ListEntry
-from balsamlift.platform._names import EVACUATION_PREFIX
+from balsamlift.peers import ENTRY_ROLE, UPSTREAM_ROLE, ListEntry, Record
+from balsamlift.platform._names import CONFIGURATION_KEY, EVACUATION_PREFIX
 from balsamlift.relay import (
     FIRST_LIMITS,
     CallerLimits,
@@ -121,6 +121,7 @@
 # An entry takes some 300 bytes; one of megabytes is not worth decoding.
 MOST_ENTRY_BYTES = 65_536
 MOST_ID_CHARACTERS = 200
+EVACUATION_VALUE = b"{}"  # any value: `decode_evacuations` ignores it
 
 
 def decode_configuration(data: bytes) -> Configuration:
@@ -163,6 +164,21 @@
     )
 
 
+def encode_operator_records(
+    configuration: bytes, evacuated: Iterable[str], end: int
+) -> list[Record]:
+    """Return the operators' records that decode to this state.
+
+    All have the offset just before `end`, so that any later record of the
+    same key replaces them.
+    """
+    keys = [EVACUATION_PREFIX + domain for domain in evacuated]
+    return [
+        Record(CONFIGURATION_KEY, configuration, end - 1),
+        *(Record(key, EVACUATION_VALUE, end - 1) for key in keys),
+    ]
+
+
 def decode_upstream(key: str, data: bytes) -> ListEntry:
     """Return the entry of an upstream; raise `RecordError`.
 
--- a/tests/test_peers_follower.py
+++ b/tests/test_peers_follower.py
@@ -369,3 +369,20 @@
         assert world.told_store.calls == 1
 
     run(test)
+
+
+def test_skipped_records_are_not_read_again() -> None:
+    async def test(world: World) -> None:
+        store = world.told_store
+        for n in range(4):
+            store.append("k", b"%d" % n)
+        world.told.skip_to(4, [Record("k", b"3", 3)])
+        assert world.told.values() == {"k": b"3"}
+        store.append("k", b"4")
+        assert await world.told.read(0)
+        assert world.told.values() == {"k": b"4"}
+        world.told.skip_to(3, [Record("k", b"2", 2)])
+        assert world.told.end == 5
+        assert world.told.values() == {"k": b"4"}
+
+    run(test)
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -22,8 +22,9 @@
     decode_evacuations,
     decode_host,
     decode_upstream,
+    encode_operator_records,
 )
-from balsamlift.platform._names import HEADERS
+from balsamlift.platform._names import CONFIGURATION_KEY, HEADERS
 from balsamlift.platform._settings import (
     METRICS_PORT,
     decode_node_settings,
@@ -387,3 +388,11 @@
     assert node.cold_limits == ColdLimits(factor=1.5, extra_per_s=5.0)
     assert node.regions == zones
     assert node.relay_settings().regions == zones
+
+
+def test_encoded_operator_records_decode_to_the_same_state() -> None:
+    records = encode_operator_records(b"{}", ["north", "south"], 7)
+    values = {record.key: record.value or b"" for record in records}
+    assert values[CONFIGURATION_KEY] == b"{}"
+    assert decode_evacuations(values) == ["north", "south"]
+    assert {record.offset for record in records} == {6}
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -65,6 +65,7 @@
         self.changed = asyncio.Event()
         self.version_bytes = 1
         self.calls = 0
+        self.configuration_bytes_read = 0
         self.refused: frozenset[str] = NOBODY
         self.unanswered: frozenset[str] = NOBODY
 
@@ -104,9 +105,7 @@
     async def newest(self, topic: str) -> Newest:
         await self._call()
         if topic == CONFIGURATION:
-            await asyncio.sleep(
-                self._store.version_bytes * LISTED_FACTOR / LINK_BYTES_PER_S
-            )
+            await self._transfer(self._store.version_bytes * LISTED_FACTOR)
         return self._store.newest(topic)
 
     async def read(self, topic: str, start: int, wait_ms: int) -> Newest:
@@ -121,10 +120,13 @@
         records = self._store.records[topic]
         versions = sum(record.key == "k" for record in records[start:])
         if topic == CONFIGURATION:
-            size = versions * self._store.version_bytes
-            await asyncio.sleep(size / LINK_BYTES_PER_S)
+            await self._transfer(versions * self._store.version_bytes)
         return Newest(records[start:], len(records))
 
+    async def _transfer(self, size: float) -> None:
+        self._store.configuration_bytes_read += round(size)
+        await asyncio.sleep(size / LINK_BYTES_PER_S)
+
     async def _call(self) -> None:
         self._store.calls += 1
         await asyncio.sleep(CALL_S)
@@ -189,6 +191,7 @@
                 offer=self.copy.offer,
                 is_settled=lambda: True,
                 evacuations=self.evacuations,
+                snapshot_records=self._snapshot_records,
             )
         )
         self.gathering = HostGathering(
@@ -201,6 +204,16 @@
         for follower in (self.configuration, self.listed):
             follower.share(lambda: self._reads(cluster), lone_reads)
 
+    def _snapshot_records(self, end: int) -> list[Record]:
+        version = b"%d" % (self.copy.offset - 1)
+        return [
+            Record("k", version, end - 1),
+            *(
+                Record(f"evacuate/{domain}", b"{}", end - 1)
+                for domain in self.evacuations.domains
+            ),
+        ]
+
     def _reads(self, cluster: "Cluster") -> bool:
         others = {each.host for each in cluster.others(self.name)}
         is_ranked = is_reader(self.name, others, READERS_OF_MANY)
@@ -465,6 +478,23 @@
     run(test, GROWN, 87)
 
 
+def test_hosts_do_not_read_versions_received_from_others() -> None:
+    """Hosts that take over reading fetch only records unknown to them."""
+
+    async def test(cluster: Cluster) -> None:
+        cluster.store.version_bytes = 30_000
+        for _ in range(12):
+            cluster.store.append(CONFIGURATION)
+            await asyncio.sleep(2)
+        await cluster.until_known(cluster.well())
+        before = cluster.store.configuration_bytes_read
+        half_killed(cluster)
+        await asyncio.sleep(8)
+        assert cluster.store.configuration_bytes_read == before
+
+    run(test, GROWN, 87)
+
+
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize("size", [40_000, 330_000, 460_000, 600_000])
 def test_a_large_configuration_is_known_in_time(size: int, seed: int) -> None:
