Let hosts read a large configuration while others still read it

Cause: a host that was told that a version is too large to be sent waited until the host it had asked had read the version. It then read the newest record, which is in base64 and a third larger. That took two and a third times the transfer time of the link, plus up to 1.2 s in between. A host that was told so during its own read read the version a second time.

A host that reads for others now reports the end offset of the records as soon as an answer of the store begins whose first record is of 50,000 bytes or more. A host that asks it reads up to that offset at once: one record from the history, several as the newest one. A host now lags while its offset is before the reported end; before, a flag marked it as lagging and outlived the read.

Ruled out: reporting the end in heartbeats, which adds a line to every message while the question once a second is in time; and sending the version in parts among hosts, as links of 5 Mbit/s carry 625 KB a second and the store 80 MB.

--- a/src/balsamlift/_http.py
+++ b/src/balsamlift/_http.py
@@ -116,15 +116,22 @@
         connect_ms: int = 1_000,
         headers: dict[str, str] | None = None,
         fresh: bool = False,
+        on_chunk: Callable[[bytes], None] | None = None,
     ) -> Answer:
         """Make a GET call and return its answer, which may be of any size.
 
+        Calls `on_chunk` with each chunk of the body as it arrives.
         `limits` bounds its pauses and its rate, `MAX_READ_S` its total time.
         Raises `CallError`, also for a stall.
         """
         body = StreamedBody(limits, self._clock)
         transfer = Transfer()
 
+        def handle_chunk(chunk: bytes) -> None:
+            body.append(chunk)
+            if on_chunk is not None:
+                on_chunk(chunk)
+
         def prepare(curl: Any) -> None:
             transfer.attach(curl)
             if fresh:
@@ -132,7 +139,7 @@
 
         request = self._build_request("GET", url, None, connect_ms, headers)
         request.request_timeout = MAX_READ_S + limits.first_byte_ms / 1_000
-        request.streaming_callback = body.append
+        request.streaming_callback = handle_chunk
         request.prepare_curl_callback = prepare
         fetch = asyncio.ensure_future(self._fetch(request))
         try:
--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -74,7 +74,9 @@
         self._confirmed_s: float | None = None
         self._lone_reads = LoneReads(clock)
         self._is_told = False  # news that nobody has seen yet
-        self._lags = False  # there are news that it was not told
+        # Offset up to which to read, as reported by other hosts; 0: none.
+        self._target_end = 0
+        self._incoming_end = 0  # end of the last large answer that began
         self._woken = asyncio.Event()
 
     def share(
@@ -144,7 +146,7 @@
         sent_s = self._clock.monotonic()
         try:
             news = await self._store.read(
-                self._topic, self._table.end, wait_ms
+                self._topic, self._table.end, wait_ms, self._note_incoming_end
             )
         except HistoryLostError:
             log.bind(topic=self._topic, offset=self._table.end).info(
@@ -193,11 +195,33 @@
         if self._table.end is None or end > self._table.end:
             self._table.take_whole(Newest(records, end))
 
-    def read_soon(self) -> None:
-        """Read what there is: others know more than they can tell."""
-        self._lags = True
+    @property
+    def incoming_end(self) -> int | None:
+        """Return the end of a large answer not yet read completely, or None.
+
+        Lets other hosts start to read the same records before this host has
+        received them.
+        """
+        if self._incoming_end <= (self._table.end or 0):
+            return None
+        return self._incoming_end
+
+    def read_soon(self, end: int | None = None) -> None:
+        """Read up to `end` from the store; other hosts cannot send it.
+
+        `end` defaults to the offset after the next record.
+        """
+        next_end = (self._table.end or 0) + 1
+        self._target_end = max(self._target_end, end or 0, next_end)
         self._woken.set()
 
+    def _note_incoming_end(self, end: int) -> None:
+        self._incoming_end = max(self._incoming_end, end)
+
+    @property
+    def _lags(self) -> bool:
+        return self._target_end > (self._table.end or 0)
+
     def _is_overdue(self) -> bool:
         if not self._lags and self.age_s <= self._pace.most_age_s:
             return False
@@ -234,14 +258,21 @@
 
     async def _read_alone(self) -> bool:
         age_s = self.age_s
-        lags, self._lags = self._lags, False
+        lags, target_end = self._lags, self._target_end
+        # A single record is read from the history, which is smaller as it is
+        # not in base64. Of several large records only the newest is needed.
+        lags_by_several = target_end > (self._table.end or 0) + 1
         try:
-            # What was written meanwhile is large: once is enough.
-            is_news = await (self._read_newest() if lags else self.read(0))
+            is_news = await (
+                self._read_newest() if lags_by_several else self.read(0)
+            )
         except StoreError:
             self._lone_reads.failed(self._topic)
             raise
         self._lone_reads.served(self._topic)
+        # The read returned all records; keep an end reported meanwhile.
+        if self._target_end == target_end:
+            self._target_end = 0
         log.bind(topic=self._topic, age_s=round(age_s, 3)).info(
             "told that there is more, read the topic"
             if lags
--- a/src/balsamlift/peers/_records.py
+++ b/src/balsamlift/peers/_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -39,9 +40,18 @@
     async def newest(self, topic: str) -> Newest:
         """Return the newest record of each key; raise `StoreError`."""
 
-    async def read(self, topic: str, start: int, wait_ms: int) -> Newest:
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_ms: int,
+        on_large_answer: Callable[[int], None] | None = None,
+    ) -> Newest:
         """Return the records from `start` on, waiting for one.
 
+        Calls `on_large_answer` with the offset after the last record in the
+        store as soon as a large answer begins to arrive.
+
         Raises `HistoryLostError` when some of them are gone, else
         `StoreError`.
         """
--- a/src/balsamlift/peers/_shared_records.py
+++ b/src/balsamlift/peers/_shared_records.py
@@ -51,6 +51,8 @@
     # Offset in the configuration's topic before which every record is covered
     # by `version` and `evacuations`; None: not known.
     end: int | None = None
+    # End of a large answer that the asked host is still reading; None: none.
+    incoming_end: int | None = None
 
 
 class ConfigurationCopy(Protocol):
@@ -142,6 +144,7 @@
             evacuations=self._sources.evacuations.news,
             must_read=is_too_large(self._sources.copy.encoded),
             end=self._sources.configuration.end,
+            incoming_end=self._sources.configuration.incoming_end,
         )
 
     def take(self, answer: RecordsAnswer | None, asked_s: float) -> None:
@@ -157,8 +160,11 @@
         self._sources.note_version(answer.version)
         if answer.configuration:
             self._sources.offer(answer.configuration)
+        configuration = self._sources.configuration
         if answer.must_read and answer.version > self._sources.copy.offset:
-            self._sources.configuration.read_soon()
+            configuration.read_soon(answer.end)
+        elif (answer.incoming_end or 0) > (configuration.end or 0):
+            configuration.read_soon(answer.incoming_end)
         is_newest = (
             answer.evacuations is not None
             and self._sources.copy.offset >= answer.version > 0
--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -5,7 +5,7 @@
 import base64
 import re
 import struct
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from urllib.parse import urlencode
 
 import msgspec
@@ -22,7 +22,8 @@
 # Limits the wait for the first byte and each pause within an answer.
 SILENCE_MS = 1_000
 CONNECT_MS = 500
-# Answers of at least this size are logged with their duration.
+# Answers of at least this size are logged with their duration. An answer
+# whose first record is this large is reported when it begins.
 LARGE_ANSWER_BYTES = 50_000
 _OK = 200
 _GONE = 410
@@ -82,9 +83,18 @@
                 return Newest(records, end)
             after = page.Items[-1].Key
 
-    async def read(self, topic: str, start: int, wait_ms: int) -> Newest:
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_ms: int,
+        on_large_answer: Callable[[int], None] | None = None,
+    ) -> Newest:
         """Return the records from `start` on, waiting for one.
 
+        Calls `on_large_answer` with the offset after the last record in the
+        store as soon as an answer begins whose first record is large.
+
         Raises `HistoryLostError` when some of them are gone, else
         `StoreError`.
         """
@@ -94,7 +104,8 @@
             "From": str(start),
             "WaitMs": str(wait_ms),
         }
-        answer = await self._read("/log-read", query, wait_ms)
+        detector = _LargeAnswerDetector(start, on_large_answer or _ignore_end)
+        answer = await self._read("/log-read", query, wait_ms, detector.feed)
         return _decode_read(answer.body, start)
 
     async def append(self, topic: str, key: str, value: bytes) -> None:
@@ -114,13 +125,19 @@
         await self._await_answer(call, path, query)
 
     async def _read(
-        self, path: str, query: dict[str, str], wait_ms: int = 0
+        self,
+        path: str,
+        query: dict[str, str],
+        wait_ms: int = 0,
+        on_chunk: Callable[[bytes], None] | None = None,
     ) -> Answer:
         limits = StallLimits(
             first_byte_ms=wait_ms + SILENCE_MS, silence_ms=SILENCE_MS
         )
         url = self._build_url(path, query)
-        call = self._http.read(url, limits, connect_ms=CONNECT_MS)
+        call = self._http.read(
+            url, limits, connect_ms=CONNECT_MS, on_chunk=on_chunk
+        )
         return await self._await_answer(call, path, query)
 
     def _build_url(self, path: str, query: dict[str, str]) -> str:
@@ -174,6 +191,35 @@
         )
 
 
+def _ignore_end(end: int) -> None:
+    del end
+
+
+class _LargeAnswerDetector:
+    """Detect a large answer by the length of its first record."""
+
+    def __init__(
+        self, start: int, on_large_answer: Callable[[int], None]
+    ) -> None:
+        """Expect the answer to a read from `start` on."""
+        self._start = start
+        self._on_large_answer = on_large_answer
+        self._header = b""
+
+    def feed(self, chunk: bytes) -> None:
+        """Process a received chunk; call `on_large_answer` at most once."""
+        size = _NUMBERS.size + _LENGTH.size
+        if len(self._header) >= size:
+            return
+        self._header += chunk[: size - len(self._header)]
+        if len(self._header) < size:
+            return
+        end, _ = _NUMBERS.unpack_from(self._header)
+        (length,) = _LENGTH.unpack_from(self._header, _NUMBERS.size)
+        if end > self._start and length >= LARGE_ANSWER_BYTES:
+            self._on_large_answer(end)
+
+
 def _listed_record(item: _Item) -> Record:
     """Return a record of a page; a value that cannot be read stays so."""
     try:
--- a/tests/test_peers_follower.py
+++ b/tests/test_peers_follower.py
@@ -56,7 +56,13 @@
         kept = [r for r in newest.values() if r.value is not None]
         return Newest(kept, len(self.records))
 
-    async def read(self, topic: str, start: int, wait_ms: int) -> Newest:
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_ms: int,
+        on_large_answer: Callable[[int], None] | None = None,
+    ) -> Newest:
         self._called()
         for _ in range(wait_ms // 10):
             if len(self.records) > start:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -237,6 +237,26 @@
     run(test)
 
 
+def test_a_large_answer_is_reported_before_it_ends() -> None:
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        ends: list[int] = []
+        topic = stand_in.topic("keyed.t")
+        topic.append("k", b"1")
+        await store.read("keyed.t", 0, 0, ends.append)
+        assert ends == []
+        topic.append("k", b"1".ljust(LARGE_BYTES))
+        topic.append("k", b"2")
+        stand_in.bytes_per_s = LARGE_BYTES / 0.9
+        reading = asyncio.create_task(store.read("keyed.t", 1, 0, ends.append))
+        await until(lambda: ends)
+        assert not reading.done()
+        assert ends == [3]
+        assert len((await reading).records) == 2
+        assert ends == [3]
+
+    run(test)
+
+
 def test_lost_history_has_its_own_type() -> None:
     async def test(stand_in: KeyedStore, store: Store) -> None:
         stand_in.topic("keyed.t").append("k", b"v")
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -29,6 +29,7 @@
 from balsamlift.peers._membership import READERS_OF_MANY
 from balsamlift.peers._messages import CountsSums, CountsUpdate
 from balsamlift.peers._readers import is_reader, rank_hosts
+from balsamlift.peers._shared_records import is_too_large
 from balsamlift.platform._decode import decode_evacuations
 from balsamlift.platform._settings import NodeSettings, decode_node_settings
 
@@ -108,7 +109,13 @@
             await self._transfer(self._store.version_bytes * LISTED_FACTOR)
         return self._store.newest(topic)
 
-    async def read(self, topic: str, start: int, wait_ms: int) -> Newest:
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_ms: int,
+        on_large_answer: Callable[[int], None] | None = None,
+    ) -> Newest:
         await self._call()
         with suppress(TimeoutError):
             async with asyncio.timeout(wait_ms / 1_000):
@@ -119,6 +126,9 @@
             raise StoreError("no answer")
         records = self._store.records[topic]
         versions = sum(record.key == "k" for record in records[start:])
+        is_large = versions and is_too_large(bytes(self._store.version_bytes))
+        if on_large_answer is not None and is_large:
+            on_large_answer(len(records))
         if topic == CONFIGURATION:
             await self._transfer(versions * self._store.version_bytes)
         return Newest(records[start:], len(records))
@@ -515,3 +525,23 @@
         assert took_s <= GROWN.apply_ms / 1_000
 
     run(test, GROWN, 87)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_hosts_read_a_large_configuration_concurrently(seed: int) -> None:
+    """Guard against waiting for a reading host, and against second reads."""
+
+    async def test(cluster: Cluster) -> None:
+        rng = random.Random(seed)
+        await asyncio.sleep(rng.uniform(0, 5))
+        store = cluster.store
+        store.version_bytes = 900_000
+        before = store.configuration_bytes_read
+        store.append(CONFIGURATION)
+        took_s = await cluster.until_known(cluster.well())
+        assert took_s <= GROWN.apply_ms / 1_000
+        await asyncio.sleep(5)
+        one_read_each = store.version_bytes * len(cluster.hosts)
+        assert store.configuration_bytes_read - before <= one_read_each
+
+    run(test, GROWN, 87)
