Return 503 instead of 404 or 401 while configuration may be outdated

Callers received 404 for a route that exists in the newest version, for seconds after that version was confirmed. Callers do not retry after 404 or 401. The cause: a host answered from the version it held even when it knew of a newer one, or when it had been unable to confirm, for longer than a change may take, that there was none.

Such a host now answers 503 with a retry delay of 1 s or 0.3 of the time that the caller has left, whichever is shorter, in the same way as a host without a configuration. Calls that its version allows are served as before. An up-to-date host still returns final denials.

Rejected alternative: refusing all calls on such a host, because the configuration it holds is right for nearly all of them.

With the check disabled, 6 of the 9 new cases fail; with it, none (test_relay_routing.py).

--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -96,7 +96,9 @@
         )
         for service in services:
             self.kernel.register(service)
-        routing.set_age_source(lambda: self._configuration.follower.age_s)
+        routing.set_age_source(
+            lambda: self._configuration.follower.age_s, node.apply_ms / 1_000
+        )
         self.peers.on_version(routing.note_version)
         self.peers.sharing.connect(
             lambda: routing.encoded,
--- a/src/balsamlift/relay/_admission.py
+++ b/src/balsamlift/relay/_admission.py
@@ -14,6 +14,8 @@
 # A host that has just started knows a configuration at once, or has to wait
 # until the platform is back: a short wait would use up the caller's retries.
 RETRY_UNCONFIGURED_MS = 2_000
+# Allows for reading a newer version from the store or from a peer.
+RETRY_OUTDATED_MS = 1_000
 # Callers wait for no more than this part of the time that they have left.
 RETRY_PART = 0.3
 
@@ -38,7 +40,9 @@
         try:
             table = self._routing.table()
         except NotConfiguredError:
-            return self._not_configured(request)
+            return _retryable_refusal(
+                request, self._names, "not configured", RETRY_UNCONFIGURED_MS
+            )
         request_id = request.headers.get(self._names.request_id, "")
         if not request_id:
             return NO_REQUEST_ID
@@ -46,20 +50,23 @@
         host = request.headers.get("Host", "").partition(":")[0]
         route = table.find_route(host, path)
         if route is None:
-            return NO_ROUTE
+            return self._deny(request, NO_ROUTE)
         key = self._key(request)
         workspace = table.find_workspace(key) if key else None
         if workspace is None and table.needs_keys and not route.is_public:
-            return UNKNOWN_KEY
+            return self._deny(request, UNKNOWN_KEY)
         return self._call(request, request_id, table, route, key, workspace)
 
-    def _not_configured(self, request: CallerRequest) -> Refusal:
-        wait_ms = RETRY_UNCONFIGURED_MS
-        text = request.headers.get(self._names.deadline_ms, "")
-        if text.isdecimal():
-            wait_ms = min(wait_ms, int(int(text) * RETRY_PART))
-        return Refusal(
-            status=503, reason="not configured", retry_after_ms=wait_ms
+    def _deny(self, request: CallerRequest, refusal: Refusal) -> Refusal:
+        """Return `refusal`, or a retryable one if a newer version may differ.
+
+        Callers do not retry after 401 or 404.
+        """
+        if not self._routing.may_be_outdated:
+            return refusal
+        reason = f"{refusal.reason}, configuration may be outdated"
+        return _retryable_refusal(
+            request, self._names, reason, RETRY_OUTDATED_MS
         )
 
     def _call(
@@ -129,6 +136,16 @@
         )
 
 
+def _retryable_refusal(
+    request: CallerRequest, names: HeaderNames, reason: str, wait_ms: int
+) -> Refusal:
+    """Return a 503 to retry within `RETRY_PART` of the time left, if sent."""
+    text = request.headers.get(names.deadline_ms, "")
+    if text.isdecimal():
+        wait_ms = min(wait_ms, int(int(text) * RETRY_PART))
+    return Refusal(status=503, reason=reason, retry_after_ms=wait_ms)
+
+
 def _regions(
     route: Route, workspace: Workspace | None
 ) -> frozenset[str] | None:
--- a/src/balsamlift/relay/_routing.py
+++ b/src/balsamlift/relay/_routing.py
@@ -118,6 +118,7 @@
         self._newest_reported = 0  # newest version reported by other hosts
         self._reported_at_s = 0.0
         self._age_source: Callable[[], float] = _unknown_age_s
+        self._most_age_s: float | None = None
         self._table: Table | None = None
         self._on_change: list[Callable[[Table], None]] = []
         self.encoded = b""  # as read, to pass on to peers
@@ -144,9 +145,23 @@
         """Return the time since the configuration was confirmed as current."""
         return self._age_source()
 
-    def set_age_source(self, age_s: Callable[[], float]) -> None:
-        """Read the age of the configuration from `age_s`."""
+    def set_age_source(
+        self, age_s: Callable[[], float], most_age_s: float | None = None
+    ) -> None:
+        """Read the age of the configuration from `age_s`.
+
+        A configuration older than `most_age_s` may be outdated; without it,
+        age is not considered.
+        """
         self._age_source = age_s
+        self._most_age_s = most_age_s
+
+    @property
+    def may_be_outdated(self) -> bool:
+        """Tell whether a newer version is known or cannot be ruled out."""
+        if self.newest_version > self.offset:
+            return True
+        return self._most_age_s is not None and self.age_s > self._most_age_s
 
     def note_version(self, version: int, source: str) -> None:
         """Record and log a version newer than any known; ignore others."""
--- a/tests/test_relay_routing.py
+++ b/tests/test_relay_routing.py
@@ -1,7 +1,9 @@
 """Routes: longest prefix, versions that only go up, what a wait changes."""
 
+import math
 import random
 from collections import Counter
+from collections.abc import Callable
 
 import pytest
 from hypothesis import given
@@ -174,3 +176,52 @@
     refusal = admission.admit(asked)
     assert isinstance(refusal, Refusal)
     assert (refusal.status, refusal.retry_after_ms) == (503, wait_ms)
+
+
+def fixed_age(age_s: float) -> Callable[[], float]:
+    return lambda: age_s
+
+
+@pytest.mark.parametrize(
+    ("newer_reported", "age_s"), [(False, 2.5), (True, 0.1), (False, math.inf)]
+)
+@pytest.mark.parametrize(
+    ("path", "key"), [("/unknown/x", KEY), ("/a/x", "not-a-key")]
+)
+def test_an_outdated_host_returns_retryable_denials(
+    path: str, key: str, newer_reported: bool, age_s: float
+) -> None:
+    """Guards against 401 or 404 for calls that a newer version allows."""
+    routing = Routing()
+    offered(routing, 3, routes=(route("idempotent", "/a/", "plain"),))
+    routing.set_age_source(fixed_age(age_s), 2.0)
+    if newer_reported:
+        routing.note_version(4, "another")
+    refusal = admit(routing, path, key=key)
+    assert isinstance(refusal, Refusal)
+    assert refusal.status == 503
+    assert refusal.retry_after_ms == 300  # 0.3 of the caller's 1 s deadline
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [("/unknown/x", KEY, 404), ("/a/x", "not-a-key", 401)],
+)
+def test_an_up_to_date_host_returns_final_denials(
+    path: str, key: str, status: int
+) -> None:
+    routing = Routing()
+    offered(routing, 3, routes=(route("idempotent", "/a/", "plain"),))
+    routing.set_age_source(fixed_age(1.9), 2.0)
+    routing.note_version(3, "another")
+    refusal = admit(routing, path, key=key)
+    assert isinstance(refusal, Refusal)
+    assert refusal.status == status
+
+
+def test_an_outdated_host_admits_calls_that_its_version_allows() -> None:
+    routing = Routing()
+    offered(routing, 3, routes=(route("idempotent", "/a/", "plain"),))
+    routing.set_age_source(fixed_age(60.0), 2.0)
+    routing.note_version(4, "another")
+    assert isinstance(admit(routing, "/a/x"), Call)
