Log request fingerprints and the requests that an upstream crashed on

The log could not show whether two lines are about one request that was repeated under another id, nor whether an answer broke off because its upstream ended. A request that crashes upstreams could not be told apart from requests that only ran at the same time.

When an upstream breaks off a call, the host checks 50 ms later whether the upstream still accepts connections. If it refuses or resets them, it is considered crashed, and one line is logged for each call that it broke off. An upstream that was leaving is not checked, because its end was planned.

The handling of calls is unchanged. A crash costs each host one refused connection. Tests: test_relay_crash_detector.py, test_relay_decisions.py.

--- a/src/balsamlift/relay/_admission.py
+++ b/src/balsamlift/relay/_admission.py
@@ -6,6 +6,7 @@
 
 from balsamlift.exceptions import NotConfiguredError
 from balsamlift.relay._configuration import Route, Workspace
+from balsamlift.relay._fingerprint import fingerprint
 from balsamlift.relay._request import Call, CallerRequest, Refusal
 from balsamlift.relay._routing import Routing, Table, pick_service
 from balsamlift.relay._scope import bound_regions
@@ -90,6 +91,7 @@
             route=route,
             workspace=workspace,
             key=key,
+            fingerprint=fingerprint(request, key),
             service=pick_service(route, self._random),
             regions=_regions(route, workspace),
             priority=priority,
--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -251,6 +251,22 @@
         self._idle_until_s = self._clock.monotonic() + idle_s
 
 
+async def refuses_connections(address: str) -> bool:
+    """Return whether the host is reachable but refuses connections."""
+    ip, port = split_address(address)
+    stream = IOStream(socket.socket())
+    try:
+        async with asyncio.timeout(CONNECT_S):
+            await stream.connect((ip, port))
+    except StreamClosedError as error:
+        return isinstance(error.real_error, ConnectionError)
+    except TimeoutError:
+        return False
+    finally:
+        stream.close()
+    return False
+
+
 def watch_silence(sock: socket.socket) -> None:
     """Let the system close a connection whose other end is gone.
 
--- /dev/null
+++ b/src/balsamlift/relay/_crash_detector.py
@@ -0,0 +1,97 @@
+"""Detect whether an upstream that broke off a call has crashed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+from loguru import logger
+
+from balsamlift._tasks import end_task
+from balsamlift.clock import Clock
+from balsamlift.peers import Upstream, Upstreams
+from balsamlift.relay._connection import refuses_connections
+from balsamlift.relay._request import Call
+
+log = logger.bind(part="crashes")
+
+# A crashed process may still accept connections for a short time.
+CHECK_DELAY_S = 0.05
+
+
+@attrs.frozen
+class BrokenCall:
+    """Identify a call that an upstream broke off."""
+
+    fingerprint: str
+    request_id: str
+    upstream: str
+    had_output: bool
+
+
+def _ignore(call: BrokenCall) -> None:
+    del call
+
+
+class CrashDetector:
+    """Distinguish crashed upstreams from broken connections.
+
+    An upstream that refuses connections after it broke off a call is
+    considered crashed, unless it was leaving: then its end was planned.
+    """
+
+    def __init__(
+        self,
+        upstreams: Upstreams,
+        clock: Clock,
+        on_crash: Callable[[BrokenCall], None] = _ignore,
+    ) -> None:
+        """Pass each call that a crashed upstream broke off to `on_crash`."""
+        self._upstreams = upstreams
+        self._clock = clock
+        self._on_crash = on_crash
+        # Broken calls of upstreams that are being checked, by upstream name.
+        self._pending: dict[str, list[BrokenCall]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def stop(self) -> None:
+        """Cancel the checks in progress."""
+        for task in list(self._tasks):
+            await end_task(task)
+
+    def check_broken_call(
+        self, call: Call, upstream: Upstream, *, had_output: bool
+    ) -> None:
+        """Check whether the upstream that broke off this call has crashed."""
+        listed = self._upstreams.find(upstream.name)
+        if listed is None or listed.state == "leaving":
+            return
+        broken = BrokenCall(
+            call.fingerprint, call.request_id, upstream.name, had_output
+        )
+        if upstream.name in self._pending:
+            self._pending[upstream.name].append(broken)
+            return
+        self._pending[upstream.name] = [broken]
+        task = asyncio.create_task(self._check(upstream))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check(self, upstream: Upstream) -> None:
+        await self._clock.sleep(CHECK_DELAY_S)
+        try:
+            has_crashed = await refuses_connections(upstream.address)
+        finally:
+            pending = self._pending.pop(upstream.name)
+        for broken in pending if has_crashed else ():
+            self._report(broken)
+
+    def _report(self, call: BrokenCall) -> None:
+        log.bind(
+            request=call.request_id,
+            fingerprint=call.fingerprint,
+            upstream=call.upstream,
+            had_output=call.had_output,
+        ).info("upstream crashed while it ran a request")
+        self._on_crash(call)
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -131,8 +131,10 @@
             self._reply.connection.close()
 
     async def _keep_pumping(self, reply: Reply) -> None:
+        has_output = False
         try:
             async for part in reply.connection.read_body(reply.head):
+                has_output = True
                 await self._room.acquire()
                 self._inbox.put_nowait(part)
         except UpstreamBrokenError as error:
@@ -142,6 +144,9 @@
                 event=self._splitter.last_id,
             ).info("{}", error)
             self._inbox.put_nowait("broken")
+            self._tools.crash_detector.check_broken_call(
+                self._job.call, reply.upstream, had_output=has_output
+            )
             return
         self._tools.exchange.give_back(reply.connection)
         self._inbox.put_nowait("whole")
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -216,6 +216,10 @@
                 out_ms=round(out_s * 1_000),
                 may_have_run=attempt.may_have_run,
             ).warning("left alone: {}", error)
+            if isinstance(error, UpstreamBrokenError):
+                self._tools.crash_detector.check_broken_call(
+                    call, upstream, had_output=False
+                )
             return give_up(attempt, "engine gave no answer")
         if reply.meaning == "not_executed":
             reply.connection.close()
--- a/src/balsamlift/relay/_plain.py
+++ b/src/balsamlift/relay/_plain.py
@@ -15,6 +15,7 @@
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._attempt import MOST_UNREACHABLE, Attempt
 from balsamlift.relay._balance import Balancer
+from balsamlift.relay._crash_detector import CrashDetector
 from balsamlift.relay._exchange import Exchange, Reply
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._refusals import (
@@ -50,12 +51,14 @@
         balancer: Balancer,
         admission: Admission,
         retries: Retries,
+        crash_detector: CrashDetector,
     ) -> None:
         """Send through `exchange` to upstreams that `balancer` picks."""
         self._exchange = exchange
         self._balancer = balancer
         self._admission = admission
         self._retries = retries
+        self._crash_detector = crash_detector
 
     async def run(self, call: Call, responder: Responder) -> Outcome:
         """Answer the caller; return the outcome for the log."""
@@ -126,6 +129,10 @@
                     )
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
             self._leave_alone(call, attempt, upstream, str(error))
+            if isinstance(error, UpstreamBrokenError):
+                self._crash_detector.check_broken_call(
+                    call, upstream, had_output=False
+                )
             raise
         except TimeoutError as error:
             if bound_s is None or loop.time() >= call.give_up_s:
--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -33,6 +33,7 @@
     route: Route
     workspace: Workspace | None
     key: str
+    fingerprint: str  # equal for all repeats by the same caller
     service: str
     regions: frozenset[str] | None  # where it may run; None: anywhere
     priority: int  # 0 is served first
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -18,6 +18,7 @@
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._cold_starts import ColdLimits, ColdStarts
+from balsamlift.relay._crash_detector import CrashDetector
 from balsamlift.relay._doubts import Doubts
 from balsamlift.relay._engines import EngineCalls
 from balsamlift.relay._exchange import Exchange
@@ -109,8 +110,13 @@
         )
         exchange = Exchange(self._pool, names, self._clock)
         self._admission = Admission(routing, names, self._random)
+        self._crash_detector = CrashDetector(self._upstreams, self._clock)
         self._plain = PlainCalls(
-            exchange, balancer, self._admission, self._retries
+            exchange,
+            balancer,
+            self._admission,
+            self._retries,
+            self._crash_detector,
         )
         tools = Tools(
             exchange=exchange,
@@ -121,6 +127,7 @@
             metrics=self._metrics,
             upstreams=self._upstreams,
             rng=self._random,
+            crash_detector=self._crash_detector,
         )
         self._generations = Generations(
             tools, self._admission, self._retries, self._upstreams
@@ -148,6 +155,7 @@
     async def stop(self) -> None:
         """Close the connections to upstreams."""
         await self._doubts.stop()
+        await self._crash_detector.stop()
         for task in self._tasks:
             await end_task(task)
         self._pool.close()
@@ -191,6 +199,7 @@
         self._metrics.observe_ms(f"relay.{call.route.kind}", took_ms)
         log.bind(
             request=call.request_id,
+            fingerprint=call.fingerprint,
             route=call.route.name,
             service=call.service,
             version=call.table.version,
--- a/src/balsamlift/testing/_replica.py
+++ b/src/balsamlift/testing/_replica.py
@@ -155,6 +155,15 @@
         if self.open:
             await asyncio.wait(self.open)
 
+    def crash(self) -> None:
+        """Close the port and cancel every connection but the calling one."""
+        assert self._server is not None
+        self._server.close()
+        current = asyncio.current_task()
+        for task in self.open:
+            if task is not current:
+                task.cancel()
+
     def entry(self) -> ListEntry:
         """Return its entry in the list of upstreams."""
         return ListEntry(
--- /dev/null
+++ b/tests/test_relay_crash_detector.py
@@ -0,0 +1,75 @@
+"""Crashed upstreams are distinguished from broken connections."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+from _relay_bench import run
+from test_relay_routing import admit, request
+
+from balsamlift.clock import SystemClock
+from balsamlift.relay._crash_detector import BrokenCall, CrashDetector
+from balsamlift.relay._fingerprint import fingerprint
+from balsamlift.relay._request import Call
+from balsamlift.testing.relay import NAMES, RelayWorld, ReplicaStandIn
+
+CHECK_WAIT_S = 0.4  # well above the delay of the check
+
+
+async def detect_crashes(
+    fail: Callable[[ReplicaStandIn], None], state: str = "live"
+) -> list[BrokenCall]:
+    """Return the calls reported after an upstream broke off two of them."""
+    reported: list[BrokenCall] = []
+    stand_in = ReplicaStandIn("plain-0", "plain", NAMES)
+    stand_in.state = state
+    async with RelayWorld([stand_in]) as world:
+        world.configure()
+        detector = CrashDetector(
+            world.upstreams, SystemClock(), reported.append
+        )
+        (upstream,) = world.upstreams.all()
+        call = admit(world.routing, "/view/1")
+        assert isinstance(call, Call)
+        fail(stand_in)
+        detector.check_broken_call(call, upstream, had_output=False)
+        other = attrs.evolve(call, request_id="r2")
+        detector.check_broken_call(other, upstream, had_output=True)
+        await asyncio.sleep(CHECK_WAIT_S)
+        await detector.stop()
+    return reported
+
+
+def run_detection(detection: Awaitable[list[BrokenCall]]) -> list[BrokenCall]:
+    reported: list[BrokenCall] = []
+
+    async def main() -> None:
+        reported.extend(await detection)
+
+    run(main())
+    return reported
+
+
+def test_reports_every_call_that_a_crashed_upstream_broke_off() -> None:
+    reported = run_detection(detect_crashes(ReplicaStandIn.crash))
+    assert [call.request_id for call in reported] == ["r1", "r2"]
+    assert [call.had_output for call in reported] == [False, True]
+
+
+def test_an_upstream_that_still_listens_has_not_crashed() -> None:
+    assert run_detection(detect_crashes(lambda stand_in: None)) == []
+
+
+def test_a_leaving_upstream_that_ends_has_not_crashed() -> None:
+    assert run_detection(detect_crashes(ReplicaStandIn.crash, "leaving")) == []
+
+
+def test_repeats_of_a_request_have_the_same_fingerprint() -> None:
+    first, repeat = request("/a/x"), request("/a/x")
+    repeat.headers[NAMES.request_id] = "another"
+    repeat.headers[NAMES.deadline_ms] = "7"
+    assert fingerprint(first, "key") == fingerprint(repeat, "key")
+    assert fingerprint(first, "key") != fingerprint(first, "other key")
+    for fields in ({"target": "/a/y"}, {"body": b"b"}, {"method": "PUT"}):
+        other = attrs.evolve(first, **fields)
+        assert fingerprint(first, "key") != fingerprint(other, "key")
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -256,6 +256,22 @@
     await world.call("/draft/1", headers=USAGE)
 
 
+async def engine_crashes(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    async def crash(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await connection.begin_stream(request)
+        for stand_in in stand_ins:
+            stand_in.crash()
+        connection.reset()
+
+    behave(stand_ins, crash)
+    await world.call("/draft/1", headers=USAGE)
+    await asyncio.sleep(0.3)
+
+
 async def newer_version_reported(
     world: RelayWorld, stand_ins: list[ReplicaStandIn]
 ) -> None:
@@ -272,8 +288,9 @@
     *("decode_ms", "index_ms", "known_for_ms"),
 )
 NEWER = ("version", "in_force", "source")
+CRASHED = ("request", "fingerprint", "upstream", "had_output")
 PLACED = ("request", "upstream", "tokens", "load", "counts", "waited_ms")
-ENDED = ("request", "route", "service", "version", "took_ms")
+ENDED = ("request", "fingerprint", "route", "service", "version", "took_ms")
 EXPECTED = [
     Expected(unknown_key, "unknown key", REFUSED),
     Expected(unknown_route, "no route", REFUSED),
@@ -293,6 +310,7 @@
     Expected(engines_refuse, "engine refused", ("request", "load")),
     Expected(engines_reset, "left alone: ", ("request", "out_ms")),
     Expected(engines_reset, "engine gave no answer", ENDED),
+    Expected(engine_crashes, "upstream crashed while it ran", CRASHED),
     Expected(engines_repeat, "", ("request",)),
     Expected(told_to_fail, "avoided", ("upstream", "hosts_failing")),
     Expected(no_room, "no room", ENDED),
