Refuse a request that has crashed three upstreams, at every host

The cause: no host recognized the repeats as the same request, and what one host observed of it was not shared with the others. The general fault is that what one host learns stays with that host.

Hosts now report to each other, by the fingerprint of the request, which upstreams crashed while they ran it, and that a request completed. From them each host determines the same culprits: requests with three crashes or more that never completed. The request with the most crashes before any output comes first; each further one needs at least two crashes that no culprit found before it explains. A culprit is refused with 400, which no caller repeats. This is checked before each send and each time that a generation is to continue at another engine; it is then not continued there. A generation that three engines broke off no longer continues at a backup.

Ruled out: counting broken connections, because faulty links and invalid answers cause them too; and counting a crash against every request that was running, because harmless requests that ran at the same time would be refused.

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -1,5 +1,6 @@
 """The other hosts, and the upstreams that all hosts share."""
 
+from balsamlift.peers._crash_reports import CrashReports
 from balsamlift.peers._evacuations import EvacuationNews, Evacuations
 from balsamlift.peers._follower import Follower, Pace
 from balsamlift.peers._hosts_list import (
@@ -12,6 +13,7 @@
 from balsamlift.peers._lone_reads import LoneReads
 from balsamlift.peers._marks import UpstreamState
 from balsamlift.peers._membership import Peers
+from balsamlift.peers._messages import CrashReport
 from balsamlift.peers._peer import Peer
 from balsamlift.peers._readers import Place
 from balsamlift.peers._records import Newest, Record
@@ -23,6 +25,8 @@
     "ENTRY_ROLE",
     "UPSTREAM_ROLE",
     "CountsBasis",
+    "CrashReport",
+    "CrashReports",
     "EntryHost",
     "EvacuationNews",
     "Evacuations",
--- a/src/balsamlift/peers/_composer.py
+++ b/src/balsamlift/peers/_composer.py
@@ -9,6 +9,7 @@
 
 from balsamlift.clock import Clock
 from balsamlift.peers._counts import OwnCounts
+from balsamlift.peers._crash_reports import CrashReports
 from balsamlift.peers._evacuations import EvacuationNews
 from balsamlift.peers._heard import HeardPeers
 from balsamlift.peers._link import Draft, Link, Told
@@ -42,6 +43,7 @@
         members: Members,
         counts: OwnCounts,
         notes: Notes,
+        crash_reports: CrashReports,
         heard: HeardPeers,
         clock: Clock,
         rng: random.Random,
@@ -50,6 +52,7 @@
         self._members = members
         self._counts = counts
         self._notes = notes
+        self._crash_reports = crash_reports
         self._heard = heard
         self._clock = clock
         self._random = rng
@@ -79,9 +82,15 @@
             notes=self._notes.changed_since(link.told.notes, now_s),
             shared=status.shared,
             evacuations=status.evacuations,
+            crash_reports=self._crash_reports.changed_since(
+                link.told.crash_reports
+            ),
         )
         told = Told(
-            self._members.change, self._counts.change, self._notes.change
+            self._members.change,
+            self._counts.change,
+            self._notes.change,
+            self._crash_reports.change,
         )
         return Draft(message, told)
 
--- a/src/balsamlift/peers/_link.py
+++ b/src/balsamlift/peers/_link.py
@@ -32,6 +32,7 @@
     members: int | None = None
     counts: int | None = None
     notes: int = 0
+    crash_reports: int = 0
 
     @property
     def is_any(self) -> bool:
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -17,6 +17,7 @@
 from balsamlift.operators import OperatorsServer
 from balsamlift.peers._composer import Composer, Status
 from balsamlift.peers._configuration import ConfigurationFinder
+from balsamlift.peers._crash_reports import CrashReports
 from balsamlift.peers._heard import HeardPeers
 from balsamlift.peers._hosts_view import HostsHandler
 from balsamlift.peers._link import Draft, Link
@@ -94,6 +95,7 @@
         )
         self._dead_since_s: dict[str, float] = {}
         self._notes = Notes()
+        self.crash_reports = CrashReports(clock)
         self._told = ToldUpstreams(self._notes, clock)
         silence_s = settings.peers.silence_ms / 1_000
         self._heard = HeardPeers(clock, silence_s)
@@ -101,6 +103,7 @@
             self._members,
             self._load.own,
             self._notes,
+            self.crash_reports,
             self._heard,
             clock,
             rng,
@@ -127,6 +130,7 @@
         self._links.start(self._metrics)
         self._load.start(self._members, self._links.wake, self._metrics)
         self._told.start(self._upstreams, self._links.wake)
+        self.crash_reports.start(self._links.wake)
         self._upstreams.share_probes(self._sharers)
         self._upstreams.share_reading(self._reads_often)
         self._receiver = Receiver(
@@ -135,6 +139,7 @@
             load=self._load,
             links=self._links,
             told=self._told,
+            crash_reports=self.crash_reports,
             sharing=self.sharing,
             upstreams=self._upstreams,
             timeline=self._timeline,
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -57,6 +57,15 @@
     ttl_ms: int
 
 
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
+    """Report that an upstream crashed during a request, or its completion."""
+
+    fingerprint: str  # of the request; does not reveal its body
+    upstream: str  # incarnation that crashed; "": the request completed
+    ttl_ms: int
+    had_output: bool = False  # from that upstream
+
+
 class Shared(msgspec.Struct, frozen=True, array_like=True):
     """Hold what goes between hosts when one cannot read the platform."""
 
@@ -88,6 +97,7 @@
     notes: list[UpstreamNote] = msgspec.field(default_factory=list)
     shared: Shared | None = None  # left out of nearly all messages
     evacuations: EvacuationNews | None = None  # None: not known yet
+    crash_reports: list[CrashReport] = msgspec.field(default_factory=list)
 
 
 class CountsUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/src/balsamlift/peers/_receiver.py
+++ b/src/balsamlift/peers/_receiver.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from balsamlift.peers._crash_reports import CrashReports
 from balsamlift.peers._heard import HeardPeers
 from balsamlift.peers._links import Links
 from balsamlift.peers._load import Load
@@ -26,6 +27,7 @@
     _load: Load
     _links: Links
     _told: ToldUpstreams
+    _crash_reports: CrashReports
     _sharing: Sharing
     _upstreams: Upstreams
     _timeline: Timeline
@@ -45,6 +47,7 @@
             message.host, message.counts, full=message.counts_are_full
         )
         self._told.take(message.notes)
+        self._crash_reports.add(message.crash_reports)
         # Before the configuration: a host that has just started must not
         # serve by that alone.
         if message.evacuations is not None:
--- /dev/null
+++ b/src/balsamlift/relay/_crash_guard.py
@@ -0,0 +1,116 @@
+"""Identify requests that must be refused because they crash upstreams."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, defaultdict
+from collections.abc import Iterable
+
+from loguru import logger
+
+from balsamlift.clock import Clock
+from balsamlift.peers import CrashReport, CrashReports, Upstream, Upstreams
+from balsamlift.relay._crash_detector import BrokenCall, CrashDetector
+from balsamlift.relay._culprits import CrashHistory, find_culprits
+from balsamlift.relay._request import Call, Refusal
+
+log = logger.bind(part="crashes")
+
+# Recently completed requests, so that a later crash report of one of them can
+# be answered with a report of its completion.
+MAX_COMPLETED = 2_000
+
+# Callers do not repeat a request after status 400.
+CRASHING_REQUEST = Refusal(
+    status=400, reason="request crashes upstreams, not run again"
+)
+
+
+class CrashGuard:
+    """Identify requests that crash upstreams from the reports of all hosts."""
+
+    def __init__(
+        self, reports: CrashReports, upstreams: Upstreams, clock: Clock
+    ) -> None:
+        """Begin with the reports that this host already holds."""
+        self._reports = reports
+        self._detector = CrashDetector(upstreams, clock, self._report)
+        self._reported: frozenset[str] = frozenset()
+        self._culprits: frozenset[str] = frozenset()
+        self._completed: OrderedDict[str, None] = OrderedDict()
+        reports.on_new_reports(self._process_new_reports)
+        self._update_culprits()
+
+    async def stop(self) -> None:
+        """Cancel the crash checks in progress."""
+        await self._detector.stop()
+
+    def is_culprit(self, call: Call) -> bool:
+        """Tell whether a request must be refused."""
+        return call.fingerprint in self._culprits
+
+    def record_completed(self, call: Call) -> None:
+        """Record that an upstream completed a request."""
+        self._completed[call.fingerprint] = None
+        self._completed.move_to_end(call.fingerprint)
+        if len(self._completed) > MAX_COMPLETED:
+            self._completed.popitem(last=False)
+        if call.fingerprint in self._reported:
+            self._reports.report_completed(call.fingerprint)
+
+    def check_broken_call(
+        self, call: Call, upstream: Upstream, *, had_output: bool
+    ) -> None:
+        """Check whether an upstream that broke off a call has crashed."""
+        self._detector.check_broken_call(call, upstream, had_output=had_output)
+
+    def _report(self, crashed: BrokenCall) -> None:
+        self._reports.report_crash(
+            crashed.fingerprint,
+            crashed.upstream,
+            had_output=crashed.had_output,
+        )
+
+    def _process_new_reports(self, reports: Iterable[CrashReport]) -> None:
+        for report in reports:
+            if report.upstream and report.fingerprint in self._completed:
+                self._reports.report_completed(report.fingerprint)
+        self._update_culprits()
+
+    def forget_old(self) -> None:
+        """Discard expired reports; called every second."""
+        if self._reported:
+            self._update_culprits()
+
+    def _update_culprits(self) -> None:
+        reports = self._reports.all()
+        self._reported = frozenset(report.fingerprint for report in reports)
+        before = self._culprits
+        self._culprits = _find_reported_culprits(reports)
+        for fingerprint in self._culprits - before:
+            log.bind(fingerprint=fingerprint).warning(
+                "refusing a request that crashes upstreams"
+            )
+        for fingerprint in before - self._culprits:
+            log.bind(fingerprint=fingerprint).info(
+                "no longer refusing a request"
+            )
+
+
+def _find_reported_culprits(reports: Iterable[CrashReport]) -> frozenset[str]:
+    """Return the fingerprints of the culprits according to `reports`."""
+    upstreams: dict[str, set[str]] = defaultdict(set)
+    before_output: dict[str, int] = defaultdict(int)
+    completed: set[str] = set()
+    for report in reports:
+        if not report.upstream:
+            completed.add(report.fingerprint)
+            continue
+        upstreams[report.fingerprint].add(report.upstream)
+        before_output[report.fingerprint] += not report.had_output
+    histories = {
+        fingerprint: CrashHistory(
+            frozenset(crashed), before_output[fingerprint]
+        )
+        for fingerprint, crashed in upstreams.items()
+    }
+    return find_culprits(histories, completed)
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -18,6 +18,7 @@
 from balsamlift.peers import Upstream
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._backup import Backup
+from balsamlift.relay._culprits import CRASH_THRESHOLD
 from balsamlift.relay._engines import Copy
 from balsamlift.relay._events import EventError, EventSplitter
 from balsamlift.relay._exchange import Reply
@@ -81,6 +82,7 @@
         self._move: Move | None = None
         self._moving: asyncio.Task[Copy | None] | None = None
         self._seen_s = asyncio.get_running_loop().time()
+        self._lost_engines = 0
         self.course = Course()
 
     @property
@@ -144,7 +146,7 @@
                 event=self._splitter.last_id,
             ).info("{}", error)
             self._inbox.put_nowait("broken")
-            self._tools.crash_detector.check_broken_call(
+            self._tools.crash_guard.check_broken_call(
                 self._job.call, reply.upstream, had_output=has_output
             )
             return
@@ -162,6 +164,7 @@
                 if self._splitter.rest:
                     return self._fail("ended within an event")
                 self._responder.finish()
+                self._tools.crash_guard.record_completed(self._job.call)
                 return "whole"
             elif item == "leaving":
                 if not await self._go_on_at_backup():
@@ -209,12 +212,23 @@
         copy = await self._end_moving()
         try:
             if copy is None:
-                return await self._go_on_at_backup()
+                return await self._recover()
             source = f"{copy.source.address}/{copy.handle}"
             return await self._go_on_at(copy.target, source)
         finally:
             self._release_claim()
 
+    async def _recover(self) -> bool:
+        """Go on at the backup unless too many engines were lost.
+
+        The crash check has not finished yet, so each lost engine counts as
+        crashed. Prevents one generation from crashing its backups in turn.
+        """
+        self._lost_engines += 1
+        if self._lost_engines >= CRASH_THRESHOLD:
+            return False
+        return await self._go_on_at_backup()
+
     def _release_claim(self) -> None:
         if self._move is not None:
             self._move.release()
@@ -268,6 +282,8 @@
         self._room = asyncio.Semaphore(PARTS_AHEAD)
 
     async def _resume(self, upstream: Upstream, source: str) -> Reply | None:
+        if self._tools.crash_guard.is_culprit(self._job.call):
+            return None
         if self._tools.upstreams.is_in_evacuation(upstream):
             return None
         names = self._tools.names
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -17,6 +17,7 @@
 from balsamlift.relay._backup import Backup
 from balsamlift.relay._balance import prefill_key
 from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._crash_guard import CRASHING_REQUEST
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._generation import Generation
 from balsamlift.relay._headers import caller_headers
@@ -119,6 +120,8 @@
         tried: set[str] = set()
         dialled = 0
         while True:
+            if self._tools.crash_guard.is_culprit(call):
+                return CRASHING_REQUEST
             sends_before = attempt.sends
             holding = await self._wait_for_room(job, tried)
             if holding is None:
@@ -138,6 +141,8 @@
             try:
                 if not self._admission.still_allows(call):
                     return give_up(attempt, "configuration changed", 0)
+                if self._tools.crash_guard.is_culprit(call):
+                    return CRASHING_REQUEST
                 result = await self._send(
                     call, attempt, holding.upstream, backup.headers()
                 )
@@ -217,7 +222,7 @@
                 may_have_run=attempt.may_have_run,
             ).warning("left alone: {}", error)
             if isinstance(error, UpstreamBrokenError):
-                self._tools.crash_detector.check_broken_call(
+                self._tools.crash_guard.check_broken_call(
                     call, upstream, had_output=False
                 )
             return give_up(attempt, "engine gave no answer")
--- a/src/balsamlift/relay/_plain.py
+++ b/src/balsamlift/relay/_plain.py
@@ -15,7 +15,7 @@
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._attempt import MOST_UNREACHABLE, Attempt
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._crash_detector import CrashDetector
+from balsamlift.relay._crash_guard import CRASHING_REQUEST, CrashGuard
 from balsamlift.relay._exchange import Exchange, Reply
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._refusals import (
@@ -51,14 +51,14 @@
         balancer: Balancer,
         admission: Admission,
         retries: Retries,
-        crash_detector: CrashDetector,
+        crash_guard: CrashGuard,
     ) -> None:
         """Send through `exchange` to upstreams that `balancer` picks."""
         self._exchange = exchange
         self._balancer = balancer
         self._admission = admission
         self._retries = retries
-        self._crash_detector = crash_detector
+        self._crash_guard = crash_guard
 
     async def run(self, call: Call, responder: Responder) -> Outcome:
         """Answer the caller; return the outcome for the log."""
@@ -85,6 +85,8 @@
         tried: set[str] = set()
         dialled = 0
         while True:
+            if self._crash_guard.is_culprit(call):
+                return CRASHING_REQUEST
             upstream = self._balancer.place_call(call.scope, tried)
             if upstream is None:
                 now_s = asyncio.get_running_loop().time()
@@ -130,7 +132,7 @@
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
             self._leave_alone(call, attempt, upstream, str(error))
             if isinstance(error, UpstreamBrokenError):
-                self._crash_detector.check_broken_call(
+                self._crash_guard.check_broken_call(
                     call, upstream, had_output=False
                 )
             raise
@@ -141,6 +143,8 @@
             raise UpstreamBrokenError(
                 upstream.name, "no answer yet"
             ) from error
+        if reply.meaning != "not_executed":
+            self._crash_guard.record_completed(call)
         if reply.meaning == "answer":
             self._balancer.saw_success(upstream.name)
         elif reply.meaning == "not_executed":
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -18,7 +18,7 @@
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._cold_starts import ColdLimits, ColdStarts
-from balsamlift.relay._crash_detector import CrashDetector
+from balsamlift.relay._crash_guard import CrashGuard
 from balsamlift.relay._doubts import Doubts
 from balsamlift.relay._engines import EngineCalls
 from balsamlift.relay._exchange import Exchange
@@ -110,13 +110,15 @@
         )
         exchange = Exchange(self._pool, names, self._clock)
         self._admission = Admission(routing, names, self._random)
-        self._crash_detector = CrashDetector(self._upstreams, self._clock)
+        self._crash_guard = CrashGuard(
+            peers.crash_reports, self._upstreams, self._clock
+        )
         self._plain = PlainCalls(
             exchange,
             balancer,
             self._admission,
             self._retries,
-            self._crash_detector,
+            self._crash_guard,
         )
         tools = Tools(
             exchange=exchange,
@@ -127,7 +129,7 @@
             metrics=self._metrics,
             upstreams=self._upstreams,
             rng=self._random,
-            crash_detector=self._crash_detector,
+            crash_guard=self._crash_guard,
         )
         self._generations = Generations(
             tools, self._admission, self._retries, self._upstreams
@@ -155,7 +157,7 @@
     async def stop(self) -> None:
         """Close the connections to upstreams."""
         await self._doubts.stop()
-        await self._crash_detector.stop()
+        await self._crash_guard.stop()
         for task in self._tasks:
             await end_task(task)
         self._pool.close()
@@ -224,3 +226,4 @@
             await self._clock.sleep(SWEEP_S)
             self._pool.sweep({u.name for u in self._upstreams.all()})
             self._balancer.forget_old()
+            self._crash_guard.forget_old()
--- a/src/balsamlift/relay/_tools.py
+++ b/src/balsamlift/relay/_tools.py
@@ -9,7 +9,7 @@
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstreams
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._crash_detector import CrashDetector
+from balsamlift.relay._crash_guard import CrashGuard
 from balsamlift.relay._engines import EngineCalls
 from balsamlift.relay._exchange import Exchange
 from balsamlift.relay._rooms import Rooms
@@ -28,4 +28,4 @@
     metrics: Metrics
     upstreams: Upstreams
     rng: random.Random
-    crash_detector: CrashDetector
+    crash_guard: CrashGuard
--- a/tests/test_relay_crashes.py
+++ b/tests/test_relay_crashes.py
@@ -5,8 +5,15 @@
 
 import pytest
 from _relay_bench import USAGE, run
+from tornado.httputil import HTTPHeaders
 
+from balsamlift.peers._crash_reports import REPORT_TTL_MS
+from balsamlift.peers._messages import CrashReport
+from balsamlift.relay._fingerprint import fingerprint
+from balsamlift.relay._request import CallerRequest
 from balsamlift.testing.relay import (
+    HOST,
+    KEY,
     NAMES,
     CallerAnswer,
     RelayWorld,
@@ -105,3 +112,68 @@
             assert other.status == 200
 
     run(test())
+
+
+def crash_reports(path: str, *upstreams: str) -> list[CrashReport]:
+    """Return reports by other hosts about the crashing request."""
+    digest = fingerprint(caller_request(path), KEY)
+    return [
+        CrashReport(digest, upstream, REPORT_TTL_MS) for upstream in upstreams
+    ]
+
+
+def caller_request(path: str) -> CallerRequest:
+    return CallerRequest(
+        method="POST",
+        target=path,
+        headers=HTTPHeaders(
+            {
+                "Host": HOST,
+                "Authorization": f"Token {KEY}",
+                NAMES.request_id: "r1",
+            }
+        ),
+        body=CRASHING,
+        arrived_s=0.0,
+    )
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_request_that_crashed_upstreams_of_other_hosts_is_refused(
+    path: str,
+) -> None:
+    async def test() -> None:
+        stand_ins = make_stand_ins()
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            world.peers.crash_reports.add(crash_reports(path, "a", "b", "c"))
+            answer = await call(world, path, CRASHING, "r1")
+            assert answer is not None
+            assert answer.status == 400
+            assert count_crashing_arrivals(stand_ins) == 0
+            world.peers.crash_reports.add(crash_reports(path, ""))
+            # It has completed at another host, so it may run again.
+            await call(world, path, CRASHING, "r2")
+            assert count_crashing_arrivals(stand_ins) > 0
+
+    run(test())
+
+
+def test_a_refused_request_may_run_again_after_its_reports_expire() -> None:
+    async def test() -> None:
+        stand_ins = make_stand_ins()
+        async with RelayWorld(stand_ins) as world:
+            world.configure()
+            short_lived = [
+                CrashReport(report.fingerprint, report.upstream, 300)
+                for report in crash_reports("/order/1", "a", "b", "c")
+            ]
+            world.peers.crash_reports.add(short_lived)
+            answer = await call(world, "/order/1", CRASHING, "r1")
+            assert answer is not None
+            assert answer.status == 400
+            await asyncio.sleep(1.5)  # expiry is checked every second
+            await call(world, "/order/1", CRASHING, "r2")
+            assert count_crashing_arrivals(stand_ins) == 1
+
+    run(test())
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -24,9 +24,13 @@
     until_arrived,
 )
 from loguru import logger
+from tornado.httputil import HTTPHeaders
 
 import balsamlift.relay
+from balsamlift.peers import CrashReport
 from balsamlift.relay import CopyRefusedError
+from balsamlift.relay._fingerprint import fingerprint
+from balsamlift.relay._request import CallerRequest
 from balsamlift.testing.relay import (
     KEY,
     LIMITS,
@@ -272,6 +276,28 @@
     await asyncio.sleep(0.3)
 
 
+def caller_request() -> CallerRequest:
+    return CallerRequest(
+        method="POST",
+        target="/draft/1",
+        headers=HTTPHeaders(),
+        body=b"",
+        arrived_s=0.0,
+    )
+
+
+async def crashes_reported(
+    world: RelayWorld, stand_ins: list[ReplicaStandIn]
+) -> None:
+    request = caller_request()
+    digest = fingerprint(request, KEY)
+    reports = [CrashReport(digest, upstream, 60_000) for upstream in "abc"]
+    world.peers.crash_reports.add(reports)
+    answer = await world.call("/draft/1", headers=USAGE)
+    assert answer.status == 400
+    world.peers.crash_reports.report_completed(digest)
+
+
 async def newer_version_reported(
     world: RelayWorld, stand_ins: list[ReplicaStandIn]
 ) -> None:
@@ -311,6 +337,15 @@
     Expected(engines_reset, "left alone: ", ("request", "out_ms")),
     Expected(engines_reset, "engine gave no answer", ENDED),
     Expected(engine_crashes, "upstream crashed while it ran", CRASHED),
+    Expected(
+        crashes_reported,
+        "refusing a request that crashes upstreams",
+        ("fingerprint",),
+    ),
+    Expected(
+        crashes_reported, "no longer refusing a request", ("fingerprint",)
+    ),
+    Expected(crashes_reported, "request crashes upstreams, not run", ENDED),
     Expected(engines_repeat, "", ("request",)),
     Expected(told_to_fail, "avoided", ("upstream", "hosts_failing")),
     Expected(no_room, "no room", ENDED),
