Compare store offsets only within one era

The platform's store can be restored from a copy that is some seconds old. Offsets then go back and are assigned again, and the era that the store reports in the Store-Era header of each answer increases by one.

The cause of the faults was that offsets were compared as if they only increased. A host that was cut off during the drill continued reading at an offset that now referred to other records, and missed the records before it. Evacuations written afterwards were ignored because their offsets were smaller. A host that had detected the restore was overruled by one that had not. Our own entries were missing from the store for up to 200 s, and upstreams whose entries are written again were considered gone.

Every offset that is stored, compared or sent to other hosts now carries the era of the store (StorePosition); a later era takes precedence over any offset of an earlier one. The header is decoded in the adapter. An answer is logged and treated as a failed call if its era is earlier than the latest one received from the store or known from other hosts, is not a number, or is missing although the store has reported one. A store that reports no era works as before. Messages of hosts that do not support eras decode as of era 0 and are ignored by hosts that hold a later one.

Ruled out: detecting a restore only by an offset beyond the end (410). If the new end is the same or larger, nothing shows.

--- a/src/balsamlift/peers/_evacuations.py
+++ b/src/balsamlift/peers/_evacuations.py
@@ -7,6 +7,8 @@
 import msgspec
 from loguru import logger
 
+from balsamlift.peers._positions import StorePosition
+
 log = logger.bind(part="upstreams")
 
 
@@ -15,6 +17,12 @@
 
     end: int  # the offset after the last of the operators' records known
     domains: list[str]
+    era: int = 0  # of the store that assigned `end`
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position after the last record known."""
+        return StorePosition(self.era, self.end)
 
 
 class Evacuations:
@@ -51,7 +59,7 @@
 
         `age_ms` is how long ago it was all that the store had, if known.
         """
-        if self._news is not None and news.end <= self._news.end:
+        if self._news is not None and news.position <= self._news.position:
             return False
         self._news = news
         before, self._domains = self._domains, frozenset(news.domains)
@@ -61,6 +69,7 @@
             evacuated=sorted(self._domains),
             evacuated_before=sorted(before),
             offset=news.end,
+            era=news.era,
             source=source,
             age_ms=age_ms,
         ).info("evacuations changed")
--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -19,6 +19,7 @@
 from balsamlift.clock import Clock
 from balsamlift.exceptions import HistoryLostError, StoreError
 from balsamlift.peers._lone_reads import LoneReads
+from balsamlift.peers._positions import StorePosition
 from balsamlift.peers._records import (
     Newest,
     Record,
@@ -51,6 +52,12 @@
     age_ms: int  # since these were all the records
     is_whole: bool  # every key, instead of what has changed
     records: list[Record]
+    era: int = 0  # of the store that assigned the offsets
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position after the last record known."""
+        return StorePosition(self.era, self.end)
 
 
 def _always() -> bool:
@@ -78,6 +85,7 @@
         self._target_end = 0
         self._incoming_end = 0  # end of the last large answer that began
         self._woken = asyncio.Event()
+        self._on_restored: list[Callable[[], None]] = []
 
     def share(
         self, reads: Callable[[], bool], lone_reads: LoneReads | None = None
@@ -100,6 +108,16 @@
         """Return the offset after the last record known; None: none is."""
         return self._table.end
 
+    @property
+    def position(self) -> StorePosition | None:
+        """Return the position after the last record known; None: none is."""
+        return self._table.position
+
+    @property
+    def era(self) -> int:
+        """Return the era of the store that assigned the known offsets."""
+        return self._table.era
+
     @property
     def age_s(self) -> float:
         """Return for how long there may have been records not known here."""
@@ -112,6 +130,10 @@
         """Tell whether this is as new as what a reading host would tell."""
         return self.age_s <= self._pace.wait_ms / 1_000 + READ_LATE_S
 
+    def on_restored(self, callback: Callable[[], None]) -> None:
+        """Call back after the store was restored from an older copy."""
+        self._on_restored.append(callback)
+
     def values(self) -> dict[str, bytes]:
         """Return the value of each key."""
         return self._table.values()
@@ -153,47 +175,58 @@
                 "history is gone, reading the newest records"
             )
             return await self._read_newest()
+        self._check_era(news.era)
+        if news.era != self._table.era:
+            # The known offsets may refer to other records in the new era.
+            return await self._read_newest()
         # An answer without records was given when the wait was over.
         waited_s = 0.0 if news.records else wait_ms / 1_000
         self.confirm(min(sent_s + waited_s, self._clock.monotonic()))
         return self._table.take(news)
 
-    def news_since(self, start: int | None) -> TopicNews | None:
-        """Return what a host lacks that knows the topic up to `start`."""
+    def news_since(self, start: int | None, era: int = 0) -> TopicNews | None:
+        """Return what a host lacks that knows the topic up to `start`.
+
+        `era` is the era of the store that assigned `start`.
+        """
         if self._table.end is None or self._confirmed_s is None:
             return None
-        records = None if start is None else self._table.since(start)
+        is_comparable = start is not None and era == self._table.era
+        records = self._table.since(start or 0) if is_comparable else None
         return TopicNews(
             end=self._table.end,
             age_ms=round(self.age_s * 1_000),
             is_whole=records is None,
             records=self._table.all() if records is None else records,
+            era=self._table.era,
         )
 
     def take(self, news: TopicNews, asked_s: float) -> None:
         """Take in what another host answered to what was asked then."""
-        end = self._table.end
-        if end is not None and news.end < end:
+        position = self._table.position
+        if position is not None and news.position < position:
             return  # it knows less
-        if end is None and not news.is_whole:
+        is_same_era = position is not None and position.era == news.era
+        if not is_same_era and not news.is_whole:
             return  # what comes before was asked for too
-        newest = Newest(news.records, news.end)
+        newest = Newest(news.records, news.end, news.era)
         if news.is_whole:
-            self._table.take_whole(newest)
+            self._take_whole(newest)
         else:
             self._table.take(newest)
         self.confirm(asked_s - news.age_ms / 1_000)
-        if news.records or end is None:
+        if news.records or position is None:
             self._is_told = True
             self._woken.set()
 
-    def skip_to(self, end: int, records: list[Record]) -> None:
-        """Continue reading at `end` if it is past the current offset.
+    def skip_to(self, end: StorePosition, records: list[Record]) -> None:
+        """Continue reading at `end` if it is past the current position.
 
         `records` replace the table as the newest of each key before `end`.
         """
-        if self._table.end is None or end > self._table.end:
-            self._table.take_whole(Newest(records, end))
+        position = self._table.position
+        if position is None or end > position:
+            self._take_whole(Newest(records, end.offset, end.era))
 
     @property
     def incoming_end(self) -> int | None:
@@ -282,6 +315,35 @@
 
     async def _read_newest(self) -> bool:
         sent_s = self._clock.monotonic()
-        self._table.take_whole(await self._store.newest(self._topic))
+        newest = await self._store.newest(self._topic)
+        self._check_era(newest.era)
+        self._take_whole(newest)
         self.confirm(sent_s)
         return True
+
+    def _check_era(self, era: int) -> None:
+        """Raise `StoreError` if another host has told of a later era."""
+        if era >= self._table.era:
+            return
+        log.bind(
+            topic=self._topic, era=era, era_known=self._table.era
+        ).warning("ignored an answer of an earlier era")
+        raise StoreError(f"an answer of era {era} instead of a later one")
+
+    def _take_whole(self, newest: Newest) -> None:
+        previous = self._table.position
+        self._table.take_whole(newest)
+        if previous is None or previous.era == newest.era:
+            return
+        # These ends are offsets of the previous era.
+        self._target_end = 0
+        self._incoming_end = 0
+        log.bind(
+            topic=self._topic,
+            era=newest.era,
+            era_before=previous.era,
+            offset=newest.end,
+            offset_before=previous.offset,
+        ).warning("store was restored, replaced all records of the topic")
+        for callback in self._on_restored:
+            callback()
--- a/src/balsamlift/peers/_list_reader.py
+++ b/src/balsamlift/peers/_list_reader.py
@@ -90,6 +90,14 @@
         """
         return self._clock.monotonic() >= self._trusted_s
 
+    def suspend_removals(self) -> None:
+        """Keep entries that are missing from the list for `RETURN_S`.
+
+        After an outage or a restore of the store, live upstreams write their
+        entries again within this time.
+        """
+        self._trusted_s = self._clock.monotonic() + RETURN_S
+
     async def _keep_reading(self) -> None:
         while True:
             await self._clock.sleep(self._pause_s())
@@ -137,4 +145,4 @@
         self.is_down = False
         log.info("list of hosts is back")
         self._timeline.record("hosts_up")
-        self._trusted_s = self._clock.monotonic() + RETURN_S
+        self.suspend_removals()
--- /dev/null
+++ b/src/balsamlift/peers/_positions.py
@@ -0,0 +1,20 @@
+"""Positions in a topic of the platform's store.
+
+When the store is restored from an older copy, it increments its era and
+assigns offsets again. Offsets are comparable only within one era.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(order=True)
+class StorePosition:
+    """Hold an offset and the era of the store that assigned it.
+
+    Positions are ordered by era, then by offset.
+    """
+
+    era: int
+    offset: int
--- a/src/balsamlift/peers/_records.py
+++ b/src/balsamlift/peers/_records.py
@@ -8,6 +8,8 @@
 import attrs
 import msgspec
 
+from balsamlift.peers._positions import StorePosition
+
 # Removals remembered, so that a host that lags is told of them one by one.
 # Upstreams come and go about once a second, and hosts ask once a second: one
 # that lags by more than this many is told everything.
@@ -32,6 +34,12 @@
 
     records: list[Record]
     end: int
+    era: int = 0  # of the store that assigned the offsets; 0: not reported
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position from which to read on."""
+        return StorePosition(self.era, self.end)
 
 
 class RecordStore(Protocol):
@@ -63,10 +71,16 @@
     def __init__(self) -> None:
         """Begin with nothing known."""
         self.end: int | None = None  # None: nothing was read or told yet
+        self.era = 0  # of the store that assigned all offsets here
         self._records: dict[str, Record] = {}
         self._removed: dict[str, Record] = {}  # oldest first
         self._forgotten = -1  # offset of the latest removal forgotten
 
+    @property
+    def position(self) -> StorePosition | None:
+        """Return the position after the last record known; None: none is."""
+        return None if self.end is None else StorePosition(self.era, self.end)
+
     def values(self) -> dict[str, bytes]:
         """Return the value of each key."""
         return {
@@ -84,9 +98,14 @@
     def take_whole(self, newest: Newest) -> None:
         """Take in all that there is: it goes before what was known.
 
-        What is missing there is gone, and offsets may have gone back where
-        the store was set up anew.
+        Keys missing from `newest` are removed. When the era changes, known
+        removals are discarded because their offsets are not comparable.
         """
+        if newest.era != self.era:
+            self._removed.clear()
+            self._forgotten = newest.end - 1
+            self._records.clear()
+            self.era = newest.era
         kept = {record.key for record in newest.records}
         gone = self._records.keys() - kept
         self._records.clear()
--- a/src/balsamlift/peers/_shared_records.py
+++ b/src/balsamlift/peers/_shared_records.py
@@ -16,6 +16,7 @@
 from balsamlift.clock import Clock
 from balsamlift.peers._evacuations import EvacuationNews, Evacuations
 from balsamlift.peers._follower import Follower, TopicNews
+from balsamlift.peers._positions import StorePosition
 from balsamlift.peers._records import Record
 
 # A host that others ask reads the topics as long as they do: they ask once a
@@ -37,6 +38,7 @@
 
     version: int  # of its configuration; 0: none
     listed: int | None  # offset after the last entry of the list
+    listed_era: int = 0  # of the store that assigned `listed`
 
 
 class RecordsAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -53,6 +55,7 @@
     end: int | None = None
     # End of a large answer that the asked host is still reading; None: none.
     incoming_end: int | None = None
+    era: int = 0  # of the store that assigned `end` and `incoming_end`
 
 
 class ConfigurationCopy(Protocol):
@@ -121,7 +124,8 @@
         """Return how far this host knows the records."""
         if self._sources is None:
             return None
-        return Position(self._sources.copy.offset, self._sources.listed.end)
+        listed = self._sources.listed
+        return Position(self._sources.copy.offset, listed.end, listed.era)
 
     def answer(self, position: Position | None) -> RecordsAnswer | None:
         """Return what that host lacks.
@@ -134,7 +138,9 @@
         self._asked_s = self._clock.monotonic()
         listed = None
         if self._sources.is_settled():
-            listed = self._sources.listed.news_since(position.listed)
+            listed = self._sources.listed.news_since(
+                position.listed, position.listed_era
+            )
         age_s = self._sources.configuration.age_s
         return RecordsAnswer(
             version=self._sources.copy.offset,
@@ -145,6 +151,7 @@
             must_read=is_too_large(self._sources.copy.encoded),
             end=self._sources.configuration.end,
             incoming_end=self._sources.configuration.incoming_end,
+            era=self._sources.configuration.era,
         )
 
     def take(self, answer: RecordsAnswer | None, asked_s: float) -> None:
@@ -161,9 +168,12 @@
         if answer.configuration:
             self._sources.offer(answer.configuration)
         configuration = self._sources.configuration
+        is_same_era = answer.era == configuration.era
         if answer.must_read and answer.version > self._sources.copy.offset:
-            configuration.read_soon(answer.end)
-        elif (answer.incoming_end or 0) > (configuration.end or 0):
+            configuration.read_soon(answer.end if is_same_era else None)
+        elif is_same_era and (answer.incoming_end or 0) > (
+            configuration.end or 0
+        ):
             configuration.read_soon(answer.incoming_end)
         is_newest = (
             answer.evacuations is not None
@@ -172,14 +182,16 @@
         if is_newest and answer.version_age_ms is not None:
             age_s = answer.version_age_ms / 1_000
             self._sources.configuration.confirm(asked_s - age_s)
-            self._skip_known_records(answer.end)
+            if answer.end is not None:
+                self._skip_known_records(StorePosition(answer.era, answer.end))
 
-    def _skip_known_records(self, end: int | None) -> None:
+    def _skip_known_records(self, end: StorePosition) -> None:
         """Skip the records before `end` that the known state covers."""
         sources = self._sources
-        if end is None or sources is None or sources.snapshot_records is None:
+        if sources is None or sources.snapshot_records is None:
             return
-        sources.configuration.skip_to(end, sources.snapshot_records(end))
+        records = sources.snapshot_records(end.offset)
+        sources.configuration.skip_to(end, records)
 
     def _sendable(self, copy: ConfigurationCopy, position: Position) -> bytes:
         """Return the configuration for a host that lags, if there is time."""
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -212,6 +212,13 @@
         """Tell whether this host cannot read the list."""
         return self._reader.is_down
 
+    def suspend_removals(self) -> None:
+        """Keep upstreams that are missing from the list for a short time.
+
+        After a restore of the store, live upstreams write their entries again.
+        """
+        self._reader.suspend_removals()
+
     @property
     def is_settled(self) -> bool:
         """Tell whether this host's list is whole: read, and not just back."""
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -78,6 +78,9 @@
             failure_domain=settings.failure_domain,
             written_s=0.0,
         )
+        registration = HostRegistration(store, clock, settings.host, record)
+        self._configuration.follower.on_restored(registration.renew)
+        self._listed.upstreams.on_restored(self.upstreams.suspend_removals)
         services = (
             OperatorsServer(settings.operators_address),
             timeline,
@@ -85,7 +88,7 @@
             routing,
             self.frontend,
             self._configuration,
-            HostRegistration(store, clock, settings.host, record),
+            registration,
             self.upstreams,
             self.peers,
             Directory(
--- a/src/balsamlift/platform/_names.py
+++ b/src/balsamlift/platform/_names.py
@@ -40,6 +40,9 @@
 UPSTREAMS_TOPIC = "keyed.servers"
 HOSTS_TOPIC = "keyed.hosts"  # our own
 
+# In all answers of the store; incremented by each restore from a copy.
+ERA_HEADER = "Store-Era"
+
 READY_PATH = "/readyz"
 ADDRESSES_PATH = "/resolution"
 MOVE_PATH = "/kv-move"
--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -16,6 +16,7 @@
 from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import HistoryLostError, StoreError
 from balsamlift.peers import Newest, Record
+from balsamlift.platform._names import ERA_HEADER
 
 log = logger.bind(part="store")
 
@@ -61,11 +62,13 @@
         # Last failure of each topic, without digits: a different time or size
         # in the message is not logged as a new kind of failure.
         self._failure_kinds: dict[str, str] = {}
+        self.era = 0  # latest received; 0: the store reports none
 
     async def newest(self, topic: str) -> Newest:
         """Return the newest record of each key; raise `StoreError`."""
         records: list[Record] = []
         end: int | None = None
+        era: int | None = None
         after = ""
         while True:
             query = {"Topic": topic, "part": "0"}
@@ -79,8 +82,11 @@
             records += [_listed_record(item) for item in page.Items]
             # Pages are no snapshot: what changes meanwhile is read again.
             end = page.EndOffset if end is None else end
+            era = self.era if era is None else era
+            if era != self.era:
+                raise StoreError("store was restored between two pages")
             if not page.HasMore or not page.Items:
-                return Newest(records, end)
+                return Newest(records, end, era)
             after = page.Items[-1].Key
 
     async def read(
@@ -106,7 +112,7 @@
         }
         detector = _LargeAnswerDetector(start, on_large_answer or _ignore_end)
         answer = await self._read("/log-read", query, wait_ms, detector.feed)
-        return _decode_read(answer.body, start)
+        return _decode_read(answer.body, start, self.era)
 
     async def append(self, topic: str, key: str, value: bytes) -> None:
         """Append a keyed record; raise `StoreError`."""
@@ -157,6 +163,7 @@
             kind = _DIGITS.sub("", error.reason)
             self._note(query["Topic"], error.message, kind)
             raise StoreError(error.message) from error
+        self._update_era(answer.headers.get(ERA_HEADER), query["Topic"])
         if answer.status == _GONE:
             raise HistoryLostError(path)
         if answer.status != _OK:
@@ -174,6 +181,25 @@
             ).info("read a large answer")
         return answer
 
+    def _update_era(self, text: str | None, topic: str) -> None:
+        """Record the era of an answer; raise `StoreError` if it is stale.
+
+        Once the store has reported an era, an answer without a valid era is
+        treated as stale.
+        """
+        if text is None and not self.era:
+            return
+        era = int(text) if text is not None and text.isdecimal() else -1
+        if era < self.era:
+            message = f"stale answer: era {text}, latest is {self.era}"
+            self._note(topic, message, "stale answer")
+            raise StoreError(message)
+        if self.era and era > self.era:
+            log.bind(era=era, era_before=self.era).warning(
+                "store was restored from an older copy"
+            )
+        self.era = era
+
     def _note(self, topic: str, trouble: str = "", kind: str = "") -> None:
         """Log when a topic is lost, fails in another way, or is back.
 
@@ -229,7 +255,7 @@
     return Record(item.Key, value, item.Offset)
 
 
-def _decode_read(body: bytes, start: int) -> Newest:
+def _decode_read(body: bytes, start: int, era: int = 0) -> Newest:
     """Return the records of a read and the offset after the last."""
     try:
         _NUMBERS.unpack_from(body)
@@ -245,7 +271,7 @@
             records.append(_decode_keyed(content, start + len(records)))
     except struct.error as error:
         raise StoreError(f"no records: {error}") from error
-    return Newest(records, start + len(records))
+    return Newest(records, start + len(records), era)
 
 
 def _decode_keyed(content: bytes, offset: int) -> Record:
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Generic, TypeVar
 
 import msgspec
@@ -105,7 +106,9 @@
     def _offer_evacuations(self, values: dict[str, bytes]) -> None:
         if self.follower.end is not None:
             domains = decode_evacuations(values)
-            news = EvacuationNews(self.follower.end, domains)
+            news = EvacuationNews(
+                self.follower.end, domains, self.follower.era
+            )
             self._evacuations.offer(news, "store", age_ms=0)
 
 
@@ -227,8 +230,16 @@
         self._host = host
         self._record = record
         self._back_off = BackOff(None, RETRY_MS, ENTRY_RETRY_MOST_MS)
+        self._renewal_requested = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
+    def renew(self) -> None:
+        """Write the entry without waiting for the next renewal.
+
+        A restore of the store from an older copy can lose the entry.
+        """
+        self._renewal_requested.set()
+
     async def start(self, kernel: Kernel) -> None:
         """Write the entry and keep it fresh."""
         del kernel
@@ -250,4 +261,7 @@
                 await self._clock.sleep(self._back_off.failed())
                 continue
             self._back_off.succeeded()
-            await self._clock.sleep(HOST_RENEWAL_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(HOST_RENEWAL_S):
+                    await self._renewal_requested.wait()
+            self._renewal_requested.clear()
--- a/src/balsamlift/testing/_keyed_store.py
+++ b/src/balsamlift/testing/_keyed_store.py
@@ -56,6 +56,7 @@
         self.fault: Fault = ""
         self.silent_topics: set[str] = set()  # that answer nothing
         self.calls: list[str] = []
+        self.era: int | str = 0  # sent in answers; 0: not sent
         self.bytes_per_s: float | None = None  # None: no limit
         self.stall_after_bytes: int | None = None  # in each answer
         self._server = HTTPServer(
@@ -85,6 +86,20 @@
         """Return a topic, made on first use."""
         return self.topics.setdefault(name, Topic())
 
+    def restore(self, kept: int) -> None:
+        """Restore a copy that holds the first `kept` records of each topic.
+
+        Topics whose history was dropped by `forget` are not supported.
+        """
+        assert isinstance(self.era, int)
+        self.era += 1
+        for topic in self.topics.values():
+            records = topic.records[:kept]
+            topic.records.clear()
+            topic.newest.clear()
+            for key, value in records:
+                topic.append(key, value)
+
     def forget(self, name: str) -> None:
         """Drop the history of a topic; the newest of each key is kept."""
         topic = self.topic(name)
@@ -99,6 +114,8 @@
         self.store = store
 
     async def prepare(self) -> None:
+        if self.store.era:
+            self.set_header("Store-Era", str(self.store.era))
         self.store.calls.append(self.request.path)
         fault = self.store.fault
         topic = self.get_query_argument("Topic")
@@ -158,7 +175,7 @@
             except TimeoutError:
                 self.write(_NUMBERS.pack(topic.end, topic.first))
                 return
-        if start < topic.first:
+        if start < topic.first or start > topic.end:
             self.set_status(410)
             self.write({"FirstOffset": topic.first})
             return
--- a/tests/test_peers_evacuations.py
+++ b/tests/test_peers_evacuations.py
@@ -49,3 +49,12 @@
     assert evacuations.news is None
     evacuations.offer(WORDS[0], "store")
     assert evacuations.news == WORDS[0]
+
+
+def test_a_later_era_supersedes_larger_offsets() -> None:
+    """A store restored from an older copy assigns smaller offsets again."""
+    evacuations = Evacuations()
+    evacuations.offer(EvacuationNews(9, ["north"], era=1), "store")
+    assert evacuations.offer(EvacuationNews(4, ["south"], era=2), "store")
+    assert not evacuations.offer(EvacuationNews(12, ["north"], era=1), "peer")
+    assert evacuations.domains == {"south"}
--- a/tests/test_peers_follower.py
+++ b/tests/test_peers_follower.py
@@ -19,7 +19,9 @@
     SharedRecords,
     Sources,
 )
+from balsamlift.peers._follower import TopicNews
 from balsamlift.peers._lone_reads import AGAIN_MS, YIELD_S, LoneReads
+from balsamlift.peers._positions import StorePosition
 from balsamlift.peers._shared_records import (
     SENDABLE_BYTES,
     Position,
@@ -382,13 +384,62 @@
         store = world.told_store
         for n in range(4):
             store.append("k", b"%d" % n)
-        world.told.skip_to(4, [Record("k", b"3", 3)])
+        world.told.skip_to(StorePosition(0, 4), [Record("k", b"3", 3)])
         assert world.told.values() == {"k": b"3"}
         store.append("k", b"4")
         assert await world.told.read(0)
         assert world.told.values() == {"k": b"4"}
-        world.told.skip_to(3, [Record("k", b"2", 2)])
+        world.told.skip_to(StorePosition(0, 3), [Record("k", b"2", 2)])
         assert world.told.end == 5
         assert world.told.values() == {"k": b"4"}
 
     run(test)
+
+
+def test_records_of_an_earlier_era_are_ignored() -> None:
+    async def test(world: World) -> None:
+        told = world.told
+        told.skip_to(StorePosition(2, 3), [Record("k", b"new", 2)])
+        stale = TopicNews(9, 0, True, [Record("k", b"old", 8)], era=1)
+        told.take(stale, world.clock.monotonic())
+        told.skip_to(StorePosition(1, 9), [Record("k", b"old", 8)])
+        assert told.values() == {"k": b"new"}
+        partial = TopicNews(5, 0, False, [Record("x", b"part", 4)], era=3)
+        told.take(partial, world.clock.monotonic())
+        assert told.values() == {"k": b"new"}  # not all of era 3 is known
+        whole = TopicNews(1, 0, True, [Record("x", b"whole", 0)], era=3)
+        told.take(whole, world.clock.monotonic())
+        assert told.values() == {"x": b"whole"}
+        assert told.position == StorePosition(3, 1)
+
+    run(test)
+
+
+def test_a_host_with_an_earlier_era_receives_all_records() -> None:
+    async def test(world: World) -> None:
+        reader = world.reader
+        reader.skip_to(StorePosition(2, 3), [Record("k", b"new", 2)])
+        reader.confirm(world.clock.monotonic())
+        to_same_era = reader.news_since(3, 2)
+        to_earlier_era = reader.news_since(3, 1)
+        assert to_same_era is not None
+        assert not to_same_era.is_whole
+        assert to_earlier_era is not None
+        assert to_earlier_era.is_whole
+        assert to_earlier_era.position == StorePosition(2, 3)
+
+    run(test)
+
+
+def test_an_answer_of_an_earlier_era_than_other_hosts_told_is_rejected() -> (
+    None
+):
+    async def test(world: World) -> None:
+        world.told.skip_to(StorePosition(2, 0), [Record("k", b"new", 0)])
+        world.told_store.append("k", b"old")  # an answer of era 0
+        with pytest.raises(StoreError):
+            await world.told.read(0)
+        assert world.told.values() == {"k": b"new"}
+        assert world.told.position == StorePosition(2, 0)
+
+    run(test)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -486,3 +486,81 @@
         await kernel.stop()
 
     run(test)
+
+
+def test_records_are_read_again_after_the_store_was_restored() -> None:
+    """Guards against reading on from an offset of an earlier era."""
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        stand_in.era = 4
+        topic = stand_in.topic("keyed.t")
+        for n in range(3):
+            topic.append(f"k{n}", b"old")
+        follower = Follower(store, "keyed.t", SystemClock(), PACE)
+        assert await follower.read(0)
+        restored_eras: list[int] = []
+        follower.on_restored(lambda: restored_eras.append(follower.era))
+        stand_in.restore(kept=1)
+        topic.append("k1", b"new")
+        topic.append("k3", b"new")
+        assert await follower.read(0)
+        assert follower.values() == {
+            **{"k0": b"old", "k1": b"new", "k3": b"new"}
+        }
+        assert restored_eras == [5]
+        stand_in.restore(kept=1)  # the known end is past the new end
+        assert await follower.read(0)
+        assert follower.values() == {"k0": b"old"}
+        assert restored_eras == [5, 6]
+
+    run(test)
+
+
+@pytest.mark.parametrize("era", [0, 3, "four"])
+def test_an_answer_without_a_current_era_is_rejected(era: int | str) -> None:
+    """The era is missing, earlier than the latest one, or not a number."""
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        lines: list[str] = []
+        stand_in.era = 4
+        topic = stand_in.topic("keyed.t")
+        topic.append("k", b"1")
+        follower = Follower(store, "keyed.t", SystemClock(), PACE)
+        assert await follower.read(0)
+        sink = collect_store_logs(lines)
+        stand_in.era = era
+        topic.append("k", b"2")
+        for read in (follower.read(0), store.newest("keyed.t")):
+            with pytest.raises(StoreError):
+                await read
+        assert follower.values() == {"k": b"1"}
+        stand_in.era = 4
+        assert await follower.read(0)
+        assert follower.values() == {"k": b"2"}
+        logger.remove(sink)
+        assert lines == ["store lost", "store is back"]
+
+    run(test)
+
+
+def test_a_lost_entry_of_a_host_is_written_again_on_request() -> None:
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        stand_in.era = 1
+        record = HostRecord(
+            callers_address="10.1.0.19:80",
+            operators_address="10.1.0.19:81",
+            peers_address="10.1.0.19:82",
+            failure_domain="north",
+            written_s=0.0,
+        )
+        registration = HostRegistration(store, SystemClock(), "h-1", record)
+        await registration.start(Kernel())
+        topic = stand_in.topic(HOSTS_TOPIC)
+        await until(lambda: topic.records)
+        stand_in.restore(kept=0)
+        assert not topic.records
+        registration.renew()
+        await until(lambda: topic.records)
+        await registration.stop()
+
+    run(test)
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -13,7 +13,7 @@
 from _virtual_time import LoopClock, run_virtual
 from test_platform_decode import SETTINGS
 
-from balsamlift.exceptions import StoreError
+from balsamlift.exceptions import HistoryLostError, StoreError
 from balsamlift.metrics import Metrics
 from balsamlift.peers import (
     EvacuationNews,
@@ -69,6 +69,7 @@
         self.configuration_bytes_read = 0
         self.refused: frozenset[str] = NOBODY
         self.unanswered: frozenset[str] = NOBODY
+        self.era = 1
 
     def append(self, topic: str) -> int:
         return self._append(topic, "k", b"%d" % len(self.records[topic]))
@@ -86,10 +87,18 @@
         self.changed = asyncio.Event()
         return len(records)
 
+    def restore(self, kept: int) -> None:
+        """Restore a copy with the first `kept` records of each topic."""
+        self.era += 1
+        for records in self.records.values():
+            del records[kept:]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def newest(self, topic: str) -> Newest:
         newest = {record.key: record for record in self.records[topic]}
         kept = [r for r in newest.values() if r.value is not None]
-        return Newest(kept, len(self.records[topic]))
+        return Newest(kept, len(self.records[topic]), self.era)
 
     def evacuated(self) -> frozenset[str]:
         values = {r.key: b"" for r in self.newest(CONFIGURATION).records}
@@ -125,13 +134,15 @@
             await asyncio.sleep(SILENCE_S)
             raise StoreError("no answer")
         records = self._store.records[topic]
+        if start > len(records):
+            raise HistoryLostError(topic)
         versions = sum(record.key == "k" for record in records[start:])
         is_large = versions and is_too_large(bytes(self._store.version_bytes))
         if on_large_answer is not None and is_large:
             on_large_answer(len(records))
         if topic == CONFIGURATION:
             await self._transfer(versions * self._store.version_bytes)
-        return Newest(records[start:], len(records))
+        return Newest(records[start:], len(records), self._store.era)
 
     async def _transfer(self, size: float) -> None:
         self._store.configuration_bytes_read += round(size)
@@ -240,7 +251,9 @@
             assert self.configuration.end is not None
             self.evacuations.offer(
                 EvacuationNews(
-                    self.configuration.end, decode_evacuations(values)
+                    self.configuration.end,
+                    decode_evacuations(values),
+                    self.configuration.era,
                 ),
                 "store",
             )
@@ -545,3 +558,40 @@
         assert store.configuration_bytes_read - before <= one_read_each
 
     run(test, GROWN, 87)
+
+
+def third_cut_off(cluster: Cluster) -> None:
+    cluster.store.unanswered = frozenset(cluster.ranked()[2::3])
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("hosts", [8, 87, 195])
+@pytest.mark.parametrize(
+    "fault", [nothing, readers_killed, half_killed, third_cut_off]
+)
+def test_changes_are_known_in_time_after_the_store_was_restored(
+    fault: Callable[[Cluster], None], hosts: int, seed: int
+) -> None:
+    """Guards against comparing offsets of different eras."""
+
+    async def test(cluster: Cluster) -> None:
+        rng = random.Random(seed)
+        store = cluster.store
+        for _ in range(3):
+            store.append(CONFIGURATION)
+            store.append(LISTED)
+        store.evacuate("north")
+        await cluster.until_known(cluster.well())
+        fault(cluster)
+        await asyncio.sleep(rng.uniform(0, 2.5))
+        kept = len(store.records[CONFIGURATION]) - 2
+        value = len(store.records[CONFIGURATION]) - 1
+        store.restore(kept)
+        store._append(CONFIGURATION, "k", b"%d" % value)
+        store.evacuate("south")
+        store.append(LISTED)
+        store.unanswered = NOBODY
+        took_s = await cluster.until_known(cluster.well())
+        assert took_s <= GROWN.contact_ms / 1_000
+
+    run(test, GROWN, hosts)
