Continue reading after an answer truncated by the store

A host treated the complete records in the answer as all there were, and confirmed its age by them. An answer never contains a complete record if the first one exceeds the limit, so a configuration of more than 1 MB would not have come into force at hosts that read its history. An answer that ended within the length of a record was rejected, and so was each retry.

The store reports the end of the topic in each answer. If an answer ends before it, the host continues reading and does not confirm its age. If the answer contains no complete record, the host reads the newest records, which are returned in pages. News of a later era from another host is now passed on even if it contains no records.

--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -179,11 +179,25 @@
         if news.era != self._table.era:
             # The known offsets may refer to other records in the new era.
             return await self._read_newest()
+        if news.is_truncated:
+            return await self._take_truncated(news)
         # An answer without records was given when the wait was over.
         waited_s = 0.0 if news.records else wait_ms / 1_000
         self.confirm(min(sent_s + waited_s, self._clock.monotonic()))
         return self._table.take(news)
 
+    async def _take_truncated(self, news: Newest) -> bool:
+        """Take in an answer truncated at the size limit; request the rest.
+
+        Such an answer does not confirm the age: later records are missing.
+        """
+        if not news.records:
+            # The next record exceeds the limit; another read cannot return it.
+            return await self._read_newest()
+        is_news = self._table.take(news)
+        self.read_soon(news.topic_end)
+        return is_news
+
     def news_since(self, start: int | None, era: int = 0) -> TopicNews | None:
         """Return what a host lacks that knows the topic up to `start`.
 
@@ -215,7 +229,7 @@
         else:
             self._table.take(newest)
         self.confirm(asked_s - news.age_ms / 1_000)
-        if news.records or position is None:
+        if news.records or not is_same_era:
             self._is_told = True
             self._woken.set()
 
@@ -303,7 +317,7 @@
             self._lone_reads.failed(self._topic)
             raise
         self._lone_reads.served(self._topic)
-        # The read returned all records; keep an end reported meanwhile.
+        # Keep an end that was reported, or found, during the read.
         if self._target_end == target_end:
             self._target_end = 0
         log.bind(topic=self._topic, age_s=round(age_s, 3)).info(
--- a/src/balsamlift/peers/_records.py
+++ b/src/balsamlift/peers/_records.py
@@ -35,6 +35,12 @@
     records: list[Record]
     end: int
     era: int = 0  # of the store that assigned the offsets; 0: not reported
+    topic_end: int | None = None  # in the store; None: not reported
+
+    @property
+    def is_truncated(self) -> bool:
+        """Tell whether the topic has records after those of the answer."""
+        return self.topic_end is not None and self.end < self.topic_end
 
     @property
     def position(self) -> StorePosition:
--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -258,10 +258,10 @@
 def _decode_read(body: bytes, start: int, era: int = 0) -> Newest:
     """Return the records of a read and the offset after the last."""
     try:
-        _NUMBERS.unpack_from(body)
+        topic_end, _ = _NUMBERS.unpack_from(body)
         records: list[Record] = []
         at = _NUMBERS.size
-        while at < len(body):
+        while at + _LENGTH.size <= len(body):
             (length,) = _LENGTH.unpack_from(body, at)
             at += _LENGTH.size
             content = body[at : at + length]
@@ -271,7 +271,7 @@
             records.append(_decode_keyed(content, start + len(records)))
     except struct.error as error:
         raise StoreError(f"no records: {error}") from error
-    return Newest(records, start + len(records), era)
+    return Newest(records, start + len(records), era, topic_end)
 
 
 def _decode_keyed(content: bytes, offset: int) -> Record:
--- a/src/balsamlift/testing/_keyed_store.py
+++ b/src/balsamlift/testing/_keyed_store.py
@@ -57,6 +57,7 @@
         self.silent_topics: set[str] = set()  # that answer nothing
         self.calls: list[str] = []
         self.era: int | str = 0  # sent in answers; 0: not sent
+        self.max_read_bytes: int | None = None  # of records; None: no limit
         self.bytes_per_s: float | None = None  # None: no limit
         self.stall_after_bytes: int | None = None  # in each answer
         self._server = HTTPServer(
@@ -183,7 +184,8 @@
         for key, value in topic.records[start - topic.first :]:
             content = bytes([len(key)]) + key.encode() + value
             encoded.append(_LENGTH.pack(len(content)) + content)
-        await self.send_body(b"".join(encoded))
+        records = b"".join(encoded[1:])[: self.store.max_read_bytes]
+        await self.send_body(encoded[0] + records)
 
 
 class _Append(_Handler):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import struct
 import time
 from collections.abc import Awaitable, Callable
 
@@ -29,7 +30,7 @@
     UPSTREAMS_TOPIC,
 )
 from balsamlift.platform._settings import decode_node_settings
-from balsamlift.platform._store import Store
+from balsamlift.platform._store import Store, _decode_read
 from balsamlift.platform._watch import (
     ConfigurationWatch,
     HostRegistration,
@@ -564,3 +565,52 @@
         await registration.stop()
 
     run(test)
+
+
+def test_reading_continues_after_a_truncated_answer() -> None:
+    """Guards against confirming the age by an incomplete answer."""
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        topic = stand_in.topic("keyed.t")
+        topic.append("a", b"0")
+        follower = Follower(store, "keyed.t", SystemClock(), PACE)
+        await follower.read(0)
+        confirmed_s = time.monotonic()
+        await asyncio.sleep(0.2)
+        stand_in.max_read_bytes = LARGE_BYTES
+        for key in ("b", "c"):
+            topic.append(key, b"1".ljust(LARGE_BYTES - 1_000))
+        assert await follower.read(0)
+        assert follower.values().keys() == {"a", "b"}
+        assert follower.age_s >= time.monotonic() - confirmed_s - 0.1
+        assert await follower.read(0)
+        assert follower.values().keys() == {"a", "b", "c"}
+        assert follower.age_s < 0.2
+
+    run(test)
+
+
+@pytest.mark.parametrize("rest", [0, 1, 3, 4, 6])
+def test_complete_records_of_a_truncated_answer_are_kept(rest: int) -> None:
+    """Also where the answer ends within the length of the next record."""
+    numbers = struct.pack(">QQ", 2, 0)
+    record = struct.pack(">I", 3) + b"\x01k1"
+    newest = _decode_read(numbers + record + record[:rest], 0)
+    assert [each.key for each in newest.records] == ["k"]
+    assert newest.is_truncated
+
+
+def test_a_record_larger_than_the_answer_limit_is_read() -> None:
+    """Guards against taking an answer without a complete record as empty."""
+
+    async def test(stand_in: KeyedStore, store: Store) -> None:
+        topic = stand_in.topic("keyed.t")
+        topic.append("a", b"0")
+        follower = Follower(store, "keyed.t", SystemClock(), PACE)
+        await follower.read(0)
+        stand_in.max_read_bytes = LARGE_BYTES
+        topic.append("b", b"1".ljust(2 * LARGE_BYTES))
+        assert await follower.read(0)
+        assert follower.values().keys() == {"a", "b"}
+
+    run(test)
