Hold back reads of the log in the bench of orders too

Traced: the bench holds back calls by replacing HttpClient.call, and since the log is read by HttpClient.read, which it did not replace. So the test held back nothing, and passed as long as the lease was found lost before the read ended. Both are held back now. No check is changed.

--- a/tests/_orders_bench.py
+++ b/tests/_orders_bench.py
@@ -93,6 +93,8 @@
         self._engines = engines
         self._call = host.http.call
         host.http.call = self._held_call
+        self._read = host.http.read
+        host.http.read = self._held_read
         self.holds_back = lambda method, url: False
         self.let_go = asyncio.Event()
         self.held = asyncio.Event()
@@ -109,10 +111,17 @@
         return self.host.timeline.events(kind=kind)
 
     async def _held_call(self, method, url, *arguments, **options):
+        await self._hold(method, url)
+        return await self._call(method, url, *arguments, **options)
+
+    async def _held_read(self, url, *arguments, **options):
+        await self._hold("GET", url)
+        return await self._read(url, *arguments, **options)
+
+    async def _hold(self, method, url):
         if self.holds_back(method, url):
             self.held.set()
             await self.let_go.wait()
-        return await self._call(method, url, *arguments, **options)
 
 
 class World:
