Log the rate limits that upstreams name

No line or metric told whether an answer named a limit, to which host, and when it ended, nor where a request went that timed out. Limits are only read and logged here: 'rate limit named' and 'rate limit ended', the gauge relay.rate_limits, the counters relay.sends_rate_limited and relay.rate_limits_invalid, and 'sent_to' in the line of each request.

A success without a signature does not end a limit: its bytes may come from elsewhere. No change of where requests go.

--- a/src/balsamlift/platform/_names.py
+++ b/src/balsamlift/platform/_names.py
@@ -11,6 +11,7 @@
     workspace="X-Tenant",
     expected_incarnation="X-Expected-Instance",
     not_executed="X-Not-Executed",
+    rate_limit="Server-Limit",
     priority="X-Request-Priority",
     token_usage="X-Token-Usage",
     length_hint="X-Length-Hint",
--- a/src/balsamlift/relay/_attempt.py
+++ b/src/balsamlift/relay/_attempt.py
@@ -27,7 +27,12 @@
 
     is_idempotent: bool
     may_have_run: bool = False
-    sends: int = 0
+    sent_to: list[str] = attrs.field(factory=list)  # names of upstreams
+
+    @property
+    def sends(self) -> int:
+        """Return how often the request was sent."""
+        return len(self.sent_to)
 
     @property
     def may_send(self) -> bool:
@@ -39,14 +44,14 @@
         """Return whether no upstream can have run the request."""
         return not self.may_have_run
 
-    def record_send(self) -> None:
-        """Record that the request is about to be sent.
+    def record_send(self, upstream: str) -> None:
+        """Record that the request is about to be sent to an upstream.
 
         Raises `UnsafeResendError` if it must not be sent again.
         """
         if not self.may_send:
             raise UnsafeResendError("the request may have run already")
-        self.sends += 1
+        self.sent_to.append(upstream)
         self.may_have_run = True
 
     def record_not_executed(self, may_have_run_before: bool) -> None:
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -15,6 +15,7 @@
 from balsamlift.relay._connection import ResponseHead, UpstreamConnection
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._headers import upstream_headers
+from balsamlift.relay._named_limits import NamedLimits
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._request import Call
 
@@ -42,12 +43,17 @@
     """Sends calls on pooled connections and classifies the responses."""
 
     def __init__(
-        self, pool: ConnectionPool, names: HeaderNames, clock: Clock
+        self,
+        pool: ConnectionPool,
+        names: HeaderNames,
+        clock: Clock,
+        named_limits: NamedLimits,
     ) -> None:
         """Create a client that acquires connections from `pool`."""
         self._pool = pool
         self._names = names
         self._clock = clock
+        self._named_limits = named_limits
 
     async def send(
         self,
@@ -64,7 +70,8 @@
         """
         connection = await self._pool.acquire(upstream)
         may_have_run_before = attempt.may_have_run
-        attempt.record_send()
+        attempt.record_send(upstream.name)
+        self._named_limits.record_send(upstream.name)
         headers = upstream_headers(
             call, self._names, upstream.id, self._remaining_ms(call), extra
         )
@@ -78,6 +85,7 @@
         except asyncio.CancelledError:
             connection.close()
             raise
+        self._record_rate_limit(upstream, head)
         disposition = self._classify(head)
         if disposition == "not_executed":
             attempt.record_not_executed(may_have_run_before)
@@ -127,18 +135,31 @@
             return "not_executed"
         return "failure" if head.status >= 500 else "answer"
 
-    def _require_signature(self, reply: Reply) -> None:
-        """Close the connection of a successful response without a signature.
+    def _record_rate_limit(
+        self, upstream: Upstream, head: ResponseHead
+    ) -> None:
+        """Record the rate limit that the upstream names, or that it has none.
 
-        Raises `UpstreamBrokenError` in that case.
+        Without a signature, a response does not end a limit.
         """
-        headers = reply.head.headers
-        is_signed = (
+        named = head.headers.get(self._names.rate_limit)
+        if named is not None or self._is_signed(head):
+            self._named_limits.record_response(upstream.name, named)
+
+    def _is_signed(self, head: ResponseHead) -> bool:
+        headers = head.headers
+        return (
             self._names.signature in headers
             and self._names.request_id in headers
             and "Content-Encoding" not in headers
         )
-        if reply.is_success and not is_signed:
+
+    def _require_signature(self, reply: Reply) -> None:
+        """Close the connection of a successful response without a signature.
+
+        Raises `UpstreamBrokenError` in that case.
+        """
+        if reply.is_success and not self._is_signed(reply.head):
             reply.connection.close()
             raise UpstreamBrokenError(
                 reply.upstream.name, "a success without its signature"
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -115,14 +115,14 @@
                 if isinstance(result, _StartedGeneration):
                     text = await self._relay(result, job, responder)
                     upstream = result.reservation.upstream.name
-                    return Outcome(text, upstream, attempt.sends)
+                    return Outcome(text, upstream, attempt.sent_to)
         except TimeoutError:
             if responder.is_started:
                 responder.abort()
-                return Outcome("timed out midway", sends=attempt.sends)
+                return Outcome("timed out midway", sent_to=attempt.sent_to)
             result = timed_out(attempt)
         responder.refuse(result)
-        return Outcome(result.reason, sends=attempt.sends)
+        return Outcome(result.reason, sent_to=attempt.sent_to)
 
     async def _start(
         self, job: Job, attempt: Attempt
--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Protocol
 
 import attrs
@@ -71,7 +72,7 @@
 
     text: str
     upstream: str = ""  # that responded last, if any
-    sends: int = 0
+    sent_to: Sequence[str] = ()  # names of upstreams, in order
 
 
 class Responder(Protocol):
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -27,6 +27,7 @@
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._leaving_detector import LeavingDetector
 from balsamlift.relay._memory_allocator import MemoryAllocator
+from balsamlift.relay._named_limits import NamedLimits
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._request import (
     Call,
@@ -113,7 +114,8 @@
             lambda: len(peers.live()) + 1,
             self._clock,
         )
-        exchange = Exchange(self._pool, names, self._clock)
+        self._named_limits = NamedLimits(self._metrics)
+        exchange = Exchange(self._pool, names, self._clock, self._named_limits)
         self._admission = Admission(routing, names, self._random)
         self._crash_guard = CrashGuard(
             peers.crash_reports, self._upstreams, self._clock
@@ -215,7 +217,8 @@
             service=call.service,
             version=call.table.version,
             upstream=outcome.upstream,
-            sends=outcome.sends,
+            sends=len(outcome.sent_to),
+            sent_to=" ".join(outcome.sent_to),
             took_ms=round(took_ms, 1),
         ).info("{}", outcome.text)
 
@@ -237,6 +240,8 @@
     async def _sweep_periodically(self) -> None:
         while True:
             await self._clock.sleep(SWEEP_INTERVAL_S)
-            self._pool.sweep({u.name for u in self._upstreams.all()})
+            live = {u.name for u in self._upstreams.all()}
+            self._pool.sweep(live)
+            self._named_limits.prune(live)
             self._balancer.discard_expired()
             self._crash_guard.discard_expired()
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -70,7 +70,7 @@
             result = timed_out(attempt)
         if isinstance(result, Refusal):
             responder.refuse(result)
-            return Outcome(result.reason, sends=attempt.sends)
+            return Outcome(result.reason, sent_to=attempt.sent_to)
         head = result.reply.head
         headers = caller_headers(head.headers)
         headers["Content-Length"] = str(len(result.body))
@@ -79,7 +79,7 @@
             await responder.write(result.body)
         responder.finish()
         text = f"answered {head.status}"
-        return Outcome(text, result.reply.upstream.name, attempt.sends)
+        return Outcome(text, result.reply.upstream.name, attempt.sent_to)
 
     async def _fetch_reply(
         self, call: Call, attempt: Attempt
--- a/src/balsamlift/testing/_relay_harness.py
+++ b/src/balsamlift/testing/_relay_harness.py
@@ -53,6 +53,7 @@
     workspace="Workspace",
     expected_incarnation="Expected-Incarnation",
     not_executed="Not-Executed",
+    rate_limit="Rate-Limit",
     priority="Priority",
     token_usage="Token-Usage",
     length_hint="Length-Hint",
--- a/src/balsamlift/testing/_replica.py
+++ b/src/balsamlift/testing/_replica.py
@@ -35,6 +35,7 @@
         names: HeaderNames,
     ) -> None:
         """Wrap the streams of a connection; `names` are its headers."""
+        self.rate_limit = ""  # named in each answer unless empty
         self.reader = reader
         self.writer = writer
         self.names = names
@@ -52,6 +53,8 @@
         head = [f"HTTP/1.1 {status} Told", *lines]
         head.append(f"{self.names.request_id}: {request_id}")
         head.append(f"{self.names.signature}: signed-{request_id}")
+        if self.rate_limit:
+            head.append(f"{self.names.rate_limit}: {self.rate_limit}")
         await self.send("\r\n".join([*head, "", ""]).encode())
 
     async def answer(
@@ -136,6 +139,7 @@
         self.address = ""  # "IP:port", once it listens
         self.state = "live"
         self.started_ms = 0  # as its entry in the list gives it
+        self.rate_limit = ""  # named in its answers unless empty
         self.cold_ms = 0.0
         self.written = 0  # to be increased with each change of `cold_ms`
         self.open: set[asyncio.Task[None]] = set()
@@ -208,6 +212,7 @@
                 await connection.head(request, 421, "Content-Length: 0")
                 continue
             self.arrivals.append(request)
+            connection.rate_limit = self.rate_limit
             await self.behave(connection, request)
 
 
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -97,6 +97,17 @@
     await world.call("/order/1", "r1", body=BODY)
 
 
+async def rate_limit_named(
+    world: RelayHarness, stand_ins: list[ReplicaStandIn]
+) -> None:
+    used, other = stand_ins[:2]
+    other.state = "leaving"
+    while world.upstreams.may_take_work(other.name):
+        await asyncio.sleep(0.01)
+    for used.rate_limit in ("2.5", "two", ""):
+        await world.call("/order/1", "r1", body=BODY)
+
+
 async def broken_and_retried(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
@@ -329,6 +340,11 @@
     Expected(unknown_route, "no route", REFUSED),
     Expected(answered, "answered 200", (*ENDED, "upstream", "sends")),
     Expected(answered, "configuration in force", IN_FORCE),
+    Expected(slow_and_retried, "timed out", (*ENDED, "sent_to")),
+    Expected(
+        rate_limit_named, "rate limit named", ("upstream", "limit_per_s")
+    ),
+    Expected(rate_limit_named, "rate limit ended", ("upstream",)),
     Expected(newer_version_reported, "newer configuration reported", NEWER),
     Expected(broken_and_retried, "ejected: ", ("request", "out_ms")),
     Expected(
