Show that hosts ignore the rate limits of upstreams

In the soak, upstreams now name limits, drawn apart so that the other faults of a seed stay as they were, and a checker holds what each gets from hosts that passed on such an answer against the rule; hosts that are stopped, suspended or started count as exempt for 3 s.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,6 +15,7 @@
 from soak.configuration import SERVED_HOST, STABLE_KEY
 from soak.guarantees import CallerOutcome, GuaranteeChecker
 from soak.hosts import Host
+from soak.rate_limits import RateLimitChecker
 
 DEADLINE_MS = 3_000
 PATHS = {"idempotent": "/view/", "non_idempotent": "/order/"}
@@ -78,6 +79,7 @@
         signature=answer.headers.get(HEADERS.signature, ""),
         body=answer.body,
         is_whole=answer.is_whole,
+        names_rate_limit=HEADERS.rate_limit in answer.headers,
     )
     closes = answer.headers.get("Connection", "").lower() == "close"
     return outcome, answer.is_whole and not closes
@@ -90,6 +92,7 @@
         self,
         hosts: Sequence[Host],
         guarantees: GuaranteeChecker,
+        rate_limits: RateLimitChecker,
         rng: random.Random,
         on_interrupted: Callable[[str], None],
     ) -> None:
@@ -99,6 +102,7 @@
         """
         self._hosts = hosts
         self._guarantees = guarantees
+        self._rate_limits = rate_limits
         self._random = rng
         self._on_interrupted = on_interrupted
         self._numbers = itertools.count()
@@ -132,11 +136,14 @@
                     reader, writer = await asyncio.open_connection(*address)
             except (OSError, TimeoutError):
                 continue
-            await self._call(reader, writer)
+            await self._call(address[0], reader, writer)
             writer.close()
 
     async def _call(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        host_ip: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         for number in range(REQUESTS_PER_CONNECTION):
             if self._stopped:
@@ -145,7 +152,10 @@
             self._guarantees.record_request(
                 request.request_id, is_idempotent=request.is_idempotent
             )
+            self._rate_limits.record_request(request.request_id, host_ip)
             outcome, can_reuse = await send(request, reader, writer)
+            if outcome.names_rate_limit:
+                self._rate_limits.record_passed_on(request.request_id)
             self._guarantees.check_outcome(outcome)
             # A host may close a reused connection just as a request is sent.
             if not outcome.is_whole and (number == 0 or outcome.status):
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -21,6 +21,7 @@
     signature: str = ""
     body: bytes = b""
     is_whole: bool = False
+    names_rate_limit: bool = False  # as its upstream did
 
 
 @attrs.define
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -19,6 +19,7 @@
     "upstream_crash",
     "upstream_leaves",
     "configuration",
+    "rate_limit",
 ]
 
 # Planned operations of operators. They may not interrupt any request.
@@ -46,6 +47,11 @@
 MAX_PAUSE_S = 0.8
 MAX_FAULT_S = 2.5
 PLANNED_ONLY_SHARE = 0.3  # of all seeds
+# Requests per second that an upstream takes from all hosts together.
+RATE_LIMITS_PER_S = (0.5, 1.1, 2.4, 6.0)
+# Long compared with the time after which a limit has to be kept.
+MIN_RATE_LIMIT_S, MAX_RATE_LIMIT_S = 6.0, 10.0
+MAX_RATE_LIMIT_PAUSE_S = 4.0
 
 
 @attrs.frozen(kw_only=True)
@@ -88,6 +94,28 @@
                 )
             )
         start_s += rng.uniform(0.05, MAX_PAUSE_S)
+    faults += _draw_rate_limits(seed, length_s)
     return Plan(
-        seed=seed, is_planned_only=is_planned_only, faults=tuple(faults)
+        seed=seed,
+        is_planned_only=is_planned_only,
+        faults=tuple(sorted(faults, key=lambda fault: fault.start_s)),
     )
+
+
+def _draw_rate_limits(seed: int, length_s: float) -> list[Fault]:
+    """Return limits drawn apart, so that they do not change other faults."""
+    rng = random.Random(f"{seed}/rate limits")
+    limits = []
+    start_s = rng.uniform(0, MAX_RATE_LIMIT_PAUSE_S)
+    while start_s < length_s:
+        limits.append(
+            Fault(
+                kind="rate_limit",
+                start_s=start_s,
+                duration_s=rng.uniform(MIN_RATE_LIMIT_S, MAX_RATE_LIMIT_S),
+                target_number=rng.randrange(1_000),
+                variant_number=rng.randrange(1_000),
+            )
+        )
+        start_s += rng.uniform(0.5, MAX_RATE_LIMIT_PAUSE_S)
+    return limits
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,7 +24,15 @@
 )
 from soak.guarantees import GuaranteeChecker
 from soak.hosts import Host
-from soak.plan import LINK_FAULTS, STORE_FAULTS, Fault, Plan, draw_plan
+from soak.plan import (
+    LINK_FAULTS,
+    RATE_LIMITS_PER_S,
+    STORE_FAULTS,
+    Fault,
+    Plan,
+    draw_plan,
+)
+from soak.rate_limits import RateLimitChecker
 from soak.upstreams import Upstreams
 
 HOSTS = 4
@@ -57,7 +65,10 @@
         self._random = random.Random(plan.seed)
         self._guarantees = GuaranteeChecker()
         self._store = KeyedStore()
-        self._upstreams = Upstreams(self._guarantees, self._random)
+        self._rate_limits = RateLimitChecker(self._guarantees.report_violation)
+        self._upstreams = Upstreams(
+            self._guarantees, self._rate_limits, self._random
+        )
         self._version = 1
         self._faults: set[asyncio.Task[None]] = set()
 
@@ -93,6 +104,7 @@
         callers = Callers(
             self._hosts,
             self._guarantees,
+            self._rate_limits,
             self._random,
             self._check_interrupted,
         )
@@ -105,6 +117,7 @@
             self._faults.add(task)
         await asyncio.gather(*self._faults)
         await callers.stop()
+        self._rate_limits.check()
 
     def _check_interrupted(self, request_id: str) -> None:
         """Report a request that a planned operation interrupted.
@@ -130,11 +143,16 @@
         link = LINK_FAULTS[fault.variant_number % len(LINK_FAULTS)]
         match fault.kind:
             case "kill":
+                self._rate_limits.exempt_host(host.ip)
                 host.kill()
             case "freeze":
+                self._rate_limits.exempt_host(host.ip)
                 await host.freeze(fault.duration_s)
+                self._rate_limits.exempt_host(host.ip)
             case "term":
+                self._rate_limits.exempt_host(host.ip)
                 await host.terminate()
+                self._rate_limits.exempt_host(host.ip)
             case "hup":
                 host.reload_settings()
             case "store_fault":
@@ -160,6 +178,11 @@
             case "configuration":
                 self._version += 1
                 self._configure()
+            case "rate_limit":
+                number = fault.variant_number % len(RATE_LIMITS_PER_S)
+                self._upstreams.set_rate_limit(name, RATE_LIMITS_PER_S[number])
+                await asyncio.sleep(fault.duration_s)
+                self._upstreams.set_rate_limit(name, None)
 
     async def _replace(self, name: str, after_s: float) -> None:
         """Start a new upstream, then stop an old one and remove its entry."""
@@ -246,4 +269,9 @@
 
 async def run_seed(seed: int, length_s: float, folder: Path) -> Result:
     """Run one seed; the logs of the hosts stay in `folder`."""
-    return await Run(draw_plan(seed, length_s), folder).run()
+    return await run_plan(draw_plan(seed, length_s), folder)
+
+
+async def run_plan(plan: Plan, folder: Path) -> Result:
+    """Run a plan; the logs of the hosts stay in `folder`."""
+    return await Run(plan, folder).run()
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -17,6 +17,7 @@
     ReplicaStandIn,
 )
 from soak.guarantees import GuaranteeChecker, last_event, stream_event
+from soak.rate_limits import RateLimitChecker
 
 NO_FAULTS = attrs.asdict(LinkFaults())
 EVENT_GAP_S = 0.01
@@ -27,10 +28,14 @@
     """The upstreams of a run, each behind a link of its own."""
 
     def __init__(
-        self, guarantees: GuaranteeChecker, rng: random.Random
+        self,
+        guarantees: GuaranteeChecker,
+        rate_limits: RateLimitChecker,
+        rng: random.Random,
     ) -> None:
         """Report each executed request to `guarantees`."""
         self.guarantees = guarantees
+        self.rate_limits = rate_limits
         self.is_fault_free = False  # no upstream fails at random
         self.live: dict[str, tuple[ReplicaStandIn, Link]] = {}
         self._random = rng
@@ -40,7 +45,17 @@
         """Start an upstream and return its name."""
         name = f"{service}-{next(self._numbers)}"
         replica = ReplicaStandIn(name, service, HEADERS)
-        replica.behave = self._stream if service == "model" else self._answer
+        work = self._stream if service == "model" else self._answer
+
+        async def behave(
+            connection: ReplicaConnection, request: ReplicaRequest
+        ) -> None:
+            self.rate_limits.record_arrival(
+                name, request.headers[HEADERS.request_id]
+            )
+            await work(connection, request)
+
+        replica.behave = behave
         await replica.start()
         link = Link(LinkSettings(name=name, target_address=replica.address))
         await link.start()
@@ -57,9 +72,18 @@
 
     def set_link(self, name: str, faults: dict[str, object]) -> None:
         """Replace the faults of the link to an upstream."""
+        self.rate_limits.exempt_upstream(name)
         if name in self.live:
             self.live[name][1].control.update({**NO_FAULTS, **faults})
 
+    def set_rate_limit(self, name: str, limit_per_s: float | None) -> None:
+        """Let an upstream name a rate limit in its answers, or none."""
+        if name in self.live:
+            self.live[name][0].rate_limit = (
+                "" if limit_per_s is None else f"{limit_per_s}"
+            )
+            self.rate_limits.set_limit(name, limit_per_s)
+
     async def stop(self, name: str) -> None:
         """Stop an upstream at once."""
         replica, link = self.live.pop(name)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,15 @@
 """Run short soak tests, and check the plan and the guarantee checker."""
 
 import asyncio
+from datetime import UTC, datetime
 from pathlib import Path
 
+import attrs
 import pytest
 from soak.guarantees import CallerOutcome, GuaranteeChecker, stream_body
-from soak.plan import PLANNED, draw_plan
-from soak.run import run_seed
+from soak.plan import PLANNED, Fault, Kind, Plan, draw_plan
+from soak.rate_limits import RateLimitChecker
+from soak.run import run_plan, run_seed
 
 LENGTH_S = 5.0
 # One run with planned operations only and one with any fault. A seed that
@@ -21,12 +24,45 @@
     assert result.served > 50
 
 
+LIMITED_S = 12.0
+
+
+def fault(
+    kind: Kind, start_s: float, target: int = 0, variant: int = 0
+) -> Fault:
+    return Fault(
+        kind=kind,
+        start_s=start_s,
+        duration_s=LIMITED_S - start_s,
+        target_number=target,
+        variant_number=variant,
+    )
+
+
+def test_all_hosts_together_keep_the_rate_limit_of_an_upstream(
+    tmp_path: Path,
+) -> None:
+    """One host is killed and one is terminated meanwhile."""
+    faults = (
+        fault("rate_limit", 0.0, target=0, variant=1),  # of the models
+        fault("rate_limit", 0.0, target=2, variant=1),  # of the plain ones
+        fault("rate_limit", 0.1, target=3, variant=2),
+        fault("kill", 2.0, target=1),
+        fault("term", 5.0, target=2),
+    )
+    plan = Plan(seed=1, is_planned_only=False, faults=faults)
+    result = asyncio.run(run_plan(plan, tmp_path))
+    assert result.violations == []
+    assert result.served > 50
+
+
 def test_plan_is_determined_by_its_seed() -> None:
     assert draw_plan(7, 10.0) == draw_plan(7, 10.0)
     plans = [draw_plan(seed, 10.0) for seed in range(50)]
     planned = [plan for plan in plans if plan.is_planned_only]
     assert 5 < len(planned) < 30
-    assert all(f.kind in PLANNED for plan in planned for f in plan.faults)
+    operations = {*PLANNED, "rate_limit"}
+    assert all(f.kind in operations for plan in planned for f in plan.faults)
 
 
 def make_outcome(request_id: str = "r1", **fields: object) -> CallerOutcome:
@@ -100,3 +136,71 @@
     guarantees = GuaranteeChecker()
     guarantees.record_run("r1", "t-2", has_key=True, resumes=False)
     assert len(guarantees.violations) == 2
+
+
+@attrs.define
+class SteppedClock:
+    """Clock that a test sets."""
+
+    now_s: float = 0.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+    def now(self) -> datetime:
+        return datetime.fromtimestamp(self.now_s, UTC)
+
+    async def sleep(self, delay_s: float) -> None:
+        self.now_s += delay_s
+
+
+class LimitedUpstream:
+    """An upstream with a limit of 1 a second, which tolerates 11 in 4 s."""
+
+    def __init__(self) -> None:
+        self.clock = SteppedClock()
+        self.violations: list[str] = []
+        self.checker = RateLimitChecker(
+            lambda *violation: self.violations.append(violation[0]),
+            self.clock,
+        )
+        self.checker.set_limit("e1", 1.0)
+        self.count = 0
+
+    def send(self, host: str, times: int, *, at_s: float) -> None:
+        self.clock.now_s = at_s
+        for _ in range(times):
+            self.count += 1
+            self.checker.record_request(f"r{self.count}", host)
+            self.checker.record_arrival("e1", f"r{self.count}")
+            self.checker.record_passed_on(f"r{self.count}")
+
+    def check(self) -> list[str]:
+        self.checker.check()
+        return self.violations
+
+
+def test_a_rate_limit_that_hosts_exceed_together_is_reported() -> None:
+    upstream = LimitedUpstream()
+    for host in ("h1", "h2"):
+        upstream.send(host, 1, at_s=0.1)
+        upstream.send(host, 6, at_s=4.0)
+    assert upstream.check() == ["limit"]
+
+
+@pytest.mark.parametrize("late_s", [2.9, 8.5])
+def test_a_rate_limit_may_be_exceeded_before_it_counts(late_s: float) -> None:
+    upstream = LimitedUpstream()
+    upstream.send("h1", 1, at_s=0.1)
+    upstream.send("h1", 11, at_s=4.0)
+    upstream.send("h1", 11, at_s=late_s)
+    assert upstream.check() == []
+
+
+def test_hosts_that_were_stopped_are_exempt_from_a_rate_limit() -> None:
+    upstream = LimitedUpstream()
+    upstream.send("h1", 1, at_s=0.1)
+    upstream.send("h1", 6, at_s=6.0)
+    upstream.checker.exempt_host("h1")
+    upstream.send("h1", 20, at_s=6.1)
+    assert upstream.check() == []
