--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -18,7 +18,8 @@
 from balsamlift.peers._composer import Composer, OwnStatus
 from balsamlift.peers._configuration import ConfigurationFinder
 from balsamlift.peers._crash_reports import CrashReports
-from balsamlift.peers._host_ranks import HostRank, find_rank, is_reader
+from balsamlift.peers._host_ranks import HostRank
+from balsamlift.peers._host_roles import HostRoles
 from balsamlift.peers._hosts_view import HostsHandler
 from balsamlift.peers._link import Draft, Link
 from balsamlift.peers._links import Links
@@ -40,10 +41,6 @@
 
 log = logger.bind(part="peers")
 
-# All other hosts ask the first one. The second is as up to date and takes over
-# when the first is gone.
-RECORD_READERS = 2
-
 
 class Peers:
     """Track the other hosts: which are live, and their in-flight counts.
@@ -100,6 +97,13 @@
         self._upstream_gossip = UpstreamGossip(self._upstream_reports, clock)
         silence_s = settings.peers.silence_ms / 1_000
         self._peer_statuses = PeerStatuses(clock, silence_s)
+        self._roles = HostRoles(
+            self._members,
+            self._peer_statuses,
+            self._load,
+            self.records,
+            settings.platform.hosts_readers,
+        )
         self._composer = Composer(
             self._members,
             self._load.own,
@@ -132,8 +136,9 @@
         self._load.start(self._members, self._links.wake, self._metrics)
         self._upstream_gossip.start(self._upstreams, self._links.wake)
         self.crash_reports.start(self._links.wake)
-        self._upstreams.share_probes(self._probing_hosts)
-        self._upstreams.share_reading(self._reads_list_often)
+        self._roles.start(self._upstreams)
+        self._upstreams.share_probes(self._roles.probing_hosts)
+        self._upstreams.share_reading(self._roles.reads_list_often)
         self._receiver = Receiver(
             members=self._members,
             peer_statuses=self._peer_statuses,
@@ -225,22 +230,11 @@
 
     def rank_for(self, subject: str) -> HostRank:
         """Return this host's rank among the live hosts for that subject."""
-        others = [
-            member.host
-            for member in self._members.others()
-            if member.state == "live"
-        ]
-        return find_rank(self.own.host, others, subject)
+        return self._roles.rank_for(subject)
 
     def known_rank_for(self, subject: str) -> HostRank:
-        """Return this host's rank among all known hosts, also silent ones.
-
-        Hosts on both sides of a network partition still agree on it.
-        """
-        others = {member.host for member in self._members.others()}
-        others |= {host.host for host in self._upstreams.entry_hosts()}
-        others.discard(self.own.host)
-        return find_rank(self.own.host, others, subject)
+        """Return this host's rank among all known hosts, also silent ones."""
+        return self._roles.known_rank_for(subject)
 
     def report_upstream(self, name: str, state: UpstreamState) -> None:
         """Report to peers at once that an upstream is leaving or dead."""
@@ -287,41 +281,14 @@
         if self._members.change_own(**fields):
             self._links.wake()
 
-    def _probing_hosts(self) -> list[str]:
-        others = self._members.others()
-        live = [member.host for member in others if member.state == "live"]
-        return [self.own.host, *live]
-
-    def _reads_list_often(self) -> bool:
-        """Return whether to read the list often.
-
-        With many hosts, the source itself waits for changes.
-        """
-        return not self.is_full_mesh or self.reads_for_others()
-
     @property
     def reads_records(self) -> bool:
-        """Return whether this host reads the platform's records itself.
+        """Return whether this host reads the platform's records itself."""
+        return self._roles.reads_records
 
-        Where hosts are few, all do. Where they are many, some read for all,
-        and so does any host that others ask, whatever rank it computes for
-        itself.
-        """
-        if self.is_full_mesh or self.records.has_recent_requests:
-            return True
-        return self.reads_for_others(RECORD_READERS)
-
-    def reads_for_others(self, max_readers: int | None = None) -> bool:
+    def reads_for_others(self) -> bool:
         """Return whether this host sends changes of the list to the others."""
-        readers = [
-            member.host
-            for member in self._members.others()
-            if member.state == "live"
-            and not self._peer_statuses.lacks_list(member.host)
-        ]
-        if max_readers is None:
-            max_readers = self._settings.platform.hosts_readers
-        return is_reader(self.own.host, readers, max_readers)
+        return self._roles.reads_for_others()
 
     # Receiving
 
--- a/tests/test_shared_reading.py
+++ b/tests/test_shared_reading.py
@@ -31,7 +31,7 @@
     CountsAggregation,
 )
 from balsamlift.peers._host_ranks import is_reader, rank_hosts
-from balsamlift.peers._membership import RECORD_READERS
+from balsamlift.peers._host_roles import RECORD_READERS
 from balsamlift.peers._messages import CountsSums, CountsUpdate
 from balsamlift.peers._shared_records import is_too_large_to_send
 from balsamlift.platform._decode import decode_evacuations
