Give requests between hosts a socket of their own

The exchange of counts dialled, asked and closed by itself; the permits for rate limits need the same. No change of behaviour but one: an answer that cannot be decoded no longer closes the connection, which carried it well.

--- a/src/balsamlift/peers/_aggregation.py
+++ b/src/balsamlift/peers/_aggregation.py
@@ -24,7 +24,7 @@
 from balsamlift.clock import Clock
 from balsamlift.exceptions import PeerMessageError
 from balsamlift.metrics import Metrics
-from balsamlift.peers._aggregator import MAX_MESSAGE_BYTES, CountsAggregator
+from balsamlift.peers._aggregator import CountsAggregator
 from balsamlift.peers._host_ranks import rank_hosts
 from balsamlift.peers._messages import (
     CountsSums,
@@ -32,6 +32,7 @@
     decode_sums,
     encode_counts,
 )
+from balsamlift.peers._request_socket import RequestSocket
 from balsamlift.peers._shared_records import Position, SharedRecords
 
 log = logger.bind(part="peers")
@@ -89,8 +90,7 @@
         self._sums: Mapping[str, int] = {}
         self._sums_received_s: float | None = None
         self._last_aggregator = ""
-        self._dialled_address = ""
-        self._req: pynng.Req0 | None = None
+        self._socket = RequestSocket(ANSWER_TIMEOUT_MS)
         self._wake = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
         self._task: asyncio.Task[None] | None = None
@@ -109,7 +109,7 @@
         """Close all connections."""
         await self._aggregator.stop()
         await end_task(self._task)
-        self._close()
+        self._socket.close()
 
     @property
     def is_fresh(self) -> bool:
@@ -253,12 +253,9 @@
         self, target: AggregatorHost, update: CountsUpdate
     ) -> CountsSums | None:
         try:
-            if self._dialled_address != target.address:
-                self._dial(target.address)
-            assert self._req is not None
-            with self._req.new_context() as context:
-                await context.asend(encode_counts(update))
-                answer = await context.arecv()
+            answer = await self._socket.ask(
+                target.address, encode_counts(update)
+            )
             self._metrics.count("peers.sums_received")
             return decode_sums(answer)
         except (pynng.NNGException, PeerMessageError) as error:
@@ -266,21 +263,4 @@
             log.bind(host_asked=target.host).info(
                 "no sums received: {}", error
             )
-            self._close()
             return None
-
-    def _dial(self, address: str) -> None:
-        self._close()
-        self._req = pynng.Req0(
-            recv_max_size=MAX_MESSAGE_BYTES,
-            recv_timeout=ANSWER_TIMEOUT_MS,
-            send_timeout=ANSWER_TIMEOUT_MS,
-        )
-        self._req.dial(f"tcp://{address}", block=False)
-        self._dialled_address = address
-
-    def _close(self) -> None:
-        if self._req is not None:
-            self._req.close()
-        self._req = None
-        self._dialled_address = ""
