Keep the rate limits that upstreams name, all hosts together

What callers saw: an upstream in need that named 2.2 requests a second got 40 in 4 s (18 allowed), another with 1.1 a second 33 (12 allowed).

The class: a limit that belongs to all hosts, with no count in common.

Now a limit is decoded in the adapter, told among hosts at once (with its age; an answer ends or raises a limit only if its request was sent after the limit was known), and each request to such an upstream needs a permit. For each upstream one host grants them: the first by rank of those it holds live, from a token bucket that starts empty, at the limit times the fraction of known hosts that are live. A host that does not know itself as the first, or has just started, grants none; without an answer there is no permit. So at any moment one bucket holds the sum, and nothing lies idle at a host without requests. Generations that resume come first; backups and moves prefer upstreams without a limit. An upstream with limit 0 gets one request in 4 s, to hear of the end.

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -16,6 +16,8 @@
 from balsamlift.peers._messages import CrashReport
 from balsamlift.peers._observed_states import UpstreamState
 from balsamlift.peers._peer import Peer
+from balsamlift.peers._permits import Permit, Permits
+from balsamlift.peers._rate_limits import RateLimits
 from balsamlift.peers._records import Record, RecordBatch
 from balsamlift.peers._shared_records import RecordSources, SharedRecords
 from balsamlift.peers._upstream import EntryHost, Upstream
@@ -37,6 +39,9 @@
     "ListEntry",
     "Peer",
     "Peers",
+    "Permit",
+    "Permits",
+    "RateLimits",
     "Record",
     "RecordBatch",
     "RecordSources",
--- a/src/balsamlift/peers/_aggregation.py
+++ b/src/balsamlift/peers/_aggregation.py
@@ -29,6 +29,8 @@
 from balsamlift.peers._messages import (
     CountsSums,
     CountsUpdate,
+    PermitAnswer,
+    PermitRequest,
     decode_sums,
     encode_counts,
 )
@@ -105,6 +107,12 @@
         self._aggregator.start()
         self._task = asyncio.create_task(self._keep_sending())
 
+    def answer_permits(
+        self, grant: Callable[[PermitRequest], PermitAnswer]
+    ) -> None:
+        """Answer requests for permits at the same address."""
+        self._aggregator.answer_permits(grant)
+
     async def stop(self) -> None:
         """Close all connections."""
         await self._aggregator.stop()
--- a/src/balsamlift/peers/_aggregator.py
+++ b/src/balsamlift/peers/_aggregator.py
@@ -17,8 +17,13 @@
 from balsamlift.peers._messages import (
     CountsSums,
     CountsUpdate,
+    PermitAnswer,
+    PermitRequest,
+    decode_permit_request,
     decode_update,
     encode_counts,
+    encode_permit,
+    is_permit_request,
 )
 from balsamlift.peers._shared_records import SharedRecords
 
@@ -59,6 +64,13 @@
         self._contexts: list[pynng.Context] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._is_open = True
+        self._grant: Callable[[PermitRequest], PermitAnswer] | None = None
+
+    def answer_permits(
+        self, grant: Callable[[PermitRequest], PermitAnswer]
+    ) -> None:
+        """Answer requests for permits with the result of `grant`."""
+        self._grant = grant
 
     def start(self) -> None:
         """Start answering updates."""
@@ -105,11 +117,17 @@
     async def _serve(self, context: pynng.Context) -> None:
         while self._is_open:
             try:
-                update = decode_update(await context.arecv())
-                self.handle_update(self._own())
-                await context.asend(encode_counts(self.handle_update(update)))
+                await context.asend(self._answer(await context.arecv()))
             except pynng.Closed:
                 return
             except (pynng.NNGException, PeerMessageError) as error:
                 # Without an answer, the sender uses its partners' counts.
                 log.warning("could not answer a counts update: {}", error)
+
+    def _answer(self, request: bytes) -> bytes:
+        if self._grant is not None and is_permit_request(request):
+            permit = decode_permit_request(request)
+            return encode_permit(self._grant(permit))
+        update = decode_update(request)
+        self.handle_update(self._own())
+        return encode_counts(self.handle_update(update))
--- a/src/balsamlift/peers/_composer.py
+++ b/src/balsamlift/peers/_composer.py
@@ -15,6 +15,7 @@
 from balsamlift.peers._members import Members
 from balsamlift.peers._messages import Member, PeerMessage, SharedPlatformState
 from balsamlift.peers._peer_statuses import PeerStatuses
+from balsamlift.peers._rate_limits import RateLimits
 from balsamlift.peers._upstream_reports import UpstreamReports
 
 RECENT_MEMBERS = 32  # changes sent on a new link; the peer requests the rest
@@ -44,6 +45,7 @@
         counts: OwnCounts,
         upstream_reports: UpstreamReports,
         crash_reports: CrashReports,
+        rate_limits: RateLimits,
         peer_statuses: PeerStatuses,
         clock: Clock,
         rng: random.Random,
@@ -53,6 +55,7 @@
         self._counts = counts
         self._upstream_reports = upstream_reports
         self._crash_reports = crash_reports
+        self._rate_limits = rate_limits
         self._peer_statuses = peer_statuses
         self._clock = clock
         self._random = rng
@@ -89,12 +92,16 @@
             crash_reports=self._crash_reports.changed_since(
                 link.sent_changes.crash_reports
             ),
+            rate_limits=self._rate_limits.changed_since(
+                link.sent_changes.rate_limits
+            ),
         )
         sent_changes = SentChanges(
             self._members.change,
             self._counts.change,
             self._upstream_reports.change,
             self._crash_reports.change,
+            self._rate_limits.change,
         )
         return Draft(message, sent_changes)
 
--- a/src/balsamlift/peers/_host_ranks.py
+++ b/src/balsamlift/peers/_host_ranks.py
@@ -22,6 +22,11 @@
     return sorted(hosts, key=_rank)
 
 
+def first_host(hosts: Iterable[str], subject: str) -> str:
+    """Return the host with position 0 in the order for `subject`."""
+    return min(hosts, key=lambda host: _rank_for(host, subject))
+
+
 @attrs.frozen
 class HostRank:
     """Hold the position of a host among all live ones, counted from 0."""
--- a/src/balsamlift/peers/_host_roles.py
+++ b/src/balsamlift/peers/_host_roles.py
@@ -6,6 +6,7 @@
 from balsamlift.peers._load import Load
 from balsamlift.peers._members import Members
 from balsamlift.peers._peer_statuses import PeerStatuses
+from balsamlift.peers._permits import GrantingHosts
 from balsamlift.peers._shared_records import SharedRecords
 from balsamlift.peers._upstreams import Upstreams
 
@@ -50,6 +51,18 @@
         others.discard(self._own_host)
         return find_rank(self._own_host, others, subject)
 
+    def granting_hosts(self) -> GrantingHosts:
+        """Return the live hosts, one of which grants permits."""
+        own = self._members.own
+        live = [m for m in self._members.others() if m.state == "live"]
+        if own.state == "live" or not live:
+            live.append(own)
+        return GrantingHosts(
+            own=own.host,
+            addresses={m.host: m.counts_address for m in live},
+            known=self.known_rank_for(own.host).hosts,
+        )
+
     def probing_hosts(self) -> list[str]:
         """Return the hosts that share the probes of upstreams."""
         return [self._own_host, *self._live_others()]
--- a/src/balsamlift/peers/_link.py
+++ b/src/balsamlift/peers/_link.py
@@ -33,6 +33,7 @@
     counts: int | None = None
     upstream_reports: int = 0
     crash_reports: int = 0
+    rate_limits: int = 0
 
     @property
     def any_sent(self) -> bool:
--- a/src/balsamlift/peers/_load.py
+++ b/src/balsamlift/peers/_load.py
@@ -11,6 +11,7 @@
 from balsamlift.peers._aggregation import AggregatorHost, CountsAggregation
 from balsamlift.peers._counts import OwnCounts, PeerCounts
 from balsamlift.peers._members import Members
+from balsamlift.peers._messages import PermitAnswer, PermitRequest
 from balsamlift.peers._shared_records import SharedRecords
 from balsamlift.settings import Settings
 
@@ -57,6 +58,12 @@
         self._wake = wake
         self._aggregation.start(self._aggregator_hosts, metrics)
 
+    def answer_permits(
+        self, grant: Callable[[PermitRequest], PermitAnswer]
+    ) -> None:
+        """Answer requests for permits at the address for counts."""
+        self._aggregation.answer_permits(grant)
+
     async def stop(self) -> None:
         """Close all connections."""
         await self._aggregation.stop()
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -30,6 +30,8 @@
 from balsamlift.peers._observed_states import UpstreamState
 from balsamlift.peers._peer import Peer, describe
 from balsamlift.peers._peer_statuses import PeerStatuses
+from balsamlift.peers._permits import Permits, SocketTransport
+from balsamlift.peers._rate_limits import RateLimits
 from balsamlift.peers._receiver import Receiver
 from balsamlift.peers._shared_records import SharedRecords
 from balsamlift.peers._sharing import Sharing
@@ -94,6 +96,7 @@
         self._dead_since_s: dict[str, float] = {}
         self._upstream_reports = UpstreamReports()
         self.crash_reports = CrashReports(clock)
+        self.rate_limits = RateLimits(clock)
         self._upstream_gossip = UpstreamGossip(self._upstream_reports, clock)
         silence_s = settings.peers.silence_ms / 1_000
         self._peer_statuses = PeerStatuses(clock, silence_s)
@@ -104,11 +107,18 @@
             self.records,
             settings.platform.hosts_readers,
         )
+        self.permits = Permits(
+            self.rate_limits,
+            self._roles.granting_hosts,
+            SocketTransport(),
+            clock,
+        )
         self._composer = Composer(
             self._members,
             self._load.own,
             self._upstream_reports,
             self.crash_reports,
+            self.rate_limits,
             self._peer_statuses,
             clock,
             rng,
@@ -136,6 +146,9 @@
         self._load.start(self._members, self._links.wake, self._metrics)
         self._upstream_gossip.start(self._upstreams, self._links.wake)
         self.crash_reports.start(self._links.wake)
+        self.rate_limits.start(self._links.wake, self._metrics)
+        self.permits.start(self._metrics)
+        self._load.answer_permits(self.permits.grant)
         self._roles.start(self._upstreams)
         self._upstreams.share_probes(self._roles.probing_hosts)
         self._upstreams.share_reading(self._roles.reads_list_often)
@@ -146,6 +159,7 @@
             links=self._links,
             upstream_gossip=self._upstream_gossip,
             crash_reports=self.crash_reports,
+            rate_limits=self.rate_limits,
             sharing=self.sharing,
             upstreams=self._upstreams,
             timeline=self._timeline,
@@ -165,6 +179,7 @@
         self._listener.close()
         for task in self._tasks:
             await end_task(task)
+        self.permits.close()
         await self._load.stop()
         await self._links.stop()
 
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -66,6 +66,31 @@
     had_output: bool = False  # from that upstream
 
 
+class RateLimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """Report the rate limit that an upstream names to all hosts together."""
+
+    upstream: str
+    limit_per_s: float | None  # None: it names none any more
+    age_ms: int  # since it certainly holds
+
+
+class PermitRequest(msgspec.Struct, frozen=True):
+    """Ask for a permit to send one request to an upstream with a limit."""
+
+    limit: RateLimitReport  # as the sender knows it
+    max_wait_ms: int  # that the request can wait before it is sent
+    is_resumed: bool  # continues a generation, which is lost otherwise
+    reserves_return: bool  # a denied caller is told when to come back
+
+
+class PermitAnswer(msgspec.Struct, frozen=True):
+    """Grant or deny a permit."""
+
+    is_granted: bool
+    # Granted: until the request may be sent. Denied: until it may be granted.
+    wait_ms: int
+
+
 class SharedPlatformState(msgspec.Struct, frozen=True, array_like=True):
     """Hold platform data for a host that cannot read the platform."""
 
@@ -100,6 +125,7 @@
     shared: SharedPlatformState | None = None  # in few messages
     evacuations: EvacuationSnapshot | None = None  # None: not known yet
     crash_reports: list[CrashReport] = msgspec.field(default_factory=list)
+    rate_limits: list[RateLimitReport] = msgspec.field(default_factory=list)
 
 
 class CountsUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -122,6 +148,9 @@
 
 _message_decoder = msgspec.msgpack.Decoder(PeerMessage)
 _update_decoder = msgspec.msgpack.Decoder(CountsUpdate)
+_permit_request_decoder = msgspec.msgpack.Decoder(PermitRequest)
+_permit_answer_decoder = msgspec.msgpack.Decoder(PermitAnswer)
+_FIRST_ARRAY_BYTE = b"\x90"  # of msgpack; those below it begin a short map
 _sums_decoder = msgspec.msgpack.Decoder(CountsSums)
 
 
@@ -145,6 +174,26 @@
     return _decode(data, _update_decoder)
 
 
+def encode_permit(message: PermitRequest | PermitAnswer) -> bytes:
+    """Return the request or the answer encoded as msgpack."""
+    return msgspec.msgpack.encode(message)
+
+
+def is_permit_request(data: bytes) -> bool:
+    """Return whether a request is a map, not an array as an update is."""
+    return data[:1] < _FIRST_ARRAY_BYTE
+
+
+def decode_permit_request(data: bytes) -> PermitRequest:
+    """Return the decoded request; raise `PeerMessageError`."""
+    return _decode(data, _permit_request_decoder)
+
+
+def decode_permit_answer(data: bytes) -> PermitAnswer:
+    """Return the decoded answer; raise `PeerMessageError`."""
+    return _decode(data, _permit_answer_decoder)
+
+
 def decode_sums(data: bytes) -> CountsSums:
     """Return the decoded sums; raise `PeerMessageError`."""
     return _decode(data, _sums_decoder)
--- a/src/balsamlift/peers/_receiver.py
+++ b/src/balsamlift/peers/_receiver.py
@@ -12,6 +12,7 @@
 from balsamlift.peers._members import Members
 from balsamlift.peers._messages import Member, PeerMessage
 from balsamlift.peers._peer_statuses import PeerStatuses
+from balsamlift.peers._rate_limits import RateLimits
 from balsamlift.peers._sharing import Sharing
 from balsamlift.peers._upstream_gossip import UpstreamGossip
 from balsamlift.peers._upstreams import Upstreams
@@ -28,6 +29,7 @@
     _links: Links
     _upstream_gossip: UpstreamGossip
     _crash_reports: CrashReports
+    _rate_limits: RateLimits
     _sharing: Sharing
     _upstreams: Upstreams
     _timeline: Timeline
@@ -48,6 +50,7 @@
         )
         self._upstream_gossip.receive(message.upstream_reports)
         self._crash_reports.add(message.crash_reports)
+        self._rate_limits.add(message.rate_limits)
         # Evacuations come before the configuration: a host that has just
         # started must not serve with the configuration alone.
         if message.evacuations is not None:
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -22,6 +23,9 @@
     Workspace,
 )
 
+# A header holds one decimal number; "1e400" or "2, 3" is none.
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
+
 
 class RecordError(PlatformError):
     """Indicate that a record is invalid for its key."""
@@ -286,3 +290,9 @@
             can_back_up=engine.Backups,
         ),
     )
+
+
+def decode_rate_limit(text: str) -> float | None:
+    """Return requests per second, or None if `text` is no decimal number."""
+    text = text.strip()
+    return float(text) if _DECIMAL.fullmatch(text) else None
--- a/src/balsamlift/relay/_backup.py
+++ b/src/balsamlift/relay/_backup.py
@@ -22,13 +22,19 @@
         self._reservation: MemoryReservation | None = None
 
     def choose(self, source: Upstream) -> None:
-        """Choose an engine other than `source` that has memory for a copy."""
+        """Choose an engine other than `source` that has memory for a copy.
+
+        An engine with a rate limit might not take the generation over.
+        """
         self.release()
         job = self._job
         if not job.traits.can_back_up:
             return
         self._reservation = self._context.allocator.reserve_backup(
-            job.scope, source, job.traits, job.tokens
+            job.scope,
+            {source.name, *self._context.permits.limited()},
+            job.traits,
+            job.tokens,
         )
 
     @property
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -199,15 +199,24 @@
         return scope.allows(region)
 
     def choose_upstream(
-        self, scope: Scope, tried: Collection[str]
+        self, scope: Scope, tried: Collection[str], denied: Collection[str]
     ) -> Upstream | None:
-        """Return the upstream for a call that is sent there immediately."""
-        choices = self.usable(scope, tried)
-        if not choices:
-            return None
-        upstream = min(choices, key=self._call_cost)
-        self.record_send(upstream)
-        return upstream
+        """Return the best upstream for a call, or None if none is left.
+
+        Those in `denied` may not take it now, but are as healthy as before:
+        no upstream that is not takes their place.
+        """
+        choices = [
+            u for u in self.usable(scope, tried) if u.name not in denied
+        ]
+        return min(choices, key=self._call_cost) if choices else None
+
+    def find_usable(
+        self, scope: Scope, tried: Collection[str], name: str
+    ) -> Upstream | None:
+        """Return the upstream of that name if it may still be chosen."""
+        found = (u for u in self.usable(scope, tried) if u.name == name)
+        return next(found, None)
 
     def record_success(self, upstream: str) -> None:
         """Record a complete response, or the start of a streamed one."""
--- /dev/null
+++ b/src/balsamlift/relay/_engine_placement.py
@@ -0,0 +1,114 @@
+"""Find an engine with free memory, within the rate limits of engines."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection
+
+from balsamlift.peers import Permits
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._job import Job
+from balsamlift.relay._memory_allocator import (
+    MemoryAllocator,
+    MemoryReservation,
+)
+from balsamlift.relay._upstream_chooser import RateLimited
+
+# Longest wait for memory or a permit, as a multiple of the route's target
+# latency. A generation that starts after its target is late, and a caller who
+# is refused sooner can retry in time.
+MAX_WAIT_FACTOR = 1.0
+
+
+class EnginePlacement:
+    """Reserve memory in an engine that may take a generation now."""
+
+    def __init__(
+        self, balancer: Balancer, allocator: MemoryAllocator, permits: Permits
+    ) -> None:
+        """Reserve through `allocator` and acquire `permits`."""
+        self._balancer = balancer
+        self._allocator = allocator
+        self._permits = permits
+
+    async def reserve(
+        self, job: Job, tried: Collection[str]
+    ) -> MemoryReservation | RateLimited | None:
+        """Return a reservation, or None if no engine has memory in time."""
+        waits_s: dict[str, float] = {}
+        while True:
+            if waits_s and not self._has_other_engine(job, tried, waits_s):
+                return await self._wait_for_permit(job, tried, waits_s)
+            reservation = await self._wait_for_memory(job, {*tried, *waits_s})
+            if reservation is None:
+                return None
+            permit = await self._acquire(reservation)
+            if permit is None:
+                return reservation
+            waits_s[reservation.upstream.name] = permit
+
+    async def _acquire(self, reservation: MemoryReservation) -> float | None:
+        """Return None with a permit, or release the memory and return a wait.
+
+        The memory is released as well if the caller leaves meanwhile.
+        """
+        try:
+            permit = await self._permits.acquire(reservation.upstream.name)
+        except BaseException:
+            reservation.release()
+            raise
+        if permit.is_granted:
+            return None
+        reservation.release()
+        return permit.wait_s
+
+    def _has_other_engine(
+        self, job: Job, tried: Collection[str], denied: Collection[str]
+    ) -> bool:
+        usable = self._balancer.usable(job.scope, tried)
+        return any(upstream.name not in denied for upstream in usable)
+
+    async def _wait_for_permit(
+        self, job: Job, tried: Collection[str], waits_s: dict[str, float]
+    ) -> MemoryReservation | RateLimited | None:
+        """Wait for the engine whose permit is free first."""
+        name = min(waits_s, key=lambda name: waits_s[name])
+        remaining_s = _wait_by_s(job) - asyncio.get_running_loop().time()
+        permit = await self._permits.acquire(
+            name, max_wait_s=max(remaining_s, 0.0)
+        )
+        if not permit.is_granted:
+            permit = await self._permits.acquire(name, reserves_return=True)
+        if not permit.is_granted:
+            return RateLimited(name, permit.wait_s)
+        await asyncio.sleep(permit.wait_s)
+        others = {
+            upstream.name
+            for upstream in self._balancer.usable(job.scope, tried)
+            if upstream.name != name
+        }
+        upstream = self._allocator.find(
+            job.scope, job.traits, job.tokens, {*tried, *others}
+        )
+        if upstream is None or upstream.name != name:
+            return None
+        return self._allocator.reserve(upstream, job.tokens)
+
+    async def _wait_for_memory(
+        self, job: Job, tried: Collection[str]
+    ) -> MemoryReservation | None:
+        """Return memory reserved in an engine, or None if it took too long."""
+        try:
+            async with asyncio.timeout_at(_wait_by_s(job)):
+                await self._balancer.refresh()
+                return await self._allocator.wait(
+                    job.scope, job.traits, job.tokens, job.call.priority, tried
+                )
+        except TimeoutError:
+            return None
+
+
+def _wait_by_s(job: Job) -> float:
+    call = job.call
+    target_s = call.route.target_ms / 1_000
+    return call.request.arrived_s + target_s * MAX_WAIT_FACTOR
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -14,15 +14,16 @@
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._connection import ResponseHead, UpstreamConnection
 from balsamlift.relay._header_names import HeaderNames
-from balsamlift.relay._headers import upstream_headers
-from balsamlift.relay._named_limits import NamedLimits
+from balsamlift.relay._headers import is_signed, upstream_headers
 from balsamlift.relay._pool import ConnectionPool
+from balsamlift.relay._rate_limit_reader import (
+    MISDIRECTED_REQUEST,
+    RateLimitReader,
+)
 from balsamlift.relay._request import Call
 
 Disposition = Literal["answer", "failure", "not_executed"]
 
-MISDIRECTED_REQUEST = 421  # the address now belongs to another upstream
-
 
 @attrs.frozen
 class Reply:
@@ -47,13 +48,13 @@
         pool: ConnectionPool,
         names: HeaderNames,
         clock: Clock,
-        named_limits: NamedLimits,
+        rate_limits: RateLimitReader,
     ) -> None:
         """Create a client that acquires connections from `pool`."""
         self._pool = pool
         self._names = names
         self._clock = clock
-        self._named_limits = named_limits
+        self._rate_limits = rate_limits
 
     async def send(
         self,
@@ -71,10 +72,11 @@
         connection = await self._pool.acquire(upstream)
         may_have_run_before = attempt.may_have_run
         attempt.record_send(upstream.name)
-        self._named_limits.record_send(upstream.name)
+        self._rate_limits.record_send(upstream.name)
         headers = upstream_headers(
             call, self._names, upstream.id, self._remaining_ms(call), extra
         )
+        sent_s = self._clock.monotonic()
         connection.send(
             call.method, call.request.target, headers, call.request.body
         )
@@ -85,7 +87,7 @@
         except asyncio.CancelledError:
             connection.close()
             raise
-        self._record_rate_limit(upstream, head)
+        self._rate_limits.record_response(upstream.name, head, sent_s)
         disposition = self._classify(head)
         if disposition == "not_executed":
             attempt.record_not_executed(may_have_run_before)
@@ -135,31 +137,12 @@
             return "not_executed"
         return "failure" if head.status >= 500 else "answer"
 
-    def _record_rate_limit(
-        self, upstream: Upstream, head: ResponseHead
-    ) -> None:
-        """Record the rate limit that the upstream names, or that it has none.
-
-        Without a signature, a response does not end a limit.
-        """
-        named = head.headers.get(self._names.rate_limit)
-        if named is not None or self._is_signed(head):
-            self._named_limits.record_response(upstream.name, named)
-
-    def _is_signed(self, head: ResponseHead) -> bool:
-        headers = head.headers
-        return (
-            self._names.signature in headers
-            and self._names.request_id in headers
-            and "Content-Encoding" not in headers
-        )
-
     def _require_signature(self, reply: Reply) -> None:
         """Close the connection of a successful response without a signature.
 
         Raises `UpstreamBrokenError` in that case.
         """
-        if reply.is_success and not self._is_signed(reply.head):
+        if reply.is_success and not is_signed(reply.head.headers, self._names):
             reply.connection.close()
             raise UpstreamBrokenError(
                 reply.upstream.name, "a success without its signature"
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -36,6 +36,8 @@
 # An engine admits a resumed generation before all other work; one that does
 # not respond within this time will not take it.
 RESUME_TIMEOUT_S = 1.0
+# A generation that waits longer for a permit of its next engine would be late.
+MAX_RESUME_WAIT_S = 0.5
 # The response to the last copy arrives once the copy is complete.
 COPY_TIMEOUT_S = 1.0
 
@@ -294,6 +296,12 @@
         extra = [(names.resume_source, source), *self._backup.headers()]
         if self._splitter.last_id >= 0:
             extra.append((names.last_event_id, str(self._splitter.last_id)))
+        permit = await self._context.permits.acquire(
+            upstream.name, max_wait_s=MAX_RESUME_WAIT_S, is_resumed=True
+        )
+        if not permit.is_granted:
+            return None
+        await asyncio.sleep(permit.wait_s)
         # This is the same execution, stopped on one engine and resumed on
         # the other, so it is not tracked as a second send of the request.
         attempt = Attempt(is_idempotent=False)
--- a/src/balsamlift/relay/_generation_context.py
+++ b/src/balsamlift/relay/_generation_context.py
@@ -7,7 +7,7 @@
 import attrs
 
 from balsamlift.metrics import Metrics
-from balsamlift.peers import Upstreams
+from balsamlift.peers import Permits, Upstreams
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._crash_guard import CrashGuard
 from balsamlift.relay._engines import EngineClient
@@ -29,3 +29,4 @@
     upstreams: Upstreams
     rng: random.Random
     crash_guard: CrashGuard
+    permits: Permits
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -18,6 +18,7 @@
 from balsamlift.relay._balance import prefill_key
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._crash_guard import CRASHING_REQUEST
+from balsamlift.relay._engine_placement import EnginePlacement
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._generation import Generation
 from balsamlift.relay._generation_context import GenerationContext
@@ -28,11 +29,13 @@
     give_up,
     no_memory,
     no_upstream,
+    rate_limited,
     timed_out,
 )
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retry_budget import RetryBudget
 from balsamlift.relay._token_estimate import TokenEstimate, read_token_estimate
+from balsamlift.relay._upstream_chooser import RateLimited
 
 log = logger.bind(part="generations")
 
@@ -43,10 +46,6 @@
 # a part per output token.
 EXPECTED_START_S = 1.0
 EXPECTED_TOKEN_S = 0.012
-# Longest wait for memory, as a multiple of the route's target latency. A
-# generation that starts after its target is late, and a caller who is refused
-# sooner can retry in time.
-MAX_WAIT_FACTOR = 1.0
 # Used where the configuration does not describe the engines of a service.
 DEFAULT_TRAITS = EngineTraits(memory_tokens=1 << 40)
 
@@ -72,6 +71,9 @@
     ) -> None:
         """Subscribe to changes of `upstreams` to detect leaving engines."""
         self._context = context
+        self._placement = EnginePlacement(
+            context.balancer, context.allocator, context.permits
+        )
         self._admission = admission
         self._retries = retries
         self._upstreams = upstreams
@@ -134,9 +136,13 @@
             if self._context.crash_guard.is_culprit(call):
                 return CRASHING_REQUEST
             sends_before = attempt.sends
-            reservation = await self._wait_for_memory(job, tried)
+            reservation = await self._placement.reserve(job, tried)
+            now_s = asyncio.get_running_loop().time()
+            if isinstance(reservation, RateLimited):
+                return rate_limited(
+                    attempt, call, now_s, reservation.retry_after_s
+                )
             if reservation is None:
-                now_s = asyncio.get_running_loop().time()
                 if self._context.balancer.is_blocked_by_operators(call.scope):
                     return no_upstream(attempt, call, now_s)
                 return no_memory(attempt, call, now_s)
@@ -179,22 +185,6 @@
             if not self._retries.spend(call.service):
                 return result
 
-    async def _wait_for_memory(
-        self, job: Job, tried: set[str]
-    ) -> MemoryReservation | None:
-        """Return memory reserved in an engine, or None if it took too long."""
-        call = job.call
-        target_s = call.route.target_ms / 1_000
-        wait_by_s = call.request.arrived_s + target_s * MAX_WAIT_FACTOR
-        try:
-            async with asyncio.timeout_at(wait_by_s):
-                await self._context.balancer.refresh()
-                return await self._context.allocator.wait(
-                    call.scope, job.traits, job.tokens, call.priority, tried
-                )
-        except TimeoutError:
-            return None
-
     def _log_placed(
         self, call: Call, reservation: MemoryReservation, backup: Backup
     ) -> None:
--- a/src/balsamlift/relay/_headers.py
+++ b/src/balsamlift/relay/_headers.py
@@ -70,6 +70,15 @@
     return headers
 
 
+def is_signed(headers: HTTPHeaders, names: HeaderNames) -> bool:
+    """Return whether a response is proved to be the upstream's own."""
+    return (
+        names.signature in headers
+        and names.request_id in headers
+        and "Content-Encoding" not in headers
+    )
+
+
 def caller_headers(headers: HTTPHeaders) -> HTTPHeaders:
     """Return the headers of an upstream's response to the caller."""
     result = HTTPHeaders()
--- a/src/balsamlift/relay/_memory_allocator.py
+++ b/src/balsamlift/relay/_memory_allocator.py
@@ -122,17 +122,17 @@
     def reserve_backup(
         self,
         scope: Scope,
-        source: Upstream,
+        excluded: Collection[str],
         traits: EngineTraits,
         tokens: int,
     ) -> MemoryReservation | None:
-        """Reserve memory for a backup of a generation on `source`.
+        """Reserve memory for a backup on an engine that is not `excluded`.
 
         Returns None if there is no memory for it. Backups use memory that
         generations leave free and give way to them: they are counted
         separately and limit only other backups.
         """
-        others = self._balancer.usable(scope, {source.name})
+        others = self._balancer.usable(scope, excluded)
         reserved = sum(self._reserved_tokens(u) for u in others)
         capacity = traits.memory_tokens * len(others)
         if reserved + tokens > capacity * BACKUP_POOL_FILL_LIMIT:
--- a/src/balsamlift/relay/_move_reservation.py
+++ b/src/balsamlift/relay/_move_reservation.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections.abc import Collection
 
+from balsamlift.peers import Upstream
 from balsamlift.relay._generation_context import GenerationContext
 from balsamlift.relay._job import Job
 from balsamlift.relay._memory_allocator import MemoryReservation
@@ -52,16 +53,13 @@
     return await _reserve_best(context, job, near_domain, tried)
 
 
-async def _reserve_best(
+def _find(
     context: GenerationContext,
     job: Job,
     near_domain: str,
     tried: Collection[str],
-) -> MemoryReservation | None:
-    """Reserve the best engine and wait until other reservations are known."""
-    balancer = context.balancer
-    await balancer.refresh()
-    upstream = context.allocator.find(
+) -> Upstream | None:
+    return context.allocator.find(
         job.scope,
         job.traits,
         job.tokens,
@@ -69,6 +67,24 @@
         near_domain=near_domain,
         fill_limit=MOVE_FILL_LIMIT,
     )
+
+
+async def _reserve_best(
+    context: GenerationContext,
+    job: Job,
+    near_domain: str,
+    tried: Collection[str],
+) -> MemoryReservation | None:
+    """Reserve the best engine and wait until other reservations are known.
+
+    Engines with a rate limit come last: a move needs a permit in time.
+    """
+    balancer = context.balancer
+    await balancer.refresh()
+    limited = context.permits.limited()
+    upstream = _find(context, job, near_domain, {*tried, *limited})
+    if upstream is None and limited:
+        upstream = _find(context, job, near_domain, tried)
     if upstream is None:
         return None
     reservation = context.allocator.reserve(upstream, job.tokens)
--- a/src/balsamlift/relay/_refusals.py
+++ b/src/balsamlift/relay/_refusals.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._request import Call, Refusal
 
@@ -28,6 +30,22 @@
     return give_up(attempt, "no room", wait_ms)
 
 
+def rate_limited(
+    attempt: Attempt, call: Call, now_s: float, wait_s: float
+) -> Refusal:
+    """Return the refusal of a call beyond the rate limits of upstreams.
+
+    Callers whose time is too short for the wait return spread over the second
+    half of the time that they can wait.
+    """
+    wanted_ms = int(wait_s * 1_000)
+    wait_ms = _limit_to_deadline(call, now_s, wanted_ms)
+    if wait_ms < wanted_ms:
+        spread = zlib.crc32(call.request_id.encode()) / 0xFFFF_FFFF
+        wait_ms = int(wait_ms * (1 + spread) / 2)
+    return give_up(attempt, "rate limited", wait_ms)
+
+
 def _limit_to_deadline(call: Call, now_s: float, wait_ms: int) -> int:
     """Return a wait that leaves the caller time for another attempt."""
     remaining_ms = max(call.deadline_s - now_s, 0.0) * 1_000
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from math import isinf
 
 import attrs
@@ -27,8 +27,8 @@
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._leaving_detector import LeavingDetector
 from balsamlift.relay._memory_allocator import MemoryAllocator
-from balsamlift.relay._named_limits import NamedLimits
 from balsamlift.relay._pool import ConnectionPool
+from balsamlift.relay._rate_limit_reader import RateLimitReader
 from balsamlift.relay._request import (
     Call,
     CallerRequest,
@@ -39,6 +39,7 @@
 from balsamlift.relay._retry_budget import RetryBudget, RetryLimits
 from balsamlift.relay._routing import Routing, RoutingTable
 from balsamlift.relay._unary import UnaryCalls
+from balsamlift.relay._upstream_chooser import UpstreamChooser
 
 log = logger.bind(part="relay")
 
@@ -60,6 +61,8 @@
     cold_limits: ColdLimits | None = None  # None: unlimited
     regions: Mapping[str, str] = attrs.field(factory=dict)  # by domain
     names: HeaderNames
+    # Returns the requests per second that a header names, None if invalid.
+    decode_rate_limit: Callable[[str], float | None]
 
 
 class Relay:
@@ -114,8 +117,13 @@
             lambda: len(peers.live()) + 1,
             self._clock,
         )
-        self._named_limits = NamedLimits(self._metrics)
-        exchange = Exchange(self._pool, names, self._clock, self._named_limits)
+        rate_limits = RateLimitReader(
+            names,
+            self._settings.decode_rate_limit,
+            peers.rate_limits,
+            self._metrics,
+        )
+        exchange = Exchange(self._pool, names, self._clock, rate_limits)
         self._admission = Admission(routing, names, self._random)
         self._crash_guard = CrashGuard(
             peers.crash_reports, self._upstreams, self._clock
@@ -123,6 +131,7 @@
         self._unary_calls = UnaryCalls(
             exchange,
             balancer,
+            UpstreamChooser(balancer, peers.permits),
             self._admission,
             self._retries,
             self._crash_guard,
@@ -137,6 +146,7 @@
             upstreams=self._upstreams,
             rng=self._random,
             crash_guard=self._crash_guard,
+            permits=peers.permits,
         )
         self._generations = Generations(
             context, self._admission, self._retries, self._upstreams
@@ -242,6 +252,6 @@
             await self._clock.sleep(SWEEP_INTERVAL_S)
             live = {u.name for u in self._upstreams.all()}
             self._pool.sweep(live)
-            self._named_limits.prune(live)
+            self._peers.permits.prune(live)
             self._balancer.discard_expired()
             self._crash_guard.discard_expired()
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -21,10 +21,12 @@
 from balsamlift.relay._refusals import (
     give_up,
     no_upstream,
+    rate_limited,
     timed_out,
 )
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retry_budget import RetryBudget
+from balsamlift.relay._upstream_chooser import RateLimited, UpstreamChooser
 
 log = logger.bind(part="calls")
 
@@ -49,6 +51,7 @@
         self,
         exchange: Exchange,
         balancer: Balancer,
+        chooser: UpstreamChooser,
         admission: Admission,
         retries: RetryBudget,
         crash_guard: CrashGuard,
@@ -56,6 +59,7 @@
         """Create a runner for upstreams that `balancer` selects."""
         self._exchange = exchange
         self._balancer = balancer
+        self._chooser = chooser
         self._admission = admission
         self._retries = retries
         self._crash_guard = crash_guard
@@ -89,10 +93,14 @@
         while True:
             if self._crash_guard.is_culprit(call):
                 return CRASHING_REQUEST
-            upstream = self._balancer.choose_upstream(call.scope, tried)
+            upstream = await self._chooser.choose(call, tried)
+            now_s = asyncio.get_running_loop().time()
             if upstream is None:
-                now_s = asyncio.get_running_loop().time()
                 return no_upstream(attempt, call, now_s)
+            if isinstance(upstream, RateLimited):
+                return rate_limited(
+                    attempt, call, now_s, upstream.retry_after_s
+                )
             if not self._admission.still_allows(call):
                 return give_up(attempt, "configuration changed", 0)
             tried.add(upstream.name)
--- a/src/balsamlift/testing/_relay_harness.py
+++ b/src/balsamlift/testing/_relay_harness.py
@@ -16,6 +16,7 @@
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
 from balsamlift.peers import ListEntry, Peers, Upstream, Upstreams
+from balsamlift.platform._decode import decode_rate_limit
 from balsamlift.relay import (
     CallerLimits,
     ColdLimits,
@@ -234,6 +235,7 @@
             cold_limits=self._cold_limits,
             regions=self._regions,
             names=HEADER_NAMES,
+            decode_rate_limit=decode_rate_limit,
         )
         self.relay = Relay(relay, self.engines, self.clock, rng)
         for service in (
--- a/tests/test_peers_messages.py
+++ b/tests/test_peers_messages.py
@@ -16,13 +16,19 @@
     CountsUpdate,
     Member,
     PeerMessage,
+    PermitAnswer,
+    PermitRequest,
+    RateLimitReport,
     SharedPlatformState,
     UpstreamReport,
     decode_message,
+    decode_permit_answer,
+    decode_permit_request,
     decode_sums,
     decode_update,
     encode_counts,
     encode_message,
+    encode_permit,
 )
 from balsamlift.peers._shared_records import Position, RecordsAnswer
 
@@ -47,10 +53,13 @@
 )
 SUMS = CountsSums({"e1": 3}, RecordsAnswer(4, None, b"routes", TOPIC_UPDATE))
 UPDATE = CountsUpdate("h1", "i1", 5, {"e1": 3}, True, Position(4, None))
+PERMIT = PermitRequest(RateLimitReport("e1", 2.4, 7), 100, True, False)
 MESSAGES = [
     (encode_message(HEARTBEAT), decode_message),
     (encode_counts(SUMS), decode_sums),
     (encode_counts(UPDATE), decode_update),
+    (encode_permit(PERMIT), decode_permit_request),
+    (encode_permit(PermitAnswer(True, 5)), decode_permit_answer),
 ]
 
 
--- a/tests/test_relay_rate_limits.py
+++ b/tests/test_relay_rate_limits.py
@@ -5,6 +5,7 @@
 import pytest
 from _relay_helpers import USAGE, run, stream
 
+from balsamlift.peers._permits import STARTUP_S
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     RelayHarness,
@@ -17,6 +18,7 @@
 # The platform tolerates this much beyond what the limit allows.
 TOLERATED_FACTOR, TOLERATED_EXTRA = 1.5, 5
 CALLS = 60  # within the window
+MAX_WAIT_S = 2.0  # longer than any call waits for a permit or memory
 
 
 def most_tolerated(limit_per_s: float) -> float:
@@ -61,3 +63,80 @@
             assert len(limited.arrivals) <= most_tolerated(LIMIT_PER_S)
 
     run(test())
+
+
+async def until_permits_are_granted(world: RelayHarness) -> None:
+    """Wait for the time that a host needs to know the others."""
+    await asyncio.sleep(STARTUP_S)
+
+
+@pytest.mark.parametrize(("path", "pool"), PATHS)
+def test_calls_beyond_all_rate_limits_are_refused_at_once(
+    path: str, pool: str
+) -> None:
+    async def test() -> None:
+        stand_ins = make_stand_ins(pool, 2)
+        for stand_in in stand_ins:
+            stand_in.rate_limit = str(LIMIT_PER_S)
+        async with RelayHarness(stand_ins) as world:
+            world.configure()
+            for stand_in in stand_ins:
+                await call_until_limit_is_named(world, path, stand_in)
+            await until_permits_are_granted(world)
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            calls = [
+                world.call(path, f"r{n}", headers=USAGE) for n in range(CALLS)
+            ]
+            answers = await asyncio.gather(*calls)
+            assert loop.time() - began_s <= MAX_WAIT_S
+            for stand_in in stand_ins:
+                assert len(stand_in.arrivals) <= most_tolerated(LIMIT_PER_S)
+            served = [a for a in answers if a.status == 200]
+            refused = [a for a in answers if a.status == 503]
+            assert len(served) + len(refused) == CALLS
+            assert served
+            waits = {a.headers["Retry-After"] for a in refused}
+            assert min(map(float, waits)) > 0
+
+    run(test())
+
+
+def test_callers_beyond_a_rate_limit_do_not_return_together() -> None:
+    async def test() -> None:
+        (limited,) = make_stand_ins("plain", 1)
+        limited.rate_limit = "4"
+        async with RelayHarness([limited]) as world:
+            world.configure()
+            await call_until_limit_is_named(world, "/order/1", limited)
+            await until_permits_are_granted(world)
+            calls = [world.call("/order/1", f"r{n}") for n in range(CALLS)]
+            answers = await asyncio.gather(*calls)
+            waits_s = [
+                float(answer.headers["Retry-After"])
+                for answer in answers
+                if answer.status == 503
+            ]
+            assert len(waits_s) > CALLS / 2
+            assert len(set(waits_s)) > len(waits_s) / 2
+
+    run(test())
+
+
+def test_an_upstream_whose_limit_ended_gets_its_share_again() -> None:
+    async def test() -> None:
+        limited, other = make_stand_ins("plain", 2)
+        limited.rate_limit = "0"
+        async with RelayHarness([limited, other]) as world:
+            world.configure()
+            await call_until_limit_is_named(world, "/order/1", limited)
+            limited.rate_limit = ""
+            while world.peers.permits.is_limited(limited.name):
+                await world.call("/order/1")
+                await asyncio.sleep(0.05)
+            limited.arrivals.clear()
+            for number in range(CALLS):
+                await world.call("/order/1", f"r{number}")
+            assert len(limited.arrivals) > CALLS / 4
+
+    run(test())
