--- a/src/balsamlift/peers/_host_roles.py
+++ b/src/balsamlift/peers/_host_roles.py
@@ -54,7 +54,11 @@
     def granting_hosts(self) -> GrantingHosts:
         """Return the live hosts, one of which grants permits."""
         own = self._members.own
-        live = [m for m in self._members.others() if m.state == "live"]
+        live = [
+            member
+            for member in self._members.others()
+            if member.state == "live" and member.counts_address
+        ]
         if own.state == "live" or not live:
             live.append(own)
         return GrantingHosts(
@@ -98,6 +102,11 @@
             max_readers = self._max_list_readers
         return is_reader(self._own_host, readers, max_readers)
 
+    def wants_members(self) -> bool:
+        """Return whether this host knows under half of the listed hosts."""
+        listed = len(self._upstreams.entry_hosts())
+        return len(self._members) * 2 < listed
+
     @property
     def _own_host(self) -> str:
         return self._members.own.host
--- a/src/balsamlift/peers/_members.py
+++ b/src/balsamlift/peers/_members.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
 
 from balsamlift.peers._messages import Member
+from balsamlift.peers._upstream import EntryHost
 
 MAX_INCARNATIONS = 16  # kept per host
 
@@ -136,3 +138,20 @@
         self.change += 1
         self._changes.pop(host, None)
         self._changes[host] = self.change
+
+
+def peer_addresses(
+    members: Members, listed: Iterable[EntryHost]
+) -> dict[str, str]:
+    """Return the peer addresses of the other hosts that are not dead.
+
+    A host's own entry takes precedence over the platform's list.
+    """
+    addresses = {
+        host.host: host.peers_address for host in listed if host.peers_address
+    }
+    for member in members.others():
+        if member.state != "dead":
+            addresses[member.host] = member.peers_address
+    addresses.pop(members.own.host, None)
+    return addresses
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -25,7 +25,7 @@
 from balsamlift.peers._links import Links
 from balsamlift.peers._listener import Listener
 from balsamlift.peers._load import CountsBasis, Load, ip_of
-from balsamlift.peers._members import Members
+from balsamlift.peers._members import Members, peer_addresses
 from balsamlift.peers._messages import Member
 from balsamlift.peers._observed_states import UpstreamState
 from balsamlift.peers._peer import Peer, describe
@@ -327,17 +327,12 @@
             offset=self.offset,
             caught_up=self.caught_up,
             chosen=link.host in self._links.chosen,
-            wants_members=self._wants_members(),
+            wants_members=self._roles.wants_members(),
             shared=shared,
             evacuations=self._upstreams.evacuations.snapshot,
         )
         return self._composer.compose(link, status)
 
-    def _wants_members(self) -> bool:
-        """Return whether this host knows under half of the listed hosts."""
-        listed = len(self._upstreams.entry_hosts())
-        return len(self._members) * 2 < listed
-
     # Links
 
     async def _keep_links(self) -> None:
@@ -355,20 +350,7 @@
             await self._clock.sleep(heartbeat_s * self._links.interval_factor)
 
     def _addresses(self) -> dict[str, str]:
-        """Return the peer addresses of other hosts.
-
-        A host's own entry takes precedence over the list.
-        """
-        addresses = {
-            host.host: host.peers_address
-            for host in self._upstreams.entry_hosts()
-            if host.peers_address
-        }
-        for member in self._members.others():
-            if member.state != "dead":
-                addresses[member.host] = member.peers_address
-        addresses.pop(self.own.host, None)
-        return addresses
+        return peer_addresses(self._members, self._upstreams.entry_hosts())
 
     def _handle_silence(self, host: str) -> None:
         if host in self._links.chosen and self._members.declare_dead(host):
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -12,7 +12,7 @@
 from balsamlift.clock import Clock
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
-from balsamlift.operators import JsonHandler, OperatorsServer
+from balsamlift.operators import OperatorsServer
 from balsamlift.peers._evacuations import Evacuations
 from balsamlift.peers._hosts_list import (
     ENTRY_ROLE,
@@ -20,11 +20,10 @@
     ListEntry,
 )
 from balsamlift.peers._incarnations import take_latest
+from balsamlift.peers._known_upstream import KnownUpstream, find_usable
 from balsamlift.peers._list_reader import ListReader, UpstreamList
 from balsamlift.peers._observed_states import (
-    ObservedStates,
     UpstreamState,
-    more_pessimistic,
 )
 from balsamlift.peers._probes import Probes
 from balsamlift.peers._upstream import (
@@ -34,6 +33,7 @@
     build_upstream,
     incarnation_name,
 )
+from balsamlift.peers._upstreams_view import UpstreamsHandler
 from balsamlift.settings import Settings
 from balsamlift.timeline import Timeline
 
@@ -44,33 +44,6 @@
 LIST_TIMEOUT_MS = 2_000
 
 
-@attrs.define
-class _KnownUpstream:
-    """Hold the listed and the observed state of an upstream."""
-
-    listed: Upstream
-    evacuations: Evacuations
-    cold_until_s: float = 0.0
-    written: int | None = None  # update that `cold_until_s` is from
-    observed: ObservedStates = attrs.field(factory=ObservedStates)
-    upstream: Upstream = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self.refresh()
-
-    def refresh(self) -> bool:
-        """Recompute `upstream` and return whether it has changed."""
-        state = more_pessimistic(self.listed.state, self.observed.worst)
-        before = getattr(self, "upstream", None)
-        self.upstream = attrs.evolve(
-            self.listed,
-            state=state,
-            is_evacuated=self.evacuations.covers(self.listed.failure_domain),
-            cold_until_s=self.cold_until_s,
-        )
-        return self.upstream != before
-
-
 class Upstreams:
     """Track which upstreams may take new work.
 
@@ -113,7 +86,7 @@
         self.evacuations.on_change(self._apply_evacuations)
         self._unlisted: set[str] = set()
         self._entries: list[ListEntry] = []  # all but entry hosts
-        self._known: dict[str, _KnownUpstream] = {}
+        self._known: dict[str, KnownUpstream] = {}
         self._usable: dict[str, list[Upstream]] = {}
         self._entry_hosts: list[EntryHost] = []
         self._on_change: list[Callable[[], None]] = []
@@ -126,7 +99,7 @@
         self._timeline = kernel.find("timeline", Timeline)
         self._metrics = kernel.find("metrics", Metrics)
         operators = kernel.find("operators", OperatorsServer)
-        arguments = {"upstreams": self}
+        arguments = {"upstreams": self.all}
         operators.add_routes([(r"/v1/upstreams", UpstreamsHandler, arguments)])
         await self._reader.start(self._timeline, self._metrics)
         if self._is_probing:
@@ -154,7 +127,11 @@
         """
         usable = self._usable.get(pool)
         if usable is None:
-            usable = self._find_usable(pool)
+            usable = find_usable(
+                known
+                for known in self._known.values()
+                if known.listed.pool == pool
+            )
             self._usable[pool] = usable
         return list(usable)
 
@@ -169,10 +146,7 @@
         ]
 
     def is_in_evacuation(self, upstream: Upstream) -> bool:
-        """Return whether its failure domain is evacuated.
-
-        The upstream need not be listed.
-        """
+        """Return whether its failure domain is evacuated, listed or not."""
         return self.evacuations.covers(upstream.failure_domain)
 
     def may_take_work(self, name: str) -> bool:
@@ -289,20 +263,7 @@
     def _listed_hosts(self) -> list[str]:
         return [host.host for host in self._entry_hosts]
 
-    def _find_usable(self, pool: str) -> list[Upstream]:
-        members = [
-            known
-            for known in self._known.values()
-            if known.listed.pool == pool and not known.upstream.is_evacuated
-        ]
-        live = [k.upstream for k in members if k.upstream.state == "live"]
-        return live or [
-            k.upstream
-            for k in members
-            if k.listed.state == "live" and k.observed.dead_by_peers_alone
-        ]
-
-    def _refresh(self, known: _KnownUpstream, source: str) -> None:
+    def _refresh(self, known: KnownUpstream, source: str) -> None:
         """Recompute the state of `known`; log, record and notify changes."""
         self._usable.pop(known.listed.pool, None)
         if not known.refresh():
@@ -429,21 +390,9 @@
         """Apply one listed upstream; return whether the incarnation is new."""
         known = self._known.get(listed.name)
         if known is None or known.listed.address != listed.address:
-            self._known[listed.name] = _KnownUpstream(listed, self.evacuations)
+            self._known[listed.name] = KnownUpstream(listed, self.evacuations)
             return True
         if known.listed != listed:
             known.listed = listed
             self._refresh(known, LIST_SOURCE)
         return False
-
-
-class UpstreamsHandler(JsonHandler):
-    """Handle `GET /v1/upstreams`."""
-
-    def initialize(self, upstreams: Upstreams) -> None:
-        """Keep the upstreams to reply with."""
-        self._upstreams = upstreams
-
-    def get(self) -> None:
-        """Reply with all upstreams on the list."""
-        self.reply(self._upstreams.all())
