--- a/src/balsamlift/relay/_admission.py
+++ b/src/balsamlift/relay/_admission.py
@@ -8,6 +8,7 @@
 from balsamlift.relay._configuration import Route, Workspace
 from balsamlift.relay._fingerprint import fingerprint
 from balsamlift.relay._header_names import HeaderNames
+from balsamlift.relay._refusals import RETRY_AFTER_FRACTION
 from balsamlift.relay._request import Call, CallerRequest, Refusal
 from balsamlift.relay._routing import Routing, RoutingTable, pick_service
 from balsamlift.relay._scope import intersect_regions
@@ -17,8 +18,6 @@
 RETRY_UNCONFIGURED_MS = 2_000
 # Enough time to read a newer version from the store or from a peer.
 RETRY_OUTDATED_MS = 1_000
-# Upper bound of Retry-After, as a fraction of the caller's remaining time.
-RETRY_AFTER_FRACTION = 0.3
 
 NO_REQUEST_ID = Refusal(status=400, reason="no request id")
 NO_ROUTE = Refusal(status=404, reason="no route")
