Count in one kind of sliding window

Retries, cold upstreams and resumed generations each held a deque of times and dropped the old ones by themselves. No change of behaviour: the tests of the three pass unchanged.

--- a/src/balsamlift/peers/_permit_bucket.py
+++ b/src/balsamlift/peers/_permit_bucket.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from balsamlift._sliding_window import SlidingWindow
 
 # Tokens saved while nobody asks, in seconds of the rate, and at least this
 # many: arrivals are random, so without savings a part of the limit is lost.
@@ -30,7 +30,7 @@
         self._updated_s = now_s
         self._rate_per_s = 0.0
         self._return_s = now_s
-        self._resumed_s: deque[float] = deque()
+        self._resumed = SlidingWindow(RESUMED_WINDOW_S)
 
     def set_rate(self, rate_per_s: float, now_s: float) -> None:
         """Grant permits at this rate from now on."""
@@ -49,14 +49,9 @@
         """Take a permit for a resumed generation; return whether it may."""
         self._refill(now_s)
         if self._tokens < 1:
-            while (
-                self._resumed_s
-                and self._resumed_s[0] <= now_s - RESUMED_WINDOW_S
-            ):
-                self._resumed_s.popleft()
-            if len(self._resumed_s) >= RESUMED_EXTRA:
+            if self._resumed.count(now_s) >= RESUMED_EXTRA:
                 return False
-            self._resumed_s.append(now_s)
+            self._resumed.add(now_s)
         self._tokens -= 1
         return True
 
--- a/src/balsamlift/relay/_cold_starts.py
+++ b/src/balsamlift/relay/_cold_starts.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Collection
 
 import attrs
 
+from balsamlift._sliding_window import SlidingWindow
 from balsamlift.clock import Clock
 from balsamlift.peers import HostRank, Upstream
 
@@ -65,7 +65,7 @@
         self._rank_for = rank_for
         self._clock = clock
         self._started_s = clock.monotonic()
-        self._send_times: dict[str, deque[float]] = {}
+        self._sends: dict[str, SlidingWindow] = {}
 
     def allows(self, upstream: Upstream) -> bool:
         """Return whether this host may send one more request there now."""
@@ -84,18 +84,18 @@
     def record_send(self, upstream: Upstream) -> None:
         """Count a request that is about to be sent."""
         if self._limits is not None:
-            times = self._send_times.setdefault(upstream.name, deque())
-            times.append(self._clock.monotonic())
+            sends = self._sends.setdefault(
+                upstream.name, SlidingWindow(WINDOW_S)
+            )
+            sends.add(self._clock.monotonic())
 
     def prune(self, live: Collection[str]) -> None:
         """Discard expired sends and those to upstreams not in `live`."""
         now_s = self._clock.monotonic()
-        for name in list(self._send_times):
+        for name in list(self._sends):
             if name not in live or not self._recent_sends(name, now_s):
-                del self._send_times[name]
+                del self._sends[name]
 
     def _recent_sends(self, name: str, now_s: float) -> int:
-        times = self._send_times.get(name, deque())
-        while times and times[0] <= now_s - WINDOW_S:
-            times.popleft()
-        return len(times)
+        sends = self._sends.get(name)
+        return sends.count(now_s) if sends else 0
--- a/src/balsamlift/relay/_retry_budget.py
+++ b/src/balsamlift/relay/_retry_budget.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 
 import attrs
 
+from balsamlift._sliding_window import SlidingWindow
 from balsamlift.clock import Clock
 
 # Fraction of the budget that is used. The rest is a reserve: hosts join and
@@ -23,29 +23,13 @@
     window_s: float
 
 
-class _Window:
+class _ServiceCounts:
     """Count requests and retries of one service in a sliding window."""
 
     def __init__(self, window_s: float) -> None:
-        """Start with an empty window."""
-        self._window_s = window_s
-        self._requests: deque[float] = deque()
-        self._retries: deque[float] = deque()
-
-    def add_request(self, now_s: float) -> None:
-        """Count a request."""
-        self._requests.append(now_s)
-
-    def add_retry(self, now_s: float) -> None:
-        """Count a retry."""
-        self._retries.append(now_s)
-
-    def counts(self, now_s: float) -> tuple[int, int]:
-        """Return the requests and the retries in the window."""
-        for times in (self._requests, self._retries):
-            while times and times[0] <= now_s - self._window_s:
-                times.popleft()
-        return len(self._requests), len(self._retries)
+        """Start with no request."""
+        self.requests = SlidingWindow(window_s)
+        self.retries = SlidingWindow(window_s)
 
 
 class RetryBudget:
@@ -63,20 +47,20 @@
         self._hosts = hosts
         self._clock = clock
         self._started_s = clock.monotonic()
-        self._windows: dict[str, _Window] = {}
+        self._services: dict[str, _ServiceCounts] = {}
 
     def record_request(self, service: str) -> None:
         """Count a request for a service."""
-        self._window(service).add_request(self._clock.monotonic())
+        self._counts(service).requests.add(self._clock.monotonic())
 
     def spend(self, service: str) -> bool:
         """Spend one retry if the budget allows it; return whether it did."""
         now_s = self._clock.monotonic()
-        window = self._window(service)
-        requests, retries = window.counts(now_s)
-        if retries + 1 > self._allowed(requests, now_s):
+        counts = self._counts(service)
+        allowed = self._allowed(counts.requests.count(now_s), now_s)
+        if counts.retries.count(now_s) + 1 > allowed:
             return False
-        window.add_retry(now_s)
+        counts.retries.add(now_s)
         return True
 
     def _allowed(self, requests: int, now_s: float) -> float:
@@ -86,9 +70,9 @@
             allowed += limits.extra / max(self._hosts(), 1)
         return allowed * USED_FRACTION
 
-    def _window(self, service: str) -> _Window:
-        window = self._windows.get(service)
-        if window is None:
-            window = _Window(self._limits.window_s)
-            self._windows[service] = window
-        return window
+    def _counts(self, service: str) -> _ServiceCounts:
+        counts = self._services.get(service)
+        if counts is None:
+            counts = _ServiceCounts(self._limits.window_s)
+            self._services[service] = counts
+        return counts
