--- a/tests/test_relay_leaving_load.py
+++ b/tests/test_relay_leaving_load.py
@@ -7,8 +7,10 @@
 
 import asyncio
 import math
+from collections.abc import Awaitable, Callable
 
-from _relay_helpers import LAST_EVENT_ID, run
+from _relay_helpers import DEADLINE_S, LAST_EVENT_ID
+from _virtual_time import LoopClock, run_virtual
 
 from balsamlift.peers import Upstream
 from balsamlift.relay import (
@@ -115,12 +117,25 @@
         return MemoryCopy(f"handle-{request_id}", source, target)
 
 
+IO_WAIT_S = 0.002
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test in virtual time, whatever else the machine does."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(DEADLINE_S):
+            await test()
+
+    run_virtual(bounded, IO_WAIT_S)
+
+
 async def leave(running: int, ended: int) -> list[CallerAnswer]:
     """Let an engine with `running` generations leave; return the responses."""
     first, second = (
         ReplicaStandIn(f"model-{i}", "model", HEADER_NAMES) for i in range(2)
     )
-    async with RelayHarness([first]) as world:
+    async with RelayHarness([first], LoopClock()) as world:
         engine = LeavingEngine(world, [f"e{n}" for n in range(ended)])
         world.engines.report = engine.report  # type: ignore[method-assign]
         world.engines.copy = engine.copy  # type: ignore[method-assign]
@@ -155,7 +170,7 @@
         whole = [a for a in answers if a.is_whole and a.body == WHOLE]
         assert len(whole) == 7
 
-    run(test())
+    run(test)
 
 
 def test_late_copies_do_not_delay_those_that_fit() -> None:
@@ -171,4 +186,4 @@
         assert all(a.body == WHOLE for a in whole)
         assert len(whole) >= 7
 
-    run(test())
+    run(test)
