--- a/tests/_permit_hosts.py
+++ b/tests/_permit_hosts.py
@@ -129,11 +129,10 @@
 
     def _granting_hosts(self, host: Host) -> GrantingHosts:
         now_s = asyncio.get_running_loop().time()
-        live = {
-            other.name: str(other.number)
-            for other in self.hosts
-            if other is host or self._seems_live(host, other, now_s)
-        }
+        live = {host.name: str(host.number)}
+        for other in self.hosts:
+            if self._seems_live(host, other, now_s):
+                live[other.name] = str(other.number)
         return GrantingHosts(host.name, live, len(self.hosts))
 
     def _seems_live(self, host: Host, other: Host, now_s: float) -> bool:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -1,7 +1,7 @@
 """Permits for upstreams that name a rate limit, among many hosts."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import pytest
 from _permit_hosts import UPSTREAM, Fleet, tolerated
@@ -154,6 +154,38 @@
     run_virtual(test)
 
 
+def grant_as_any_host(hosts: Iterable[str], subject: str) -> str:
+    """Return the name of the host that asks, in place of the first one."""
+    return next(iter(hosts))
+
+
+@pytest.mark.parametrize(
+    ("disturb", "name", "variant"),
+    [
+        (calm, "balsamlift.peers._permits.first_host", grant_as_any_host),
+        (
+            halves_are_cut_off,
+            "balsamlift.peers._permits.GrantingHosts.live_fraction",
+            1.0,
+        ),
+    ],
+)
+def test_variants_of_the_permits_exceed_the_limit(
+    monkeypatch: pytest.MonkeyPatch,
+    disturb: Disturbance,
+    name: str,
+    variant: object,
+) -> None:
+    """Each host grants for itself, or each half grants the whole limit."""
+    monkeypatch.setattr(name, variant)
+
+    async def test() -> None:
+        fleet = await run_fleet(7, 2.4, disturb)
+        assert fleet.most_in_a_window() > tolerated(2.4)
+
+    run_virtual(test)
+
+
 def test_without_a_limit_no_host_asks_another() -> None:
     async def test() -> None:
         fleet = Fleet(87, 2, None)
