Log refusals by a rate limit, and let only answers end a limit

Refused callers were counted in the line of each request only, without the limit. Now a line a second and upstream has how many, the limit, its source and age, and the fraction by which it is divided.

An error or a refusal without the header ended a limit, as any signed response did. Whether an upstream in need names its limit in those too is not said, and a limit that ends wrongly costs the upstream more than one that ends with the next answer. The new test fails without the change (the limit is gone).

--- a/src/balsamlift/peers/_permits.py
+++ b/src/balsamlift/peers/_permits.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Collection
 from typing import Protocol
 
@@ -102,6 +103,7 @@
         self._buckets: dict[str, PermitBucket] = {}
         self._denied_until_s: dict[str, float] = {}  # by upstream
         self._avoided_until_s: dict[str, float] = {}  # by host
+        self._refused: Counter[str] = Counter()  # by upstream, not logged yet
         self._metrics = Metrics()
 
     def start(self, metrics: Metrics) -> None:
@@ -152,6 +154,8 @@
         if not permit.is_granted and not reserves_return:
             until_s = self._clock.monotonic() + permit.wait_s
             self._denied_until_s[upstream] = until_s
+        if not permit.is_granted and reserves_return:
+            self._refused[upstream] += 1
         return permit
 
     def grant(self, request: PermitRequest) -> PermitAnswer:
@@ -172,7 +176,8 @@
         return _answer_from(bucket, request, now_s)
 
     def prune(self, live: Collection[str]) -> None:
-        """Discard what is known of upstreams that are not in `live`."""
+        """Log refusals and discard what is not `live`; called every second."""
+        self._log_refused()
         self._limits.prune(live)
         now_s = self._clock.monotonic()
         for upstream in list(self._buckets):
@@ -183,6 +188,23 @@
                 if until_s <= now_s:
                     del table[name]
 
+    def _log_refused(self) -> None:
+        """Log the refused callers of each upstream in one line."""
+        for upstream, callers in self._refused.items():
+            named = self._limits.find(upstream)
+            if named is None:
+                continue
+            age_s = self._clock.monotonic() - named.evidence_s
+            log.bind(
+                upstream=upstream,
+                callers=callers,
+                limit_per_s=named.limit_per_s,
+                source=named.source,
+                age_ms=round(age_s * _MS_PER_S),
+                live_fraction=round(self._hosts().live_fraction, 3),
+            ).info("callers refused by a rate limit")
+        self._refused.clear()
+
     async def _ask_granting_host(self, request: PermitRequest) -> PermitAnswer:
         hosts = self._hosts()
         name = first_host(hosts.addresses, request.limit.upstream)
--- a/src/balsamlift/relay/_engine_placement.py
+++ b/src/balsamlift/relay/_engine_placement.py
@@ -42,13 +42,15 @@
             reservation = await self._wait_for_memory(job, {*tried, *waits_s})
             if reservation is None:
                 return None
-            permit = await self._acquire(reservation)
-            if permit is None:
+            wait_s = await self._acquire_permit(reservation)
+            if wait_s is None:
                 return reservation
-            waits_s[reservation.upstream.name] = permit
+            waits_s[reservation.upstream.name] = wait_s
 
-    async def _acquire(self, reservation: MemoryReservation) -> float | None:
-        """Return None with a permit, or release the memory and return a wait.
+    async def _acquire_permit(
+        self, reservation: MemoryReservation
+    ) -> float | None:
+        """Return None if granted, else the wait, with the memory released.
 
         The memory is released as well if the caller leaves meanwhile.
         """
--- a/src/balsamlift/relay/_rate_limit_reader.py
+++ b/src/balsamlift/relay/_rate_limit_reader.py
@@ -15,6 +15,7 @@
 log = logger.bind(part="upstreams")
 
 MISDIRECTED_REQUEST = 421  # the address now belongs to another upstream
+INTERNAL_SERVER_ERROR = 500
 MAX_INVALID = 100  # upstreams whose invalid limit has been logged
 
 
@@ -45,13 +46,14 @@
     ) -> None:
         """Record the limit that the response to a request names, or none.
 
-        A response without a signature does not end a limit.
+        Only a signed answer ends a limit: a refusal or an error may come from
+        a part of the upstream that does not know the limit.
         """
         if head.status == MISDIRECTED_REQUEST:
             return
         text = head.headers.get(self._names.rate_limit)
         if text is None:
-            if is_signed(head.headers, self._names):
+            if self._is_answer(head):
                 self._limits.record(upstream, None, sent_s)
             return
         limit_per_s = self._decode(text)
@@ -60,6 +62,13 @@
         else:
             self._limits.record(upstream, limit_per_s, sent_s)
 
+    def _is_answer(self, head: ResponseHead) -> bool:
+        return (
+            head.status < INTERNAL_SERVER_ERROR
+            and self._names.not_executed not in head.headers
+            and is_signed(head.headers, self._names)
+        )
+
     def _report_invalid(self, upstream: str, text: str) -> None:
         self._metrics.count("relay.rate_limits_invalid")
         if upstream in self._invalid or len(self._invalid) >= MAX_INVALID:
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -5,6 +5,7 @@
 
 import attrs
 import pytest
+from loguru import logger
 
 from balsamlift.clock import SystemClock
 from balsamlift.peers import Permits, RateLimits
@@ -190,6 +191,23 @@
         assert permit.wait_s > 0
 
 
+def test_refused_callers_are_logged_once_with_the_limit() -> None:
+    permits = make_permits("h1", ())
+    permits._limits.record("e1", 0.5, 200.0)
+    lines: list[dict[str, object]] = []
+    number = logger.add(lambda m: lines.append(m.record["extra"]))
+    for _ in range(3):
+        asyncio.run(permits.acquire("e1", reserves_return=True))
+    for _ in range(2):
+        permits.prune({"e1"})
+    logger.remove(number)
+    (line,) = [line for line in lines if "callers" in line]
+    assert line["callers"] == 3
+    assert line["limit_per_s"] == 0.5
+    assert line["source"] == "answer"
+    assert line["live_fraction"] == 0.333
+
+
 def test_a_request_for_a_permit_is_told_from_an_update() -> None:
     request = PermitRequest(RateLimitReport("e1", 2.4, 7), 100, True, False)
     data = encode_permit(request)
--- a/tests/test_relay_rate_limits.py
+++ b/tests/test_relay_rate_limits.py
@@ -9,6 +9,8 @@
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     RelayHarness,
+    ReplicaConnection,
+    ReplicaRequest,
     ReplicaStandIn,
 )
 
@@ -140,3 +142,27 @@
             assert len(limited.arrivals) > CALLS / 4
 
     run(test())
+
+
+@pytest.mark.parametrize("status", [500, 503])
+def test_an_error_without_the_header_does_not_end_a_limit(status: int) -> None:
+    async def fail(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        connection.rate_limit = ""
+        await connection.answer(request, b"failed", status)
+
+    async def test() -> None:
+        (limited,) = make_stand_ins("plain", 1)
+        limited.rate_limit = "50"
+        async with RelayHarness([limited]) as world:
+            world.configure()
+            await call_until_limit_is_named(world, "/order/1", limited)
+            await until_permits_are_granted(world)
+            limited.behave = fail
+            answer = await world.call("/order/1")
+            assert answer.status == status
+            assert len(limited.arrivals) == 1
+            assert world.peers.permits.is_limited(limited.name)
+
+    run(test())
