--- a/src/balsamlift/_tasks.py
+++ b/src/balsamlift/_tasks.py
@@ -6,10 +6,8 @@
 from typing import Any
 
 # A call of the messaging library that fails at the moment of its task's
-# cancellation raises its own error, and the cancellation is lost: this
-# happened to 311 of 6,000 tasks cancelled near their time limit. The interval
-# is long enough for a task to clean up, and far below the time that a process
-# has to stop.
+# cancellation raises its own error, and the cancellation is lost. The interval
+# lets a task clean up.
 CANCEL_RETRY_S = 0.1
 
 
