Count every kind of request in the test of permits

The simulated hosts sent first tries only. Now each request is one of four kinds: a first try or retry, a call that waits, a generation that resumes, and the last question before a refusal.

--- a/tests/_permit_hosts.py
+++ b/tests/_permit_hosts.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections import defaultdict
+from typing import Literal, get_args
 
 import attrs
 from _virtual_time import LoopClock
@@ -32,6 +33,13 @@
 CHOSEN_PEERS = 2  # per host, if there are more than FAN_OUT
 
 
+# A first try or a retry, a call without another upstream, a generation that
+# resumes after a move or at its backup, and a call before it is refused.
+Kind = Literal["tries", "waits", "resumes", "last resort"]
+KINDS: tuple[Kind, ...] = get_args(Kind)
+MAX_WAIT_S = 0.5
+
+
 def tolerated(limit_per_s: float) -> float:
     """Return the most requests that may arrive within `WINDOW_S`."""
     return TOLERATED_FACTOR * limit_per_s * WINDOW_S + TOLERATED_EXTRA
@@ -184,21 +192,30 @@
         until_s = loop.time() + length_s
         while loop.time() < until_s:
             await asyncio.sleep(self.rng.expovariate(requests_per_s))
-            self._spawn(self._request(self.rng.choice(self.hosts)))
+            kind = self.rng.choice(KINDS)
+            self._spawn(self._request(self.rng.choice(self.hosts), kind))
 
     async def burst(self, requests: int) -> None:
         """Send requests at the same moment, spread over all hosts."""
         for number in range(requests):
             host = self.hosts[number % len(self.hosts)]
-            self._spawn(self._request(host))
+            self._spawn(self._request(host, self.rng.choice(KINDS)))
         await asyncio.sleep(1.0)
 
-    async def _request(self, host: Host) -> None:
+    async def _request(self, host: Host, kind: Kind) -> None:
         if host.is_frozen:
             return
-        permit = await host.permits.acquire(UPSTREAM)
+        permit = await host.permits.acquire(
+            UPSTREAM,
+            max_wait_s=MAX_WAIT_S if kind in ("waits", "resumes") else 0.0,
+            is_resumed=kind == "resumes",
+            reserves_return=kind == "last resort",
+        )
         if not permit.is_granted:
             return
+        await asyncio.sleep(permit.wait_s)
+        if host.is_frozen:
+            return
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
         await asyncio.sleep(LINK_S)
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -20,6 +20,7 @@
 PORTS = {"Frontend": 7881, "Readiness": 7882, "Directory": 7883}
 FIRST_PORT = 7890  # of the internal ports
 GRACE_S = 3
+STACKS_S = 0.5  # until the stacks of a daemon are written
 DOMAINS = ("north", "south")
 
 
@@ -80,6 +81,19 @@
             self._signal(signal.SIGKILL)
         self.is_leaving = False
 
+    async def dump_stacks(self) -> str:
+        """Write the stacks of all threads to the log; return the state."""
+        process = self._process
+        if process is None:
+            return f"{self.name}: never started"
+        state = f"{self.name}: pid {process.pid}, ended {process.returncode}"
+        with contextlib.suppress(OSError):
+            status = Path(f"/proc/{process.pid}/status").read_text()
+            state += f", {status.splitlines()[2].strip()}"
+        self._signal(signal.SIGABRT)
+        await asyncio.sleep(STACKS_S)
+        return state
+
     def kill(self) -> None:
         """Kill the daemon; it is restarted."""
         self._signal(signal.SIGKILL)
@@ -107,6 +121,7 @@
                     env={
                         **os.environ,
                         SETTINGS_FILE_VARIABLE: str(self._file),
+                        "PYTHONFAULTHANDLER": "1",
                     },
                     stdout=log_file,
                     stderr=log_file,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -224,10 +224,12 @@
         try:
             await self._wait_until_served(RECOVERY_S)
         except TimeoutError:
+            states = [await host.dump_stacks() for host in self._hosts]
             self._guarantees.report_violation(
                 "recovery",
                 "",
-                "not every host serves the newest configuration",
+                "not every host serves the newest configuration "
+                f"({'; '.join(states)})",
             )
 
     async def _wait_until_served(self, timeout_s: float) -> None:
