Divide limits of all hosts by one part

Retries, cold upstreams and the permits each divided a limit among hosts, and waited after a start, by code of their own. peers/_host_shares has the shares and the pause now, with a test of its own. No change of behaviour: the tests of the three pass unchanged, but for the names that test_permits replaces.

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -5,6 +5,11 @@
 from balsamlift.peers._fallback_reads import FallbackReads
 from balsamlift.peers._follower import Follower, FreshnessLimits
 from balsamlift.peers._host_ranks import HostRank
+from balsamlift.peers._host_shares import (
+    StartupPause,
+    even_share,
+    whole_share,
+)
 from balsamlift.peers._hosts_list import (
     ENTRY_ROLE,
     UPSTREAM_ROLE,
@@ -46,8 +51,11 @@
     "RecordBatch",
     "RecordSources",
     "SharedRecords",
+    "StartupPause",
     "Upstream",
     "UpstreamList",
     "UpstreamState",
     "Upstreams",
+    "even_share",
+    "whole_share",
 ]
--- a/src/balsamlift/peers/_permits.py
+++ b/src/balsamlift/peers/_permits.py
@@ -19,6 +19,7 @@
 from balsamlift.exceptions import PeerMessageError
 from balsamlift.metrics import Metrics
 from balsamlift.peers._host_ranks import first_host
+from balsamlift.peers._host_shares import StartupPause, live_share
 from balsamlift.peers._messages import (
     PermitAnswer,
     PermitRequest,
@@ -75,13 +76,9 @@
     addresses: dict[str, str]  # of the live hosts, by name
     known: int  # hosts, also silent ones
 
-    @property
-    def live_fraction(self) -> float:
-        """Return the part of the known hosts that are live.
-
-        Hosts that cannot reach each other divide a limit by this.
-        """
-        return len(self.addresses) / max(self.known, len(self.addresses))
+    def share(self, limit_per_s: float) -> float:
+        """Return the part of a limit for which the live hosts get permits."""
+        return live_share(limit_per_s, len(self.addresses), self.known)
 
 
 class Permits:
@@ -99,7 +96,7 @@
         self._hosts = hosts
         self._transport = transport
         self._clock = clock
-        self._started_s = clock.monotonic()
+        self._startup = StartupPause(clock, STARTUP_S)
         self._buckets: dict[str, PermitBucket] = {}
         self._denied_until_s: dict[str, float] = {}  # by upstream
         self._avoided_until_s: dict[str, float] = {}  # by host
@@ -167,12 +164,11 @@
             return PermitAnswer(is_granted=True, wait_ms=0)
         hosts = self._hosts()
         now_s = self._clock.monotonic()
-        is_settled = now_s >= self._started_s + STARTUP_S
         is_first = first_host(hosts.addresses, upstream) == hosts.own
-        if not is_settled or not is_first:
+        if not self._startup.is_over or not is_first:
             return PermitAnswer(is_granted=False, wait_ms=UNSETTLED_WAIT_MS)
         bucket = self._buckets.setdefault(upstream, PermitBucket(now_s))
-        bucket.set_rate(named.limit_per_s * hosts.live_fraction, now_s)
+        bucket.set_rate(hosts.share(named.limit_per_s), now_s)
         return _answer_from(bucket, request, now_s)
 
     def prune(self, live: Collection[str]) -> None:
@@ -201,7 +197,7 @@
                 limit_per_s=named.limit_per_s,
                 source=named.source,
                 age_ms=round(age_s * _MS_PER_S),
-                live_fraction=round(self._hosts().live_fraction, 3),
+                live_fraction=round(self._hosts().share(1.0), 3),
             ).info("callers refused by a rate limit")
         self._refused.clear()
 
--- a/src/balsamlift/relay/_cold_starts.py
+++ b/src/balsamlift/relay/_cold_starts.py
@@ -13,7 +13,7 @@
 
 from balsamlift._sliding_window import SlidingWindow
 from balsamlift.clock import Clock
-from balsamlift.peers import HostRank, Upstream
+from balsamlift.peers import HostRank, StartupPause, Upstream, whole_share
 
 # Hosts that know different sets of hosts divide the limit differently: those
 # behind a network partition, and those that have just learned of new hosts.
@@ -38,10 +38,7 @@
 ) -> int:
     """Return how many requests per second a host of that rank may send."""
     limit = int(tolerated_per_s * limits.factor + limits.extra_per_s)
-    # A limit of less than one request per group goes to a single group.
-    group_limit = max(limit // MEMBERSHIP_GROUPS, min(limit, 1))
-    quotient, remainder = divmod(group_limit, rank.hosts)
-    return quotient + (rank.position < remainder)
+    return whole_share(limit, rank, MEMBERSHIP_GROUPS)
 
 
 class ColdStartLimiter:
@@ -64,7 +61,7 @@
         self._tolerated_per_s = tolerated_per_s
         self._rank_for = rank_for
         self._clock = clock
-        self._started_s = clock.monotonic()
+        self._startup = StartupPause(clock, STARTUP_S)
         self._sends: dict[str, SlidingWindow] = {}
 
     def allows(self, upstream: Upstream) -> bool:
@@ -75,7 +72,7 @@
         tolerated_per_s = self._tolerated_per_s(upstream.pool)
         if tolerated_per_s is None or upstream.cold_until_s <= now_s:
             return True
-        if now_s < self._started_s + STARTUP_S:
+        if not self._startup.is_over:
             return False
         rank = self._rank_for(upstream.name)
         share = host_share(rank, tolerated_per_s, self._limits)
--- a/src/balsamlift/relay/_retry_budget.py
+++ b/src/balsamlift/relay/_retry_budget.py
@@ -8,6 +8,7 @@
 
 from balsamlift._sliding_window import SlidingWindow
 from balsamlift.clock import Clock
+from balsamlift.peers import StartupPause, even_share
 
 # Fraction of the budget that is used. The rest is a reserve: hosts join and
 # leave during a window, and each divides by the number of hosts it knows.
@@ -46,7 +47,7 @@
         self._limits = limits
         self._hosts = hosts
         self._clock = clock
-        self._started_s = clock.monotonic()
+        self._startup = StartupPause(clock, limits.window_s)
         self._services: dict[str, _ServiceCounts] = {}
 
     def record_request(self, service: str) -> None:
@@ -57,17 +58,17 @@
         """Spend one retry if the budget allows it; return whether it did."""
         now_s = self._clock.monotonic()
         counts = self._counts(service)
-        allowed = self._allowed(counts.requests.count(now_s), now_s)
+        allowed = self._allowed(counts.requests.count(now_s))
         if counts.retries.count(now_s) + 1 > allowed:
             return False
         counts.retries.add(now_s)
         return True
 
-    def _allowed(self, requests: int, now_s: float) -> float:
+    def _allowed(self, requests: int) -> float:
         limits = self._limits
         allowed = requests * limits.ratio
-        if now_s - self._started_s >= limits.window_s:
-            allowed += limits.extra / max(self._hosts(), 1)
+        if self._startup.is_over:
+            allowed += even_share(limits.extra, self._hosts())
         return allowed * USED_FRACTION
 
     def _counts(self, service: str) -> _ServiceCounts:
--- a/tests/_permit_hosts.py
+++ b/tests/_permit_hosts.py
@@ -17,7 +17,11 @@
     PermitRequest,
     RateLimitReport,
 )
-from balsamlift.peers._permits import ANSWER_TIMEOUT_MS, GrantingHosts
+from balsamlift.peers._permits import (
+    ANSWER_TIMEOUT_MS,
+    STARTUP_S,
+    GrantingHosts,
+)
 from balsamlift.platform._settings import FAN_OUT
 
 UPSTREAM = "e1"
@@ -94,7 +98,7 @@
             _Transport(self, host),
             clock,
         )
-        host.permits._started_s = started_s
+        host.permits._startup._ends_s = started_s + STARTUP_S
         host.limits._wake = host.wake_event.set
         self._spawn(self._gossip(host))
         return host
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -159,14 +159,19 @@
     return next(iter(hosts))
 
 
+def grant_whole_limit(limit: float, live: int, known: int) -> float:
+    """Return the limit, whichever hosts are live."""
+    return limit
+
+
 @pytest.mark.parametrize(
     ("disturb", "name", "variant"),
     [
         (calm, "balsamlift.peers._permits.first_host", grant_as_any_host),
         (
             halves_are_cut_off,
-            "balsamlift.peers._permits.GrantingHosts.live_fraction",
-            1.0,
+            "balsamlift.peers._permits.live_share",
+            grant_whole_limit,
         ),
     ],
 )
