Ask for a time to return apart from a permit

Found in reading the change again. The last question of a refused call could still be granted, so that both places that ask had a branch for it; it now only reserves the time to return. RateLimited named an upstream that nobody read, and the engine with the next permit was found by excluding all others.

New tests, each seen failing without its line: a call without a permit goes to an ejected upstream, a backup is kept where there is no limit, a generation resumes where the permits are spent.

--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -78,9 +78,9 @@
     """Ask for a permit to send one request to an upstream with a limit."""
 
     limit: RateLimitReport  # as the sender knows it
-    max_wait_ms: int  # that the request can wait before it is sent
-    is_resumed: bool  # continues a generation, which is lost otherwise
-    reserves_return: bool  # a denied caller is told when to come back
+    max_wait_ms: int = 0  # that the request can wait before it is sent
+    is_resumed: bool = False  # continues a generation, else lost
+    reserves_return: bool = False  # asks only when a caller may come back
 
 
 class PermitAnswer(msgspec.Struct, frozen=True):
--- a/src/balsamlift/peers/_permits.py
+++ b/src/balsamlift/peers/_permits.py
@@ -125,36 +125,43 @@
         *,
         max_wait_s: float = 0.0,
         is_resumed: bool = False,
-        reserves_return: bool = False,
     ) -> Permit:
         """Return a permit to send one request, or the time until there is one.
 
         `max_wait_s` is how long the request can wait before it is sent.
-        Resumed generations come first. With `reserves_return`, a denied
-        caller is given a time of its own to come back.
+        Resumed generations come first.
         """
         report = self._limits.report(upstream)
         if report is None or report.limit_per_s is None:
             return GRANTED
         now_s = self._clock.monotonic()
         denied_for_s = self._denied_until_s.get(upstream, 0.0) - now_s
-        is_known_denied = denied_for_s > max_wait_s
-        if is_known_denied and not (is_resumed or reserves_return):
+        if denied_for_s > max_wait_s and not is_resumed:
             return Permit(is_granted=False, wait_s=denied_for_s)
         request = PermitRequest(
-            report, int(max_wait_s * _MS_PER_S), is_resumed, reserves_return
+            report, int(max_wait_s * _MS_PER_S), is_resumed=is_resumed
         )
-        answer = await self._ask_granting_host(request)
-        permit = Permit(answer.is_granted, answer.wait_ms / _MS_PER_S)
+        permit = await self._ask_granting_host(request)
         outcome = "granted" if permit.is_granted else "denied"
         self._metrics.count(f"relay.permits_{outcome}")
-        if not permit.is_granted and not reserves_return:
+        if not permit.is_granted:
             until_s = self._clock.monotonic() + permit.wait_s
             self._denied_until_s[upstream] = until_s
-        if not permit.is_granted and reserves_return:
-            self._refused[upstream] += 1
         return permit
 
+    async def reserve_return(self, upstream: str) -> float:
+        """Return after how many seconds a refused caller is to come back.
+
+        Each caller is given a time of its own, at the rate of the permits.
+        """
+        report = self._limits.report(upstream)
+        if report is None or report.limit_per_s is None:
+            return 0.0
+        self._refused[upstream] += 1
+        request = PermitRequest(report, reserves_return=True)
+        permit = await self._ask_granting_host(request)
+        return permit.wait_s
+
     def grant(self, request: PermitRequest) -> PermitAnswer:
         """Answer the request of a host for a permit."""
         upstream = request.limit.upstream
@@ -201,40 +208,40 @@
             ).info("callers refused by a rate limit")
         self._refused.clear()
 
-    async def _ask_granting_host(self, request: PermitRequest) -> PermitAnswer:
+    async def _ask_granting_host(self, request: PermitRequest) -> Permit:
         hosts = self._hosts()
         name = first_host(hosts.addresses, request.limit.upstream)
         if name == hosts.own:
-            return self.grant(request)
+            return _decode(self.grant(request))
         now_s = self._clock.monotonic()
         avoided_for_s = self._avoided_until_s.get(name, 0.0) - now_s
         if avoided_for_s <= 0:
             answer = await self._transport.ask(hosts.addresses[name], request)
             if answer is not None:
-                return answer
+                return _decode(answer)
             self._metrics.count("relay.permits_unanswered")
             avoided_for_s = AVOID_TIME_S
             self._avoided_until_s[name] = (
                 self._clock.monotonic() + avoided_for_s
             )
-        return PermitAnswer(
-            is_granted=False, wait_ms=int(avoided_for_s * _MS_PER_S)
-        )
+        return Permit(is_granted=False, wait_s=avoided_for_s)
+
+
+def _decode(answer: PermitAnswer) -> Permit:
+    return Permit(answer.is_granted, answer.wait_ms / _MS_PER_S)
 
 
 def _answer_from(
     bucket: PermitBucket, request: PermitRequest, now_s: float
 ) -> PermitAnswer:
-    if request.is_resumed and bucket.take_resumed(now_s):
-        return PermitAnswer(is_granted=True, wait_ms=0)
-    wait_s = bucket.take(now_s, request.max_wait_ms / _MS_PER_S)
-    if wait_s is not None:
-        return PermitAnswer(is_granted=True, wait_ms=_round_up_ms(wait_s))
     if request.reserves_return:
         wait_s = bucket.reserve_return(now_s)
-    else:
-        wait_s = bucket.next_wait_s(now_s)
-    return PermitAnswer(is_granted=False, wait_ms=_round_up_ms(wait_s))
+        return PermitAnswer(is_granted=False, wait_ms=_round_up_ms(wait_s))
+    if request.is_resumed and bucket.take_resumed(now_s):
+        return PermitAnswer(is_granted=True, wait_ms=0)
+    granted_s = bucket.take(now_s, request.max_wait_ms / _MS_PER_S)
+    wait_s = bucket.next_wait_s(now_s) if granted_s is None else granted_s
+    return PermitAnswer(granted_s is not None, _round_up_ms(wait_s))
 
 
 def _round_up_ms(wait_s: float) -> int:
--- a/src/balsamlift/relay/_engine_placement.py
+++ b/src/balsamlift/relay/_engine_placement.py
@@ -80,19 +80,12 @@
             name, max_wait_s=max(remaining_s, 0.0)
         )
         if not permit.is_granted:
-            permit = await self._permits.acquire(name, reserves_return=True)
-        if not permit.is_granted:
-            return RateLimited(name, permit.wait_s)
+            return RateLimited(await self._permits.reserve_return(name))
         await asyncio.sleep(permit.wait_s)
-        others = {
-            upstream.name
-            for upstream in self._balancer.usable(job.scope, tried)
-            if upstream.name != name
-        }
-        upstream = self._allocator.find(
-            job.scope, job.traits, job.tokens, {*tried, *others}
-        )
-        if upstream is None or upstream.name != name:
+        upstream = self._balancer.find_usable(job.scope, tried, name)
+        if upstream is None:
+            return None
+        if not self._allocator.fits(upstream, job.traits, job.tokens):
             return None
         return self._allocator.reserve(upstream, job.tokens)
 
--- a/src/balsamlift/relay/_memory_allocator.py
+++ b/src/balsamlift/relay/_memory_allocator.py
@@ -94,9 +94,7 @@
         this host. Fills an engine up to the fraction `fill_limit` of its
         memory, which defaults to that of the policy.
         """
-        if fill_limit is None:
-            fill_limit = self._policy.fill_limit
-        max_load = traits.memory_tokens * fill_limit - tokens
+        max_load = self._max_load(traits, tokens, fill_limit)
         fitting = [
             u
             for u in self._balancer.usable(scope, tried)
@@ -107,6 +105,21 @@
         sampled = self._balancer.sample(fitting, self._sample_size())
         return min(sampled, key=lambda u: self._cost(u, traits, near_domain))
 
+    def fits(
+        self, upstream: Upstream, traits: EngineTraits, tokens: int
+    ) -> bool:
+        """Return whether an engine has memory for `tokens`."""
+        max_load = self._max_load(traits, tokens, fill_limit=None)
+        return self._balancer.load(upstream.name) <= max_load
+
+    def _max_load(
+        self, traits: EngineTraits, tokens: int, fill_limit: float | None
+    ) -> float:
+        """Return the load up to which an engine has memory for `tokens`."""
+        if fill_limit is None:
+            fill_limit = self._policy.fill_limit
+        return traits.memory_tokens * fill_limit - tokens
+
     def _sample_size(self) -> int | None:
         """Return how many random engines to compare; None for all."""
         basis = self._balancer.counts_basis
--- a/src/balsamlift/relay/_upstream_chooser.py
+++ b/src/balsamlift/relay/_upstream_chooser.py
@@ -20,7 +20,6 @@
 class RateLimited:
     """No upstream may take a call now because of the limits they name."""
 
-    upstream: str  # with the shortest wait
     retry_after_s: float
 
 
@@ -53,12 +52,7 @@
         upstream = await self._choose_permitted(call, excluded, waits_s)
         if upstream is not None:
             return upstream
-        permit = await self._permits.acquire(first, reserves_return=True)
-        if permit.is_granted:
-            found = self._balancer.find_usable(call.scope, tried, first)
-            if found is not None:
-                return self._record_send(found)
-        return RateLimited(first, permit.wait_s)
+        return RateLimited(await self._permits.reserve_return(first))
 
     async def _choose_permitted(
         self, call: Call, tried: Collection[str], waits_s: dict[str, float]
--- a/tests/test_relay_rate_limits.py
+++ b/tests/test_relay_rate_limits.py
@@ -3,9 +3,17 @@
 import asyncio
 
 import pytest
-from _relay_helpers import USAGE, run, stream
+from _relay_helpers import (
+    USAGE,
+    hang_midway,
+    reset,
+    run,
+    stream,
+    until_arrived,
+)
 
 from balsamlift.peers._permits import STARTUP_S
+from balsamlift.testing._replica import answer_ok
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     RelayHarness,
@@ -166,3 +174,67 @@
             assert world.peers.permits.is_limited(limited.name)
 
     run(test())
+
+
+def name_limit(
+    world: RelayHarness, stand_in: ReplicaStandIn, limit_per_s: float
+) -> None:
+    """Let the relay know a limit, as if another answer had named it."""
+    now_s = world.clock.monotonic()
+    world.peers.rate_limits.record(stand_in.name, limit_per_s, now_s)
+
+
+def test_without_a_permit_a_call_goes_to_an_ejected_upstream() -> None:
+    async def test() -> None:
+        limited, other = make_stand_ins("plain", 2)
+        async with RelayHarness([limited, other]) as world:
+            world.configure()
+            await until_permits_are_granted(world)
+            name_limit(world, limited, 0.0)
+            other.behave = reset
+            await world.call("/view/1", "r1")  # ejects the other one
+            limited.arrivals.clear()
+            other.behave = answer_ok
+            answer = await world.call("/view/1", "r2")
+            assert answer.status == 200
+            assert other.ids()[-1] == "r2"
+            assert not limited.arrivals
+
+    run(test())
+
+
+def test_a_backup_is_kept_at_an_engine_without_a_limit() -> None:
+    async def test() -> None:
+        first, second, third = stand_ins = make_stand_ins("model", 3)
+        async with RelayHarness(stand_ins) as world:
+            world.configure()
+            name_limit(world, second, 50.0)
+            name_limit(world, third, 50.0)
+            await world.call("/draft/1", headers=USAGE)
+            (request,) = first.arrivals
+            assert HEADER_NAMES.backup_address not in request.headers
+
+    run(test())
+
+
+def test_a_generation_resumes_at_an_engine_whose_permits_are_spent() -> None:
+    async def test() -> None:
+        stand_ins = make_stand_ins("model", 2)
+        for stand_in in stand_ins:
+            stand_in.behave = hang_midway
+        async with RelayHarness(stand_ins) as world:
+            world.configure()
+            await until_permits_are_granted(world)
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE)
+            )
+            used = await until_arrived(stand_ins)
+            await asyncio.sleep(0.1)  # until its first events have arrived
+            (backup,) = [s for s in stand_ins if s is not used]
+            backup.behave = stream
+            name_limit(world, backup, 0.0)
+            used.state = "leaving"
+            answer = await calling
+            assert answer.is_whole
+
+    run(test())
