Count the failed trials of all hosts in the backoff of a trial

What callers saw: generations reset by an engine that was known to be broken, one to three an engine more than a tenth of its share.

Cause: the time between trials doubled only for a host that had itself seen the engine fail before. A trial by another host began again at 4 or 8 s. Also, several requests of one host that an engine broke off together counted as so many trials, up to 16 s without use for one crash.

Change: hosts publish how many of their trials failed during a probation; the sum over all hosts doubles the time. A failure counts as a trial only if no other was reported when it was seen.

--- a/src/balsamlift/relay/_shared_health.py
+++ b/src/balsamlift/relay/_shared_health.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import functools
-from collections.abc import Callable, Collection
+from collections import Counter
+from collections.abc import Callable, Collection, Mapping
 
 import attrs
 from loguru import logger
@@ -18,8 +19,7 @@
 
 log = logger.bind(part="upstreams")
 
-# Lifetime of an observed failure; doubled if it soon follows other failures
-# of the same upstream.
+# Lifetime of an observed failure; doubled for each trial that has failed.
 FAILURE_TTL_S = 4.0
 MAX_FAILURE_TTL_S = 16.0
 SUCCESS_TTL_S = 1.5  # shorter: it may have failed since
@@ -54,6 +54,11 @@
     return f"{upstream}/trial"
 
 
+def failed_trials_key(upstream: str) -> str:
+    """Return the key that counts trials that failed during a probation."""
+    return f"{upstream}/failed_trials"
+
+
 @attrs.frozen
 class HealthReports:
     """The number of hosts that report each state of an upstream."""
@@ -62,6 +67,11 @@
     serving: int
     on_probation: int  # saw it fail, perhaps too long ago to count as failing
 
+    @property
+    def is_on_trial(self) -> bool:
+        """Return whether the next result decides if it is avoided."""
+        return self.on_probation > 0 and not self.failing and not self.serving
+
     @property
     def failure_share(self) -> float:
         """Return the fraction of reporting hosts that see it fail."""
@@ -89,6 +99,7 @@
     is_failing: bool
     observed_s: float
     ttl_s: float
+    failed_trials: int = 0  # of this host, during the same probation
 
     def is_current(self, now_s: float) -> bool:
         """Return whether the observation has not expired yet."""
@@ -120,30 +131,36 @@
         self._others_count = others_count
         self._rank_for = rank_for
         self._observations: dict[str, _Observation] = {}
-        self._published: frozenset[str] = frozenset()
+        self._published: Mapping[str, int] = {}
         self._failed_since_success: set[str] = set()
         self._avoided: set[str] = set()  # as last logged
 
     def record(self, upstream: str, now_s: float, *, is_failing: bool) -> None:
         """Record the result of a request; publish failures immediately."""
-        ttl_s = SUCCESS_TTL_S
-        if not is_failing:
-            self._failed_since_success.clear()
-        else:
+        if is_failing:
             self._failed_since_success.add(upstream)
-            ttl_s = self._failure_ttl_s(upstream)
-        self._observations[upstream] = _Observation(is_failing, now_s, ttl_s)
+            observation = self._observe_failure(upstream, now_s)
+        else:
+            self._failed_since_success.clear()
+            observation = _Observation(False, now_s, SUCCESS_TTL_S)
+        self._observations[upstream] = observation
         if self._publish(now_s) and is_failing:
             self._publish_counts()
 
-    def _failure_ttl_s(self, upstream: str) -> float:
-        """Return the lifetime of a failure that is observed now."""
-        before = self._observations.get(upstream)
-        if before is not None and before.is_failing:
-            return min(before.ttl_s * 2, MAX_FAILURE_TTL_S)
-        if self._others_count(probation_key(upstream)) >= MIN_FAILING_HOSTS:
-            return FAILURE_TTL_S * 2
-        return FAILURE_TTL_S
+    def _observe_failure(self, upstream: str, now_s: float) -> _Observation:
+        """Return a failure that is observed now.
+
+        It lives longer the more trials of all hosts together have failed.
+        Failures of requests that were sent before the first one was known say
+        nothing new, so they do not count.
+        """
+        own = self._observations.get(upstream)
+        own_trials = own.failed_trials if own is not None else 0
+        if self.reports(upstream).is_on_trial:
+            own_trials += 1
+        trials = own_trials + self._others_count(failed_trials_key(upstream))
+        ttl_s: float = min(FAILURE_TTL_S * 2.0**trials, MAX_FAILURE_TTL_S)
+        return _Observation(True, now_s, ttl_s, own_trials)
 
     def expire(self, now_s: float, live: Collection[str]) -> None:
         """Discard expired observations and those of unlisted upstreams."""
@@ -206,34 +223,29 @@
         self._avoided = (self._avoided - before) | avoided
 
     def _count(self, key: str) -> int:
-        return self._others_count(key) + (key in self._published)
+        return self._others_count(key) + self._published.get(key, 0)
 
     def _publish(self, now_s: float) -> bool:
         """Set the current counts; return whether they have changed."""
-        wanted = self._current_keys(now_s)
-        for key in self._published - wanted:
+        wanted = self._current_counts(now_s)
+        for key in self._published.keys() - wanted.keys():
             self._set_count(key, 0)
-        for key in wanted - self._published:
-            self._set_count(key, 1)
+        for key, count in wanted.items():
+            if count != self._published.get(key):
+                self._set_count(key, count)
         has_changed = wanted != self._published
         self._published = wanted
         return has_changed
 
-    def _current_keys(self, now_s: float) -> frozenset[str]:
-        serving: set[str] = set()
-        failing: set[str] = set()
-        on_probation: set[str] = set()
+    def _current_counts(self, now_s: float) -> dict[str, int]:
+        is_faulty = len(self._failed_since_success) >= LOCAL_FAULT_FAILURES
+        counts: Counter[str] = Counter()
         for name, observation in self._observations.items():
-            if observation.is_current(now_s):
-                (failing if observation.is_failing else serving).add(name)
-            if observation.is_on_probation(now_s):
-                on_probation.add(name)
-        if len(self._failed_since_success) >= LOCAL_FAULT_FAILURES:
-            failing, on_probation = set(), set()
-        return frozenset(
-            (
-                *map(failing_key, failing),
-                *map(serving_key, serving),
-                *map(probation_key, on_probation),
-            )
-        )
+            is_current = observation.is_current(now_s)
+            if not observation.is_failing:
+                counts[serving_key(name)] += is_current
+            elif not is_faulty and observation.is_on_probation(now_s):
+                counts[probation_key(name)] += 1
+                counts[failing_key(name)] += is_current
+                counts[failed_trials_key(name)] += observation.failed_trials
+        return {key: count for key, count in counts.items() if count}
--- a/tests/test_relay_shared_health.py
+++ b/tests/test_relay_shared_health.py
@@ -19,6 +19,7 @@
 from balsamlift.relay._shared_health import (
     FAILURE_TTL_S,
     LOCAL_FAULT_FAILURES,
+    MAX_FAILURE_TTL_S,
     PROBATION_HOSTS,
     PROBATION_S,
     SINGLE_HOST_FAILURE_SHARE,
@@ -221,10 +222,13 @@
     assert should_avoid(reports, lambda: HostRank(position, 20)) is expected
 
 
+FIRST_OF_TWO = HostRank(0, 2)
+
+
 class SingleHost:
     """The counts of a single host, with adjustable counts of others."""
 
-    def __init__(self) -> None:
+    def __init__(self, rank: HostRank = FIRST_OF_TWO) -> None:
         self.counts: Counter[str] = Counter()
         self.others: Counter[str] = Counter()
         self.publications = 0
@@ -232,7 +236,7 @@
             self.counts.__setitem__,
             self._publish_counts,
             self.others.__getitem__,
-            lambda name: HostRank(0, 2),
+            lambda name: rank,
         )
 
     def _publish_counts(self) -> None:
@@ -277,6 +281,33 @@
     assert host.shared_health.reports("u0").failing == 0
 
 
+@pytest.mark.parametrize(
+    ("failed_trials", "ttl_s"),
+    [(0, FAILURE_TTL_S * 2), (1, FAILURE_TTL_S * 4), (9, MAX_FAILURE_TTL_S)],
+)
+def test_backoff_counts_failed_trials_of_all_hosts(
+    failed_trials: int, ttl_s: float
+) -> None:
+    """Each host began with the shortest time between trials."""
+    host = SingleHost()
+    host.others["a/trial"] = 2
+    host.others["a/failed_trials"] = failed_trials
+    host.shared_health.record("a", 10.0, is_failing=True)
+    assert host.counts["a/failed_trials"] == 1
+    host.shared_health.expire(10.0 + ttl_s - 0.1, {"a"})
+    assert "a/failing" in host.names()
+    host.shared_health.expire(10.0 + ttl_s + 0.1, {"a"})
+    assert "a/failing" not in host.names()
+
+
+def test_requests_that_fail_together_do_not_lengthen_the_backoff() -> None:
+    host = SingleHost()
+    for _ in range(5):
+        host.shared_health.record("a", 10.0, is_failing=True)
+    host.shared_health.expire(10.0 + FAILURE_TTL_S + 0.1, {"a"})
+    assert host.names() == {"a/trial"}
+
+
 def test_no_upstream_is_avoided_if_most_are_failing() -> None:
     host = SingleHost()
     for name in "abc":
