Let hosts take turns at trials, one request at a time

What callers saw: two generations lost to one trial of a broken engine.

Cause: four hosts tried at the same moment, whatever their number. A result takes some 6 ms to arrive; with 8 hosts four of them send 19 requests a second.

Change: a request to an engine on probation is told at once as a trial, and until its result or 4 s have passed nobody else tries. One host in twenty, at least one, has the first turn, and one more for each second without a result: the first may be dead, frozen, cut off or have nothing to send. The order is that of rank_for, as for permits.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -174,7 +174,11 @@
         return self._cold_starts is None or self._cold_starts.allows(upstream)
 
     def record_send(self, upstream: Upstream) -> None:
-        """Count a send towards the limit of a cold upstream."""
+        """Count a send towards the limit of a cold upstream.
+
+        It is a trial if the upstream is on probation.
+        """
+        self._shared_health.record_send(upstream.name, self._clock.monotonic())
         if self._cold_starts is not None:
             self._cold_starts.record_send(upstream)
 
--- a/src/balsamlift/relay/_shared_health.py
+++ b/src/balsamlift/relay/_shared_health.py
@@ -25,8 +25,13 @@
 SUCCESS_TTL_S = 1.5  # shorter: it may have failed since
 # Duration of the probation that begins with a failure.
 PROBATION_S = 30.0
-# Number of hosts that send to an upstream on probation until it serves one.
+# Hosts that may send to an upstream on probation: one of this many, at most
+# `PROBATION_HOSTS`, and one more for each second without a result, as the
+# first ones may have nothing to send.
+HOSTS_PER_TRIAL = 20
 PROBATION_HOSTS = 4
+# Time after which a trial without a result no longer prevents others.
+TRIAL_TIMEOUT_S = 4.0
 # Failures seen by a single host may be caused by that host.
 MIN_FAILING_HOSTS = 2
 # A host for which this many upstreams failed, without a success in between,
@@ -59,6 +64,11 @@
     return f"{upstream}/failed_trials"
 
 
+def trying_key(upstream: str) -> str:
+    """Return the key that counts trials that have no result yet."""
+    return f"{upstream}/trying"
+
+
 @attrs.frozen
 class HealthReports:
     """The number of hosts that report each state of an upstream."""
@@ -66,6 +76,7 @@
     failing: int
     serving: int
     on_probation: int  # saw it fail, perhaps too long ago to count as failing
+    trying: int = 0
 
     @property
     def is_on_trial(self) -> bool:
@@ -83,13 +94,26 @@
         return share
 
 
-def should_avoid(reports: HealthReports, rank: Callable[[], HostRank]) -> bool:
-    """Return whether a host of that `rank` must not send to an upstream."""
+def should_avoid(
+    reports: HealthReports, rank: Callable[[], HostRank], waited: int = 0
+) -> bool:
+    """Return whether a host of that `rank` must not send to an upstream.
+
+    `waited` is the number of seconds for which a trial of it has been due.
+    """
     if max(reports.failing, reports.on_probation) < MIN_FAILING_HOSTS:
         return False
     if reports.failing:
         return reports.failing > reports.serving
-    return not reports.serving and rank().position >= PROBATION_HOSTS
+    if reports.serving:
+        return False
+    return reports.trying > 0 or not _has_turn(rank(), waited)
+
+
+def _has_turn(rank: HostRank, waited: int) -> bool:
+    """Return whether a host may try an upstream on probation."""
+    first = min(max(rank.hosts // HOSTS_PER_TRIAL, 1), PROBATION_HOSTS)
+    return rank.position < first + waited
 
 
 @attrs.define
@@ -133,10 +157,14 @@
         self._observations: dict[str, _Observation] = {}
         self._published: Mapping[str, int] = {}
         self._failed_since_success: set[str] = set()
+        self._tried_s: dict[str, float] = {}  # trials without a result
+        self._on_probation: set[str] = set()  # as last seen
+        self._waited: dict[str, int] = {}  # seconds, where trials are due
         self._avoided: set[str] = set()  # as last logged
 
     def record(self, upstream: str, now_s: float, *, is_failing: bool) -> None:
         """Record the result of a request; publish failures immediately."""
+        was_trial = self._tried_s.pop(upstream, None) is not None
         if is_failing:
             self._failed_since_success.add(upstream)
             observation = self._observe_failure(upstream, now_s)
@@ -144,7 +172,14 @@
             self._failed_since_success.clear()
             observation = _Observation(False, now_s, SUCCESS_TTL_S)
         self._observations[upstream] = observation
-        if self._publish(now_s) and is_failing:
+        if self._publish(now_s) and (is_failing or was_trial):
+            self._publish_counts()
+
+    def record_send(self, upstream: str, now_s: float) -> None:
+        """Publish immediately that a request is a trial, if it is one."""
+        if self.reports(upstream).is_on_trial:
+            self._tried_s[upstream] = now_s
+            self._publish(now_s)
             self._publish_counts()
 
     def _observe_failure(self, upstream: str, now_s: float) -> _Observation:
@@ -171,7 +206,19 @@
             if not is_needed or name not in live:
                 del self._observations[name]
         self._avoided &= set(live)
+        for name, tried_s in list(self._tried_s.items()):
+            if now_s > tried_s + TRIAL_TIMEOUT_S or name not in live:
+                del self._tried_s[name]
         self._publish(now_s)
+        self._count_waits(live)
+
+    def _count_waits(self, live: Collection[str]) -> None:
+        self._on_probation &= set(live)
+        self._waited = {
+            name: self._waited.get(name, -1) + 1
+            for name in self._on_probation
+            if self.reports(name).is_on_trial
+        }
 
     def _is_on_probation(self, name: str, now_s: float) -> bool:
         """Return whether a failure still keeps an upstream on probation.
@@ -191,18 +238,25 @@
             self._count(failing_key(upstream)),
             self._count(serving_key(upstream)),
             self._count(probation_key(upstream)),
+            self._count(trying_key(upstream)),
         )
 
     def avoided(self, pool: Collection[str]) -> set[str]:
         """Return the upstreams of a pool that this host must not use now."""
         # A host that sees an upstream fail also has it on probation, so one
         # lookup is enough to skip most upstreams.
+        on_probation = {
+            name for name in pool if self._count(probation_key(name))
+        }
+        self._on_probation.difference_update(pool)
+        self._on_probation |= on_probation
         avoided = {
             name
-            for name in pool
-            if self._count(probation_key(name)) >= MIN_FAILING_HOSTS
-            and should_avoid(
-                self.reports(name), functools.partial(self._rank_for, name)
+            for name in on_probation
+            if should_avoid(
+                self.reports(name),
+                functools.partial(self._rank_for, name),
+                self._waited.get(name, 0),
             )
         }
         if len(avoided) > len(pool) * MAX_AVOIDED_FRACTION:
@@ -239,7 +293,7 @@
 
     def _current_counts(self, now_s: float) -> dict[str, int]:
         is_faulty = len(self._failed_since_success) >= LOCAL_FAULT_FAILURES
-        counts: Counter[str] = Counter()
+        counts = Counter(map(trying_key, self._tried_s))
         for name, observation in self._observations.items():
             is_current = observation.is_current(now_s)
             if not observation.is_failing:
--- a/tests/test_relay_shared_health.py
+++ b/tests/test_relay_shared_health.py
@@ -24,6 +24,7 @@
     PROBATION_S,
     SINGLE_HOST_FAILURE_SHARE,
     SUCCESS_TTL_S,
+    TRIAL_TIMEOUT_S,
     HealthReports,
     SharedHealth,
     should_avoid,
@@ -308,6 +309,60 @@
     assert host.names() == {"a/trial"}
 
 
+def test_one_request_at_a_time_is_a_trial() -> None:
+    """Hosts sent trials within the time that a result takes to arrive."""
+    host = SingleHost()
+    host.others["a/trial"] = 2
+    assert host.shared_health.avoided("abc") == set()
+    host.shared_health.record_send("a", 10.0)
+    assert host.names() == {"a/trying"}
+    assert host.publications == 1
+    assert host.shared_health.avoided("abc") == {"a"}
+    host.shared_health.record("a", 10.1, is_failing=False)
+    assert host.names() == {"a/serving"}
+    assert host.publications == 2
+    assert host.shared_health.avoided("abc") == set()
+
+
+def test_a_trial_without_a_result_expires() -> None:
+    host = SingleHost()
+    host.others["a/trial"] = 2
+    host.shared_health.record_send("a", 10.0)
+    host.shared_health.expire(10.0 + TRIAL_TIMEOUT_S + 0.1, {"a"})
+    assert host.names() == set()
+
+
+@pytest.mark.parametrize(
+    ("position", "hosts", "waited", "expected"),
+    [
+        (0, 8, 0, False),
+        (1, 8, 0, True),
+        (1, 8, 1, False),  # the first host may have nothing to send
+        (3, 87, 0, False),
+        (4, 87, 0, True),
+        (3, 195, 0, False),
+        (6, 195, 2, True),
+    ],
+)
+def test_hosts_take_turns_at_trials(
+    position: int, hosts: int, waited: int, expected: bool
+) -> None:
+    reports = HealthReports(failing=0, serving=0, on_probation=2)
+    rank = HostRank(position, hosts)
+    assert should_avoid(reports, lambda: rank, waited) is expected
+    trying = attrs.evolve(reports, trying=1)
+    assert should_avoid(trying, lambda: rank, waited)
+
+
+def test_turns_go_on_while_no_trial_succeeds() -> None:
+    host = SingleHost(HostRank(2, 8))
+    host.others["a/trial"] = 2
+    for second in range(3):
+        assert host.shared_health.avoided("abc") == {"a"}
+        host.shared_health.expire(10.0 + second, set("abc"))
+    assert host.shared_health.avoided("abc") == set()
+
+
 def test_no_upstream_is_avoided_if_most_are_failing() -> None:
     host = SingleHost()
     for name in "abc":
