Count a success of an engine only after a failure was reported

Cause: a success was told for 1.5 s by every host, and a failure counted only if more hosts reported it. Successes from before the engine broke outvoted the first reports; hosts that send little withdraw theirs with their next message, seconds later, and such a report even ended the probation of an engine.

Change: a host tells of a success only while a failure is reported; then it came later. Fewer counts are sent.

--- a/src/balsamlift/relay/_shared_health.py
+++ b/src/balsamlift/relay/_shared_health.py
@@ -167,14 +167,22 @@
         was_trial = self._tried_s.pop(upstream, None) is not None
         if is_failing:
             self._failed_since_success.add(upstream)
-            observation = self._observe_failure(upstream, now_s)
+            self._observations[upstream] = self._observe_failure(
+                upstream, now_s
+            )
         else:
             self._failed_since_success.clear()
-            observation = _Observation(False, now_s, SUCCESS_TTL_S)
-        self._observations[upstream] = observation
+            self._record_success(upstream, now_s)
         if self._publish(now_s) and (is_failing or was_trial):
             self._publish_counts()
 
+    def _record_success(self, upstream: str, now_s: float) -> None:
+        # Only a success after a failure speaks against it, and other hosts
+        # cannot tell which of the two came first.
+        if self.reports(upstream).on_probation:
+            success = _Observation(False, now_s, SUCCESS_TTL_S)
+            self._observations[upstream] = success
+
     def record_send(self, upstream: str, now_s: float) -> None:
         """Publish immediately that a request is a trial, if it is one."""
         if self.reports(upstream).is_on_trial:
--- a/tests/test_relay_shared_health.py
+++ b/tests/test_relay_shared_health.py
@@ -282,6 +282,16 @@
     assert host.shared_health.reports("u0").failing == 0
 
 
+def test_successes_before_a_failure_do_not_outvote_it() -> None:
+    """Engines that broke stayed in use until such reports had expired."""
+    host = SingleHost()
+    host.shared_health.record("a", 10.0, is_failing=False)
+    assert host.names() == set()
+    host.others["a/failing"] = host.others["a/trial"] = 1
+    host.shared_health.record("a", 10.1, is_failing=False)
+    assert host.names() == {"a/serving"}
+
+
 @pytest.mark.parametrize(
     ("failed_trials", "ttl_s"),
     [(0, FAILURE_TTL_S * 2), (1, FAILURE_TTL_S * 4), (9, MAX_FAILURE_TTL_S)],
