Use an engine that one host reports only when no other has memory

What callers saw: a second generation lost to a broken engine soon after the first one, and by several hosts at once when the first report expired.

Cause: an engine is avoided only when two hosts report it, so that a host with a broken link takes no engine from the others. Until then a report counted as half an engine of load, and after 4 s as nothing: whoever came first found out anew, without turns.

Change: hosts choose an engine that is reported, or on probation and not their turn, only if no other has memory for the generation; for calls it keeps the cost of a single report. No engine is excluded by one host, and the tests of faulty hosts and of recovered engines are as they were. The start and the result of a trial are logged, which the time line lacked.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -249,9 +249,13 @@
         """Return the probability that its next request fails, 0 to 1."""
         return max(
             self.health.failure_share(upstream),
-            self._shared_health.reports(upstream).failure_share,
+            self._shared_health.failure_share(upstream),
         )
 
+    def is_suspected(self, upstream: str) -> bool:
+        """Return whether to use an upstream only if no other has capacity."""
+        return self._shared_health.is_suspected(upstream)
+
     def discard_expired(self) -> None:
         """Discard expired observations; called every second."""
         live = {upstream.name for upstream in self._upstreams.all()}
--- a/src/balsamlift/relay/_memory_allocator.py
+++ b/src/balsamlift/relay/_memory_allocator.py
@@ -102,7 +102,12 @@
         ]
         if not fitting:
             return None
-        sampled = self._balancer.sample(fitting, self._sample_size())
+        # One host that sees an engine fail may be at fault itself, so that its
+        # report excludes no engine; but only a few need to find out.
+        proven = [
+            u for u in fitting if not self._balancer.is_suspected(u.name)
+        ]
+        sampled = self._balancer.sample(proven or fitting, self._sample_size())
         return min(sampled, key=lambda u: self._cost(u, traits, near_domain))
 
     def fits(
--- a/src/balsamlift/relay/_shared_health.py
+++ b/src/balsamlift/relay/_shared_health.py
@@ -25,21 +25,21 @@
 SUCCESS_TTL_S = 1.5  # shorter: it may have failed since
 # Duration of the probation that begins with a failure.
 PROBATION_S = 30.0
-# Hosts that may send to an upstream on probation: one of this many, at most
-# `PROBATION_HOSTS`, and one more for each second without a result, as the
-# first ones may have nothing to send.
-HOSTS_PER_TRIAL = 20
-PROBATION_HOSTS = 4
 # Time after which a trial without a result no longer prevents others.
 TRIAL_TIMEOUT_S = 4.0
-# Failures seen by a single host may be caused by that host.
-MIN_FAILING_HOSTS = 2
 # A host for which this many upstreams failed, without a success in between,
 # is considered faulty itself and reports no failures until one succeeds.
 LOCAL_FAULT_FAILURES = 2
 # If a larger part of a pool is reported as failing, the cause is elsewhere
 # and no upstream is avoided.
 MAX_AVOIDED_FRACTION = 0.5
+# Hosts that may send to an upstream on probation: one of this many, at most
+# `PROBATION_HOSTS`, and one more for each second without a result, as the
+# first ones may have nothing to send.
+HOSTS_PER_TRIAL = 20
+PROBATION_HOSTS = 4
+# Failures seen by a single host may be caused by that host.
+MIN_FAILING_HOSTS = 2
 # Maximum failure share of an upstream that only one host reports as failing.
 SINGLE_HOST_FAILURE_SHARE = 0.5
 
@@ -103,6 +103,18 @@
     """
     if max(reports.failing, reports.on_probation) < MIN_FAILING_HOSTS:
         return False
+    return should_suspect(reports, rank, waited)
+
+
+def should_suspect(
+    reports: HealthReports, rank: Callable[[], HostRank], waited: int = 0
+) -> bool:
+    """Return whether a host should leave an upstream to others to try.
+
+    Unlike with `should_avoid`, the report of a single host is enough.
+    """
+    if not reports.on_probation:
+        return False
     if reports.failing:
         return reports.failing > reports.serving
     if reports.serving:
@@ -116,6 +128,9 @@
     return rank.position < first + waited
 
 
+_Rule = Callable[[HealthReports, Callable[[], HostRank], int], bool]
+
+
 @attrs.define
 class _Observation:
     """Hold this host's latest observation of one upstream."""
@@ -166,17 +181,27 @@
         """Record the result of a request; publish failures immediately."""
         was_trial = self._tried_s.pop(upstream, None) is not None
         if is_failing:
-            self._failed_since_success.add(upstream)
-            self._observations[upstream] = self._observe_failure(
-                upstream, now_s
-            )
+            self._record_failure(upstream, now_s)
         else:
-            self._failed_since_success.clear()
             self._record_success(upstream, now_s)
         if self._publish(now_s) and (is_failing or was_trial):
             self._publish_counts()
+        if was_trial:
+            self._log_trial(
+                upstream, "trial failed" if is_failing else "trial succeeded"
+            )
+
+    @property
+    def _is_faulty(self) -> bool:
+        """Return whether this host is probably the cause of failures."""
+        return len(self._failed_since_success) >= LOCAL_FAULT_FAILURES
+
+    def _record_failure(self, upstream: str, now_s: float) -> None:
+        self._failed_since_success.add(upstream)
+        self._observations[upstream] = self._observe_failure(upstream, now_s)
 
     def _record_success(self, upstream: str, now_s: float) -> None:
+        self._failed_since_success.clear()
         # Only a success after a failure speaks against it, and other hosts
         # cannot tell which of the two came first.
         if self.reports(upstream).on_probation:
@@ -189,6 +214,7 @@
             self._tried_s[upstream] = now_s
             self._publish(now_s)
             self._publish_counts()
+            self._log_trial(upstream, "trial started")
 
     def _observe_failure(self, upstream: str, now_s: float) -> _Observation:
         """Return a failure that is observed now.
@@ -259,19 +285,41 @@
         self._on_probation.difference_update(pool)
         self._on_probation |= on_probation
         avoided = {
-            name
-            for name in on_probation
-            if should_avoid(
-                self.reports(name),
-                functools.partial(self._rank_for, name),
-                self._waited.get(name, 0),
-            )
+            name for name in on_probation if self._holds(should_avoid, name)
         }
         if len(avoided) > len(pool) * MAX_AVOIDED_FRACTION:
             avoided = set()
         self._log_changes(pool, avoided)
         return avoided
 
+    def failure_share(self, upstream: str) -> float:
+        """Return the probability that its next request fails, 0 to 1."""
+        share = self.reports(upstream).failure_share
+        if self.is_suspected(upstream):
+            return max(share, SINGLE_HOST_FAILURE_SHARE)
+        return share
+
+    def is_suspected(self, upstream: str) -> bool:
+        """Return whether this host should use an upstream only if it must."""
+        return upstream in self._on_probation and self._holds(
+            should_suspect, upstream
+        )
+
+    def _holds(self, rule: _Rule, upstream: str) -> bool:
+        return rule(
+            self.reports(upstream),
+            functools.partial(self._rank_for, upstream),
+            self._waited.get(upstream, 0),
+        )
+
+    def _log_trial(self, upstream: str, message: str) -> None:
+        log.bind(
+            upstream=upstream,
+            hosts_careful=self._count(probation_key(upstream)),
+            failed_trials=self._count(failed_trials_key(upstream)),
+            waited_s=self._waited.get(upstream, 0),
+        ).info(message)
+
     def _log_changes(self, pool: Collection[str], avoided: set[str]) -> None:
         before = self._avoided & set(pool)
         for name in avoided ^ before:
@@ -300,13 +348,12 @@
         return has_changed
 
     def _current_counts(self, now_s: float) -> dict[str, int]:
-        is_faulty = len(self._failed_since_success) >= LOCAL_FAULT_FAILURES
         counts = Counter(map(trying_key, self._tried_s))
         for name, observation in self._observations.items():
             is_current = observation.is_current(now_s)
             if not observation.is_failing:
                 counts[serving_key(name)] += is_current
-            elif not is_faulty and observation.is_on_probation(now_s):
+            elif not self._is_faulty and observation.is_on_probation(now_s):
                 counts[probation_key(name)] += 1
                 counts[failing_key(name)] += is_current
                 counts[failed_trials_key(name)] += observation.failed_trials
--- a/tests/test_relay_shared_health.py
+++ b/tests/test_relay_shared_health.py
@@ -156,6 +156,48 @@
     run_virtual(test)
 
 
+class CallPool(Pool):
+    """Hosts that send calls instead of generations.
+
+    Each host receives the counts of all others as they change.
+    """
+
+    async def _generate(self) -> None:
+        results = self.results
+        results.started += 1
+        host = self.rng.randrange(len(self.balancers))
+        balancer = self.balancers[host]
+        await balancer.refresh()
+        upstream = balancer.choose_upstream(SCOPE, (), ())
+        assert upstream is not None
+        balancer.record_send(upstream)
+        with balancer.count_in_flight(upstream.name, 1):
+            if upstream.name in self.broken:
+                await asyncio.sleep(RESET_S)
+                balancer.eject(upstream.name)
+                results.lost[upstream.name] += 1
+                return
+            await asyncio.sleep(ANSWER_S)
+            balancer.record_success(upstream.name)
+
+
+@pytest.mark.parametrize("hosts", [8, 87, 195])
+def test_broken_upstreams_receive_few_calls(hosts: int) -> None:
+    """The bound is that of generations."""
+
+    async def test() -> None:
+        pool = CallPool(hosts, seed=0)
+        await pool.run(WARM_UP_S)
+        pool.broken = BROKEN
+        results = await pool.run(30.0)
+        pool.stop()
+        share = len(BROKEN) / ENGINES
+        first = len(BROKEN)
+        assert results.lost.total() <= first + results.started * share / 10
+
+    run_virtual(test)
+
+
 @pytest.mark.parametrize("hosts", [8, 87])
 def test_a_recovered_engine_soon_gets_its_share(hosts: int) -> None:
     async def test() -> None:
@@ -373,6 +415,32 @@
     assert host.shared_health.avoided("abc") == set()
 
 
+def test_an_engine_that_one_host_reports_is_used_only_if_it_must() -> None:
+    """A second generation was lost to it while others had memory."""
+    counts = Counts(8)
+    host = HostCounts(counts, 1)
+    host._others.update({"e0/failing": 1, "e0/trial": 1})
+    balancer = Balancer(
+        cast(Upstreams, engines_of_one_domain(2)),
+        cast(Peers, host),
+        LoopClock(),
+        random.Random(1),
+        "north",
+    )
+    allocator = MemoryAllocator(balancer)
+
+    async def test() -> None:
+        names = []
+        for _ in range(4):
+            upstream = allocator.find(SCOPE, TRAITS, 7_000)
+            assert upstream is not None
+            allocator.reserve(upstream, 7_000)
+            names.append(upstream.name)
+        assert names == ["e1", "e1", "e1", "e0"]
+
+    run_virtual(test)
+
+
 def test_no_upstream_is_avoided_if_most_are_failing() -> None:
     host = SingleHost()
     for name in "abc":
