Send withdrawn reports of failures again as soon as they hold

What callers saw: one more generation lost to each of two broken engines that failed the same host in a row.

Cause: a host that two engines fail without a success in between takes itself for faulty and withdraws its reports. The next success puts them back, but they were sent only with the next message of that host.

Change: the success that ends the suspicion sends the reports at once. Lines of trials are reached by the test of log calls.

--- a/src/balsamlift/relay/_shared_health.py
+++ b/src/balsamlift/relay/_shared_health.py
@@ -180,11 +180,13 @@
     def record(self, upstream: str, now_s: float, *, is_failing: bool) -> None:
         """Record the result of a request; publish failures immediately."""
         was_trial = self._tried_s.pop(upstream, None) is not None
+        was_faulty = self._is_faulty
         if is_failing:
             self._record_failure(upstream, now_s)
         else:
             self._record_success(upstream, now_s)
-        if self._publish(now_s) and (is_failing or was_trial):
+        is_urgent = is_failing or was_trial or was_faulty
+        if self._publish(now_s) and is_urgent:
             self._publish_counts()
         if was_trial:
             self._log_trial(
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -281,6 +281,15 @@
     await world.call("/draft/1", headers=USAGE)
 
 
+async def engines_on_trial(
+    world: RelayHarness, stand_ins: list[ReplicaStandIn]
+) -> None:
+    counts = {f"{stand_in.name}/trial": 2 for stand_in in stand_ins}
+    world.peers._load.peer_counts.update("another", counts, full=True)
+    behave(stand_ins, stream)
+    await world.call("/draft/1", headers=USAGE)
+
+
 async def engine_crashes(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
@@ -380,6 +389,10 @@
     Expected(crashes_reported, "request crashes upstreams, not run", ENDED),
     Expected(engines_repeat, "", ("request",)),
     Expected(reported_failing, "avoided", ("upstream", "hosts_failing")),
+    Expected(engines_on_trial, "trial started", ("upstream", "hosts_careful")),
+    Expected(
+        engines_on_trial, "trial succeeded", ("upstream", "failed_trials")
+    ),
     Expected(no_memory, "no room", ENDED),
     Expected(caller_leaves, "caller gone", ENDED),
     Expected(
--- a/tests/test_relay_shared_health.py
+++ b/tests/test_relay_shared_health.py
@@ -324,6 +324,16 @@
     assert host.shared_health.reports("u0").failing == 0
 
 
+def test_withdrawn_reports_are_published_with_the_next_success() -> None:
+    host = SingleHost()
+    for n in range(LOCAL_FAULT_FAILURES):
+        host.shared_health.record(f"u{n}", 10.0, is_failing=True)
+    publications = host.publications
+    host.shared_health.record("a", 10.1, is_failing=False)
+    assert {"u0/failing", "u1/failing"} <= host.names()
+    assert host.publications == publications + 1
+
+
 def test_successes_before_a_failure_do_not_outvote_it() -> None:
     """Engines that broke stayed in use until such reports had expired."""
     host = SingleHost()
