End all tasks of a terminated daemon within its grace period

What callers saw: a host that logged "stopped" and stayed, its addresses still bound, until it was killed; connections to it were accepted and got nothing.

Cause: at the end of asyncio.run every task is cancelled once and awaited without a limit. A call of the messaging library that completes at that moment loses the cancellation, so that Peers._keep_receiving goes on forever. The daemon of the platform relied on that one cancellation; end_task, which repeats it, served only the services' own stop.

Change: after leaving, the daemon cancels all tasks until they have ended, for 0.3 s at most; then it says which are left and ends the process.

--- a/src/balsamlift/_tasks.py
+++ b/src/balsamlift/_tasks.py
@@ -20,3 +20,22 @@
     while task is not None and not task.done():
         task.cancel()
         await asyncio.wait([task], timeout=CANCEL_RETRY_S)
+
+
+async def end_other_tasks(timeout_s: float) -> list[str]:
+    """Cancel all tasks but the current one, repeatedly, until they end.
+
+    Returns the coroutines of those that have not ended in `timeout_s`. At the
+    end of `asyncio.run`, each task is cancelled once and awaited without a
+    limit.
+    """
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + timeout_s
+    current = asyncio.current_task()
+    while others := asyncio.all_tasks() - {current}:
+        if loop.time() >= until_s:
+            return sorted(str(task.get_coro()) for task in others)
+        for task in others:
+            task.cancel()
+        await asyncio.wait(others, timeout=CANCEL_RETRY_S)
+    return []
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 import sys
@@ -13,6 +14,7 @@
 from balsamlift._http import HttpClient
 from balsamlift._incarnation import new_incarnation
 from balsamlift._log_sink import LogSink
+from balsamlift._tasks import end_other_tasks
 from balsamlift.clock import Clock, SystemClock
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
@@ -46,6 +48,9 @@
 # Part of the grace period reserved for ending the remaining requests and the
 # process.
 GRACE_MARGIN_S = 0.4
+# Longest time for ending all tasks, some of which lose a cancellation.
+END_TIMEOUT_S = 0.3
+EXIT_UNFINISHED = 2
 MAX_STORE_CALLS = 16  # concurrent; each preallocated handle takes 4.3 KB
 
 
@@ -74,7 +79,10 @@
             settings, clock, http, self._upstreams_source
         )
         self._configuration_watch = ConfigurationWatch(
-            store, clock, node.configuration_pace, self.upstreams.evacuations
+            store,
+            clock,
+            node.configuration_pace,
+            self.upstreams.evacuations,
         )
         self.peers = Peers(
             settings, new_incarnation(), self.frontend.address, clock, rng
@@ -204,6 +212,10 @@
     await daemon.start()
     await stop_requested.wait()
     await daemon.leave()
+    unfinished = await end_other_tasks(END_TIMEOUT_S)
+    if unfinished:
+        log.bind(tasks=unfinished).error("tasks did not end")
+        os._exit(EXIT_UNFINISHED)  # or else asyncio waits for them
 
 
 def _log_ignored_reload() -> None:
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -5,7 +5,7 @@
 import pynng
 import pytest
 
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_other_tasks, end_task
 
 TIMEOUT_S = 20.0
 
@@ -36,6 +36,24 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(("number", "unfinished"), [(0, 0), (2, 0), (9, 1)])
+def test_all_tasks_end_at_the_end_of_a_process(
+    number: int, unfinished: int
+) -> None:
+    """A terminated daemon waited forever for a task that lost its only one."""
+
+    async def main() -> None:
+        tasks = [
+            asyncio.create_task(ignore_cancellations(n)) for n in (0, number)
+        ]
+        await asyncio.sleep(0)
+        assert len(await end_other_tasks(timeout_s=0.5)) == unfinished
+        assert tasks[0].cancelled()
+        await end_task(tasks[1])
+
+    asyncio.run(main())
+
+
 def test_a_request_that_times_out_when_cancelled_ends() -> None:
     """The library then raises `Timeout`, and the cancellation is lost."""
 
