--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -81,17 +81,20 @@
         self.store.topic(UPSTREAMS_TOPIC).append(
             "i-1", encode_upstream_entry(self.replica)
         )
-        file = directory / "settings.toml"
-        file.write_text(settings_text(self.store.address))
-        self.process = await asyncio.create_subprocess_exec(
+        self.file = directory / "settings.toml"
+        self.file.write_text(settings_text(self.store.address))
+        self.process = await self.start_process()
+        while await self.get("Readiness", "/readyz") != 200:
+            await asyncio.sleep(0.05)
+
+    async def start_process(self) -> asyncio.subprocess.Process:
+        return await asyncio.create_subprocess_exec(
             sys.executable,
             "deploy/serve.py",
             cwd=ROOT,
-            env={**os.environ, SETTINGS_FILE_VARIABLE: str(file)},
+            env={**os.environ, SETTINGS_FILE_VARIABLE: str(self.file)},
             stdout=asyncio.subprocess.PIPE,
         )
-        while await self.get("Readiness", "/readyz") != 200:
-            await asyncio.sleep(0.05)
 
     async def stop(self) -> None:
         if self.process.returncode is None:
@@ -133,6 +136,14 @@
         return [json.loads(line) for line in text.decode().splitlines()]
 
 
+def is_default_action_replaced(pid: int) -> bool:
+    """Return whether a process ignores or catches SIGHUP."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    masks = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+    return bool(masks & 1 << signal.SIGHUP - 1)
+
+
 def run(
     test: Callable[[Deployment], Awaitable[None]], directory: Path
 ) -> None:
@@ -209,6 +220,25 @@
     run(test, tmp_path)
 
 
+def test_a_reload_during_the_start_does_not_end_the_process(
+    tmp_path: Path,
+) -> None:
+    """Until its handlers were set, the signal killed it without a line."""
+
+    async def test(deployment: Deployment) -> None:
+        deployment.process.kill()
+        await deployment.process.wait()
+        deployment.process = await deployment.start_process()
+        while not is_default_action_replaced(deployment.process.pid):
+            await asyncio.sleep(0.001)
+        while await deployment.get("Readiness", "/readyz") != 200:
+            deployment.process.send_signal(signal.SIGHUP)
+            assert deployment.process.returncode is None
+            await asyncio.sleep(0.02)
+
+    run(test, tmp_path)
+
+
 def test_start_does_not_import_unused_packages() -> None:
     """Importing them raises the CPU time of a start from 0.60 s to 0.70 s."""
     code = "import sys, balsamlift.platform; print(*sys.modules)"
