--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -67,12 +67,12 @@
         self,
         store: Store,
         clock: Clock,
-        pace: FreshnessLimits,
+        limits: FreshnessLimits,
         evacuations: Evacuations,
     ) -> None:
-        """Follow the operators' topic with the limits of `pace`."""
+        """Follow the operators' topic within these limits."""
         self._evacuations = evacuations
-        self.follower = Follower(store, CONFIGURATION_TOPIC, clock, pace)
+        self.follower = Follower(store, CONFIGURATION_TOPIC, clock, limits)
         self._clock = clock
         self._back_off = BackOff(None, RETRY_MS, MAX_RETRY_MS)
         self._task: asyncio.Task[None] | None = None
@@ -112,10 +112,10 @@
     def _offer_evacuations(self, values: dict[str, bytes]) -> None:
         if self.follower.end is not None:
             domains = decode_evacuations(values)
-            news = EvacuationSnapshot(
+            snapshot = EvacuationSnapshot(
                 self.follower.end, domains, self.follower.era
             )
-            self._evacuations.offer(news, "store", age_ms=0)
+            self._evacuations.offer(snapshot, "store", age_ms=0)
 
 
 def offer_configuration(routing: Routing, data: bytes, source: str) -> None:
@@ -169,11 +169,13 @@
     """Read upstreams and hosts from the store as one list."""
 
     def __init__(
-        self, store: Store, clock: Clock, pace: FreshnessLimits
+        self, store: Store, clock: Clock, limits: FreshnessLimits
     ) -> None:
-        """Follow both topics with the limits of `pace`."""
-        self.upstreams_follower = Follower(store, UPSTREAMS_TOPIC, clock, pace)
-        self._hosts_follower = Follower(store, HOSTS_TOPIC, clock, pace)
+        """Follow both topics within these limits."""
+        self.upstreams_follower = Follower(
+            store, UPSTREAMS_TOPIC, clock, limits
+        )
+        self._hosts_follower = Follower(store, HOSTS_TOPIC, clock, limits)
         self._decoded_upstreams = _DecodeCache(decode_upstream)
         self._decoded_hosts = _DecodeCache(
             lambda key, data: (key, decode_host(data))
