Name the address that a daemon cannot listen on

What operators saw: a traceback of OSError 98, with neither the address nor the listener. And the first line of a process was that it had started, so that one that hung before could not be told from one that did not exist.

A daemon logs "starting" first.

--- a/src/balsamlift/_commands/_serve.py
+++ b/src/balsamlift/_commands/_serve.py
@@ -7,7 +7,7 @@
 from balsamlift._commands._arguments import Arguments
 from balsamlift._commands._exit import ExitCode
 from balsamlift._loading import load
-from balsamlift.exceptions import StartError
+from balsamlift.exceptions import AddressUnavailableError, StartError
 from balsamlift.settings import Settings
 
 USAGE = """Run one host until it is told to stop.
@@ -43,7 +43,7 @@
         return ExitCode.DONE
     try:
         _run_daemon(settings)
-    except OSError as error:
+    except (OSError, AddressUnavailableError) as error:
         raise StartError(settings.host, str(error)) from error
     return ExitCode.DONE
 
--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -194,8 +194,8 @@
         self.key = key
 
 
-class PeersAddressError(BalsamliftError):
-    """Raised when the peers' address cannot be bound."""
+class AddressUnavailableError(BalsamliftError):
+    """Raised when an address to listen on cannot be bound."""
 
     def __init__(self, address: str, reason: str) -> None:
         """Store the address and the cause."""
@@ -203,6 +203,10 @@
         self.address = address
 
 
+class PeersAddressError(AddressUnavailableError):
+    """Raised when the peers' address cannot be bound."""
+
+
 class PeerMessageError(BalsamliftError):
     """Raised when data from a peer is not a valid message."""
 
--- a/src/balsamlift/operators.py
+++ b/src/balsamlift/operators.py
@@ -6,10 +6,9 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from balsamlift._address import join_address, split_address
+from balsamlift._listening import listen
 from balsamlift.kernel import Kernel
 
 Routes = list[tuple[str, type[RequestHandler], dict[str, Any]]]
@@ -36,10 +35,7 @@
 
     def __init__(self, address: str) -> None:
         """Bind `address` ("IP:port")."""
-        ip, port = split_address(address)
-        self._sockets = bind_sockets(port, ip)
-        bound_port = self._sockets[0].getsockname()[1]
-        self.address = join_address(ip, bound_port)
+        self._sockets, self.address = listen(address)
         self._application = Application()
         self._server = HTTPServer(self._application)
 
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -16,6 +16,7 @@
 from balsamlift._log_sink import LogSink
 from balsamlift._tasks import end_other_tasks
 from balsamlift.clock import Clock, SystemClock
+from balsamlift.exceptions import AddressUnavailableError
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
@@ -50,7 +51,7 @@
 GRACE_MARGIN_S = 0.4
 # Longest time for ending all tasks, some of which lose a cancellation.
 END_TIMEOUT_S = 0.3
-EXIT_UNFINISHED = 2
+EXIT_NOT_STARTED, EXIT_UNFINISHED = 1, 2
 MAX_STORE_CALLS = 16  # concurrent; each preallocated handle takes 4.3 KB
 
 
@@ -199,7 +200,12 @@
     node = load_node_settings(file)
     sink = LogSink(sys.stdout.fileno())
     logs.configure(json=True, host=node.host, sink=sink)
-    asyncio.run(_run(node))
+    log.info("starting")
+    try:
+        asyncio.run(_run(node))
+    except AddressUnavailableError as error:
+        log.bind(address=error.address).error("not started: {}", error)
+        sys.exit(EXIT_NOT_STARTED)
 
 
 async def _run(node: NodeSettings) -> None:
--- a/src/balsamlift/platform/_web.py
+++ b/src/balsamlift/platform/_web.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from balsamlift._address import split_address
+from balsamlift._listening import listen
 from balsamlift.kernel import Kernel
 from balsamlift.operators import JsonHandler
 from balsamlift.platform._names import ADDRESSES_PATH, READY_PATH
@@ -72,9 +71,9 @@
             log_function=lambda handler: None,
         )
         for address in self._addresses:
-            ip, port = split_address(address)
+            sockets, _ = listen(address)
             server = HTTPServer(application)
-            server.add_sockets(bind_sockets(port, ip))
+            server.add_sockets(sockets)
             self._servers.append(server)
 
     async def stop(self) -> None:
--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -19,9 +19,9 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.netutil import add_accept_handler, bind_sockets
+from tornado.netutil import add_accept_handler
 
-from balsamlift._address import join_address, split_address
+from balsamlift._listening import listen
 from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
 from balsamlift.kernel import Kernel
@@ -220,10 +220,7 @@
 
     def __init__(self, address: str, clock: Clock) -> None:
         """Bind `address`, given as "IP:port"."""
-        ip, port = split_address(address)
-        self._sockets = bind_sockets(port, ip)
-        bound_port = self._sockets[0].getsockname()[1]
-        self.address = join_address(ip, bound_port)
+        self._sockets, self.address = listen(address)
         self.clock = clock
         self.limits = DEFAULT_CALLER_LIMITS
         self.is_closing = False  # responses carry "Connection: close"
--- a/src/balsamlift/requests/_callers.py
+++ b/src/balsamlift/requests/_callers.py
@@ -7,11 +7,10 @@
 import attrs
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from balsamlift._address import join_address, split_address
 from balsamlift._http import CLOCK_HEADER
+from balsamlift._listening import listen
 from balsamlift.kernel import Kernel
 from balsamlift.operators import OperatorsServer
 from balsamlift.requests._base_handlers import (
@@ -57,9 +56,7 @@
 
     def __init__(self, address: str) -> None:
         """Bind `address` ("IP:port"); the port is known before the start."""
-        ip, port = split_address(address)
-        self._sockets = bind_sockets(port, ip)
-        self.address = join_address(ip, self._sockets[0].getsockname()[1])
+        self._sockets, self.address = listen(address)
         self._random = random.Random()
         self._server: HTTPServer | None = None
 
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -220,6 +220,23 @@
     run(test, tmp_path)
 
 
+def test_a_start_without_its_address_says_so_and_ends(tmp_path: Path) -> None:
+    """It ended with a traceback that named neither address nor listener."""
+
+    async def test(deployment: Deployment) -> None:
+        second = await deployment.start_process()
+        output, _ = await second.communicate()
+        assert second.returncode == 1
+        last = json.loads(output.splitlines()[-1])
+        address = f"{IP}:{PORTS['Frontend']}"
+        assert last["message"].startswith(
+            f"not started: cannot listen on {address}"
+        )
+        assert last["details"]["address"] == address
+
+    run(test, tmp_path)
+
+
 def test_a_reload_during_the_start_does_not_end_the_process(
     tmp_path: Path,
 ) -> None:
