Let a host that knows no reports try upstreams by itself

What callers would have seen: a call to a pool of more hosts than the fan-out, after one failure of an upstream, kept away from it for up to 30 s.

Cause: where counts are scaled up from few peers, reports of others count as none. Turns then waited for hosts whose results never arrive.

Evidence: found by reading the change; the test, with 87 hosts, fails before.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -14,7 +14,13 @@
 from contextlib import contextmanager
 
 from balsamlift.clock import Clock
-from balsamlift.peers import CountsBasis, Peers, Upstream, Upstreams
+from balsamlift.peers import (
+    CountsBasis,
+    HostRank,
+    Peers,
+    Upstream,
+    Upstreams,
+)
 from balsamlift.relay._cold_starts import ColdStartLimiter
 from balsamlift.relay._health import UpstreamHealth
 from balsamlift.relay._scope import Scope
@@ -74,7 +80,7 @@
             peers.set_in_flight,
             peers.send_counts,
             self._reporting_hosts,
-            peers.rank_for,
+            self._rank_for,
         )
         upstreams.on_change(self._prune)
 
@@ -170,6 +176,12 @@
             return 0
         return self._peers.in_flight(key)
 
+    def _rank_for(self, upstream: str) -> HostRank:
+        """Return this host's rank among those whose reports it knows."""
+        if self._peers.counts_basis == "scaled":
+            return HostRank(position=0, hosts=1)
+        return self._peers.rank_for(upstream)
+
     def _allows_cold_start(self, upstream: Upstream) -> bool:
         return self._cold_starts is None or self._cold_starts.allows(upstream)
 
--- a/tests/test_relay_shared_health.py
+++ b/tests/test_relay_shared_health.py
@@ -272,6 +272,29 @@
 FIRST_OF_TWO = HostRank(0, 2)
 
 
+def test_a_host_that_knows_no_reports_does_not_wait_for_its_turn() -> None:
+    """It would leave an upstream aside that others have long tried."""
+    host = HostCounts(Counts(87), 1)
+    balancer = Balancer(
+        cast(Upstreams, engines_of_one_domain(4)),
+        cast(Peers, host),
+        LoopClock(),
+        random.Random(1),
+        "north",
+    )
+
+    async def test() -> None:
+        balancer.eject("e0")
+        await asyncio.sleep(FAILURE_TTL_S + 0.1)
+        balancer.discard_expired()
+        balancer.usable(SCOPE, ())
+        assert balancer.is_suspected("e0")
+        host.basis = "scaled"
+        assert not balancer.is_suspected("e0")
+
+    run_virtual(test)
+
+
 class SingleHost:
     """The counts of a single host, with adjustable counts of others."""
 
