--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -87,9 +87,9 @@
         try:
             for host in self._hosts:
                 await host.start()
-            await self._wait_until_served(START_S)
-            await self._run_callers_with_faults()
-            await self._check_recovery()
+            if await self._check_served("start", START_S):
+                await self._run_callers_with_faults()
+                await self._check_recovery()
         finally:
             for host in self._hosts:
                 await host.stop()
@@ -225,16 +225,22 @@
         self._upstreams.is_fault_free = True
         self._version += 1
         self._configure()
+        await self._check_served("recovery", RECOVERY_S)
+
+    async def _check_served(self, promise: str, timeout_s: float) -> bool:
+        """Report the states of the hosts if one does not serve in time."""
         try:
-            await self._wait_until_served(RECOVERY_S)
+            await self._wait_until_served(timeout_s)
         except TimeoutError:
             states = [await host.dump_stacks() for host in self._hosts]
             self._guarantees.report_violation(
-                "recovery",
+                promise,
                 "",
                 "not every host serves the newest configuration "
                 f"({'; '.join(states)})",
             )
+            return False
+        return True
 
     async def _wait_until_served(self, timeout_s: float) -> None:
         async with asyncio.timeout(timeout_s):
