Give no backups to an engine that one host reports as failing

What callers would lose: a generation whose engine crashes while its backup lies at an engine that another host has just seen fail.

Cause: the same as for generations. A report of one host excludes no engine, and the engine, empty as it is, was the first choice for the next backup. Moves and generations already preferred the others.

Evidence: found by looking for the fault elsewhere; the test chose the reported engine before.

Change: the allocator prefers engines that nobody suspects for backups too. tests/test_relay_shared_health.py, _memory_allocator, _generations, _decisions: 135 passed.

--- a/src/balsamlift/relay/_memory_allocator.py
+++ b/src/balsamlift/relay/_memory_allocator.py
@@ -102,14 +102,17 @@
         ]
         if not fitting:
             return None
-        # One host that sees an engine fail may be at fault itself, so that its
-        # report excludes no engine; but only a few need to find out.
-        proven = [
-            u for u in fitting if not self._balancer.is_suspected(u.name)
-        ]
-        sampled = self._balancer.sample(proven or fitting, self._sample_size())
+        candidates = self._proven(fitting) or fitting
+        sampled = self._balancer.sample(candidates, self._sample_size())
         return min(sampled, key=lambda u: self._cost(u, traits, near_domain))
 
+    def _proven(self, upstreams: list[Upstream]) -> list[Upstream]:
+        # A host that sees an engine fail may be at fault itself, so that its
+        # report alone excludes no engine; but only a few need to find out.
+        return [
+            u for u in upstreams if not self._balancer.is_suspected(u.name)
+        ]
+
     def fits(
         self, upstream: Upstream, traits: EngineTraits, tokens: int
     ) -> bool:
@@ -160,7 +163,8 @@
         if not fitting:
             return None
         # Backups are copied over the whole run, so distance hardly matters.
-        upstream = min(fitting, key=self._reserved_tokens)
+        candidates = self._proven(fitting) or fitting
+        upstream = min(candidates, key=self._reserved_tokens)
         return MemoryReservation(self._balancer, upstream, tokens, backup_key)
 
     def _reserved_tokens(self, upstream: Upstream) -> int:
--- a/tests/test_relay_shared_health.py
+++ b/tests/test_relay_shared_health.py
@@ -478,6 +478,28 @@
     run_virtual(test)
 
 
+def test_an_engine_that_one_host_reports_gets_no_backups() -> None:
+    """It is empty, so that it was chosen for the next backup."""
+    host = HostCounts(Counts(8), 1)
+    host._others.update({"e0/failing": 1, "e0/trial": 1, "e1": 2_000})
+    balancer = Balancer(
+        cast(Upstreams, engines_of_one_domain(2)),
+        cast(Peers, host),
+        LoopClock(),
+        random.Random(1),
+        "north",
+    )
+
+    async def test() -> None:
+        reservation = MemoryAllocator(balancer).reserve_backup(
+            SCOPE, (), TRAITS, 1_000
+        )
+        assert reservation is not None
+        assert reservation.upstream.name == "e1"
+
+    run_virtual(test)
+
+
 def test_no_upstream_is_avoided_if_most_are_failing() -> None:
     host = SingleHost()
     for name in "abc":
