Log when an upstream says that it leaves or asks for no requests

Neither the lines nor the metrics of a host could tell the hypotheses on DRAIN and BUDGET apart: what the answers of an upstream said was in no line, nor whether a request was sent all the same. One reader now decodes the heads of all answers that calls and generations get (the reader of rate limits, with two statements more); the adapter decodes the values. Logged are each notice, each time asked for and its end, values that cannot be read, and requests sent all the same; counters and gauges beside them. No choice of an upstream is changed: the statements are recorded and nothing looks at them.

Tests: every new line is reached by a scenario, values of both headers.

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -15,6 +15,7 @@
     UPSTREAM_ROLE,
     ListEntry,
 )
+from balsamlift.peers._leaving_notices import LeavingNotices
 from balsamlift.peers._list_reader import UpstreamList
 from balsamlift.peers._load import CountsBasis
 from balsamlift.peers._membership import Peers
@@ -41,6 +42,7 @@
     "Follower",
     "FreshnessLimits",
     "HostRank",
+    "LeavingNotices",
     "ListEntry",
     "Peer",
     "Peers",
--- /dev/null
+++ b/src/balsamlift/peers/_leaving_notices.py
@@ -0,0 +1,85 @@
+"""Notices of upstreams that are leaving, as given in their own responses."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+import attrs
+from loguru import logger
+
+from balsamlift.clock import Clock
+from balsamlift.metrics import Metrics
+
+log = logger.bind(part="upstreams")
+
+MAX_NOTICES = 5_000
+# A notice is kept for this long after its upstream was last listed, in case
+# an older list shows it again.
+UNLISTED_TTL_S = 60.0
+_MS_PER_S = 1_000
+
+
+@attrs.define
+class _Notice:
+    """A notice, with monotonic times."""
+
+    given_s: float
+    last_listed_s: float
+
+
+class LeavingNotices:
+    """Keep the upstreams that have said that they are leaving.
+
+    A notice holds for one incarnation of an upstream, until the list no
+    longer has it.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without a notice."""
+        self._clock = clock
+        self._metrics = Metrics()
+        self._notices: dict[str, _Notice] = {}  # oldest first
+
+    def start(self, metrics: Metrics) -> None:
+        """Publish the number of notices in `metrics`."""
+        self._metrics = metrics
+
+    def age_s(self, upstream: str) -> float | None:
+        """Return the time since an upstream gave notice, or None."""
+        notice = self._notices.get(upstream)
+        if notice is None:
+            return None
+        return self._clock.monotonic() - notice.given_s
+
+    def record(self, upstream: str, source: str) -> None:
+        """Record that an upstream says that it is leaving.
+
+        `source` is "answer", or "report" for its status report.
+        """
+        if upstream in self._notices:
+            return
+        if len(self._notices) >= MAX_NOTICES:
+            del self._notices[next(iter(self._notices))]
+        now_s = self._clock.monotonic()
+        self._notices[upstream] = _Notice(now_s, now_s)
+        self._update_gauge()
+        log.bind(upstream=upstream, source=source, age_ms=0).info(
+            "upstream gave notice that it is leaving"
+        )
+
+    def prune(self, listed: Collection[str]) -> None:
+        """Discard notices of upstreams that are long gone from the list."""
+        now_s = self._clock.monotonic()
+        for upstream, notice in list(self._notices.items()):
+            if upstream in listed:
+                notice.last_listed_s = now_s
+            elif now_s - notice.last_listed_s > UNLISTED_TTL_S:
+                del self._notices[upstream]
+                log.bind(
+                    upstream=upstream,
+                    age_ms=round((now_s - notice.given_s) * _MS_PER_S),
+                ).info("leaving notice discarded")
+        self._update_gauge()
+
+    def _update_gauge(self) -> None:
+        self._metrics.gauge("upstreams.leaving_notices", len(self._notices))
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -21,6 +21,7 @@
 )
 from balsamlift.peers._incarnations import take_latest
 from balsamlift.peers._known_upstream import KnownUpstream, find_usable
+from balsamlift.peers._leaving_notices import LeavingNotices
 from balsamlift.peers._list_reader import ListReader, UpstreamList
 from balsamlift.peers._observed_states import (
     UpstreamState,
@@ -82,6 +83,7 @@
             self._random,
             self._apply_reading,
         )
+        self.leaving_notices = LeavingNotices(clock)
         self.evacuations = Evacuations()
         self.evacuations.on_change(self._apply_evacuations)
         self._unlisted: set[str] = set()
@@ -98,6 +100,7 @@
         """Read the list once, then keep reading it."""
         self._timeline = kernel.find("timeline", Timeline)
         self._metrics = kernel.find("metrics", Metrics)
+        self.leaving_notices.start(self._metrics)
         operators = kernel.find("operators", OperatorsServer)
         arguments = {"upstreams": self.all}
         operators.add_routes([(r"/v1/upstreams", UpstreamsHandler, arguments)])
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -20,6 +20,7 @@
     RouteKind,
     Service,
     ServiceShare,
+    StatementDecoders,
     Workspace,
 )
 
@@ -27,6 +28,9 @@
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
 
 
+MAX_RETRY_AFTER_S = 86_400.0
+
+
 class RecordError(PlatformError):
     """Indicate that a record is invalid for its key."""
 
@@ -296,3 +300,24 @@
     """Return requests per second, or None if `text` is no decimal number."""
     text = text.strip()
     return float(text) if _DECIMAL.fullmatch(text) else None
+
+
+def decode_leaving(text: str) -> bool | None:
+    """Return True if an upstream is leaving, None if `text` is invalid."""
+    return True if text.strip() == "1" else None
+
+
+def decode_retry_after(text: str) -> float | None:
+    """Return seconds, or None if `text` is invalid or over a day."""
+    text = text.strip()
+    if not _DECIMAL.fullmatch(text):
+        return None
+    retry_after_s = float(text)
+    return retry_after_s if retry_after_s <= MAX_RETRY_AFTER_S else None
+
+
+STATEMENT_DECODERS = StatementDecoders(
+    rate_limit=decode_rate_limit,
+    leaving=decode_leaving,
+    retry_after=decode_retry_after,
+)
--- a/src/balsamlift/platform/_names.py
+++ b/src/balsamlift/platform/_names.py
@@ -12,6 +12,7 @@
     expected_incarnation="X-Expected-Instance",
     not_executed="X-Not-Executed",
     rate_limit="Server-Limit",
+    leaving="Server-Leaving",
     priority="X-Request-Priority",
     token_usage="X-Token-Usage",
     length_hint="X-Length-Hint",
--- a/src/balsamlift/platform/_settings.py
+++ b/src/balsamlift/platform/_settings.py
@@ -12,7 +12,7 @@
 from balsamlift._address import join_address
 from balsamlift.exceptions import SettingsError
 from balsamlift.peers import FreshnessLimits
-from balsamlift.platform._decode import decode_rate_limit
+from balsamlift.platform._decode import STATEMENT_DECODERS
 from balsamlift.platform._names import HEADERS
 from balsamlift.relay import ColdLimits, RelaySettings, RetryLimits
 from balsamlift.settings import (
@@ -175,7 +175,7 @@
             cold_limits=self.cold_limits,
             regions=self.regions,
             names=HEADERS,
-            decode_rate_limit=decode_rate_limit,
+            decoders=STATEMENT_DECODERS,
         )
 
 
--- a/src/balsamlift/relay/__init__.py
+++ b/src/balsamlift/relay/__init__.py
@@ -29,6 +29,7 @@
 from balsamlift.relay._retry_budget import RetryLimits
 from balsamlift.relay._routing import Routing
 from balsamlift.relay._service import Relay, RelaySettings
+from balsamlift.relay._statements import StatementDecoders
 
 __all__ = [
     "DEFAULT_CALLER_LIMITS",
@@ -56,5 +57,6 @@
     "RunningGeneration",
     "Service",
     "ServiceShare",
+    "StatementDecoders",
     "Workspace",
 ]
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -16,11 +16,8 @@
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._headers import is_signed, upstream_headers
 from balsamlift.relay._pool import ConnectionPool
-from balsamlift.relay._rate_limit_reader import (
-    MISDIRECTED_REQUEST,
-    RateLimitReader,
-)
 from balsamlift.relay._request import Call
+from balsamlift.relay._statements import MISDIRECTED_REQUEST, StatementReader
 
 Disposition = Literal["answer", "failure", "not_executed"]
 
@@ -48,13 +45,13 @@
         pool: ConnectionPool,
         names: HeaderNames,
         clock: Clock,
-        rate_limits: RateLimitReader,
+        statements: StatementReader,
     ) -> None:
         """Create a client that acquires connections from `pool`."""
         self._pool = pool
         self._names = names
         self._clock = clock
-        self._rate_limits = rate_limits
+        self._statements = statements
 
     async def send(
         self,
@@ -72,7 +69,7 @@
         connection = await self._pool.acquire(upstream)
         may_have_run_before = attempt.may_have_run
         attempt.record_send(upstream.name)
-        self._rate_limits.record_send(upstream.name)
+        self._statements.record_send(call.request_id, upstream.name)
         headers = upstream_headers(
             call, self._names, upstream.id, self._remaining_ms(call), extra
         )
@@ -87,7 +84,7 @@
         except asyncio.CancelledError:
             connection.close()
             raise
-        self._rate_limits.record_response(upstream.name, head, sent_s)
+        self._statements.record_response(upstream.name, head, sent_s)
         disposition = self._classify(head)
         if disposition == "not_executed":
             attempt.record_not_executed(may_have_run_before)
--- a/src/balsamlift/relay/_header_names.py
+++ b/src/balsamlift/relay/_header_names.py
@@ -16,6 +16,7 @@
     expected_incarnation: str
     not_executed: str  # set if the upstream did not run the request
     rate_limit: str  # requests per second that it takes from all hosts
+    leaving: str  # set if the upstream is leaving
     priority: str
     token_usage: str  # prompt tokens and maximum output tokens
     length_hint: str  # output tokens expected by the caller
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from math import isinf
 
 import attrs
@@ -28,7 +28,6 @@
 from balsamlift.relay._leaving_detector import LeavingDetector
 from balsamlift.relay._memory_allocator import MemoryAllocator
 from balsamlift.relay._pool import ConnectionPool
-from balsamlift.relay._rate_limit_reader import RateLimitReader
 from balsamlift.relay._request import (
     Call,
     CallerRequest,
@@ -36,8 +35,10 @@
     Refusal,
     Responder,
 )
+from balsamlift.relay._retry_after import RetryAfterTracker
 from balsamlift.relay._retry_budget import RetryBudget, RetryLimits
 from balsamlift.relay._routing import Routing, RoutingTable
+from balsamlift.relay._statements import StatementDecoders, StatementReader
 from balsamlift.relay._unary import UnaryCalls
 from balsamlift.relay._upstream_chooser import UpstreamChooser
 
@@ -61,8 +62,7 @@
     cold_limits: ColdLimits | None = None  # None: unlimited
     regions: Mapping[str, str] = attrs.field(factory=dict)  # by domain
     names: HeaderNames
-    # Returns the requests per second that a header names, None if invalid.
-    decode_rate_limit: Callable[[str], float | None]
+    decoders: StatementDecoders
 
 
 class Relay:
@@ -117,13 +117,16 @@
             lambda: len(peers.live()) + 1,
             self._clock,
         )
-        rate_limits = RateLimitReader(
+        self._retry_after = RetryAfterTracker(self._clock, self._metrics)
+        statements = StatementReader(
             names,
-            self._settings.decode_rate_limit,
+            self._settings.decoders,
             peers.rate_limits,
+            self._upstreams.leaving_notices,
+            self._retry_after,
             self._metrics,
         )
-        exchange = Exchange(self._pool, names, self._clock, rate_limits)
+        exchange = Exchange(self._pool, names, self._clock, statements)
         self._admission = Admission(routing, names, self._random)
         self._crash_guard = CrashGuard(
             peers.crash_reports, self._upstreams, self._clock
@@ -253,5 +256,7 @@
             live = {u.name for u in self._upstreams.all()}
             self._pool.sweep(live)
             self._peers.permits.prune(live)
+            self._upstreams.leaving_notices.prune(live)
+            self._retry_after.discard_expired()
             self._balancer.discard_expired()
             self._crash_guard.discard_expired()
--- /dev/null
+++ b/src/balsamlift/relay/_statements.py
@@ -0,0 +1,160 @@
+"""Read what upstreams say about themselves in the heads of responses."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Literal
+
+import attrs
+from loguru import logger
+
+from balsamlift.metrics import Metrics
+from balsamlift.peers import LeavingNotices, RateLimits
+from balsamlift.relay._connection import ResponseHead
+from balsamlift.relay._header_names import HeaderNames
+from balsamlift.relay._headers import is_signed
+from balsamlift.relay._retry_after import RetryAfterTracker
+
+log = logger.bind(part="upstreams")
+
+MISDIRECTED_REQUEST = 421  # the address now belongs to another upstream
+INTERNAL_SERVER_ERROR = 500
+SERVICE_UNAVAILABLE = 503
+MAX_INVALID = 100  # upstreams whose invalid values are logged
+
+_Header = Literal["rate_limit", "leaving", "retry_after"]
+_INVALID_MESSAGES: dict[_Header, str] = {
+    "rate_limit": "rate limit is not a rate",
+    "leaving": "leaving notice is not valid",
+    "retry_after": "Retry-After is not a time",
+}
+
+
+@attrs.frozen(kw_only=True)
+class StatementDecoders:
+    """Decoders of header values, which return None for invalid ones."""
+
+    rate_limit: Callable[[str], float | None]  # requests per second
+    leaving: Callable[[str], bool | None]
+    retry_after: Callable[[str], float | None]  # seconds
+
+
+class StatementReader:
+    """Record what responses say; invalid values change nothing."""
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        decoders: StatementDecoders,
+        limits: RateLimits,
+        notices: LeavingNotices,
+        retry_after: RetryAfterTracker,
+        metrics: Metrics,
+    ) -> None:
+        """Record in `limits`, `notices` and `retry_after`."""
+        self._names = names
+        self._decoders = decoders
+        self._limits = limits
+        self._notices = notices
+        self._retry_after = retry_after
+        self._metrics = metrics
+        self._invalid: set[tuple[_Header, str]] = set()
+
+    def record_send(self, request_id: str, upstream: str) -> None:
+        """Count a request that is sent despite a statement of an upstream."""
+        if self._limits.find(upstream) is not None:
+            self._metrics.count("relay.sends_rate_limited")
+        notice_age_s = self._notices.age_s(upstream)
+        if notice_age_s is not None:
+            self._report_send("leaving", request_id, upstream, notice_age_s)
+        wait_s = self._retry_after.wait_s(upstream)
+        if wait_s > 0:
+            self._report_send("retry_after", request_id, upstream, wait_s)
+
+    def record_response(
+        self, upstream: str, head: ResponseHead, sent_s: float
+    ) -> None:
+        """Record what the response to a request sent at `sent_s` says.
+
+        A misdirected request was answered by another upstream.
+        """
+        if head.status == MISDIRECTED_REQUEST:
+            return
+        self._record_rate_limit(upstream, head, sent_s)
+        if self._is_leaving(upstream, head):
+            self._notices.record(upstream, "answer")
+        if head.status == SERVICE_UNAVAILABLE:
+            self._record_retry_after(upstream, head)
+
+    def _record_rate_limit(
+        self, upstream: str, head: ResponseHead, sent_s: float
+    ) -> None:
+        """Record the rate limit that a response names, or none.
+
+        Only a signed answer ends a limit: a refusal or an error may come from
+        a part of the upstream that does not know the limit.
+        """
+        text = head.headers.get(self._names.rate_limit)
+        if text is None:
+            if self._is_answer(head):
+                self._limits.record(upstream, None, sent_s)
+            return
+        limit_per_s = self._decoders.rate_limit(text)
+        if limit_per_s is None:
+            self._report_invalid("rate_limit", upstream, text)
+        else:
+            self._limits.record(upstream, limit_per_s, sent_s)
+
+    def _is_leaving(self, upstream: str, head: ResponseHead) -> bool:
+        text = head.headers.get(self._names.leaving)
+        if text is None or self._is_unsigned_success(head):
+            return False
+        is_leaving = self._decoders.leaving(text)
+        if is_leaving is None:
+            self._report_invalid("leaving", upstream, text)
+        return bool(is_leaving)
+
+    def _record_retry_after(self, upstream: str, head: ResponseHead) -> None:
+        text = head.headers.get("Retry-After")
+        if text is None:
+            return
+        retry_after_s = self._decoders.retry_after(text)
+        if retry_after_s is None:
+            self._report_invalid("retry_after", upstream, text)
+        else:
+            self._retry_after.record(upstream, retry_after_s)
+
+    def _is_answer(self, head: ResponseHead) -> bool:
+        return (
+            head.status < INTERNAL_SERVER_ERROR
+            and self._names.not_executed not in head.headers
+            and is_signed(head.headers, self._names)
+        )
+
+    def _is_unsigned_success(self, head: ResponseHead) -> bool:
+        """Return whether a response may consist of any bytes."""
+        is_success = 200 <= head.status < 300
+        return is_success and not is_signed(head.headers, self._names)
+
+    def _report_send(
+        self, statement: str, request_id: str, upstream: str, time_s: float
+    ) -> None:
+        self._metrics.count(f"relay.sends_despite_{statement}")
+        log.bind(
+            request=request_id,
+            upstream=upstream,
+            statement=statement,
+            time_ms=round(time_s * 1_000),
+        ).info("sent despite a statement of the upstream")
+
+    def _report_invalid(
+        self, header: _Header, upstream: str, text: str
+    ) -> None:
+        self._metrics.count(f"relay.{header}s_invalid")
+        key = header, upstream
+        if key in self._invalid or len(self._invalid) >= MAX_INVALID:
+            return
+        self._invalid.add(key)
+        log.bind(upstream=upstream, named=text[:40]).warning(
+            _INVALID_MESSAGES[header]
+        )
--- a/src/balsamlift/testing/_relay_harness.py
+++ b/src/balsamlift/testing/_relay_harness.py
@@ -16,7 +16,7 @@
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
 from balsamlift.peers import ListEntry, Peers, Upstream, Upstreams
-from balsamlift.platform._decode import decode_rate_limit
+from balsamlift.platform._decode import STATEMENT_DECODERS
 from balsamlift.relay import (
     CallerLimits,
     ColdLimits,
@@ -55,6 +55,7 @@
     expected_incarnation="Expected-Incarnation",
     not_executed="Not-Executed",
     rate_limit="Rate-Limit",
+    leaving="Leaving",
     priority="Priority",
     token_usage="Token-Usage",
     length_hint="Length-Hint",
@@ -235,7 +236,7 @@
             cold_limits=self._cold_limits,
             regions=self._regions,
             names=HEADER_NAMES,
-            decode_rate_limit=decode_rate_limit,
+            decoders=STATEMENT_DECODERS,
         )
         self.relay = Relay(relay, self.engines, self.clock, rng)
         for service in (
--- a/src/balsamlift/testing/_replica.py
+++ b/src/balsamlift/testing/_replica.py
@@ -36,7 +36,7 @@
         names: HeaderNames,
     ) -> None:
         """Wrap the streams of a connection; `names` are its headers."""
-        self.rate_limit = ""  # named in each answer unless empty
+        self.statements: dict[str, str] = {}  # headers of each answer
         self.reader = reader
         self.writer = writer
         self.names = names
@@ -54,8 +54,7 @@
         head = [f"HTTP/1.1 {status} Told", *lines]
         head.append(f"{self.names.request_id}: {request_id}")
         head.append(f"{self.names.signature}: signed-{request_id}")
-        if self.rate_limit:
-            head.append(f"{self.names.rate_limit}: {self.rate_limit}")
+        head += [f"{name}: {text}" for name, text in self.statements.items()]
         await self.send("\r\n".join([*head, "", ""]).encode())
 
     async def answer(
@@ -142,7 +141,10 @@
         self.address = ""  # "IP:port", once it listens
         self.state = "live"
         self.started_ms = 0  # as its entry in the list gives it
-        self.rate_limit = ""  # named in its answers unless empty
+        # In the heads of its answers unless empty.
+        self.rate_limit = ""
+        self.leaving = ""
+        self.retry_after = ""
         self.cold_ms = 0.0
         self.written = 0  # to be increased with each change of `cold_ms`
         self.open: set[asyncio.Task[None]] = set()
@@ -194,6 +196,15 @@
             for request in self.arrivals
         ]
 
+    def _statements(self) -> dict[str, str]:
+        """Return the headers that say something about this upstream."""
+        statements = {
+            self.names.rate_limit: self.rate_limit,
+            self.names.leaving: self.leaving,
+            "Retry-After": self.retry_after,
+        }
+        return {name: text for name, text in statements.items() if text}
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -215,7 +226,7 @@
                 await connection.head(request, 421, "Content-Length: 0")
                 continue
             self.arrivals.append(request)
-            connection.rate_limit = self.rate_limit
+            connection.statements = self._statements()
             await self.behave(connection, request)
 
 
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -21,6 +21,8 @@
     decode_configuration,
     decode_evacuations,
     decode_host,
+    decode_leaving,
+    decode_retry_after,
     decode_upstream,
     encode_operator_records,
 )
@@ -411,3 +413,35 @@
     assert values[CONFIGURATION_KEY] == b"{}"
     assert decode_evacuations(values) == ["north", "south"]
     assert {record.offset for record in records} == {6}
+
+
+@pytest.mark.parametrize(
+    ("text", "is_leaving"),
+    [("1", True), (" 1 ", True)]
+    + [
+        (text, None)
+        for text in ("", "0", "true", "1, 1", "1e0", "-1", "9" * 400)
+    ],
+)
+def test_only_one_value_says_that_an_upstream_is_leaving(
+    text: str, is_leaving: bool | None
+) -> None:
+    assert decode_leaving(text) is is_leaving
+
+
+@pytest.mark.parametrize(
+    ("text", "retry_after_s"),
+    [("3", 3.0), ("0", 0.0), ("0.25", 0.25), (" 7200 ", 7_200.0)]
+    + [("86400", 86_400.0), ("86401", None)]
+    + [
+        (text, None)
+        for text in (
+            *("", "-1", "nan", "inf", "1e400", "1" + "0" * 400, "3, 3"),
+            *("Wed, 21 Oct 2026 07:28:00 GMT", "3s", "+3", "\u0663"),
+        )
+    ],
+)
+def test_a_retry_after_that_is_no_number_of_seconds_is_invalid(
+    text: str, retry_after_s: float | None
+) -> None:
+    assert decode_retry_after(text) == retry_after_s
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -111,6 +111,28 @@
             answer = await world.call("/order/1", "r1", body=BODY)
 
 
+async def notice_given(
+    world: RelayHarness, stand_ins: list[ReplicaStandIn]
+) -> None:
+    for stand_in in stand_ins:
+        for stand_in.leaving in ("soon", "1"):
+            await world.call("/order/1", "r1", body=BODY)
+
+
+async def asked_for_no_requests(
+    world: RelayHarness, stand_ins: list[ReplicaStandIn]
+) -> None:
+    behave(stand_ins, refuse)
+    for stand_in in stand_ins:
+        stand_in.retry_after = "soon"
+    await world.call("/order/1", "r1", body=BODY)
+    for stand_in in stand_ins:
+        stand_in.retry_after = "0.3"
+    await world.call("/order/1", "r1", body=BODY)
+    while world.metrics.snapshot().gauges["relay.retry_after_upstreams"]:
+        await asyncio.sleep(0.1)
+
+
 async def broken_and_retried(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
@@ -359,6 +381,19 @@
     Expected(rate_limit_named, "rate limit is not", ("upstream", "named")),
     Expected(rate_limit_named, "rate limit ended", ("upstream", "age_ms")),
     Expected(rate_limit_named, "rate limited", ENDED),
+    Expected(notice_given, "leaving notice is not", ("upstream", "named")),
+    Expected(notice_given, "sent despite a statement", ("request", "time_ms")),
+    Expected(
+        asked_for_no_requests, "Retry-After is not", ("upstream", "named")
+    ),
+    Expected(
+        asked_for_no_requests,
+        "upstream asked for no requests",
+        ("upstream", "retry_after_ms"),
+    ),
+    Expected(
+        asked_for_no_requests, "upstream takes requests again", ("upstream",)
+    ),
     Expected(newer_version_reported, "newer configuration reported", NEWER),
     Expected(broken_and_retried, "ejected: ", ("request", "out_ms")),
     Expected(
--- a/tests/test_relay_rate_limits.py
+++ b/tests/test_relay_rate_limits.py
@@ -157,7 +157,7 @@
     async def fail(
         connection: ReplicaConnection, request: ReplicaRequest
     ) -> None:
-        connection.rate_limit = ""
+        connection.statements.clear()
         await connection.answer(request, b"failed", status)
 
     async def test() -> None:
