Split the table of upstreams from the service that tracks them

The table of known upstreams (by incarnation, with the cache of usable ones) is a module of its own; the service reads the list, marks states and notifies. No behaviour is meant to change: the cache is now cleared for a pool by what changes it rather than as a whole with each notification.

--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -19,8 +19,7 @@
     HostsList,
     ListEntry,
 )
-from balsamlift.peers._incarnations import take_latest
-from balsamlift.peers._known_upstream import KnownUpstream, find_usable
+from balsamlift.peers._known_upstream import KnownUpstream
 from balsamlift.peers._leaving_notices import LeavingNotices
 from balsamlift.peers._list_reader import ListReader, UpstreamList
 from balsamlift.peers._observed_states import (
@@ -31,9 +30,8 @@
     EntryHost,
     Upstream,
     build_entry_host,
-    build_upstream,
-    incarnation_name,
 )
+from balsamlift.peers._upstream_table import UpstreamTable
 from balsamlift.peers._upstreams_view import UpstreamsHandler
 from balsamlift.settings import Settings
 from balsamlift.timeline import Timeline
@@ -67,7 +65,6 @@
         Upstreams from `source` are not probed: only upstreams with the API
         of this project answer `/v1/state`.
         """
-        self._settings = settings
         self._clock = clock
         self._is_probing = source is None
         # Replaced in `start`; evacuations may arrive earlier.
@@ -88,8 +85,7 @@
         self.evacuations.on_change(self._apply_evacuations)
         self._unlisted: set[str] = set()
         self._entries: list[ListEntry] = []  # all but entry hosts
-        self._known: dict[str, KnownUpstream] = {}
-        self._usable: dict[str, list[Upstream]] = {}
+        self._table = UpstreamTable(settings.pools, self.evacuations, clock)
         self._entry_hosts: list[EntryHost] = []
         self._on_change: list[Callable[[], None]] = []
         self._on_mark: list[Callable[[Upstream], None]] = []
@@ -115,11 +111,11 @@
 
     def all(self) -> list[Upstream]:
         """Return all upstreams on the list, in any state."""
-        return [known.upstream for known in self._known.values()]
+        return [known.upstream for known in self._table.all()]
 
     def find(self, name: str) -> Upstream | None:
         """Return the upstream of that name, or None if it is not listed."""
-        known = self._known.get(name)
+        known = self._table.find(name)
         return known.upstream if known else None
 
     def in_pool(self, pool: str) -> list[Upstream]:
@@ -128,25 +124,11 @@
         If none is live, returns those that only peers report as dead: a peer
         that is cut off from a whole pool must not stop the work of all hosts.
         """
-        usable = self._usable.get(pool)
-        if usable is None:
-            usable = find_usable(
-                known
-                for known in self._known.values()
-                if known.listed.pool == pool
-            )
-            self._usable[pool] = usable
-        return list(usable)
+        return self._table.in_pool(pool)
 
     def evacuated(self, pool: str) -> list[Upstream]:
         """Return the upstreams that only evacuations keep from new work."""
-        return [
-            known.upstream
-            for known in self._known.values()
-            if known.listed.pool == pool
-            and known.upstream.is_evacuated
-            and known.upstream.state == "live"
-        ]
+        return self._table.evacuated(pool)
 
     def is_in_evacuation(self, upstream: Upstream) -> bool:
         """Return whether its failure domain is evacuated, listed or not."""
@@ -174,7 +156,7 @@
         draining. "dead" holds until the upstream answers; "live" clears
         "dead".
         """
-        known = self._known.get(name)
+        known = self._table.find(name)
         if known is None:
             return
         by_peer = source == PEER_SOURCE
@@ -185,7 +167,7 @@
 
     def record_answer(self, name: str, draining: bool | None) -> None:
         """Record that the upstream answered a probe of this host."""
-        known = self._known.get(name)
+        known = self._table.find(name)
         if known is None:
             return
         is_new = known.observed.record_answer(
@@ -231,8 +213,8 @@
         """
         if not self.is_list_unavailable:
             return
-        changed = self._apply_listed(self._build_upstreams(entries))
-        self._update_cold_times(entries)
+        changed = self._apply_listed(self._table.build(entries))
+        self._table.update_cold_times(entries)
         if changed:
             self._notify_change()
 
@@ -268,8 +250,7 @@
 
     def _refresh(self, known: KnownUpstream, source: str) -> None:
         """Recompute the state of `known`; log, record and notify changes."""
-        self._usable.pop(known.listed.pool, None)
-        if not known.refresh():
+        if not self._table.refresh(known):
             return
         upstream = known.upstream
         log.info("{} is {} ({})", upstream.name, upstream.state, source)
@@ -283,14 +264,12 @@
         self._notify_change()
 
     def _apply_evacuations(self) -> None:
-        for known in self._known.values():
-            known.refresh()
+        self._table.refresh_all()
         domains = self.evacuations.domains
         self._metrics.gauge("upstreams.evacuated_domains", len(domains))
         self._notify_change()
 
     def _notify_change(self) -> None:
-        self._usable.clear()
         for callback in self._on_change:
             callback()
 
@@ -317,7 +296,7 @@
         Peers may be unable to read the list. This is repeated after each
         read, also of an unchanged list, because reports to peers expire.
         """
-        for known in self._known.values():
+        for known in self._table.all():
             if known.listed.state != "live":
                 self._notify_mark(known.listed, known.listed.state)
 
@@ -326,76 +305,36 @@
         self._entries = [e for e in entries if e.role != ENTRY_ROLE]
         changed = hosts != self._entry_hosts
         self._entry_hosts = hosts
-        listed = self._build_upstreams(entries)
+        listed = self._table.build(entries)
         changed |= self._apply_listed(listed)
-        self._update_cold_times(self._entries)
-        ids = {upstream.id for upstream in listed}
-        self._unlisted = {
-            name
-            for name, known in self._known.items()
-            if known.listed.id not in ids
-        }
+        self._table.update_cold_times(self._entries)
+        self._unlisted = self._table.missing_from(listed)
         if changed:
             self._notify_change()
 
-    def _update_cold_times(self, entries: Iterable[ListEntry]) -> None:
-        """Update until when upstreams are cold, counted from now."""
-        now_s = self._clock.monotonic()
-        names = {incarnation_name(entry): entry for entry in entries}
-        for name in self._known.keys() & names.keys():
-            known, entry = self._known[name], names[name]
-            if known.written == entry.written:
-                continue
-            known.written = entry.written
-            known.cold_until_s = now_s + entry.cold_ms / 1_000
-            known.refresh()
-            self._usable.pop(known.listed.pool, None)
-
-    def _build_upstreams(self, entries: Iterable[ListEntry]) -> list[Upstream]:
-        built = [build_upstream(e, self._settings.pools) for e in entries]
-        return [upstream for upstream in built if upstream is not None]
-
     def _apply_listed(self, listed: Iterable[Upstream]) -> bool:
         """Apply the latest incarnations; return whether any is new."""
-        known = [known.listed for known in self._known.values()]
-        latest = take_latest(listed, known)
-        changed = False
-        for upstream in latest:
-            changed |= self._apply_upstream(upstream)
-        ids = {upstream.id for upstream in latest}
-        names = {upstream.name for upstream in latest}
+        changes = self._table.apply(listed)
+        for known in changes.changed:
+            self._refresh(known, LIST_SOURCE)
         # A restarted upstream keeps nothing of its previous incarnation.
-        self._remove(
-            {u.name for u in known if u.id in ids and u.name not in names}
-        )
-        return changed
+        self._remove(changes.replaced)
+        return changes.has_new
 
     def _clear_outdated_observations(self) -> None:
         """Clear older observations of upstreams that are listed as live."""
         now_s = self._clock.monotonic()
-        for known in list(self._known.values()):
+        for known in self._table.all():
             if known.observed.worst != "live" and known.listed.state == "live":
                 known.observed.record_listed_live(now_s)
                 self._refresh(known, LIST_SOURCE)
 
     def _remove(self, names: Iterable[str]) -> None:
         """Remove incarnations that are gone, and report them as leaving."""
-        removed = self._known.keys() & set(names)
-        for name in removed:
-            listed = self._known.pop(name).listed  # with its observations
+        removed = self._table.remove(names)
+        for listed in removed:
             self._notify_mark(listed, "leaving")
-            log.info("{} is no longer listed", name)
-        self._unlisted -= removed
+            log.info("{} is no longer listed", listed.name)
+        self._unlisted -= {listed.name for listed in removed}
         if removed:
             self._notify_change()
-
-    def _apply_upstream(self, listed: Upstream) -> bool:
-        """Apply one listed upstream; return whether the incarnation is new."""
-        known = self._known.get(listed.name)
-        if known is None or known.listed.address != listed.address:
-            self._known[listed.name] = KnownUpstream(listed, self.evacuations)
-            return True
-        if known.listed != listed:
-            known.listed = listed
-            self._refresh(known, LIST_SOURCE)
-        return False
