Hold the reports that hosts forward to each other in one object

Reports of upstream states, of crashes and of rate limits are started, sent and received alike, by one object; the composer and the receiver get that instead of three. No behaviour changes. Tests of peers, crash reports, permits and upstreams pass.

--- a/src/balsamlift/peers/_composer.py
+++ b/src/balsamlift/peers/_composer.py
@@ -9,14 +9,12 @@
 
 from balsamlift.clock import Clock
 from balsamlift.peers._counts import OwnCounts
-from balsamlift.peers._crash_reports import CrashReports
 from balsamlift.peers._evacuations import EvacuationSnapshot
 from balsamlift.peers._link import Draft, Link, SentChanges
 from balsamlift.peers._members import Members
 from balsamlift.peers._messages import Member, PeerMessage, SharedPlatformState
 from balsamlift.peers._peer_statuses import PeerStatuses
-from balsamlift.peers._rate_limits import RateLimits
-from balsamlift.peers._upstream_reports import UpstreamReports
+from balsamlift.peers._reports import Reports
 
 RECENT_MEMBERS = 32  # changes sent on a new link; the peer requests the rest
 SAMPLE_EVERY = 8  # messages per random entry, sent in case the peer missed it
@@ -43,9 +41,7 @@
         self,
         members: Members,
         counts: OwnCounts,
-        upstream_reports: UpstreamReports,
-        crash_reports: CrashReports,
-        rate_limits: RateLimits,
+        reports: Reports,
         peer_statuses: PeerStatuses,
         clock: Clock,
         rng: random.Random,
@@ -53,9 +49,7 @@
         """Read from these tables, which other objects update."""
         self._members = members
         self._counts = counts
-        self._upstream_reports = upstream_reports
-        self._crash_reports = crash_reports
-        self._rate_limits = rate_limits
+        self._reports = reports
         self._peer_statuses = peer_statuses
         self._clock = clock
         self._random = rng
@@ -66,7 +60,7 @@
         peer_status = self._peer_statuses.find(link.host)
         own = self._members.own
         sends_full_counts = self._are_full_counts_due(link)
-        now_s = self._clock.monotonic()
+        sent, reports = link.sent_changes.reports, self._reports
         message = PeerMessage(
             host=own.host,
             incarnation=own.incarnation,
@@ -84,24 +78,16 @@
             members=self._members_for(link),
             counts=self._counts_for(link, sends_full_counts),
             counts_are_full=sends_full_counts,
-            upstream_reports=self._upstream_reports.changed_since(
-                link.sent_changes.upstream_reports, now_s
+            upstream_reports=reports.upstream_states.changed_since(
+                sent.upstream_states, self._clock.monotonic()
             ),
             shared=status.shared,
             evacuations=status.evacuations,
-            crash_reports=self._crash_reports.changed_since(
-                link.sent_changes.crash_reports
-            ),
-            rate_limits=self._rate_limits.changed_since(
-                link.sent_changes.rate_limits
-            ),
+            crash_reports=reports.crashes.changed_since(sent.crashes),
+            rate_limits=reports.rate_limits.changed_since(sent.rate_limits),
         )
         sent_changes = SentChanges(
-            self._members.change,
-            self._counts.change,
-            self._upstream_reports.change,
-            self._crash_reports.change,
-            self._rate_limits.change,
+            self._members.change, self._counts.change, reports.change
         )
         return Draft(message, sent_changes)
 
--- a/src/balsamlift/peers/_link.py
+++ b/src/balsamlift/peers/_link.py
@@ -15,6 +15,7 @@
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
 from balsamlift.peers._messages import Member, PeerMessage, encode_message
+from balsamlift.peers._reports import NO_REPORTS_SENT, SentReports
 from balsamlift.settings import PeerSettings
 
 log = logger.bind(part="peers")
@@ -31,9 +32,7 @@
 
     members: int | None = None
     counts: int | None = None
-    upstream_reports: int = 0
-    crash_reports: int = 0
-    rate_limits: int = 0
+    reports: SentReports = NO_REPORTS_SENT
 
     @property
     def any_sent(self) -> bool:
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -17,7 +17,6 @@
 from balsamlift.operators import OperatorsServer
 from balsamlift.peers._composer import Composer, OwnStatus
 from balsamlift.peers._configuration import ConfigurationFinder
-from balsamlift.peers._crash_reports import CrashReports
 from balsamlift.peers._host_ranks import HostRank
 from balsamlift.peers._host_roles import HostRoles
 from balsamlift.peers._hosts_view import HostsHandler
@@ -31,12 +30,10 @@
 from balsamlift.peers._peer import Peer, describe
 from balsamlift.peers._peer_statuses import PeerStatuses
 from balsamlift.peers._permits import Permits, SocketTransport
-from balsamlift.peers._rate_limits import RateLimits
 from balsamlift.peers._receiver import Receiver
+from balsamlift.peers._reports import Reports
 from balsamlift.peers._shared_records import SharedRecords
 from balsamlift.peers._sharing import Sharing
-from balsamlift.peers._upstream_gossip import UpstreamGossip
-from balsamlift.peers._upstream_reports import UpstreamReports
 from balsamlift.peers._upstreams import Upstreams
 from balsamlift.settings import Settings
 from balsamlift.timeline import Timeline
@@ -94,10 +91,9 @@
             )
         )
         self._dead_since_s: dict[str, float] = {}
-        self._upstream_reports = UpstreamReports()
-        self.crash_reports = CrashReports(clock)
-        self.rate_limits = RateLimits(clock)
-        self._upstream_gossip = UpstreamGossip(self._upstream_reports, clock)
+        self._reports = Reports(clock)
+        self.crash_reports = self._reports.crashes
+        self.rate_limits = self._reports.rate_limits
         silence_s = settings.peers.silence_ms / 1_000
         self._peer_statuses = PeerStatuses(clock, silence_s)
         self._roles = HostRoles(
@@ -116,9 +112,7 @@
         self._composer = Composer(
             self._members,
             self._load.own,
-            self._upstream_reports,
-            self.crash_reports,
-            self.rate_limits,
+            self._reports,
             self._peer_statuses,
             clock,
             rng,
@@ -144,9 +138,7 @@
         operators.add_routes([(r"/v1/hosts", HostsHandler, arguments)])
         self._links.start(self._metrics)
         self._load.start(self._members, self._links.wake, self._metrics)
-        self._upstream_gossip.start(self._upstreams, self._links.wake)
-        self.crash_reports.start(self._links.wake)
-        self.rate_limits.start(self._links.wake, self._metrics)
+        self._reports.start(self._upstreams, self._links.wake, self._metrics)
         self.permits.start(self._metrics)
         self._load.answer_permits(self.permits.grant)
         self._roles.start(self._upstreams)
@@ -157,9 +149,7 @@
             peer_statuses=self._peer_statuses,
             load=self._load,
             links=self._links,
-            upstream_gossip=self._upstream_gossip,
-            crash_reports=self.crash_reports,
-            rate_limits=self.rate_limits,
+            reports=self._reports,
             sharing=self.sharing,
             upstreams=self._upstreams,
             timeline=self._timeline,
@@ -255,7 +245,7 @@
         """Report to peers at once that an upstream is leaving or dead."""
         upstream = self._upstreams.find(name)
         if upstream is not None and state != "live":
-            self._upstream_gossip.publish(attrs.evolve(upstream, state=state))
+            self._reports.gossip.publish(attrs.evolve(upstream, state=state))
 
     def announce_leaving(self) -> None:
         """Announce to peers at once that this host is leaving."""
@@ -386,7 +376,7 @@
     def _drop_expired(self) -> None:
         """Drop expired reports, sent zero counts and hosts long dead."""
         now_s = self._clock.monotonic()
-        self._upstream_reports.expire(now_s)
+        self._reports.expire()
         sent_change = self._links.sent_counts_change(
             default=self._load.own.change
         )
--- a/src/balsamlift/peers/_receiver.py
+++ b/src/balsamlift/peers/_receiver.py
@@ -6,15 +6,13 @@
 
 import attrs
 
-from balsamlift.peers._crash_reports import CrashReports
 from balsamlift.peers._links import Links
 from balsamlift.peers._load import Load
 from balsamlift.peers._members import Members
 from balsamlift.peers._messages import Member, PeerMessage
 from balsamlift.peers._peer_statuses import PeerStatuses
-from balsamlift.peers._rate_limits import RateLimits
+from balsamlift.peers._reports import Reports
 from balsamlift.peers._sharing import Sharing
-from balsamlift.peers._upstream_gossip import UpstreamGossip
 from balsamlift.peers._upstreams import Upstreams
 from balsamlift.timeline import Timeline
 
@@ -27,9 +25,7 @@
     _peer_statuses: PeerStatuses
     _load: Load
     _links: Links
-    _upstream_gossip: UpstreamGossip
-    _crash_reports: CrashReports
-    _rate_limits: RateLimits
+    _reports: Reports
     _sharing: Sharing
     _upstreams: Upstreams
     _timeline: Timeline
@@ -48,9 +44,7 @@
         self._load.peer_counts.update(
             message.host, message.counts, full=message.counts_are_full
         )
-        self._upstream_gossip.receive(message.upstream_reports)
-        self._crash_reports.add(message.crash_reports)
-        self._rate_limits.add(message.rate_limits)
+        self._reports.receive(message)
         # Evacuations come before the configuration: a host that has just
         # started must not serve with the configuration alone.
         if message.evacuations is not None:
