Send nothing new to an upstream whose own answers say that it leaves

Cause: the header was passed on as any other; an upstream counted as leaving only when the list, a report or a peer said so, and the store had that 13 s later. Marking it as leaving would not have been enough: an observed state is cleared after 3 s where the list says live, which is right for suspicions and wrong for the upstream's own word. Notices are kept apart, for one incarnation, and nothing but a new start ends one; an entry that comes back does not.

New: a restart under the same id, an entry that comes back, each status, invalid values, misdirected and unsigned answers, the last resort.

--- a/src/balsamlift/peers/_leaving_notices.py
+++ b/src/balsamlift/peers/_leaving_notices.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 import attrs
 from loguru import logger
@@ -30,8 +30,9 @@
 class LeavingNotices:
     """Keep the upstreams that have said that they are leaving.
 
-    A notice holds for one incarnation of an upstream, until the list no
-    longer has it.
+    A notice holds for one incarnation of an upstream. Neither the list nor a
+    later answer lifts it: either may be older, or from a part of the upstream
+    that does not know of it.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -39,11 +40,20 @@
         self._clock = clock
         self._metrics = Metrics()
         self._notices: dict[str, _Notice] = {}  # oldest first
+        self._on_notice: list[Callable[[str], None]] = []
 
     def start(self, metrics: Metrics) -> None:
         """Publish the number of notices in `metrics`."""
         self._metrics = metrics
 
+    def on_notice(self, callback: Callable[[str], None]) -> None:
+        """Call `callback` with the name of each upstream that gives notice."""
+        self._on_notice.append(callback)
+
+    def has(self, upstream: str) -> bool:
+        """Return whether an upstream has given notice."""
+        return upstream in self._notices
+
     def age_s(self, upstream: str) -> float | None:
         """Return the time since an upstream gave notice, or None."""
         notice = self._notices.get(upstream)
@@ -66,6 +76,8 @@
         log.bind(upstream=upstream, source=source, age_ms=0).info(
             "upstream gave notice that it is leaving"
         )
+        for callback in self._on_notice:
+            callback(upstream)
 
     def prune(self, listed: Collection[str]) -> None:
         """Discard notices of upstreams that are long gone from the list."""
--- a/src/balsamlift/peers/_upstream_table.py
+++ b/src/balsamlift/peers/_upstream_table.py
@@ -11,6 +11,7 @@
 from balsamlift.peers._hosts_list import ListEntry
 from balsamlift.peers._incarnations import take_latest
 from balsamlift.peers._known_upstream import KnownUpstream, find_usable
+from balsamlift.peers._leaving_notices import LeavingNotices
 from balsamlift.peers._upstream import (
     Upstream,
     build_upstream,
@@ -35,11 +36,13 @@
         self,
         pools: Mapping[str, PoolSettings],
         evacuations: Evacuations,
+        leaving_notices: LeavingNotices,
         clock: Clock,
     ) -> None:
         """Start with no upstream."""
         self._pools = pools
         self._evacuations = evacuations
+        self._leaving_notices = leaving_notices
         self._clock = clock
         self._known: dict[str, KnownUpstream] = {}
         self._usable: dict[str, list[Upstream]] = {}  # by pool, a cache
@@ -68,6 +71,14 @@
             if known.upstream.is_evacuated and known.upstream.state == "live"
         ]
 
+    def last_resorts(self, pool: str, max_age_s: float) -> list[Upstream]:
+        """Return the upstreams that only a recent notice keeps from work."""
+        return [
+            known.upstream
+            for known in self._members(pool)
+            if known.is_last_resort(max_age_s)
+        ]
+
     def refresh(self, known: KnownUpstream) -> bool:
         """Recompute the state of an upstream; return whether it changed."""
         self._usable.pop(known.listed.pool, None)
@@ -132,7 +143,9 @@
 
     def _add(self, upstream: Upstream) -> None:
         self._usable.pop(upstream.pool, None)
-        self._known[upstream.name] = KnownUpstream(upstream, self._evacuations)
+        self._known[upstream.name] = KnownUpstream(
+            upstream, self._evacuations, self._leaving_notices
+        )
 
     def _pop(self, name: str) -> Upstream:
         listed = self._known.pop(name).listed  # with its observations
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -40,6 +40,7 @@
 
 PEER_SOURCE = "peer"  # the source of a state reported by a peer
 LIST_SOURCE = "list"
+NOTICE_SOURCE = "notice"  # its own answers say that it is leaving
 LIST_TIMEOUT_MS = 2_000
 
 
@@ -83,9 +84,12 @@
         self.leaving_notices = LeavingNotices(clock)
         self.evacuations = Evacuations()
         self.evacuations.on_change(self._apply_evacuations)
+        self.leaving_notices.on_notice(self._apply_notice)
         self._unlisted: set[str] = set()
         self._entries: list[ListEntry] = []  # all but entry hosts
-        self._table = UpstreamTable(settings.pools, self.evacuations, clock)
+        self._table = UpstreamTable(
+            settings.pools, self.evacuations, self.leaving_notices, clock
+        )
         self._entry_hosts: list[EntryHost] = []
         self._on_change: list[Callable[[], None]] = []
         self._on_mark: list[Callable[[Upstream], None]] = []
@@ -126,6 +130,13 @@
         """
         return self._table.in_pool(pool)
 
+    def last_resorts(self, pool: str, max_age_s: float) -> list[Upstream]:
+        """Return the upstreams that gave notice at most that long ago.
+
+        They are otherwise live, and still work for a while.
+        """
+        return self._table.last_resorts(pool, max_age_s)
+
     def evacuated(self, pool: str) -> list[Upstream]:
         """Return the upstreams that only evacuations keep from new work."""
         return self._table.evacuated(pool)
@@ -269,6 +280,11 @@
         self._metrics.gauge("upstreams.evacuated_domains", len(domains))
         self._notify_change()
 
+    def _apply_notice(self, name: str) -> None:
+        known = self._table.find(name)
+        if known is not None:
+            self._refresh(known, NOTICE_SOURCE)
+
     def _notify_change(self) -> None:
         for callback in self._on_change:
             callback()
--- a/src/balsamlift/platform/_settings.py
+++ b/src/balsamlift/platform/_settings.py
@@ -176,6 +176,7 @@
             regions=self.regions,
             names=HEADERS,
             decoders=STATEMENT_DECODERS,
+            drain_s=self.drain_ms / 1_000,
         )
 
 
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -61,11 +61,14 @@
         failure_domain: str,
         cold_starts: ColdStartLimiter | None = None,
         regions: Mapping[str, str] | None = None,
+        last_resort_s: float = 0.0,
     ) -> None:
         """Add the counts received by `peers` to those of this host.
 
-        `regions` holds the region of each failure domain.
+        `regions` holds the region of each failure domain. An upstream that
+        has given notice is a last resort for `last_resort_s`.
         """
+        self._last_resort_s = last_resort_s
         self._cold_starts = cold_starts
         self._regions = regions or {}
         self._upstreams = upstreams
@@ -222,11 +225,21 @@
         Those in `denied` may not take it now, but are as healthy as before:
         no upstream that is not takes their place.
         """
-        choices = [
-            u for u in self.usable(scope, tried) if u.name not in denied
-        ]
+        usable = self.usable(scope, tried) or self._last_resorts(scope, tried)
+        choices = [u for u in usable if u.name not in denied]
         return min(choices, key=self._call_cost) if choices else None
 
+    def _last_resorts(
+        self, scope: Scope, tried: Collection[str]
+    ) -> list[Upstream]:
+        found = self._upstreams.last_resorts(scope.pool, self._last_resort_s)
+        return [
+            upstream
+            for upstream in found
+            if upstream.name not in tried
+            and self._is_permitted(scope, upstream)
+        ]
+
     def find_usable(
         self, scope: Scope, tried: Collection[str], name: str
     ) -> Upstream | None:
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -49,6 +49,9 @@
 MEMORY_POLL_INTERVAL_S = 0.1
 # The same if the load counts have to be requested from another host.
 REMOTE_MEMORY_POLL_INTERVAL_S = 0.3
+# Part of the time for which a leaving upstream still works in which calls that
+# no other upstream can take are sent there. The rest is for their responses.
+LAST_RESORT_FRACTION = 0.5
 # Interval between removals of stale connections and records.
 SWEEP_INTERVAL_S = 1.0
 
@@ -63,6 +66,7 @@
     regions: Mapping[str, str] = attrs.field(factory=dict)  # by domain
     names: HeaderNames
     decoders: StatementDecoders
+    drain_s: float  # for which an upstream still works once it is leaving
 
 
 class Relay:
@@ -110,6 +114,7 @@
                 self._clock,
             ),
             self._settings.regions,
+            self._settings.drain_s * LAST_RESORT_FRACTION,
         )
         self._allocator = MemoryAllocator(balancer)
         self._retries = RetryBudget(
--- a/src/balsamlift/testing/_relay_harness.py
+++ b/src/balsamlift/testing/_relay_harness.py
@@ -75,6 +75,7 @@
         }
     ),
 )
+DRAIN_S = 2.0
 HOST = "shop.example"
 KEY = "key-of-bench"
 WORKSPACE = "bench"
@@ -237,6 +238,7 @@
             regions=self._regions,
             names=HEADER_NAMES,
             decoders=STATEMENT_DECODERS,
+            drain_s=DRAIN_S,
         )
         self.relay = Relay(relay, self.engines, self.clock, rng)
         for service in (
--- a/tests/test_relay_leaving_notices.py
+++ b/tests/test_relay_leaving_notices.py
@@ -6,7 +6,12 @@
 from _relay_load import PATHS, Load, Pool, run
 from _virtual_time import LoopClock
 
-from balsamlift.testing.relay import RelayHarness
+from balsamlift.testing._replica import Behave
+from balsamlift.testing.relay import (
+    RelayHarness,
+    ReplicaConnection,
+    ReplicaRequest,
+)
 
 DRAIN_S = 2.0  # after a notice until the upstream gets no more requests
 MAX_REFUSAL_S = 0.5
@@ -71,3 +76,124 @@
             assert all(call.retry_after_s for call in late)
 
     run(test)
+
+
+def test_a_restart_under_the_same_id_gets_requests_again() -> None:
+    async def test() -> None:
+        pool = Pool("plain", 2)
+        first = pool.stand_ins[0]
+        first.leaving = "1"
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, "/order/1")
+            await first_answer(load, pool)
+            first.leaving = ""
+            first.started_ms = 5
+            await load.run(0.5)
+            before = len(pool.arrivals[first.name])
+            calls = await load.run(2.0)
+            assert len(pool.arrivals[first.name]) - before >= len(calls) / 4
+
+    run(test)
+
+
+def test_an_entry_that_comes_back_does_not_lift_a_notice() -> None:
+    async def test() -> None:
+        pool = Pool("plain", 2)
+        first = pool.stand_ins[0]
+        first.leaving = "1"
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, "/order/1")
+            noticed_s = await first_answer(load, pool)
+            world.list.replicas.remove(first)
+            await load.run(1.0)
+            world.list.replicas.append(first)
+            await load.run(5.0)
+            assert late_arrivals(load, pool, noticed_s) == []
+
+    run(test)
+
+
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_a_notice_in_any_answer_counts(status: int) -> None:
+    async def fail(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await connection.answer(request, b"told", status)
+
+    async def test() -> None:
+        pool = Pool("plain", 2)
+        pool.work = fail
+        pool.stand_ins[0].leaving = "1"
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, "/order/1")
+            noticed_s = await first_answer(load, pool)
+            await load.run(4.0)
+            assert late_arrivals(load, pool, noticed_s) == []
+
+    run(test)
+
+
+@pytest.mark.parametrize("value", ["0", "soon", "1, 1", "1e0"])
+def test_an_invalid_notice_changes_nothing(value: str) -> None:
+    async def test() -> None:
+        pool = Pool("plain", 2)
+        pool.stand_ins[0].leaving = value
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, "/order/1")
+            calls = await load.run(4.0)
+            assert len(pool.arrivals["plain-0"]) >= len(calls) / 4
+
+    run(test)
+
+
+async def misdirect(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    await connection.head(request, 421, "Content-Length: 0")
+
+
+async def answer_unsigned(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    lines = [f"{name}: {text}" for name, text in connection.statements.items()]
+    head = ["HTTP/1.1 200 OK", *lines, "Content-Length: 4", "", ""]
+    await connection.send("\r\n".join(head).encode() + b"text")
+
+
+@pytest.mark.parametrize("work", [misdirect, answer_unsigned])
+def test_an_answer_that_is_not_the_upstreams_own_is_no_notice(
+    work: Behave,
+) -> None:
+    async def test() -> None:
+        pool = Pool("plain", 1)
+        pool.work = work
+        pool.stand_ins[0].leaving = "1"
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            await Load(world, "/order/1").run(0.5)
+            assert world.upstreams.may_take_work("plain-0")
+
+    run(test)
+
+
+def test_a_call_that_no_other_upstream_can_take_is_served_for_a_while() -> (
+    None
+):
+    """Half of the time for which a leaving upstream still works."""
+
+    async def test() -> None:
+        pool = Pool("plain", 1)
+        pool.stand_ins[0].leaving = "1"
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, "/order/1")
+            noticed_s = await first_answer(load, pool)
+            await load.run(1.0)
+            soon = [c for c in load.calls if c.sent_s < noticed_s + 0.8]
+            assert {call.status for call in soon} == {200}
+
+    run(test)
