Refuse a generation at once if all of its engines gave notice

Callers waited for their target (1.0 s in the listed test) for memory of engines that all say that they leave, and were then refused with "no room". The queue for memory knew only operators as a reason not to wait; an engine's own notice is another.

--- a/src/balsamlift/peers/_upstream_table.py
+++ b/src/balsamlift/peers/_upstream_table.py
@@ -71,6 +71,14 @@
             if known.upstream.is_evacuated and known.upstream.state == "live"
         ]
 
+    def leaving_by_notice(self, pool: str) -> list[Upstream]:
+        """Return the upstreams of a pool that have given notice."""
+        return [
+            known.upstream
+            for known in self._members(pool)
+            if known.has_given_notice
+        ]
+
     def last_resorts(self, pool: str, max_age_s: float) -> list[Upstream]:
         """Return the upstreams that only a recent notice keeps from work."""
         return [
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -130,6 +130,10 @@
         """
         return self._table.in_pool(pool)
 
+    def leaving_by_notice(self, pool: str) -> list[Upstream]:
+        """Return the upstreams of a pool that have given notice."""
+        return self._table.leaving_by_notice(pool)
+
     def last_resorts(self, pool: str, max_age_s: float) -> list[Upstream]:
         """Return the upstreams that gave notice at most that long ago.
 
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -197,11 +197,12 @@
         if self._cold_starts is not None:
             self._cold_starts.record_send(upstream)
 
-    def is_blocked_by_operators(self, scope: Scope) -> bool:
-        """Return whether operators leave no upstream for a call.
+    def is_closed(self, scope: Scope) -> bool:
+        """Return whether there is no use in waiting for an upstream.
 
-        Either by evacuations, or because its route and its workspace have no
-        region in common.
+        Operators may leave none for a call, by evacuations or because its
+        route and its workspace have no region in common, or those that are
+        left may all have given notice.
         """
         if scope.regions is not None and not scope.regions:
             return True
@@ -210,8 +211,11 @@
             for u in self._upstreams.in_pool(scope.pool)
         ):
             return False
-        evacuated = self._upstreams.evacuated(scope.pool)
-        return any(self._is_permitted(scope, u) for u in evacuated)
+        closed = [
+            *self._upstreams.evacuated(scope.pool),
+            *self._upstreams.leaving_by_notice(scope.pool),
+        ]
+        return any(self._is_permitted(scope, u) for u in closed)
 
     def _is_permitted(self, scope: Scope, upstream: Upstream) -> bool:
         region = self._regions.get(upstream.failure_domain, "")
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -143,7 +143,7 @@
                     attempt, call, now_s, reservation.retry_after_s
                 )
             if reservation is None:
-                if self._context.balancer.is_blocked_by_operators(call.scope):
+                if self._context.balancer.is_closed(call.scope):
                     return no_upstream(attempt, call, now_s)
                 return no_memory(attempt, call, now_s)
             backup = Backup(self._context, job)
--- a/src/balsamlift/relay/_memory_allocator.py
+++ b/src/balsamlift/relay/_memory_allocator.py
@@ -182,9 +182,9 @@
         """Reserve `tokens` of memory as soon as an engine has it free.
 
         A request that is larger than an engine waits for an empty one.
-        Returns None immediately if evacuations leave no engine for it.
+        Returns None immediately if there is no use in waiting.
         """
-        if self._balancer.is_blocked_by_operators(scope):
+        if self._balancer.is_closed(scope):
             return None
         tokens = min(
             tokens, int(traits.memory_tokens * self._policy.fill_limit)
@@ -230,7 +230,7 @@
             if upstream is not None:
                 self._waiting.remove(queued)
                 entry.granted.set_result(self.reserve(upstream, entry.tokens))
-            elif self._balancer.is_blocked_by_operators(entry.scope):
+            elif self._balancer.is_closed(entry.scope):
                 self._waiting.remove(queued)
                 entry.granted.set_result(None)
             else:
--- a/tests/_listed_engines.py
+++ b/tests/_listed_engines.py
@@ -32,6 +32,9 @@
     def in_pool(self, pool: str) -> list[Upstream]:
         return list(self._upstreams)
 
+    def leaving_by_notice(self, pool: str) -> list[Upstream]:
+        return []
+
     def last_resorts(self, pool: str, max_age_s: float) -> list[Upstream]:
         return []
 
