Keep generations off engines that gave notice after they were chosen

A notice that came with the answer to a resumed request was acted on while the generation still counted as on its old engine, so that it stayed on the leaving one until that ended; and memory was copied to a target that had given notice during the copy.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -151,6 +151,14 @@
         """Return an empty list, as no engine is evacuated."""
         return []
 
+    def leaving_by_notice(self, pool: str) -> list[Upstream]:
+        """Return an empty list, as no engine gives notice."""
+        return []
+
+    def last_resorts(self, pool: str, max_age_s: float) -> list[Upstream]:
+        """Return an empty list, as no engine gives notice."""
+        return []
+
     def all(self) -> list[Upstream]:
         """Return all engines."""
         return self.live
--- a/src/balsamlift/relay/_move.py
+++ b/src/balsamlift/relay/_move.py
@@ -104,6 +104,8 @@
             await self._pre_copy(target)
             if self._context.upstreams.is_in_evacuation(target):
                 raise CopyRefusedError(target.name, "evacuated")
+            if self._context.upstreams.leaving_notices.has(target.name):
+                raise CopyRefusedError(target.name, "leaving")
             stopped_s = loop.time()
             copy = await self._context.engines.copy(
                 self._source, self._job.request_id, target, stop=True
--- a/tests/test_relay_leaving_notices.py
+++ b/tests/test_relay_leaving_notices.py
@@ -2,12 +2,23 @@
 
 import asyncio
 
+import attrs
 import pytest
+from _relay_helpers import (
+    USAGE,
+    hang_midway,
+    stream,
+    until_arrived,
+)
 from _relay_load import PATHS, Load, Pool, run
 from _virtual_time import LoopClock
 
+from balsamlift.peers import Upstream
+from balsamlift.relay import MemoryCopy, Service
+from balsamlift.testing._relay_harness import ENGINE
 from balsamlift.testing._replica import Behave
 from balsamlift.testing.relay import (
+    HEADER_NAMES,
     RelayHarness,
     ReplicaConnection,
     ReplicaRequest,
@@ -197,3 +208,86 @@
             assert {call.status for call in soon} == {200}
 
     run(test)
+
+
+def test_a_generation_leaves_an_engine_that_gave_notice_on_resuming() -> None:
+    async def test() -> None:
+        pool = Pool("model", 3)
+        resumed: list[str] = []
+
+        async def resume(
+            connection: ReplicaConnection, request: ReplicaRequest
+        ) -> None:
+            resumed.append(request.headers[HEADER_NAMES.resume_source])
+            if len(resumed) > 1:
+                await stream(connection, request)
+                return
+            connection.statements[HEADER_NAMES.leaving] = "1"
+            await connection.begin_stream(request)
+            await connection.reader.read()
+
+        for stand_in in pool.stand_ins:
+            stand_in.behave = hang_midway
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE)
+            )
+            first = await until_arrived(pool.stand_ins)
+            await asyncio.sleep(0.1)  # until its first events have arrived
+            for stand_in in pool.stand_ins:
+                stand_in.behave = resume
+            first.state = "leaving"
+            answer = await calling
+            assert answer.is_whole
+            assert len(resumed) == 2
+
+    run(test)
+
+
+def test_memory_is_not_moved_to_an_engine_that_gave_notice_meanwhile() -> None:
+    async def test() -> None:
+        pool = Pool("model", 3)
+        traits = attrs.evolve(ENGINE, can_back_up=False)
+        service = Service(name="model", max_connections=100, engine=traits)
+        for stand_in in pool.stand_ins:
+            stand_in.behave = hang_midway
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure(services=(service,))
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE)
+            )
+            first = await until_arrived(pool.stand_ins)
+            await asyncio.sleep(0.1)  # until its first events have arrived
+            copied_to: list[str] = []
+            copy = world.engines.copy
+
+            async def copy_and_notice(
+                source: Upstream,
+                request_id: str,
+                target: Upstream,
+                *,
+                stop: bool,
+            ) -> MemoryCopy:
+                copied_to.append(target.name)
+                if len(copied_to) == 1:
+                    world.upstreams.leaving_notices.record(
+                        target.name, "answer"
+                    )
+                return await copy(source, request_id, target, stop=stop)
+
+            world.engines.copy = copy_and_notice  # type: ignore[method-assign]
+            stopped = asyncio.Event()
+            world.engines.stop_events.append(stopped)
+            for stand_in in pool.stand_ins:
+                stand_in.behave = stream
+            first.state = "leaving"
+            await stopped.wait()
+            for task in list(first.open):
+                task.cancel()
+            answer = await calling
+            assert answer.is_whole
+            assert len(set(copied_to)) == 2
+            assert copied_to[-1] != copied_to[0]
+
+    run(test)
