Keep to an engine's report that it leaves when the list says live

A report says the same as a notice in an answer, but was recorded as a suspicion, which the list clears 3 s after it can be read again; its head was not read at all. Both tests fail without it.

--- a/src/balsamlift/platform/_engines.py
+++ b/src/balsamlift/platform/_engines.py
@@ -6,7 +6,8 @@
 
 from balsamlift._http import Answer, CallError, HttpClient
 from balsamlift.peers import Upstream
-from balsamlift.platform._names import MOVE_PATH, REPORT_PATH
+from balsamlift.platform._decode import decode_leaving
+from balsamlift.platform._names import HEADERS, MOVE_PATH, REPORT_PATH
 from balsamlift.relay import (
     CopyError,
     CopyRefusedError,
@@ -70,7 +71,7 @@
                 )
                 for request_id, tokens, events, _ in report.Runs
             ],
-            is_leaving=report.LifecycleState not in ("", "ready"),
+            is_leaving=_says_leaving(report, answer),
             started_ms=report.born,
             time_left_s=_ms_to_s(report.leaves_ms),
         )
@@ -113,6 +114,13 @@
         raise CopyError(source.name, f"status {answer.status}")
 
 
+def _says_leaving(report: _Report, answer: Answer) -> bool:
+    text = answer.headers.get(HEADERS.leaving, "")
+    return report.LifecycleState not in ("", "ready") or bool(
+        decode_leaving(text)
+    )
+
+
 def _ms_to_s(value_ms: float | None) -> float | None:
     return None if value_ms is None else value_ms / 1_000
 
--- a/src/balsamlift/relay/_leaving_detector.py
+++ b/src/balsamlift/relay/_leaving_detector.py
@@ -20,7 +20,7 @@
 
     The platform charges for reports, so only engines that run work of this
     host are asked, and only while the list of upstreams is unavailable.
-    Leaving engines are marked, and the marks are shared with all hosts.
+    A report is the engine's own word, as good as a notice in an answer.
     """
 
     def __init__(
@@ -67,5 +67,8 @@
             return
         # A restarted engine has lost all work that this host sent to it.
         has_restarted = report.started_ms not in (0, upstream.started_ms)
-        if report.is_leaving or has_restarted:
+        if report.is_leaving:
+            notices = self._upstreams.leaving_notices
+            notices.record(upstream.name, REPORT_SOURCE)
+        elif has_restarted:
             self._upstreams.mark(upstream.name, "leaving", REPORT_SOURCE)
--- /dev/null
+++ b/tests/test_platform_engines.py
@@ -0,0 +1,48 @@
+"""Test reading the reports of engines."""
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+
+from balsamlift._http import Answer, HttpClient
+from balsamlift.peers import Upstream
+from balsamlift.platform._engines import PlatformEngines
+from balsamlift.platform._names import HEADERS
+
+ENGINE = Upstream(
+    name="e1",
+    pool="model",
+    kind="service",
+    address="127.0.0.1:9",
+    failure_domain="north",
+)
+
+
+class AnsweringClient:
+    """Return the same answer to each call."""
+
+    def __init__(self, answer: Answer) -> None:
+        self._answer = answer
+
+    async def call(self, *_: Any, **__: Any) -> Answer:
+        return self._answer
+
+
+@pytest.mark.parametrize(
+    ("header", "state", "is_leaving"),
+    [
+        ("1", "ready", True),
+        ("", "draining", True),
+        ("soon", "ready", False),
+        ("", "", False),
+    ],
+)
+def test_a_report_says_in_its_head_or_body_that_the_engine_is_leaving(
+    header: str, state: str, is_leaving: bool
+) -> None:
+    headers = {HEADERS.leaving: header} if header else {}
+    body = b'{"Runs":[],"LifecycleState":"%s"}' % state.encode()
+    http = cast(HttpClient, AnsweringClient(Answer(200, headers, body)))
+    report = asyncio.run(PlatformEngines(http).report(ENGINE))
+    assert report.is_leaving is is_leaving
--- a/tests/test_relay_leaving_notices.py
+++ b/tests/test_relay_leaving_notices.py
@@ -291,3 +291,28 @@
             assert copied_to[-1] != copied_to[0]
 
     run(test)
+
+
+def test_the_list_does_not_lift_the_notice_in_a_report() -> None:
+    async def test() -> None:
+        pool = Pool("model", 2)
+        for stand_in in pool.stand_ins:
+            stand_in.behave = hang_midway
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE)
+            )
+            first = await until_arrived(pool.stand_ins)
+            await asyncio.sleep(0.1)  # until its first events have arrived
+            for stand_in in pool.stand_ins:
+                stand_in.behave = stream
+            world.list.is_down = True
+            world.engines.leaving.add(first.name)
+            answer = await calling
+            assert answer.is_whole
+            world.list.is_down = False
+            await asyncio.sleep(5.0)
+            assert not world.upstreams.may_take_work(first.name)
+
+    run(test)
