Tell other hosts at once that an upstream gave notice

Each host learned of a notice by a request of its own: up to one for each host, and one that has just started, or that sends few requests, went on to choose the upstream. Notices are now reported as rate limits are: with their age, at once, to all partners, which pass them on, and whole to a new link. A heartbeat grows by one byte (an empty list; 30 to 31 bytes for one without changes).

Two real hosts: the list of the second, which says live, does not lift it after 40 s; without the change it never learns of it.

--- a/src/balsamlift/peers/_composer.py
+++ b/src/balsamlift/peers/_composer.py
@@ -85,6 +85,9 @@
             evacuations=status.evacuations,
             crash_reports=reports.crashes.changed_since(sent.crashes),
             rate_limits=reports.rate_limits.changed_since(sent.rate_limits),
+            leaving_notices=reports.leaving_notices.changed_since(
+                sent.leaving_notices
+            ),
         )
         sent_changes = SentChanges(
             self._members.change, self._counts.change, reports.change
--- a/src/balsamlift/peers/_leaving_notices.py
+++ b/src/balsamlift/peers/_leaving_notices.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 from loguru import logger
 
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
+from balsamlift.peers._messages import LeavingReport
 
 log = logger.bind(part="upstreams")
 
@@ -25,6 +26,7 @@
 
     given_s: float
     last_listed_s: float
+    change: int
 
 
 class LeavingNotices:
@@ -37,15 +39,22 @@
 
     def __init__(self, clock: Clock) -> None:
         """Start without a notice."""
+        self.change = 0
         self._clock = clock
         self._metrics = Metrics()
         self._notices: dict[str, _Notice] = {}  # oldest first
         self._on_notice: list[Callable[[str], None]] = []
 
+        self._wake: Callable[[], None] = _do_nothing
+
     def start(self, metrics: Metrics) -> None:
         """Publish the number of notices in `metrics`."""
         self._metrics = metrics
 
+    def share(self, wake: Callable[[], None]) -> None:
+        """Call `wake` after each notice, to send it to peers at once."""
+        self._wake = wake
+
     def on_notice(self, callback: Callable[[str], None]) -> None:
         """Call `callback` with the name of each upstream that gives notice."""
         self._on_notice.append(callback)
@@ -66,18 +75,43 @@
 
         `source` is "answer", or "report" for its status report.
         """
+        self._add(upstream, 0.0, source)
+
+    def add(self, reports: Iterable[LeavingReport]) -> None:
+        """Apply what a peer reports."""
+        for report in reports:
+            if report.upstream and report.age_ms >= 0:
+                age_s = report.age_ms / _MS_PER_S
+                self._add(report.upstream, age_s, "peer")
+
+    def changed_since(self, change: int) -> list[LeavingReport]:
+        """Return the notices after that change number, with their ages."""
+        now_s = self._clock.monotonic()
+        found = []
+        for upstream, notice in reversed(self._notices.items()):
+            if notice.change <= change:
+                break
+            age_ms = round((now_s - notice.given_s) * _MS_PER_S)
+            found.append(LeavingReport(upstream, age_ms))
+        return found
+
+    def _add(self, upstream: str, age_s: float, source: str) -> None:
         if upstream in self._notices:
             return
         if len(self._notices) >= MAX_NOTICES:
             del self._notices[next(iter(self._notices))]
         now_s = self._clock.monotonic()
-        self._notices[upstream] = _Notice(now_s, now_s)
+        self.change += 1
+        self._notices[upstream] = _Notice(now_s - age_s, now_s, self.change)
         self._update_gauge()
-        log.bind(upstream=upstream, source=source, age_ms=0).info(
-            "upstream gave notice that it is leaving"
-        )
+        log.bind(
+            upstream=upstream,
+            source=source,
+            age_ms=round(age_s * _MS_PER_S),
+        ).info("upstream gave notice that it is leaving")
         for callback in self._on_notice:
             callback(upstream)
+        self._wake()
 
     def prune(self, listed: Collection[str]) -> None:
         """Discard notices of upstreams that are long gone from the list."""
@@ -95,3 +129,7 @@
 
     def _update_gauge(self) -> None:
         self._metrics.gauge("upstreams.leaving_notices", len(self._notices))
+
+
+def _do_nothing() -> None:
+    pass
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -74,6 +74,13 @@
     age_ms: int  # since it certainly holds
 
 
+class LeavingReport(msgspec.Struct, frozen=True, array_like=True):
+    """Report that an upstream has given notice that it is leaving."""
+
+    upstream: str
+    age_ms: int  # since it was first known
+
+
 class PermitRequest(msgspec.Struct, frozen=True):
     """Ask for a permit to send one request to an upstream with a limit."""
 
@@ -126,6 +133,7 @@
     evacuations: EvacuationSnapshot | None = None  # None: not known yet
     crash_reports: list[CrashReport] = msgspec.field(default_factory=list)
     rate_limits: list[RateLimitReport] = msgspec.field(default_factory=list)
+    leaving_notices: list[LeavingReport] = msgspec.field(default_factory=list)
 
 
 class CountsUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/src/balsamlift/peers/_reports.py
+++ b/src/balsamlift/peers/_reports.py
@@ -23,6 +23,7 @@
     upstream_states: int = 0
     crashes: int = 0
     rate_limits: int = 0
+    leaving_notices: int = 0
 
 
 NO_REPORTS_SENT = SentReports()
@@ -46,12 +47,15 @@
         self.gossip.start(upstreams, wake)
         self.crashes.start(wake)
         self.rate_limits.start(wake, metrics)
+        self.leaving_notices = upstreams.leaving_notices
+        self.leaving_notices.share(wake)
 
     def receive(self, message: PeerMessage) -> None:
         """Apply the reports in the message of a peer."""
         self.gossip.receive(message.upstream_reports)
         self.crashes.add(message.crash_reports)
         self.rate_limits.add(message.rate_limits)
+        self.leaving_notices.add(message.leaving_notices)
 
     @property
     def change(self) -> SentReports:
@@ -60,6 +64,7 @@
             self.upstream_states.change,
             self.crashes.change,
             self.rate_limits.change,
+            self.leaving_notices.change,
         )
 
     def expire(self) -> None:
--- a/tests/_permit_hosts.py
+++ b/tests/_permit_hosts.py
@@ -3,38 +3,29 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from collections import defaultdict
-from typing import Literal, get_args
+from collections.abc import Sequence
+from typing import Literal, cast, get_args
 
 import attrs
+from _host_mesh import LINK_S, HostMesh, MeshHost
 from _virtual_time import LoopClock
 
 from balsamlift.peers import Permits, RateLimits
 from balsamlift.peers._host_ranks import first_host
-from balsamlift.peers._messages import (
-    PermitAnswer,
-    PermitRequest,
-    RateLimitReport,
-)
+from balsamlift.peers._messages import PermitAnswer, PermitRequest
 from balsamlift.peers._permits import (
     ANSWER_TIMEOUT_MS,
     STARTUP_S,
     GrantingHosts,
 )
-from balsamlift.platform._settings import FAN_OUT
 
 UPSTREAM = "e1"
 WINDOW_S = 4.0
 CONTACT_S = 3.0  # after a limit is named until it has to be kept
 TOLD_S = 0.5  # the same for a host that passed on an answer with the limit
 TOLERATED_FACTOR, TOLERATED_EXTRA = 1.5, 5
-LINK_S = 0.003
-BATCH_S = 0.01
-HEARTBEAT_S = 0.5
 SILENCE_S = 1.5  # until a silent host counts as dead
 WORK_S = 0.02  # of the upstream, for one request
-CHOSEN_PEERS = 2  # per host, if there are more than FAN_OUT
 
 
 # A first try or a retry, a call without another upstream, and a generation
@@ -50,48 +41,43 @@
 
 
 @attrs.define(eq=False)
-class Host:
+class Host(MeshHost):
     """One host: what it knows, and whether it runs and reaches others."""
 
-    number: int
-    limits: RateLimits
-    started_s: float
+    started_s: float = 0.0
     permits: Permits = attrs.field(init=False)
-    is_frozen: bool = False
-    side: int = 0  # of a network partition
     told_s: float | None = None  # when it passed on the limit first
     exempt_until_s: float = 0.0
-    sent_change: dict[int, int] = attrs.field(factory=lambda: defaultdict(int))
-    wake_event: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
-    def name(self) -> str:
-        return f"h{self.number}"
+    def limits(self) -> RateLimits:
+        return cast(RateLimits, self.table)
 
 
-class Fleet:
+class Fleet(HostMesh):
     """All hosts and the upstream, under a constant load of requests."""
 
     def __init__(
         self, hosts: int, seed: int, limit_per_s: float | None
     ) -> None:
-        self.rng = random.Random(seed)
+        super().__init__(seed)
         self.limit_per_s = limit_per_s
         self.named_s = 0.0
         self.arrivals: list[tuple[float, Host]] = []
         self.asked_other_hosts = 0
-        self._links: dict[int, set[int]] = defaultdict(set)
-        self._tasks: set[asyncio.Task[None]] = set()
         self._silent_s: dict[int, float] = {}  # since when it is gone
         self.hosts = [self._make_host(n, -10.0) for n in range(hosts)]
         for number in range(hosts):
-            self._link(number)
+            self.link(number)
 
     # Hosts
 
+    def mesh_hosts(self) -> Sequence[MeshHost]:
+        return self.hosts
+
     def _make_host(self, number: int, started_s: float) -> Host:
         clock = LoopClock()
-        host = Host(number, RateLimits(clock), started_s)
+        host = Host(number, RateLimits(clock), started_s=started_s)
         host.permits = Permits(
             host.limits,
             lambda: self._granting_hosts(host),
@@ -100,21 +86,20 @@
         )
         host.permits._startup._ends_s = started_s + STARTUP_S
         host.limits._wake = host.wake_event.set
-        self._spawn(self._gossip(host))
+        self.begin_gossip(host)
         return host
 
     def add_host(self) -> None:
         now_s = asyncio.get_running_loop().time()
         self.hosts.append(self._make_host(len(self.hosts), now_s))
-        self._link(len(self.hosts) - 1)
+        self.link(len(self.hosts) - 1)
 
     def restart(self, number: int) -> None:
         """Kill a host and start it again at once; it knows nothing."""
         now_s = asyncio.get_running_loop().time()
         self.hosts[number] = self._make_host(number, now_s)
         self.hosts[number].exempt_until_s = now_s + CONTACT_S
-        for host in self.hosts:
-            host.sent_change[number] = 0
+        self.send_all_to(number)
 
     async def freeze(self, number: int, duration_s: float) -> None:
         host = self.hosts[number]
@@ -153,42 +138,6 @@
         silent_s = self._silent_s.get(other.number)
         return silent_s is None or now_s - silent_s < SILENCE_S
 
-    def reaches(self, host: Host, other: Host) -> bool:
-        return host.side == other.side and not other.is_frozen
-
-    # Reports of limits
-
-    def _link(self, number: int) -> None:
-        others = [n for n in range(len(self.hosts)) if n != number]
-        if len(self.hosts) > FAN_OUT:
-            others = self.rng.sample(others, CHOSEN_PEERS)
-        for other in others:
-            self._links[number].add(other)
-            self._links[other].add(number)
-
-    async def _gossip(self, host: Host) -> None:
-        while True:
-            try:
-                async with asyncio.timeout(HEARTBEAT_S):
-                    await host.wake_event.wait()
-                    await asyncio.sleep(BATCH_S)
-            except TimeoutError:
-                pass
-            host.wake_event.clear()
-            if host.is_frozen or self.hosts[host.number] is not host:
-                continue
-            for peer in list(self._links[host.number]):
-                reports = host.limits.changed_since(host.sent_change[peer])
-                host.sent_change[peer] = host.limits.change
-                if reports and self.reaches(host, self.hosts[peer]):
-                    self._spawn(self._deliver(peer, reports))
-
-    async def _deliver(
-        self, peer: int, reports: list[RateLimitReport]
-    ) -> None:
-        await asyncio.sleep(LINK_S)
-        self.hosts[peer].limits.add(reports)
-
     # Requests
 
     async def run(self, length_s: float, requests_per_s: float) -> None:
@@ -197,13 +146,13 @@
         while loop.time() < until_s:
             await asyncio.sleep(self.rng.expovariate(requests_per_s))
             kind = self.rng.choice(KINDS)
-            self._spawn(self._request(self.rng.choice(self.hosts), kind))
+            self.spawn(self._request(self.rng.choice(self.hosts), kind))
 
     async def burst(self, requests: int) -> None:
         """Send requests at the same moment, spread over all hosts."""
         for number in range(requests):
             host = self.hosts[number % len(self.hosts)]
-            self._spawn(self._request(host, self.rng.choice(KINDS)))
+            self.spawn(self._request(host, self.rng.choice(KINDS)))
         await asyncio.sleep(1.0)
 
     async def _request(self, host: Host, kind: Kind) -> None:
@@ -266,15 +215,6 @@
         arrived = sum(at_s >= from_s for at_s, _ in self.arrivals)
         return arrived / (self.limit_per_s * (now_s - from_s))
 
-    def stop(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-
-    def _spawn(self, work: object) -> None:
-        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 class _Transport:
     """Ask other hosts with the latency of a link."""
--- a/tests/test_peers_messages.py
+++ b/tests/test_peers_messages.py
@@ -14,6 +14,7 @@
 from balsamlift.peers._messages import (
     CountsSums,
     CountsUpdate,
+    LeavingReport,
     Member,
     PeerMessage,
     PermitAnswer,
@@ -47,6 +48,7 @@
     counts={"e1": 3_000},
     upstream_reports=[UpstreamReport("e1", "10.0.0.1:80", "dead", 500)],
     shared=SharedPlatformState(True, b"routes", [ListEntry("e2", "upstream")]),
+    leaving_notices=[LeavingReport("e1", 700)],
 )
 TOPIC_UPDATE = TopicUpdate(
     9, 20, True, [Record("k", None, 8), Record("l", b"v", 7)]
--- a/tests/test_peers_sharing.py
+++ b/tests/test_peers_sharing.py
@@ -232,6 +232,18 @@
     run(scenario)
 
 
+def test_a_notice_reaches_another_host_whose_list_does_not_lift_it() -> None:
+    async def scenario(one: Host, two: Host) -> None:
+        one.upstreams.leaving_notices.record("e1", "answer")
+        await until(lambda: two.names() == {"e2"})
+        two.clock.skipped_s = 40.0
+        reads = two.list.reads
+        await until(lambda: two.list.reads > reads + 2)
+        assert two.names() == {"e2"}
+
+    run(scenario)
+
+
 def test_a_refused_host_receives_evacuations() -> None:
     async def scenario(one: Host, two: Host) -> None:
         one.upstreams.evacuations.offer(
