Send nothing to an upstream for the time that it asked for

Cause: nothing read Retry-After; a refusal raised the share of failures by a tenth and no more. The time is now kept for each upstream that asked, by this host, by all paths: the choice of calls, memory for generations, backups and moves, last resorts, reports, and what was chosen before and is sent after. Nothing but its end ends it, and a longer one extends it. If no other upstream is left, callers are refused at once with a Retry-After of the known end, spread; they had all got the same, or waited 1.0 s.

--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -100,6 +100,14 @@
     """Raised when no byte of the request was sent to the upstream."""
 
 
+class UpstreamPausingError(UpstreamUnreachableError):
+    """Raised when an upstream asked for no requests before one was sent."""
+
+    def __init__(self, upstream: str) -> None:
+        """Store the name of the upstream."""
+        super().__init__(upstream, "asked for no requests")
+
+
 class UpstreamSilentError(UpstreamError):
     """Raised when a sent request got no answer; it may have run."""
 
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -14,6 +14,7 @@
 from contextlib import contextmanager
 
 from balsamlift.clock import Clock
+from balsamlift.metrics import Metrics
 from balsamlift.peers import (
     CountsBasis,
     HostRank,
@@ -23,6 +24,7 @@
 )
 from balsamlift.relay._cold_starts import ColdStartLimiter
 from balsamlift.relay._health import UpstreamHealth
+from balsamlift.relay._retry_after import RetryAfterTracker
 from balsamlift.relay._scope import Scope
 from balsamlift.relay._shared_health import SharedHealth
 
@@ -62,6 +64,7 @@
         cold_starts: ColdStartLimiter | None = None,
         regions: Mapping[str, str] | None = None,
         last_resort_s: float = 0.0,
+        retry_after: RetryAfterTracker | None = None,
     ) -> None:
         """Add the counts received by `peers` to those of this host.
 
@@ -69,6 +72,9 @@
         has given notice is a last resort for `last_resort_s`.
         """
         self._last_resort_s = last_resort_s
+        self._retry_after = retry_after or RetryAfterTracker(
+            clock, Metrics(), rng
+        )
         self._cold_starts = cold_starts
         self._regions = regions or {}
         self._upstreams = upstreams
@@ -149,7 +155,8 @@
     def usable(self, scope: Scope, tried: Collection[str]) -> list[Upstream]:
         """Return the upstreams to choose from.
 
-        Ejected and avoided upstreams are included if there are no others.
+        Ejected and avoided upstreams are included if there are no others, but
+        none that asked for no requests.
         """
         members = self._upstreams.in_pool(scope.pool)
         candidates = [
@@ -158,6 +165,7 @@
             if u.name not in tried
             and self._is_permitted(scope, u)
             and self._allows_cold_start(u)
+            and not self._retry_after.wait_s(u.name)
         ]
         now_s = self._clock.monotonic()
         avoided = self._shared_health.avoided([u.name for u in members])
@@ -194,6 +202,7 @@
         It is a trial if the upstream is on probation.
         """
         self._shared_health.record_send(upstream.name, self._clock.monotonic())
+        self._retry_after.record_send(upstream.name)
         if self._cold_starts is not None:
             self._cold_starts.record_send(upstream)
 
@@ -242,8 +251,17 @@
             for upstream in found
             if upstream.name not in tried
             and self._is_permitted(scope, upstream)
+            and not self._retry_after.wait_s(upstream.name)
         ]
 
+    def pauses(self, scope: Scope) -> dict[str, float]:
+        """Return how long each upstream wants no requests, in seconds."""
+        return {
+            upstream.name: self._retry_after.wait_s(upstream.name)
+            for upstream in self._upstreams.in_pool(scope.pool)
+            if self._is_permitted(scope, upstream)
+        }
+
     def find_usable(
         self, scope: Scope, tried: Collection[str], name: str
     ) -> Upstream | None:
@@ -265,6 +283,27 @@
             upstream, self._clock.monotonic(), is_failing=True
         )
 
+    def record_refusal(self, upstream: str) -> None:
+        """Record that an upstream is full; it is not broken.
+
+        One that says for how long is not rated by it: it gets its share again
+        after that time.
+        """
+        self.abandon_trial(upstream)
+        if not self._retry_after.is_pausing(upstream):
+            self.health.record_failure(upstream)
+
+    def abandon_trial(self, upstream: str) -> None:
+        """End a trial of an upstream that refused it, so others may try."""
+        self._shared_health.abandon_trial(upstream, self._clock.monotonic())
+
+    def record_error(self, upstream: str) -> None:
+        """Record an error response, which may be a refusal for some time."""
+        if self._retry_after.is_pausing(upstream):
+            self.record_refusal(upstream)
+        else:
+            self.record_failure(upstream)
+
     def eject(self, upstream: str) -> float:
         """Eject an upstream that sent no complete response.
 
--- a/src/balsamlift/relay/_engine_placement.py
+++ b/src/balsamlift/relay/_engine_placement.py
@@ -12,7 +12,7 @@
     MemoryAllocator,
     MemoryReservation,
 )
-from balsamlift.relay._upstream_chooser import RateLimited
+from balsamlift.relay._upstream_chooser import Pausing, RateLimited, find_pause
 
 # Longest wait for memory or a permit, as a multiple of the route's target
 # latency. A generation that starts after its target is late, and a caller who
@@ -33,10 +33,13 @@
 
     async def reserve(
         self, job: Job, tried: Collection[str]
-    ) -> MemoryReservation | RateLimited | None:
+    ) -> MemoryReservation | RateLimited | Pausing | None:
         """Return a reservation, or None if no engine has memory in time."""
         waits_s: dict[str, float] = {}
         while True:
+            pausing = self._find_long_pause(job, tried)
+            if pausing is not None:
+                return pausing
             if waits_s and not self._has_other_engine(job, tried, waits_s):
                 return await self._wait_for_permit(job, tried, waits_s)
             reservation = await self._wait_for_memory(job, {*tried, *waits_s})
@@ -47,6 +50,18 @@
                 return reservation
             waits_s[reservation.upstream.name] = wait_s
 
+    def _find_long_pause(
+        self, job: Job, tried: Collection[str]
+    ) -> Pausing | None:
+        """Return the pause of all engines if it is too long to wait for."""
+        pause = find_pause(self._balancer, job.scope, tried)
+        if pause is None:
+            return None
+        ends_s = asyncio.get_running_loop().time() + pause.left_s
+        if pause.is_untried and ends_s <= _wait_by_s(job):
+            return None
+        return Pausing(pause.left_s)
+
     async def _acquire_permit(
         self, reservation: MemoryReservation
     ) -> float | None:
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -287,6 +287,20 @@
         self._inbox = asyncio.Queue()
         self._buffer_slots = asyncio.Semaphore(MAX_BUFFERED_CHUNKS)
 
+    async def _may_resume_at(self, upstream: str) -> bool:
+        """Return whether an engine takes a resumed generation in time.
+
+        This waits for the end of a short time without requests.
+        """
+        retry_after = self._context.retry_after
+        if retry_after.take_resume(upstream):
+            return True
+        wait_s = retry_after.wait_s(upstream)
+        if wait_s > MAX_RESUME_WAIT_S:
+            return False
+        await asyncio.sleep(wait_s)
+        return True
+
     async def _request_resume(
         self, upstream: Upstream, source: str
     ) -> Reply | None:
@@ -298,6 +312,8 @@
         extra = [(names.resume_source, source), *self._backup.headers()]
         if self._splitter.last_id >= 0:
             extra.append((names.last_event_id, str(self._splitter.last_id)))
+        if not await self._may_resume_at(upstream.name):
+            return None
         permit = await self._context.permits.acquire(
             upstream.name, max_wait_s=MAX_RESUME_WAIT_S, is_resumed=True
         )
@@ -313,7 +329,11 @@
         ):
             async with asyncio.timeout(RESUME_TIMEOUT_S):
                 reply = await self._context.exchange.send(
-                    self._job.call, attempt, upstream, extra
+                    self._job.call,
+                    attempt,
+                    upstream,
+                    extra,
+                    ignores_pause=True,
                 )
             if reply.is_success:
                 return reply
--- a/src/balsamlift/relay/_generation_context.py
+++ b/src/balsamlift/relay/_generation_context.py
@@ -14,6 +14,7 @@
 from balsamlift.relay._exchange import Exchange
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._memory_allocator import MemoryAllocator
+from balsamlift.relay._retry_after import RetryAfterTracker
 
 
 @attrs.frozen(kw_only=True)
@@ -30,3 +31,4 @@
     rng: random.Random
     crash_guard: CrashGuard
     permits: Permits
+    retry_after: RetryAfterTracker
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -9,6 +9,7 @@
 
 from balsamlift.exceptions import (
     UpstreamBrokenError,
+    UpstreamPausingError,
     UpstreamUnreachableError,
 )
 from balsamlift.peers import Upstream, Upstreams
@@ -29,13 +30,14 @@
     give_up,
     no_memory,
     no_upstream,
+    pausing,
     rate_limited,
     timed_out,
 )
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retry_budget import RetryBudget
 from balsamlift.relay._token_estimate import TokenEstimate, read_token_estimate
-from balsamlift.relay._upstream_chooser import RateLimited
+from balsamlift.relay._upstream_chooser import Pausing, RateLimited
 
 log = logger.bind(part="generations")
 
@@ -142,6 +144,8 @@
                 return rate_limited(
                     attempt, call, now_s, reservation.retry_after_s
                 )
+            if isinstance(reservation, Pausing):
+                return pausing(attempt, call, now_s, reservation.retry_after_s)
             if reservation is None:
                 if self._context.balancer.is_closed(call.scope):
                     return no_upstream(attempt, call, now_s)
@@ -214,6 +218,8 @@
             reply = await self._context.exchange.send(
                 call, attempt, upstream, extra
             )
+        except UpstreamPausingError:
+            return give_up(attempt, "engine asked for no requests")
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
             backoff_s = balancer.eject(upstream.name)
             log.bind(
@@ -229,6 +235,7 @@
             return give_up(attempt, "engine gave no answer")
         if reply.disposition == "not_executed":
             reply.connection.close()
+            balancer.abandon_trial(upstream.name)
             log.bind(
                 request=call.request_id,
                 upstream=upstream.name,
@@ -254,7 +261,7 @@
         try:
             if not reply.is_success:
                 if reply.head.status != GATEWAY_TIMEOUT:
-                    self._context.balancer.record_failure(reply.upstream.name)
+                    self._context.balancer.record_error(reply.upstream.name)
                 return await self._forward_failure(reply, responder)
             self._context.balancer.record_success(reply.upstream.name)
             outcome = await generation.relay(reply)
--- a/src/balsamlift/relay/_refusals.py
+++ b/src/balsamlift/relay/_refusals.py
@@ -14,6 +14,8 @@
 RETRY_NO_UPSTREAM_MS = 2_000
 # Engines have free memory again as generations end.
 RETRY_NO_MEMORY_MS = 4_000
+# Callers refused for an upstream's pause return within this time after it.
+RETURN_SPREAD_MS = 1_000
 # Upper bound of Retry-After, as a fraction of the caller's remaining time.
 RETRY_AFTER_FRACTION = 0.3
 
@@ -38,12 +40,33 @@
     Callers whose time is too short for the wait return spread over the second
     half of the time that they can wait.
     """
-    wanted_ms = int(wait_s * 1_000)
+    wait_ms = _wait_in_time(call, now_s, int(wait_s * 1_000))
+    return give_up(attempt, "rate limited", wait_ms)
+
+
+def pausing(
+    attempt: Attempt, call: Call, now_s: float, wait_s: float
+) -> Refusal:
+    """Return the refusal of a call whose upstreams asked for no requests.
+
+    Callers return spread over some time after the end.
+    """
+    spread_ms = _spread(call) * RETURN_SPREAD_MS
+    wait_ms = _wait_in_time(call, now_s, int(wait_s * 1_000 + spread_ms))
+    return give_up(attempt, "upstreams asked for no requests", wait_ms)
+
+
+def _wait_in_time(call: Call, now_s: float, wanted_ms: int) -> int:
+    """Return a wait; one limited by the deadline is spread over its half."""
     wait_ms = _limit_to_deadline(call, now_s, wanted_ms)
     if wait_ms < wanted_ms:
-        spread = zlib.crc32(call.request_id.encode()) / 0xFFFF_FFFF
-        wait_ms = int(wait_ms * (1 + spread) / 2)
-    return give_up(attempt, "rate limited", wait_ms)
+        wait_ms = int(wait_ms * (1 + _spread(call)) / 2)
+    return wait_ms
+
+
+def _spread(call: Call) -> float:
+    """Return a fraction that differs between the calls of one moment."""
+    return zlib.crc32(call.request_id.encode()) / 0xFFFF_FFFF
 
 
 def _limit_to_deadline(call: Call, now_s: float, wait_ms: int) -> int:
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -28,6 +28,7 @@
 from balsamlift.relay._leaving_detector import LeavingDetector
 from balsamlift.relay._memory_allocator import MemoryAllocator
 from balsamlift.relay._pool import ConnectionPool
+from balsamlift.relay._quiet_engines import QuietEngines
 from balsamlift.relay._request import (
     Call,
     CallerRequest,
@@ -101,6 +102,9 @@
         frontend = kernel.find("frontend", Frontend)
         names = self._settings.names
         self._pool = ConnectionPool(self._clock, self._metrics)
+        self._retry_after = RetryAfterTracker(
+            self._clock, self._metrics, self._random
+        )
         balancer = self._balancer = Balancer(
             self._upstreams,
             peers,
@@ -115,6 +119,7 @@
             ),
             self._settings.regions,
             self._settings.drain_s * LAST_RESORT_FRACTION,
+            self._retry_after,
         )
         self._allocator = MemoryAllocator(balancer)
         self._retries = RetryBudget(
@@ -122,7 +127,6 @@
             lambda: len(peers.live()) + 1,
             self._clock,
         )
-        self._retry_after = RetryAfterTracker(self._clock, self._metrics)
         statements = StatementReader(
             names,
             self._settings.decoders,
@@ -131,7 +135,9 @@
             self._retry_after,
             self._metrics,
         )
-        exchange = Exchange(self._pool, names, self._clock, statements)
+        exchange = Exchange(
+            self._pool, names, self._clock, statements, self._retry_after
+        )
         self._admission = Admission(routing, names, self._random)
         self._crash_guard = CrashGuard(
             peers.crash_reports, self._upstreams, self._clock
@@ -144,24 +150,26 @@
             self._retries,
             self._crash_guard,
         )
+        engines = QuietEngines(self._engines, self._retry_after)
         context = GenerationContext(
             exchange=exchange,
             balancer=balancer,
             allocator=self._allocator,
-            engines=self._engines,
+            engines=engines,
             names=names,
             metrics=self._metrics,
             upstreams=self._upstreams,
             rng=self._random,
             crash_guard=self._crash_guard,
             permits=peers.permits,
+            retry_after=self._retry_after,
         )
         self._generations = Generations(
             context, self._admission, self._retries, self._upstreams
         )
         self._leaving_detector = LeavingDetector(
             self._upstreams,
-            self._engines,
+            engines,
             self._clock,
             self._generations.engines_in_use,
         )
--- a/src/balsamlift/relay/_shared_health.py
+++ b/src/balsamlift/relay/_shared_health.py
@@ -218,6 +218,12 @@
             self._publish_counts()
             self._log_trial(upstream, "trial started")
 
+    def abandon_trial(self, upstream: str, now_s: float) -> None:
+        """End a trial that has no result, so that others may try."""
+        if self._tried_s.pop(upstream, None) is not None:
+            self._publish(now_s)
+            self._publish_counts()
+
     def _observe_failure(self, upstream: str, now_s: float) -> _Observation:
         """Return a failure that is observed now.
 
--- a/src/balsamlift/relay/_statements.py
+++ b/src/balsamlift/relay/_statements.py
@@ -67,8 +67,8 @@
         notice_age_s = self._notices.age_s(upstream)
         if notice_age_s is not None:
             self._report_send("leaving", request_id, upstream, notice_age_s)
-        wait_s = self._retry_after.wait_s(upstream)
-        if wait_s > 0:
+        if self._retry_after.is_pausing(upstream):
+            wait_s = self._retry_after.wait_s(upstream)
             self._report_send("retry_after", request_id, upstream, wait_s)
 
     def record_response(
@@ -85,6 +85,7 @@
             self._notices.record(upstream, "answer")
         if head.status == SERVICE_UNAVAILABLE:
             self._record_retry_after(upstream, head)
+        self._retry_after.record_response(upstream, sent_s)
 
     def _record_rate_limit(
         self, upstream: str, head: ResponseHead, sent_s: float
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -9,6 +9,7 @@
 
 from balsamlift.exceptions import (
     UpstreamBrokenError,
+    UpstreamPausingError,
     UpstreamUnreachableError,
 )
 from balsamlift.peers import Upstream
@@ -21,12 +22,17 @@
 from balsamlift.relay._refusals import (
     give_up,
     no_upstream,
+    pausing,
     rate_limited,
     timed_out,
 )
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retry_budget import RetryBudget
-from balsamlift.relay._upstream_chooser import RateLimited, UpstreamChooser
+from balsamlift.relay._upstream_chooser import (
+    Pausing,
+    RateLimited,
+    UpstreamChooser,
+)
 
 log = logger.bind(part="calls")
 
@@ -101,6 +107,8 @@
                 return rate_limited(
                     attempt, call, now_s, upstream.retry_after_s
                 )
+            if isinstance(upstream, Pausing):
+                return pausing(attempt, call, now_s, upstream.retry_after_s)
             if not self._admission.still_allows(call):
                 return give_up(attempt, "configuration changed", 0)
             tried.add(upstream.name)
@@ -141,6 +149,8 @@
                     body = await self._exchange.read_full_body(
                         reply, MAX_RESPONSE_BYTES
                     )
+        except UpstreamPausingError:
+            raise
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
             self._back_off(call, attempt, upstream, str(error))
             if isinstance(error, UpstreamBrokenError):
@@ -160,10 +170,9 @@
         if reply.disposition == "answer":
             self._balancer.record_success(upstream.name)
         elif reply.disposition == "not_executed":
-            # The upstream is full, not broken.
-            self._balancer.health.record_failure(upstream.name)
+            self._balancer.record_refusal(upstream.name)
         else:
-            self._balancer.record_failure(upstream.name)
+            self._balancer.record_error(upstream.name)
         return _BufferedReply(reply, body)
 
     def _back_off(
--- a/src/balsamlift/relay/_upstream_chooser.py
+++ b/src/balsamlift/relay/_upstream_chooser.py
@@ -10,6 +10,7 @@
 from balsamlift.peers import Permits, Upstream
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._request import Call
+from balsamlift.relay._scope import Scope
 
 # Part of the remaining time for which a call waits for a permit. The rest is
 # for the upstream, and for a caller who is refused instead.
@@ -23,6 +24,34 @@
     retry_after_s: float
 
 
+@attrs.frozen
+class Pausing:
+    """All upstreams that might take a call asked for no requests."""
+
+    retry_after_s: float
+
+
+@attrs.frozen
+class Pause:
+    """The time until the first of some upstreams takes requests again."""
+
+    left_s: float
+    is_untried: bool  # false: a call was sent there already
+
+
+def find_pause(
+    balancer: Balancer, scope: Scope, tried: Collection[str]
+) -> Pause | None:
+    """Return the pause that a call would have to wait for.
+
+    Returns None if an upstream that is left did not ask for one.
+    """
+    pauses = balancer.pauses(scope)
+    untried = [left_s for name, left_s in pauses.items() if name not in tried]
+    left_s = min(untried or pauses.values(), default=0.0)
+    return Pause(left_s, bool(untried)) if left_s > 0 else None
+
+
 class UpstreamChooser:
     """Choose an upstream and acquire the permit that it needs."""
 
@@ -33,6 +62,29 @@
 
     async def choose(
         self, call: Call, tried: Collection[str]
+    ) -> Upstream | RateLimited | Pausing | None:
+        """Return the upstream to send a call to now, or None if none is left.
+
+        A call whose upstreams all asked for no requests waits until one takes
+        some again, if that is soon.
+        """
+        loop = asyncio.get_running_loop()
+        remaining_s = max(call.timeout_at_s - loop.time(), 0.0)
+        wait_until_s = loop.time() + remaining_s * WAIT_FRACTION
+        while True:
+            chosen = await self._choose_now(call, tried)
+            if chosen is not None:
+                return chosen
+            pause = find_pause(self._balancer, call.scope, tried)
+            if pause is None:
+                return None
+            ends_s = loop.time() + pause.left_s
+            if not pause.is_untried or ends_s > wait_until_s:
+                return Pausing(pause.left_s)
+            await asyncio.sleep(pause.left_s)
+
+    async def _choose_now(
+        self, call: Call, tried: Collection[str]
     ) -> Upstream | RateLimited | None:
         """Return the upstream to send a call to now, or None if none is left.
 
--- a/tests/test_relay_retry_after.py
+++ b/tests/test_relay_retry_after.py
@@ -3,10 +3,15 @@
 import asyncio
 
 import pytest
+from _relay_helpers import USAGE, hang_midway, stream, until_arrived
 from _relay_load import PATHS, Load, Pool, run
 from _virtual_time import LoopClock
 
-from balsamlift.testing.relay import RelayHarness
+from balsamlift.testing.relay import (
+    RelayHarness,
+    ReplicaConnection,
+    ReplicaRequest,
+)
 
 RETRY_AFTER_S = 3.0
 GRACE_S = 0.5  # after the refusal, for requests that are on their way
@@ -103,3 +108,140 @@
             assert {call.status for call in await load.run(2.0)} == {200}
 
     run(test)
+
+
+async def refuse_plainly(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    """Refuse without saying that the request did not run."""
+    await connection.head(request, 503, "Content-Length: 0")
+
+
+@pytest.mark.parametrize(("path", "service"), PATHS)
+def test_a_refusal_that_may_have_run_counts_too(
+    path: str, service: str
+) -> None:
+    async def test() -> None:
+        pool = Pool(service, 2)
+        first = pool.stand_ins[0]
+        first.behave = refuse_plainly
+        first.retry_after = f"{RETRY_AFTER_S}"
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, path)
+            while not first.arrivals:
+                await load.run(0.1)
+            await asyncio.sleep(GRACE_S)
+            first.arrivals.clear()
+            await load.run(RETRY_AFTER_S - 1.0)
+            assert first.arrivals == []
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "value", ["soon", "-1", "nan", "inf", "1" + "0" * 400, "3, 3", "90000"]
+)
+def test_a_time_that_cannot_be_read_changes_nothing(value: str) -> None:
+    async def test() -> None:
+        pool = Pool("plain", 1)
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            pool.refusing.add("plain-0")
+            pool.stand_ins[0].retry_after = value
+            await world.call("/order/1", "r1")
+            pool.refusing.clear()
+            assert (await world.call("/order/1", "r2")).status == 200
+
+    run(test)
+
+
+def test_a_restart_under_the_same_id_is_not_bound_by_the_time() -> None:
+    async def test() -> None:
+        pool = Pool("plain", 1)
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, "/order/1")
+            await first_refusal(load, pool)
+            pool.refusing.clear()
+            pool.stand_ins[0].started_ms = 5
+            await asyncio.sleep(0.1)
+            assert (await world.call("/order/1", "r999")).status == 200
+
+    run(test)
+
+
+def test_an_ejected_upstream_is_used_before_one_that_asked_for_none() -> None:
+    async def test() -> None:
+        pool = Pool("plain", 2)
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, "/order/1")
+            await first_refusal(load, pool)
+            world.relay._balancer.eject("plain-1")
+            calls = await load.run(0.3)
+            assert {call.status for call in calls} == {200}
+
+    run(test)
+
+
+def test_a_call_waits_for_the_end_if_that_is_soon() -> None:
+    async def test() -> None:
+        pool = Pool("plain", 1)
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, "/order/1")
+            refused_s = await first_refusal(load, pool)
+            pool.refusing.clear()
+            loop = asyncio.get_running_loop()
+            end_s = refused_s + RETRY_AFTER_S
+            await asyncio.sleep(end_s - loop.time() - 0.2)
+            calls = await load.run(0.2)
+            assert {call.status for call in calls} == {200}
+            assert arrivals_within(pool, refused_s) == []
+
+    run(test)
+
+
+def test_a_lost_generation_resumes_at_a_backup_that_asked_for_none() -> None:
+    async def test() -> None:
+        pool = Pool("model", 2)
+        for stand_in in pool.stand_ins:
+            stand_in.behave = hang_midway
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE)
+            )
+            used = await until_arrived(pool.stand_ins)
+            await asyncio.sleep(0.1)  # until its first events have arrived
+            (backup,) = [s for s in pool.stand_ins if s is not used]
+            backup.behave = stream
+            world.relay._retry_after.record(backup.name, RETRY_AFTER_S)
+            for task in list(used.open):
+                task.cancel()
+            answer = await calling
+            assert answer.is_whole
+
+    run(test)
+
+
+def test_an_engine_that_asked_for_none_is_not_asked_for_reports() -> None:
+    async def test() -> None:
+        pool = Pool("model", 1)
+        pool.stand_ins[0].behave = hang_midway
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE)
+            )
+            await until_arrived(pool.stand_ins)
+            world.relay._retry_after.record("model-0", 1.0)
+            world.list.is_down = True
+            await asyncio.sleep(1.0)
+            assert world.engines.report_calls == []
+            await asyncio.sleep(1.5)
+            assert world.engines.report_calls != []
+            calling.cancel()
+
+    run(test)
