Let the soak's upstreams give notice and ask for no requests

Both are drawn from the seed, apart from the other faults: an upstream says in its answers that it is leaving, 1 to 6 s before the list shows it, and one refuses for 1 to 6 s and asks for no requests. The checker holds each host to what it passed on and was asked for.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,6 +16,7 @@
 from soak.guarantees import CallerOutcome, GuaranteeChecker
 from soak.hosts import Host
 from soak.rate_limits import RateLimitChecker
+from soak.statements import StatementChecker
 
 DEADLINE_MS = 3_000
 PATHS = {"idempotent": "/view/", "non_idempotent": "/order/"}
@@ -80,6 +81,7 @@
         body=answer.body,
         is_whole=answer.is_whole,
         names_rate_limit=HEADERS.rate_limit in answer.headers,
+        is_notice=HEADERS.leaving in answer.headers,
     )
     closes = answer.headers.get("Connection", "").lower() == "close"
     return outcome, answer.is_whole and not closes
@@ -93,6 +95,7 @@
         hosts: Sequence[Host],
         guarantees: GuaranteeChecker,
         rate_limits: RateLimitChecker,
+        statements: StatementChecker,
         rng: random.Random,
         on_interrupted: Callable[[str], None],
     ) -> None:
@@ -103,6 +106,7 @@
         self._hosts = hosts
         self._guarantees = guarantees
         self._rate_limits = rate_limits
+        self._statements = statements
         self._random = rng
         self._on_interrupted = on_interrupted
         self._numbers = itertools.count()
@@ -153,9 +157,12 @@
                 request.request_id, is_idempotent=request.is_idempotent
             )
             self._rate_limits.record_request(request.request_id, host_ip)
+            self._statements.record_request(request.request_id, host_ip)
             outcome, can_reuse = await send(request, reader, writer)
             if outcome.names_rate_limit:
                 self._rate_limits.record_passed_on(request.request_id)
+            if outcome.is_notice:
+                self._statements.record_notice_passed_on(request.request_id)
             self._guarantees.check_outcome(outcome)
             # A host may close a reused connection just as a request is sent.
             if not outcome.is_whole and (number == 0 or outcome.status):
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -20,6 +20,8 @@
     "upstream_leaves",
     "configuration",
     "rate_limit",
+    "upstream_notice",
+    "upstream_refuses",
 ]
 
 # Planned operations of operators. They may not interrupt any request.
@@ -33,6 +35,7 @@
     "upstream_link",
     "upstream_crash",
 )
+STATEMENTS: tuple[Kind, ...] = ("upstream_notice", "upstream_refuses")
 LINK_FAULTS = (
     {"cut": True},
     {"stall_forward": True},
@@ -54,6 +57,11 @@
 MAX_RATE_LIMIT_PAUSE_S = 4.0
 
 
+# Notices that the list shows late, and refusals that ask for no requests.
+MIN_STATEMENT_S, MAX_STATEMENT_S = 1.0, 6.0
+MAX_STATEMENT_PAUSE_S = 3.0
+
+
 @attrs.frozen(kw_only=True)
 class Fault:
     """One fault, or one planned operation of an operator."""
@@ -95,6 +103,7 @@
             )
         start_s += rng.uniform(0.05, MAX_PAUSE_S)
     faults += _draw_rate_limits(seed, length_s)
+    faults += _draw_statements(seed, length_s)
     return Plan(
         seed=seed,
         is_planned_only=is_planned_only,
@@ -119,3 +128,22 @@
         )
         start_s += rng.uniform(0.5, MAX_RATE_LIMIT_PAUSE_S)
     return limits
+
+
+def _draw_statements(seed: int, length_s: float) -> list[Fault]:
+    """Return statements drawn apart, so that they do not change others."""
+    rng = random.Random(f"{seed}/statements")
+    statements = []
+    start_s = rng.uniform(0, MAX_STATEMENT_PAUSE_S)
+    while start_s < length_s:
+        statements.append(
+            Fault(
+                kind=rng.choice(STATEMENTS),
+                start_s=start_s,
+                duration_s=rng.uniform(MIN_STATEMENT_S, MAX_STATEMENT_S),
+                target_number=rng.randrange(1_000),
+                variant_number=rng.randrange(1_000),
+            )
+        )
+        start_s += rng.uniform(0.2, MAX_STATEMENT_PAUSE_S)
+    return statements
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,6 +34,7 @@
     draw_plan,
 )
 from soak.rate_limits import RateLimitChecker
+from soak.statements import StatementChecker
 from soak.upstreams import Upstreams
 
 HOSTS = 4
@@ -68,8 +69,13 @@
         self._network = Network()
         self._store = KeyedStore(self._network.ip(STAND_INS))
         self._rate_limits = RateLimitChecker(self._guarantees.report_violation)
+        self._statements = StatementChecker(self._guarantees.report_violation)
         self._upstreams = Upstreams(
-            self._guarantees, self._rate_limits, self._random, self._network
+            self._guarantees,
+            self._rate_limits,
+            self._statements,
+            self._random,
+            self._network,
         )
         self._version = 1
         self._faults: set[asyncio.Task[None]] = set()
@@ -109,6 +115,7 @@
             self._hosts,
             self._guarantees,
             self._rate_limits,
+            self._statements,
             self._random,
             self._check_interrupted,
         )
@@ -147,16 +154,16 @@
         link = LINK_FAULTS[fault.variant_number % len(LINK_FAULTS)]
         match fault.kind:
             case "kill":
-                self._rate_limits.exempt_host(host.ip)
+                self._exempt(host)
                 host.kill()
             case "freeze":
-                self._rate_limits.exempt_host(host.ip)
+                self._exempt(host)
                 await host.freeze(fault.duration_s)
-                self._rate_limits.exempt_host(host.ip)
+                self._exempt(host)
             case "term":
-                self._rate_limits.exempt_host(host.ip)
+                self._exempt(host)
                 await host.terminate()
-                self._rate_limits.exempt_host(host.ip)
+                self._exempt(host)
             case "hup":
                 host.reload_settings()
             case "store_fault":
@@ -187,6 +194,18 @@
                 self._upstreams.set_rate_limit(name, RATE_LIMITS_PER_S[number])
                 await asyncio.sleep(fault.duration_s)
                 self._upstreams.set_rate_limit(name, None)
+            case "upstream_notice":
+                self._upstreams.give_notice(name)
+                await asyncio.sleep(fault.duration_s)
+                if name in self._upstreams.live:
+                    self._register(name, "draining")
+                    await self._replace(name, after_s=LEAVING_S)
+            case "upstream_refuses":
+                self._upstreams.refuse(name, fault.duration_s)
+
+    def _exempt(self, host: Host) -> None:
+        self._rate_limits.exempt_host(host.ip)
+        self._statements.exempt_host(host.ip)
 
     async def _replace(self, name: str, after_s: float) -> None:
         """Start a new upstream, then stop an old one and remove its entry."""
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -19,6 +19,7 @@
 from soak.guarantees import GuaranteeChecker, last_event, stream_event
 from soak.network import Network
 from soak.rate_limits import RateLimitChecker
+from soak.statements import StatementChecker
 
 NO_FAULTS = attrs.asdict(LinkFaults())
 EVENT_GAP_S = 0.01
@@ -33,6 +34,7 @@
         self,
         guarantees: GuaranteeChecker,
         rate_limits: RateLimitChecker,
+        statements: StatementChecker,
         rng: random.Random,
         network: Network,
     ) -> None:
@@ -40,6 +42,8 @@
         self._network = network
         self.guarantees = guarantees
         self.rate_limits = rate_limits
+        self.statements = statements
+        self._refuses_until_s: dict[str, float] = {}
         self.is_fault_free = False  # no upstream fails at random
         self.live: dict[str, tuple[ReplicaStandIn, Link]] = {}
         self._random = rng
@@ -56,10 +60,11 @@
         async def behave(
             connection: ReplicaConnection, request: ReplicaRequest
         ) -> None:
-            self.rate_limits.record_arrival(
-                name, request.headers[HEADERS.request_id]
-            )
-            await work(connection, request)
+            request_id = request.headers[HEADERS.request_id]
+            self.rate_limits.record_arrival(name, request_id)
+            self.statements.record_arrival(name, request_id)
+            if not await self._refuse(name, connection, request):
+                await work(connection, request)
 
         replica.behave = behave
         await replica.start()
@@ -87,6 +92,7 @@
     def set_link(self, name: str, faults: dict[str, object]) -> None:
         """Replace the faults of the link to an upstream."""
         self.rate_limits.exempt_upstream(name)
+        self.statements.exempt_upstream(name)
         if name in self.live:
             self.live[name][1].control.update({**NO_FAULTS, **faults})
 
@@ -98,6 +104,31 @@
             )
             self.rate_limits.set_limit(name, limit_per_s)
 
+    def give_notice(self, name: str) -> None:
+        """Let an upstream say in its answers that it is leaving."""
+        if name in self.live:
+            self.live[name][0].leaving = "1"
+
+    def refuse(self, name: str, duration_s: float) -> None:
+        """Let an upstream refuse, and ask for no requests meanwhile."""
+        now_s = asyncio.get_running_loop().time()
+        self._refuses_until_s[name] = now_s + duration_s
+
+    async def _refuse(
+        self, name: str, connection: ReplicaConnection, request: ReplicaRequest
+    ) -> bool:
+        """Refuse a request if its upstream does; return whether it did."""
+        now_s = asyncio.get_running_loop().time()
+        left_s = self._refuses_until_s.get(name, 0.0) - now_s
+        if left_s <= 0 or self.is_fault_free:
+            return False
+        connection.statements["Retry-After"] = f"{left_s:.2f}"
+        self.statements.record_refusal(
+            name, request.headers[HEADERS.request_id], left_s
+        )
+        await connection.refuse(request)
+        return True
+
     async def stop(self, name: str) -> None:
         """Stop an upstream at once."""
         replica, link = self.live.pop(name)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,10 +7,11 @@
 from _manual_clock import ManualClock
 from soak.guarantees import CallerOutcome, GuaranteeChecker, stream_body
 from soak.network import Network
-from soak.plan import PLANNED, Fault, Kind, Plan, draw_plan
+from soak.plan import PLANNED, STATEMENTS, Fault, Kind, Plan, draw_plan
 from soak.rate_limits import RateLimitChecker
 from soak.restarts import Restarts
 from soak.run import run_plan, run_seed
+from soak.statements import StatementChecker
 
 LENGTH_S = 5.0
 # One run with planned operations only and one with any fault. A seed that
@@ -58,6 +59,24 @@
     assert result.served > 50
 
 
+def test_hosts_heed_what_upstreams_say_about_themselves(
+    tmp_path: Path,
+) -> None:
+    """The store is silent meanwhile, and one host is killed."""
+    faults = (
+        fault("store_fault", 0.0),  # silent
+        fault("upstream_notice", 0.5, target=0),  # one of the models
+        fault("upstream_notice", 0.5, target=2),  # one of the plain ones
+        fault("upstream_refuses", 1.0, target=1),
+        fault("upstream_refuses", 1.0, target=3),
+        fault("kill", 4.0, target=1),
+    )
+    plan = Plan(seed=1, is_planned_only=False, faults=faults)
+    result = asyncio.run(run_plan(plan, tmp_path))
+    assert result.violations == []
+    assert result.served > 50
+
+
 def test_terminated_daemons_end(tmp_path: Path) -> None:
     """One in fourteen waited forever for a task that lost a cancellation."""
     result = asyncio.run(Restarts(1, 6, tmp_path).run(RESTARTS_S))
@@ -78,7 +97,7 @@
     plans = [draw_plan(seed, 10.0) for seed in range(50)]
     planned = [plan for plan in plans if plan.is_planned_only]
     assert 5 < len(planned) < 30
-    operations = {*PLANNED, "rate_limit"}
+    operations = {*PLANNED, *STATEMENTS, "rate_limit"}
     assert all(f.kind in operations for plan in planned for f in plan.faults)
 
 
@@ -205,3 +224,65 @@
     upstream.checker.exempt_host("h1")
     upstream.send("h1", 20, at_s=6.1)
     assert upstream.check() == []
+
+
+class SpeakingUpstream:
+    """An upstream whose statements a checker holds hosts to."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(0.0)
+        self.violations: list[str] = []
+        self.checker = StatementChecker(
+            lambda guarantee, _subject, _text: self.violations.append(
+                guarantee
+            ),
+            self.clock,
+        )
+        self.count = 0
+
+    def send(self, host: str, *, sent_s: float, at_s: float) -> str:
+        """Send a request from a host; return its id."""
+        self.count += 1
+        request_id = f"r{self.count}"
+        self.clock.now_s = sent_s
+        self.checker.record_request(request_id, host)
+        self.clock.now_s = at_s
+        self.checker.record_arrival("e1", request_id)
+        return request_id
+
+
+def test_a_request_after_a_notice_that_a_host_passed_on_is_reported() -> None:
+    upstream = SpeakingUpstream()
+    told = upstream.send("h1", sent_s=0.0, at_s=0.0)
+    upstream.checker.record_notice_passed_on(told)
+    upstream.send("h1", sent_s=1.9, at_s=2.5)
+    upstream.send("h2", sent_s=3.0, at_s=3.0)
+    assert upstream.violations == []
+    upstream.send("h1", sent_s=3.0, at_s=3.0)
+    assert upstream.violations == ["drain"]
+
+
+def test_too_many_requests_in_a_time_without_requests_are_reported() -> None:
+    upstream = SpeakingUpstream()
+    refused = upstream.send("h1", sent_s=0.0, at_s=0.0)
+    upstream.checker.record_refusal("e1", refused, 3.0)
+    for at_s in (0.1, 0.4, 1.0, 2.0, 3.1, 3.2):
+        upstream.send("h1", sent_s=at_s, at_s=at_s)
+        upstream.send("h2", sent_s=at_s, at_s=at_s)
+    assert upstream.violations == []
+    refused = upstream.send("h1", sent_s=4.0, at_s=4.0)
+    upstream.checker.record_refusal("e1", refused, 3.0)
+    for at_s in (5.0, 5.1, 5.2):
+        upstream.send("h1", sent_s=at_s, at_s=at_s)
+    assert upstream.violations == ["retry_after"]
+
+
+def test_hosts_that_were_stopped_are_exempt_from_statements() -> None:
+    upstream = SpeakingUpstream()
+    told = upstream.send("h1", sent_s=0.0, at_s=0.0)
+    upstream.checker.record_notice_passed_on(told)
+    upstream.checker.record_refusal("e1", told, 9.0)
+    upstream.checker.exempt_host("h1")
+    for at_s in (4.0, 4.1, 4.2):
+        upstream.send("h1", sent_s=at_s, at_s=at_s)
+    assert upstream.violations == []
