Count the time after which a notice is discarded by complete lists only

A notice was discarded 60 s after its upstream was last in the table of this host. Entries lapse during an outage of the store and come back after it, and a host that has just started has no table: the notice was gone, the upstream got work again. Found by reading our own change. Now only a complete list counts, and the time begins with the first one that lacks the upstream. The test fails without it.

--- a/src/balsamlift/peers/_leaving_notices.py
+++ b/src/balsamlift/peers/_leaving_notices.py
@@ -14,8 +14,8 @@
 log = logger.bind(part="upstreams")
 
 MAX_NOTICES = 5_000
-# A notice is kept for this long after its upstream was last listed, in case
-# an older list shows it again.
+# A notice is kept for this long after its upstream is gone from the list, in
+# case an older list shows it again.
 UNLISTED_TTL_S = 60.0
 _MS_PER_S = 1_000
 
@@ -25,8 +25,8 @@
     """A notice, with monotonic times."""
 
     given_s: float
-    last_listed_s: float
     change: int
+    unlisted_s: float | None = None  # since when the list lacks its upstream
 
 
 class LeavingNotices:
@@ -102,7 +102,7 @@
             del self._notices[next(iter(self._notices))]
         now_s = self._clock.monotonic()
         self.change += 1
-        self._notices[upstream] = _Notice(now_s - age_s, now_s, self.change)
+        self._notices[upstream] = _Notice(now_s - age_s, self.change)
         self._update_gauge()
         log.bind(
             upstream=upstream,
@@ -114,12 +114,17 @@
         self._wake()
 
     def prune(self, listed: Collection[str]) -> None:
-        """Discard notices of upstreams that are long gone from the list."""
+        """Discard notices of upstreams that are long gone from the list.
+
+        The list has to be complete: an outage drops entries that come back.
+        """
         now_s = self._clock.monotonic()
         for upstream, notice in list(self._notices.items()):
             if upstream in listed:
-                notice.last_listed_s = now_s
-            elif now_s - notice.last_listed_s > UNLISTED_TTL_S:
+                notice.unlisted_s = None
+            elif notice.unlisted_s is None:
+                notice.unlisted_s = now_s
+            elif now_s - notice.unlisted_s > UNLISTED_TTL_S:
                 del self._notices[upstream]
                 log.bind(
                     upstream=upstream,
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -308,6 +308,9 @@
             self._remove(self._unlisted)
         if not self._is_probing:
             self._clear_outdated_observations()
+        if self.is_list_complete:
+            names = {known.listed.name for known in self._table.all()}
+            self.leaving_notices.prune(names)
         self._notify_listed_states()
 
     def _notify_listed_states(self) -> None:
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -269,7 +269,6 @@
             live = {u.name for u in self._upstreams.all()}
             self._pool.sweep(live)
             self._peers.permits.prune(live)
-            self._upstreams.leaving_notices.prune(live)
             self._retry_after.discard_expired()
             self._balancer.discard_expired()
             self._crash_guard.discard_expired()
--- a/tests/test_leaving_notices.py
+++ b/tests/test_leaving_notices.py
@@ -195,9 +195,9 @@
     notices = LeavingNotices(clock)
     notices.record("e1", "answer")
     for listed in ({"e1"}, set(), {"e1"}, set()):
-        clock.now_s += UNLISTED_TTL_S - 1.0
+        clock.now_s += UNLISTED_TTL_S + 1.0
         notices.prune(listed)
         assert notices.has("e1")
-    clock.now_s += 2.0
+    clock.now_s += UNLISTED_TTL_S + 1.0
     notices.prune(set())
     assert not notices.has("e1")
--- a/tests/test_relay_leaving_notices.py
+++ b/tests/test_relay_leaving_notices.py
@@ -126,6 +126,27 @@
     run(test)
 
 
+def test_an_outage_of_the_list_ends_no_notice() -> None:
+    async def test() -> None:
+        pool = Pool("plain", 2)
+        first = pool.stand_ins[0]
+        first.leaving = "1"
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, "/order/1")
+            noticed_s = await first_answer(load, pool)
+            world.list.replicas.remove(first)
+            await asyncio.sleep(1.0)
+            world.list.is_down = True
+            await asyncio.sleep(70.0)
+            world.list.replicas.append(first)
+            world.list.is_down = False
+            await load.run(4.0)
+            assert late_arrivals(load, pool, noticed_s) == []
+
+    run(test)
+
+
 @pytest.mark.parametrize("status", [200, 404, 500, 503])
 def test_a_notice_in_any_answer_counts(status: int) -> None:
     async def fail(
