--- a/src/balsamlift/peers/_leaving_notices.py
+++ b/src/balsamlift/peers/_leaving_notices.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 from loguru import logger
@@ -44,7 +44,6 @@
         self._metrics = Metrics()
         self._notices: dict[str, _Notice] = {}  # oldest first
         self._on_notice: list[Callable[[str], None]] = []
-
         self._wake: Callable[[], None] = _do_nothing
 
     def start(self, metrics: Metrics) -> None:
@@ -113,14 +112,14 @@
             callback(upstream)
         self._wake()
 
-    def prune(self, listed: Collection[str]) -> None:
+    def prune(self, is_listed: Callable[[str], bool]) -> None:
         """Discard notices of upstreams that are long gone from the list.
 
         The list has to be complete: an outage drops entries that come back.
         """
         now_s = self._clock.monotonic()
         for upstream, notice in list(self._notices.items()):
-            if upstream in listed:
+            if is_listed(upstream):
                 notice.unlisted_s = None
             elif notice.unlisted_s is None:
                 notice.unlisted_s = now_s
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -309,8 +309,9 @@
         if not self._is_probing:
             self._clear_outdated_observations()
         if self.is_list_complete:
-            names = {known.listed.name for known in self._table.all()}
-            self.leaving_notices.prune(names)
+            self.leaving_notices.prune(
+                lambda name: self.find(name) is not None
+            )
         self._notify_listed_states()
 
     def _notify_listed_states(self) -> None:
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -26,9 +26,7 @@
 
 # A header holds one decimal number; "1e400" or "2, 3" is none.
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
-
-
-MAX_RETRY_AFTER_S = 86_400.0
+MAX_RETRY_AFTER_S = 86_400.0  # a longer time is taken for an error
 
 
 class RecordError(PlatformError):
--- a/tests/test_leaving_notices.py
+++ b/tests/test_leaving_notices.py
@@ -194,10 +194,11 @@
     clock = ManualClock(100.0)
     notices = LeavingNotices(clock)
     notices.record("e1", "answer")
-    for listed in ({"e1"}, set(), {"e1"}, set()):
+    lists: list[set[str]] = [{"e1"}, set(), {"e1"}, set()]
+    for listed in lists:
         clock.now_s += UNLISTED_TTL_S + 1.0
-        notices.prune(listed)
+        notices.prune(listed.__contains__)
         assert notices.has("e1")
     clock.now_s += UNLISTED_TTL_S + 1.0
-    notices.prune(set())
+    notices.prune(lambda _: False)
     assert not notices.has("e1")
