Hold a host to a notice of the upstream whose head it passed on

Trace: model-4 never gave one; the host had passed on the head of model-3, whose notice it was, the generation had resumed at model-4 within 0.2 s, and the checker took the last upstream that a request had reached for the one that had answered. The stand-ins now name themselves in a header that passes to the caller, and the checker goes by that: it holds a host to what it was told, no less. The checker of rate limits goes by the last upstream too, which is left.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,6 +17,7 @@
 from soak.hosts import Host
 from soak.rate_limits import RateLimitChecker
 from soak.statements import StatementChecker
+from soak.upstreams import UPSTREAM_HEADER
 
 DEADLINE_MS = 3_000
 PATHS = {"idempotent": "/view/", "non_idempotent": "/order/"}
@@ -81,6 +82,7 @@
         body=answer.body,
         is_whole=answer.is_whole,
         names_rate_limit=HEADERS.rate_limit in answer.headers,
+        upstream=answer.headers.get(UPSTREAM_HEADER, ""),
         is_notice=HEADERS.leaving in answer.headers,
     )
     closes = answer.headers.get("Connection", "").lower() == "close"
@@ -162,7 +164,9 @@
             if outcome.names_rate_limit:
                 self._rate_limits.record_passed_on(request.request_id)
             if outcome.is_notice:
-                self._statements.record_notice_passed_on(request.request_id)
+                self._statements.record_notice_passed_on(
+                    request.request_id, outcome.upstream
+                )
             self._guarantees.check_outcome(outcome)
             # A host may close a reused connection just as a request is sent.
             if not outcome.is_whole and (number == 0 or outcome.status):
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -22,6 +22,7 @@
     body: bytes = b""
     is_whole: bool = False
     names_rate_limit: bool = False  # as its upstream did
+    upstream: str = ""  # whose head it is; a resumed stream keeps the first
     is_notice: bool = False  # that its upstream is leaving
 
 
--- a/tests/soak/statements.py
+++ b/tests/soak/statements.py
@@ -41,7 +41,6 @@
         self._report_violation = report_violation
         self._clock = clock or SystemClock()
         self._sent: dict[str, tuple[str, float]] = {}  # by request id
-        self._upstreams: dict[str, str] = {}  # by request id, the latest
         self._told_s: dict[tuple[str, str], float] = {}  # upstream, host
         self._refusals: dict[tuple[str, str], list[Refusal]] = defaultdict(
             list
@@ -54,7 +53,6 @@
 
     def record_arrival(self, upstream: str, request_id: str) -> None:
         """Record that a request reached an upstream."""
-        self._upstreams[request_id] = upstream
         if request_id not in self._sent:
             return
         host, sent_s = self._sent[request_id]
@@ -96,9 +94,8 @@
             Refusal(now_s, now_s + retry_after_s)
         )
 
-    def record_notice_passed_on(self, request_id: str) -> None:
+    def record_notice_passed_on(self, request_id: str, upstream: str) -> None:
         """Record that a caller received an answer that is a notice."""
-        upstream = self._upstreams.get(request_id, "")
         host, _ = self._sent[request_id]
         self._told_s.setdefault((upstream, host), self._clock.monotonic())
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -24,6 +24,7 @@
 NO_FAULTS = attrs.asdict(LinkFaults())
 EVENT_GAP_S = 0.01
 MAX_WORK_S = 0.04
+UPSTREAM_HEADER = "Answered-By"  # passed on to the caller
 UPSTREAMS = 252  # the number of their IP address
 
 
@@ -60,6 +61,7 @@
         async def behave(
             connection: ReplicaConnection, request: ReplicaRequest
         ) -> None:
+            connection.statements[UPSTREAM_HEADER] = name
             request_id = request.headers[HEADERS.request_id]
             self.rate_limits.record_arrival(name, request_id)
             self.statements.record_arrival(name, request_id)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -254,7 +254,7 @@
 def test_a_request_after_a_notice_that_a_host_passed_on_is_reported() -> None:
     upstream = SpeakingUpstream()
     told = upstream.send("h1", sent_s=0.0, at_s=0.0)
-    upstream.checker.record_notice_passed_on(told)
+    upstream.checker.record_notice_passed_on(told, "e1")
     upstream.send("h1", sent_s=1.9, at_s=2.5)
     upstream.send("h2", sent_s=3.0, at_s=3.0)
     assert upstream.violations == []
@@ -262,6 +262,15 @@
     assert upstream.violations == ["drain"]
 
 
+def test_a_notice_counts_for_the_upstream_whose_head_was_passed_on() -> None:
+    """A stream with the head of one upstream had resumed at another."""
+    upstream = SpeakingUpstream()
+    told = upstream.send("h1", sent_s=0.0, at_s=0.0)
+    upstream.checker.record_notice_passed_on(told, "e0")
+    upstream.send("h1", sent_s=3.0, at_s=3.0)
+    assert upstream.violations == []
+
+
 def test_too_many_requests_in_a_time_without_requests_are_reported() -> None:
     upstream = SpeakingUpstream()
     refused = upstream.send("h1", sent_s=0.0, at_s=0.0)
@@ -280,7 +289,7 @@
 def test_hosts_that_were_stopped_are_exempt_from_statements() -> None:
     upstream = SpeakingUpstream()
     told = upstream.send("h1", sent_s=0.0, at_s=0.0)
-    upstream.checker.record_notice_passed_on(told)
+    upstream.checker.record_notice_passed_on(told, "e1")
     upstream.checker.record_refusal("e1", told, 9.0)
     upstream.checker.exempt_host("h1")
     for at_s in (4.0, 4.1, 4.2):
