Revert "Report the first of two engines that fail a host in a row"

Hosts there send little, so that two failed requests in a row are common without anything being broken, and were now reported.

--- a/src/balsamlift/relay/_shared_health.py
+++ b/src/balsamlift/relay/_shared_health.py
@@ -29,10 +29,7 @@
 TRIAL_TIMEOUT_S = 4.0
 # A host for which this many upstreams failed, without a success in between,
 # is considered faulty itself and reports no failures until one succeeds.
-LOCAL_FAULT_FAILURES = 3
-# Time for which such a host reports the first of two failures in a row; a
-# success, which ends the doubt, takes about as long as a request.
-DOUBT_S = 0.5
+LOCAL_FAULT_FAILURES = 2
 # If a larger part of a pool is reported as failing, the cause is elsewhere
 # and no upstream is avoided.
 MAX_AVOIDED_FRACTION = 0.5
@@ -174,8 +171,7 @@
         self._rank_for = rank_for
         self._observations: dict[str, _Observation] = {}
         self._published: Mapping[str, int] = {}
-        # Failures without a success in between, the first one first.
-        self._failed_since_success: dict[str, float] = {}  # when
+        self._failed_since_success: set[str] = set()
         self._tried_s: dict[str, float] = {}  # trials without a result
         self._on_probation: set[str] = set()  # as last seen
         self._waited: dict[str, int] = {}  # seconds, where trials are due
@@ -202,22 +198,8 @@
         """Return whether this host is probably the cause of failures."""
         return len(self._failed_since_success) >= LOCAL_FAULT_FAILURES
 
-    def _is_withheld(self, upstream: str, now_s: float) -> bool:
-        """Return whether a failure may be this host's own.
-
-        Of two upstreams that fail in a row, the first is still reported for a
-        while: both may be broken.
-        """
-        if self._is_faulty:
-            return True
-        second_s = list(self._failed_since_success.values())[1:]
-        if not second_s:
-            return False
-        is_first = upstream == next(iter(self._failed_since_success))
-        return not is_first or now_s > second_s[0] + DOUBT_S
-
     def _record_failure(self, upstream: str, now_s: float) -> None:
-        self._failed_since_success.setdefault(upstream, now_s)
+        self._failed_since_success.add(upstream)
         self._observations[upstream] = self._observe_failure(upstream, now_s)
 
     def _record_success(self, upstream: str, now_s: float) -> None:
@@ -379,9 +361,7 @@
             is_current = observation.is_current(now_s)
             if not observation.is_failing:
                 counts[serving_key(name)] += is_current
-            elif not self._is_withheld(
-                name, now_s
-            ) and observation.is_on_probation(now_s):
+            elif not self._is_faulty and observation.is_on_probation(now_s):
                 counts[probation_key(name)] += 1
                 counts[failing_key(name)] += is_current
                 counts[failed_trials_key(name)] += observation.failed_trials
