Leave an engine on resuming only if it is leaving

The look at the state after a generation has resumed took an evacuated failure domain for a reason to leave, though what runs there ends there. It now asks the same as all other moves do, by one function. Found by reading our own change; evacuated engines are refused before that, so that no test has it.

--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -149,6 +149,11 @@
         """Return whether its failure domain is evacuated, listed or not."""
         return self.evacuations.covers(upstream.failure_domain)
 
+    def is_leaving(self, name: str) -> bool:
+        """Return whether it is leaving, or no longer listed."""
+        upstream = self.find(name)
+        return upstream is None or upstream.state == "leaving"
+
     def may_take_work(self, name: str) -> bool:
         """Return whether it is listed, not leaving and not evacuated."""
         upstream = self.find(name)
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -278,7 +278,7 @@
         self._reservation.move(upstream)
         self._splitter = EventSplitter(self._splitter.last_id)
         self._start_reading(reply)
-        if not self._context.upstreams.may_take_work(upstream.name):
+        if self._context.upstreams.is_leaving(upstream.name):
             self.leave_engine()  # notified while it resumed
         return True
 
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -256,7 +256,7 @@
             self._context, job, responder, started.reservation, started.backup
         )
         self._running.add(generation)
-        if self._is_leaving(reply.upstream):
+        if self._upstreams.is_leaving(reply.upstream.name):
             generation.leave_engine()  # notified before the first event
         try:
             if not reply.is_success:
@@ -312,9 +312,7 @@
         """Move generations off engines that leave or are no longer listed."""
         for generation in self._running:
             upstream = generation.upstream
-            if upstream is not None and self._is_leaving(upstream):
+            if upstream is not None and self._upstreams.is_leaving(
+                upstream.name
+            ):
                 generation.leave_engine()
-
-    def _is_leaving(self, upstream: Upstream) -> bool:
-        known = self._upstreams.find(upstream.name)
-        return known is None or known.state == "leaving"
