--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -271,10 +271,17 @@
         async with RelayHarness(stand_ins) as world:
             world.configure()
             for n in range(DISCONNECTING_CALLERS):
-                _, writer = await world.connect()
+                reader, writer = await world.connect()
                 writer.write(request_bytes("/draft/1", f"r{n}", headers=USAGE))
-                while sum(len(s.arrivals) for s in stand_ins) <= n:
-                    await asyncio.sleep(0)
+                try:
+                    while sum(len(s.arrivals) for s in stand_ins) <= n:
+                        await asyncio.sleep(0)
+                except asyncio.CancelledError:  # out of time
+                    async with asyncio.timeout(1.0):
+                        print(
+                            f"caller {n} was answered", await reader.read(500)
+                        )
+                    raise
                 # Disconnect between the request's arrival and its first
                 # events.
                 for _ in range(n % 20):
