--- a/tests/_relay_load.py
+++ b/tests/_relay_load.py
@@ -6,12 +6,13 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
-from _relay_helpers import USAGE, refuse, stream
+from _relay_helpers import USAGE, refuse, stream, until_arrived
 from _virtual_time import run_virtual
 
 from balsamlift.testing._replica import Behave, answer_ok
 from balsamlift.testing.relay import (
     HEADER_NAMES,
+    CallerAnswer,
     RelayHarness,
     ReplicaConnection,
     ReplicaRequest,
@@ -63,6 +64,11 @@
         for stand_in in self.stand_ins:
             self.attach(stand_in)
 
+    def set_behaviour(self, behave: Behave) -> None:
+        """Let all stand-ins answer like that, without recording times."""
+        for stand_in in self.stand_ins:
+            stand_in.behave = behave
+
     def attach(self, stand_in: ReplicaStandIn) -> None:
         arrivals = self.arrivals[stand_in.name] = []
 
@@ -79,6 +85,16 @@
         stand_in.behave = behave
 
 
+async def begin_generation(
+    world: RelayHarness, pool: Pool
+) -> tuple[asyncio.Task[CallerAnswer], ReplicaStandIn]:
+    """Return a call whose first events have arrived, and its engine."""
+    calling = asyncio.create_task(world.call("/draft/1", headers=USAGE))
+    used = await until_arrived(pool.stand_ins)
+    await asyncio.sleep(0.1)
+    return calling, used
+
+
 class Load:
     """Calls at a constant rate."""
 
--- a/tests/test_relay_leaving_notices.py
+++ b/tests/test_relay_leaving_notices.py
@@ -5,12 +5,10 @@
 import attrs
 import pytest
 from _relay_helpers import (
-    USAGE,
     hang_midway,
     stream,
-    until_arrived,
 )
-from _relay_load import PATHS, Load, Pool, run
+from _relay_load import PATHS, Load, Pool, begin_generation, run
 from _virtual_time import LoopClock
 
 from balsamlift.peers import Upstream
@@ -247,17 +245,11 @@
             await connection.begin_stream(request)
             await connection.reader.read()
 
-        for stand_in in pool.stand_ins:
-            stand_in.behave = hang_midway
+        pool.set_behaviour(hang_midway)
         async with RelayHarness(pool.stand_ins, LoopClock()) as world:
             world.configure()
-            calling = asyncio.create_task(
-                world.call("/draft/1", headers=USAGE)
-            )
-            first = await until_arrived(pool.stand_ins)
-            await asyncio.sleep(0.1)  # until its first events have arrived
-            for stand_in in pool.stand_ins:
-                stand_in.behave = resume
+            calling, first = await begin_generation(world, pool)
+            pool.set_behaviour(resume)
             first.state = "leaving"
             answer = await calling
             assert answer.is_whole
@@ -271,15 +263,10 @@
         pool = Pool("model", 3)
         traits = attrs.evolve(ENGINE, can_back_up=False)
         service = Service(name="model", max_connections=100, engine=traits)
-        for stand_in in pool.stand_ins:
-            stand_in.behave = hang_midway
+        pool.set_behaviour(hang_midway)
         async with RelayHarness(pool.stand_ins, LoopClock()) as world:
             world.configure(services=(service,))
-            calling = asyncio.create_task(
-                world.call("/draft/1", headers=USAGE)
-            )
-            first = await until_arrived(pool.stand_ins)
-            await asyncio.sleep(0.1)  # until its first events have arrived
+            calling, first = await begin_generation(world, pool)
             copied_to: list[str] = []
             copy = world.engines.copy
 
@@ -300,8 +287,7 @@
             world.engines.copy = copy_and_notice  # type: ignore[method-assign]
             stopped = asyncio.Event()
             world.engines.stop_events.append(stopped)
-            for stand_in in pool.stand_ins:
-                stand_in.behave = stream
+            pool.set_behaviour(stream)
             first.state = "leaving"
             await stopped.wait()
             for task in list(first.open):
@@ -317,17 +303,11 @@
 def test_the_list_does_not_lift_the_notice_in_a_report() -> None:
     async def test() -> None:
         pool = Pool("model", 2)
-        for stand_in in pool.stand_ins:
-            stand_in.behave = hang_midway
+        pool.set_behaviour(hang_midway)
         async with RelayHarness(pool.stand_ins, LoopClock()) as world:
             world.configure()
-            calling = asyncio.create_task(
-                world.call("/draft/1", headers=USAGE)
-            )
-            first = await until_arrived(pool.stand_ins)
-            await asyncio.sleep(0.1)  # until its first events have arrived
-            for stand_in in pool.stand_ins:
-                stand_in.behave = stream
+            calling, first = await begin_generation(world, pool)
+            pool.set_behaviour(stream)
             world.list.is_down = True
             world.engines.leaving.add(first.name)
             answer = await calling
--- a/tests/test_relay_retry_after.py
+++ b/tests/test_relay_retry_after.py
@@ -4,7 +4,7 @@
 
 import pytest
 from _relay_helpers import USAGE, hang_midway, stream, until_arrived
-from _relay_load import PATHS, Load, Pool, run
+from _relay_load import PATHS, Load, Pool, begin_generation, run
 from _virtual_time import LoopClock
 
 from balsamlift.testing.relay import (
@@ -206,15 +206,10 @@
 def test_a_lost_generation_resumes_at_a_backup_that_asked_for_none() -> None:
     async def test() -> None:
         pool = Pool("model", 2)
-        for stand_in in pool.stand_ins:
-            stand_in.behave = hang_midway
+        pool.set_behaviour(hang_midway)
         async with RelayHarness(pool.stand_ins, LoopClock()) as world:
             world.configure()
-            calling = asyncio.create_task(
-                world.call("/draft/1", headers=USAGE)
-            )
-            used = await until_arrived(pool.stand_ins)
-            await asyncio.sleep(0.1)  # until its first events have arrived
+            calling, used = await begin_generation(world, pool)
             (backup,) = [s for s in pool.stand_ins if s is not used]
             backup.behave = stream
             world.relay._retry_after.record(backup.name, RETRY_AFTER_S)
