Let a failing soak tell what became of each process

The supervisor of a host now writes each spawn, signal and end (with exit code and the runnable threads of the machine) to a file beside the daemon's log, and a violation of the recovery names for each process its state, its time on a processor and waiting for one, its wait channel, the machine's load, free memory and pressure, and how late the loop of the run was.

Found beside it: an error of the spawn ended the supervisor, and stop dropped it. With a spawn that fails once, the code before shows the sign of the entry exactly: "recovery: not every host serves the newest configuration", that host silent for the rest of the run. Now it is tried again, as a supervisor does, and reported as a violation of its own, so that such a run still fails. The new test failed before: ['recovery: ...'] instead of ['supervisor: ...'].

Signals go by process descriptor: Popen.send_signal polls first and may reap the process, which loses its exit code, and an id may be another's by then.

--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -16,6 +16,7 @@
 from balsamlift.testing._settings import LinkSettings
 from balsamlift.testing.platform import KeyedStore
 from soak.network import Network
+from soak.processes import ProcessHistory, describe_process, open_pidfd
 from soak.upstreams import NO_FAULTS
 
 ROOT = Path(__file__).parent.parent.parent
@@ -23,6 +24,7 @@
 FIRST_PORT = 7890  # of the internal ports
 GRACE_S = 3
 STACKS_S = 0.5  # until the stacks of a daemon are written
+RESTART_S = 0.2
 DOMAINS = ("north", "south")
 STAND_INS = 253  # the number of their IP address
 
@@ -38,6 +40,9 @@
         self.ip = network.ip(number + 1)
         self.domain = DOMAINS[number % len(DOMAINS)]
         self.log_file = folder / f"{self.name}.log"
+        self.history = ProcessHistory(
+            self.name, folder / f"{self.name}-processes.log"
+        )
         self.is_leaving = False
         self.link = Link(
             LinkSettings(
@@ -49,6 +54,7 @@
         )
         self._file = folder / f"{self.name}.toml"
         self._process: asyncio.subprocess.Process | None = None
+        self._pidfd: int | None = None
         self._supervisor: asyncio.Task[None] | None = None
 
     def address(self, port: str) -> str:
@@ -67,12 +73,16 @@
 
     async def stop(self) -> None:
         """Kill the daemon without restarting it."""
+        # The process ends first: its descriptor is the supervisor's.
+        self.kill()
         if self._supervisor is not None:
             self._supervisor.cancel()
             await asyncio.wait([self._supervisor])
-        if self._process is not None:
-            self._signal(signal.SIGKILL)
-            await self._process.wait()
+        process = self._process
+        if process is not None:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
         await self.link.stop()
 
     async def freeze(self, duration_s: float) -> None:
@@ -100,13 +110,10 @@
         process = self._process
         if process is None:
             return f"{self.name}: never started"
-        state = f"{self.name}: pid {process.pid}, ended {process.returncode}"
-        with contextlib.suppress(OSError):
-            status = Path(f"/proc/{process.pid}/status").read_text()
-            state += f", {status.splitlines()[2].strip()}"
+        state = describe_process(process.pid)
         self._signal(signal.SIGABRT)
         await asyncio.sleep(STACKS_S)
-        return state
+        return f"{self.name}: {state}, ended {process.returncode}"
 
     def kill(self) -> None:
         """Kill the daemon; it is restarted."""
@@ -121,16 +128,35 @@
         self.link.control.update({**NO_FAULTS, **faults})
 
     def _signal(self, number: signal.Signals) -> None:
-        if self._process is not None and self._process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):  # it has just ended
-                self._process.send_signal(number)
+        if self._pidfd is None:
+            return
+        with contextlib.suppress(ProcessLookupError):  # it has just ended
+            signal.pidfd_send_signal(self._pidfd, number)
+            self.history.record("signal", signal=number.name)
 
     async def _supervise(self) -> None:
         with self.log_file.open("ab") as log_file:
             while True:
-                self._process = await self.start_process(log_file)
-                await self._process.wait()
-                await asyncio.sleep(0.2)
+                try:
+                    await self._run_process(log_file)
+                except Exception as error:
+                    self.history.record_error(error)
+                await asyncio.sleep(RESTART_S)
+
+    async def _run_process(self, log_file: BinaryIO) -> None:
+        self.history.record("starting a process")
+        self._process = process = await self.start_process(log_file)
+        self._pidfd = open_pidfd(process.pid)
+        self.history.record("process started", pid=process.pid)
+        try:
+            await process.wait()
+        finally:
+            if self._pidfd is not None:
+                os.close(self._pidfd)
+            self._pidfd = None
+        self.history.record(
+            "process ended", pid=process.pid, exit_code=process.returncode
+        )
 
     async def start_process(
         self, log_file: BinaryIO
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -33,6 +33,7 @@
     Plan,
     draw_plan,
 )
+from soak.processes import LoopLateness, describe_machine
 from soak.rate_limits import RateLimitChecker
 from soak.statements import StatementChecker
 from soak.upstreams import Upstreams
@@ -79,9 +80,11 @@
         )
         self._version = 1
         self._faults: set[asyncio.Task[None]] = set()
+        self._lateness = LoopLateness()
 
     async def run(self) -> Result:
         """Start all processes, inject the faults and check the recovery."""
+        self._lateness.start()
         await self._store.start()
         for service in SERVICES:
             await self._add_upstream(service)
@@ -102,6 +105,8 @@
             await self._upstreams.stop_all()
             await self._store.stop()
             self._network.release()
+            self._lateness.stop()
+        self._report_supervisors()
         outcomes = self._guarantees.outcomes
         return Result(
             plan=self._plan,
@@ -110,6 +115,12 @@
             served=sum(o.status == 200 and o.is_whole for o in outcomes),
         )
 
+    def _report_supervisors(self) -> None:
+        """Report processes that could not be started."""
+        for host in self._hosts:
+            for error in host.history.errors:
+                self._guarantees.report_violation("supervisor", "", error)
+
     async def _run_callers_with_faults(self) -> None:
         callers = Callers(
             self._hosts,
@@ -251,12 +262,14 @@
         try:
             await self._wait_until_served(timeout_s)
         except TimeoutError:
+            machine = describe_machine()
             states = [await host.dump_stacks() for host in self._hosts]
             self._guarantees.report_violation(
                 promise,
                 "",
                 "not every host serves the newest configuration "
-                f"({'; '.join(states)})",
+                f"({'; '.join(states)}; {machine}; the loop of this run was "
+                f"late by up to {self._lateness.max_s:.2f} s)",
             )
             return False
         return True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,14 @@
 """Run short soak tests, and check the plan and the guarantee checker."""
 
 import asyncio
+from asyncio.subprocess import Process
 from pathlib import Path
+from typing import BinaryIO
 
 import pytest
 from _manual_clock import ManualClock
 from soak.guarantees import CallerOutcome, GuaranteeChecker, stream_body
+from soak.hosts import Host
 from soak.network import Network
 from soak.plan import PLANNED, STATEMENTS, Fault, Kind, Plan, draw_plan
 from soak.rate_limits import RateLimitChecker
@@ -84,6 +87,31 @@
     assert len(result.ends_s) >= 6
 
 
+def test_a_process_that_cannot_be_started_is_reported(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The supervisor ended without a word, and its host never served again."""
+    start_process = Host.start_process
+    starts: list[str] = []
+
+    async def fail_once(host: Host, log_file: BinaryIO) -> Process:
+        starts.append(host.name)
+        if starts.count("edge-1") == 2:
+            raise BlockingIOError("no process to be had")
+        return await start_process(host, log_file)
+
+    monkeypatch.setattr(Host, "start_process", fail_once)
+    plan = Plan(
+        seed=1, is_planned_only=False, faults=(fault("kill", 1.0, target=1),)
+    )
+    result = asyncio.run(run_plan(plan, tmp_path))
+    expected = "supervisor:  edge-1: BlockingIOError: no process to be had"
+    assert result.violations == [expected]
+    history = (tmp_path / "edge-1-processes.log").read_text()
+    assert '"exit_code": -9' in history
+    assert "could not start" in history
+
+
 def test_runs_beside_each_other_have_addresses_of_their_own() -> None:
     """Requests of one run reached upstreams and hosts of another."""
     networks = [Network() for _ in range(3)]
