End a start that is interrupted at once, with a line

What callers and operators saw: SIGTERM before the daemon's handlers ended the process by the signal without any line, so that a host terminated there in a row left nothing to read. SIGTERM while the start waited for a silent store was looked at when the start was done; the host then announced itself, served and drained for 2.0 to 2.5 s of its 3 s of grace, though nobody had its address.

Cause: handlers were set after the imports and the constructors (0.3 s and more of processor time), and the event they set was awaited after the start.

What remains: a signal while the interpreter itself starts ends it by the signal.

Two tests, both seen failing before (exit code -15; "stopped" after a full drain).

--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -173,6 +173,11 @@
         await self._load.stop()
         await self._links.stop()
 
+    @property
+    def is_started(self) -> bool:
+        """Return whether this host exchanges messages with others."""
+        return bool(self._tasks)
+
     @property
     def own(self) -> Member:
         """Return this host's own membership entry."""
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -14,7 +14,7 @@
 from balsamlift._http import HttpClient
 from balsamlift._incarnation import new_incarnation
 from balsamlift._log_sink import LogSink
-from balsamlift._tasks import end_other_tasks
+from balsamlift._tasks import end_other_tasks, end_task
 from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import AddressUnavailableError
 from balsamlift.kernel import Kernel
@@ -171,6 +171,24 @@
             store_address=self._node.store_address,
         ).info("started")
 
+    async def start_unless(self, stop_requested: asyncio.Event) -> bool:
+        """Start; return False if the start was given up for a stop request.
+
+        A start that waits for the store is given up at once: no host gives
+        out this one's address yet, so that there is nothing to drain.
+        """
+        starting = asyncio.create_task(self.start())
+        stopping = asyncio.create_task(stop_requested.wait())
+        await asyncio.wait(
+            [starting, stopping], return_when=asyncio.FIRST_COMPLETED
+        )
+        await end_task(stopping)
+        if not starting.done() and not self.peers.is_started:
+            await end_task(starting)
+            return False
+        await starting
+        return True
+
     async def leave(self) -> None:
         """Announce that this host leaves, and serve requests until none runs.
 
@@ -215,9 +233,11 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, _log_ignored_reload)
-    await daemon.start()
-    await stop_requested.wait()
-    await daemon.leave()
+    if await daemon.start_unless(stop_requested):
+        await stop_requested.wait()
+        await daemon.leave()
+    else:
+        log.info("stopped before it had started")
     unfinished = await end_other_tasks(END_TIMEOUT_S)
     if unfinished:
         log.bind(tasks=unfinished).error("tasks did not end")
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -44,7 +44,8 @@
         f"{max(result.starts_s, default=0):.1f} s, {len(result.ends_s)} ends, "
         f"at most {max(result.ends_s, default=0):.1f} s, "
         f"{result.beyond_grace} beyond the grace period, "
-        f"{len(result.violations)} that did not start or end"
+        f"{result.without_line} before their first line, "
+        f"{len(result.violations)} that did not start or end as they should"
     )
     for line in result.violations:
         print(f"  {line}  (logs in {folder})")
--- a/tests/soak/restarts.py
+++ b/tests/soak/restarts.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -27,6 +28,8 @@
 STARTED = b'"message":"started"'
 LEAVE_S = 1.5  # that a daemon takes to leave without requests
 FREEZE_S = 0.3
+# One of them is written by each process that ends after SIGTERM.
+END_MESSAGES = ("stopped", "stopped before it had started")
 POLL_S = 0.05
 
 Process = asyncio.subprocess.Process
@@ -39,6 +42,7 @@
     violations: list[str] = attrs.field(factory=list)
     starts_s: list[float] = attrs.field(factory=list)
     ends_s: list[float] = attrs.field(factory=list)
+    without_line: int = 0  # ended by SIGTERM before any handler was set
 
     @property
     def beyond_grace(self) -> int:
@@ -81,6 +85,7 @@
         disturbances = (_leave, _reload, _freeze, _signal_twice, _cut_link)
         with host.log_file.open("ab") as log_file:
             while asyncio.get_running_loop().time() < until_s:
+                offset = log_file.seek(0, 2)
                 process = await host.start_process(log_file)
                 disturb = self._random.choice(disturbances)
                 delay_s = self._random.uniform(0, LEAVE_S)
@@ -89,6 +94,7 @@
                 elif not await self._wait_started(host, process, log_file):
                     continue
                 await self._end(host, process, disturb, delay_s)
+                self._check_end(host, process, offset)
 
     async def _wait_started(
         self, host: Host, process: Process, log_file: BinaryIO
@@ -125,6 +131,22 @@
             await self._report(process, f"{host.name}: did not end ({name})")
         await disturbing
 
+    def _check_end(self, host: Host, process: Process, offset: int) -> None:
+        """Check that an end is clean and leaves a line that tells of it.
+
+        The log of the process begins at `offset`. A signal that comes while
+        the interpreter itself starts ends it before any of our code runs.
+        """
+        if process.returncode == -signal.SIGTERM:
+            self._result.without_line += 1
+            return
+        messages = _messages(host.log_file.read_bytes()[offset:])
+        if process.returncode != 0 or not messages & {*END_MESSAGES}:
+            self._result.violations.append(
+                f"{host.name}: ended with {process.returncode} and no line "
+                f"that tells of it, pid {process.pid}"
+            )
+
     async def _report(self, process: Process, text: str) -> None:
         """Report a violation; the stacks of the process go to its log."""
         self._result.violations.append(f"{text}, pid {process.pid}")
@@ -134,6 +156,15 @@
         await process.wait()
 
 
+def _messages(log: bytes) -> set[str]:
+    """Return the messages of a log; lines of libraries are no JSON."""
+    return {
+        json.loads(line)["message"]
+        for line in log.splitlines()
+        if line.startswith(b"{")
+    }
+
+
 def _send(process: Process, number: signal.Signals) -> None:
     if process.returncode is None:
         with contextlib.suppress(ProcessLookupError):  # it has just ended
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -136,12 +136,14 @@
         return [json.loads(line) for line in text.decode().splitlines()]
 
 
-def is_default_action_replaced(pid: int) -> bool:
-    """Return whether a process ignores or catches SIGHUP."""
+def is_default_action_replaced(
+    pid: int, number: signal.Signals = signal.SIGHUP
+) -> bool:
+    """Return whether a process ignores or catches a signal."""
     status = Path(f"/proc/{pid}/status").read_text()
     fields = dict(line.split(":", 1) for line in status.splitlines())
     masks = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
-    return bool(masks & 1 << signal.SIGHUP - 1)
+    return bool(masks & 1 << number - 1)
 
 
 def run(
@@ -256,6 +258,63 @@
     run(test, tmp_path)
 
 
+NOT_STARTED = "stopped before it had started"
+
+
+def test_a_termination_during_the_imports_leaves_a_line(
+    tmp_path: Path,
+) -> None:
+    """The process ended by the signal, and nothing said that it had been."""
+
+    async def test(deployment: Deployment) -> None:
+        deployment.process.kill()
+        await deployment.process.wait()
+        deployment.process = await deployment.start_process()
+        pid = deployment.process.pid
+        while not is_default_action_replaced(pid, signal.SIGHUP):
+            await asyncio.sleep(0.001)
+        # The handler of SIGTERM is set right after that of SIGHUP.
+        await asyncio.sleep(0.01)
+        deployment.process.send_signal(signal.SIGTERM)
+        assert await deployment.process.wait() == 0
+        lines = await deployment.log_lines()
+        assert [line["message"] for line in lines] == [NOT_STARTED]
+
+    run(test, tmp_path)
+
+
+def test_a_termination_while_the_start_waits_ends_without_draining(
+    tmp_path: Path,
+) -> None:
+    """It finished its start, announced itself and left with a full drain."""
+
+    async def test(deployment: Deployment) -> None:
+        deployment.process.kill()
+        await deployment.process.wait()
+        deployment.store.fault = "silent"
+        deployment.process = await deployment.start_process()
+        output = deployment.process.stdout
+        assert output is not None
+        assert b'"starting"' in await output.readline()
+        while await refused_status(deployment) != 503:
+            await asyncio.sleep(0.001)
+        deployment.process.send_signal(signal.SIGTERM)
+        assert await deployment.process.wait() == 0
+        messages = [line["message"] for line in await deployment.log_lines()]
+        assert messages[-1] == NOT_STARTED
+        assert not {"started", "leaving"} & set(messages)
+
+    run(test, tmp_path)
+
+
+async def refused_status(deployment: Deployment) -> int:
+    """Return the status of a call; 0 if the host does not accept it yet."""
+    try:
+        return (await deployment.call("r1")).status
+    except OSError:
+        return 0
+
+
 def test_start_does_not_import_unused_packages() -> None:
     """Importing them raises the CPU time of a start from 0.60 s to 0.70 s."""
     code = "import sys, balsamlift.platform; print(*sys.modules)"
