Count the grace period from the signal, not from its handling

What operators saw: when the event loop was late, the drain began late and took its whole time from there, so that the end came beyond the grace period and the process was killed with requests that could have been ended in order.

Cause: the time of the drain was counted from when the loop first looked at the signal. Now the handler itself keeps the time, which runs between two instructions of whatever runs, and leaving has what is left of the period: the time for running requests is given up first, then the wait for addresses in callers' caches; the margin for ending stays. A process that gets no processor at all still learns of the signal late.

--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -14,6 +14,7 @@
 from balsamlift._http import HttpClient
 from balsamlift._incarnation import new_incarnation
 from balsamlift._log_sink import LogSink
+from balsamlift._stop_signal import StopSignal
 from balsamlift._tasks import end_other_tasks, end_task
 from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import AddressUnavailableError
@@ -61,7 +62,7 @@
     def __init__(self, node: NodeSettings, clock: Clock) -> None:
         """Create every service; the frontend and peers begin to listen."""
         self._node = node
-        self._clock = clock
+        self.clock = clock
         self._address_ttl_ms = min(
             ADDRESS_TTL_MS, int(node.max_address_ttl_s * 1_000)
         )
@@ -150,7 +151,7 @@
             ),
             snapshot_records=self._snapshot_records,
         )
-        fallback_reads = FallbackReads(self._clock)
+        fallback_reads = FallbackReads(self.clock)
         for follower in (sources.configuration, sources.listed):
             follower.share(lambda: self.peers.reads_records, fallback_reads)
         self.peers.records.connect(sources)
@@ -171,14 +172,14 @@
             store_address=self._node.store_address,
         ).info("started")
 
-    async def start_unless(self, stop_requested: asyncio.Event) -> bool:
-        """Start; return False if the start was given up for a stop request.
+    async def start_unless(self, stop: StopSignal) -> bool:
+        """Start; return False if the start was given up for a signal to stop.
 
         A start that waits for the store is given up at once: no host gives
         out this one's address yet, so that there is nothing to drain.
         """
         starting = asyncio.create_task(self.start())
-        stopping = asyncio.create_task(stop_requested.wait())
+        stopping = asyncio.create_task(stop.wait())
         await asyncio.wait(
             [starting, stopping], return_when=asyncio.FIRST_COMPLETED
         )
@@ -189,15 +190,16 @@
         await starting
         return True
 
-    async def leave(self) -> None:
+    async def leave(self, stop: StopSignal) -> None:
         """Announce that this host leaves, and serve requests until none runs.
 
         Callers with cached addresses may send requests meanwhile. Returns
-        before the grace period ends, even if requests still run.
+        before the grace period ends, even if requests still run. The period
+        began with the signal.
         """
         log.bind(running=len(self.frontend.tasks)).info("leaving")
         self.peers.announce_leaving()
-        drain_timeout_s = self._node.grace_s - GRACE_MARGIN_S
+        drain_timeout_s = stop.left_s(self._node.grace_s - GRACE_MARGIN_S)
         self.relay.leave(drain_timeout_s)
         try:
             async with asyncio.timeout(drain_timeout_s):
@@ -228,14 +230,13 @@
 
 async def _run(node: NodeSettings) -> None:
     daemon = PlatformDaemon(node, SystemClock())
-    stop_requested = asyncio.Event()
+    stop = StopSignal(daemon.clock)
+    stop.install((signal.SIGTERM, signal.SIGINT))
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, _log_ignored_reload)
-    if await daemon.start_unless(stop_requested):
-        await stop_requested.wait()
-        await daemon.leave()
+    if await daemon.start_unless(stop):
+        await stop.wait()
+        await daemon.leave(stop)
     else:
         log.info("stopped before it had started")
     unfinished = await end_other_tasks(END_TIMEOUT_S)
