End the process without finalizing the interpreter

What operators saw: 0.3 s and more passed between "stopped" and the end of the process, and on a busy machine one was still collecting garbage after 15 s; the supervisor kills at the end of the grace period, and a host that is restarted waits for that.

Cause: asyncio.run and the interpreter finalize everything that the operating system frees anyway. After all tasks have been cancelled, which resets the connections of unfinished requests, the process now ends at once. Log lines that a slow reader had not taken were lost before, too.

--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -242,7 +242,9 @@
     unfinished = await end_other_tasks(END_TIMEOUT_S)
     if unfinished:
         log.bind(tasks=unfinished).error("tasks did not end")
-        os._exit(EXIT_UNFINISHED)  # or else asyncio waits for them
+    # asyncio would wait for those tasks, and the interpreter takes long to
+    # finalize itself on a busy machine.
+    os._exit(EXIT_UNFINISHED if unfinished else 0)
 
 
 def _log_ignored_reload() -> None:
