Lead from a host that is gone to its cause

The logs of other hosts said "edge-3 is dead" of one that had been shut down on purpose and of one that fell silent, and no metric counted hosts that did not come back. Since when hosts are dead is now kept by an object of its own.

--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -17,6 +17,7 @@
 from balsamlift.operators import OperatorsServer
 from balsamlift.peers._composer import Composer, OwnStatus
 from balsamlift.peers._configuration import ConfigurationFinder
+from balsamlift.peers._host_absences import HostAbsences
 from balsamlift.peers._host_ranks import HostRank
 from balsamlift.peers._host_roles import HostRoles
 from balsamlift.peers._hosts_view import HostsHandler
@@ -90,7 +91,7 @@
                 counts_address=self._load.address,
             )
         )
-        self._dead_since_s: dict[str, float] = {}
+        self._absences = HostAbsences(clock)
         self._reports = Reports(clock)
         self.crash_reports = self._reports.crashes
         self.rate_limits = self._reports.rate_limits
@@ -335,13 +336,14 @@
         while True:
             closed = await self._links.refresh(
                 self._addresses(),
-                self._dead_since_s.keys(),
+                self._absences.dead,
                 self._peer_statuses.inbound_partners(),
             )
             for host in closed:
                 self._drop_counts(host)
             self._drop_expired()
             self._metrics.gauge("peers.live", self._members.live_others)
+            self._metrics.gauge("peers.missing", len(self._absences.dead))
             await self._clock.sleep(heartbeat_s * self._links.interval_factor)
 
     def _addresses(self) -> dict[str, str]:
@@ -356,12 +358,12 @@
         member = self._members.find(host)
         if member is None or member is self.own:
             return
+        state_before = self._absences.record(host, member.state)
         if member.state == "dead":
-            self._dead_since_s[host] = self._clock.monotonic()
             self._drop_counts(host)
-        else:
-            self._dead_since_s.pop(host, None)
-        log.info("{} is {} ({})", host, member.state, member.incarnation)
+        log.bind(state_before=state_before).info(
+            "{} is {} ({})", host, member.state, member.incarnation
+        )
         self._metrics.count(f"peers.{member.state}")
         self._timeline.record(
             "peer_state",
@@ -380,15 +382,12 @@
 
     def _drop_expired(self) -> None:
         """Drop expired reports, sent zero counts and hosts long dead."""
-        now_s = self._clock.monotonic()
         self._reports.expire()
         sent_change = self._links.sent_counts_change(
             default=self._load.own.change
         )
         self._load.own.drop_sent_zeros(sent_change)
         keep_s = self._settings.limits.key_lifetime_ms / 1_000
-        for host, since_s in list(self._dead_since_s.items()):
-            if now_s - since_s > keep_s:
-                del self._dead_since_s[host]
-                self._peer_statuses.forget(host)
-                self._members.forget(host)
+        for host in self._absences.expired(keep_s):
+            self._peer_statuses.forget(host)
+            self._members.forget(host)
