Report the first of two failures in a row where the host was just served

Both broken engines fail host 7 within 44 ms; it takes itself for faulty and withdraws its report of the first; 24 ms later host 5 loses one to that engine.

Change: a host whose latest success is at most a second old goes on reporting the first of two (not the second; none from the third on).

--- a/src/balsamlift/relay/_shared_health.py
+++ b/src/balsamlift/relay/_shared_health.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from collections import Counter
 from collections.abc import Callable, Collection, Mapping
 
@@ -30,6 +31,10 @@
 # A host for which this many upstreams failed, without a success in between,
 # is considered faulty itself and reports no failures until one succeeds.
 LOCAL_FAULT_FAILURES = 2
+# A host that was served within this time reports the first of two all the
+# same: that its own link broke just then is as unlikely as two broken
+# upstreams. One that sends little cannot tell and reports none.
+SERVED_RECENTLY_S = 1.0
 # If a larger part of a pool is reported as failing, the cause is elsewhere
 # and no upstream is avoided.
 MAX_AVOIDED_FRACTION = 0.5
@@ -171,7 +176,8 @@
         self._rank_for = rank_for
         self._observations: dict[str, _Observation] = {}
         self._published: Mapping[str, int] = {}
-        self._failed_since_success: set[str] = set()
+        self._failed_since_success: list[str] = []  # the first one first
+        self._served_s = -math.inf  # latest success of any upstream
         self._tried_s: dict[str, float] = {}  # trials without a result
         self._on_probation: set[str] = set()  # as last seen
         self._waited: dict[str, int] = {}  # seconds, where trials are due
@@ -198,12 +204,25 @@
         """Return whether this host is probably the cause of failures."""
         return len(self._failed_since_success) >= LOCAL_FAULT_FAILURES
 
+    def _is_withheld(self, upstream: str, now_s: float) -> bool:
+        """Return whether a failure is probably this host's own fault."""
+        if not self._is_faulty:
+            return False
+        is_served = now_s <= self._served_s + SERVED_RECENTLY_S
+        is_first = upstream == self._failed_since_success[0]
+        failures = len(self._failed_since_success)
+        return not (
+            is_served and is_first and failures == LOCAL_FAULT_FAILURES
+        )
+
     def _record_failure(self, upstream: str, now_s: float) -> None:
-        self._failed_since_success.add(upstream)
+        if upstream not in self._failed_since_success:
+            self._failed_since_success.append(upstream)
         self._observations[upstream] = self._observe_failure(upstream, now_s)
 
     def _record_success(self, upstream: str, now_s: float) -> None:
         self._failed_since_success.clear()
+        self._served_s = now_s
         # Only a success after a failure speaks against it, and other hosts
         # cannot tell which of the two came first.
         if self.reports(upstream).on_probation:
@@ -361,7 +380,9 @@
             is_current = observation.is_current(now_s)
             if not observation.is_failing:
                 counts[serving_key(name)] += is_current
-            elif not self._is_faulty and observation.is_on_probation(now_s):
+            elif observation.is_on_probation(now_s) and not self._is_withheld(
+                name, now_s
+            ):
                 counts[probation_key(name)] += 1
                 counts[failing_key(name)] += is_current
                 counts[failed_trials_key(name)] += observation.failed_trials
--- a/tests/test_relay_shared_health.py
+++ b/tests/test_relay_shared_health.py
@@ -22,6 +22,7 @@
     MAX_FAILURE_TTL_S,
     PROBATION_HOSTS,
     PROBATION_S,
+    SERVED_RECENTLY_S,
     SINGLE_HOST_FAILURE_SHARE,
     SUCCESS_TTL_S,
     TRIAL_TIMEOUT_S,
@@ -316,6 +317,25 @@
         return {name for name, count in self.counts.items() if count}
 
 
+def test_a_host_that_was_just_served_reports_the_first_of_two() -> None:
+    """Both engines were broken, and the next host lost one to the first."""
+    host = SingleHost()
+    host.shared_health.record("c", 9.5, is_failing=False)
+    host.shared_health.record("a", 10.0, is_failing=True)
+    host.shared_health.record("b", 10.1, is_failing=True)
+    assert host.names() == {"a/failing", "a/trial"}
+    host.shared_health.expire(9.5 + SERVED_RECENTLY_S + 0.1, {"a", "b", "c"})
+    assert host.names() == set()
+
+
+def test_a_host_that_three_upstreams_fail_reports_none() -> None:
+    host = SingleHost()
+    host.shared_health.record("d", 9.9, is_failing=False)
+    for name in "abc":
+        host.shared_health.record(name, 10.0, is_failing=True)
+    assert host.names() == set()
+
+
 def test_a_failure_is_published_immediately_and_expires() -> None:
     host = SingleHost()
     host.shared_health.record("a", 10.0, is_failing=True)
