Print what a late test of callers had of the processor

The listed test of callers that disconnect ran out of its 15 s once. Nothing told a caller that was not served from a process that got no processor. It now prints the process's time on a processor and waiting for one as well; what the caller got was printed before. Its check and its bounds are as they were.

--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -1,6 +1,7 @@
 """Generations: a single stream to the caller, across several engines."""
 
 import asyncio
+import os
 
 import pytest
 from _relay_helpers import (
@@ -12,6 +13,7 @@
     stream,
     until_arrived,
 )
+from soak.processes import describe_process
 
 from balsamlift.relay._attempt import MAX_UNREACHABLE_UPSTREAMS
 from balsamlift.testing.relay import (
@@ -277,10 +279,9 @@
                     while sum(len(s.arrivals) for s in stand_ins) <= n:
                         await asyncio.sleep(0)
                 except asyncio.CancelledError:  # out of time
+                    print(f"caller {n}, {describe_process(os.getpid())}")
                     async with asyncio.timeout(1.0):
-                        print(
-                            f"caller {n} was answered", await reader.read(500)
-                        )
+                        print("it was answered", await reader.read(500))
                     raise
                 # Disconnect between the request's arrival and its first
                 # events.
