Hold both kinds of forwarded reports in one table

Reports of crashes and of upstream states were kept, bounded, sent on with what is left of their time and expired by the same lines, twice. They now share ReportTable; what makes a report new stays with each. No behaviour changes: the tests of both pass; the one that counted the entries of a private field counts those of the table.

--- a/src/balsamlift/peers/_crash_reports.py
+++ b/src/balsamlift/peers/_crash_reports.py
@@ -8,24 +8,14 @@
 
 from collections.abc import Callable, Iterable
 
-import attrs
-import msgspec
-
 from balsamlift.clock import Clock
 from balsamlift.peers._messages import CrashReport
+from balsamlift.peers._report_table import ReportTable
 
 REPORT_TTL_MS = 600_000
 # Each report takes about 60 bytes on the wire and 300 in memory.
 MAX_REPORTS = 1_000
 _MS_PER_S = 1_000
-_ReportKey = tuple[str, str]
-
-
-@attrs.define
-class _Entry:
-    report: CrashReport
-    expires_s: float
-    change: int
 
 
 class CrashReports:
@@ -37,9 +27,8 @@
 
     def __init__(self, clock: Clock) -> None:
         """Start with no report."""
-        self.change = 0
         self._clock = clock
-        self._entries: dict[_ReportKey, _Entry] = {}  # oldest first
+        self._table: ReportTable[CrashReport] = ReportTable(MAX_REPORTS)
         self._on_new_reports: list[Callable[[list[CrashReport]], None]] = []
         self._wake: Callable[[], None] = _do_nothing
 
@@ -53,10 +42,15 @@
         """Call back with reports that this host did not hold before."""
         self._on_new_reports.append(callback)
 
+    @property
+    def change(self) -> int:
+        """Return the number of the latest change."""
+        return self._table.change
+
     def all(self) -> list[CrashReport]:
         """Return every report that has not expired."""
-        self._expire()
-        return [entry.report for entry in self._entries.values()]
+        self._table.expire(self._clock.monotonic())
+        return [entry.report for entry in self._table]
 
     def report_crash(
         self, fingerprint: str, upstream: str, *, had_output: bool
@@ -72,7 +66,7 @@
 
     def add(self, reports: Iterable[CrashReport]) -> None:
         """Add reports of this host or a peer, and forward the new ones."""
-        self._expire()
+        self._table.expire(self._clock.monotonic())
         new = [report for report in reports if self._add_one(report)]
         if not new:
             return
@@ -82,36 +76,17 @@
 
     def changed_since(self, change: int) -> list[CrashReport]:
         """Return the reports after that change, with their remaining TTL."""
-        now_s = self._clock.monotonic()
-        found = []
-        for entry in reversed(self._entries.values()):
-            if entry.change <= change:
-                break
-            ttl_ms = int((entry.expires_s - now_s) * _MS_PER_S)
-            if ttl_ms > 0:
-                found.append(
-                    msgspec.structs.replace(entry.report, ttl_ms=ttl_ms)
-                )
-        return found
+        return self._table.changed_since(change, self._clock.monotonic())
 
     def _add_one(self, report: CrashReport) -> bool:
         key = report.fingerprint, report.upstream
         ttl_ms = min(report.ttl_ms, REPORT_TTL_MS)
-        if key in self._entries or ttl_ms <= 0:
+        if self._table.find(key) is not None or ttl_ms <= 0:
             return False
-        if len(self._entries) >= MAX_REPORTS:
-            del self._entries[next(iter(self._entries))]
-        self.change += 1
         expires_s = self._clock.monotonic() + ttl_ms / _MS_PER_S
-        self._entries[key] = _Entry(report, expires_s, self.change)
+        self._table.put(key, report, expires_s)
         return True
 
-    def _expire(self) -> None:
-        now_s = self._clock.monotonic()
-        for key, entry in list(self._entries.items()):
-            if entry.expires_s <= now_s:
-                del self._entries[key]
-
 
 def _do_nothing() -> None:
     pass
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -207,7 +207,7 @@
 
 def test_reports_are_bounded_in_number() -> None:
     reports = create_reports(MAX_REPORTS + 10)
-    assert len(reports._entries) == MAX_REPORTS
+    assert len([*reports._table]) == MAX_REPORTS
 
 
 def test_forwarded_reports_expire_at_about_the_same_time() -> None:
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -99,6 +99,12 @@
             stdout=asyncio.subprocess.PIPE,
         )
 
+    async def restart(self, **variables: str) -> None:
+        """Kill the daemon and start another with these variables."""
+        self.process.kill()
+        await self.process.wait()
+        self.process = await self.start_process(**variables)
+
     async def stop(self) -> None:
         if self.process.returncode is None:
             self.process.kill()
@@ -248,9 +254,7 @@
     """Until its handlers were set, the signal killed it without a line."""
 
     async def test(deployment: Deployment) -> None:
-        deployment.process.kill()
-        await deployment.process.wait()
-        deployment.process = await deployment.start_process()
+        await deployment.restart()
         while not is_default_action_replaced(deployment.process.pid):
             await asyncio.sleep(0.001)
         while await deployment.get("Readiness", "/readyz") != 200:
@@ -270,9 +274,7 @@
     """The process ended by the signal, and nothing said that it had been."""
 
     async def test(deployment: Deployment) -> None:
-        deployment.process.kill()
-        await deployment.process.wait()
-        deployment.process = await deployment.start_process()
+        await deployment.restart()
         pid = deployment.process.pid
         while not is_default_action_replaced(pid, signal.SIGHUP):
             await asyncio.sleep(0.001)
@@ -292,10 +294,8 @@
     """It finished its start, announced itself and left with a full drain."""
 
     async def test(deployment: Deployment) -> None:
-        deployment.process.kill()
-        await deployment.process.wait()
         deployment.store.fault = "silent"
-        deployment.process = await deployment.start_process()
+        await deployment.restart()
         while await refused_status(deployment) != 503:
             await asyncio.sleep(0.001)
         deployment.process.send_signal(signal.SIGTERM)
@@ -313,11 +313,7 @@
     module.write_text("import atexit, time; atexit.register(time.sleep, 99)")
 
     async def test(deployment: Deployment) -> None:
-        deployment.process.kill()
-        await deployment.process.wait()
-        deployment.process = await deployment.start_process(
-            PYTHONPATH=str(tmp_path)
-        )
+        await deployment.restart(PYTHONPATH=str(tmp_path))
         while await deployment.get("Readiness", "/readyz") != 200:
             await asyncio.sleep(0.05)
         deployment.process.send_signal(signal.SIGTERM)
