Refuse what waits for a permit or memory once its upstreams ask for none

What callers saw: a request that waited for memory or for a permit while all its upstreams asked for no requests went on waiting, up to its target or three tenths of its time, and was then refused as "no room" or "rate limited" with a Retry-After from that: 0.6 s where the engine had asked for 30 s.

Cause: the time without requests was looked at before the wait only. The queue for memory now asks at each look whether a wait is hopeless, as for notices; a wait for a permit looks every 0.1 s; what was refused names the end of the pause. A pause that is short enough is still waited for.

Four tests, seen failing before: "no room" (memory; permit of an engine) and "rate limited" (permits of calls), each after the wait.

--- a/src/balsamlift/relay/_engine_placement.py
+++ b/src/balsamlift/relay/_engine_placement.py
@@ -12,7 +12,12 @@
     MemoryAllocator,
     MemoryReservation,
 )
-from balsamlift.relay._upstream_chooser import Pausing, RateLimited, find_pause
+from balsamlift.relay._upstream_chooser import (
+    Pausing,
+    RateLimited,
+    find_pause,
+    sleep_unless,
+)
 
 # Longest wait for memory or a permit, as a multiple of the route's target
 # latency. A generation that starts after its target is late, and a caller who
@@ -44,7 +49,7 @@
                 return await self._wait_for_permit(job, tried, waits_s)
             reservation = await self._wait_for_memory(job, {*tried, *waits_s})
             if reservation is None:
-                return None
+                return self._find_long_pause(job, tried)
             wait_s = await self._acquire_permit(reservation)
             if wait_s is None:
                 return reservation
@@ -87,7 +92,7 @@
 
     async def _wait_for_permit(
         self, job: Job, tried: Collection[str], waits_s: dict[str, float]
-    ) -> MemoryReservation | RateLimited | None:
+    ) -> MemoryReservation | RateLimited | Pausing | None:
         """Wait for the engine whose permit is free first."""
         name = min(waits_s, key=lambda name: waits_s[name])
         remaining_s = _wait_by_s(job) - asyncio.get_running_loop().time()
@@ -96,10 +101,13 @@
         )
         if not permit.is_granted:
             return RateLimited(await self._permits.reserve_return(name))
-        await asyncio.sleep(permit.wait_s)
+        await sleep_unless(
+            permit.wait_s,
+            lambda: self._find_long_pause(job, tried) is not None,
+        )
         upstream = self._balancer.find_usable(job.scope, tried, name)
         if upstream is None:
-            return None
+            return self._find_long_pause(job, tried)
         if not self._allocator.fits(upstream, job.traits, job.tokens):
             return None
         return self._allocator.reserve(upstream, job.tokens)
@@ -112,7 +120,12 @@
             async with asyncio.timeout_at(_wait_by_s(job)):
                 await self._balancer.refresh()
                 return await self._allocator.wait(
-                    job.scope, job.traits, job.tokens, job.call.priority, tried
+                    job.scope,
+                    job.traits,
+                    job.tokens,
+                    job.call.priority,
+                    tried,
+                    lambda: self._find_long_pause(job, tried) is not None,
                 )
         except TimeoutError:
             return None
--- a/src/balsamlift/relay/_memory_allocator.py
+++ b/src/balsamlift/relay/_memory_allocator.py
@@ -30,6 +30,7 @@
     traits: EngineTraits
     tokens: int
     tried: Collection[str]
+    is_hopeless: Callable[[], bool]
     granted: asyncio.Future[MemoryReservation | None]
 
 
@@ -178,11 +179,13 @@
         tokens: int,
         priority: int,
         tried: Collection[str] = (),
+        is_hopeless: Callable[[], bool] = lambda: False,
     ) -> MemoryReservation | None:
         """Reserve `tokens` of memory as soon as an engine has it free.
 
         A request that is larger than an engine waits for an empty one.
-        Returns None immediately if there is no use in waiting.
+        Returns None as soon as there is no use in waiting: no engine is left,
+        or `is_hopeless`.
         """
         if self._balancer.is_closed(scope):
             return None
@@ -196,7 +199,9 @@
         granted: asyncio.Future[MemoryReservation | None] = (
             asyncio.get_running_loop().create_future()
         )
-        entry = _WaitingRequest(scope, traits, tokens, tried, granted)
+        entry = _WaitingRequest(
+            scope, traits, tokens, tried, is_hopeless, granted
+        )
         queued = ((priority, next(self._sequence)), entry)
         self._waiting.append(queued)
         self._waiting.sort(key=lambda item: item[0])
@@ -230,7 +235,7 @@
             if upstream is not None:
                 self._waiting.remove(queued)
                 entry.granted.set_result(self.reserve(upstream, entry.tokens))
-            elif self._balancer.is_closed(entry.scope):
+            elif self._balancer.is_closed(entry.scope) or entry.is_hopeless():
                 self._waiting.remove(queued)
                 entry.granted.set_result(None)
             else:
--- a/src/balsamlift/relay/_upstream_chooser.py
+++ b/src/balsamlift/relay/_upstream_chooser.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -15,6 +15,9 @@
 # Part of the remaining time for which a call waits for a permit. The rest is
 # for the upstream, and for a caller who is refused instead.
 WAIT_FRACTION = 0.3
+# Interval at which a request that waits for a permit looks for a time without
+# requests that has begun.
+PAUSE_POLL_S = 0.1
 
 
 @attrs.frozen
@@ -52,6 +55,14 @@
     return Pause(left_s, bool(untried)) if left_s > 0 else None
 
 
+async def sleep_unless(delay_s: float, is_over: Callable[[], bool]) -> None:
+    """Sleep, but stop soon after `is_over` returns true."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + delay_s
+    while not is_over() and loop.time() < until_s:
+        await asyncio.sleep(min(until_s - loop.time(), PAUSE_POLL_S))
+
+
 class UpstreamChooser:
     """Choose an upstream and acquire the permit that it needs."""
 
@@ -104,6 +115,8 @@
         upstream = await self._choose_permitted(call, excluded, waits_s)
         if upstream is not None:
             return upstream
+        if find_pause(self._balancer, call.scope, tried) is not None:
+            return None
         return RateLimited(await self._permits.reserve_return(first))
 
     async def _choose_permitted(
@@ -131,7 +144,10 @@
         )
         if not permit.is_granted:
             return None
-        await asyncio.sleep(permit.wait_s)
+        await sleep_unless(
+            permit.wait_s,
+            lambda: find_pause(self._balancer, call.scope, tried) is not None,
+        )
         upstream = self._balancer.find_usable(call.scope, tried, name)
         return self._record_send(upstream) if upstream else None
 
--- a/tests/test_relay_retry_after.py
+++ b/tests/test_relay_retry_after.py
@@ -7,7 +7,10 @@
 from _relay_load import PATHS, Load, Pool, begin_generation, run
 from _virtual_time import LoopClock
 
+from balsamlift.peers._permits import STARTUP_S
 from balsamlift.testing.relay import (
+    HEADER_NAMES,
+    CallerAnswer,
     RelayHarness,
     ReplicaConnection,
     ReplicaRequest,
@@ -240,3 +243,77 @@
             calling.cancel()
 
     run(test)
+
+
+LONG_PAUSE_S = 30.0
+
+
+def test_a_generation_that_waits_for_memory_is_refused_on_a_pause() -> None:
+    """It waited until its target and was then told to come back too soon."""
+
+    async def test() -> None:
+        pool = Pool("model", 1)
+        pool.set_behaviour(hang_midway)
+        full = [
+            f"{HEADER_NAMES.token_usage}: 8000,500",
+            f"{HEADER_NAMES.length_hint}: 100",
+        ]
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            first = asyncio.create_task(
+                world.call("/draft/1", "r1", headers=full)
+            )
+            await until_arrived(pool.stand_ins)
+            second = asyncio.create_task(
+                world.call("/draft/1", "r2", headers=full)
+            )
+            await asyncio.sleep(0.2)
+            assert not second.done()
+            await check_refused_on_pause(world, pool, [second])
+            assert len(pool.stand_ins[0].arrivals) == 1
+            first.cancel()
+
+    run(test)
+
+
+@pytest.mark.parametrize(("path", "service"), PATHS)
+def test_a_request_that_waits_for_a_permit_is_refused_on_a_pause(
+    path: str, service: str
+) -> None:
+    """It waited for the permit and was then told to come back too soon."""
+
+    async def test() -> None:
+        pool = Pool(service, 1)
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            name = pool.stand_ins[0].name
+            await asyncio.sleep(STARTUP_S + 1.0)
+            loop = asyncio.get_running_loop()
+            world.peers.rate_limits.record(name, 2.0, loop.time())
+            await asyncio.sleep(1.0)
+            calls = [
+                asyncio.create_task(world.call(path, f"r{n}", headers=USAGE))
+                for n in range(20)
+            ]
+            await asyncio.sleep(0.1)
+            waiting = [call for call in calls if not call.done()]
+            assert waiting
+            arrived = len(pool.arrivals[name])
+            await check_refused_on_pause(world, pool, waiting)
+            assert len(pool.arrivals[name]) == arrived
+
+    run(test)
+
+
+async def check_refused_on_pause(
+    world: RelayHarness, pool: Pool, calls: list[asyncio.Task[CallerAnswer]]
+) -> None:
+    """Let the only upstream ask for no requests while these calls wait."""
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    world.relay._retry_after.record(pool.stand_ins[0].name, LONG_PAUSE_S)
+    for call in calls:
+        answer = await call
+        reason = b"upstreams asked for no requests\n"
+        assert (answer.status, answer.body) == (503, reason)
+    assert loop.time() - began_s <= MAX_REFUSAL_S
