--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,8 +1,8 @@
 """Run the soak test: soak [--first=SEED] [--length=SECONDS] COUNT.
 
 Usage:
-  soak [--first=SEED] [--length=SECONDS] COUNT
-  soak restarts [--first=SEED] [--length=SECONDS] DAEMONS
+  soak [options] COUNT
+  soak restarts [options] DAEMONS
 
 Restarts starts and terminates that many daemons in series, with signals at
 any moment, and reports what they take.
@@ -10,6 +10,9 @@
 Options:
   --first=SEED      The first seed; random by default.
   --length=SECONDS  How long one run injects faults [default: 10].
+  --hosts=NUMBER    How many hosts a run of a seed has [default: 4].
+  --other=TREE      A source tree, perhaps of an earlier version, that every
+                    second host runs.
 """
 
 from __future__ import annotations
@@ -23,7 +26,7 @@
 from docopt import docopt
 
 from soak.restarts import Restarts
-from soak.run import run_seed
+from soak.run import Fleet, run_seed
 
 
 def main() -> int:
@@ -33,7 +36,12 @@
     length_s = float(options["--length"])
     if options["restarts"]:
         return _run_restarts(first, int(options["DAEMONS"]), length_s)
-    return _run_seeds(first, int(options["COUNT"]), length_s)
+    other = options["--other"]
+    fleet = Fleet(
+        hosts=int(options["--hosts"]),
+        other_tree=Path(other).resolve() if other else None,
+    )
+    return _run_seeds(first, int(options["COUNT"]), length_s, fleet)
 
 
 def _run_restarts(seed: int, daemons: int, length_s: float) -> int:
@@ -52,11 +60,11 @@
     return int(bool(result.violations))
 
 
-def _run_seeds(first: int, count: int, length_s: float) -> int:
+def _run_seeds(first: int, count: int, length_s: float, fleet: Fleet) -> int:
     exit_code = 0
     for seed in range(first, first + count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = asyncio.run(run_seed(seed, length_s, folder))
+        result = asyncio.run(run_seed(seed, length_s, folder, fleet))
         kind = "planned" if result.plan.is_planned_only else "any"
         print(
             f"seed {seed} ({kind}): {len(result.plan.faults)} faults, "
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -33,9 +33,15 @@
     """One daemon, restarted whenever its process ends."""
 
     def __init__(
-        self, number: int, folder: Path, store: KeyedStore, network: Network
+        self,
+        number: int,
+        folder: Path,
+        store: KeyedStore,
+        network: Network,
+        tree: Path = ROOT,
     ) -> None:
-        """Prepare the files."""
+        """Prepare the files; the daemon is that of the source tree `tree`."""
+        self._tree = tree
         self.name = f"edge-{number}"
         self.ip = network.ip(number + 1)
         self.domain = DOMAINS[number % len(DOMAINS)]
@@ -165,7 +171,7 @@
         return await asyncio.create_subprocess_exec(
             sys.executable,
             "deploy/serve.py",
-            cwd=ROOT,
+            cwd=self._tree,
             env={
                 **os.environ,
                 SETTINGS_FILE_VARIABLE: str(self._file),
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,7 +23,7 @@
     version_path,
 )
 from soak.guarantees import GuaranteeChecker
-from soak.hosts import STAND_INS, Host
+from soak.hosts import ROOT, STAND_INS, Host
 from soak.network import Network
 from soak.plan import (
     LINK_FAULTS,
@@ -39,7 +39,7 @@
 from soak.upstreams import Upstreams
 
 HOSTS = 4
-CALLERS = 10
+CALLERS_PER_HOST = 2.5
 SERVICES = ("plain", "plain", "plain", "model", "model")
 START_S = 30.0
 # The longest that the store and the hosts may need to reconnect after the last
@@ -48,6 +48,20 @@
 LEAVING_S = 2.5  # that an upstream keeps serving after it announces to leave
 
 
+@attrs.frozen(kw_only=True)
+class Fleet:
+    """The hosts of a run."""
+
+    hosts: int = HOSTS
+    other_tree: Path | None = None  # source tree that every second host runs
+
+    def tree(self, number: int) -> Path:
+        """Return the source tree that a host runs."""
+        if self.other_tree is not None and number % 2:
+            return self.other_tree
+        return ROOT
+
+
 @attrs.frozen(kw_only=True)
 class Result:
     """The result of one run."""
@@ -61,9 +75,10 @@
 class Run:
     """The processes, callers and faults of one run."""
 
-    def __init__(self, plan: Plan, folder: Path) -> None:
+    def __init__(self, plan: Plan, folder: Path, fleet: Fleet) -> None:
         """Prepare the run; `run` starts the processes."""
         self._plan = plan
+        self._fleet = fleet
         self._folder = folder
         self._random = random.Random(plan.seed)
         self._guarantees = GuaranteeChecker()
@@ -90,8 +105,14 @@
             await self._add_upstream(service)
         self._configure()
         self._hosts = [
-            Host(n, self._folder, self._store, self._network)
-            for n in range(HOSTS)
+            Host(
+                n,
+                self._folder,
+                self._store,
+                self._network,
+                self._fleet.tree(n),
+            )
+            for n in range(self._fleet.hosts)
         ]
         try:
             for host in self._hosts:
@@ -130,7 +151,7 @@
             self._random,
             self._check_interrupted,
         )
-        callers.start(CALLERS)
+        callers.start(int(self._fleet.hosts * CALLERS_PER_HOST))
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         for fault in self._plan.faults:
@@ -311,11 +332,15 @@
         return outcome.status
 
 
-async def run_seed(seed: int, length_s: float, folder: Path) -> Result:
+async def run_seed(
+    seed: int, length_s: float, folder: Path, fleet: Fleet | None = None
+) -> Result:
     """Run one seed; the logs of the hosts stay in `folder`."""
-    return await run_plan(draw_plan(seed, length_s), folder)
+    return await run_plan(draw_plan(seed, length_s), folder, fleet)
 
 
-async def run_plan(plan: Plan, folder: Path) -> Result:
+async def run_plan(
+    plan: Plan, folder: Path, fleet: Fleet | None = None
+) -> Result:
     """Run a plan; the logs of the hosts stay in `folder`."""
-    return await Run(plan, folder).run()
+    return await Run(plan, folder, fleet or Fleet()).run()
