Group the relay's modules on failing upstreams and on crashes

The 46 modules of relay/ stood flat beside each other. Those that say which upstreams fail are now relay/health, those about requests that crash upstreams relay/crashes, each behind a thin package; 40 are left flat. Moves and imports only. Tests of both groups, of calls and of what each decision logs pass.

--- a/src/balsamlift/relay/_admission.py
+++ b/src/balsamlift/relay/_admission.py
@@ -6,12 +6,12 @@
 
 from balsamlift.exceptions import NotConfiguredError
 from balsamlift.relay._configuration import Route, Workspace
-from balsamlift.relay._fingerprint import fingerprint
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._refusals import RETRY_AFTER_FRACTION
 from balsamlift.relay._request import Call, CallerRequest, Refusal
 from balsamlift.relay._routing import Routing, RoutingTable, pick_service
 from balsamlift.relay._scope import intersect_regions
+from balsamlift.relay.crashes import fingerprint
 
 # A host that has just started either reads a configuration at once or waits
 # until the platform is back. A short wait would use up the caller's retries.
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -23,10 +23,9 @@
     Upstreams,
 )
 from balsamlift.relay._cold_starts import ColdStartLimiter
-from balsamlift.relay._health import UpstreamHealth
 from balsamlift.relay._retry_after import RetryAfterTracker
 from balsamlift.relay._scope import Scope
-from balsamlift.relay._shared_health import SharedHealth
+from balsamlift.relay.health import SharedHealth, UpstreamHealth
 
 # Extra calls in flight that an upstream is charged with if all of its
 # requests fail.
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -18,7 +18,6 @@
 from balsamlift.peers import Upstream
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._backup import Backup
-from balsamlift.relay._culprits import CRASH_THRESHOLD
 from balsamlift.relay._engines import MemoryCopy
 from balsamlift.relay._events import EventError, EventSplitter
 from balsamlift.relay._exchange import Reply
@@ -28,6 +27,7 @@
 from balsamlift.relay._memory_allocator import MemoryReservation
 from balsamlift.relay._move import Move
 from balsamlift.relay._request import Responder
+from balsamlift.relay.crashes import CRASH_THRESHOLD
 
 log = logger.bind(part="generations")
 
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -18,7 +18,6 @@
 from balsamlift.relay._backup import Backup
 from balsamlift.relay._balance import prefill_key
 from balsamlift.relay._configuration import EngineTraits
-from balsamlift.relay._crash_guard import CRASHING_REQUEST
 from balsamlift.relay._engine_placement import EnginePlacement
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._generation import Generation
@@ -38,6 +37,7 @@
 from balsamlift.relay._retry_budget import RetryBudget
 from balsamlift.relay._token_estimate import TokenEstimate, read_token_estimate
 from balsamlift.relay._upstream_chooser import Pausing, RateLimited
+from balsamlift.relay.crashes import CRASHING_REQUEST
 
 log = logger.bind(part="generations")
 
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -18,7 +18,6 @@
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._cold_starts import ColdLimits, ColdStartLimiter
-from balsamlift.relay._crash_guard import CrashGuard
 from balsamlift.relay._engines import EngineClient
 from balsamlift.relay._exchange import Exchange
 from balsamlift.relay._frontend import Frontend
@@ -42,6 +41,7 @@
 from balsamlift.relay._statements import StatementDecoders, StatementReader
 from balsamlift.relay._unary import UnaryCalls
 from balsamlift.relay._upstream_chooser import UpstreamChooser
+from balsamlift.relay.crashes import CrashGuard
 
 log = logger.bind(part="relay")
 
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -16,7 +16,6 @@
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._attempt import MAX_UNREACHABLE_UPSTREAMS, Attempt
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._crash_guard import CRASHING_REQUEST, CrashGuard
 from balsamlift.relay._exchange import Exchange, Reply
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._refusals import (
@@ -33,6 +32,7 @@
     RateLimited,
     UpstreamChooser,
 )
+from balsamlift.relay.crashes import CRASHING_REQUEST, CrashGuard
 
 log = logger.bind(part="calls")
 
--- a/src/balsamlift/relay/_crash_guard.py
+++ b/src/balsamlift/relay/crashes/_crash_guard.py
@@ -9,9 +9,9 @@
 
 from balsamlift.clock import Clock
 from balsamlift.peers import CrashReport, CrashReports, Upstream, Upstreams
-from balsamlift.relay._crash_detector import BrokenCall, CrashDetector
-from balsamlift.relay._culprits import CrashHistory, find_culprits
 from balsamlift.relay._request import Call, Refusal
+from balsamlift.relay.crashes._crash_detector import BrokenCall, CrashDetector
+from balsamlift.relay.crashes._culprits import CrashHistory, find_culprits
 
 log = logger.bind(part="crashes")
 
--- /dev/null
+++ b/src/balsamlift/relay/health/__init__.py
@@ -0,0 +1,6 @@
+"""Which upstreams fail, as this host and all hosts together see it."""
+
+from balsamlift.relay.health._shared_health import SharedHealth
+from balsamlift.relay.health._upstream_health import UpstreamHealth
+
+__all__ = ["SharedHealth", "UpstreamHealth"]
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -15,8 +15,8 @@
 from balsamlift.peers._crash_reports import MAX_REPORTS, REPORT_TTL_MS
 from balsamlift.peers._messages import PeerMessage, encode_message
 from balsamlift.platform._settings import FAN_OUT
-from balsamlift.relay._crash_guard import CrashGuard
-from balsamlift.relay._culprits import CRASH_THRESHOLD
+from balsamlift.relay.crashes._crash_guard import CrashGuard
+from balsamlift.relay.crashes._culprits import CRASH_THRESHOLD
 
 PROPAGATION_S = 3.0  # within which reports reach a host
 BATCH_S = 0.01
--- a/tests/test_relay_crash_detector.py
+++ b/tests/test_relay_crash_detector.py
@@ -8,9 +8,9 @@
 from test_relay_routing import admit, request
 
 from balsamlift.clock import SystemClock
-from balsamlift.relay._crash_detector import BrokenCall, CrashDetector
-from balsamlift.relay._fingerprint import fingerprint
 from balsamlift.relay._request import Call
+from balsamlift.relay.crashes._crash_detector import BrokenCall, CrashDetector
+from balsamlift.relay.crashes._fingerprint import fingerprint
 from balsamlift.testing.relay import HEADER_NAMES, RelayHarness, ReplicaStandIn
 
 CHECK_WAIT_S = 0.4  # well above the delay of the check
--- a/tests/test_relay_crashes.py
+++ b/tests/test_relay_crashes.py
@@ -9,8 +9,8 @@
 
 from balsamlift.peers._crash_reports import REPORT_TTL_MS
 from balsamlift.peers._messages import CrashReport
-from balsamlift.relay._fingerprint import fingerprint
 from balsamlift.relay._request import CallerRequest
+from balsamlift.relay.crashes._fingerprint import fingerprint
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     HOST,
--- a/tests/test_relay_culprits.py
+++ b/tests/test_relay_culprits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from balsamlift.relay._culprits import CrashHistory, find_culprits
+from balsamlift.relay.crashes._culprits import CrashHistory, find_culprits
 
 
 def history(upstreams: str, before_output: int = 0) -> CrashHistory:
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -29,8 +29,8 @@
 import balsamlift.relay
 from balsamlift.peers import CrashReport
 from balsamlift.relay import CopyRefusedError
-from balsamlift.relay._fingerprint import fingerprint
 from balsamlift.relay._request import CallerRequest
+from balsamlift.relay.crashes._fingerprint import fingerprint
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     KEY,
