Wait out a short pause with a permit as without one

Found on reading the change before: a call that waited for a permit gave the wait up for any time without requests, also for the 50 ms of a trial that has no answer yet, and its permit was lost. Calls and generations now judge a pause by one function, find_long_pause: too long for the time that the caller has, or only at upstreams tried before.

--- a/src/balsamlift/relay/_engine_placement.py
+++ b/src/balsamlift/relay/_engine_placement.py
@@ -15,7 +15,7 @@
 from balsamlift.relay._upstream_chooser import (
     Pausing,
     RateLimited,
-    find_pause,
+    find_long_pause,
     sleep_unless,
 )
 
@@ -59,13 +59,8 @@
         self, job: Job, tried: Collection[str]
     ) -> Pausing | None:
         """Return the pause of all engines if it is too long to wait for."""
-        pause = find_pause(self._balancer, job.scope, tried)
-        if pause is None:
-            return None
-        ends_s = asyncio.get_running_loop().time() + pause.left_s
-        if pause.is_untried and ends_s <= _wait_by_s(job):
-            return None
-        return Pausing(pause.left_s)
+        until_s = _wait_by_s(job)
+        return find_long_pause(self._balancer, job.scope, tried, until_s)
 
     async def _acquire_permit(
         self, reservation: MemoryReservation
--- a/src/balsamlift/relay/_upstream_chooser.py
+++ b/src/balsamlift/relay/_upstream_chooser.py
@@ -55,6 +55,22 @@
     return Pause(left_s, bool(untried)) if left_s > 0 else None
 
 
+def find_long_pause(
+    balancer: Balancer, scope: Scope, tried: Collection[str], until_s: float
+) -> Pausing | None:
+    """Return the pause that a call would have to wait for beyond `until_s`.
+
+    Upstreams that a call was sent to already are not waited for.
+    """
+    pause = find_pause(balancer, scope, tried)
+    if pause is None:
+        return None
+    ends_s = asyncio.get_running_loop().time() + pause.left_s
+    if pause.is_untried and ends_s <= until_s:
+        return None
+    return Pausing(pause.left_s)
+
+
 async def sleep_unless(delay_s: float, is_over: Callable[[], bool]) -> None:
     """Sleep, but stop soon after `is_over` returns true."""
     loop = asyncio.get_running_loop()
@@ -81,21 +97,26 @@
         """
         loop = asyncio.get_running_loop()
         remaining_s = max(call.timeout_at_s - loop.time(), 0.0)
-        wait_until_s = loop.time() + remaining_s * WAIT_FRACTION
+        until_s = loop.time() + remaining_s * WAIT_FRACTION
         while True:
-            chosen = await self._choose_now(call, tried)
+            chosen = await self._choose_now(call, tried, until_s)
             if chosen is not None:
                 return chosen
+            pausing = self._find_long_pause(call, tried, until_s)
+            if pausing is not None:
+                return pausing
             pause = find_pause(self._balancer, call.scope, tried)
             if pause is None:
                 return None
-            ends_s = loop.time() + pause.left_s
-            if not pause.is_untried or ends_s > wait_until_s:
-                return Pausing(pause.left_s)
             await asyncio.sleep(pause.left_s)
 
+    def _find_long_pause(
+        self, call: Call, tried: Collection[str], until_s: float
+    ) -> Pausing | None:
+        return find_long_pause(self._balancer, call.scope, tried, until_s)
+
     async def _choose_now(
-        self, call: Call, tried: Collection[str]
+        self, call: Call, tried: Collection[str], until_s: float
     ) -> Upstream | RateLimited | None:
         """Return the upstream to send a call to now, or None if none is left.
 
@@ -108,7 +129,7 @@
         if upstream is not None or not waits_s:
             return upstream
         first = min(waits_s, key=lambda name: waits_s[name])
-        upstream = await self._wait_for_permit(call, tried, first)
+        upstream = await self._wait_for_permit(call, tried, first, until_s)
         if upstream is not None:
             return upstream
         excluded = {*tried, *waits_s}
@@ -135,7 +156,7 @@
             waits_s[upstream.name] = permit.wait_s
 
     async def _wait_for_permit(
-        self, call: Call, tried: Collection[str], name: str
+        self, call: Call, tried: Collection[str], name: str, until_s: float
     ) -> Upstream | None:
         loop = asyncio.get_running_loop()
         remaining_s = call.timeout_at_s - loop.time()
@@ -146,7 +167,7 @@
             return None
         await sleep_unless(
             permit.wait_s,
-            lambda: find_pause(self._balancer, call.scope, tried) is not None,
+            lambda: self._find_long_pause(call, tried, until_s) is not None,
         )
         upstream = self._balancer.find_usable(call.scope, tried, name)
         return self._record_send(upstream) if upstream else None
