--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -184,10 +184,11 @@
             [starting, stopping], return_when=asyncio.FIRST_COMPLETED
         )
         await end_task(stopping)
-        if not starting.done() and not self.peers.is_started:
+        if not self.peers.is_started:
             await end_task(starting)
+        if starting.cancelled():
             return False
-        await starting
+        await starting  # raises the error of a start that failed
         return True
 
     async def leave(self, stop: StopSignal) -> None:
