--- a/tests/_relay_load.py
+++ b/tests/_relay_load.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
-from _relay_helpers import USAGE, refuse, stream, until_arrived
+from _relay_helpers import USAGE, hang_midway, refuse, stream, until_arrived
 from _virtual_time import run_virtual
 
 from balsamlift.testing._replica import Behave, answer_ok
@@ -125,3 +125,20 @@
         retry_after = answer.headers.get("Retry-After")
         if retry_after is not None:
             call.retry_after_s = float(retry_after)
+
+
+async def begin_waiting_for_memory(
+    world: RelayHarness, pool: Pool
+) -> tuple[asyncio.Task[CallerAnswer], asyncio.Task[CallerAnswer]]:
+    """Fill the only engine with a generation, and let another one wait."""
+    pool.set_behaviour(hang_midway)
+    full = [
+        f"{HEADER_NAMES.token_usage}: 8000,500",
+        f"{HEADER_NAMES.length_hint}: 100",
+    ]
+    first = asyncio.create_task(world.call("/draft/1", "r1", headers=full))
+    await until_arrived(pool.stand_ins)
+    second = asyncio.create_task(world.call("/draft/1", "r2", headers=full))
+    await asyncio.sleep(0.2)
+    assert not second.done()
+    return first, second
--- a/tests/test_relay_leaving_notices.py
+++ b/tests/test_relay_leaving_notices.py
@@ -7,9 +7,15 @@
 from _relay_helpers import (
     hang_midway,
     stream,
-    until_arrived,
 )
-from _relay_load import PATHS, Load, Pool, begin_generation, run
+from _relay_load import (
+    PATHS,
+    Load,
+    Pool,
+    begin_generation,
+    begin_waiting_for_memory,
+    run,
+)
 from _virtual_time import LoopClock
 
 from balsamlift.peers import Upstream
@@ -323,22 +329,9 @@
 def test_a_generation_that_waits_for_memory_is_refused_on_a_notice() -> None:
     async def test() -> None:
         pool = Pool("model", 1)
-        pool.set_behaviour(hang_midway)
-        full = [
-            f"{HEADER_NAMES.token_usage}: 8000,500",
-            f"{HEADER_NAMES.length_hint}: 100",
-        ]
         async with RelayHarness(pool.stand_ins, LoopClock()) as world:
             world.configure()
-            first = asyncio.create_task(
-                world.call("/draft/1", "r1", headers=full)
-            )
-            await until_arrived(pool.stand_ins)
-            second = asyncio.create_task(
-                world.call("/draft/1", "r2", headers=full)
-            )
-            await asyncio.sleep(0.2)
-            assert not second.done()
+            first, second = await begin_waiting_for_memory(world, pool)
             loop = asyncio.get_running_loop()
             noticed_s = loop.time()
             world.upstreams.leaving_notices.record("model-0", "answer")
--- a/tests/test_relay_retry_after.py
+++ b/tests/test_relay_retry_after.py
@@ -4,12 +4,18 @@
 
 import pytest
 from _relay_helpers import USAGE, hang_midway, stream, until_arrived
-from _relay_load import PATHS, Load, Pool, begin_generation, run
+from _relay_load import (
+    PATHS,
+    Load,
+    Pool,
+    begin_generation,
+    begin_waiting_for_memory,
+    run,
+)
 from _virtual_time import LoopClock
 
 from balsamlift.peers._permits import STARTUP_S
 from balsamlift.testing.relay import (
-    HEADER_NAMES,
     CallerAnswer,
     RelayHarness,
     ReplicaConnection,
@@ -253,22 +259,9 @@
 
     async def test() -> None:
         pool = Pool("model", 1)
-        pool.set_behaviour(hang_midway)
-        full = [
-            f"{HEADER_NAMES.token_usage}: 8000,500",
-            f"{HEADER_NAMES.length_hint}: 100",
-        ]
         async with RelayHarness(pool.stand_ins, LoopClock()) as world:
             world.configure()
-            first = asyncio.create_task(
-                world.call("/draft/1", "r1", headers=full)
-            )
-            await until_arrived(pool.stand_ins)
-            second = asyncio.create_task(
-                world.call("/draft/1", "r2", headers=full)
-            )
-            await asyncio.sleep(0.2)
-            assert not second.done()
+            first, second = await begin_waiting_for_memory(world, pool)
             await check_refused_on_pause(world, pool, [second])
             assert len(pool.stand_ins[0].arrivals) == 1
             first.cancel()
