Let a soak run for a minute and more at the size of a deployment

`scripts/soak long`: nine hosts, twelve upstreams, 50 requests a second, with the times, the grace period and the retry budget of a deployment in service. Upstreams give notice for up to 80 s, in all answers, every second one or with the header twice, while the list shows them as ready, lacks them and has them again, or changes its mind; they start again under their id; they hang; whole pools refuse and name a time. Its checker holds hosts to the retry budget of a service too, as the rule counts it. `--tree` lets all hosts run another version.

No product code changes.

--- a/src/balsamlift/testing/_replica.py
+++ b/src/balsamlift/testing/_replica.py
@@ -36,7 +36,7 @@
         names: HeaderNames,
     ) -> None:
         """Wrap the streams of a connection; `names` are its headers."""
-        self.statements: dict[str, str] = {}  # headers of each answer
+        self.statements = HTTPHeaders()  # of each answer
         self.reader = reader
         self.writer = writer
         self.names = names
@@ -54,7 +54,7 @@
         head = [f"HTTP/1.1 {status} Told", *lines]
         head.append(f"{self.names.request_id}: {request_id}")
         head.append(f"{self.names.signature}: signed-{request_id}")
-        head += [f"{name}: {text}" for name, text in self.statements.items()]
+        head += [f"{name}: {text}" for name, text in self.statements.get_all()]
         await self.send("\r\n".join([*head, "", ""]).encode())
 
     async def answer(
@@ -196,14 +196,16 @@
             for request in self.arrivals
         ]
 
-    def _statements(self) -> dict[str, str]:
+    def _statements(self) -> HTTPHeaders:
         """Return the headers that say something about this upstream."""
         statements = {
             self.names.rate_limit: self.rate_limit,
             self.names.leaving: self.leaving,
             "Retry-After": self.retry_after,
         }
-        return {name: text for name, text in statements.items() if text}
+        return HTTPHeaders(
+            {name: text for name, text in statements.items() if text}
+        )
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,15 +2,22 @@
 
 Usage:
   soak [options] COUNT
+  soak long [options] COUNT
   soak restarts [options] DAEMONS
 
+Long runs have nine hosts, twelve upstreams, the rates of a deployment, and
+upstreams that give notice for a minute and more.
+
 Restarts starts and terminates that many daemons in series, with signals at
 any moment, and reports what they take.
 
 Options:
   --first=SEED      The first seed; random by default.
-  --length=SECONDS  How long one run injects faults [default: 10].
-  --hosts=NUMBER    How many hosts a run of a seed has [default: 4].
+  --length=SECONDS  How long one run injects faults; by default 10, and 60 in
+                    long runs.
+  --hosts=NUMBER    How many hosts a run of a seed has; by default 4, and 9 in
+                    long runs.
+  --tree=TREE       The source tree that all hosts run; by default this one.
   --other=TREE      A source tree, perhaps of an earlier version, that every
                     second host runs.
 """
@@ -25,23 +32,35 @@
 
 from docopt import docopt
 
+from soak.hosts import ROOT
+from soak.load import DENSE, SHOP
+from soak.long_plan import draw_long_plan
+from soak.plan import Plan, draw_plan
 from soak.restarts import Restarts
-from soak.run import Fleet, run_seed
+from soak.run import HOSTS, Fleet, run_plan
+
+SHORT_S, LONG_S = 10.0, 60.0
+LONG_HOSTS = 9
 
 
 def main() -> int:
     """Run the seeds in turn; return 1 if any run violates a guarantee."""
     options = docopt(__doc__)
     first = int(options["--first"] or random.randrange(1_000_000_000))
-    length_s = float(options["--length"])
+    is_long = options["long"]
+    length_s = float(options["--length"] or (LONG_S if is_long else SHORT_S))
     if options["restarts"]:
         return _run_restarts(first, int(options["DAEMONS"]), length_s)
     other = options["--other"]
     fleet = Fleet(
-        hosts=int(options["--hosts"]),
+        hosts=int(options["--hosts"] or (LONG_HOSTS if is_long else HOSTS)),
+        load=SHOP if is_long else DENSE,
+        tree=Path(options["--tree"] or ROOT).resolve(),
         other_tree=Path(other).resolve() if other else None,
     )
-    return _run_seeds(first, int(options["COUNT"]), length_s, fleet)
+    draw = draw_long_plan if is_long else draw_plan
+    plans = [draw(first + n, length_s) for n in range(int(options["COUNT"]))]
+    return _run_plans(plans, fleet)
 
 
 def _run_restarts(seed: int, daemons: int, length_s: float) -> int:
@@ -60,11 +79,12 @@
     return int(bool(result.violations))
 
 
-def _run_seeds(first: int, count: int, length_s: float, fleet: Fleet) -> int:
+def _run_plans(plans: list[Plan], fleet: Fleet) -> int:
     exit_code = 0
-    for seed in range(first, first + count):
+    for plan in plans:
+        seed = plan.seed
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = asyncio.run(run_seed(seed, length_s, folder, fleet))
+        result = asyncio.run(run_plan(plan, folder, fleet))
         kind = "planned" if result.plan.is_planned_only else "any"
         print(
             f"seed {seed} ({kind}): {len(result.plan.faults)} faults, "
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,14 +15,16 @@
 from soak.configuration import SERVED_HOST, STABLE_KEY
 from soak.guarantees import CallerOutcome, GuaranteeChecker
 from soak.hosts import Host
+from soak.load import KINDS, Load
 from soak.rate_limits import RateLimitChecker
+from soak.retries import RetryChecker
 from soak.statements import StatementChecker
 from soak.upstreams import UPSTREAM_HEADER
 
 DEADLINE_MS = 3_000
 PATHS = {"idempotent": "/view/", "non_idempotent": "/order/"}
 STREAM_PATH = "/draft/"
-MAX_PAUSE_S = 0.1
+RESOLVE_PAUSE_S = 0.1
 REQUESTS_PER_CONNECTION = 6
 CONNECT_S = 1.0
 
@@ -39,6 +41,11 @@
         """Return whether the request may be executed more than once."""
         return self.kind == "idempotent"
 
+    @property
+    def service(self) -> str:
+        """Return the service that the request is for."""
+        return "model" if self.kind == "stream" else "plain"
+
     def encode(self, key: str, path: str = "") -> bytes:
         """Return the encoded HTTP request."""
         method = "GET" if self.is_idempotent else "POST"
@@ -98,6 +105,8 @@
         guarantees: GuaranteeChecker,
         rate_limits: RateLimitChecker,
         statements: StatementChecker,
+        retries: RetryChecker,
+        load: Load,
         rng: random.Random,
         on_interrupted: Callable[[str], None],
     ) -> None:
@@ -109,6 +118,8 @@
         self._guarantees = guarantees
         self._rate_limits = rate_limits
         self._statements = statements
+        self._retries = retries
+        self._load = load
         self._random = rng
         self._on_interrupted = on_interrupted
         self._numbers = itertools.count()
@@ -128,14 +139,15 @@
 
     def draw_request(self) -> CallerRequest:
         """Return a request of a random kind."""
-        kind = self._random.choice(["idempotent", "non_idempotent", "stream"])
+        weights = [self._load.shares[kind] for kind in KINDS]
+        (kind,) = self._random.choices(KINDS, weights)
         return CallerRequest(f"r{next(self._numbers)}", kind)
 
     async def _run_caller(self) -> None:
         while not self._stopped:
             address = await self._resolve_address()
             if not address:
-                await asyncio.sleep(MAX_PAUSE_S)
+                await asyncio.sleep(RESOLVE_PAUSE_S)
                 continue
             try:
                 async with asyncio.timeout(CONNECT_S):
@@ -160,6 +172,7 @@
             )
             self._rate_limits.record_request(request.request_id, host_ip)
             self._statements.record_request(request.request_id, host_ip)
+            self._retries.record_request(request.service)
             outcome, can_reuse = await send(request, reader, writer)
             if outcome.names_rate_limit:
                 self._rate_limits.record_passed_on(request.request_id)
@@ -173,7 +186,7 @@
                 self._on_interrupted(request.request_id)
             if not can_reuse:
                 return
-            await asyncio.sleep(self._random.uniform(0, MAX_PAUSE_S))
+            await asyncio.sleep(self._random.uniform(0, self._load.pause_s))
 
     async def _resolve_address(self) -> tuple[str, int] | None:
         """Ask a random host for an address; return None on failure."""
--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from typing import Any
 
+from soak.load import DENSE, RouteTimes
+
 SERVED_HOST = "shop.example"
 STABLE_KEY = "key-that-stays"
 ROUTES = {
@@ -30,7 +33,9 @@
     return f"key-of-{version}"
 
 
-def configuration(version: int) -> bytes:
+def configuration(
+    version: int, times: Mapping[str, RouteTimes] = DENSE.times
+) -> bytes:
     """Return one version of the configuration.
 
     It has a route and a key of its own besides those of every version.
@@ -39,7 +44,10 @@
     keys = [STABLE_KEY, version_key(version)]
     fields = {
         "Version": version,
-        "Routes": [_route(path, *kind) for path, kind in kinds.items()],
+        "Routes": [
+            _route(path, kind, service, times)
+            for path, (kind, service) in kinds.items()
+        ],
         "Services": [
             {"Name": "plain", "MaxConnections": 200},
             {"Name": "model", "MaxConnections": 200, "Engine": ENGINE},
@@ -55,14 +63,17 @@
     return json.dumps(fields).encode()
 
 
-def _route(path: str, kind: str, service: str) -> dict[str, Any]:
+def _route(
+    path: str, kind: str, service: str, times: Mapping[str, RouteTimes]
+) -> dict[str, Any]:
+    route_times = times["stream" if kind == "streaming" else kind]
     return {
         "Name": path.strip("/"),
         "Hostname": SERVED_HOST,
         "PathPrefix": path,
         "RouteType": kind,
         "Service": service,
-        "TimeoutMs": 3_000,
-        "TargetLatencyMs": 1_000,
+        "TimeoutMs": route_times.timeout_ms,
+        "TargetLatencyMs": route_times.target_ms,
         "MaxAttempts": 2 if kind == "idempotent" else 1,
     }
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -15,6 +15,7 @@
 from balsamlift.testing._link import Link
 from balsamlift.testing._settings import LinkSettings
 from balsamlift.testing.platform import KeyedStore
+from soak.load import DENSE, Load
 from soak.network import Network
 from soak.processes import ProcessHistory, describe_process, open_pidfd
 from soak.upstreams import NO_FAULTS
@@ -22,7 +23,6 @@
 ROOT = Path(__file__).parent.parent.parent
 PORTS = {"Frontend": 7881, "Readiness": 7882, "Directory": 7883}
 FIRST_PORT = 7890  # of the internal ports
-GRACE_S = 3
 STACKS_S = 0.5  # until the stacks of a daemon are written
 RESTART_S = 0.2
 DOMAINS = ("north", "south")
@@ -39,8 +39,10 @@
         store: KeyedStore,
         network: Network,
         tree: Path = ROOT,
+        load: Load = DENSE,
     ) -> None:
         """Prepare the files; the daemon is that of the source tree `tree`."""
+        self._load = load
         self._tree = tree
         self.name = f"edge-{number}"
         self.ip = network.ip(number + 1)
@@ -98,14 +100,14 @@
         self._signal(signal.SIGCONT)
 
     async def terminate(self) -> None:
-        """Ask the daemon to shut down; kill it after `GRACE_S`."""
+        """Ask the daemon to shut down; kill it after the grace period."""
         process = self._process
         if process is None or self.is_leaving:
             return
         self.is_leaving = True
         self._signal(signal.SIGTERM)
         try:
-            async with asyncio.timeout(GRACE_S):
+            async with asyncio.timeout(self._load.grace_s):
                 await process.wait()
         except TimeoutError:
             self._signal(signal.SIGKILL)
@@ -193,10 +195,10 @@
             "[Platform]",
             f'Address = "{self.link.ready()["address"]}"',
             "[Bounds]",
-            f"GraceS = {GRACE_S}",
+            f"GraceS = {self._load.grace_s:g}",
             "ttl_max_s = 0.5",
             "RetryBudgetRatio = 0.2",
-            "BudgetExtraRetries = 50",
+            f"BudgetExtraRetries = {self._load.extra_retries}",
             "BudgetWindowS = 10",
             "ContactMs = 3000",
             "ConfigApplyMs = 2000",
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -22,6 +22,9 @@
     "rate_limit",
     "upstream_notice",
     "upstream_refuses",
+    "departure",
+    "upstream_hangs",
+    "pool_refuses",
 ]
 
 # Planned operations of operators. They may not interrupt any request.
@@ -36,6 +39,12 @@
     "upstream_crash",
 )
 STATEMENTS: tuple[Kind, ...] = ("upstream_notice", "upstream_refuses")
+# Hit the upstreams of one service, whatever their number.
+SERVICE_FAULTS: tuple[Kind, ...] = (
+    "departure",
+    "upstream_hangs",
+    "pool_refuses",
+)
 LINK_FAULTS = (
     {"cut": True},
     {"stall_forward": True},
--- a/tests/soak/restarts.py
+++ b/tests/soak/restarts.py
@@ -20,7 +20,8 @@
 from balsamlift.platform._names import CONFIGURATION_KEY, CONFIGURATION_TOPIC
 from balsamlift.testing.platform import KeyedStore
 from soak.configuration import configuration
-from soak.hosts import GRACE_S, STACKS_S, STAND_INS, Host
+from soak.hosts import STACKS_S, STAND_INS, Host
+from soak.load import DENSE
 from soak.network import Network
 
 # The longest start and end, on a machine that is busy with other work.
@@ -47,7 +48,7 @@
     @property
     def beyond_grace(self) -> int:
         """Return how many processes ended after their grace period."""
-        return sum(end_s > GRACE_S for end_s in self.ends_s)
+        return sum(end_s > DENSE.grace_s for end_s in self.ends_s)
 
 
 class Restarts:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -22,12 +22,15 @@
     version_key,
     version_path,
 )
+from soak.departures import Departures, Entries
 from soak.guarantees import GuaranteeChecker
 from soak.hosts import ROOT, STAND_INS, Host
+from soak.load import DENSE, Load
 from soak.network import Network
 from soak.plan import (
     LINK_FAULTS,
     RATE_LIMITS_PER_S,
+    SERVICE_FAULTS,
     STORE_FAULTS,
     Fault,
     Plan,
@@ -35,12 +38,11 @@
 )
 from soak.processes import LoopLateness, describe_machine
 from soak.rate_limits import RateLimitChecker
+from soak.retries import RetryChecker
 from soak.statements import StatementChecker
 from soak.upstreams import Upstreams
 
 HOSTS = 4
-CALLERS_PER_HOST = 2.5
-SERVICES = ("plain", "plain", "plain", "model", "model")
 START_S = 30.0
 # The longest that the store and the hosts may need to reconnect after the last
 # fault, on a machine that is busy with other work.
@@ -53,13 +55,15 @@
     """The hosts of a run."""
 
     hosts: int = HOSTS
-    other_tree: Path | None = None  # source tree that every second host runs
+    load: Load = DENSE
+    tree: Path = ROOT  # source tree that the hosts run
+    other_tree: Path | None = None  # the same of every second host
 
-    def tree(self, number: int) -> Path:
+    def tree_of(self, number: int) -> Path:
         """Return the source tree that a host runs."""
         if self.other_tree is not None and number % 2:
             return self.other_tree
-        return ROOT
+        return self.tree
 
 
 @attrs.frozen(kw_only=True)
@@ -86,13 +90,22 @@
         self._store = KeyedStore(self._network.ip(STAND_INS))
         self._rate_limits = RateLimitChecker(self._guarantees.report_violation)
         self._statements = StatementChecker(self._guarantees.report_violation)
+        self._retries = RetryChecker(
+            fleet.load.extra_retries, self._guarantees.report_violation
+        )
         self._upstreams = Upstreams(
             self._guarantees,
             self._rate_limits,
             self._statements,
+            self._retries,
             self._random,
             self._network,
         )
+        self._departures = Departures(
+            self._upstreams,
+            Entries(self._register, self._remove_entry),
+            self._add_successor,
+        )
         self._version = 1
         self._faults: set[asyncio.Task[None]] = set()
         self._lateness = LoopLateness()
@@ -101,8 +114,10 @@
         """Start all processes, inject the faults and check the recovery."""
         self._lateness.start()
         await self._store.start()
-        for service in SERVICES:
-            await self._add_upstream(service)
+        fleet = self._fleet
+        for service, number in fleet.load.services.items():
+            for _ in range(number):
+                await self._add_upstream(service)
         self._configure()
         self._hosts = [
             Host(
@@ -110,7 +125,8 @@
                 self._folder,
                 self._store,
                 self._network,
-                self._fleet.tree(n),
+                self._fleet.tree_of(n),
+                fleet.load,
             )
             for n in range(self._fleet.hosts)
         ]
@@ -148,10 +164,13 @@
             self._guarantees,
             self._rate_limits,
             self._statements,
+            self._retries,
+            self._fleet.load,
             self._random,
             self._check_interrupted,
         )
-        callers.start(int(self._fleet.hosts * CALLERS_PER_HOST))
+        load = self._fleet.load
+        callers.start(int(self._fleet.hosts * load.callers_per_host))
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         for fault in self._plan.faults:
@@ -161,6 +180,7 @@
         await asyncio.gather(*self._faults)
         await callers.stop()
         self._rate_limits.check()
+        self._retries.check()
 
     def _check_interrupted(self, request_id: str) -> None:
         """Report a request that a planned operation interrupted.
@@ -181,7 +201,7 @@
 
     async def _inject(self, fault: Fault) -> None:
         host = self._hosts[fault.target_number % len(self._hosts)]
-        names = sorted(self._upstreams.live)
+        names = self._targets(fault)
         name = names[fault.target_number % len(names)]
         link = LINK_FAULTS[fault.variant_number % len(LINK_FAULTS)]
         match fault.kind:
@@ -234,6 +254,24 @@
                     await self._replace(name, after_s=LEAVING_S)
             case "upstream_refuses":
                 self._upstreams.refuse(name, fault.duration_s)
+            case "departure":
+                await self._departures.leave(
+                    name, fault.duration_s, fault.variant_number
+                )
+            case "upstream_hangs":
+                self._upstreams.hang(name, fault.duration_s)
+            case "pool_refuses":
+                for each in names:
+                    self._upstreams.refuse(each, fault.duration_s)
+
+    def _targets(self, fault: Fault) -> list[str]:
+        """Return the upstreams that a fault may hit: all, or of a service."""
+        names = sorted(self._upstreams.live)
+        if fault.kind not in SERVICE_FAULTS:
+            return names
+        services = list(self._fleet.load.services)
+        service = services[fault.variant_number % len(services)]
+        return [n for n in names if self._upstreams.service(n) == service]
 
     def _exempt(self, host: Host) -> None:
         self._rate_limits.exempt_host(host.ip)
@@ -241,16 +279,24 @@
 
     async def _replace(self, name: str, after_s: float) -> None:
         """Start a new upstream, then stop an old one and remove its entry."""
-        await self._add_upstream(self._upstreams.service(name))
+        await self._add_successor(name)
         await asyncio.sleep(after_s)
         if name in self._upstreams.live:
             await self._upstreams.stop(name)
+        self._remove_entry(name)
+
+    def _remove_entry(self, name: str) -> None:
         self._store.topic(UPSTREAMS_TOPIC).append(name, b"")
 
+    async def _add_successor(self, name: str) -> None:
+        await self._add_upstream(self._upstreams.service(name))
+
     async def _add_upstream(self, service: str) -> None:
         self._register(await self._upstreams.add(service), "ready")
 
     def _register(self, name: str, state: str) -> None:
+        if name not in self._upstreams.live:
+            return
         fields = {
             "Service": self._upstreams.service(name),
             "Address": self._upstreams.address(name),
@@ -266,7 +312,8 @@
 
     def _configure(self) -> None:
         self._store.topic(CONFIGURATION_TOPIC).append(
-            CONFIGURATION_KEY, configuration(self._version)
+            CONFIGURATION_KEY,
+            configuration(self._version, self._fleet.load.times),
         )
 
     # Recovery
--- a/tests/soak/statements.py
+++ b/tests/soak/statements.py
@@ -105,6 +105,12 @@
             for key in [key for key in table if key[1] == host]:
                 del table[key]
 
+    def exempt_incarnation(self, upstream: str) -> None:
+        """Forget what the incarnation of an upstream said that has ended."""
+        for table in (self._told_s, self._refusals):
+            for key in [key for key in table if key[0] == upstream]:
+                del table[key]
+
     def exempt_upstream(self, upstream: str) -> None:
         """Exempt an upstream whose link holds requests back."""
         until_s = self._clock.monotonic() + DELAYED_S
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import random
+from typing import Literal
 
 import attrs
 
@@ -19,6 +20,7 @@
 from soak.guarantees import GuaranteeChecker, last_event, stream_event
 from soak.network import Network
 from soak.rate_limits import RateLimitChecker
+from soak.retries import RetryChecker
 from soak.statements import StatementChecker
 
 NO_FAULTS = attrs.asdict(LinkFaults())
@@ -27,6 +29,9 @@
 UPSTREAM_HEADER = "Answered-By"  # passed on to the caller
 UPSTREAMS = 252  # the number of their IP address
 
+# How an upstream gives notice in its answers.
+NoticeForm = Literal["always", "alternate", "twice"]
+
 
 class Upstreams:
     """The upstreams of a run, each behind a link of its own."""
@@ -36,6 +41,7 @@
         guarantees: GuaranteeChecker,
         rate_limits: RateLimitChecker,
         statements: StatementChecker,
+        retries: RetryChecker,
         rng: random.Random,
         network: Network,
     ) -> None:
@@ -44,15 +50,33 @@
         self.guarantees = guarantees
         self.rate_limits = rate_limits
         self.statements = statements
+        self.retries = retries
         self._refuses_until_s: dict[str, float] = {}
+        self._hangs_until_s: dict[str, float] = {}
+        self._notices: dict[str, NoticeForm] = {}
         self.is_fault_free = False  # no upstream fails at random
         self.live: dict[str, tuple[ReplicaStandIn, Link]] = {}
         self._random = rng
         self._numbers = itertools.count()
+        self._turns = itertools.count()
 
     async def add(self, service: str) -> str:
         """Start an upstream and return its name."""
         name = f"{service}-{next(self._numbers)}"
+        await self._start(name, service)
+        return name
+
+    async def restart(self, name: str) -> None:
+        """Start an upstream again under its id, on another address."""
+        if name not in self.live:
+            return
+        service = self.service(name)
+        await self.stop(name)
+        self._notices.pop(name, None)
+        self.statements.exempt_incarnation(name)
+        await self._start(name, service)
+
+    async def _start(self, name: str, service: str) -> None:
         replica = ReplicaStandIn(
             name, service, HEADERS, ip=self._network.ip(UPSTREAMS)
         )
@@ -65,6 +89,9 @@
             request_id = request.headers[HEADERS.request_id]
             self.rate_limits.record_arrival(name, request_id)
             self.statements.record_arrival(name, request_id)
+            self.retries.record_arrival(service, request_id)
+            self._say(name, connection)
+            await self._hang(name)
             if not await self._refuse(name, connection, request):
                 await work(connection, request)
 
@@ -81,15 +108,14 @@
         )
         await link.start()
         self.live[name] = (replica, link)
-        return name
 
     def address(self, name: str) -> str:
         """Return the address of the link to an upstream."""
         return str(self.live[name][1].ready()["address"])
 
     def service(self, name: str) -> str:
-        """Return the service that an upstream belongs to."""
-        return self.live[name][0].pool
+        """Return the service that an upstream belongs to, or belonged to."""
+        return name.rpartition("-")[0]
 
     def set_link(self, name: str, faults: dict[str, object]) -> None:
         """Replace the faults of the link to an upstream."""
@@ -106,10 +132,28 @@
             )
             self.rate_limits.set_limit(name, limit_per_s)
 
-    def give_notice(self, name: str) -> None:
+    def give_notice(self, name: str, form: NoticeForm = "always") -> None:
         """Let an upstream say in its answers that it is leaving."""
-        if name in self.live:
-            self.live[name][0].leaving = "1"
+        self._notices[name] = form
+
+    def _say(self, name: str, connection: ReplicaConnection) -> None:
+        """Add the notice of an upstream to its next answer."""
+        form = self._notices.get(name)
+        if form is None or (form == "alternate" and next(self._turns) % 2):
+            return
+        for _ in range(2 if form == "twice" else 1):
+            connection.statements.add(HEADERS.leaving, "1")
+
+    def hang(self, name: str, duration_s: float) -> None:
+        """Let an upstream answer nothing for a while."""
+        now_s = asyncio.get_running_loop().time()
+        self._hangs_until_s[name] = now_s + duration_s
+
+    async def _hang(self, name: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        left_s = self._hangs_until_s.get(name, 0.0) - now_s
+        if left_s > 0 and not self.is_fault_free:
+            await asyncio.sleep(left_s)
 
     def refuse(self, name: str, duration_s: float) -> None:
         """Let an upstream refuse, and ask for no requests meanwhile."""
--- a/tests/test_relay_leaving_notices.py
+++ b/tests/test_relay_leaving_notices.py
@@ -196,7 +196,9 @@
 async def answer_unsigned(
     connection: ReplicaConnection, request: ReplicaRequest
 ) -> None:
-    lines = [f"{name}: {text}" for name, text in connection.statements.items()]
+    lines = [
+        f"{name}: {text}" for name, text in connection.statements.get_all()
+    ]
     head = ["HTTP/1.1 200 OK", *lines, "Content-Length: 4", "", ""]
     await connection.send("\r\n".join(head).encode() + b"text")
 
