Tell by which way a request was sent despite a notice, and of notices lost

Now a send that is too late is a warning with the path (chosen, or resumed where the memory of a generation is), the state of the upstream and the age; so is a send to an upstream that said so to this host and of which the host knows it no longer, with the name under which it was heard. What was heard is kept apart from what the host believes, by the id of the upstream, and from the header itself, whatever its value. No change of what is sent.

--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -18,6 +18,7 @@
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._request import Call
 from balsamlift.relay._retry_after import RetryAfterTracker
+from balsamlift.relay._send_audit import SendPath
 from balsamlift.relay._statements import MISDIRECTED_REQUEST, StatementReader
 
 Disposition = Literal["answer", "failure", "not_executed"]
@@ -63,7 +64,7 @@
         upstream: Upstream,
         extra: Iterable[tuple[str, str]] = (),
         *,
-        ignores_pause: bool = False,
+        path: SendPath = "chosen",
     ) -> Reply:
         """Send a call and return the head of its response.
 
@@ -73,12 +74,13 @@
         closes the connection, so that the upstream stops.
         """
         connection = await self._pool.acquire(upstream)
-        if not ignores_pause and self._retry_after.is_pausing(upstream.name):
+        is_pausing = self._retry_after.is_pausing(upstream.name)
+        if path == "chosen" and is_pausing:
             self._pool.release(connection)
             raise UpstreamPausingError(upstream.name)
         may_have_run_before = attempt.may_have_run
         attempt.record_send(upstream.name)
-        self._statements.record_send(call.request_id, upstream.name)
+        self._statements.record_send(call.request_id, upstream, path)
         headers = upstream_headers(
             call, self._names, upstream.id, self._remaining_ms(call), extra
         )
@@ -93,7 +95,7 @@
         except asyncio.CancelledError:
             connection.close()
             raise
-        self._statements.record_response(upstream.name, head, sent_s)
+        self._statements.record_response(upstream, head, sent_s)
         disposition = self._classify(head)
         if disposition == "not_executed":
             attempt.record_not_executed(may_have_run_before)
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/_generation.py
@@ -333,7 +333,7 @@
                     attempt,
                     upstream,
                     extra,
-                    ignores_pause=True,
+                    path="resumed",
                 )
             if reply.is_success:
                 return reply
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -38,6 +38,7 @@
 from balsamlift.relay._retry_after import RetryAfterTracker
 from balsamlift.relay._retry_budget import RetryBudget, RetryLimits
 from balsamlift.relay._routing import Routing, RoutingTable
+from balsamlift.relay._send_audit import SendAudit
 from balsamlift.relay._statements import StatementDecoders, StatementReader
 from balsamlift.relay._unary import UnaryCalls
 from balsamlift.relay._upstream_chooser import UpstreamChooser
@@ -127,12 +128,21 @@
             lambda: len(peers.live()) + 1,
             self._clock,
         )
+        notices = self._upstreams.leaving_notices
+        audit = SendAudit(
+            notices,
+            self._retry_after,
+            self._metrics,
+            self._clock,
+            self._settings.drain_s,
+        )
         statements = StatementReader(
             names,
             self._settings.decoders,
             peers.rate_limits,
-            self._upstreams.leaving_notices,
+            notices,
             self._retry_after,
+            audit,
             self._metrics,
         )
         exchange = Exchange(
--- a/src/balsamlift/relay/_statements.py
+++ b/src/balsamlift/relay/_statements.py
@@ -9,11 +9,12 @@
 from loguru import logger
 
 from balsamlift.metrics import Metrics
-from balsamlift.peers import LeavingNotices, RateLimits
+from balsamlift.peers import LeavingNotices, RateLimits, Upstream
 from balsamlift.relay._connection import ResponseHead
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._headers import is_signed
 from balsamlift.relay._retry_after import RetryAfterTracker
+from balsamlift.relay._send_audit import SendAudit, SendPath
 
 log = logger.bind(part="upstreams")
 
@@ -49,6 +50,7 @@
         limits: RateLimits,
         notices: LeavingNotices,
         retry_after: RetryAfterTracker,
+        audit: SendAudit,
         metrics: Metrics,
     ) -> None:
         """Record in `limits`, `notices` and `retry_after`."""
@@ -57,22 +59,20 @@
         self._limits = limits
         self._notices = notices
         self._retry_after = retry_after
+        self._audit = audit
         self._metrics = metrics
         self._invalid: set[tuple[_Header, str]] = set()
 
-    def record_send(self, request_id: str, upstream: str) -> None:
+    def record_send(
+        self, request_id: str, upstream: Upstream, path: SendPath
+    ) -> None:
         """Count a request that is sent despite a statement of an upstream."""
-        if self._limits.find(upstream) is not None:
+        if self._limits.find(upstream.name) is not None:
             self._metrics.count("relay.sends_rate_limited")
-        notice_age_s = self._notices.age_s(upstream)
-        if notice_age_s is not None:
-            self._report_send("leaving", request_id, upstream, notice_age_s)
-        if self._retry_after.is_pausing(upstream):
-            wait_s = self._retry_after.wait_s(upstream)
-            self._report_send("retry_after", request_id, upstream, wait_s)
+        self._audit.record_send(request_id, upstream, path)
 
     def record_response(
-        self, upstream: str, head: ResponseHead, sent_s: float
+        self, upstream: Upstream, head: ResponseHead, sent_s: float
     ) -> None:
         """Record what the response to a request sent at `sent_s` says.
 
@@ -80,12 +80,15 @@
         """
         if head.status == MISDIRECTED_REQUEST:
             return
-        self._record_rate_limit(upstream, head, sent_s)
-        if self._is_leaving(upstream, head):
-            self._notices.record(upstream, "answer")
+        name = upstream.name
+        self._record_rate_limit(name, head, sent_s)
+        if self._has_notice(head):
+            self._audit.record_notice(upstream)
+        if self._is_leaving(name, head):
+            self._notices.record(name, "answer")
         if head.status == SERVICE_UNAVAILABLE:
-            self._record_retry_after(upstream, head)
-        self._retry_after.record_response(upstream, sent_s)
+            self._record_retry_after(name, head)
+        self._retry_after.record_response(name, sent_s)
 
     def _record_rate_limit(
         self, upstream: str, head: ResponseHead, sent_s: float
@@ -106,10 +109,17 @@
         else:
             self._limits.record(upstream, limit_per_s, sent_s)
 
+    def _has_notice(self, head: ResponseHead) -> bool:
+        """Return whether a response has the header, whatever its value."""
+        return (
+            self._names.leaving in head.headers
+            and not self._is_unsigned_success(head)
+        )
+
     def _is_leaving(self, upstream: str, head: ResponseHead) -> bool:
-        text = head.headers.get(self._names.leaving)
-        if text is None or self._is_unsigned_success(head):
+        if not self._has_notice(head):
             return False
+        text = head.headers[self._names.leaving]
         is_leaving = self._decoders.leaving(text)
         if is_leaving is None:
             self._report_invalid("leaving", upstream, text)
@@ -137,17 +147,6 @@
         is_success = 200 <= head.status < 300
         return is_success and not is_signed(head.headers, self._names)
 
-    def _report_send(
-        self, statement: str, request_id: str, upstream: str, time_s: float
-    ) -> None:
-        self._metrics.count(f"relay.sends_despite_{statement}")
-        log.bind(
-            request=request_id,
-            upstream=upstream,
-            statement=statement,
-            time_ms=round(time_s * 1_000),
-        ).info("sent despite a statement of the upstream")
-
     def _report_invalid(
         self, header: _Header, upstream: str, text: str
     ) -> None:
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -31,6 +31,7 @@
 from balsamlift.relay import CopyRefusedError
 from balsamlift.relay._request import CallerRequest
 from balsamlift.relay.crashes._fingerprint import fingerprint
+from balsamlift.testing._relay_harness import DRAIN_S
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     KEY,
@@ -119,6 +120,16 @@
             await world.call("/order/1", "r1", body=BODY)
 
 
+async def notice_lost(
+    world: RelayHarness, stand_ins: list[ReplicaStandIn]
+) -> None:
+    await notice_given(world, stand_ins)
+    world.upstreams.leaving_notices._notices.clear()
+    world.upstreams._table.refresh_all()
+    await asyncio.sleep(DRAIN_S + 0.1)
+    await world.call("/order/1", "r1", body=BODY)
+
+
 async def asked_for_no_requests(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
@@ -382,7 +393,16 @@
     Expected(rate_limit_named, "rate limit ended", ("upstream", "age_ms")),
     Expected(rate_limit_named, "rate limited", ENDED),
     Expected(notice_given, "leaving notice is not", ("upstream", "named")),
-    Expected(notice_given, "sent despite a statement", ("request", "time_ms")),
+    Expected(
+        notice_given,
+        "sent despite a statement",
+        ("request", "path", "state", "time_ms"),
+    ),
+    Expected(
+        notice_lost,
+        "sent to an upstream whose notice",
+        ("request", "upstream", "path", "heard_from", "heard_ms", "state"),
+    ),
     Expected(
         asked_for_no_requests, "Retry-After is not", ("upstream", "named")
     ),
