--- a/tests/soak/long_plan.py
+++ b/tests/soak/long_plan.py
@@ -20,10 +20,10 @@
     "configuration",
 )
 STATEMENTS: tuple[Kind, ...] = (
-    "departure",
-    "departure",
+    *["departure"] * 5,
     "upstream_refuses",
     "upstream_hangs",
+    "upstream_hangs",
     "pool_refuses",
 )
 MAX_PAUSE_S = 6.0
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -43,6 +43,8 @@
 from soak.upstreams import Upstreams
 
 HOSTS = 4
+# Of faults of one service; most hit the one that has fewer upstreams.
+SERVICE_TARGETS = ("plain", "plain", "model")
 START_S = 30.0
 # The longest that the store and the hosts may need to reconnect after the last
 # fault, on a machine that is busy with other work.
@@ -269,7 +271,7 @@
         names = sorted(self._upstreams.live)
         if fault.kind not in SERVICE_FAULTS:
             return names
-        services = list(self._fleet.load.services)
+        services = SERVICE_TARGETS
         service = services[fault.variant_number % len(services)]
         return [n for n in names if self._upstreams.service(n) == service]
 
