Take a leaving notice for one if its header comes twice or with another value

Callers: requests went on for as long as the list showed the upstream as ready, to an upstream whose answers said twice that it leaves (`1` and `1`, or `1, 1`), or said it with another value than `1`. The rule speaks of the header.

Cause: two equal headers were joined to "1, 1", and any value but `1` changed nothing. What binds a host was read by its spelling, and an odd spelling was taken for silence.

Why it works: the header is the statement; its value is only checked for one that is known, to log others.

--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -300,9 +300,9 @@
     return float(text) if _DECIMAL.fullmatch(text) else None
 
 
-def decode_leaving(text: str) -> bool | None:
-    """Return True if an upstream is leaving, None if `text` is invalid."""
-    return True if text.strip() == "1" else None
+def is_known_notice(text: str) -> bool:
+    """Return whether `text` is "1", perhaps repeated."""
+    return {part.strip() for part in text.split(",")} == {"1"}
 
 
 def decode_retry_after(text: str) -> float | None:
@@ -316,6 +316,6 @@
 
 STATEMENT_DECODERS = StatementDecoders(
     rate_limit=decode_rate_limit,
-    leaving=decode_leaving,
+    is_known_notice=is_known_notice,
     retry_after=decode_retry_after,
 )
--- a/src/balsamlift/platform/_engines.py
+++ b/src/balsamlift/platform/_engines.py
@@ -6,7 +6,6 @@
 
 from balsamlift._http import Answer, CallError, HttpClient
 from balsamlift.peers import Upstream
-from balsamlift.platform._decode import decode_leaving
 from balsamlift.platform._names import HEADERS, MOVE_PATH, REPORT_PATH
 from balsamlift.relay import (
     CopyError,
@@ -115,10 +114,8 @@
 
 
 def _says_leaving(report: _Report, answer: Answer) -> bool:
-    text = answer.headers.get(HEADERS.leaving, "")
-    return report.LifecycleState not in ("", "ready") or bool(
-        decode_leaving(text)
-    )
+    is_draining = report.LifecycleState not in ("", "ready")
+    return is_draining or HEADERS.leaving in answer.headers
 
 
 def _ms_to_s(value_ms: float | None) -> float | None:
--- a/src/balsamlift/relay/_statements.py
+++ b/src/balsamlift/relay/_statements.py
@@ -33,15 +33,19 @@
 
 @attrs.frozen(kw_only=True)
 class StatementDecoders:
-    """Decoders of header values, which return None for invalid ones."""
+    """Decoders of header values, which return None for invalid ones.
+
+    That an upstream is leaving is said by the header itself, so that of its
+    value only whether it is a known one matters.
+    """
 
     rate_limit: Callable[[str], float | None]  # requests per second
-    leaving: Callable[[str], bool | None]
+    is_known_notice: Callable[[str], bool]
     retry_after: Callable[[str], float | None]  # seconds
 
 
 class StatementReader:
-    """Record what responses say; invalid values change nothing."""
+    """Record what responses say, in the reading that binds this host."""
 
     def __init__(
         self,
@@ -84,8 +88,7 @@
         self._record_rate_limit(name, head, sent_s)
         if self._has_notice(head):
             self._audit.record_notice(upstream)
-        if self._is_leaving(name, head):
-            self._notices.record(name, "answer")
+            self._record_notice(name, head)
         if head.status == SERVICE_UNAVAILABLE:
             self._record_retry_after(name, head)
         self._retry_after.record_response(name, sent_s)
@@ -116,14 +119,12 @@
             and not self._is_unsigned_success(head)
         )
 
-    def _is_leaving(self, upstream: str, head: ResponseHead) -> bool:
-        if not self._has_notice(head):
-            return False
+    def _record_notice(self, upstream: str, head: ResponseHead) -> None:
+        """Record a notice; a value that is not known does not take it back."""
         text = head.headers[self._names.leaving]
-        is_leaving = self._decoders.leaving(text)
-        if is_leaving is None:
+        if not self._decoders.is_known_notice(text):
             self._report_invalid("leaving", upstream, text)
-        return bool(is_leaving)
+        self._notices.record(upstream, "answer")
 
     def _record_retry_after(self, upstream: str, head: ResponseHead) -> None:
         text = head.headers.get("Retry-After")
