--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -26,7 +26,7 @@
 
 # A header holds one decimal number; "1e400" or "2, 3" is none.
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
-MAX_RETRY_AFTER_S = 86_400.0  # a longer time is taken for an error
+MAX_RETRY_AFTER_S = 86_400.0  # a longer time is honoured for so long
 
 
 class RecordError(PlatformError):
@@ -306,12 +306,11 @@
 
 
 def decode_retry_after(text: str) -> float | None:
-    """Return seconds, or None if `text` is invalid or over a day."""
+    """Return seconds, at most a day, or None if `text` is invalid."""
     text = text.strip()
     if not _DECIMAL.fullmatch(text):
         return None
-    retry_after_s = float(text)
-    return retry_after_s if retry_after_s <= MAX_RETRY_AFTER_S else None
+    return min(float(text), MAX_RETRY_AFTER_S)
 
 
 STATEMENT_DECODERS = StatementDecoders(
--- a/src/balsamlift/relay/_statements.py
+++ b/src/balsamlift/relay/_statements.py
@@ -22,6 +22,7 @@
 INTERNAL_SERVER_ERROR = 500
 SERVICE_UNAVAILABLE = 503
 MAX_INVALID = 100  # upstreams whose invalid values are logged
+UNREADABLE_RETRY_AFTER_S = 1.0
 
 _Header = Literal["rate_limit", "leaving", "retry_after"]
 _INVALID_MESSAGES: dict[_Header, str] = {
@@ -127,14 +128,33 @@
         self._notices.record(upstream, "answer")
 
     def _record_retry_after(self, upstream: str, head: ResponseHead) -> None:
-        text = head.headers.get("Retry-After")
-        if text is None:
+        """Record the longest time named, a short one if none is readable."""
+        texts = _split_values(head, "Retry-After")
+        if not texts:
             return
-        retry_after_s = self._decoders.retry_after(text)
-        if retry_after_s is None:
-            self._report_invalid("retry_after", upstream, text)
-        else:
-            self._retry_after.record(upstream, retry_after_s)
+        times_s = self._decode(
+            "retry_after", self._decoders.retry_after, upstream, texts
+        )
+        self._retry_after.record(
+            upstream, max(times_s, default=UNREADABLE_RETRY_AFTER_S)
+        )
+
+    def _decode(
+        self,
+        header: _Header,
+        decode: Callable[[str], float | None],
+        upstream: str,
+        texts: list[str],
+    ) -> list[float]:
+        """Return the values that can be read; report the others."""
+        values = []
+        for text in texts:
+            value = decode(text)
+            if value is None:
+                self._report_invalid(header, upstream, text)
+            else:
+                values.append(value)
+        return values
 
     def _is_answer(self, head: ResponseHead) -> bool:
         return (
@@ -159,3 +179,12 @@
         log.bind(upstream=upstream, named=text[:40]).warning(
             _INVALID_MESSAGES[header]
         )
+
+
+def _split_values(head: ResponseHead, name: str) -> list[str]:
+    """Return the values of a header, which may be given as a list or twice."""
+    return [
+        part.strip()
+        for text in head.headers.get_list(name)
+        for part in text.split(",")
+    ]
