Keep to the smallest of several rate limits in an answer

Callers: none saw it; the limit of an upstream that named it twice or in a list was not heeded at all, or not renewed.

Cause: as with notices and Retry-After, two values were joined to one that is no number, and that changed nothing.

Evidence: test_of_several_limits_in_an_answer_the_smallest_counts, three spellings, failed in all three before.

Why it works: each value is read by itself, and the smallest binds all hosts.

--- a/src/balsamlift/relay/_statements.py
+++ b/src/balsamlift/relay/_statements.py
@@ -102,16 +102,16 @@
         Only a signed answer ends a limit: a refusal or an error may come from
         a part of the upstream that does not know the limit.
         """
-        text = head.headers.get(self._names.rate_limit)
-        if text is None:
+        texts = _split_values(head, self._names.rate_limit)
+        if not texts:
             if self._is_answer(head):
                 self._limits.record(upstream, None, sent_s)
             return
-        limit_per_s = self._decoders.rate_limit(text)
-        if limit_per_s is None:
-            self._report_invalid("rate_limit", upstream, text)
-        else:
-            self._limits.record(upstream, limit_per_s, sent_s)
+        limits_per_s = self._decode(
+            "rate_limit", self._decoders.rate_limit, upstream, texts
+        )
+        if limits_per_s:
+            self._limits.record(upstream, min(limits_per_s), sent_s)
 
     def _has_notice(self, head: ResponseHead) -> bool:
         """Return whether a response has the header, whatever its value."""
--- a/tests/test_relay_rate_limits.py
+++ b/tests/test_relay_rate_limits.py
@@ -176,6 +176,30 @@
     run(test())
 
 
+@pytest.mark.parametrize("values", [["9", "4"], ["9, 4"], ["4", "soon"]])
+def test_of_several_limits_in_an_answer_the_smallest_counts(
+    values: list[str],
+) -> None:
+    async def answer(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        for value in values:
+            connection.statements.add(HEADER_NAMES.rate_limit, value)
+        await connection.answer(request, b"done")
+
+    async def test() -> None:
+        (limited,) = make_stand_ins("plain", 1)
+        limited.behave = answer
+        async with RelayHarness([limited]) as world:
+            world.configure()
+            await world.call("/order/1")
+            limit = world.peers.rate_limits.find(limited.name)
+            assert limit is not None
+            assert limit.limit_per_s == 4.0
+
+    run(test())
+
+
 def name_limit(
     world: RelayHarness, stand_in: ReplicaStandIn, limit_per_s: float
 ) -> None:
