Look at what binds a host again before each send, in one place

Callers: none saw it; a request that was chosen before its upstream was known to leave, or its failure domain to be evacuated, was sent there all the same once its connection was open (up to 0.5 s later), also if a peer's report said that the notice was long ago.

Cause: each path asked a part of the conditions by itself: the choice for notices, evacuations and Retry-After, the last resort for two of them, the send for Retry-After alone.

Why it works: relay/_restrictions.py answers the question for the choice, the last resort and the send, so that no fallback can pass over it; a send that it forbids leaves the upstream unrated and goes elsewhere.

--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -100,12 +100,13 @@
     """Raised when no byte of the request was sent to the upstream."""
 
 
-class UpstreamPausingError(UpstreamUnreachableError):
-    """Raised when an upstream asked for no requests before one was sent."""
+class UpstreamRestrictedError(UpstreamUnreachableError):
+    """Raised when a request may not be sent to an upstream any more."""
 
-    def __init__(self, upstream: str) -> None:
-        """Store the name of the upstream."""
-        super().__init__(upstream, "asked for no requests")
+    def __init__(self, upstream: str, restriction: str) -> None:
+        """Store the name of the upstream and what forbids it."""
+        super().__init__(upstream, restriction)
+        self.restriction = restriction
 
 
 class UpstreamSilentError(UpstreamError):
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -23,6 +23,7 @@
     Upstreams,
 )
 from balsamlift.relay._cold_starts import ColdStartLimiter
+from balsamlift.relay._restrictions import Restrictions, no_restrictions
 from balsamlift.relay._retry_after import RetryAfterTracker
 from balsamlift.relay._scope import Scope
 from balsamlift.relay.health import SharedHealth, UpstreamHealth
@@ -62,15 +63,14 @@
         failure_domain: str,
         cold_starts: ColdStartLimiter | None = None,
         regions: Mapping[str, str] | None = None,
-        last_resort_s: float = 0.0,
+        restrictions: Restrictions | None = None,
         retry_after: RetryAfterTracker | None = None,
     ) -> None:
         """Add the counts received by `peers` to those of this host.
 
-        `regions` holds the region of each failure domain. An upstream that
-        has given notice is a last resort for `last_resort_s`.
+        `regions` holds the region of each failure domain.
         """
-        self._last_resort_s = last_resort_s
+        self._restrictions = restrictions or no_restrictions(clock, rng)
         self._retry_after = retry_after or RetryAfterTracker(
             clock, Metrics(), rng
         )
@@ -155,7 +155,7 @@
         """Return the upstreams to choose from.
 
         Ejected and avoided upstreams are included if there are no others, but
-        none that asked for no requests.
+        none that a restriction keeps from work.
         """
         members = self._upstreams.in_pool(scope.pool)
         candidates = [
@@ -164,6 +164,7 @@
             if u.name not in tried
             and self._is_permitted(scope, u)
             and self._allows_cold_start(u)
+            and self._restrictions.at_choice(u) is None
             and not self._retry_after.wait_s(u.name)
         ]
         now_s = self._clock.monotonic()
@@ -244,12 +245,16 @@
     def _last_resorts(
         self, scope: Scope, tried: Collection[str]
     ) -> list[Upstream]:
-        found = self._upstreams.last_resorts(scope.pool, self._last_resort_s)
+        restrictions = self._restrictions
+        found = self._upstreams.last_resorts(
+            scope.pool, restrictions.last_resort_s
+        )
         return [
             upstream
             for upstream in found
             if upstream.name not in tried
             and self._is_permitted(scope, upstream)
+            and restrictions.at_send(upstream, "chosen") is None
             and not self._retry_after.wait_s(upstream.name)
         ]
 
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -9,7 +9,7 @@
 import attrs
 
 from balsamlift.clock import Clock
-from balsamlift.exceptions import UpstreamBrokenError, UpstreamPausingError
+from balsamlift.exceptions import UpstreamBrokenError, UpstreamRestrictedError
 from balsamlift.peers import Upstream
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._connection import ResponseHead, UpstreamConnection
@@ -17,7 +17,7 @@
 from balsamlift.relay._headers import is_signed, upstream_headers
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._request import Call
-from balsamlift.relay._retry_after import RetryAfterTracker
+from balsamlift.relay._restrictions import Restrictions
 from balsamlift.relay._send_audit import SendPath
 from balsamlift.relay._statements import MISDIRECTED_REQUEST, StatementReader
 
@@ -48,14 +48,14 @@
         names: HeaderNames,
         clock: Clock,
         statements: StatementReader,
-        retry_after: RetryAfterTracker,
+        restrictions: Restrictions,
     ) -> None:
         """Create a client that acquires connections from `pool`."""
         self._pool = pool
         self._names = names
         self._clock = clock
         self._statements = statements
-        self._retry_after = retry_after
+        self._restrictions = restrictions
 
     async def send(
         self,
@@ -69,15 +69,15 @@
         """Send a call and return the head of its response.
 
         Raises `UpstreamUnreachableError` when nothing was sent, e.g. because
-        the upstream has asked for no requests meanwhile, and
+        the upstream is leaving since it was chosen, and
         `UpstreamBrokenError` when the request may have run. Cancellation
         closes the connection, so that the upstream stops.
         """
         connection = await self._pool.acquire(upstream)
-        is_pausing = self._retry_after.is_pausing(upstream.name)
-        if path == "chosen" and is_pausing:
+        restriction = self._restrictions.at_send(upstream, path)
+        if restriction is not None:
             self._pool.release(connection)
-            raise UpstreamPausingError(upstream.name)
+            raise UpstreamRestrictedError(upstream.name, restriction)
         may_have_run_before = attempt.may_have_run
         attempt.record_send(upstream.name)
         self._statements.record_send(call.request_id, upstream, path)
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/_generations.py
@@ -9,7 +9,7 @@
 
 from balsamlift.exceptions import (
     UpstreamBrokenError,
-    UpstreamPausingError,
+    UpstreamRestrictedError,
     UpstreamUnreachableError,
 )
 from balsamlift.peers import Upstream, Upstreams
@@ -218,8 +218,8 @@
             reply = await self._context.exchange.send(
                 call, attempt, upstream, extra
             )
-        except UpstreamPausingError:
-            return give_up(attempt, "engine asked for no requests")
+        except UpstreamRestrictedError as error:
+            return give_up(attempt, f"engine: {error.restriction}")
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
             backoff_s = balancer.eject(upstream.name)
             log.bind(
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -35,6 +35,7 @@
     Refusal,
     Responder,
 )
+from balsamlift.relay._restrictions import Restrictions
 from balsamlift.relay._retry_after import RetryAfterTracker
 from balsamlift.relay._retry_budget import RetryBudget, RetryLimits
 from balsamlift.relay._routing import Routing, RoutingTable
@@ -106,6 +107,12 @@
         self._retry_after = RetryAfterTracker(
             self._clock, self._metrics, self._random
         )
+        restrictions = Restrictions(
+            self._upstreams.leaving_notices,
+            self._upstreams.evacuations,
+            self._retry_after,
+            self._settings.drain_s * LAST_RESORT_FRACTION,
+        )
         balancer = self._balancer = Balancer(
             self._upstreams,
             peers,
@@ -119,7 +126,7 @@
                 self._clock,
             ),
             self._settings.regions,
-            self._settings.drain_s * LAST_RESORT_FRACTION,
+            restrictions,
             self._retry_after,
         )
         self._allocator = MemoryAllocator(balancer)
@@ -146,7 +153,7 @@
             self._metrics,
         )
         exchange = Exchange(
-            self._pool, names, self._clock, statements, self._retry_after
+            self._pool, names, self._clock, statements, restrictions
         )
         self._admission = Admission(routing, names, self._random)
         self._crash_guard = CrashGuard(
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -9,7 +9,7 @@
 
 from balsamlift.exceptions import (
     UpstreamBrokenError,
-    UpstreamPausingError,
+    UpstreamRestrictedError,
     UpstreamUnreachableError,
 )
 from balsamlift.peers import Upstream
@@ -149,7 +149,7 @@
                     body = await self._exchange.read_full_body(
                         reply, MAX_RESPONSE_BYTES
                     )
-        except UpstreamPausingError:
+        except UpstreamRestrictedError:
             raise
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
             self._back_off(call, attempt, upstream, str(error))
--- a/tests/_shared_counts.py
+++ b/tests/_shared_counts.py
@@ -60,3 +60,21 @@
         hosts = [str(host) for host in range(self._counts.hosts)]
         hosts.remove(str(self._host))
         return find_rank(str(self._host), hosts, subject)
+
+
+class SingleHost:
+    """A single host, which has all calls in flight."""
+
+    def in_flight(self, upstream: str) -> int:
+        return 0
+
+    def set_in_flight(self, upstream: str, n: int) -> None:
+        pass
+
+    def send_counts(self) -> None:
+        pass
+
+    counts_basis: CountsBasis = "heard"
+
+    def rank_for(self, subject: str) -> HostRank:
+        return HostRank(0, 1)
--- a/tests/test_relay_fill_limit.py
+++ b/tests/test_relay_fill_limit.py
@@ -15,9 +15,10 @@
 import attrs
 import pytest
 from _listed_engines import SCOPE, engines_of_one_domain
+from _shared_counts import SingleHost
 
 from balsamlift.clock import SystemClock
-from balsamlift.peers import CountsBasis, HostRank, Peers, Upstreams
+from balsamlift.peers import Peers, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._memory_allocator import (
@@ -36,24 +37,6 @@
 EXPECTED_OUTPUT_TOKENS = 670  # the mean, regardless of the actual length
 
 
-class SingleHost:
-    """A single host, which has all calls in flight."""
-
-    def in_flight(self, upstream: str) -> int:
-        return 0
-
-    def set_in_flight(self, upstream: str, n: int) -> None:
-        pass
-
-    def send_counts(self) -> None:
-        pass
-
-    counts_basis: CountsBasis = "heard"
-
-    def rank_for(self, subject: str) -> HostRank:
-        return HostRank(0, 1)
-
-
 @attrs.define(eq=False)
 class Running:
     """A generation that runs on an engine."""
