Keep a leaving notice while the upstream's entry counts on

Callers: an upstream whose entry had been away from a complete list for over a minute, and that came back while it still said that it leaves, got requests again from each host until its next answer.

Cause: a notice was discarded a minute after its upstream had left the list, so that one that starts again under its id, without saying when, gets work. Time alone cannot tell that one from the same incarnation.

Evidence: test_an_upstream_that_was_long_unlisted_is_still_bound_by_its_notice, 70 s, failed before with a request 71 s after the notice; with 5 s it passed.

Why it works: an entry counts its updates from the start of its upstream; a lower count after a minute away shows another incarnation, a higher one the same. A notice of an upstream that is gone is discarded after an hour.

--- a/src/balsamlift/peers/_leaving_notices.py
+++ b/src/balsamlift/peers/_leaving_notices.py
@@ -14,9 +14,11 @@
 log = logger.bind(part="upstreams")
 
 MAX_NOTICES = 5_000
-# A notice is kept for this long after its upstream is gone from the list, in
-# case an older list shows it again.
+# An entry that comes back after this long, and counts from the start again, is
+# of another incarnation. Before, it may come from an older list.
 UNLISTED_TTL_S = 60.0
+# An upstream that is gone for so long does not come back.
+FORGOTTEN_S = 3_600.0
 _MS_PER_S = 1_000
 
 
@@ -27,6 +29,20 @@
     given_s: float
     change: int
     unlisted_s: float | None = None  # since when the list lacks its upstream
+    written: int | None = None  # update of its entry that was listed last
+
+    def is_outdated(self, written: int | None, now_s: float) -> bool:
+        """Return whether its incarnation is gone for good.
+
+        `written` is the update that is listed now, or None.
+        """
+        if self.unlisted_s is None:
+            return False
+        away_s = now_s - self.unlisted_s
+        if written is None:
+            return away_s > FORGOTTEN_S
+        has_restarted = self.written is not None and written < self.written
+        return away_s > UNLISTED_TTL_S and has_restarted
 
 
 class LeavingNotices:
@@ -112,24 +128,34 @@
             callback(upstream)
         self._wake()
 
-    def prune(self, is_listed: Callable[[str], bool]) -> None:
-        """Discard notices of upstreams that are long gone from the list.
+    def prune(self, find_written: Callable[[str], int | None]) -> set[str]:
+        """Discard notices of incarnations that are gone; return whose.
 
-        The list has to be complete: an outage drops entries that come back.
+        `find_written` returns the update of an upstream's entry, or None if
+        it is not listed. The list has to be complete: an outage drops entries
+        that come back.
         """
         now_s = self._clock.monotonic()
+        discarded = set()
         for upstream, notice in list(self._notices.items()):
-            if is_listed(upstream):
+            written = find_written(upstream)
+            if notice.is_outdated(written, now_s):
+                self._discard(upstream, notice, now_s)
+                discarded.add(upstream)
+            elif written is not None:
+                notice.written = max(written, notice.written or 0)
                 notice.unlisted_s = None
             elif notice.unlisted_s is None:
                 notice.unlisted_s = now_s
-            elif now_s - notice.unlisted_s > UNLISTED_TTL_S:
-                del self._notices[upstream]
-                log.bind(
-                    upstream=upstream,
-                    age_ms=round((now_s - notice.given_s) * _MS_PER_S),
-                ).info("leaving notice discarded")
         self._update_gauge()
+        return discarded
+
+    def _discard(self, upstream: str, notice: _Notice, now_s: float) -> None:
+        del self._notices[upstream]
+        log.bind(
+            upstream=upstream,
+            age_ms=round((now_s - notice.given_s) * _MS_PER_S),
+        ).info("leaving notice discarded")
 
     def _update_gauge(self) -> None:
         self._metrics.gauge("upstreams.leaving_notices", len(self._notices))
--- a/src/balsamlift/peers/_upstream_table.py
+++ b/src/balsamlift/peers/_upstream_table.py
@@ -55,6 +55,14 @@
         """Return the upstream of that name, or None."""
         return self._known.get(name)
 
+    def find_written(self, name: str) -> int | None:
+        """Return the latest update of an upstream's entry, or None.
+
+        It counts from the start of the upstream.
+        """
+        known = self._known.get(name)
+        return known.written if known else None
+
     def in_pool(self, pool: str) -> list[Upstream]:
         """Return the upstreams of a pool that may take new work."""
         usable = self._usable.get(pool)
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -314,9 +314,8 @@
         if not self._is_probing:
             self._clear_outdated_observations()
         if self.is_list_complete:
-            self.leaving_notices.prune(
-                lambda name: self.find(name) is not None
-            )
+            for name in self.leaving_notices.prune(self._table.find_written):
+                self._apply_notice(name)
         self._notify_listed_states()
 
     def _notify_listed_states(self) -> None:
--- a/tests/test_relay_leaving_notices.py
+++ b/tests/test_relay_leaving_notices.py
@@ -152,6 +152,52 @@
     run(test)
 
 
+@pytest.mark.parametrize("away_s", [5.0, 70.0])
+def test_an_upstream_that_was_long_unlisted_is_still_bound_by_its_notice(
+    away_s: float,
+) -> None:
+    async def test() -> None:
+        pool = Pool("plain", 2)
+        first = pool.stand_ins[0]
+        first.written, first.leaving = 7, "1"
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, "/order/1")
+            noticed_s = await first_answer(load, pool)
+            await asyncio.sleep(1.0)
+            world.list.replicas.remove(first)
+            await asyncio.sleep(away_s)
+            first.written = 70
+            world.list.replicas.append(first)
+            await load.run(4.0)
+            assert late_arrivals(load, pool, noticed_s) == []
+
+    run(test)
+
+
+def test_an_upstream_that_starts_again_after_long_gets_requests() -> None:
+    """Its entry does not say when it started, but counts from the start."""
+
+    async def test() -> None:
+        pool = Pool("plain", 2)
+        first = pool.stand_ins[0]
+        first.written, first.leaving = 7, "1"
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            load = Load(world, "/order/1")
+            await first_answer(load, pool)
+            await asyncio.sleep(1.0)
+            world.list.replicas.remove(first)
+            await asyncio.sleep(70.0)
+            first.written, first.leaving = 1, ""
+            world.list.replicas.append(first)
+            before = len(pool.arrivals[first.name])
+            calls = await load.run(2.0)
+            assert len(pool.arrivals[first.name]) - before >= len(calls) / 4
+
+    run(test)
+
+
 @pytest.mark.parametrize("status", [200, 404, 500, 503])
 def test_a_notice_in_any_answer_counts(status: int) -> None:
     async def fail(
