--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import os
 import random
 import signal
@@ -218,6 +219,8 @@
 
     `file` is the path of the settings file; see `load_node_settings`.
     """
+    # A crash in a library leaves the stacks of all threads on standard error.
+    faulthandler.enable()
     node = load_node_settings(file)
     sink = LogSink(sys.stdout.fileno())
     logs.configure(json=True, host=node.host, sink=sink)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -231,6 +231,14 @@
     run(test, tmp_path)
 
 
+def test_a_crash_leaves_the_stacks_of_all_threads(tmp_path: Path) -> None:
+    async def test(deployment: Deployment) -> None:
+        pid = deployment.process.pid
+        assert is_default_action_replaced(pid, signal.SIGSEGV)
+
+    run(test, tmp_path)
+
+
 def test_a_start_without_its_address_says_so_and_ends(tmp_path: Path) -> None:
     """It ended with a traceback that named neither address nor listener."""
 
