Signal the daemons of a soak without reaping them

Popen.send_signal polls the process first and may reap it; asyncio then logs "Unknown child process pid" and takes 255 for its exit code, which the checks of ends would misread. Signals now go by process descriptor.

--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -17,7 +17,12 @@
 from balsamlift.testing.platform import KeyedStore
 from soak.load import DENSE, Load
 from soak.network import Network
-from soak.processes import ProcessHistory, describe_process, open_pidfd
+from soak.processes import (
+    ProcessHistory,
+    describe_process,
+    open_pidfd,
+    send_signal,
+)
 from soak.upstreams import NO_FAULTS
 
 ROOT = Path(__file__).parent.parent.parent
@@ -88,8 +93,7 @@
             await asyncio.wait([self._supervisor])
         process = self._process
         if process is not None:
-            if process.returncode is None:
-                process.kill()
+            send_signal(process, signal.SIGKILL)
             await process.wait()
         await self.link.stop()
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -6,6 +6,8 @@
 import contextlib
 import json
 import os
+import signal
+from asyncio.subprocess import Process
 from datetime import UTC, datetime
 from pathlib import Path
 
@@ -121,6 +123,21 @@
     return ""
 
 
+def send_signal(process: Process, number: signal.Signals) -> None:
+    """Signal a process that may just have ended, without reaping it.
+
+    `Process.send_signal` may reap it, and its exit code is then lost.
+    """
+    if process.returncode is not None:
+        return
+    pidfd = open_pidfd(process.pid)
+    if pidfd is None:
+        return
+    with contextlib.suppress(ProcessLookupError):
+        signal.pidfd_send_signal(pidfd, number)
+    os.close(pidfd)
+
+
 def open_pidfd(pid: int) -> int | None:
     """Return a descriptor of a process, None if it has ended already.
 
--- a/tests/soak/restarts.py
+++ b/tests/soak/restarts.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import random
 import signal
@@ -23,6 +22,7 @@
 from soak.hosts import STACKS_S, STAND_INS, Host
 from soak.load import DENSE
 from soak.network import Network
+from soak.processes import send_signal
 
 # The longest start and end, on a machine that is busy with other work.
 START_S = END_S = 30.0
@@ -121,7 +121,7 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        _send(process, signal.SIGTERM)
+        send_signal(process, signal.SIGTERM)
         disturbing = asyncio.create_task(disturb(host, process, delay_s))
         try:
             async with asyncio.timeout(END_S):
@@ -151,9 +151,9 @@
     async def _report(self, process: Process, text: str) -> None:
         """Report a violation; the stacks of the process go to its log."""
         self._result.violations.append(f"{text}, pid {process.pid}")
-        _send(process, signal.SIGABRT)
+        send_signal(process, signal.SIGABRT)
         await asyncio.sleep(STACKS_S)
-        _send(process, signal.SIGKILL)
+        send_signal(process, signal.SIGKILL)
         await process.wait()
 
 
@@ -166,35 +166,29 @@
     }
 
 
-def _send(process: Process, number: signal.Signals) -> None:
-    if process.returncode is None:
-        with contextlib.suppress(ProcessLookupError):  # it has just ended
-            process.send_signal(number)
-
-
 async def _leave(host: Host, process: Process, delay_s: float) -> None:
     del host, process, delay_s
 
 
 async def _reload(host: Host, process: Process, delay_s: float) -> None:
     del host
-    _send(process, signal.SIGHUP)
+    send_signal(process, signal.SIGHUP)
     await asyncio.sleep(delay_s)
-    _send(process, signal.SIGHUP)
+    send_signal(process, signal.SIGHUP)
 
 
 async def _freeze(host: Host, process: Process, delay_s: float) -> None:
     del host
     await asyncio.sleep(delay_s)
-    _send(process, signal.SIGSTOP)
+    send_signal(process, signal.SIGSTOP)
     await asyncio.sleep(FREEZE_S)
-    _send(process, signal.SIGCONT)
+    send_signal(process, signal.SIGCONT)
 
 
 async def _signal_twice(host: Host, process: Process, delay_s: float) -> None:
     del host
     await asyncio.sleep(delay_s)
-    _send(process, signal.SIGTERM)
+    send_signal(process, signal.SIGTERM)
 
 
 async def _cut_link(host: Host, process: Process, delay_s: float) -> None:
