Use no socket of a link again once its connection has closed

Callers: their connections to a host were cut, as by a kill: the daemon ended by SIGSEGV in a send that does not block, while its peers ended and started.

Why it works: the library tells of a closed connection before it frees it. This is noted under the lock that a send holds, so that a connection is freed after a send that uses it, and a socket that has lost one is closed and replaced before the next send; the peer is then sent the full state. Whatever the library has left on its list is closed with the socket.

--- a/src/balsamlift/peers/_link.py
+++ b/src/balsamlift/peers/_link.py
@@ -15,15 +15,13 @@
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
 from balsamlift.peers._messages import Member, PeerMessage, encode_message
+from balsamlift.peers._push_socket import PushSocket
 from balsamlift.peers._reports import NO_REPORTS_SENT, SentReports
 from balsamlift.settings import PeerSettings
 
 log = logger.bind(part="peers")
 
-SEND_BUFFER = 4  # messages that wait for the connection
 BATCH_S = 0.01  # changes within this time are batched into one message
-MIN_RECONNECT_MS = 100
-MAX_RECONNECT_MS = 2_000
 
 
 @attrs.frozen
@@ -93,7 +91,7 @@
         self._checked_s = now_s
         self._heard_s = now_s
         self._acked_s = now_s
-        self._socket: pynng.Push0 | None = None
+        self._socket: PushSocket | None = None
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -164,21 +162,13 @@
         self._acked_s = now_s
 
     def _dial(self) -> None:
-        push = pynng.Push0(
-            send_buffer_size=SEND_BUFFER,
-            reconnect_time_min=MIN_RECONNECT_MS,
-            reconnect_time_max=MAX_RECONNECT_MS,
-        )
         try:
-            push.dial(f"tcp://{self.address}", block=False)
+            self._socket = PushSocket(self.address)
         except pynng.NNGException as error:
             # The platform's list may hold any text.
             log.warning(
                 "cannot dial {} at {}: {}", self.host, self.address, error
             )
-            push.close()
-            return
-        self._socket = push
 
     def _close(self) -> None:
         if self._socket is not None:
@@ -189,11 +179,12 @@
         """Send one message; when the buffer is full, its changes wait."""
         if self._socket is None:
             return
+        if self._socket.replace_lost():
+            self._metrics.count("peers.connections_lost")
+            self.sent_changes = SentChanges()
         draft = self._compose(self)
         data = encode_message(draft.message)
-        try:
-            self._socket.send(data, block=False)
-        except pynng.NNGException:
+        if not self._socket.send(data):
             self._metrics.count("peers.sends_dropped")
             return
         self.sent_changes = draft.sent_changes
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -516,7 +516,8 @@
 def test_invalid_messages_are_counted_and_ignored() -> None:
     async def scenario(cluster: Cluster) -> None:
         first, second = await cluster.grow(2)
-        with second.peers._links.find("h00")._socket as socket:
+        link = second.peers._links.find("h00")
+        with link._socket._connection.socket as socket:
             for data in (b"", b"\xc1", msgspec.msgpack.encode([1, {}])):
                 await socket.asend(data)
             counters = first.metrics.snapshot
