--- a/bench/placing.py
+++ b/bench/placing.py
@@ -28,12 +28,12 @@
 from balsamlift.peers import HostRank, Peers, Upstream, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer, prefill_key
-from balsamlift.relay._memory_allocator import (
+from balsamlift.relay._scope import Scope
+from balsamlift.relay.generations._memory_allocator import (
     MemoryAllocator,
     MemoryReservation,
 )
-from balsamlift.relay._placement_policy import PlacementPolicy
-from balsamlift.relay._scope import Scope
+from balsamlift.relay.generations._placement_policy import PlacementPolicy
 from balsamlift.testing._engine_model import EngineModel
 from balsamlift.testing._engine_types import EngineParameters, Work
 
--- a/src/balsamlift/relay/__init__.py
+++ b/src/balsamlift/relay/__init__.py
@@ -15,7 +15,12 @@
     Workspace,
 )
 from balsamlift.relay._directory import AddressAnswer, Caller, Directory
-from balsamlift.relay._engines import (
+from balsamlift.relay._frontend import DEFAULT_CALLER_LIMITS, Frontend
+from balsamlift.relay._header_names import HeaderNames
+from balsamlift.relay._retry_budget import RetryLimits
+from balsamlift.relay._routing import Routing
+from balsamlift.relay._service import Relay, RelaySettings
+from balsamlift.relay.generations import (
     CopyError,
     CopyRefusedError,
     EngineClient,
@@ -24,12 +29,7 @@
     ReportError,
     RunningGeneration,
 )
-from balsamlift.relay._frontend import DEFAULT_CALLER_LIMITS, Frontend
-from balsamlift.relay._header_names import HeaderNames
-from balsamlift.relay._retry_budget import RetryLimits
-from balsamlift.relay._routing import Routing
-from balsamlift.relay._service import Relay, RelaySettings
-from balsamlift.relay._statements import StatementDecoders
+from balsamlift.relay.statements import StatementDecoders
 
 __all__ = [
     "DEFAULT_CALLER_LIMITS",
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -23,10 +23,13 @@
     Upstreams,
 )
 from balsamlift.relay._cold_starts import ColdStartLimiter
-from balsamlift.relay._restrictions import Restrictions, no_restrictions
-from balsamlift.relay._retry_after import RetryAfterTracker
 from balsamlift.relay._scope import Scope
 from balsamlift.relay.health import SharedHealth, UpstreamHealth
+from balsamlift.relay.statements import (
+    Restrictions,
+    RetryAfterTracker,
+    no_restrictions,
+)
 
 # Extra calls in flight that an upstream is charged with if all of its
 # requests fail.
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -17,9 +17,12 @@
 from balsamlift.relay._headers import is_signed, upstream_headers
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._request import Call
-from balsamlift.relay._restrictions import Restrictions
-from balsamlift.relay._send_audit import SendPath
-from balsamlift.relay._statements import MISDIRECTED_REQUEST, StatementReader
+from balsamlift.relay.statements import (
+    MISDIRECTED_REQUEST,
+    Restrictions,
+    SendPath,
+    StatementReader,
+)
 
 Disposition = Literal["answer", "failure", "not_executed"]
 
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -18,16 +18,10 @@
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._cold_starts import ColdLimits, ColdStartLimiter
-from balsamlift.relay._engines import EngineClient
 from balsamlift.relay._exchange import Exchange
 from balsamlift.relay._frontend import Frontend
-from balsamlift.relay._generation_context import GenerationContext
-from balsamlift.relay._generations import Generations
 from balsamlift.relay._header_names import HeaderNames
-from balsamlift.relay._leaving_detector import LeavingDetector
-from balsamlift.relay._memory_allocator import MemoryAllocator
 from balsamlift.relay._pool import ConnectionPool
-from balsamlift.relay._quiet_engines import QuietEngines
 from balsamlift.relay._request import (
     Call,
     CallerRequest,
@@ -35,15 +29,26 @@
     Refusal,
     Responder,
 )
-from balsamlift.relay._restrictions import Restrictions
-from balsamlift.relay._retry_after import RetryAfterTracker
 from balsamlift.relay._retry_budget import RetryBudget, RetryLimits
 from balsamlift.relay._routing import Routing, RoutingTable
-from balsamlift.relay._send_audit import SendAudit
-from balsamlift.relay._statements import StatementDecoders, StatementReader
 from balsamlift.relay._unary import UnaryCalls
 from balsamlift.relay._upstream_chooser import UpstreamChooser
 from balsamlift.relay.crashes import CrashGuard
+from balsamlift.relay.generations import (
+    EngineClient,
+    GenerationContext,
+    Generations,
+    LeavingDetector,
+    MemoryAllocator,
+    QuietEngines,
+)
+from balsamlift.relay.statements import (
+    Restrictions,
+    RetryAfterTracker,
+    SendAudit,
+    StatementDecoders,
+    StatementReader,
+)
 
 log = logger.bind(part="relay")
 
--- a/src/balsamlift/relay/_backup.py
+++ b/src/balsamlift/relay/generations/_backup.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from balsamlift.peers import Upstream
-from balsamlift.relay._generation_context import GenerationContext
-from balsamlift.relay._job import Job
-from balsamlift.relay._memory_allocator import MemoryReservation
+from balsamlift.relay.generations._generation_context import GenerationContext
+from balsamlift.relay.generations._job import Job
+from balsamlift.relay.generations._memory_allocator import MemoryReservation
 
 
 class Backup:
--- a/src/balsamlift/relay/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -7,17 +7,17 @@
 
 from balsamlift.peers import Permits
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._job import Job
-from balsamlift.relay._memory_allocator import (
-    MemoryAllocator,
-    MemoryReservation,
-)
 from balsamlift.relay._upstream_chooser import (
     Pausing,
     RateLimited,
     find_long_pause,
     sleep_unless,
 )
+from balsamlift.relay.generations._job import Job
+from balsamlift.relay.generations._memory_allocator import (
+    MemoryAllocator,
+    MemoryReservation,
+)
 
 # Longest wait for memory or a permit, as a multiple of the route's target
 # latency. A generation that starts after its target is late, and a caller who
--- a/src/balsamlift/relay/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -17,17 +17,17 @@
 )
 from balsamlift.peers import Upstream
 from balsamlift.relay._attempt import Attempt
-from balsamlift.relay._backup import Backup
-from balsamlift.relay._engines import MemoryCopy
-from balsamlift.relay._events import EventError, EventSplitter
 from balsamlift.relay._exchange import Reply
-from balsamlift.relay._generation_context import GenerationContext
 from balsamlift.relay._headers import caller_headers
-from balsamlift.relay._job import Job
-from balsamlift.relay._memory_allocator import MemoryReservation
-from balsamlift.relay._move import Move
 from balsamlift.relay._request import Responder
 from balsamlift.relay.crashes import CRASH_THRESHOLD
+from balsamlift.relay.generations._backup import Backup
+from balsamlift.relay.generations._engines import MemoryCopy
+from balsamlift.relay.generations._events import EventError, EventSplitter
+from balsamlift.relay.generations._generation_context import GenerationContext
+from balsamlift.relay.generations._job import Job
+from balsamlift.relay.generations._memory_allocator import MemoryReservation
+from balsamlift.relay.generations._move import Move
 
 log = logger.bind(part="generations")
 
--- a/src/balsamlift/relay/_generation_context.py
+++ b/src/balsamlift/relay/generations/_generation_context.py
@@ -9,12 +9,12 @@
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Permits, Upstreams
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._engines import EngineClient
 from balsamlift.relay._exchange import Exchange
 from balsamlift.relay._header_names import HeaderNames
-from balsamlift.relay._memory_allocator import MemoryAllocator
-from balsamlift.relay._retry_after import RetryAfterTracker
 from balsamlift.relay.crashes import CrashGuard
+from balsamlift.relay.generations._engines import EngineClient
+from balsamlift.relay.generations._memory_allocator import MemoryAllocator
+from balsamlift.relay.statements import RetryAfterTracker
 
 
 @attrs.frozen(kw_only=True)
--- a/src/balsamlift/relay/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -15,16 +15,10 @@
 from balsamlift.peers import Upstream, Upstreams
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._attempt import MAX_UNREACHABLE_UPSTREAMS, Attempt
-from balsamlift.relay._backup import Backup
 from balsamlift.relay._balance import prefill_key
 from balsamlift.relay._configuration import EngineTraits
-from balsamlift.relay._engine_placement import EnginePlacement
 from balsamlift.relay._exchange import Reply
-from balsamlift.relay._generation import Generation
-from balsamlift.relay._generation_context import GenerationContext
 from balsamlift.relay._headers import caller_headers
-from balsamlift.relay._job import Job
-from balsamlift.relay._memory_allocator import MemoryReservation
 from balsamlift.relay._refusals import (
     give_up,
     no_memory,
@@ -35,9 +29,18 @@
 )
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retry_budget import RetryBudget
-from balsamlift.relay._token_estimate import TokenEstimate, read_token_estimate
 from balsamlift.relay._upstream_chooser import Pausing, RateLimited
 from balsamlift.relay.crashes import CRASHING_REQUEST
+from balsamlift.relay.generations._backup import Backup
+from balsamlift.relay.generations._engine_placement import EnginePlacement
+from balsamlift.relay.generations._generation import Generation
+from balsamlift.relay.generations._generation_context import GenerationContext
+from balsamlift.relay.generations._job import Job
+from balsamlift.relay.generations._memory_allocator import MemoryReservation
+from balsamlift.relay.generations._token_estimate import (
+    TokenEstimate,
+    read_token_estimate,
+)
 
 log = logger.bind(part="generations")
 
--- a/src/balsamlift/relay/_job.py
+++ b/src/balsamlift/relay/generations/_job.py
@@ -7,7 +7,7 @@
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._request import Call
 from balsamlift.relay._scope import Scope
-from balsamlift.relay._token_estimate import TokenEstimate
+from balsamlift.relay.generations._token_estimate import TokenEstimate
 
 
 @attrs.frozen
--- a/src/balsamlift/relay/_leaving_detector.py
+++ b/src/balsamlift/relay/generations/_leaving_detector.py
@@ -8,7 +8,7 @@
 from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
 from balsamlift.peers import Upstream, Upstreams
-from balsamlift.relay._engines import EngineClient, ReportError
+from balsamlift.relay.generations._engines import EngineClient, ReportError
 
 # Short enough to leave time for a move after an engine has given notice.
 POLL_INTERVAL_S = 0.5
--- a/src/balsamlift/relay/_link_access.py
+++ b/src/balsamlift/relay/generations/_link_access.py
@@ -9,8 +9,11 @@
 from balsamlift.exceptions import UpstreamError
 from balsamlift.peers import Upstream
 from balsamlift.relay._balance import Balancer, link_key
-from balsamlift.relay._engines import EngineClient
-from balsamlift.relay._termination import TerminationEstimate, queue_position
+from balsamlift.relay.generations._engines import EngineClient
+from balsamlift.relay.generations._termination import (
+    TerminationEstimate,
+    queue_position,
+)
 
 # Interval between checks whether the link is free.
 POLL_INTERVAL_S = 0.01
--- a/src/balsamlift/relay/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -11,8 +11,11 @@
 from balsamlift.peers import Upstream
 from balsamlift.relay._balance import Balancer, backup_key, prefill_key
 from balsamlift.relay._configuration import EngineTraits
-from balsamlift.relay._placement_policy import DEFAULT_POLICY, PlacementPolicy
 from balsamlift.relay._scope import Scope
+from balsamlift.relay.generations._placement_policy import (
+    DEFAULT_POLICY,
+    PlacementPolicy,
+)
 
 # Fill level above which an engine stores no backups: copying them would
 # delay moves on the links between engines.
--- a/src/balsamlift/relay/_move.py
+++ b/src/balsamlift/relay/generations/_move.py
@@ -8,13 +8,13 @@
 
 from balsamlift.exceptions import UpstreamError
 from balsamlift.peers import Upstream
-from balsamlift.relay._engines import CopyRefusedError, MemoryCopy
-from balsamlift.relay._generation_context import GenerationContext
-from balsamlift.relay._job import Job
-from balsamlift.relay._link_access import LinkAccess
-from balsamlift.relay._memory_allocator import MemoryReservation
-from balsamlift.relay._move_reservation import reserve_for_move
-from balsamlift.relay._termination import estimate_copy_s
+from balsamlift.relay.generations._engines import CopyRefusedError, MemoryCopy
+from balsamlift.relay.generations._generation_context import GenerationContext
+from balsamlift.relay.generations._job import Job
+from balsamlift.relay.generations._link_access import LinkAccess
+from balsamlift.relay.generations._memory_allocator import MemoryReservation
+from balsamlift.relay.generations._move_reservation import reserve_for_move
+from balsamlift.relay.generations._termination import estimate_copy_s
 
 log = logger.bind(part="generations")
 
--- a/src/balsamlift/relay/_move_reservation.py
+++ b/src/balsamlift/relay/generations/_move_reservation.py
@@ -13,9 +13,9 @@
 from collections.abc import Collection
 
 from balsamlift.peers import Upstream
-from balsamlift.relay._generation_context import GenerationContext
-from balsamlift.relay._job import Job
-from balsamlift.relay._memory_allocator import MemoryReservation
+from balsamlift.relay.generations._generation_context import GenerationContext
+from balsamlift.relay.generations._job import Job
+from balsamlift.relay.generations._memory_allocator import MemoryReservation
 
 # Generations that leave an engine may fill another one further than new ones:
 # they are lost without memory, whereas new ones can be retried. The engine
--- a/src/balsamlift/relay/_quiet_engines.py
+++ b/src/balsamlift/relay/generations/_quiet_engines.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from balsamlift.peers import Upstream
-from balsamlift.relay._engines import (
+from balsamlift.relay.generations._engines import (
     EngineClient,
     EngineReport,
     MemoryCopy,
     ReportError,
 )
-from balsamlift.relay._retry_after import RetryAfterTracker
+from balsamlift.relay.statements import RetryAfterTracker
 
 
 class QuietEngines:
--- a/src/balsamlift/relay/_termination.py
+++ b/src/balsamlift/relay/generations/_termination.py
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 
 from balsamlift.relay._configuration import EngineTraits
-from balsamlift.relay._engines import RunningGeneration
+from balsamlift.relay.generations._engines import RunningGeneration
 
 # Copies between failure domains take longer.
 OTHER_DOMAIN_FACTOR = 2.0
--- /dev/null
+++ b/src/balsamlift/relay/statements/__init__.py
@@ -0,0 +1,26 @@
+"""What upstreams say about themselves in responses, and what it forbids."""
+
+from balsamlift.relay.statements._reader import (
+    MISDIRECTED_REQUEST,
+    StatementDecoders,
+    StatementReader,
+)
+from balsamlift.relay.statements._restrictions import (
+    Restriction,
+    Restrictions,
+    no_restrictions,
+)
+from balsamlift.relay.statements._retry_after import RetryAfterTracker
+from balsamlift.relay.statements._send_audit import SendAudit, SendPath
+
+__all__ = [
+    "MISDIRECTED_REQUEST",
+    "Restriction",
+    "Restrictions",
+    "RetryAfterTracker",
+    "SendAudit",
+    "SendPath",
+    "StatementDecoders",
+    "StatementReader",
+    "no_restrictions",
+]
--- a/src/balsamlift/relay/_statements.py
+++ b/src/balsamlift/relay/statements/_reader.py
@@ -13,8 +13,8 @@
 from balsamlift.relay._connection import ResponseHead
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._headers import is_signed
-from balsamlift.relay._retry_after import RetryAfterTracker
-from balsamlift.relay._send_audit import SendAudit, SendPath
+from balsamlift.relay.statements._retry_after import RetryAfterTracker
+from balsamlift.relay.statements._send_audit import SendAudit, SendPath
 
 log = logger.bind(part="upstreams")
 
--- a/src/balsamlift/relay/_restrictions.py
+++ b/src/balsamlift/relay/statements/_restrictions.py
@@ -12,8 +12,8 @@
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Evacuations, LeavingNotices, Upstream
-from balsamlift.relay._retry_after import RetryAfterTracker
-from balsamlift.relay._send_audit import SendPath
+from balsamlift.relay.statements._retry_after import RetryAfterTracker
+from balsamlift.relay.statements._send_audit import SendPath
 
 Restriction = Literal["evacuated", "leaving", "asked for no requests"]
 
--- a/src/balsamlift/relay/_send_audit.py
+++ b/src/balsamlift/relay/statements/_send_audit.py
@@ -10,7 +10,7 @@
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
 from balsamlift.peers import LeavingNotices, Upstream
-from balsamlift.relay._retry_after import RetryAfterTracker
+from balsamlift.relay.statements._retry_after import RetryAfterTracker
 
 log = logger.bind(part="upstreams")
 
--- a/tests/test_relay_fill_limit.py
+++ b/tests/test_relay_fill_limit.py
@@ -21,11 +21,11 @@
 from balsamlift.peers import Peers, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._memory_allocator import (
+from balsamlift.relay.generations._memory_allocator import (
     MemoryAllocator,
     MemoryReservation,
 )
-from balsamlift.relay._placement_policy import DEFAULT_POLICY
+from balsamlift.relay.generations._placement_policy import DEFAULT_POLICY
 
 MEMORY_TOKENS = 21_800
 TRAITS = EngineTraits(memory_tokens=MEMORY_TOKENS)
--- a/tests/test_relay_generation.py
+++ b/tests/test_relay_generation.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 from unittest.mock import Mock
 
-from balsamlift.relay._generation import Generation
+from balsamlift.relay.generations._generation import Generation
 
 
 def test_the_connection_is_closed_without_waiting() -> None:
--- a/tests/test_relay_memory_allocator.py
+++ b/tests/test_relay_memory_allocator.py
@@ -12,11 +12,11 @@
 from balsamlift.peers import CountsBasis, HostRank, Peers, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer, backup_key
-from balsamlift.relay._memory_allocator import (
+from balsamlift.relay.generations._memory_allocator import (
     MemoryAllocator,
     MemoryReservation,
 )
-from balsamlift.relay._placement_policy import DEFAULT_POLICY
+from balsamlift.relay.generations._placement_policy import DEFAULT_POLICY
 
 TRAITS = EngineTraits(memory_tokens=10_000)
 MAX_LOAD = int(TRAITS.memory_tokens * DEFAULT_POLICY.fill_limit)
--- a/tests/test_relay_move_reservation.py
+++ b/tests/test_relay_move_reservation.py
@@ -14,17 +14,17 @@
 from balsamlift.peers import Peers, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._generation_context import GenerationContext
-from balsamlift.relay._job import Job
-from balsamlift.relay._memory_allocator import (
+from balsamlift.relay.generations._generation_context import GenerationContext
+from balsamlift.relay.generations._job import Job
+from balsamlift.relay.generations._memory_allocator import (
     MemoryAllocator,
     MemoryReservation,
 )
-from balsamlift.relay._move_reservation import (
+from balsamlift.relay.generations._move_reservation import (
     MOVE_FILL_LIMIT,
     reserve_for_move,
 )
-from balsamlift.relay._placement_policy import DEFAULT_POLICY
+from balsamlift.relay.generations._placement_policy import DEFAULT_POLICY
 
 TRAITS = EngineTraits(memory_tokens=10_000, can_move=True)
 TOKENS = 1_000
--- a/tests/test_relay_restrictions.py
+++ b/tests/test_relay_restrictions.py
@@ -33,10 +33,10 @@
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._connection import UpstreamConnection
-from balsamlift.relay._memory_allocator import MemoryAllocator
 from balsamlift.relay._pool import ConnectionPool
-from balsamlift.relay._restrictions import Restrictions
-from balsamlift.relay._retry_after import RetryAfterTracker
+from balsamlift.relay.generations._memory_allocator import MemoryAllocator
+from balsamlift.relay.statements._restrictions import Restrictions
+from balsamlift.relay.statements._retry_after import RetryAfterTracker
 from balsamlift.settings import PoolSettings
 from balsamlift.testing.relay import RelayHarness
 
--- a/tests/test_relay_send_audit.py
+++ b/tests/test_relay_send_audit.py
@@ -7,8 +7,8 @@
 
 from balsamlift.metrics import Metrics
 from balsamlift.peers import LeavingNotices, Upstream
-from balsamlift.relay._retry_after import RetryAfterTracker
-from balsamlift.relay._send_audit import SendAudit, SendPath
+from balsamlift.relay.statements._retry_after import RetryAfterTracker
+from balsamlift.relay.statements._send_audit import SendAudit, SendPath
 
 DRAIN_S = 2.0
 
--- a/tests/test_relay_termination.py
+++ b/tests/test_relay_termination.py
@@ -5,7 +5,7 @@
 import pytest
 
 from balsamlift.relay import EngineTraits, RunningGeneration
-from balsamlift.relay._termination import (
+from balsamlift.relay.generations._termination import (
     MIN_NOTICE_S,
     TerminationEstimate,
     estimate_copy_s,
--- a/tests/test_relay_token_estimate.py
+++ b/tests/test_relay_token_estimate.py
@@ -3,7 +3,7 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
-from balsamlift.relay._token_estimate import read_token_estimate
+from balsamlift.relay.generations._token_estimate import read_token_estimate
 from balsamlift.testing.relay import HEADER_NAMES
 
 # Length hints and actual lengths of answers limited to 2,224 tokens.
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -12,7 +12,7 @@
 from _virtual_time import LoopClock, run_virtual
 
 from balsamlift.metrics import Metrics
-from balsamlift.relay._retry_after import (
+from balsamlift.relay.statements._retry_after import (
     MAX_RESUMES,
     MAX_UPSTREAMS,
     RECOVERY_S,
