Test that one call at a time is sent after a time without requests

The choice looks at the half-open state of an upstream beside what binds; with that line taken out all tests passed. Without it, this test fails.

--- a/tests/test_relay_retry_after.py
+++ b/tests/test_relay_retry_after.py
@@ -189,6 +189,39 @@
     run(test)
 
 
+def test_after_the_time_one_call_at_a_time_is_sent_until_one_is_answered() -> (
+    None
+):
+    async def hang(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        arrived.append(request)
+        await connection.reader.read()
+
+    arrived: list[ReplicaRequest] = []
+
+    async def test() -> None:
+        pool = Pool("plain", 1)
+        first = pool.stand_ins[0]
+        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+            world.configure()
+            pool.refusing.add(first.name)
+            first.retry_after = "1"
+            await world.call("/order/1", "r1")
+            first.behave = hang
+            await asyncio.sleep(1.6)
+            calls = [
+                asyncio.create_task(world.call("/order/1", f"r{number}"))
+                for number in range(2, 7)
+            ]
+            await asyncio.sleep(0.3)
+            assert len(arrived) == 1
+            for call in calls:
+                call.cancel()
+
+    run(test)
+
+
 def test_a_restart_under_the_same_id_is_not_bound_by_the_time() -> None:
     async def test() -> None:
         pool = Pool("plain", 1)
