--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,14 +5,18 @@
 from pathlib import Path
 from typing import BinaryIO
 
+import attrs
 import pytest
 from _manual_clock import ManualClock
+from soak.departures import FORMS
 from soak.guarantees import CallerOutcome, GuaranteeChecker, stream_body
 from soak.hosts import Host
+from soak.long_plan import draw_long_plan
 from soak.network import Network
 from soak.plan import PLANNED, STATEMENTS, Fault, Kind, Plan, draw_plan
 from soak.rate_limits import RateLimitChecker
 from soak.restarts import Restarts
+from soak.retries import RetryChecker
 from soak.run import run_plan, run_seed
 from soak.statements import StatementChecker
 
@@ -30,6 +34,8 @@
 
 
 LIMITED_S = 12.0
+STAYS_LISTED_SAYS_TWICE = 15  # see `Departures`
+WAYS = 5
 RESTARTS_S = 10.0
 
 
@@ -80,6 +86,74 @@
     assert result.served > 50
 
 
+def test_hosts_heed_a_notice_that_is_given_twice_in_each_answer(
+    tmp_path: Path,
+) -> None:
+    departure = fault("departure", 0.5, variant=STAYS_LISTED_SAYS_TWICE)
+    faults = (attrs.evolve(departure, duration_s=6.0), fault("kill", 3.0))
+    plan = Plan(seed=1, is_planned_only=False, faults=faults)
+    result = asyncio.run(run_plan(plan, tmp_path))
+    assert result.violations == []
+    assert result.served > 50
+
+
+def test_long_plans_have_departures_of_every_kind() -> None:
+    assert draw_long_plan(7, 60.0) == draw_long_plan(7, 60.0)
+    plans = [draw_long_plan(seed, 60.0) for seed in range(20)]
+    numbers = [
+        f.variant_number
+        for plan in plans
+        for f in plan.faults
+        if f.kind == "departure"
+    ]
+    ways = {number % WAYS for number in numbers}
+    forms = {FORMS[number // WAYS % len(FORMS)] for number in numbers}
+    assert ways == set(range(WAYS))
+    assert forms == {"always", "alternate", "twice"}
+
+
+class RepeatingService:
+    """A service that may get two repeats beside a fifth of its requests."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(0.0)
+        self.violations: list[str] = []
+        self.checker = RetryChecker(
+            2,
+            lambda guarantee, _subject, _text: self.violations.append(
+                guarantee
+            ),
+            self.clock,
+        )
+
+    def request(self, number: int, *, at_s: float, arrivals: int) -> None:
+        self.clock.now_s = at_s
+        for n in range(number):
+            self.checker.record_request("plain")
+            for _ in range(arrivals):
+                self.checker.record_arrival("plain", f"{at_s}/{n}")
+
+    def check(self) -> list[str]:
+        self.checker.check()
+        return self.violations
+
+
+def test_too_many_repeats_of_all_hosts_are_reported_once_in_a_window() -> None:
+    service = RepeatingService()
+    service.request(5, at_s=20.0, arrivals=2)
+    assert service.check() == ["retries"]
+
+
+@pytest.mark.parametrize("before_s", [1.0, 6.0, 19.0])
+def test_repeats_are_counted_against_the_requests_of_three_windows(
+    before_s: float,
+) -> None:
+    service = RepeatingService()
+    service.request(10, at_s=20.0 - before_s, arrivals=1)
+    service.request(5, at_s=20.0, arrivals=2)
+    assert service.check() == []
+
+
 def test_terminated_daemons_end(tmp_path: Path) -> None:
     """One in fourteen waited forever for a task that lost a cancellation."""
     result = asyncio.run(Restarts(1, 6, tmp_path).run(RESTARTS_S))
