Replace the lost socket of a link where it is dialled

Found by reading our own change: an address that can no longer be dialled would have ended the task of the link, as replacing a lost socket raised where nothing caught it. Now the link closes and dials it as after a silence, with the warning that such an address gives. A refusal of a generation keeps its reason, and so its metric, "engine asked for no requests".

--- a/src/balsamlift/peers/_link.py
+++ b/src/balsamlift/peers/_link.py
@@ -155,11 +155,14 @@
     def _redial(self, now_s: float) -> None:
         log.debug("redialling {}", self.host)
         self._metrics.count("peers.redials")
+        self._replace_socket()
+        self._heard_s = now_s
+        self._acked_s = now_s
+
+    def _replace_socket(self) -> None:
         self._close()
         self._dial()
         self.sent_changes = SentChanges()
-        self._heard_s = now_s
-        self._acked_s = now_s
 
     def _dial(self) -> None:
         try:
@@ -177,11 +180,11 @@
 
     def _send(self) -> None:
         """Send one message; when the buffer is full, its changes wait."""
+        if self._socket is not None and self._socket.is_lost:
+            self._metrics.count("peers.connections_lost")
+            self._replace_socket()
         if self._socket is None:
             return
-        if self._socket.replace_lost():
-            self._metrics.count("peers.connections_lost")
-            self.sent_changes = SentChanges()
         draft = self._compose(self)
         data = encode_message(draft.message)
         if not self._socket.send(data):
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -222,7 +222,7 @@
                 call, attempt, upstream, extra
             )
         except UpstreamRestrictedError as error:
-            return give_up(attempt, f"engine: {error.restriction}")
+            return give_up(attempt, f"engine {error.restriction}")
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
             backoff_s = balancer.eject(upstream.name)
             log.bind(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -517,7 +517,7 @@
     async def scenario(cluster: Cluster) -> None:
         first, second = await cluster.grow(2)
         link = second.peers._links.find("h00")
-        with link._socket._connection.socket as socket:
+        with link._socket._socket as socket:
             for data in (b"", b"\xc1", msgspec.msgpack.encode([1, {}])):
                 await socket.asend(data)
             counters = first.metrics.snapshot
