Warn of no lost notice where the upstream has started again

Found by reading our own change: an upstream that starts again under its id, and whose notice is discarded for that, would have been reported as one whose notice was lost. test_an_upstream_that_was_replaced_is_not_bound_by_what_it_said failed without this.

--- a/src/balsamlift/peers/_leaving_notices.py
+++ b/src/balsamlift/peers/_leaving_notices.py
@@ -60,6 +60,7 @@
         self._metrics = Metrics()
         self._notices: dict[str, _Notice] = {}  # oldest first
         self._on_notice: list[Callable[[str], None]] = []
+        self._on_discard: list[Callable[[str], None]] = []
         self._wake: Callable[[], None] = _do_nothing
 
     def start(self, metrics: Metrics) -> None:
@@ -74,6 +75,10 @@
         """Call `callback` with the name of each upstream that gives notice."""
         self._on_notice.append(callback)
 
+    def on_discard(self, callback: Callable[[str], None]) -> None:
+        """Call `callback` for each upstream whose notice does not bind."""
+        self._on_discard.append(callback)
+
     def has(self, upstream: str) -> bool:
         """Return whether an upstream has given notice."""
         return upstream in self._notices
@@ -128,27 +133,24 @@
             callback(upstream)
         self._wake()
 
-    def prune(self, find_written: Callable[[str], int | None]) -> set[str]:
-        """Discard notices of incarnations that are gone; return whose.
+    def prune(self, find_written: Callable[[str], int | None]) -> None:
+        """Discard notices of incarnations that are gone.
 
         `find_written` returns the update of an upstream's entry, or None if
         it is not listed. The list has to be complete: an outage drops entries
         that come back.
         """
         now_s = self._clock.monotonic()
-        discarded = set()
         for upstream, notice in list(self._notices.items()):
             written = find_written(upstream)
             if notice.is_outdated(written, now_s):
                 self._discard(upstream, notice, now_s)
-                discarded.add(upstream)
             elif written is not None:
                 notice.written = max(written, notice.written or 0)
                 notice.unlisted_s = None
             elif notice.unlisted_s is None:
                 notice.unlisted_s = now_s
         self._update_gauge()
-        return discarded
 
     def _discard(self, upstream: str, notice: _Notice, now_s: float) -> None:
         del self._notices[upstream]
@@ -156,6 +158,8 @@
             upstream=upstream,
             age_ms=round((now_s - notice.given_s) * _MS_PER_S),
         ).info("leaving notice discarded")
+        for callback in self._on_discard:
+            callback(upstream)
 
     def _update_gauge(self) -> None:
         self._metrics.gauge("upstreams.leaving_notices", len(self._notices))
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -85,6 +85,7 @@
         self.evacuations = Evacuations()
         self.evacuations.on_change(self._apply_evacuations)
         self.leaving_notices.on_notice(self._apply_notice)
+        self.leaving_notices.on_discard(self._apply_notice)
         self._unlisted: set[str] = set()
         self._entries: list[ListEntry] = []  # all but entry hosts
         self._table = UpstreamTable(
@@ -314,8 +315,7 @@
         if not self._is_probing:
             self._clear_outdated_observations()
         if self.is_list_complete:
-            for name in self.leaving_notices.prune(self._table.find_written):
-                self._apply_notice(name)
+            self.leaving_notices.prune(self._table.find_written)
         self._notify_listed_states()
 
     def _notify_listed_states(self) -> None:
--- a/src/balsamlift/relay/statements/_send_audit.py
+++ b/src/balsamlift/relay/statements/_send_audit.py
@@ -53,6 +53,7 @@
         self._clock = clock
         self._drain_s = drain_s
         self._heard: dict[str, _Heard] = {}  # by id, oldest first
+        notices.on_discard(self._forget)
 
     def record_notice(self, upstream: Upstream) -> None:
         """Record that a response of an upstream says that it is leaving."""
@@ -63,6 +64,12 @@
         now_s = self._clock.monotonic()
         self._heard[upstream.id] = _Heard(now_s, upstream.name)
 
+    def _forget(self, name: str) -> None:
+        """Forget what an incarnation said that has been replaced."""
+        for key, heard in list(self._heard.items()):
+            if heard.name == name:
+                del self._heard[key]
+
     def record_send(
         self, request_id: str, upstream: Upstream, path: SendPath
     ) -> None:
--- a/tests/test_relay_send_audit.py
+++ b/tests/test_relay_send_audit.py
@@ -86,6 +86,17 @@
     assert host.counts(name=name) == counts
 
 
+def test_an_upstream_that_was_replaced_is_not_bound_by_what_it_said() -> None:
+    host = Audited()
+    host.notices.record("e1", "answer")
+    host.audit.record_notice(host.upstream())
+    for written in (7, None):
+        host.notices.prune(lambda _, written=written: written)
+    host.clock.now_s = 70.0
+    host.notices.prune(lambda _: 1)
+    assert not host.counts()
+
+
 def test_sends_to_others_are_not_reported() -> None:
     host = Audited()
     assert not host.counts()
