Share the begin of the tests of what may lift a notice

Five tests of an upstream that has just given notice began alike. Their loads, times and bounds are as before; with notices ignored they fail.

--- a/tests/test_relay_leaving_notices.py
+++ b/tests/test_relay_leaving_notices.py
@@ -1,6 +1,8 @@
 """Upstreams that say in their answers that they are leaving."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import attrs
 import pytest
@@ -27,6 +29,7 @@
     RelayHarness,
     ReplicaConnection,
     ReplicaRequest,
+    ReplicaStandIn,
 )
 
 DRAIN_S = 2.0  # after a notice until the upstream gets no more requests
@@ -52,6 +55,43 @@
     ]
 
 
+@attrs.frozen
+class Noticed:
+    """Two upstreams, of which the first has given notice."""
+
+    world: RelayHarness
+    pool: Pool
+    load: Load
+    noticed_s: float
+
+    @property
+    def first(self) -> ReplicaStandIn:
+        return self.pool.stand_ins[0]
+
+    def late_arrivals(self) -> list[float]:
+        return late_arrivals(self.load, self.pool, self.noticed_s)
+
+    async def share_of_calls(self, length_s: float) -> float:
+        """Return the share of the first upstream in the next calls."""
+        before = len(self.pool.arrivals[self.first.name])
+        calls = await self.load.run(length_s)
+        arrivals = len(self.pool.arrivals[self.first.name]) - before
+        return arrivals / len(calls)
+
+
+@asynccontextmanager
+async def after_a_notice(written: int = 0) -> AsyncIterator[Noticed]:
+    """Let one of two upstreams give notice; its entry is an update."""
+    pool = Pool("plain", 2)
+    first = pool.stand_ins[0]
+    first.written, first.leaving = written, "1"
+    async with RelayHarness(pool.stand_ins, LoopClock()) as world:
+        world.configure()
+        load = Load(world, "/order/1")
+        noticed_s = await first_answer(load, pool)
+        yield Noticed(world, pool, load, noticed_s)
+
+
 @pytest.mark.parametrize("list_is_down", [False, True])
 @pytest.mark.parametrize(("path", "service"), PATHS)
 def test_an_upstream_that_gave_notice_gets_no_requests_though_listed_live(
@@ -96,58 +136,39 @@
 
 def test_a_restart_under_the_same_id_gets_requests_again() -> None:
     async def test() -> None:
-        pool = Pool("plain", 2)
-        first = pool.stand_ins[0]
-        first.leaving = "1"
-        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
-            world.configure()
-            load = Load(world, "/order/1")
-            await first_answer(load, pool)
-            first.leaving = ""
-            first.started_ms = 5
-            await load.run(0.5)
-            before = len(pool.arrivals[first.name])
-            calls = await load.run(2.0)
-            assert len(pool.arrivals[first.name]) - before >= len(calls) / 4
+        async with after_a_notice() as noticed:
+            noticed.first.leaving, noticed.first.started_ms = "", 5
+            await noticed.load.run(0.5)
+            assert await noticed.share_of_calls(2.0) >= 1 / 4
 
     run(test)
 
 
 def test_an_entry_that_comes_back_does_not_lift_a_notice() -> None:
     async def test() -> None:
-        pool = Pool("plain", 2)
-        first = pool.stand_ins[0]
-        first.leaving = "1"
-        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
-            world.configure()
-            load = Load(world, "/order/1")
-            noticed_s = await first_answer(load, pool)
-            world.list.replicas.remove(first)
-            await load.run(1.0)
-            world.list.replicas.append(first)
-            await load.run(5.0)
-            assert late_arrivals(load, pool, noticed_s) == []
+        async with after_a_notice() as noticed:
+            listed = noticed.world.list.replicas
+            listed.remove(noticed.first)
+            await noticed.load.run(1.0)
+            listed.append(noticed.first)
+            await noticed.load.run(5.0)
+            assert noticed.late_arrivals() == []
 
     run(test)
 
 
 def test_an_outage_of_the_list_ends_no_notice() -> None:
     async def test() -> None:
-        pool = Pool("plain", 2)
-        first = pool.stand_ins[0]
-        first.leaving = "1"
-        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
-            world.configure()
-            load = Load(world, "/order/1")
-            noticed_s = await first_answer(load, pool)
-            world.list.replicas.remove(first)
+        async with after_a_notice() as noticed:
+            listed = noticed.world.list
+            listed.replicas.remove(noticed.first)
             await asyncio.sleep(1.0)
-            world.list.is_down = True
+            listed.is_down = True
             await asyncio.sleep(70.0)
-            world.list.replicas.append(first)
-            world.list.is_down = False
-            await load.run(4.0)
-            assert late_arrivals(load, pool, noticed_s) == []
+            listed.replicas.append(noticed.first)
+            listed.is_down = False
+            await noticed.load.run(4.0)
+            assert noticed.late_arrivals() == []
 
     run(test)
 
@@ -157,20 +178,15 @@
     away_s: float,
 ) -> None:
     async def test() -> None:
-        pool = Pool("plain", 2)
-        first = pool.stand_ins[0]
-        first.written, first.leaving = 7, "1"
-        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
-            world.configure()
-            load = Load(world, "/order/1")
-            noticed_s = await first_answer(load, pool)
+        async with after_a_notice(written=7) as noticed:
+            listed = noticed.world.list.replicas
             await asyncio.sleep(1.0)
-            world.list.replicas.remove(first)
+            listed.remove(noticed.first)
             await asyncio.sleep(away_s)
-            first.written = 70
-            world.list.replicas.append(first)
-            await load.run(4.0)
-            assert late_arrivals(load, pool, noticed_s) == []
+            noticed.first.written = 70
+            listed.append(noticed.first)
+            await noticed.load.run(4.0)
+            assert noticed.late_arrivals() == []
 
     run(test)
 
@@ -179,21 +195,14 @@
     """Its entry does not say when it started, but counts from the start."""
 
     async def test() -> None:
-        pool = Pool("plain", 2)
-        first = pool.stand_ins[0]
-        first.written, first.leaving = 7, "1"
-        async with RelayHarness(pool.stand_ins, LoopClock()) as world:
-            world.configure()
-            load = Load(world, "/order/1")
-            await first_answer(load, pool)
+        async with after_a_notice(written=7) as noticed:
+            listed = noticed.world.list.replicas
             await asyncio.sleep(1.0)
-            world.list.replicas.remove(first)
+            listed.remove(noticed.first)
             await asyncio.sleep(70.0)
-            first.written, first.leaving = 1, ""
-            world.list.replicas.append(first)
-            before = len(pool.arrivals[first.name])
-            calls = await load.run(2.0)
-            assert len(pool.arrivals[first.name]) - before >= len(calls) / 4
+            noticed.first.written, noticed.first.leaving = 1, ""
+            listed.append(noticed.first)
+            assert await noticed.share_of_calls(2.0) >= 1 / 4
 
     run(test)
 
