Log and count when a host reaches no upstream of a pool

What the record of the hosts without upstreams could not tell apart: since when a host reaches none of a pool, whether what failed was a kept connection or a new one, and when it reaches the pool again. A line at each change, a gauge and counters; no decision reads them yet. An upstream that is merely silent is suspected only, as a busy one is silent too.

--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -76,6 +76,7 @@
         self.address = address
         self._clock = clock
         self._stream: IOStream | None = None
+        self.is_kept = False  # it has carried a request before this one
         self._reusable = False
         self._idle_until_s = 0.0
         self._is_head_request = False
@@ -262,6 +263,7 @@
             self.close()
             return
         self._reusable = True
+        self.is_kept = True
         idle_s = _parse_idle_timeout_s(head.headers.get("Keep-Alive", ""))
         self._idle_until_s = self._clock.monotonic() + idle_s
 
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -9,7 +9,11 @@
 import attrs
 
 from balsamlift.clock import Clock
-from balsamlift.exceptions import UpstreamBrokenError, UpstreamRestrictedError
+from balsamlift.exceptions import (
+    UpstreamBrokenError,
+    UpstreamRestrictedError,
+    UpstreamUnreachableError,
+)
 from balsamlift.peers import Upstream
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._connection import ResponseHead, UpstreamConnection
@@ -17,6 +21,7 @@
 from balsamlift.relay._headers import is_signed, upstream_headers
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._request import Call
+from balsamlift.relay.health import Reachability
 from balsamlift.relay.statements import (
     MISDIRECTED_REQUEST,
     Restrictions,
@@ -24,6 +29,10 @@
     StatementReader,
 )
 
+# A request that is given up after less time without a response says nothing of
+# the link to its upstream.
+SILENCE_S = 0.4
+
 Disposition = Literal["answer", "failure", "not_executed"]
 
 
@@ -52,6 +61,7 @@
         clock: Clock,
         statements: StatementReader,
         restrictions: Restrictions,
+        reachability: Reachability,
     ) -> None:
         """Create a client that acquires connections from `pool`."""
         self._pool = pool
@@ -59,6 +69,7 @@
         self._clock = clock
         self._statements = statements
         self._restrictions = restrictions
+        self._reachability = reachability
 
     async def send(
         self,
@@ -76,7 +87,7 @@
         `UpstreamBrokenError` when the request may have run. Cancellation
         closes the connection, so that the upstream stops.
         """
-        connection = await self._pool.acquire(upstream)
+        connection = await self._acquire(upstream)
         restriction = self._restrictions.at_send(upstream, path)
         if restriction is not None:
             self._pool.release(connection)
@@ -91,13 +102,30 @@
         connection.send(
             call.method, call.request.target, headers, call.request.body
         )
+        is_kept = connection.is_kept
         try:
             head = await connection.read_head(
                 lambda head: self._is_response_to(head, call)
             )
         except asyncio.CancelledError:
             connection.close()
+            if self._clock.monotonic() >= sent_s + SILENCE_S:
+                self._reachability.record_failure(
+                    upstream,
+                    "kept connection silent"
+                    if is_kept
+                    else "new connection silent",
+                )
+            raise
+        except UpstreamBrokenError:
+            self._reachability.record_failure(
+                upstream,
+                "kept connection broken"
+                if is_kept
+                else "new connection broken",
+            )
             raise
+        self._reachability.record_contact(upstream)
         self._statements.record_response(upstream, head, sent_s)
         disposition = self._classify(head)
         if disposition == "not_executed":
@@ -106,6 +134,16 @@
         self._require_signature(reply)
         return reply
 
+    async def _acquire(self, upstream: Upstream) -> UpstreamConnection:
+        try:
+            connection = await self._pool.acquire(upstream)
+        except UpstreamUnreachableError:
+            self._reachability.record_failure(upstream, "no connection")
+            raise
+        if not connection.is_kept:
+            self._reachability.record_contact(upstream)
+        return connection
+
     async def read_full_body(self, reply: Reply, max_bytes: int) -> bytes:
         """Return the complete body.
 
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -42,6 +42,7 @@
     MemoryAllocator,
     QuietEngines,
 )
+from balsamlift.relay.health import Reachability
 from balsamlift.relay.statements import (
     Restrictions,
     RetryAfterTracker,
@@ -157,8 +158,14 @@
             audit,
             self._metrics,
         )
+        self._reachability = Reachability(self._clock, self._metrics)
         exchange = Exchange(
-            self._pool, names, self._clock, statements, restrictions
+            self._pool,
+            names,
+            self._clock,
+            statements,
+            restrictions,
+            self._reachability,
         )
         self._admission = Admission(routing, names, self._random)
         self._crash_guard = CrashGuard(
@@ -290,6 +297,7 @@
             await self._clock.sleep(SWEEP_INTERVAL_S)
             live = {u.name for u in self._upstreams.all()}
             self._pool.sweep(live)
+            self._reachability.discard(self._upstreams.all())
             self._peers.permits.prune(live)
             self._retry_after.discard_expired()
             self._balancer.discard_expired()
--- a/src/balsamlift/relay/health/__init__.py
+++ b/src/balsamlift/relay/health/__init__.py
@@ -1,6 +1,7 @@
 """Which upstreams fail, as this host and all hosts together see it."""
 
+from balsamlift.relay.health._reachability import Reachability
 from balsamlift.relay.health._shared_health import SharedHealth
 from balsamlift.relay.health._upstream_health import UpstreamHealth
 
-__all__ = ["SharedHealth", "UpstreamHealth"]
+__all__ = ["Reachability", "SharedHealth", "UpstreamHealth"]
--- /dev/null
+++ b/src/balsamlift/relay/health/_reachability.py
@@ -0,0 +1,134 @@
+"""Tell a host that is cut off from a pool from upstreams that fail."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Literal
+
+import attrs
+from loguru import logger
+
+from balsamlift.clock import Clock
+from balsamlift.metrics import Metrics
+from balsamlift.peers import Upstream
+
+log = logger.bind(part="upstreams")
+
+# Different upstreams of a pool that must fail, without a sign of any of the
+# pool in between. The failure of one is more likely its own.
+UNREACHED_UPSTREAMS = 2
+
+Failure = Literal[
+    "no connection",
+    "kept connection broken",
+    "new connection broken",
+    "kept connection silent",
+    "new connection silent",
+]
+# An upstream that is busy may be silent too.
+SILENT: tuple[Failure, ...] = (
+    "kept connection silent",
+    "new connection silent",
+)
+
+
+@attrs.define
+class _PoolState:
+    """What this host knows of its links to one pool."""
+
+    contact_s: float | None = None  # latest sign of any of its upstreams
+    failed: dict[str, Failure] = attrs.field(factory=dict)  # since then
+    unreached_since_s: float | None = None
+    failures: int = 0  # since `unreached_since_s`
+
+
+class Reachability:
+    """Track the pools of which this host reaches no upstream at all.
+
+    Any sign of an upstream counts: an open connection or the head of any
+    response.
+    """
+
+    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+        """Start with all pools reached."""
+        self._clock = clock
+        self._metrics = metrics
+        self._pools: dict[str, _PoolState] = {}
+        self._on_change: list[Callable[[], None]] = []
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back when a pool is no longer reached, or is again."""
+        self._on_change.append(callback)
+
+    def unreached_pools(self) -> list[str]:
+        """Return the pools of which no upstream is reached."""
+        return sorted(
+            pool
+            for pool, state in self._pools.items()
+            if state.unreached_since_s is not None
+        )
+
+    def is_unreached(self, pool: str) -> bool:
+        """Return whether no upstream of a pool is reached."""
+        state = self._pools.get(pool)
+        return state is not None and state.unreached_since_s is not None
+
+    def suspected_pools(self) -> list[str]:
+        """Return the pools with a failure and no sign of any since."""
+        return [pool for pool, state in self._pools.items() if state.failed]
+
+    def record_contact(self, upstream: Upstream) -> None:
+        """Record a sign of an upstream."""
+        state = self._pools.setdefault(upstream.pool, _PoolState())
+        state.contact_s = self._clock.monotonic()
+        state.failed.clear()
+        if state.unreached_since_s is None:
+            return
+        unreached_s = state.contact_s - state.unreached_since_s
+        state.unreached_since_s = None
+        log.bind(
+            pool=upstream.pool,
+            upstream=upstream.name,
+            unreached_ms=round(unreached_s * 1_000),
+            failures=state.failures,
+        ).warning("pool reached again")
+        self._publish()
+
+    def record_failure(self, upstream: Upstream, failure: Failure) -> None:
+        """Record that an upstream gave no sign; it may be this host's link."""
+        self._metrics.count(f"relay.failed.{failure.replace(' ', '_')}")
+        state = self._pools.setdefault(upstream.pool, _PoolState())
+        state.failed[upstream.name] = failure
+        state.failures += 1
+        if state.unreached_since_s is not None:
+            return
+        certain = [f for f in state.failed.values() if f not in SILENT]
+        if len(certain) < UNREACHED_UPSTREAMS:
+            return
+        now_s = self._clock.monotonic()
+        state.unreached_since_s = now_s
+        state.failures = len(state.failed)
+        log.bind(
+            pool=upstream.pool,
+            failed=dict(state.failed),
+            contact_age_ms=_age_ms(state.contact_s, now_s),
+        ).warning("no upstream of a pool reached")
+        self._publish()
+
+    def discard(self, live: Iterable[Upstream]) -> None:
+        """Discard the failures of upstreams that are not in `live`."""
+        names = {upstream.name for upstream in live}
+        for state in self._pools.values():
+            for name in state.failed.keys() - names:
+                del state.failed[name]
+
+    def _publish(self) -> None:
+        self._metrics.gauge(
+            "relay.pools_not_reached", len(self.unreached_pools())
+        )
+        for callback in self._on_change:
+            callback()
+
+
+def _age_ms(since_s: float | None, now_s: float) -> int | None:
+    return None if since_s is None else round((now_s - since_s) * 1_000)
