Reproduce hosts that serve nobody without upstreams, as failing tests

Two or three relays in a process, one of which loses its links to all upstreams (open connections hang, are reset, live on, or carry bytes one way; new ones are refused or not answered), and real processes: each daemon of a soak reaches upstreams over links of its own, which can be cut for it alone. A checker holds first attempts at hosts that are cut off against those at the others, with the users' two bounds, from 3 s after the cut began.

--- a/src/balsamlift/testing/_relay_harness.py
+++ b/src/balsamlift/testing/_relay_harness.py
@@ -15,7 +15,13 @@
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
-from balsamlift.peers import ListEntry, Peers, Upstream, Upstreams
+from balsamlift.peers import (
+    ENTRY_ROLE,
+    ListEntry,
+    Peers,
+    Upstream,
+    Upstreams,
+)
 from balsamlift.platform._decode import STATEMENT_DECODERS
 from balsamlift.relay import (
     CallerLimits,
@@ -134,13 +140,20 @@
     def __init__(self, replicas: Sequence[ReplicaStandIn]) -> None:
         """List `replicas`."""
         self.replicas = list(replicas)
+        self.hosts: list[ListEntry] = []
+        # By the name of a replica, where this host finds it instead.
+        self.addresses: dict[str, str] = {}
         self.is_down = False
 
     async def read(self) -> list[ListEntry] | None:
-        """Return an entry for each replica."""
+        """Return an entry for each replica and each other host."""
         if self.is_down:
             raise HostsUnavailableError("list of hosts is unreachable")
-        return [replica.entry() for replica in self.replicas]
+        entries = [replica.entry() for replica in self.replicas]
+        return self.hosts + [
+            attrs.evolve(e, address=self.addresses.get(e.name, e.address))
+            for e in entries
+        ]
 
 
 class StandInEngines:
@@ -203,11 +216,15 @@
         *,
         regions: Mapping[str, str] | None = None,
         cold_limits: ColdLimits | None = None,
+        host: str = "host-1",
+        starts_replicas: bool = True,
     ) -> None:
         """Prepare; everything starts on entry of the asynchronous context.
 
         `regions` maps each failure domain to its region.
         """
+        self.host = host
+        self._starts_replicas = starts_replicas
         self._regions = regions or {}
         self._cold_limits = cold_limits
         self.clock = clock or SystemClock()
@@ -218,15 +235,16 @@
 
     async def __aenter__(self) -> RelayHarness:
         """Start the replicas and the services of the relay."""
-        for replica in self.list.replicas:
-            await replica.start()
-        settings = _settings()
+        if self._starts_replicas:
+            for replica in self.list.replicas:
+                await replica.start()
+        settings = _settings(self.host)
         rng = random.Random(7)
         http = HttpClient(max_calls=4)
         self.frontend = Frontend("127.0.0.1:0", self.clock)
         self.upstreams = Upstreams(settings, self.clock, http, self.list)
         self.peers = Peers(
-            settings, "first", self.frontend.address, self.clock, rng
+            settings, f"{self.host}/1", self.frontend.address, self.clock, rng
         )
         self.metrics = Metrics()
         self.directory = Directory("north", 2_000, rng, self._regions)
@@ -243,7 +261,7 @@
         self.relay = Relay(relay, self.engines, self.clock, rng)
         for service in (
             OperatorsServer("127.0.0.1:0"),
-            Timeline("host-1", self.clock, 1_000),
+            Timeline(self.host, self.clock, 1_000),
             self.metrics,
             self.routing,
             self.frontend,
@@ -259,8 +277,21 @@
     async def __aexit__(self, *_: object) -> None:
         """Stop the services and the replicas."""
         await self.kernel.stop()
-        for replica in self.list.replicas:
-            await replica.stop()
+        if self._starts_replicas:
+            for replica in self.list.replicas:
+                await replica.stop()
+
+    def entry(self) -> ListEntry:
+        """Return the entry of this host in the list."""
+        own = self.peers.own
+        return ListEntry(
+            name=own.host,
+            role=ENTRY_ROLE,
+            address=own.callers_address,
+            operators_address=own.operators_address,
+            peers_address=own.peers_address,
+            failure_domain=own.failure_domain,
+        )
 
     def configure(self, version: int = 1, **fields: object) -> None:
         """Apply a configuration; `fields` override its defaults."""
@@ -346,9 +377,9 @@
             return body
 
 
-def _settings() -> Settings:
+def _settings(host: str) -> Settings:
     return Settings(
-        host="host-1",
+        host=host,
         failure_domain="north",
         callers_address="127.0.0.1:0",
         operators_address="127.0.0.1:0",
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,18 +3,22 @@
 Usage:
   soak [options] COUNT
   soak long [options] COUNT
+  soak cuts [options] COUNT
   soak restarts [options] DAEMONS
 
 Long runs have nine hosts, twelve upstreams, the rates of a deployment, and
 upstreams that give notice for a minute and more.
 
+In runs of cuts, hosts lose their links to all upstreams, while callers, the
+store and the other hosts reach them.
+
 Restarts starts and terminates that many daemons in series, with signals at
 any moment, and reports what they take.
 
 Options:
   --first=SEED      The first seed; random by default.
-  --length=SECONDS  How long one run injects faults; by default 10, and 60 in
-                    long runs.
+  --length=SECONDS  How long one run injects faults; by default 10, 30 in
+                    runs of cuts and 60 in long runs.
   --hosts=NUMBER    How many hosts a run of a seed has; by default 4, and 9 in
                     long runs.
   --tree=TREE       The source tree that all hosts run; by default this one.
@@ -32,6 +36,7 @@
 
 from docopt import docopt
 
+from soak.cut_plan import draw_cut_plan
 from soak.hosts import ROOT
 from soak.load import DENSE, SHOP
 from soak.long_plan import draw_long_plan
@@ -39,7 +44,7 @@
 from soak.restarts import Restarts
 from soak.run import HOSTS, Fleet, run_plan
 
-SHORT_S, LONG_S = 10.0, 60.0
+SHORT_S, CUTS_S, LONG_S = 10.0, 30.0, 60.0
 LONG_HOSTS = 9
 
 
@@ -48,7 +53,8 @@
     options = docopt(__doc__)
     first = int(options["--first"] or random.randrange(1_000_000_000))
     is_long = options["long"]
-    length_s = float(options["--length"] or (LONG_S if is_long else SHORT_S))
+    default_s = CUTS_S if options["cuts"] else LONG_S if is_long else SHORT_S
+    length_s = float(options["--length"] or default_s)
     if options["restarts"]:
         return _run_restarts(first, int(options["DAEMONS"]), length_s)
     other = options["--other"]
@@ -59,6 +65,8 @@
         other_tree=Path(other).resolve() if other else None,
     )
     draw = draw_long_plan if is_long else draw_plan
+    if options["cuts"]:
+        draw = draw_cut_plan
     plans = [draw(first + n, length_s) for n in range(int(options["COUNT"]))]
     return _run_plans(plans, fleet)
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,7 @@
 from balsamlift.platform._names import ADDRESSES_PATH, HEADERS
 from balsamlift.testing.relay import read_answer
 from soak.configuration import SERVED_HOST, STABLE_KEY
+from soak.contact import ContactChecker
 from soak.guarantees import CallerOutcome, GuaranteeChecker
 from soak.hosts import Host
 from soak.load import KINDS, Load
@@ -27,6 +28,7 @@
 RESOLVE_PAUSE_S = 0.1
 REQUESTS_PER_CONNECTION = 6
 CONNECT_S = 1.0
+OK = 200
 
 
 @attrs.frozen
@@ -106,6 +108,7 @@
         rate_limits: RateLimitChecker,
         statements: StatementChecker,
         retries: RetryChecker,
+        contact: ContactChecker,
         load: Load,
         rng: random.Random,
         on_interrupted: Callable[[str], None],
@@ -119,6 +122,7 @@
         self._rate_limits = rate_limits
         self._statements = statements
         self._retries = retries
+        self._contact = contact
         self._load = load
         self._random = rng
         self._on_interrupted = on_interrupted
@@ -173,7 +177,13 @@
             self._rate_limits.record_request(request.request_id, host_ip)
             self._statements.record_request(request.request_id, host_ip)
             self._retries.record_request(request.service)
+            sent_s = self._contact.now_s()
             outcome, can_reuse = await send(request, reader, writer)
+            self._contact.record_attempt(
+                host_ip,
+                sent_s,
+                is_served=outcome.status == OK and outcome.is_whole,
+            )
             if outcome.names_rate_limit:
                 self._rate_limits.record_passed_on(request.request_id)
             if outcome.is_notice:
--- /dev/null
+++ b/tests/soak/host_links.py
@@ -0,0 +1,137 @@
+"""Links of each host to all upstreams, to be cut for this host alone."""
+
+from __future__ import annotations
+
+import json
+import socket
+from pathlib import Path
+from typing import Literal
+
+from balsamlift._address import join_address, split_address
+from balsamlift.testing._link import Link
+from balsamlift.testing._settings import LinkSettings
+from soak.network import Network
+
+# What becomes of open connections; new ones are refused, or not answered where
+# the open ones hang.
+Cut = Literal["hang", "reset", "refuse", "one_way"]
+CUTS: tuple[Cut, ...] = ("hang", "reset", "refuse", "one_way")
+OPEN_FAULTS: dict[Cut, dict[str, object]] = {
+    "hang": {"stall_forward": True, "stall_backward": True},
+    "reset": {"cut": True},
+    "refuse": {},
+    "one_way": {"stall_backward": True},
+}
+FIRST_LINKS_IP = 101  # the number of the IP address of the first host's links
+NO_CUT = {"stall_forward": False, "stall_backward": False, "cut": False}
+SHIM = Path(__file__).parent / "shim"
+LINKS_FILE_VARIABLE = "SOAK_LINKS_FILE"
+
+
+class BlackHole:
+    """An address at which connections are neither accepted nor refused."""
+
+    def __init__(self, ip: str) -> None:
+        """Fill the backlog of a listener, so that it ignores more."""
+        self._listener = socket.socket()
+        self._listener.bind((ip, 0))
+        self._listener.listen(0)
+        self.address: tuple[str, int] = self._listener.getsockname()
+        self._fillers = [socket.socket() for _ in range(4)]
+        for filler in self._fillers:
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for sock in (*self._fillers, self._listener):
+            sock.close()
+
+
+class HostLinks:
+    """The links of one host to all upstreams."""
+
+    def __init__(
+        self, number: int, folder: Path, network: Network, upstreams_ip: str
+    ) -> None:
+        """Prepare links; the daemon reads from a file where they are."""
+        self._ip = network.ip(FIRST_LINKS_IP + number)
+        self._upstreams_ip = upstreams_ip
+        self._file = folder / f"links-{number}.json"
+        self._links: dict[str, Link] = {}  # by address of the upstream
+        self._black_hole = BlackHole(self._ip)
+        self._cut: Cut | None = None
+        self._cuts = 0
+        self._write()
+
+    @property
+    def environment(self) -> dict[str, str]:
+        """Return the variables by which a daemon uses these links."""
+        return {
+            "PYTHONPATH": str(SHIM),
+            LINKS_FILE_VARIABLE: str(self._file),
+        }
+
+    async def add(self, address: str) -> None:
+        """Add the link to an upstream at `address`."""
+        _, port = split_address(address)
+        link = Link(
+            LinkSettings(
+                name=address,
+                address=join_address(self._ip, port),
+                target_address=address,
+                control_address=join_address(self._ip, 0),
+            )
+        )
+        await link.start()
+        self._links[address] = link
+        if self._cut is not None:
+            link.control.update(OPEN_FAULTS[self._cut])
+
+    async def remove(self, address: str) -> None:
+        """Remove the link to an upstream that has stopped."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            await link.stop()
+
+    async def stop(self) -> None:
+        """Close all links."""
+        self._black_hole.close()
+        for address in list(self._links):
+            await self.remove(address)
+
+    def cut(self, cut: Cut) -> int:
+        """Cut all links; return a number by which to mend them."""
+        self._cuts += 1
+        self._set(cut)
+        return self._cuts
+
+    def mend(self, number: int) -> None:
+        """Mend all links unless they have been cut again since."""
+        if number == self._cuts:
+            self._set(None)
+
+    def _set(self, cut: Cut | None) -> None:
+        self._cut = cut
+        self._write()
+        faults = {**NO_CUT, **(OPEN_FAULTS[cut] if cut else {})}
+        for link in self._links.values():
+            link.control.update(faults)
+
+    def _write(self) -> None:
+        fields = {
+            "upstreams_ip": self._upstreams_ip,
+            "links_ip": self._ip,
+            "instead": self._instead(),
+        }
+        new = self._file.with_suffix(".new")
+        new.write_text(json.dumps(fields))
+        new.rename(self._file)
+
+    def _instead(self) -> tuple[str, int] | None:
+        """Return where new connections go instead of an upstream."""
+        if self._cut is None:
+            return None
+        if self._cut in ("hang", "one_way"):
+            return self._black_hole.address
+        return self._ip, 1  # nothing listens there
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -15,6 +15,7 @@
 from balsamlift.testing._link import Link
 from balsamlift.testing._settings import LinkSettings
 from balsamlift.testing.platform import KeyedStore
+from soak.host_links import HostLinks
 from soak.load import DENSE, Load
 from soak.network import Network
 from soak.processes import (
@@ -45,9 +46,11 @@
         network: Network,
         tree: Path = ROOT,
         load: Load = DENSE,
+        links: HostLinks | None = None,
     ) -> None:
         """Prepare the files; the daemon is that of the source tree `tree`."""
         self._load = load
+        self.links = links  # to upstreams; None: the same for all hosts
         self._tree = tree
         self.name = f"edge-{number}"
         self.ip = network.ip(number + 1)
@@ -96,6 +99,8 @@
             send_signal(process, signal.SIGKILL)
             await process.wait()
         await self.link.stop()
+        if self.links is not None:
+            await self.links.stop()
 
     async def freeze(self, duration_s: float) -> None:
         """Suspend the daemon for a while."""
@@ -182,6 +187,7 @@
                 **os.environ,
                 SETTINGS_FILE_VARIABLE: str(self._file),
                 "PYTHONFAULTHANDLER": "1",
+                **(self.links.environment if self.links else {}),
             },
             stdout=log_file,
             stderr=log_file,
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -25,6 +25,7 @@
     "departure",
     "upstream_hangs",
     "pool_refuses",
+    "host_cut",
 ]
 
 # Planned operations of operators. They may not interrupt any request.
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,8 +23,10 @@
     version_key,
     version_path,
 )
+from soak.contact import ContactChecker
 from soak.departures import Departures, Entries
 from soak.guarantees import GuaranteeChecker
+from soak.host_links import CUTS, HostLinks
 from soak.hosts import ROOT, STAND_INS, Host
 from soak.load import DENSE, Load
 from soak.network import Network
@@ -41,7 +43,7 @@
 from soak.rate_limits import RateLimitChecker
 from soak.retries import RetryChecker
 from soak.statements import StatementChecker
-from soak.upstreams import Upstreams
+from soak.upstreams import UPSTREAMS, Upstreams
 
 HOSTS = 4
 # Of faults of one service; most hit the one that has fewer upstreams.
@@ -93,6 +95,7 @@
         self._store = KeyedStore(self._network.ip(STAND_INS))
         self._rate_limits = RateLimitChecker(self._guarantees.report_violation)
         self._statements = StatementChecker(self._guarantees.report_violation)
+        self._contact = ContactChecker(self._guarantees.report_violation)
         self._retries = RetryChecker(
             fleet.load.extra_retries, self._guarantees.report_violation
         )
@@ -119,21 +122,14 @@
         self._lateness.start()
         await self._store.start()
         fleet = self._fleet
+        self._hosts = [self._prepare_host(n) for n in range(fleet.hosts)]
+        self._upstreams.host_links = [
+            host.links for host in self._hosts if host.links is not None
+        ]
         for service, number in fleet.load.services.items():
             for _ in range(number):
                 await self._add_upstream(service)
         self._configure()
-        self._hosts = [
-            Host(
-                n,
-                self._folder,
-                self._store,
-                self._network,
-                self._fleet.tree_of(n),
-                fleet.load,
-            )
-            for n in range(self._fleet.hosts)
-        ]
         try:
             for host in self._hosts:
                 await host.start()
@@ -156,6 +152,26 @@
             served=sum(o.status == 200 and o.is_whole for o in outcomes),
         )
 
+    def _prepare_host(self, number: int) -> Host:
+        """Return a host, with links of its own where these will be cut."""
+        links = None
+        if any(fault.kind == "host_cut" for fault in self._plan.faults):
+            links = HostLinks(
+                number,
+                self._folder,
+                self._network,
+                self._network.ip(UPSTREAMS),
+            )
+        return Host(
+            number,
+            self._folder,
+            self._store,
+            self._network,
+            self._fleet.tree_of(number),
+            self._fleet.load,
+            links,
+        )
+
     def _report_supervisors(self) -> None:
         """Report processes that could not be started."""
         for host in self._hosts:
@@ -169,6 +185,7 @@
             self._rate_limits,
             self._statements,
             self._retries,
+            self._contact,
             self._fleet.load,
             self._random,
             self._check_interrupted,
@@ -185,6 +202,7 @@
         await callers.stop()
         self._rate_limits.check()
         self._retries.check()
+        self._contact.check()
 
     def _check_interrupted(self, request_id: str) -> None:
         """Report a request that a planned operation interrupted.
@@ -242,6 +260,8 @@
             case "upstream_leaves":
                 self._register(name, "draining")
                 await self._replace(name, after_s=LEAVING_S)
+            case "host_cut":
+                await self._cut_hosts(fault)
             case "configuration":
                 self._version += 1
                 self._configure()
@@ -277,7 +297,28 @@
         service = services[fault.variant_number % len(services)]
         return [n for n in names if self._upstreams.service(n) == service]
 
+    async def _cut_hosts(self, fault: Fault) -> None:
+        """Cut some hosts off from all upstreams for a while."""
+        cut = CUTS[fault.variant_number % len(CUTS)]
+        hosts = self._hosts_to_cut(fault)
+        links = [host.links for host in hosts if host.links is not None]
+        numbers = [each.cut(cut) for each in links]
+        period = self._contact.begin_cut(host.ip for host in hosts)
+        await asyncio.sleep(fault.duration_s)
+        self._contact.end_cut(period)
+        for each, number in zip(links, numbers, strict=True):
+            each.mend(number)
+
+    def _hosts_to_cut(self, fault: Fault) -> list[Host]:
+        """Return one host, a failure domain, all but one, or all hosts."""
+        first = fault.target_number % len(self._hosts)
+        turned = self._hosts[first:] + self._hosts[:first]
+        domain = [h for h in self._hosts if h.domain == turned[0].domain]
+        scopes = (turned[:1], domain, turned[:-1], turned)
+        return scopes[fault.variant_number // len(CUTS) % len(scopes)]
+
     def _exempt(self, host: Host) -> None:
+        self._contact.exempt_host(host.ip)
         self._rate_limits.exempt_host(host.ip)
         self._statements.exempt_host(host.ip)
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -18,6 +18,7 @@
     ReplicaStandIn,
 )
 from soak.guarantees import GuaranteeChecker, last_event, stream_event
+from soak.host_links import HostLinks
 from soak.network import Network
 from soak.rate_limits import RateLimitChecker
 from soak.retries import RetryChecker
@@ -57,6 +58,7 @@
         self.is_fault_free = False  # no upstream fails at random
         self.live: dict[str, tuple[ReplicaStandIn, Link]] = {}
         self._random = rng
+        self.host_links: list[HostLinks] = []
         self._numbers = itertools.count()
         self._turns = itertools.count()
 
@@ -108,6 +110,8 @@
         )
         await link.start()
         self.live[name] = (replica, link)
+        for links in self.host_links:
+            await links.add(self.address(name))
 
     def address(self, name: str) -> str:
         """Return the address of the link to an upstream."""
@@ -177,7 +181,10 @@
 
     async def stop(self, name: str) -> None:
         """Stop an upstream at once."""
+        address = self.address(name)
         replica, link = self.live.pop(name)
+        for links in self.host_links:
+            await links.remove(address)
         await link.stop()
         await replica.stop()
 
