Forward the requests of a host that reaches no upstream to one that does

Cause: a host judged upstreams one by one and had no way to them but its own. That all of them fail at once tells that the host is cut off; nothing drew that conclusion, and nothing carried a request over another host.

Why it works: two upstreams without a connection, or probes of two where requests only hang, show within about 1.2 s that a pool is not reached. From then on, and for the request that found it out, the call goes to a host that reaches the pool, one hop, with the time that is left; the first connection that opens ends it. Kept connections that still work are used first. Where no host reaches the pool, everything is as before.

A wrapper in test_relay_restrictions takes the new parameter.

Not done here: generations that were under way when a cut begins.

--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -99,6 +99,13 @@
 class UpstreamUnreachableError(UpstreamError):
     """Raised when no byte of the request was sent to the upstream."""
 
+    def __init__(
+        self, upstream: str, message: str, *, is_silent: bool = False
+    ) -> None:
+        """Store whether the upstream neither accepted nor refused."""
+        super().__init__(upstream, message)
+        self.is_silent = is_silent
+
 
 class UpstreamRestrictedError(UpstreamUnreachableError):
     """Raised when a request may not be sent to an upstream any more."""
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -59,11 +59,13 @@
         callers_address: str,
         clock: Clock,
         rng: random.Random,
+        forwarding_address: str = "",
     ) -> None:
         """Listen on `settings.peers_address`; see `address` for the port.
 
-        `incarnation` is generated at each start of a daemon, and
-        `callers_address` is the bound one. Raises `PeersAddressError`.
+        `incarnation` is generated at each start of a daemon;
+        `callers_address` and `forwarding_address` are bound ones. Raises
+        `PeersAddressError`.
         """
         self._settings = settings
         self._clock = clock
@@ -89,6 +91,7 @@
                 peers_address=self.address,
                 failure_domain=settings.failure_domain,
                 counts_address=self._load.address,
+                forwarding_address=forwarding_address,
             )
         )
         self._absences = HostAbsences(clock)
@@ -265,6 +268,10 @@
         """Announce at once the homes whose keys this host took over."""
         self._change_own(taken_over=list(homes))
 
+    def set_unreached_pools(self, pools: Sequence[str]) -> None:
+        """Announce at once of which pools this host reaches no upstream."""
+        self._change_own(unreached_pools=list(pools))
+
     @property
     def leaving(self) -> bool:
         """Return whether this host is leaving."""
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -41,6 +41,9 @@
     # Homes that left and handed their keys over to this host.
     taken_over: list[str] = msgspec.field(default_factory=list)
     counts_address: str = ""  # where it aggregates the counts of all hosts
+    forwarding_address: str = ""  # for requests that other hosts forward
+    # Pools of which it reaches no upstream.
+    unreached_pools: list[str] = msgspec.field(default_factory=list)
 
     @property
     def order(self) -> tuple[int, int, int]:
--- a/src/balsamlift/peers/_peer.py
+++ b/src/balsamlift/peers/_peer.py
@@ -22,6 +22,8 @@
     taken_over: tuple[str, ...] = ()  # homes whose keys were handed to it
     offset: int = 0  # of its configuration; 0 until heard from directly
     caught_up: bool = False
+    forwarding_address: str = ""  # empty: takes no forwarded requests
+    unreached_pools: frozenset[str] = frozenset()
     last_heard_s: float | None = None  # monotonic; None: not heard from
 
 
@@ -36,6 +38,8 @@
         leaving=member.state == "leaving",
         key_prefix=member.key_prefix,
         taken_over=tuple(member.taken_over),
+        forwarding_address=member.forwarding_address,
+        unreached_pools=frozenset(member.unreached_pools),
         offset=status.offset if status else 0,
         caught_up=status.caught_up if status else False,
         last_heard_s=status.received_s if status else None,
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -40,7 +40,13 @@
     offer_configuration,
 )
 from balsamlift.platform._web import PlatformServer
-from balsamlift.relay import Directory, Frontend, Relay, Routing
+from balsamlift.relay import (
+    FORWARDING_FRONTEND,
+    Directory,
+    Frontend,
+    Relay,
+    Routing,
+)
 from balsamlift.timeline import Timeline
 
 log = logger.bind(part="daemon")
@@ -77,6 +83,9 @@
         store = Store(node.store_address, http, clock)
         self._routing = routing = Routing(clock)
         self.frontend = Frontend(node.callers_address, clock)
+        self.forwarding_frontend = Frontend(
+            node.forwarding_address, clock, FORWARDING_FRONTEND
+        )
         self._upstreams_source = UpstreamsSource(store, clock, node.list_pace)
         self.upstreams = Upstreams(
             settings, clock, http, self._upstreams_source
@@ -88,7 +97,12 @@
             self.upstreams.evacuations,
         )
         self.peers = Peers(
-            settings, new_incarnation(), self.frontend.address, clock, rng
+            settings,
+            new_incarnation(),
+            self.frontend.address,
+            clock,
+            rng,
+            self.forwarding_frontend.address,
         )
         self.relay = Relay(
             node.relay_settings(), PlatformEngines(http), clock, rng
@@ -111,6 +125,7 @@
             Metrics(),
             routing,
             self.frontend,
+            self.forwarding_frontend,
             self._configuration_watch,
             registration,
             self.upstreams,
@@ -207,6 +222,7 @@
             async with asyncio.timeout(drain_timeout_s):
                 await asyncio.sleep(3 * self._address_ttl_ms / 1_000)
                 await self.frontend.wait_idle()
+                await self.forwarding_frontend.wait_idle()
         except TimeoutError:
             log.bind(running=len(self.frontend.tasks)).warning(
                 "requests still running at the end of the grace period"
--- a/src/balsamlift/platform/_settings.py
+++ b/src/balsamlift/platform/_settings.py
@@ -139,6 +139,11 @@
             wait_ms=wait_ms, max_age_s=self._max_age_ms / 1_000
         )
 
+    @property
+    def forwarding_address(self) -> str:
+        """Return where other hosts forward requests to."""
+        return join_address(self.ip, self.first_port + 2)
+
     def core_settings(self) -> Settings:
         """Return these settings as the `Settings` of the core services."""
         return Settings(
--- a/src/balsamlift/relay/__init__.py
+++ b/src/balsamlift/relay/__init__.py
@@ -15,7 +15,11 @@
     Workspace,
 )
 from balsamlift.relay._directory import AddressAnswer, Caller, Directory
-from balsamlift.relay._frontend import DEFAULT_CALLER_LIMITS, Frontend
+from balsamlift.relay._frontend import (
+    DEFAULT_CALLER_LIMITS,
+    FORWARDING_FRONTEND,
+    Frontend,
+)
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._retry_budget import RetryLimits
 from balsamlift.relay._routing import Routing
@@ -33,6 +37,7 @@
 
 __all__ = [
     "DEFAULT_CALLER_LIMITS",
+    "FORWARDING_FRONTEND",
     "AddressAnswer",
     "Caller",
     "CallerLimits",
--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -76,13 +76,13 @@
         self.address = address
         self._clock = clock
         self._stream: IOStream | None = None
-        self.is_kept = False  # it has carried a request before this one
+        self.is_kept = False  # it was idle since it was opened
         self._reusable = False
         self._idle_until_s = 0.0
         self._is_head_request = False
         self._write_future: asyncio.Future[None] | None = None
 
-    async def connect(self) -> None:
+    async def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         """Open the connection.
 
         Raises `UpstreamUnreachableError`.
@@ -90,12 +90,14 @@
         ip, port = split_address(self.address)
         stream = IOStream(socket.socket(), max_buffer_size=MAX_BUFFER_BYTES)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 await stream.connect((ip, port))
         except (StreamClosedError, TimeoutError) as error:
             stream.close()
             raise UpstreamUnreachableError(
-                self.upstream, f"no connection to {self.address}"
+                self.upstream,
+                f"no connection to {self.address}",
+                is_silent=isinstance(error, TimeoutError),
             ) from error
         except BaseException:
             stream.close()
@@ -104,6 +106,12 @@
         enable_dead_peer_detection(stream.socket)
         self._stream = stream
 
+    def keep(self) -> None:
+        """Make a connection that carried no request yet reusable."""
+        self._reusable = True
+        self.is_kept = True
+        self._idle_until_s = self._clock.monotonic() + DEFAULT_IDLE_TIMEOUT_S
+
     def close(self) -> None:
         """Close the connection, on which the upstream aborts the request."""
         self._reusable = False
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager, suppress
 from typing import Literal
 
 import attrs
@@ -16,7 +17,11 @@
 )
 from balsamlift.peers import Upstream
 from balsamlift.relay._attempt import Attempt
-from balsamlift.relay._connection import ResponseHead, UpstreamConnection
+from balsamlift.relay._connection import (
+    CONNECT_TIMEOUT_S,
+    ResponseHead,
+    UpstreamConnection,
+)
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._headers import is_signed, upstream_headers
 from balsamlift.relay._pool import ConnectionPool
@@ -29,9 +34,11 @@
     StatementReader,
 )
 
-# A request that is given up after less time without a response says nothing of
-# the link to its upstream.
-SILENCE_S = 0.4
+# Time without a response after which the link to an upstream is suspected, and
+# the same for the first event of a generation.
+SILENCE_S, STREAM_SILENCE_S = 0.4, 1.0
+# Part of a call's remaining time in which a connection has to open.
+CONNECT_FRACTION = 0.2
 
 Disposition = Literal["answer", "failure", "not_executed"]
 
@@ -87,7 +94,9 @@
         `UpstreamBrokenError` when the request may have run. Cancellation
         closes the connection, so that the upstream stops.
         """
-        connection = await self._acquire(upstream)
+        connection = await self._acquire(
+            upstream, self._connect_timeout_s(call)
+        )
         restriction = self._restrictions.at_send(upstream, path)
         if restriction is not None:
             self._pool.release(connection)
@@ -103,19 +112,18 @@
             call.method, call.request.target, headers, call.request.body
         )
         is_kept = connection.is_kept
+        silence = asyncio.get_running_loop().call_later(
+            STREAM_SILENCE_S if call.route.kind == "stream" else SILENCE_S,
+            self._reachability.record_failure,
+            upstream,
+            "kept connection silent" if is_kept else "new connection silent",
+        )
         try:
             head = await connection.read_head(
                 lambda head: self._is_response_to(head, call)
             )
         except asyncio.CancelledError:
             connection.close()
-            if self._clock.monotonic() >= sent_s + SILENCE_S:
-                self._reachability.record_failure(
-                    upstream,
-                    "kept connection silent"
-                    if is_kept
-                    else "new connection silent",
-                )
             raise
         except UpstreamBrokenError:
             self._reachability.record_failure(
@@ -125,6 +133,8 @@
                 else "new connection broken",
             )
             raise
+        finally:
+            silence.cancel()
         self._reachability.record_contact(upstream)
         self._statements.record_response(upstream, head, sent_s)
         disposition = self._classify(head)
@@ -134,16 +144,40 @@
         self._require_signature(reply)
         return reply
 
-    async def _acquire(self, upstream: Upstream) -> UpstreamConnection:
-        try:
-            connection = await self._pool.acquire(upstream)
-        except UpstreamUnreachableError:
-            self._reachability.record_failure(upstream, "no connection")
-            raise
+    async def _acquire(
+        self, upstream: Upstream, connect_timeout_s: float
+    ) -> UpstreamConnection:
+        with self._recording_failure(upstream):
+            connection = await self._pool.acquire(upstream, connect_timeout_s)
         if not connection.is_kept:
             self._reachability.record_contact(upstream)
         return connection
 
+    async def probe(self, upstream: Upstream) -> None:
+        """Open a connection, to see whether it opens; keep it for later."""
+        with (
+            suppress(UpstreamUnreachableError),
+            self._recording_failure(upstream),
+        ):
+            connection = await self._pool.open_new(
+                upstream.name, upstream.address, CONNECT_TIMEOUT_S
+            )
+            self._reachability.record_contact(upstream)
+            connection.keep()
+            self._pool.release(connection)
+
+    @contextmanager
+    def _recording_failure(self, upstream: Upstream) -> Iterator[None]:
+        """Record a connection that does not open."""
+        try:
+            yield
+        except UpstreamUnreachableError as error:
+            self._reachability.record_failure(
+                upstream,
+                "no connection" if error.is_silent else "connection refused",
+            )
+            raise
+
     async def read_full_body(self, reply: Reply, max_bytes: int) -> bytes:
         """Return the complete body.
 
@@ -170,6 +204,11 @@
         """Return a connection to the pool after a complete response."""
         self._pool.release(connection)
 
+    def _connect_timeout_s(self, call: Call) -> float:
+        """Return a time that leaves others enough of the call's."""
+        remaining_s = call.timeout_at_s - self._clock.monotonic()
+        return min(CONNECT_TIMEOUT_S, remaining_s * CONNECT_FRACTION)
+
     def _remaining_ms(self, call: Call) -> int:
         return int((call.timeout_at_s - self._clock.monotonic()) * 1_000)
 
--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -49,6 +49,8 @@
 # A complete body may take as long as the longest generation.
 BODY_TIMEOUT_S = 120.0
 
+FORWARDING_FRONTEND = "forwarding_frontend"  # the one for other hosts
+
 RequestHandler = Callable[[CallerRequest, Responder], Awaitable[None]]
 
 
@@ -214,12 +216,13 @@
 
 
 class Frontend(HTTPServerConnectionDelegate):
-    """HTTP server that accepts callers on one address."""
-
-    name = "frontend"
+    """HTTP server that accepts callers, or other hosts, on one address."""
 
-    def __init__(self, address: str, clock: Clock) -> None:
+    def __init__(
+        self, address: str, clock: Clock, name: str = "frontend"
+    ) -> None:
         """Bind `address`, given as "IP:port"."""
+        self.name = name
         self._sockets, self.address = listen(address)
         self.clock = clock
         self.limits = DEFAULT_CALLER_LIMITS
--- a/src/balsamlift/relay/_headers.py
+++ b/src/balsamlift/relay/_headers.py
@@ -28,9 +28,13 @@
 MAX_PRIORITY = 9  # engines accept 0 to 9; 0 is served first
 
 
-def _end_to_end_headers(
+def end_to_end_headers(
     headers: HTTPHeaders, dropped: frozenset[str]
 ) -> Iterable[tuple[str, str]]:
+    """Yield the headers that concern more than one connection.
+
+    Those in `dropped`, in lower case, are left out too.
+    """
     connection_options = {
         name.strip().lower()
         for name in headers.get("Connection", "").split(",")
@@ -59,7 +63,7 @@
     """
     extra = list(extra)
     dropped = names.reserved | {name.lower() for name, _ in extra}
-    headers = list(_end_to_end_headers(call.request.headers, dropped))
+    headers = list(end_to_end_headers(call.request.headers, dropped))
     headers.append((names.deadline_ms, str(max(remaining_ms, 0))))
     headers.append((names.expected_incarnation, upstream_id))
     if call.workspace is not None:
@@ -82,6 +86,6 @@
 def caller_headers(headers: HTTPHeaders) -> HTTPHeaders:
     """Return the headers of an upstream's response to the caller."""
     result = HTTPHeaders()
-    for name, value in _end_to_end_headers(headers, frozenset()):
+    for name, value in end_to_end_headers(headers, frozenset()):
         result.add(name, value)
     return result
--- a/src/balsamlift/relay/_pool.py
+++ b/src/balsamlift/relay/_pool.py
@@ -7,7 +7,7 @@
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream
-from balsamlift.relay._connection import UpstreamConnection
+from balsamlift.relay._connection import CONNECT_TIMEOUT_S, UpstreamConnection
 
 MAX_IDLE_CONNECTIONS = 16  # per upstream
 
@@ -15,30 +15,64 @@
 class ConnectionPool:
     """Idle connections, grouped by upstream incarnation."""
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
-        """Create an empty pool."""
+    def __init__(
+        self, clock: Clock, metrics: Metrics, part: str = "relay"
+    ) -> None:
+        """Create an empty pool; `part` names its counter."""
         self._clock = clock
         self._metrics = metrics
+        self._counter = f"{part}.connections_opened"
         self._idle: dict[str, deque[UpstreamConnection]] = {}
 
-    async def acquire(self, upstream: Upstream) -> UpstreamConnection:
-        """Return an idle connection, or open one.
+    async def acquire(
+        self,
+        upstream: Upstream,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> UpstreamConnection:
+        """Return an idle connection to an upstream, or open one.
 
         Raises `UpstreamUnreachableError`.
         """
-        idle = self._idle.get(upstream.name)
+        return await self.open(
+            upstream.name, upstream.address, connect_timeout_s
+        )
+
+    async def open(
+        self,
+        name: str,
+        address: str,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> UpstreamConnection:
+        """Return an idle connection of that name, or open one.
+
+        Raises `UpstreamUnreachableError`.
+        """
+        idle = self._idle.get(name)
         while idle:
             connection = idle.pop()
             if connection.is_reusable():
                 return connection
             connection.close()
-        connection = UpstreamConnection(
-            upstream.name, upstream.address, self._clock
-        )
-        self._metrics.count("relay.connections_opened")
-        await connection.connect()
+        return await self.open_new(name, address, connect_timeout_s)
+
+    async def open_new(
+        self, name: str, address: str, connect_timeout_s: float
+    ) -> UpstreamConnection:
+        """Open a connection; raise `UpstreamUnreachableError`."""
+        connection = UpstreamConnection(name, address, self._clock)
+        self._metrics.count(self._counter)
+        await connection.connect(connect_timeout_s)
         return connection
 
+    def has_idle(self, name: str) -> bool:
+        """Return whether there is an idle connection of that name."""
+        return any(c.is_reusable() for c in self._idle.get(name, ()))
+
+    def drop(self, name: str) -> None:
+        """Close the idle connections of that name."""
+        for connection in self._idle.pop(name, ()):
+            connection.close()
+
     def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after a complete response."""
         if not connection.is_reusable():
--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -13,6 +13,14 @@
 from balsamlift.relay._scope import Scope
 
 
+@attrs.frozen(kw_only=True)
+class Origin:
+    """The host that forwarded a request, and how often it had sent it."""
+
+    host: str
+    sends: int
+
+
 @attrs.frozen(kw_only=True)
 class CallerRequest:
     """A request as received from its caller."""
@@ -22,6 +30,7 @@
     headers: HTTPHeaders
     body: bytes
     arrived_s: float  # monotonic, when its head had been read
+    origin: Origin | None = None  # None: from a caller itself
 
 
 @attrs.frozen(kw_only=True)
@@ -73,6 +82,7 @@
     text: str
     upstream: str = ""  # that responded last, if any
     sent_to: Sequence[str] = ()  # names of upstreams, in order
+    to_host: str = ""  # that the request was forwarded to
 
 
 class Responder(Protocol):
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -19,7 +19,7 @@
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._cold_starts import ColdLimits, ColdStartLimiter
 from balsamlift.relay._exchange import Exchange
-from balsamlift.relay._frontend import Frontend
+from balsamlift.relay._frontend import FORWARDING_FRONTEND, Frontend
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._request import (
@@ -34,6 +34,12 @@
 from balsamlift.relay._unary import UnaryCalls
 from balsamlift.relay._upstream_chooser import UpstreamChooser
 from balsamlift.relay.crashes import CrashGuard
+from balsamlift.relay.forwarding import (
+    FORWARDED_HEAD_BYTES,
+    Forwarder,
+    PeerChoice,
+    unwrap_request,
+)
 from balsamlift.relay.generations import (
     EngineClient,
     GenerationContext,
@@ -42,7 +48,7 @@
     MemoryAllocator,
     QuietEngines,
 )
-from balsamlift.relay.health import Reachability
+from balsamlift.relay.health import LinkProber, Reachability
 from balsamlift.relay.statements import (
     Restrictions,
     RetryAfterTracker,
@@ -108,6 +114,7 @@
         peers = self._peers = kernel.find("peers", Peers)
         routing = self._routing = kernel.find("routing", Routing)
         frontend = kernel.find("frontend", Frontend)
+        forwarding_frontend = kernel.find(FORWARDING_FRONTEND, Frontend)
         names = self._settings.names
         self._pool = ConnectionPool(self._clock, self._metrics)
         self._retry_after = RetryAfterTracker(
@@ -158,14 +165,34 @@
             audit,
             self._metrics,
         )
-        self._reachability = Reachability(self._clock, self._metrics)
+        reachability = Reachability(self._clock, self._metrics)
+        reachability.on_change(self._handle_reachability)
+        self._reachability = reachability
         exchange = Exchange(
             self._pool,
             names,
             self._clock,
             statements,
             restrictions,
-            self._reachability,
+            reachability,
+        )
+        self._prober = LinkProber(
+            reachability, self._upstreams.in_pool, exchange.probe, self._clock
+        )
+        forwarder = self._forwarder = Forwarder(
+            peers,
+            self._upstreams,
+            PeerChoice(
+                peers,
+                self._clock,
+                self._settings.regions,
+                self._settings.failure_domain,
+            ),
+            reachability,
+            self._pool,
+            names,
+            self._clock,
+            self._metrics,
         )
         self._admission = Admission(routing, names, self._random)
         self._crash_guard = CrashGuard(
@@ -178,6 +205,7 @@
             self._admission,
             self._retries,
             self._crash_guard,
+            forwarder,
         )
         engines = QuietEngines(self._engines, self._retry_after)
         context = GenerationContext(
@@ -194,7 +222,11 @@
             retry_after=self._retry_after,
         )
         self._generations = Generations(
-            context, self._admission, self._retries, self._upstreams
+            context,
+            self._admission,
+            self._retries,
+            self._upstreams,
+            forwarder,
         )
         self._leaving_detector = LeavingDetector(
             self._upstreams,
@@ -203,9 +235,12 @@
             self._generations.engines_in_use,
         )
         self._leaving_detector.start()
+        self._prober.start()
         self._frontend = frontend
+        self._forwarding_frontend = forwarding_frontend
         routing.on_change(self._apply_limits)
         frontend.serve(self.handle)
+        forwarding_frontend.serve(self.handle_forwarded)
         self._tasks = [
             asyncio.create_task(self._poll_for_memory()),
             asyncio.create_task(self._sweep_periodically()),
@@ -218,15 +253,24 @@
         start only if they are expected to end in time.
         """
         self._frontend.is_closing = True
+        self._forwarding_frontend.is_closing = True
         self._generations.leave(self._clock.monotonic() + within_s)
 
     async def stop(self) -> None:
         """Close the connections to upstreams."""
+        await self._prober.stop()
         await self._leaving_detector.stop()
         await self._crash_guard.stop()
         for task in self._tasks:
             await end_task(task)
         self._pool.close()
+        self._forwarder.close()
+
+    async def handle_forwarded(
+        self, request: CallerRequest, responder: Responder
+    ) -> None:
+        """Handle a request that another host has forwarded."""
+        await self.handle(unwrap_request(request), responder)
 
     async def handle(
         self, request: CallerRequest, responder: Responder
@@ -244,7 +288,8 @@
             self._log_outcome(admitted, outcome)
 
     async def _run(self, call: Call, responder: Responder) -> Outcome:
-        self._retries.record_request(call.service)
+        if call.request.origin is None:  # else its host has recorded it
+            self._retries.record_request(call.service)
         if call.route.kind == "stream":
             return await self._generations.run(call, responder)
         return await self._unary_calls.run(call, responder)
@@ -275,10 +320,25 @@
             sends=len(outcome.sent_to),
             sent_to=" ".join(outcome.sent_to),
             took_ms=round(took_ms, 1),
+            **_hosts_of(call, outcome),
         ).info("{}", outcome.text)
 
     def _apply_limits(self, table: RoutingTable) -> None:
-        self._frontend.limits = table.configuration.limits
+        limits = table.configuration.limits
+        self._frontend.limits = limits
+        self._forwarding_frontend.limits = attrs.evolve(
+            limits, head_bytes=limits.head_bytes + FORWARDED_HEAD_BYTES
+        )
+
+    def _handle_reachability(self, pool: str) -> None:
+        reachability = self._reachability
+        self._peers.set_unreached_pools(reachability.unreached_pools())
+        if not reachability.is_unreached(pool):
+            return
+        reachability.suspect_others(pool)
+        if not reachability.refuses_only_new(pool):
+            for upstream in self._upstreams.in_pool(pool):
+                self._pool.drop(upstream.name)
 
     async def _poll_for_memory(self) -> None:
         while True:
@@ -297,8 +357,19 @@
             await self._clock.sleep(SWEEP_INTERVAL_S)
             live = {u.name for u in self._upstreams.all()}
             self._pool.sweep(live)
+            self._forwarder.sweep()
             self._reachability.discard(self._upstreams.all())
             self._peers.permits.prune(live)
             self._retry_after.discard_expired()
             self._balancer.discard_expired()
             self._crash_guard.discard_expired()
+
+
+def _hosts_of(call: Call, outcome: Outcome) -> dict[str, str]:
+    """Return the other hosts that had part in a call, for the log."""
+    hosts = {}
+    if call.request.origin is not None:
+        hosts["from_host"] = call.request.origin.host
+    if outcome.to_host:
+        hosts["to_host"] = outcome.to_host
+    return hosts
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -33,6 +33,7 @@
     UpstreamChooser,
 )
 from balsamlift.relay.crashes import CRASHING_REQUEST, CrashGuard
+from balsamlift.relay.forwarding import Forwarder, Unreached
 
 log = logger.bind(part="calls")
 
@@ -61,6 +62,7 @@
         admission: Admission,
         retries: RetryBudget,
         crash_guard: CrashGuard,
+        forwarder: Forwarder,
     ) -> None:
         """Create a runner for upstreams that `balancer` selects."""
         self._exchange = exchange
@@ -69,6 +71,7 @@
         self._admission = admission
         self._retries = retries
         self._crash_guard = crash_guard
+        self._forwarder = forwarder
 
     async def run(self, call: Call, responder: Responder) -> Outcome:
         """Respond to the caller and return the outcome for the log."""
@@ -76,7 +79,17 @@
         try:
             async with asyncio.timeout_at(call.timeout_at_s):
                 result = await self._fetch_reply(call, attempt)
+                if isinstance(result, Unreached):
+                    outcome = await self._forwarder.run(
+                        call, attempt, responder
+                    )
+                    if outcome is not None:
+                        return outcome
+                    result = result.refusal
         except TimeoutError:
+            if responder.is_started:
+                responder.abort()
+                return Outcome("timed out midway", sent_to=attempt.sent_to)
             result = timed_out(attempt)
         if isinstance(result, Refusal):
             responder.refuse(result)
@@ -93,12 +106,17 @@
 
     async def _fetch_reply(
         self, call: Call, attempt: Attempt
-    ) -> _BufferedReply | Refusal:
+    ) -> _BufferedReply | Refusal | Unreached:
         tried: set[str] = set()
         unreachable = 0
         while True:
             if self._crash_guard.is_culprit(call):
                 return CRASHING_REQUEST
+            unreached = self._forwarder.unreached(call, attempt)
+            tried |= unreached
+            is_unreached = bool(unreached or unreachable)
+            if is_unreached and self._forwarder.is_cut_off(call, tried):
+                return self._give_up_unreached(call, attempt)
             upstream = await self._chooser.choose(call, tried)
             now_s = asyncio.get_running_loop().time()
             if upstream is None:
@@ -117,7 +135,7 @@
             except UpstreamUnreachableError:
                 unreachable += 1
                 if unreachable >= MAX_UNREACHABLE_UPSTREAMS:
-                    return give_up(attempt, "upstreams unreachable")
+                    return Unreached(give_up(attempt, "upstreams unreachable"))
                 continue
             except UpstreamBrokenError as error:
                 refusal = give_up(attempt, error.message)
@@ -132,6 +150,10 @@
             if not self._may_retry(call, attempt):
                 return refusal
 
+    def _give_up_unreached(self, call: Call, attempt: Attempt) -> Unreached:
+        now_s = asyncio.get_running_loop().time()
+        return Unreached(no_upstream(attempt, call, now_s))
+
     async def _send_once(
         self, call: Call, attempt: Attempt, upstream: Upstream
     ) -> _BufferedReply:
@@ -188,7 +210,10 @@
         ).warning("ejected: {}", cause)
 
     def _max_sends(self, call: Call) -> int:
-        return max(call.route.most_attempts, 1)
+        """Return how often this host may send a call to upstreams."""
+        origin = call.request.origin
+        sends_before = origin.sends if origin is not None else 0
+        return max(call.route.most_attempts - sends_before, 1)
 
     def _may_retry(self, call: Call, attempt: Attempt) -> bool:
         """Return whether to try another upstream.
--- /dev/null
+++ b/src/balsamlift/relay/forwarding/_reply.py
@@ -0,0 +1,92 @@
+"""Pass the response of another host on to the caller."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import attrs
+from tornado.iostream import StreamClosedError
+
+from balsamlift.exceptions import UpstreamBrokenError
+from balsamlift.relay._attempt import Attempt
+from balsamlift.relay._connection import ResponseHead, UpstreamConnection
+from balsamlift.relay._headers import caller_headers
+from balsamlift.relay._pool import ConnectionPool
+from balsamlift.relay._refusals import give_up
+from balsamlift.relay._request import Call, Responder
+
+
+@attrs.frozen
+class ForwardedReply:
+    """The head of a response that another host passes on."""
+
+    host: str
+    head: ResponseHead
+    _connection: UpstreamConnection
+    _pool: ConnectionPool
+
+    @property
+    def is_success(self) -> bool:
+        """Return whether the status is 2xx."""
+        return 200 <= self.head.status < 300
+
+    async def read_body(self) -> AsyncIterator[bytes]:
+        """Yield the body; raise `UpstreamBrokenError` if it is truncated."""
+        async for chunk in self._connection.read_body(self.head):
+            yield chunk
+        self._pool.release(self._connection)
+
+    def close(self) -> None:
+        """Close the connection unless the response has ended."""
+        if not self._connection.is_reusable():
+            self._connection.close()
+
+
+async def pass_on(
+    reply: ForwardedReply, call: Call, attempt: Attempt, responder: Responder
+) -> str:
+    """Respond as another host did; return the outcome for the log."""
+    try:
+        if call.route.kind == "stream" and reply.is_success:
+            return await _pass_on_events(reply, responder)
+        return await _pass_on_whole(reply, call, attempt, responder)
+    finally:
+        reply.close()
+
+
+async def _pass_on_events(reply: ForwardedReply, responder: Responder) -> str:
+    """Pass each event on as it comes; the other host sends whole ones."""
+    head = reply.head
+    try:
+        await responder.start(
+            head.status, head.reason, caller_headers(head.headers)
+        )
+        async for chunk in reply.read_body():
+            await responder.write(chunk)
+    except UpstreamBrokenError:
+        responder.abort()
+        return "host that carried it broke off"
+    except StreamClosedError:
+        return "caller gone"
+    responder.finish()
+    return "whole"
+
+
+async def _pass_on_whole(
+    reply: ForwardedReply, call: Call, attempt: Attempt, responder: Responder
+) -> str:
+    """Pass a response on once it is complete."""
+    try:
+        body = b"".join([chunk async for chunk in reply.read_body()])
+    except UpstreamBrokenError:
+        refusal = give_up(attempt, "host that carried it broke off")
+        responder.refuse(refusal)
+        return refusal.reason
+    head = reply.head
+    headers = caller_headers(head.headers)
+    headers["Content-Length"] = str(len(body))
+    await responder.start(head.status, head.reason, headers)
+    if body and call.method != "HEAD":
+        await responder.write(body)
+    responder.finish()
+    return f"answered {head.status}"
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -31,6 +31,7 @@
 from balsamlift.relay._retry_budget import RetryBudget
 from balsamlift.relay._upstream_chooser import Pausing, RateLimited
 from balsamlift.relay.crashes import CRASHING_REQUEST
+from balsamlift.relay.forwarding import Forwarder, Unreached
 from balsamlift.relay.generations._backup import Backup
 from balsamlift.relay.generations._engine_placement import EnginePlacement
 from balsamlift.relay.generations._generation import Generation
@@ -73,6 +74,7 @@
         admission: Admission,
         retries: RetryBudget,
         upstreams: Upstreams,
+        forwarder: Forwarder,
     ) -> None:
         """Subscribe to changes of `upstreams` to detect leaving engines."""
         self._context = context
@@ -82,6 +84,7 @@
         self._admission = admission
         self._retries = retries
         self._upstreams = upstreams
+        self._forwarder = forwarder
         self._running: set[Generation] = set()
         self._leaves_at_s: float | None = None
         upstreams.on_change(self._move_off_leaving_engines)
@@ -123,6 +126,13 @@
                     text = await self._relay(result, job, responder)
                     upstream = result.reservation.upstream.name
                     return Outcome(text, upstream, attempt.sent_to)
+                if isinstance(result, Unreached):
+                    outcome = await self._forwarder.run(
+                        call, attempt, responder
+                    )
+                    if outcome is not None:
+                        return outcome
+                    result = result.refusal
         except TimeoutError:
             if responder.is_started:
                 responder.abort()
@@ -133,13 +143,19 @@
 
     async def _start(
         self, job: Job, attempt: Attempt
-    ) -> _StartedGeneration | Refusal:
+    ) -> _StartedGeneration | Refusal | Unreached:
         call = job.call
         tried: set[str] = set()
         unreachable = 0
         while True:
             if self._context.crash_guard.is_culprit(call):
                 return CRASHING_REQUEST
+            unreached = self._forwarder.unreached(call, attempt)
+            tried |= unreached
+            is_unreached = bool(unreached or unreachable)
+            if is_unreached and self._forwarder.is_cut_off(call, tried):
+                now_s = asyncio.get_running_loop().time()
+                return Unreached(no_memory(attempt, call, now_s))
             sends_before = attempt.sends
             reservation = await self._placement.reserve(job, tried)
             now_s = asyncio.get_running_loop().time()
@@ -184,7 +200,7 @@
             if attempt.sends == sends_before:
                 unreachable += 1  # the request was not sent
                 if unreachable >= MAX_UNREACHABLE_UPSTREAMS:
-                    return result
+                    return Unreached(result)
                 continue
             sends_exhausted = attempt.sends >= MAX_SENDS
             if sends_exhausted or not attempt.certainly_not_run:
--- a/src/balsamlift/relay/health/__init__.py
+++ b/src/balsamlift/relay/health/__init__.py
@@ -1,7 +1,8 @@
 """Which upstreams fail, as this host and all hosts together see it."""
 
+from balsamlift.relay.health._link_prober import LinkProber
 from balsamlift.relay.health._reachability import Reachability
 from balsamlift.relay.health._shared_health import SharedHealth
 from balsamlift.relay.health._upstream_health import UpstreamHealth
 
-__all__ = ["Reachability", "SharedHealth", "UpstreamHealth"]
+__all__ = ["LinkProber", "Reachability", "SharedHealth", "UpstreamHealth"]
--- a/src/balsamlift/relay/health/_reachability.py
+++ b/src/balsamlift/relay/health/_reachability.py
@@ -20,6 +20,7 @@
 
 Failure = Literal[
     "no connection",
+    "connection refused",
     "kept connection broken",
     "new connection broken",
     "kept connection silent",
@@ -40,6 +41,7 @@
     failed: dict[str, Failure] = attrs.field(factory=dict)  # since then
     unreached_since_s: float | None = None
     failures: int = 0  # since `unreached_since_s`
+    is_suspected: bool = False  # though none of it has failed
 
 
 class Reachability:
@@ -54,12 +56,17 @@
         self._clock = clock
         self._metrics = metrics
         self._pools: dict[str, _PoolState] = {}
-        self._on_change: list[Callable[[], None]] = []
+        self._on_change: list[Callable[[str], None]] = []
+        self._on_suspicion: list[Callable[[], None]] = []
 
-    def on_change(self, callback: Callable[[], None]) -> None:
-        """Call back when a pool is no longer reached, or is again."""
+    def on_change(self, callback: Callable[[str], None]) -> None:
+        """Call back with a pool that is not reached any more, or is again."""
         self._on_change.append(callback)
 
+    def on_suspicion(self, callback: Callable[[], None]) -> None:
+        """Call back when an upstream fails, perhaps by this host's link."""
+        self._on_suspicion.append(callback)
+
     def unreached_pools(self) -> list[str]:
         """Return the pools of which no upstream is reached."""
         return sorted(
@@ -73,15 +80,34 @@
         state = self._pools.get(pool)
         return state is not None and state.unreached_since_s is not None
 
+    def refuses_only_new(self, pool: str) -> bool:
+        """Return whether open connections to a pool may live on."""
+        state = self._pools.get(pool)
+        if state is None:
+            return True
+        return set(state.failed.values()) == {"connection refused"}
+
+    def suspect_others(self, pool: str) -> None:
+        """Suspect all other pools, as this host does not reach one."""
+        for name, state in self._pools.items():
+            if name != pool and state.unreached_since_s is None:
+                state.is_suspected = True
+        self._suspect()
+
     def suspected_pools(self) -> list[str]:
         """Return the pools with a failure and no sign of any since."""
-        return [pool for pool, state in self._pools.items() if state.failed]
+        return [
+            pool
+            for pool, state in self._pools.items()
+            if state.failed or state.is_suspected
+        ]
 
     def record_contact(self, upstream: Upstream) -> None:
         """Record a sign of an upstream."""
         state = self._pools.setdefault(upstream.pool, _PoolState())
         state.contact_s = self._clock.monotonic()
         state.failed.clear()
+        state.is_suspected = False
         if state.unreached_since_s is None:
             return
         unreached_s = state.contact_s - state.unreached_since_s
@@ -92,7 +118,7 @@
             unreached_ms=round(unreached_s * 1_000),
             failures=state.failures,
         ).warning("pool reached again")
-        self._publish()
+        self._publish(upstream.pool)
 
     def record_failure(self, upstream: Upstream, failure: Failure) -> None:
         """Record that an upstream gave no sign; it may be this host's link."""
@@ -100,6 +126,7 @@
         state = self._pools.setdefault(upstream.pool, _PoolState())
         state.failed[upstream.name] = failure
         state.failures += 1
+        self._suspect()
         if state.unreached_since_s is not None:
             return
         certain = [f for f in state.failed.values() if f not in SILENT]
@@ -113,7 +140,7 @@
             failed=dict(state.failed),
             contact_age_ms=_age_ms(state.contact_s, now_s),
         ).warning("no upstream of a pool reached")
-        self._publish()
+        self._publish(upstream.pool)
 
     def discard(self, live: Iterable[Upstream]) -> None:
         """Discard the failures of upstreams that are not in `live`."""
@@ -122,12 +149,16 @@
             for name in state.failed.keys() - names:
                 del state.failed[name]
 
-    def _publish(self) -> None:
+    def _suspect(self) -> None:
+        for callback in self._on_suspicion:
+            callback()
+
+    def _publish(self, pool: str) -> None:
         self._metrics.gauge(
             "relay.pools_not_reached", len(self.unreached_pools())
         )
         for callback in self._on_change:
-            callback()
+            callback(pool)
 
 
 def _age_ms(since_s: float | None, now_s: float) -> int | None:
--- a/src/balsamlift/testing/_relay_harness.py
+++ b/src/balsamlift/testing/_relay_harness.py
@@ -24,6 +24,7 @@
 )
 from balsamlift.platform._decode import STATEMENT_DECODERS
 from balsamlift.relay import (
+    FORWARDING_FRONTEND,
     CallerLimits,
     ColdLimits,
     Configuration,
@@ -242,9 +243,17 @@
         rng = random.Random(7)
         http = HttpClient(max_calls=4)
         self.frontend = Frontend("127.0.0.1:0", self.clock)
+        self.forwarding_frontend = Frontend(
+            "127.0.0.1:0", self.clock, FORWARDING_FRONTEND
+        )
         self.upstreams = Upstreams(settings, self.clock, http, self.list)
         self.peers = Peers(
-            settings, f"{self.host}/1", self.frontend.address, self.clock, rng
+            settings,
+            f"{self.host}/1",
+            self.frontend.address,
+            self.clock,
+            rng,
+            self.forwarding_frontend.address,
         )
         self.metrics = Metrics()
         self.directory = Directory("north", 2_000, rng, self._regions)
@@ -265,6 +274,7 @@
             self.metrics,
             self.routing,
             self.frontend,
+            self.forwarding_frontend,
             self.upstreams,
             self.peers,
             self.directory,
--- a/tests/soak/contact.py
+++ b/tests/soak/contact.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -45,10 +45,12 @@
 
     def __init__(
         self,
+        hosts: Sequence[str],
         report_violation: Callable[[str, str, str], None],
         clock: Clock | None = None,
     ) -> None:
         """Report by guarantee, subject and description."""
+        self._hosts = hosts
         self._report_violation = report_violation
         self._clock = clock or SystemClock()
         self._attempts: list[Attempt] = []
@@ -91,8 +93,10 @@
             if not period.covers(attempt.sent_s) or self._is_exempt(attempt):
                 continue
             if attempt.host in period.hosts:
+                if self._all_are_cut(attempt.sent_s):
+                    continue  # there is nobody to compare with
                 cut.append(attempt.is_served)
-            elif not self._is_cut(attempt):
+            elif not self._is_cut(attempt.host, attempt.sent_s):
                 others.append(attempt.is_served)
         if not cut or not others:
             return
@@ -107,12 +111,15 @@
             f"the others {sum(others)} of {len(others)}",
         )
 
-    def _is_cut(self, attempt: Attempt) -> bool:
-        """Return whether the host of an attempt was cut off, or just was."""
+    def _all_are_cut(self, at_s: float) -> bool:
+        return all(self._is_cut(host, at_s) for host in self._hosts)
+
+    def _is_cut(self, host: str, at_s: float) -> bool:
+        """Return whether a host is cut off, or was so a short time before."""
         return any(
-            attempt.host in period.hosts
+            host in period.hosts
             and period.start_s
-            <= attempt.sent_s
+            <= at_s
             <= (period.end_s or float("inf")) + CONTACT_S
             for period in self._periods
         )
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -35,6 +35,11 @@
 STAND_INS = 253  # the number of their IP address
 
 
+def host_ip(network: Network, number: int) -> str:
+    """Return the IP address of a host."""
+    return network.ip(number + 1)
+
+
 class Host:
     """One daemon, restarted whenever its process ends."""
 
@@ -53,7 +58,7 @@
         self.links = links  # to upstreams; None: the same for all hosts
         self._tree = tree
         self.name = f"edge-{number}"
-        self.ip = network.ip(number + 1)
+        self.ip = host_ip(network, number)
         self.domain = DOMAINS[number % len(DOMAINS)]
         self.log_file = folder / f"{self.name}.log"
         self.history = ProcessHistory(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -27,7 +27,7 @@
 from soak.departures import Departures, Entries
 from soak.guarantees import GuaranteeChecker
 from soak.host_links import CUTS, HostLinks
-from soak.hosts import ROOT, STAND_INS, Host
+from soak.hosts import ROOT, STAND_INS, Host, host_ip
 from soak.load import DENSE, Load
 from soak.network import Network
 from soak.plan import (
@@ -95,7 +95,10 @@
         self._store = KeyedStore(self._network.ip(STAND_INS))
         self._rate_limits = RateLimitChecker(self._guarantees.report_violation)
         self._statements = StatementChecker(self._guarantees.report_violation)
-        self._contact = ContactChecker(self._guarantees.report_violation)
+        self._contact = ContactChecker(
+            [host_ip(self._network, n) for n in range(fleet.hosts)],
+            self._guarantees.report_violation,
+        )
         self._retries = RetryChecker(
             fleet.load.extra_retries, self._guarantees.report_violation
         )
--- a/tests/test_relay_reachability.py
+++ b/tests/test_relay_reachability.py
@@ -63,7 +63,7 @@
 def test_a_pool_is_reached_again_with_the_first_sign() -> None:
     links = tracker()
     changes: list[list[str]] = []
-    links.on_change(lambda: changes.append(links.unreached_pools()))
+    links.on_change(lambda _: changes.append(links.unreached_pools()))
     for name in ("a", "b", "c"):
         links.record_failure(upstream(name), "no connection")
     links.record_contact(upstream("b"))
--- a/tests/test_relay_restrictions.py
+++ b/tests/test_relay_restrictions.py
@@ -77,9 +77,11 @@
         acquire = ConnectionPool.acquire
 
         async def acquire_and_restrict(
-            connections: ConnectionPool, upstream: Upstream
+            connections: ConnectionPool,
+            upstream: Upstream,
+            timeout_s: float,
         ) -> UpstreamConnection:
-            connection = await acquire(connections, upstream)
+            connection = await acquire(connections, upstream, timeout_s)
             chosen.append(upstream.name)
             if len(chosen) == 1:
                 restrict(world, upstream)
--- a/tests/test_soak_cuts.py
+++ b/tests/test_soak_cuts.py
@@ -57,6 +57,7 @@
         self.clock = ManualClock(10.0)
         self.violations: list[str] = []
         self.checker = ContactChecker(
+            ["cut", "other"],
             lambda guarantee, _subject, text: self.violations.append(text),
             self.clock,
         )
@@ -109,3 +110,14 @@
     host.attempts("cut", at_s=14.0, served=0, failed=50)
     host.attempts("other", at_s=14.0, served=30, failed=0)
     assert host.check() == []
+
+
+def test_checker_compares_only_while_some_host_is_not_cut_off() -> None:
+    host = CutHost()
+    host.attempts("other", at_s=14.0, served=30, failed=0)
+    host.clock.now_s = 15.0
+    other = host.checker.begin_cut(["other"])
+    host.attempts("cut", at_s=16.0, served=0, failed=50)
+    host.clock.now_s = 17.0
+    host.checker.end_cut(other)
+    assert host.check() == []
