--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -270,6 +270,7 @@
         self, request: CallerRequest, responder: Responder
     ) -> None:
         """Handle a request that another host has forwarded."""
+        self._metrics.count("relay.carried")
         await self.handle(unwrap_request(request), responder)
 
     async def handle(
