Forget the failures of a pool that a host could not reach

What callers would see: at the end of a cut, hosts that were never cut off keep off sound upstreams for up to 4 s, and rate them as on probation for 30 s, since a host that was cut off tells them so; the host itself leaves them out for up to 4 s, so that its load falls on the one that it reached first.

Cause: a host that is probably faulty withholds its reports of failing upstreams until one serves it. With that first success all that it saw while it was cut off becomes public, as if the others had failed.

Evidence: test_a_host_reached_again_does_not_tell_others_to_avoid_upstreams failed with reports of 4 of 6 sound upstreams at the other host.

Why it works: when a pool is reached again, this host's failures and ejections of it are dropped before the first success is recorded. An upstream that is really broken is found again by its next request.

Left: at the beginning of a cut the first failure of a host is public for up to a second, as reports of one broken upstream have to be quick.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -320,6 +320,13 @@
         self._shared_health.record(upstream, now_s, is_failing=True)
         return self.health.eject(upstream, now_s)
 
+    def forget_failures(self, pool: str) -> None:
+        """Forget the failures of a pool, which were this host's own."""
+        names = [upstream.name for upstream in self._upstreams.in_pool(pool)]
+        self._shared_health.forget_failures(names)
+        for name in names:
+            self.health.readmit(name)
+
     def failure_share(self, upstream: str) -> float:
         """Return the probability that its next request fails, 0 to 1."""
         return max(
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -335,6 +335,7 @@
         reachability = self._reachability
         self._peers.set_unreached_pools(reachability.unreached_pools())
         if not reachability.is_unreached(pool):
+            self._balancer.forget_failures(pool)
             return
         reachability.suspect_others(pool)
         if not reachability.refuses_only_new(pool):
--- a/src/balsamlift/relay/health/_shared_health.py
+++ b/src/balsamlift/relay/health/_shared_health.py
@@ -229,6 +229,14 @@
             success = _Observation(False, now_s, SUCCESS_TTL_S)
             self._observations[upstream] = success
 
+    def forget_failures(self, upstreams: Collection[str]) -> None:
+        """Forget the failures that this host saw of some upstreams."""
+        for name in upstreams:
+            observation = self._observations.get(name)
+            if observation is not None and observation.is_failing:
+                del self._observations[name]
+        self._failed_since_success.clear()
+
     def record_send(self, upstream: str, now_s: float) -> None:
         """Publish immediately that a request is a trial, if it is one."""
         if self.reports(upstream).is_on_trial:
--- a/src/balsamlift/relay/health/_upstream_health.py
+++ b/src/balsamlift/relay/health/_upstream_health.py
@@ -66,6 +66,13 @@
         results = self._results.get(upstream)
         return results is not None and now_s < results.ejected_until_s
 
+    def readmit(self, upstream: str) -> None:
+        """End the ejection of an upstream."""
+        results = self._results.get(upstream)
+        if results is not None:
+            results.ejections = 0
+            results.ejected_until_s = 0.0
+
     def prune(self, live: set[str]) -> None:
         """Discard the results of all upstreams that are not in `live`."""
         for name in self._results.keys() - live:
--- a/tests/test_relay_without_upstreams.py
+++ b/tests/test_relay_without_upstreams.py
@@ -6,6 +6,7 @@
 from _relay_fleet import CUTS, Cut, relay_fleet
 from _relay_helpers import USAGE, hang, run, stream
 
+from balsamlift.relay.health._shared_health import failing_key
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     CallerAnswer,
@@ -93,3 +94,28 @@
             assert not sound.relay.peers.crash_reports.all()
 
     run(test())
+
+
+def test_a_host_reached_again_does_not_tell_others_to_avoid_upstreams() -> (
+    None
+):
+    async def test() -> None:
+        replicas = stand_ins()
+        async with relay_fleet(replicas) as (lost, sound):
+            await lost.cut("refuse")
+            for number in range(3):
+                await call_each_kind(lost.relay, f"cut-{number}")
+            await lost.mend()
+            while lost.relay.peers.own.unreached_pools:
+                await asyncio.sleep(0.01)
+            await call_each_kind(lost.relay, "then")
+            await asyncio.sleep(REPORT_S)
+            reports = {
+                replica.name: sound.relay.peers.in_flight(
+                    failing_key(replica.name)
+                )
+                for replica in replicas
+            }
+            assert not any(reports.values()), reports
+
+    run(test())
