Say so when an upstream that refuses is not taken for a crashed one

It now lets the engine that runs the request crash, and asserts the same line; the old scenario asserts a new one, 'not taken for a crash'.

--- a/src/balsamlift/relay/crashes/_crash_detector.py
+++ b/src/balsamlift/relay/crashes/_crash_detector.py
@@ -84,16 +84,15 @@
     async def _check(self, upstream: Upstream) -> None:
         await self._clock.sleep(CHECK_DELAY_S)
         try:
-            has_crashed = await self._has_crashed(upstream)
+            is_gone = await try_connection(upstream.address) == "refuses"
+            reaches_others = is_gone and await self._reaches_others(upstream)
         finally:
             pending = self._pending.pop(upstream.name)
-        for broken in pending if has_crashed else ():
-            self._report(broken)
+        for broken in pending if is_gone else ():
+            self._report(broken, reaches_others=reaches_others)
 
-    async def _has_crashed(self, upstream: Upstream) -> bool:
-        if await try_connection(upstream.address) != "refuses":
-            return False
-        # Otherwise this host's own links may be what is broken.
+    async def _reaches_others(self, upstream: Upstream) -> bool:
+        """Return whether this host's own links are not what is broken."""
         others = self._find_others(upstream)
         answers = await asyncio.gather(
             *(try_connection(other.address) for other in others)
@@ -117,11 +116,15 @@
         )
         return ranked[:MAX_OTHERS]
 
-    def _report(self, call: BrokenCall) -> None:
-        log.bind(
+    def _report(self, call: BrokenCall, *, reaches_others: bool) -> None:
+        bound = log.bind(
             request=call.request_id,
             fingerprint=call.fingerprint,
             upstream=call.upstream,
             had_output=call.had_output,
-        ).info("upstream crashed while it ran a request")
+        )
+        if not reaches_others:
+            bound.info("not taken for a crash: others refuse as well")
+            return
+        bound.info("upstream crashed while it ran a request")
         self._on_crash(call)
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -325,6 +325,23 @@
 
 async def engine_crashes(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
+) -> None:
+    async def crash(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await connection.begin_stream(request)
+        for stand_in in stand_ins:
+            if stand_in.arrivals:
+                stand_in.crash()
+        connection.reset()
+
+    behave(stand_ins, crash)
+    await world.call("/draft/1", headers=USAGE)
+    await asyncio.sleep(0.3)
+
+
+async def all_refuse_at_once(
+    world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
     async def crash(
         connection: ReplicaConnection, request: ReplicaRequest
@@ -433,6 +450,7 @@
     Expected(engines_reset, "ejected: ", ("request", "out_ms")),
     Expected(engines_reset, "engine gave no answer", ENDED),
     Expected(engine_crashes, "upstream crashed while it ran", CRASHED),
+    Expected(all_refuse_at_once, "not taken for a crash", CRASHED),
     Expected(
         crashes_reported,
         "refusing a request that crashes upstreams",
