Send brittle upstreams no more calls than they run at once

Cause: nothing reads the statement. Every host sends what it has, the upstreams turn away what exceeds their queue, fall over, and come back into the same pressure.

Why it works: while any upstream of a pool says so, all hosts together have no more calls outstanding at one than its slots: each has a share by its rank for that upstream, as whole numbers, so that the sum is exact (1, 7, 87 and 195 hosts). What exceeds it waits at its host for half of the target latency and is then refused, truly not run, with a Retry-After that spreads. Hosts without a place forward to one that has some.

--- a/src/balsamlift/peers/_host_ranks.py
+++ b/src/balsamlift/peers/_host_ranks.py
@@ -27,6 +27,11 @@
     return min(hosts, key=lambda host: _rank_for(host, subject))
 
 
+def hosts_for(hosts: Iterable[str], subject: str) -> list[str]:
+    """Return hosts in the order for `subject`, the same on each of them."""
+    return sorted(hosts, key=lambda host: _rank_for(host, subject))
+
+
 @attrs.frozen
 class HostRank:
     """Hold the position of a host among all live ones, counted from 0."""
--- a/src/balsamlift/peers/_host_roles.py
+++ b/src/balsamlift/peers/_host_roles.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from balsamlift.peers._host_ranks import HostRank, find_rank, is_reader
+from balsamlift.peers._host_ranks import (
+    HostRank,
+    find_rank,
+    hosts_for,
+    is_reader,
+)
 from balsamlift.peers._load import Load
 from balsamlift.peers._members import Members
 from balsamlift.peers._peer_statuses import PeerStatuses
@@ -41,6 +46,10 @@
         """Return this host's rank among the live hosts for that subject."""
         return find_rank(self._own_host, self._live_others(), subject)
 
+    def hosts_for(self, subject: str) -> list[str]:
+        """Return the live hosts by their rank for that subject."""
+        return hosts_for([self._own_host, *self._live_others()], subject)
+
     def known_rank_for(self, subject: str) -> HostRank:
         """Return this host's rank among all known hosts, also silent ones.
 
--- a/src/balsamlift/peers/_hosts_list.py
+++ b/src/balsamlift/peers/_hosts_list.py
@@ -32,6 +32,7 @@
     started_ms: int = 0  # wall time of its start, if the list has it
     cold_ms: float = 0.0  # remaining cold time when it was written
     written: int = 0  # increases with each update by the upstream itself
+    slots: int = 0  # requests that it runs at the same time; 0: not told
 
 
 @attrs.frozen
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -246,6 +246,10 @@
         """Return this host's rank among the live hosts for that subject."""
         return self._roles.rank_for(subject)
 
+    def hosts_for(self, subject: str) -> list[str]:
+        """Return the live hosts, including this one, by their rank."""
+        return self._roles.hosts_for(subject)
+
     def known_rank_for(self, subject: str) -> HostRank:
         """Return this host's rank among all known hosts, also silent ones."""
         return self._roles.known_rank_for(subject)
--- a/src/balsamlift/peers/_upstream.py
+++ b/src/balsamlift/peers/_upstream.py
@@ -32,6 +32,7 @@
         default=attrs.Factory(lambda self: self.name, takes_self=True)
     )
     started_ms: int = 0  # wall time; 0: not reported
+    slots: int = 0  # requests that it runs at the same time; 0: not told
     is_evacuated: bool = False  # its failure domain gets no new work
     # Monotonic time until which it tolerates only few requests.
     cold_until_s: float = attrs.field(default=0.0, eq=False)
@@ -65,6 +66,7 @@
         name=incarnation_name(entry),
         id=entry.name,
         started_ms=entry.started_ms,
+        slots=entry.slots,
         pool=entry.pool,
         kind=pool.kind,
         address=entry.address,
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -226,6 +226,7 @@
         started_ms=upstream.born,
         cold_ms=max(upstream.ColdRemainingMs, 0.0),
         written=upstream.Sequence,
+        slots=max(upstream.Slots, 0),
     )
 
 
--- a/src/balsamlift/platform/_names.py
+++ b/src/balsamlift/platform/_names.py
@@ -13,6 +13,7 @@
     not_executed="X-Not-Executed",
     rate_limit="Server-Limit",
     leaving="Server-Leaving",
+    brittle="Server-Brittle",
     priority="X-Request-Priority",
     token_usage="X-Token-Usage",
     length_hint="X-Length-Hint",
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -26,8 +26,10 @@
 from balsamlift.relay._scope import Scope
 from balsamlift.relay.health import SharedHealth, UpstreamHealth
 from balsamlift.relay.statements import (
+    BrittlePools,
     Restrictions,
     RetryAfterTracker,
+    no_brittle_pools,
     no_restrictions,
 )
 
@@ -68,6 +70,7 @@
         regions: Mapping[str, str] | None = None,
         restrictions: Restrictions | None = None,
         retry_after: RetryAfterTracker | None = None,
+        brittle_pools: BrittlePools | None = None,
     ) -> None:
         """Add the counts received by `peers` to those of this host.
 
@@ -77,6 +80,7 @@
         self._retry_after = retry_after or RetryAfterTracker(
             clock, Metrics(), rng
         )
+        self._brittle_pools = brittle_pools or no_brittle_pools(clock)
         self._cold_starts = cold_starts
         self._regions = regions or {}
         self._upstreams = upstreams
@@ -242,9 +246,27 @@
         no upstream that is not takes their place.
         """
         usable = self.usable(scope, tried) or self._last_resorts(scope, tried)
-        choices = [u for u in usable if u.name not in denied]
+        choices = [
+            u for u in usable if u.name not in denied and self._has_place(u)
+        ]
         return min(choices, key=self._call_cost) if choices else None
 
+    def is_crowded(self, scope: Scope, tried: Collection[str]) -> bool:
+        """Return whether only brittle upstreams are left, without a place."""
+        usable = self.usable(scope, tried)
+        return bool(usable) and not any(self._has_place(u) for u in usable)
+
+    def is_shut_out(self, scope: Scope) -> bool:
+        """Return whether other hosts have all places at brittle upstreams."""
+        usable = self.usable(scope, ())
+        return bool(usable) and not any(
+            self._brittle_pools.places(upstream) != 0 for upstream in usable
+        )
+
+    def _has_place(self, upstream: Upstream) -> bool:
+        places = self._brittle_pools.places(upstream)
+        return places is None or self.own_load(upstream.name) < places
+
     def _last_resorts(
         self, scope: Scope, tried: Collection[str]
     ) -> list[Upstream]:
--- a/src/balsamlift/relay/_header_names.py
+++ b/src/balsamlift/relay/_header_names.py
@@ -17,6 +17,7 @@
     not_executed: str  # set if the upstream did not run the request
     rate_limit: str  # requests per second that it takes from all hosts
     leaving: str  # set if the upstream is leaving
+    brittle: str  # most requests that it turns away per second and survives
     priority: str
     token_usage: str  # prompt tokens and maximum output tokens
     length_hint: str  # output tokens expected by the caller
--- a/src/balsamlift/relay/_refusals.py
+++ b/src/balsamlift/relay/_refusals.py
@@ -44,6 +44,14 @@
     return give_up(attempt, "rate limited", wait_ms)
 
 
+def crowded(attempt: Attempt, call: Call, now_s: float) -> Refusal:
+    """Return the refusal of a call beyond what brittle upstreams may get."""
+    wait_ms = RETRY_AFTER_MS + _spread(call) * RETURN_SPREAD_MS
+    return give_up(
+        attempt, "upstreams brittle", _wait_in_time(call, now_s, int(wait_ms))
+    )
+
+
 def pausing(
     attempt: Attempt, call: Call, now_s: float, wait_s: float
 ) -> Refusal:
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -50,6 +50,7 @@
 )
 from balsamlift.relay.health import LinkProber, Reachability
 from balsamlift.relay.statements import (
+    BrittlePools,
     Restrictions,
     RetryAfterTracker,
     SendAudit,
@@ -126,6 +127,9 @@
             self._retry_after,
             self._settings.drain_s * LAST_RESORT_FRACTION,
         )
+        brittle_pools = BrittlePools(
+            self._clock, peers.rank_for, peers.hosts_for
+        )
         balancer = self._balancer = Balancer(
             self._upstreams,
             peers,
@@ -141,6 +145,7 @@
             self._settings.regions,
             restrictions,
             self._retry_after,
+            brittle_pools,
         )
         self._allocator = MemoryAllocator(balancer)
         self._retries = RetryBudget(
@@ -162,6 +167,7 @@
             peers.rate_limits,
             notices,
             self._retry_after,
+            brittle_pools,
             audit,
             self._metrics,
         )
@@ -187,6 +193,9 @@
                 self._clock,
                 self._settings.regions,
                 self._settings.failure_domain,
+                lambda pool: brittle_pools.holders(
+                    self._upstreams.in_pool(pool)
+                ),
             ),
             reachability,
             self._pool,
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -19,6 +19,7 @@
 from balsamlift.relay._exchange import Exchange, Reply
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._refusals import (
+    crowded,
     give_up,
     no_upstream,
     pausing,
@@ -28,6 +29,7 @@
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retry_budget import RetryBudget
 from balsamlift.relay._upstream_chooser import (
+    Crowded,
     Pausing,
     RateLimited,
     UpstreamChooser,
@@ -127,6 +129,9 @@
                 )
             if isinstance(upstream, Pausing):
                 return pausing(attempt, call, now_s, upstream.retry_after_s)
+            if isinstance(upstream, Crowded):
+                refusal = crowded(attempt, call, now_s)
+                return Unreached(refusal) if upstream.is_shut_out else refusal
             if not self._admission.still_allows(call):
                 return give_up(attempt, "configuration changed", 0)
             tried.add(upstream.name)
--- a/src/balsamlift/relay/_upstream_chooser.py
+++ b/src/balsamlift/relay/_upstream_chooser.py
@@ -18,6 +18,9 @@
 # Interval at which a request that waits for a permit looks for a time without
 # requests that has begun.
 PAUSE_POLL_S = 0.1
+# Longest wait for a place at a brittle upstream, as a part of the route's
+# target latency.
+MAX_PLACE_WAIT_FACTOR = 0.5
 
 
 @attrs.frozen
@@ -34,6 +37,13 @@
     retry_after_s: float
 
 
+@attrs.frozen
+class Crowded:
+    """Brittle upstreams have all that this host may send them now."""
+
+    is_shut_out: bool  # it may send them nothing at all, others may
+
+
 @attrs.frozen
 class Pause:
     """The time until the first of some upstreams takes requests again."""
@@ -86,10 +96,12 @@
         """Choose by the load that `balancer` tracks."""
         self._balancer = balancer
         self._permits = permits
+        self._released_event = asyncio.Event()
+        balancer.on_release(self._wake_waiting)
 
     async def choose(
         self, call: Call, tried: Collection[str]
-    ) -> Upstream | RateLimited | Pausing | None:
+    ) -> Upstream | RateLimited | Pausing | Crowded | None:
         """Return the upstream to send a call to now, or None if none is left.
 
         A call whose upstreams all asked for no requests waits until one takes
@@ -102,6 +114,12 @@
             chosen = await self._choose_now(call, tried, until_s)
             if chosen is not None:
                 return chosen
+            if self._balancer.is_crowded(call.scope, tried):
+                if self._balancer.is_shut_out(call.scope):
+                    return Crowded(is_shut_out=True)
+                if not await self._wait_for_place(call):
+                    return Crowded(is_shut_out=False)
+                continue
             pausing = self._find_long_pause(call, tried, until_s)
             if pausing is not None:
                 return pausing
@@ -110,6 +128,21 @@
                 return None
             await asyncio.sleep(pause.left_s)
 
+    async def _wait_for_place(self, call: Call) -> bool:
+        """Wait until a request has ended; return whether it was in time."""
+        target_s = call.route.target_ms / 1_000
+        until_s = call.request.arrived_s + target_s * MAX_PLACE_WAIT_FACTOR
+        try:
+            async with asyncio.timeout_at(until_s):
+                await self._released_event.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _wake_waiting(self) -> None:
+        self._released_event.set()
+        self._released_event = asyncio.Event()
+
     def _find_long_pause(
         self, call: Call, tried: Collection[str], until_s: float
     ) -> Pausing | None:
--- a/src/balsamlift/relay/forwarding/_peer_choice.py
+++ b/src/balsamlift/relay/forwarding/_peer_choice.py
@@ -4,7 +4,7 @@
 
 import zlib
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from contextlib import contextmanager
 
 from balsamlift.clock import Clock
@@ -28,8 +28,13 @@
         clock: Clock,
         regions: Mapping[str, str],
         failure_domain: str,
+        preferred: Callable[[str], Collection[str]],
     ) -> None:
-        """Prefer hosts of this region; `regions` is by failure domain."""
+        """Prefer hosts of this region; `regions` is by failure domain.
+
+        Those that `preferred` returns for a pool come first.
+        """
+        self._preferred = preferred
         self._peers = peers
         self._clock = clock
         self._regions = regions
@@ -40,7 +45,14 @@
     def choose(self, pool: str, tried: set[str]) -> Peer | None:
         """Return the host to forward a request to, or None."""
         found = [p for p in self._reaching(pool) if p.host not in tried]
-        chosen = sorted(found, key=self._preference)[:PEERS_PER_HOST]
+        preferred = self._preferred(pool)
+        chosen = sorted(
+            found,
+            key=lambda peer: (
+                peer.host not in preferred,
+                *self._preference(peer),
+            ),
+        )[:PEERS_PER_HOST]
         if not chosen:
             return None
         return min(chosen, key=lambda peer: self._in_flight[peer.host])
--- a/src/balsamlift/relay/statements/__init__.py
+++ b/src/balsamlift/relay/statements/__init__.py
@@ -1,5 +1,9 @@
 """What upstreams say about themselves in responses, and what it forbids."""
 
+from balsamlift.relay.statements._brittle_pools import (
+    BrittlePools,
+    no_brittle_pools,
+)
 from balsamlift.relay.statements._reader import (
     MISDIRECTED_REQUEST,
     StatementDecoders,
@@ -15,6 +19,7 @@
 
 __all__ = [
     "MISDIRECTED_REQUEST",
+    "BrittlePools",
     "Restriction",
     "Restrictions",
     "RetryAfterTracker",
@@ -22,5 +27,6 @@
     "SendPath",
     "StatementDecoders",
     "StatementReader",
+    "no_brittle_pools",
     "no_restrictions",
 ]
--- /dev/null
+++ b/src/balsamlift/relay/statements/_brittle_pools.py
@@ -0,0 +1,90 @@
+"""Limit what this host has outstanding at upstreams that are brittle.
+
+They fall over when they have to turn many requests away, so that all hosts
+together send no more than upstreams can run. What exceeds it waits at, or is
+refused by, its host.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+
+from loguru import logger
+
+from balsamlift.clock import Clock
+from balsamlift.peers import HostRank, Upstream, whole_share
+
+log = logger.bind(part="upstreams")
+
+# Without a response for that long, a pool may be brittle no more.
+STATEMENT_TTL_S = 10.0
+# Where the list does not tell how many requests an upstream runs.
+UNTOLD_SLOTS = 1
+
+
+class BrittlePools:
+    """Hold which pools said that they are brittle.
+
+    It counts for all upstreams of the pool, so that one that starts again is
+    not tested first.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rank_for: Callable[[str], HostRank],
+        hosts_for: Callable[[str], Sequence[str]],
+    ) -> None:
+        """Share the slots of an upstream by the ranks of hosts for its name.
+
+        `hosts_for` returns all live hosts in that order.
+        """
+        self._clock = clock
+        self._rank_for = rank_for
+        self._hosts_for = hosts_for
+        self._said_s: dict[str, float] = {}  # by pool
+
+    def record(self, upstream: Upstream, named: str) -> None:
+        """Record that an upstream said how many it may turn away."""
+        if not self._is_brittle(upstream.pool):
+            log.bind(
+                pool=upstream.pool, upstream=upstream.name, named=named[:40]
+            ).warning("pool is brittle")
+        self._said_s[upstream.pool] = self._clock.monotonic()
+
+    def record_silence(self, upstream: Upstream) -> None:
+        """Record an answer that does not say so."""
+        if self._said_s.pop(upstream.pool, None) is not None:
+            log.bind(pool=upstream.pool, upstream=upstream.name).info(
+                "pool is brittle no more"
+            )
+
+    def places(self, upstream: Upstream) -> int | None:
+        """Return how many requests this host may have there, None for any."""
+        if not self._is_brittle(upstream.pool):
+            return None
+        return whole_share(_slots(upstream), self._rank_for(upstream.name))
+
+    def holders(self, upstreams: Iterable[Upstream]) -> set[str]:
+        """Return the hosts that may send to one of some brittle upstreams."""
+        return {
+            host
+            for upstream in upstreams
+            if self._is_brittle(upstream.pool)
+            for host in self._hosts_for(upstream.name)[: _slots(upstream)]
+        }
+
+    def _is_brittle(self, pool: str) -> bool:
+        said_s = self._said_s.get(pool)
+        if said_s is None:
+            return False
+        return self._clock.monotonic() < said_s + STATEMENT_TTL_S
+
+
+def _slots(upstream: Upstream) -> int:
+    return upstream.slots or UNTOLD_SLOTS
+
+
+def no_brittle_pools(clock: Clock) -> BrittlePools:
+    """Return a table for a host that is alone."""
+    return BrittlePools(clock, lambda _: HostRank(0, 1), lambda _: [])
--- a/src/balsamlift/relay/statements/_reader.py
+++ b/src/balsamlift/relay/statements/_reader.py
@@ -13,6 +13,7 @@
 from balsamlift.relay._connection import ResponseHead
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._headers import is_signed
+from balsamlift.relay.statements._brittle_pools import BrittlePools
 from balsamlift.relay.statements._retry_after import RetryAfterTracker
 from balsamlift.relay.statements._send_audit import SendAudit, SendPath
 
@@ -55,15 +56,17 @@
         limits: RateLimits,
         notices: LeavingNotices,
         retry_after: RetryAfterTracker,
+        brittle_pools: BrittlePools,
         audit: SendAudit,
         metrics: Metrics,
     ) -> None:
-        """Record in `limits`, `notices` and `retry_after`."""
+        """Record in `limits`, `notices`, `retry_after`, `brittle_pools`."""
         self._names = names
         self._decoders = decoders
         self._limits = limits
         self._notices = notices
         self._retry_after = retry_after
+        self._brittle_pools = brittle_pools
         self._audit = audit
         self._metrics = metrics
         self._invalid: set[tuple[_Header, str]] = set()
@@ -90,6 +93,7 @@
         if self._has_notice(head):
             self._audit.record_notice(upstream)
             self._record_notice(name, head)
+        self._record_brittle(upstream, head)
         if head.status == SERVICE_UNAVAILABLE:
             self._record_retry_after(name, head)
         self._retry_after.record_response(name, sent_s)
@@ -127,6 +131,14 @@
             self._report_invalid("leaving", upstream, text)
         self._notices.record(upstream, "answer")
 
+    def _record_brittle(self, upstream: Upstream, head: ResponseHead) -> None:
+        """Record that an upstream is brittle, whatever number it names."""
+        texts = _split_values(head, self._names.brittle)
+        if texts and not self._is_unsigned_success(head):
+            self._brittle_pools.record(upstream, texts[0])
+        elif self._is_answer(head):
+            self._brittle_pools.record_silence(upstream)
+
     def _record_retry_after(self, upstream: str, head: ResponseHead) -> None:
         """Record the longest time named, a short one if none is readable."""
         texts = _split_values(head, "Retry-After")
--- a/src/balsamlift/testing/_relay_harness.py
+++ b/src/balsamlift/testing/_relay_harness.py
@@ -63,6 +63,7 @@
     not_executed="Not-Executed",
     rate_limit="Rate-Limit",
     leaving="Leaving",
+    brittle="Brittle",
     priority="Priority",
     token_usage="Token-Usage",
     length_hint="Length-Hint",
--- a/src/balsamlift/testing/_replica.py
+++ b/src/balsamlift/testing/_replica.py
@@ -128,6 +128,7 @@
         behave: Behave = answer_ok,
         failure_domain: str = "north",
         ip: str = LOOPBACK_IP,
+        slots: int = 0,
     ) -> None:
         """Prepare; `start` begins to listen."""
         self.name = name
@@ -145,14 +146,19 @@
         self.rate_limit = ""
         self.leaving = ""
         self.retry_after = ""
+        self.brittle = ""
+        self.slots = slots  # requests that it runs at the same time; 0: untold
         self.cold_ms = 0.0
         self.written = 0  # to be increased with each change of `cold_ms`
         self.open: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, self._ip)
+    async def start(self, address: str = "") -> None:
+        """Listen on a free port, or again on an address."""
+        port = int(address.rpartition(":")[2] or 0)
+        self._server = await asyncio.start_server(
+            self._serve, self._ip, port, reuse_address=True
+        )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{self._ip}:{port}"
 
@@ -187,6 +193,7 @@
             started_ms=self.started_ms,
             cold_ms=self.cold_ms,
             written=self.written,
+            slots=self.slots,
         )
 
     def ids(self) -> list[str]:
@@ -201,6 +208,7 @@
         statements = {
             self.names.rate_limit: self.rate_limit,
             self.names.leaving: self.leaving,
+            self.names.brittle: self.brittle,
             "Retry-After": self.retry_after,
         }
         return HTTPHeaders(
