Share the time limit of calls and generations, and split large modules

Both kinds of calls ended at their limit with the same twelve lines, which the forwarding had doubled: they are one function now.

--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -162,7 +162,11 @@
             on_version=self._handle_version,
         )
         self._tasks = [
-            asyncio.create_task(self._keep_receiving()),
+            asyncio.create_task(
+                self._receiver.process_all(
+                    self._listener.messages(self._metrics)
+                )
+            ),
             asyncio.create_task(self._keep_links()),
         ]
 
@@ -312,16 +316,6 @@
         """Return whether this host sends changes of the list to the others."""
         return self._roles.reads_for_others()
 
-    # Receiving
-
-    async def _keep_receiving(self) -> None:
-        async for message in self._listener.messages(self._metrics):
-            try:
-                self._receiver.process(message)
-            except Exception:
-                # One bad message must not end the receiving task.
-                log.exception("could not process a message")
-
     # Sending
 
     def _compose(self, link: Link) -> Draft:
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -33,6 +33,7 @@
 from balsamlift.relay._routing import Routing, RoutingTable
 from balsamlift.relay._unary import UnaryCalls
 from balsamlift.relay._upstream_chooser import UpstreamChooser
+from balsamlift.relay._upstream_links import UpstreamLinks
 from balsamlift.relay.crashes import CrashGuard
 from balsamlift.relay.forwarding import (
     FORWARDED_HEAD_BYTES,
@@ -48,7 +49,6 @@
     MemoryAllocator,
     QuietEngines,
 )
-from balsamlift.relay.health import LinkProber, Reachability
 from balsamlift.relay.statements import (
     BrittlePools,
     Restrictions,
@@ -171,19 +171,21 @@
             audit,
             self._metrics,
         )
-        reachability = Reachability(self._clock, self._metrics)
-        reachability.on_change(self._handle_reachability)
-        self._reachability = reachability
+        links = self._links = UpstreamLinks(
+            self._pool,
+            self._upstreams,
+            peers,
+            balancer,
+            self._clock,
+            self._metrics,
+        )
         exchange = Exchange(
             self._pool,
             names,
             self._clock,
             statements,
             restrictions,
-            reachability,
-        )
-        self._prober = LinkProber(
-            reachability, self._upstreams.in_pool, exchange.probe, self._clock
+            links.reachability,
         )
         forwarder = self._forwarder = Forwarder(
             peers,
@@ -197,7 +199,7 @@
                     self._upstreams.in_pool(pool)
                 ),
             ),
-            reachability,
+            links.reachability,
             self._pool,
             names,
             self._clock,
@@ -244,7 +246,7 @@
             self._generations.engines_in_use,
         )
         self._leaving_detector.start()
-        self._prober.start()
+        links.start(exchange.probe)
         self._frontend = frontend
         self._forwarding_frontend = forwarding_frontend
         routing.on_change(self._apply_limits)
@@ -267,7 +269,7 @@
 
     async def stop(self) -> None:
         """Close the connections to upstreams."""
-        await self._prober.stop()
+        await self._links.stop()
         await self._leaving_detector.stop()
         await self._crash_guard.stop()
         for task in self._tasks:
@@ -340,17 +342,6 @@
             limits, head_bytes=limits.head_bytes + FORWARDED_HEAD_BYTES
         )
 
-    def _handle_reachability(self, pool: str) -> None:
-        reachability = self._reachability
-        self._peers.set_unreached_pools(reachability.unreached_pools())
-        if not reachability.is_unreached(pool):
-            self._balancer.forget_failures(pool)
-            return
-        reachability.suspect_others(pool)
-        if not reachability.refuses_only_new(pool):
-            for upstream in self._upstreams.in_pool(pool):
-                self._pool.drop(upstream.name)
-
     async def _poll_for_memory(self) -> None:
         while True:
             is_full_mesh = self._peers.is_full_mesh
@@ -369,7 +360,7 @@
             live = {u.name for u in self._upstreams.all()}
             self._pool.sweep(live)
             self._forwarder.sweep()
-            self._reachability.discard(self._upstreams.all())
+            self._links.sweep()
             self._peers.permits.prune(live)
             self._retry_after.discard_expired()
             self._balancer.discard_expired()
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -24,10 +24,10 @@
     no_upstream,
     pausing,
     rate_limited,
-    timed_out,
 )
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retry_budget import RetryBudget
+from balsamlift.relay._time_limit import end_in_time
 from balsamlift.relay._upstream_chooser import (
     Crowded,
     Pausing,
@@ -78,24 +78,11 @@
     async def run(self, call: Call, responder: Responder) -> Outcome:
         """Respond to the caller and return the outcome for the log."""
         attempt = Attempt(call.is_idempotent)
-        try:
-            async with asyncio.timeout_at(call.timeout_at_s):
-                result = await self._fetch_reply(call, attempt)
-                if isinstance(result, Unreached):
-                    outcome = await self._forwarder.run(
-                        call, attempt, responder
-                    )
-                    if outcome is not None:
-                        return outcome
-                    result = result.refusal
-        except TimeoutError:
-            if responder.is_started:
-                responder.abort()
-                return Outcome("timed out midway", sent_to=attempt.sent_to)
-            result = timed_out(attempt)
-        if isinstance(result, Refusal):
-            responder.refuse(result)
-            return Outcome(result.reason, sent_to=attempt.sent_to)
+        result = await end_in_time(
+            call, attempt, responder, self._fetch(call, attempt, responder)
+        )
+        if isinstance(result, Outcome):
+            return result
         head = result.reply.head
         headers = caller_headers(head.headers)
         headers["Content-Length"] = str(len(result.body))
@@ -106,6 +93,16 @@
         text = f"answered {head.status}"
         return Outcome(text, result.reply.upstream.name, attempt.sent_to)
 
+    async def _fetch(
+        self, call: Call, attempt: Attempt, responder: Responder
+    ) -> _BufferedReply | Refusal | Outcome:
+        """Return the reply of an upstream, or let another host respond."""
+        result = await self._fetch_reply(call, attempt)
+        if not isinstance(result, Unreached):
+            return result
+        outcome = await self._forwarder.run(call, attempt, responder)
+        return outcome or result.refusal
+
     async def _fetch_reply(
         self, call: Call, attempt: Attempt
     ) -> _BufferedReply | Refusal | Unreached:
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -25,10 +25,10 @@
     no_upstream,
     pausing,
     rate_limited,
-    timed_out,
 )
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retry_budget import RetryBudget
+from balsamlift.relay._time_limit import end_in_time
 from balsamlift.relay._upstream_chooser import Pausing, RateLimited
 from balsamlift.relay.crashes import CRASHING_REQUEST
 from balsamlift.relay.forwarding import Forwarder, Unreached
@@ -119,27 +119,22 @@
         service = call.table.services.get(call.service)
         traits = (service.engine if service else None) or DEFAULT_TRAITS
         job = Job(call, estimate, traits)
-        try:
-            async with asyncio.timeout_at(call.timeout_at_s):
-                result = await self._start(job, attempt)
-                if isinstance(result, _StartedGeneration):
-                    text = await self._relay(result, job, responder)
-                    upstream = result.reservation.upstream.name
-                    return Outcome(text, upstream, attempt.sent_to)
-                if isinstance(result, Unreached):
-                    outcome = await self._forwarder.run(
-                        call, attempt, responder
-                    )
-                    if outcome is not None:
-                        return outcome
-                    result = result.refusal
-        except TimeoutError:
-            if responder.is_started:
-                responder.abort()
-                return Outcome("timed out midway", sent_to=attempt.sent_to)
-            result = timed_out(attempt)
-        responder.refuse(result)
-        return Outcome(result.reason, sent_to=attempt.sent_to)
+        return await end_in_time(
+            call, attempt, responder, self._run(job, attempt, responder)
+        )
+
+    async def _run(
+        self, job: Job, attempt: Attempt, responder: Responder
+    ) -> Outcome | Refusal:
+        result = await self._start(job, attempt)
+        if isinstance(result, _StartedGeneration):
+            text = await self._relay(result, job, responder)
+            upstream = result.reservation.upstream.name
+            return Outcome(text, upstream, attempt.sent_to)
+        if not isinstance(result, Unreached):
+            return result
+        outcome = await self._forwarder.run(job.call, attempt, responder)
+        return outcome or result.refusal
 
     async def _start(
         self, job: Job, attempt: Attempt
--- a/src/balsamlift/testing/_relay_harness.py
+++ b/src/balsamlift/testing/_relay_harness.py
@@ -11,7 +11,6 @@
 
 from balsamlift._http import HttpClient
 from balsamlift.clock import Clock, SystemClock
-from balsamlift.exceptions import HostsUnavailableError
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
@@ -19,7 +18,6 @@
     ENTRY_ROLE,
     ListEntry,
     Peers,
-    Upstream,
     Upstreams,
 )
 from balsamlift.platform._decode import STATEMENT_DECODERS
@@ -28,19 +26,15 @@
     CallerLimits,
     ColdLimits,
     Configuration,
-    CopyRefusedError,
     Directory,
-    EngineReport,
     EngineTraits,
     Frontend,
     HeaderNames,
-    MemoryCopy,
     Relay,
     RelaySettings,
     RetryLimits,
     Route,
     Routing,
-    RunningGeneration,
     Service,
     ServiceShare,
     Workspace,
@@ -51,6 +45,7 @@
     PoolSettings,
     Settings,
 )
+from balsamlift.testing._relay_stand_ins import StandInEngines, StandInList
 from balsamlift.testing._replica import ReplicaStandIn
 from balsamlift.timeline import Timeline
 
@@ -136,68 +131,6 @@
     return Configuration(**values)  # type: ignore[arg-type]
 
 
-class StandInList:
-    """Stand-in for the platform's list of hosts."""
-
-    def __init__(self, replicas: Sequence[ReplicaStandIn]) -> None:
-        """List `replicas`."""
-        self.replicas = list(replicas)
-        self.hosts: list[ListEntry] = []
-        # By the name of a replica, where this host finds it instead.
-        self.addresses: dict[str, str] = {}
-        self.is_down = False
-
-    async def read(self) -> list[ListEntry] | None:
-        """Return an entry for each replica and each other host."""
-        if self.is_down:
-            raise HostsUnavailableError("list of hosts is unreachable")
-        entries = [replica.entry() for replica in self.replicas]
-        return self.hosts + [
-            attrs.evolve(e, address=self.addresses.get(e.name, e.address))
-            for e in entries
-        ]
-
-
-class StandInEngines:
-    """Record requests for reports and copies, without copying anything."""
-
-    def __init__(self) -> None:
-        """Start with engines that accept every copy."""
-        self.copies: list[tuple[str, str, str, bool]] = []
-        self.accepts_copies = True
-        self.running: dict[str, list[RunningGeneration]] = {}
-        self.leaving: set[str] = set()
-        self.started_ms: dict[str, int] = {}
-        self.report_calls: list[str] = []
-        self.stop_events: list[asyncio.Event] = []
-
-    async def report(self, upstream: Upstream) -> EngineReport:
-        """Return the report that the test has set for the engine."""
-        self.report_calls.append(upstream.name)
-        return EngineReport(
-            runs=self.running.get(upstream.name, []),
-            is_leaving=upstream.name in self.leaving,
-            started_ms=self.started_ms.get(upstream.id, 0),
-        )
-
-    async def copy(
-        self,
-        source: Upstream,
-        request_id: str,
-        target: Upstream,
-        *,
-        stop: bool,
-    ) -> MemoryCopy:
-        """Record the copy; with `stop`, set the events in `stop_events`."""
-        self.copies.append((source.name, request_id, target.name, stop))
-        if not self.accepts_copies:
-            raise CopyRefusedError(source.name, "no room")
-        if stop:
-            for waiting in self.stop_events:
-                waiting.set()
-        return MemoryCopy(f"handle-{request_id}", source, target)
-
-
 @attrs.frozen
 class CallerAnswer:
     """Hold an answer as the caller received it."""
--- a/src/balsamlift/testing/relay.py
+++ b/src/balsamlift/testing/relay.py
@@ -8,12 +8,12 @@
     WORKSPACE,
     CallerAnswer,
     RelayHarness,
-    StandInEngines,
     configuration,
     read_answer,
     request_bytes,
     route,
 )
+from balsamlift.testing._relay_stand_ins import StandInEngines
 from balsamlift.testing._replica import (
     ReplicaConnection,
     ReplicaRequest,
--- a/tests/test_relay_brittle.py
+++ b/tests/test_relay_brittle.py
@@ -98,6 +98,28 @@
     return Counter(a.status for a in await asyncio.gather(*tasks))
 
 
+async def most_at_once(world: RelayHarness, replica: ReplicaStandIn) -> int:
+    """Call four times at once; return how many ran at the same time."""
+    behave = replica.behave
+    running = 0
+    most = 0
+
+    async def work(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        nonlocal running, most
+        running += 1
+        most = max(most, running)
+        await asyncio.sleep(WORK_S)
+        running -= 1
+        await behave(connection, request)
+
+    replica.behave = work
+    calls = [world.call(f"/order/{n}", f"s{n}") for n in range(4)]
+    await asyncio.gather(*calls)
+    return most
+
+
 def test_a_pressure_beyond_brittle_upstreams_does_not_bring_them_down() -> (
     None
 ):
@@ -142,24 +164,7 @@
             await world.call("/order/1", "r1")
             replica.brittle = ""
             await world.call("/order/2", "r2")
-            running = 0
-            most = 0
-
-            async def work(
-                connection: ReplicaConnection, request: ReplicaRequest
-            ) -> None:
-                nonlocal running, most
-                running += 1
-                most = max(most, running)
-                await asyncio.sleep(WORK_S)
-                running -= 1
-                await connection.answer(request, b"done")
-
-            replica.behave = work
-            await asyncio.gather(
-                *(world.call(f"/order/{n}", f"s{n}") for n in range(4))
-            )
-        assert most == 4
+            assert await most_at_once(world, replica) == 4
 
     run(test())
 
@@ -235,23 +240,6 @@
         async with RelayHarness([replica]) as world:
             world.configure()
             await world.call("/order/1", "r1")
-            running = 0
-            most = 0
-
-            async def work(
-                connection: ReplicaConnection, request: ReplicaRequest
-            ) -> None:
-                nonlocal running, most
-                running += 1
-                most = max(most, running)
-                await asyncio.sleep(WORK_S)
-                running -= 1
-                await say(connection, request)
-
-            replica.behave = work
-            await asyncio.gather(
-                *(world.call(f"/order/{n}", f"s{n}") for n in range(4))
-            )
-        assert most == 1
+            assert await most_at_once(world, replica) == 1
 
     run(test())
