Share the ways to cut links between the soak and the relay's tests

The soak and the relays in a process had a black hole and a table of cuts each; both are in balsamlift.testing now.

--- a/tests/_relay_fleet.py
+++ b/tests/_relay_fleet.py
@@ -6,40 +6,21 @@
 import socket
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
-from typing import Literal
 
+from balsamlift.testing._cuts import (
+    NO_CUT,
+    OPEN_FAULTS,
+    SILENT_CUTS,
+    BlackHole,
+    Cut,
+)
 from balsamlift.testing._link import Link
 from balsamlift.testing._settings import LinkSettings
 from balsamlift.testing.relay import RelayHarness, ReplicaStandIn
 
-# How new connections fail, and what becomes of those that are open.
-Cut = Literal["hang", "reset", "refuse", "one_way"]
-CUTS: tuple[Cut, ...] = ("hang", "reset", "refuse", "one_way")
 MEET_S = 5.0
 
 
-class BlackHole:
-    """An address at which connections are neither accepted nor refused."""
-
-    def __init__(self) -> None:
-        """Fill the backlog of a listener, so that it ignores more."""
-        self._listener = socket.socket()
-        self._listener.bind(("127.0.0.1", 0))
-        self._listener.listen(0)
-        self.address = "{}:{}".format(*self._listener.getsockname())
-        self._fillers = []
-        for _ in range(4):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self._listener.getsockname())
-            self._fillers.append(filler)
-
-    def close(self) -> None:
-        """Close all sockets."""
-        for sock in (*self._fillers, self._listener):
-            sock.close()
-
-
 class CuttableHost:
     """A relay whose links to its upstreams may be cut."""
 
@@ -79,30 +60,18 @@
 
     async def cut(self, cut: Cut) -> None:
         """Cut the host off from all of its upstreams."""
-        faults = {
-            "hang": {"stall_forward": True, "stall_backward": True},
-            "reset": {"cut": True},
-            "refuse": {},  # open connections live on
-            "one_way": {"stall_backward": True},
-        }[cut]
-        is_silent = cut in ("hang", "one_way")
-        wanted = self._black_hole.address if is_silent else self._refusing
+        silent = cut in SILENT_CUTS
+        wanted = self._black_hole.address if silent else self._refusing
         self._find_at(lambda _: wanted)
         for link in self._links.values():
-            link.control.update(faults)
+            link.control.update(OPEN_FAULTS[cut])
         while any(u.address != wanted for u in self.relay.upstreams.all()):
             await asyncio.sleep(0.01)
 
     async def mend(self) -> None:
         """End the cut."""
         for link in self._links.values():
-            link.control.update(
-                {
-                    "cut": False,
-                    "stall_forward": False,
-                    "stall_backward": False,
-                }
-            )
+            link.control.update(NO_CUT)
         self._find_at(lambda link: str(link.ready()["address"]))
 
 
--- a/tests/soak/host_links.py
+++ b/tests/soak/host_links.py
@@ -3,51 +3,25 @@
 from __future__ import annotations
 
 import json
-import socket
 from pathlib import Path
-from typing import Literal
 
 from balsamlift._address import join_address, split_address
+from balsamlift.testing._cuts import (
+    NO_CUT,
+    OPEN_FAULTS,
+    SILENT_CUTS,
+    BlackHole,
+    Cut,
+)
 from balsamlift.testing._link import Link
 from balsamlift.testing._settings import LinkSettings
 from soak.network import Network
 
-# What becomes of open connections; new ones are refused, or not answered where
-# the open ones hang.
-Cut = Literal["hang", "reset", "refuse", "one_way"]
-CUTS: tuple[Cut, ...] = ("hang", "reset", "refuse", "one_way")
-OPEN_FAULTS: dict[Cut, dict[str, object]] = {
-    "hang": {"stall_forward": True, "stall_backward": True},
-    "reset": {"cut": True},
-    "refuse": {},
-    "one_way": {"stall_backward": True},
-}
 FIRST_LINKS_IP = 101  # the number of the IP address of the first host's links
-NO_CUT = {"stall_forward": False, "stall_backward": False, "cut": False}
 SHIM = Path(__file__).parent / "shim"
 LINKS_FILE_VARIABLE = "SOAK_LINKS_FILE"
 
 
-class BlackHole:
-    """An address at which connections are neither accepted nor refused."""
-
-    def __init__(self, ip: str) -> None:
-        """Fill the backlog of a listener, so that it ignores more."""
-        self._listener = socket.socket()
-        self._listener.bind((ip, 0))
-        self._listener.listen(0)
-        self.address: tuple[str, int] = self._listener.getsockname()
-        self._fillers = [socket.socket() for _ in range(4)]
-        for filler in self._fillers:
-            filler.setblocking(False)
-            filler.connect_ex(self.address)
-
-    def close(self) -> None:
-        """Close all sockets."""
-        for sock in (*self._fillers, self._listener):
-            sock.close()
-
-
 class HostLinks:
     """The links of one host to all upstreams."""
 
@@ -114,7 +88,7 @@
     def _set(self, cut: Cut | None) -> None:
         self._cut = cut
         self._write()
-        faults = {**NO_CUT, **(OPEN_FAULTS[cut] if cut else {})}
+        faults = OPEN_FAULTS[cut] if cut else NO_CUT
         for link in self._links.values():
             link.control.update(faults)
 
@@ -132,6 +106,6 @@
         """Return where new connections go instead of an upstream."""
         if self._cut is None:
             return None
-        if self._cut in ("hang", "one_way"):
-            return self._black_hole.address
+        if self._cut in SILENT_CUTS:
+            return split_address(self._black_hole.address)
         return self._ip, 1  # nothing listens there
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,6 +15,7 @@
     CONFIGURATION_TOPIC,
     UPSTREAMS_TOPIC,
 )
+from balsamlift.testing._cuts import CUTS
 from balsamlift.testing.platform import KeyedStore
 from soak.callers import CallerRequest, Callers, send
 from soak.configuration import (
@@ -26,7 +27,7 @@
 from soak.contact import ContactChecker
 from soak.departures import Departures, Entries
 from soak.guarantees import GuaranteeChecker
-from soak.host_links import CUTS, HostLinks
+from soak.host_links import HostLinks
 from soak.hosts import ROOT, STAND_INS, Host, host_ip
 from soak.load import DENSE, Load
 from soak.network import Network
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -17,6 +17,7 @@
 from _relay_helpers import (
     DEADLINE_S,
     USAGE,
+    hang,
     hang_midway,
     refuse,
     reset,
@@ -74,10 +75,6 @@
     await connection.end_stream()
 
 
-async def hang(connection: ReplicaConnection, request: ReplicaRequest) -> None:
-    await connection.reader.read()
-
-
 def behave(stand_ins: list[ReplicaStandIn], how: Any) -> None:
     for stand_in in stand_ins:
         stand_in.behave = how
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -6,7 +6,7 @@
 
 import attrs
 import pytest
-from _relay_fleet import Cut, CuttableHost, relay_fleet
+from _relay_fleet import CuttableHost, relay_fleet
 from _relay_helpers import (
     USAGE,
     hang,
@@ -17,6 +17,7 @@
     stream,
 )
 
+from balsamlift.testing._cuts import Cut
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     WORKSPACE,
--- a/tests/test_relay_unary.py
+++ b/tests/test_relay_unary.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from _relay_helpers import refuse, reset, run
+from _relay_helpers import hang, refuse, reset, run
 
 from balsamlift.relay import Caller
 from balsamlift.testing.relay import (
@@ -227,11 +227,6 @@
 
 
 def test_a_silent_upstream_ends_at_the_timeout_of_the_route() -> None:
-    async def hang(
-        connection: ReplicaConnection, request: ReplicaRequest
-    ) -> None:
-        await connection.reader.read()
-
     async def test() -> None:
         stand_ins = replicas(1)
         stand_ins[0].behave = hang
@@ -252,11 +247,6 @@
 
 
 def test_a_disconnecting_caller_ends_the_call() -> None:
-    async def hang(
-        connection: ReplicaConnection, request: ReplicaRequest
-    ) -> None:
-        await connection.reader.read()
-
     async def test() -> None:
         stand_ins = replicas(1)
         stand_ins[0].behave = hang
--- a/tests/test_relay_without_upstreams.py
+++ b/tests/test_relay_without_upstreams.py
@@ -3,10 +3,11 @@
 import asyncio
 
 import pytest
-from _relay_fleet import CUTS, Cut, relay_fleet
+from _relay_fleet import relay_fleet
 from _relay_helpers import USAGE, hang, run, stream
 
 from balsamlift.relay.health._shared_health import failing_key
+from balsamlift.testing._cuts import CUTS, Cut
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     CallerAnswer,
--- a/tests/test_soak_cuts.py
+++ b/tests/test_soak_cuts.py
@@ -7,10 +7,11 @@
 from _manual_clock import ManualClock
 from soak.contact import ContactChecker
 from soak.cut_plan import draw_cut_plan
-from soak.host_links import CUTS
 from soak.plan import Fault, Plan
 from soak.run import run_plan
 
+from balsamlift.testing._cuts import CUTS
+
 CUT_S = 6.0
 SCOPES = 4  # one host, a failure domain, all but one, all
 
