Go on looking for a pool whose failing upstreams have left the list

What callers would see: a host that reached none of a pool when two of its upstreams crashed forwards every call for it to other hosts for good, once these two are off the list: their failures are discarded, so that nothing suspects the pool any more, no connection to it is tried, and none ever opens.

Found by reading; test_a_pool_not_reached_is_looked_for_though_its_upstreams_left failed. A pool that is not reached is probed until one connection opens.

Beside it, of the same module: an upstream that accepts a connection and closes it, as busy ones do beyond their limit, is suspected only. Two at once made a pool count as not reached while connections to it open (test_upstreams_that_close_new_connections_are_reached failed).

--- a/src/balsamlift/relay/health/_reachability.py
+++ b/src/balsamlift/relay/health/_reachability.py
@@ -26,8 +26,9 @@
     "kept connection silent",
     "new connection silent",
 ]
-# An upstream that is busy may be silent too.
-SILENT: tuple[Failure, ...] = (
+# An upstream that is busy may be silent too, or close what it has accepted.
+UNCERTAIN: tuple[Failure, ...] = (
+    "new connection broken",
     "kept connection silent",
     "new connection silent",
 )
@@ -95,11 +96,13 @@
         self._suspect()
 
     def suspected_pools(self) -> list[str]:
-        """Return the pools with a failure and no sign of any since."""
+        """Return the pools that are not reached, or perhaps are not."""
         return [
             pool
             for pool, state in self._pools.items()
-            if state.failed or state.is_suspected
+            if state.failed
+            or state.is_suspected
+            or state.unreached_since_s is not None
         ]
 
     def record_contact(self, upstream: Upstream) -> None:
@@ -131,7 +134,7 @@
             self._suspect()
         if state.unreached_since_s is not None:
             return
-        certain = [f for f in state.failed.values() if f not in SILENT]
+        certain = [f for f in state.failed.values() if f not in UNCERTAIN]
         if len(certain) < UNREACHED_UPSTREAMS:
             return
         now_s = self._clock.monotonic()
--- a/tests/test_relay_reachability.py
+++ b/tests/test_relay_reachability.py
@@ -76,3 +76,20 @@
     links.discard([upstream("b")])
     links.record_failure(upstream("b"), "no connection")
     assert not links.is_unreached("plain")
+
+
+def test_a_pool_not_reached_is_looked_for_though_its_upstreams_left() -> None:
+    links = tracker()
+    for name in ("a", "b"):
+        links.record_failure(upstream(name), "no connection")
+    links.discard([upstream("c")])
+    assert links.is_unreached("plain")
+    assert links.suspected_pools() == ["plain"]
+
+
+def test_upstreams_that_close_new_connections_are_reached() -> None:
+    links = tracker()
+    for name in ("a", "b"):
+        links.record_failure(upstream(name), "new connection broken")
+    assert not links.is_unreached("plain")
+    assert links.suspected_pools() == ["plain"]
