--- a/tests/_relay_helpers.py
+++ b/tests/_relay_helpers.py
@@ -1,7 +1,7 @@
 """Helpers for relay tests: time-limited runs and upstream behaviours."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable, Iterable
 
 from balsamlift.testing.relay import (
     HEADER_NAMES,
@@ -10,6 +10,8 @@
     ReplicaStandIn,
 )
 
+Behave = Callable[[ReplicaConnection, ReplicaRequest], Awaitable[None]]
+
 DEADLINE_S = 15.0
 LAST_EVENT_ID = 9
 USAGE = [
@@ -34,6 +36,12 @@
     return used
 
 
+def behave_all(stand_ins: Iterable[ReplicaStandIn], behave: Behave) -> None:
+    """Let all stand-ins answer in the same way."""
+    for stand_in in stand_ins:
+        stand_in.behave = behave
+
+
 def first_event(request: ReplicaRequest) -> int:
     return int(request.headers.get(HEADER_NAMES.last_event_id, "-1")) + 1
 
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -17,6 +17,7 @@
 from _relay_helpers import (
     DEADLINE_S,
     USAGE,
+    behave_all,
     hang,
     hang_midway,
     refuse,
@@ -75,11 +76,6 @@
     await connection.end_stream()
 
 
-def behave(stand_ins: list[ReplicaStandIn], how: Any) -> None:
-    for stand_in in stand_ins:
-        stand_in.behave = how
-
-
 # Plain calls
 
 
@@ -130,7 +126,7 @@
 async def asked_for_no_requests(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
-    behave(stand_ins, refuse)
+    behave_all(stand_ins, refuse)
     for stand_in in stand_ins:
         stand_in.retry_after = "soon"
     await world.call("/order/1", "r1", body=BODY)
@@ -144,14 +140,14 @@
 async def broken_and_retried(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
-    behave(stand_ins, reset)
+    behave_all(stand_ins, reset)
     await world.call("/view/1", "r1", method="GET")
 
 
 async def slow_and_retried(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
-    behave(stand_ins, hang)
+    behave_all(stand_ins, hang)
     headers = [f"{HEADER_NAMES.deadline_ms}: 400"]
     await world.call("/view/1", "r1", method="GET", headers=headers)
 
@@ -159,7 +155,7 @@
 async def budget_spent(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
-    behave(stand_ins, refuse)
+    behave_all(stand_ins, refuse)
     world.relay._retries.spend = lambda service: False  # type: ignore[method-assign]
     await world.call("/order/1", "r1", body=BODY)
 
@@ -189,7 +185,7 @@
 async def begin_generation(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> tuple[asyncio.Task[Any], ReplicaStandIn]:
-    behave(stand_ins, hang_midway)
+    behave_all(stand_ins, hang_midway)
     calling = asyncio.create_task(
         world.call("/draft/1", "r1", body=BODY, headers=USAGE)
     )
@@ -204,7 +200,7 @@
     async def scenario(
         world: RelayHarness, stand_ins: list[ReplicaStandIn]
     ) -> None:
-        behave(stand_ins, how)
+        behave_all(stand_ins, how)
         await world.call("/draft/1", "r1", body=BODY, headers=USAGE)
 
     scenario.__name__ = f"engines_{how.__name__}"
@@ -223,7 +219,7 @@
     routes = configuration().routes
     routes = (*routes[:2], route("stream", "/draft/", "model", target_ms=100))
     world.configure(2, routes=routes)
-    behave(stand_ins, hang_midway)
+    behave_all(stand_ins, hang_midway)
     tasks = [
         asyncio.create_task(world.call("/draft/1", f"l{n}", headers=LARGE))
         for n in range(3)
@@ -237,7 +233,7 @@
 async def caller_leaves(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
-    behave(stand_ins, hang_midway)
+    behave_all(stand_ins, hang_midway)
     _, writer = await world.connect()
     writer.write(request_bytes("/draft/1", "r1", headers=USAGE))
     while not any(s.arrivals for s in stand_ins):
@@ -251,7 +247,7 @@
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
     calling, used = await begin_generation(world, stand_ins)
-    behave(stand_ins, stream)
+    behave_all(stand_ins, stream)
     used.state = "leaving"
     await calling
 
@@ -260,7 +256,7 @@
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> None:
     calling, used = await begin_generation(world, stand_ins)
-    behave(stand_ins, refuse)
+    behave_all(stand_ins, refuse)
     for task in list(used.open):
         task.cancel()
     await calling
@@ -279,7 +275,7 @@
         else:
             await stream(connection, request)
 
-    behave(stand_ins, not_from_backup)
+    behave_all(stand_ins, not_from_backup)
     used.state = "leaving"
     await stopped.wait()
     for task in list(used.open):
@@ -296,7 +292,7 @@
         raise CopyRefusedError("model-0", "no room")
 
     world.engines.copy = copy  # type: ignore[assignment]
-    behave(stand_ins, refuse)
+    behave_all(stand_ins, refuse)
     used.state = "leaving"
     await asyncio.sleep(0.5)
     calling.cancel()
@@ -307,7 +303,7 @@
 ) -> None:
     counts = {"model-0/failing": 2, "model-0/trial": 2}
     world.peers._load.peer_counts.update("another", counts, full=True)
-    behave(stand_ins, stream)
+    behave_all(stand_ins, stream)
     await world.call("/draft/1", headers=USAGE)
 
 
@@ -316,7 +312,7 @@
 ) -> None:
     counts = {f"{stand_in.name}/trial": 2 for stand_in in stand_ins}
     world.peers._load.peer_counts.update("another", counts, full=True)
-    behave(stand_ins, stream)
+    behave_all(stand_ins, stream)
     await world.call("/draft/1", headers=USAGE)
 
 
@@ -332,7 +328,7 @@
                 stand_in.crash()
         connection.reset()
 
-    behave(stand_ins, crash)
+    behave_all(stand_ins, crash)
     await world.call("/draft/1", headers=USAGE)
     await asyncio.sleep(0.3)
 
@@ -348,7 +344,7 @@
             stand_in.crash()
         connection.reset()
 
-    behave(stand_ins, crash)
+    behave_all(stand_ins, crash)
     await world.call("/draft/1", headers=USAGE)
     await asyncio.sleep(0.3)
 
--- a/tests/test_relay_evacuated.py
+++ b/tests/test_relay_evacuated.py
@@ -6,6 +6,7 @@
 import pytest
 from _relay_helpers import (
     USAGE,
+    behave_all,
     first_event,
     hang_midway,
     run,
@@ -47,8 +48,7 @@
     async def test() -> None:
         stand_ins = replicas(pool, ["north", "south"])
         if pool == "model":
-            for stand_in in stand_ins:
-                stand_in.behave = stream
+            behave_all(stand_ins, stream)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             evacuate(world, 1, "north")
@@ -129,8 +129,7 @@
 
     async def test() -> None:
         stand_ins = replicas("model", ["north", "south"])
-        for stand_in in stand_ins:
-            stand_in.behave = slow
+        behave_all(stand_ins, slow)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             calling = asyncio.create_task(
@@ -164,8 +163,7 @@
 
     async def test() -> None:
         stand_ins = replicas("model", ["north", "south"])
-        for stand_in in stand_ins:
-            stand_in.behave = hang
+        behave_all(stand_ins, hang)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             calling = asyncio.create_task(
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -9,6 +9,7 @@
 from _relay_fleet import CuttableHost, relay_fleet
 from _relay_helpers import (
     USAGE,
+    behave_all,
     hang,
     hang_midway,
     refuse,
@@ -121,8 +122,7 @@
 def test_an_error_response_of_an_upstream_is_unchanged() -> None:
     async def test() -> None:
         async with forwarding() as world:
-            for replica in world.replicas:
-                replica.behave = fail
+            behave_all(world.replicas, fail)
             answer = await world.lost.relay.call("/order/7")
             assert len(world.arrivals()) == 1
         assert (answer.status, answer.body) == (500, b"broken")
@@ -134,8 +134,7 @@
 def test_a_refusal_by_all_upstreams_is_still_a_refusal() -> None:
     async def test() -> None:
         async with forwarding() as world:
-            for replica in world.replicas:
-                replica.behave = refuse
+            behave_all(world.replicas, refuse)
             answer = await world.lost.relay.call("/order/7")
         assert answer.status == 503
         assert float(answer.headers["Retry-After"]) > 0
@@ -146,8 +145,7 @@
 def test_a_request_runs_once_if_the_carrying_host_dies() -> None:
     async def test() -> None:
         async with forwarding(hosts=3) as world:
-            for replica in world.replicas:
-                replica.behave = hang
+            behave_all(world.replicas, hang)
             call = asyncio.create_task(world.lost.relay.call("/order/7"))
             await world.until_arrived()
             for carrier in world.carriers:
@@ -162,8 +160,7 @@
 def test_an_upstream_that_breaks_off_is_told_truthfully() -> None:
     async def test() -> None:
         async with forwarding(hosts=3) as world:
-            for replica in world.replicas:
-                replica.behave = reset
+            behave_all(world.replicas, reset)
             answer = await world.lost.relay.call("/order/7")
             assert len(world.arrivals()) == 1
         assert answer.status == 502
@@ -198,8 +195,7 @@
             )
             while not any(replica.arrivals for replica in replicas):
                 await asyncio.sleep(0.005)
-            for replica in replicas:
-                replica.behave = fail
+            behave_all(replicas, fail)
             await lost.cut("reset")
             answer = await call
         assert answer.status == 500
@@ -211,8 +207,7 @@
 def test_a_caller_who_leaves_ends_the_request_at_the_upstream() -> None:
     async def test() -> None:
         async with forwarding() as world:
-            for replica in world.replicas:
-                replica.behave = hang
+            behave_all(world.replicas, hang)
             reader, writer = await world.lost.relay.connect()
             writer.write(request_bytes("/order/7"))
             await world.until_arrived()
@@ -228,8 +223,7 @@
 def test_events_are_passed_on_as_they_come() -> None:
     async def test() -> None:
         async with forwarding() as world:
-            for replica in world.replicas:
-                replica.behave = read_two_events_apart
+            behave_all(world.replicas, read_two_events_apart)
             reader, writer = await world.lost.relay.connect()
             writer.write(
                 request_bytes("/draft/7", headers=USAGE, method="POST")
@@ -247,8 +241,7 @@
 def test_a_stream_that_breaks_off_does_not_look_complete() -> None:
     async def test() -> None:
         async with forwarding() as world:
-            for replica in world.replicas:
-                replica.behave = read_two_events_apart
+            behave_all(world.replicas, read_two_events_apart)
             reader, writer = await world.lost.relay.connect()
             writer.write(request_bytes("/draft/7", headers=USAGE))
             answering = asyncio.create_task(read_answer(reader))
@@ -379,8 +372,7 @@
 def test_a_generation_under_way_goes_on_over_another_host(cut: Cut) -> None:
     async def test() -> None:
         replicas = stand_ins()
-        for replica in replicas:
-            replica.behave = hang_midway_unless_resumed
+        behave_all(replicas, hang_midway_unless_resumed)
         async with relay_fleet(replicas, 2) as (lost, carrier):
             call = asyncio.create_task(
                 lost.relay.call("/draft/1", headers=USAGE)
--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -7,6 +7,7 @@
 from _relay_helpers import (
     LAST_EVENT_ID,
     USAGE,
+    behave_all,
     hang_midway,
     refuse,
     run,
@@ -62,8 +63,7 @@
 def test_relays_a_complete_stream() -> None:
     async def test() -> None:
         stand_ins = engines()
-        for stand_in in stand_ins:
-            stand_in.behave = stream
+        behave_all(stand_ins, stream)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             answer = await world.call("/draft/1", headers=USAGE)
@@ -77,13 +77,11 @@
 def test_resumes_at_the_backup_when_its_engine_is_lost() -> None:
     async def test() -> None:
         stand_ins = engines()
-        for stand_in in stand_ins:
-            stand_in.behave = break_midway
+        behave_all(stand_ins, break_midway)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             calling, used = await begin_call(world, stand_ins)
-            for stand_in in stand_ins:
-                stand_in.behave = stream
+            behave_all(stand_ins, stream)
             answer = await calling
         (other,) = [s for s in stand_ins if s is not used]
         (sent,) = used.arrivals
@@ -103,13 +101,11 @@
 def test_moves_from_a_leaving_engine_to_the_backup() -> None:
     async def test() -> None:
         stand_ins = engines()
-        for stand_in in stand_ins:
-            stand_in.behave = hang_midway
+        behave_all(stand_ins, hang_midway)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             calling, used = await begin_call(world, stand_ins)
-            for stand_in in stand_ins:
-                stand_in.behave = stream
+            behave_all(stand_ins, stream)
             await asyncio.sleep(0.05)
             used.state = "leaving"
             answer = await calling
@@ -125,8 +121,7 @@
 def test_moves_the_memory_where_there_is_no_backup() -> None:
     async def test() -> None:
         stand_ins = engines(3)
-        for stand_in in stand_ins:
-            stand_in.behave = hang_midway
+        behave_all(stand_ins, hang_midway)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             calling, used = await begin_call(world, stand_ins)
@@ -146,8 +141,7 @@
                 else:
                     await stream(connection, request)
 
-            for stand_in in stand_ins:
-                stand_in.behave = refuse
+            behave_all(stand_ins, refuse)
             await asyncio.sleep(0.05)
             used.state = "leaving"
             await stopped.wait()
@@ -226,8 +220,7 @@
 
     async def test() -> None:
         stand_ins = engines()
-        for stand_in in stand_ins:
-            stand_in.behave = lose
+        behave_all(stand_ins, lose)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             answer = await world.call(
@@ -243,8 +236,7 @@
 def test_a_disconnecting_caller_ends_the_generation() -> None:
     async def test() -> None:
         stand_ins = engines()
-        for stand_in in stand_ins:
-            stand_in.behave = hang_midway
+        behave_all(stand_ins, hang_midway)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             _, writer = await world.connect()
@@ -268,8 +260,7 @@
 
     async def test() -> None:
         stand_ins = engines()
-        for stand_in in stand_ins:
-            stand_in.behave = hang_midway
+        behave_all(stand_ins, hang_midway)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             for n in range(DISCONNECTING_CALLERS):
@@ -359,13 +350,11 @@
 def test_asks_the_engine_itself_while_the_list_is_unreachable() -> None:
     async def test() -> None:
         stand_ins = engines()
-        for stand_in in stand_ins:
-            stand_in.behave = hang_midway
+        behave_all(stand_ins, hang_midway)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             calling, used = await begin_call(world, stand_ins)
-            for stand_in in stand_ins:
-                stand_in.behave = stream
+            behave_all(stand_ins, stream)
             assert world.engines.report_calls == []
             world.list.is_down = True
             world.engines.leaving.add(used.name)
@@ -392,8 +381,7 @@
 
     async def test() -> None:
         stand_ins = engines()
-        for stand_in in stand_ins:
-            stand_in.behave = late
+        behave_all(stand_ins, late)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             calling, used = await begin_call(world, stand_ins)
@@ -531,8 +519,7 @@
 
     async def test() -> None:
         stand_ins = engines(4)
-        for stand_in in stand_ins:
-            stand_in.behave = stream
+        behave_all(stand_ins, stream)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             # Load makes the live engine the last choice.
--- a/tests/test_relay_rate_limits.py
+++ b/tests/test_relay_rate_limits.py
@@ -5,6 +5,7 @@
 import pytest
 from _relay_helpers import (
     USAGE,
+    behave_all,
     hang_midway,
     reset,
     run,
@@ -42,8 +43,7 @@
         for n in range(number)
     ]
     if pool == "model":
-        for stand_in in stand_ins:
-            stand_in.behave = stream
+        behave_all(stand_ins, stream)
     return stand_ins
 
 
@@ -244,8 +244,7 @@
 def test_a_generation_resumes_at_an_engine_whose_permits_are_spent() -> None:
     async def test() -> None:
         stand_ins = make_stand_ins("model", 2)
-        for stand_in in stand_ins:
-            stand_in.behave = hang_midway
+        behave_all(stand_ins, hang_midway)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             await until_permits_are_granted(world)
--- a/tests/test_relay_regions.py
+++ b/tests/test_relay_regions.py
@@ -6,7 +6,7 @@
 from typing import cast
 
 import pytest
-from _relay_helpers import USAGE, run, stream
+from _relay_helpers import USAGE, behave_all, run, stream
 
 from balsamlift.kernel import Kernel
 from balsamlift.relay import Caller, Directory, Workspace
@@ -64,8 +64,7 @@
             for domain in ("north", "isle", "far")
         ]
         if kind == "stream":
-            for stand_in in stand_ins:
-                stand_in.behave = stream
+            behave_all(stand_ins, stream)
         bound = route(kind, "/a/", pool, regions=frozenset(route_regions))
         workspace = Workspace(
             name=WORKSPACE, keys=(KEY,), regions=frozenset(workspace_regions)
--- a/tests/test_relay_unary.py
+++ b/tests/test_relay_unary.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from _relay_helpers import hang, refuse, reset, run
+from _relay_helpers import behave_all, hang, refuse, reset, run
 
 from balsamlift.relay import Caller
 from balsamlift.testing.relay import (
@@ -99,8 +99,7 @@
 ) -> None:
     async def test() -> None:
         stand_ins = replicas()
-        for stand_in in stand_ins:
-            stand_in.behave = behave
+        behave_all(stand_ins, behave)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             answer = await world.call("/order/1")
@@ -177,8 +176,7 @@
 def test_refusals_of_all_upstreams_return_503() -> None:
     async def test() -> None:
         stand_ins = replicas()
-        for stand_in in stand_ins:
-            stand_in.behave = refuse
+        behave_all(stand_ins, refuse)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             for n in range(20):
@@ -194,8 +192,7 @@
 def test_an_error_response_is_forwarded_unchanged() -> None:
     async def test() -> None:
         stand_ins = replicas()
-        for stand_in in stand_ins:
-            stand_in.behave = fail
+        behave_all(stand_ins, fail)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             answer = await world.call("/order/1")
--- a/tests/test_relay_without_upstreams.py
+++ b/tests/test_relay_without_upstreams.py
@@ -4,7 +4,7 @@
 
 import pytest
 from _relay_fleet import relay_fleet
-from _relay_helpers import USAGE, hang, run, stream
+from _relay_helpers import USAGE, behave_all, hang, run, stream
 
 from balsamlift.relay.health._shared_health import failing_key
 from balsamlift.testing._cuts import CUTS, Cut
@@ -30,8 +30,7 @@
     engines = [
         ReplicaStandIn(f"model-{n}", "model", HEADER_NAMES) for n in range(3)
     ]
-    for engine in engines:
-        engine.behave = stream
+    behave_all(engines, stream)
     return plain + engines
 
 
@@ -81,8 +80,7 @@
     async def test() -> None:
         replicas = stand_ins()
         async with relay_fleet(replicas) as (lost, sound):
-            for replica in replicas:
-                replica.behave = hang
+            behave_all(replicas, hang)
             calls = [
                 asyncio.create_task(lost.relay.call("/view/1", f"r{n}"))
                 for n in range(3)
