Offer a forwarded request to another host if the first is cut off too

What callers would see: where most of a failure domain loses its links, hosts that have had nothing to send do not know of it yet; a request forwarded to one of them is refused, though others reach the upstreams.

Found by reading; test_a_carrier_that_finds_itself_cut_off_passes_the_request_on failed, 3 of 8 requests refused, for reset and for silent cuts.

It is not counted as an attempt, and remains one hop.

--- a/src/balsamlift/relay/_attempt.py
+++ b/src/balsamlift/relay/_attempt.py
@@ -61,3 +61,8 @@
         send: an earlier send may still have run.
         """
         self.may_have_run = may_have_run_before
+
+    def record_not_sent(self, may_have_run_before: bool) -> None:
+        """Record that the last host it was sent to sent it to no upstream."""
+        self.sent_to.pop()
+        self.may_have_run = may_have_run_before
--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -30,6 +30,7 @@
     CallerStream,
 )
 from balsamlift.relay._configuration import CallerLimits
+from balsamlift.relay._header_names import UNREACHED_HEADER
 from balsamlift.relay._request import CallerRequest, Refusal, Responder
 
 log = logger.bind(part="callers")
@@ -89,6 +90,8 @@
         if refusal.retry_after_ms is not None:
             after_s = refusal.retry_after_ms / 1_000
             headers["Retry-After"] = f"{after_s:.3f}"
+        if refusal.is_unreached:
+            headers[UNREACHED_HEADER] = "1"
         phrase = responses.get(refusal.status, "Unknown")
         self._write_head(refusal.status, phrase, headers, body)
         self.finish()
--- a/src/balsamlift/relay/_header_names.py
+++ b/src/balsamlift/relay/_header_names.py
@@ -4,6 +4,10 @@
 
 import attrs
 
+# In a refusal to a host that forwarded a request: this one reaches no upstream
+# either, and has sent it nowhere.
+UNREACHED_HEADER = "Balsamlift-Unreached"
+
 
 @attrs.frozen(kw_only=True)
 class HeaderNames:
--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -83,6 +83,7 @@
     status: int
     reason: str
     retry_after_ms: int | None = None  # with 503: the request did not run
+    is_unreached: bool = False  # another host may still run it
 
 
 @attrs.frozen
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -100,8 +100,7 @@
         result = await self._fetch_reply(call, attempt)
         if not isinstance(result, Unreached):
             return result
-        outcome = await self._forwarder.run(call, attempt, responder)
-        return outcome or result.refusal
+        return await self._forwarder.run(call, attempt, responder, result)
 
     async def _fetch_reply(
         self, call: Call, attempt: Attempt
--- a/src/balsamlift/relay/forwarding/_forwarder.py
+++ b/src/balsamlift/relay/forwarding/_forwarder.py
@@ -21,7 +21,7 @@
 from balsamlift.peers import Peer, Peers, Upstreams
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._connection import ResponseHead, UpstreamConnection
-from balsamlift.relay._header_names import HeaderNames
+from balsamlift.relay._header_names import UNREACHED_HEADER, HeaderNames
 from balsamlift.relay._headers import is_signed
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._refusals import give_up
@@ -127,15 +127,22 @@
         return bool(names) and names <= set(tried)
 
     async def run(
-        self, call: Call, attempt: Attempt, responder: Responder
-    ) -> Outcome | None:
-        """Respond as another host does, or return None if none took it."""
+        self,
+        call: Call,
+        attempt: Attempt,
+        responder: Responder,
+        unreached: Unreached,
+    ) -> Outcome | Refusal:
+        """Respond as another host does, or return the refusal."""
+        if call.request.origin is not None:
+            return attrs.evolve(
+                unreached.refusal, is_unreached=not attempt.sends
+            )
         result = await self._forward(call, attempt)
         if result is None:
-            return None
+            return unreached.refusal
         if isinstance(result, Refusal):
-            responder.refuse(result)
-            return Outcome(result.reason, sent_to=attempt.sent_to)
+            return result
         text = await pass_on(result, call, attempt, responder)
         return Outcome(text, sent_to=attempt.sent_to, to_host=result.host)
 
@@ -178,7 +185,11 @@
                 self._pass_over(call, peer, str(error))
                 continue
             with self._choice.count_in_flight(peer):
-                return await self._send(call, attempt, peer, connection, extra)
+                result = await self._send(
+                    call, attempt, peer, connection, extra
+                )
+            if result is not None:
+                return result
         return None
 
     async def _send(
@@ -188,7 +199,11 @@
         peer: Peer,
         connection: UpstreamConnection,
         extra: Iterable[tuple[str, str]],
-    ) -> ForwardedReply | Refusal:
+    ) -> ForwardedReply | Refusal | None:
+        """Return the response of a host, or None if it sent the call nowhere.
+
+        A host that gives no answer may have let it run.
+        """
         self._metrics.count("relay.forwarded")
         remaining_ms = (call.timeout_at_s - self._clock.monotonic()) * 1_000
         deadline = self._names.deadline_ms, str(max(int(remaining_ms), 0))
@@ -211,6 +226,11 @@
             self._pass_over(call, peer, str(error))
             return give_up(attempt, "host that carried it gave no answer")
         if not self._is_upstreams(head):
+            if UNREACHED_HEADER in head.headers:
+                attempt.record_not_sent(may_have_run_before)
+                connection.close()
+                self._pass_over(call, peer, "it reaches no upstream either")
+                return None
             refusal = self._refusal(head, attempt, may_have_run_before)
             if refusal is not None:
                 connection.close()
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -177,8 +177,7 @@
             return Outcome(text, upstream, attempt.sent_to)
         if not isinstance(result, Unreached):
             return result
-        outcome = await self._forwarder.run(job.call, attempt, responder)
-        return outcome or result.refusal
+        return await self._forwarder.run(job.call, attempt, responder, result)
 
     async def _start(
         self, job: Job, attempt: Attempt
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -396,3 +396,22 @@
         assert answer.body == b"".join(event(n) for n in range(10))
 
     run(test())
+
+
+@pytest.mark.parametrize("cut", ["reset", "hang"])
+def test_a_carrier_that_finds_itself_cut_off_passes_the_request_on(
+    cut: Cut,
+) -> None:
+    async def test() -> None:
+        async with forwarding(hosts=3) as world:
+            cut_off, _ = world.carriers
+            await cut_off.cut(cut)
+            answers = [
+                await world.lost.relay.call(f"/{kind}/{n}", f"{kind}{n}")
+                for kind in ("order", "draft")
+                for n in range(4)
+            ]
+            assert len(world.arrivals()) == 8
+        assert [answer.status for answer in answers] == [200] * 8
+
+    run(test())
