Test that an older list lifts no notice within a minute

No test held the minute itself: with UNLISTED_TTL_S at 0 all passed, as they count in that constant. The new one has seconds, and fails with 0.

--- a/tests/test_leaving_notices.py
+++ b/tests/test_leaving_notices.py
@@ -222,3 +222,17 @@
     clock.now_s += 2.0
     notices.prune(lambda _: None)
     assert not notices.has("e1")
+
+
+def test_an_older_list_lifts_no_notice_within_a_minute() -> None:
+    clock = ManualClock(0.0)
+    notices = LeavingNotices(clock)
+    notices.record("i-1", "answer")
+    for at_s, written in ((1.0, 8), (2.0, None), (61.0, 3)):
+        clock.now_s = at_s
+        notices.prune(lambda _, written=written: written)
+    assert notices.has("i-1")
+    for at_s, written in ((70.0, None), (131.0, 3)):
+        clock.now_s = at_s
+        notices.prune(lambda _, written=written: written)
+    assert not notices.has("i-1")
