Compare hosts without upstreams only with hosts that are in touch

Trace: the fourth, the only one that reached the upstreams, was killed at 31.1 s and served again at 33.0 s; the three refused between 31.1 and 33.3 s and served all before and after. The users' rule compares with machines in touch, and there was none: no host that is neither cut off nor was stopped or started within 3 s. Such attempts count no more, as those of times in which all are cut off.

--- a/tests/test_soak_cuts.py
+++ b/tests/test_soak_cuts.py
@@ -122,3 +122,21 @@
     host.clock.now_s = 17.0
     host.checker.end_cut(other)
     assert host.check() == []
+
+
+def test_checker_compares_with_no_host_that_was_stopped() -> None:
+    host = CutHost()
+    host.attempts("other", at_s=18.5, served=30, failed=0)
+    host.clock.now_s = 15.0
+    host.checker.exempt_host("other")
+    host.attempts("cut", at_s=16.0, served=0, failed=50)
+    assert host.check() == []
+
+
+def test_checker_counts_again_once_another_host_is_sound() -> None:
+    host = CutHost()
+    host.attempts("other", at_s=18.5, served=30, failed=0)
+    host.clock.now_s = 15.0
+    host.checker.exempt_host("other")
+    host.attempts("cut", at_s=18.5, served=0, failed=50)
+    assert len(host.check()) == 1
