--- a/src/balsamlift/platform/_names.py
+++ b/src/balsamlift/platform/_names.py
@@ -15,6 +15,7 @@
     leaving="Server-Leaving",
     brittle="Server-Brittle",
     priority="X-Request-Priority",
+    prompt_parts="X-Prefix-Hash",
     token_usage="X-Token-Usage",
     length_hint="X-Length-Hint",
     backup_address="X-Kv-Backup",
--- a/src/balsamlift/platform/_settings.py
+++ b/src/balsamlift/platform/_settings.py
@@ -14,6 +14,7 @@
 from balsamlift.peers import FreshnessLimits
 from balsamlift.platform._decode import STATEMENT_DECODERS
 from balsamlift.platform._names import HEADERS
+from balsamlift.platform._prompt_parts import decode_prompt_parts
 from balsamlift.relay import ColdLimits, RelaySettings, RetryLimits
 from balsamlift.settings import (
     PeerSettings,
@@ -181,6 +182,7 @@
             regions=self.regions,
             names=HEADERS,
             decoders=STATEMENT_DECODERS,
+            decode_prompt_parts=decode_prompt_parts,
             drain_s=self.drain_ms / 1_000,
         )
 
--- a/src/balsamlift/relay/_admission.py
+++ b/src/balsamlift/relay/_admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from balsamlift.exceptions import NotConfiguredError
 from balsamlift.relay._configuration import Route, Workspace
@@ -19,6 +20,9 @@
 # Enough time to read a newer version from the store or from a peer.
 RETRY_OUTDATED_MS = 1_000
 
+# Reads the parts that requests may share from the value of the header.
+PartsDecoder = Callable[[str], tuple[str, ...]]
+
 NO_REQUEST_ID = Refusal(status=400, reason="no request id")
 NO_ROUTE = Refusal(status=404, reason="no route")
 UNKNOWN_KEY = Refusal(status=401, reason="unknown key")
@@ -28,9 +32,14 @@
     """Turns requests into calls, or refuses them with a reason."""
 
     def __init__(
-        self, routing: Routing, names: HeaderNames, rng: random.Random
+        self,
+        routing: Routing,
+        names: HeaderNames,
+        rng: random.Random,
+        decode_parts: PartsDecoder,
     ) -> None:
         """Create an admission check that reads routes from `routing`."""
+        self._decode_parts = decode_parts
         self._routing = routing
         self._names = names
         self._random = rng
@@ -94,6 +103,9 @@
             workspace=workspace,
             key=key,
             fingerprint=fingerprint(request, key),
+            prompt_parts=self._decode_parts(
+                request.headers.get(self._names.prompt_parts, "")
+            ),
             service=pick_service(route, self._random),
             regions=_allowed_regions(route, workspace),
             priority=priority,
--- a/src/balsamlift/relay/_header_names.py
+++ b/src/balsamlift/relay/_header_names.py
@@ -23,6 +23,7 @@
     leaving: str  # set if the upstream is leaving
     brittle: str  # most requests that it turns away per second and survives
     priority: str
+    prompt_parts: str  # ids of the parts of the prompt, in order
     token_usage: str  # prompt tokens and maximum output tokens
     length_hint: str  # output tokens expected by the caller
     backup_address: str  # receives the memory of a running request
--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -54,6 +54,8 @@
     workspace: Workspace | None
     key: str
     fingerprint: str  # the same for repeats by the same caller
+    # Parts of its prompt that other requests may have as well.
+    prompt_parts: tuple[str, ...]
     service: str
     regions: frozenset[str] | None  # where it may run; None: anywhere
     priority: int  # 0 is served first
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -15,7 +15,7 @@
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Peers, Upstreams
-from balsamlift.relay._admission import Admission
+from balsamlift.relay._admission import Admission, PartsDecoder
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._cold_starts import ColdLimits, ColdStartLimiter
 from balsamlift.relay._exchange import Exchange
@@ -82,6 +82,7 @@
     regions: Mapping[str, str] = attrs.field(factory=dict)  # by domain
     names: HeaderNames
     decoders: StatementDecoders
+    decode_prompt_parts: PartsDecoder
     drain_s: float  # for which an upstream still works once it is leaving
 
 
@@ -205,7 +206,9 @@
             self._clock,
             self._metrics,
         )
-        self._admission = Admission(routing, names, self._random)
+        self._admission = Admission(
+            routing, names, self._random, self._settings.decode_prompt_parts
+        )
         self._crash_guard = CrashGuard(
             peers.crash_reports, self._upstreams, self._clock
         )
--- a/src/balsamlift/relay/crashes/_crash_detector.py
+++ b/src/balsamlift/relay/crashes/_crash_detector.py
@@ -28,8 +28,10 @@
 
     fingerprint: str
     request_id: str
+    prompt_parts: tuple[str, ...]
     upstream: str
     had_output: bool
+    has_begun: bool  # the head of its response was received
 
 
 def _ignore(call: BrokenCall) -> None:
@@ -64,14 +66,24 @@
             await end_task(task)
 
     def check_broken_call(
-        self, call: Call, upstream: Upstream, *, had_output: bool
+        self,
+        call: Call,
+        upstream: Upstream,
+        *,
+        had_output: bool,
+        has_begun: bool = False,
     ) -> None:
         """Check whether the upstream that broke off this call has crashed."""
         listed = self._upstreams.find(upstream.name)
         if listed is None or listed.state == "leaving":
             return
         broken = BrokenCall(
-            call.fingerprint, call.request_id, upstream.name, had_output
+            call.fingerprint,
+            call.request_id,
+            call.prompt_parts,
+            upstream.name,
+            had_output,
+            has_begun or had_output,
         )
         if upstream.name in self._pending:
             self._pending[upstream.name].append(broken)
@@ -122,6 +134,8 @@
             fingerprint=call.fingerprint,
             upstream=call.upstream,
             had_output=call.had_output,
+            has_begun=call.has_begun,
+            parts=" ".join(call.prompt_parts),
         )
         if not reaches_others:
             bound.info("not taken for a crash: others refuse as well")
--- a/src/balsamlift/relay/crashes/_crash_guard.py
+++ b/src/balsamlift/relay/crashes/_crash_guard.py
@@ -58,10 +58,17 @@
             self._reports.report_completed(call.fingerprint)
 
     def check_broken_call(
-        self, call: Call, upstream: Upstream, *, had_output: bool
+        self,
+        call: Call,
+        upstream: Upstream,
+        *,
+        had_output: bool,
+        has_begun: bool = False,
     ) -> None:
         """Check whether an upstream that broke off a call has crashed."""
-        self._detector.check_broken_call(call, upstream, had_output=had_output)
+        self._detector.check_broken_call(
+            call, upstream, had_output=had_output, has_begun=has_begun
+        )
 
     def _report(self, crashed: BrokenCall) -> None:
         self._reports.report_crash(
--- a/src/balsamlift/relay/generations/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -172,7 +172,10 @@
             ).info("{}", error)
             self._inbox.put_nowait("broken")
             self._context.crash_guard.check_broken_call(
-                self._job.call, reply.upstream, had_output=had_output
+                self._job.call,
+                reply.upstream,
+                had_output=had_output,
+                has_begun=True,
             )
             return
         self._context.exchange.release_connection(reply.connection)
--- a/src/balsamlift/testing/_relay_harness.py
+++ b/src/balsamlift/testing/_relay_harness.py
@@ -21,6 +21,7 @@
     Upstreams,
 )
 from balsamlift.platform._decode import STATEMENT_DECODERS
+from balsamlift.platform._prompt_parts import decode_prompt_parts
 from balsamlift.relay import (
     FORWARDING_FRONTEND,
     CallerLimits,
@@ -60,6 +61,7 @@
     leaving="Leaving",
     brittle="Brittle",
     priority="Priority",
+    prompt_parts="Prompt-Parts",
     token_usage="Token-Usage",
     length_hint="Length-Hint",
     backup_address="Backup-Address",
@@ -199,6 +201,7 @@
             regions=self._regions,
             names=HEADER_NAMES,
             decoders=STATEMENT_DECODERS,
+            decode_prompt_parts=decode_prompt_parts,
             drain_s=DRAIN_S,
         )
         self.relay = Relay(relay, self.engines, self.clock, rng)
--- a/tests/test_relay_routing.py
+++ b/tests/test_relay_routing.py
@@ -11,6 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from balsamlift.exceptions import NotConfiguredError
+from balsamlift.platform._prompt_parts import decode_prompt_parts
 from balsamlift.relay import Configuration, Route, ServiceShare, Workspace
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._request import Call, CallerRequest, Refusal
@@ -44,7 +45,9 @@
 
 
 def admit(routing: Routing, path: str, **fields: str) -> Call | Refusal:
-    admission = Admission(routing, HEADER_NAMES, random.Random(1))
+    admission = Admission(
+        routing, HEADER_NAMES, random.Random(1), decode_prompt_parts
+    )
     return admission.admit(request(path, **fields))
 
 
@@ -155,7 +158,9 @@
 ) -> None:
     routing = Routing()
     offer_version(routing, 1)
-    admission = Admission(routing, HEADER_NAMES, random.Random(1))
+    admission = Admission(
+        routing, HEADER_NAMES, random.Random(1), decode_prompt_parts
+    )
     call = admission.admit(request("/order/1"))
     assert isinstance(call, Call)
     offer_version(routing, 2, **later)
@@ -168,7 +173,9 @@
 def test_retry_after_without_a_configuration_is_within_the_deadline(
     deadline_ms: str, wait_ms: int
 ) -> None:
-    admission = Admission(Routing(), HEADER_NAMES, random.Random(1))
+    admission = Admission(
+        Routing(), HEADER_NAMES, random.Random(1), decode_prompt_parts
+    )
     asked = request("/order/1")
     del asked.headers[HEADER_NAMES.deadline_ms]
     if deadline_ms:
