Reproduce a part of prompts that crashes engine after engine; tests fail

Requests of which one part crashes what begins to answer it come at any host, no two alike, beside sound ones with the same key and other parts.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -4,6 +4,7 @@
   soak [options] COUNT
   soak long [options] COUNT
   soak cuts [options] COUNT
+  soak crashes [options] COUNT
   soak restarts [options] DAEMONS
 
 Long runs have nine hosts, twelve upstreams, the rates of a deployment, and
@@ -12,13 +13,16 @@
 In runs of cuts, hosts lose their links to all upstreams, while callers, the
 store and the other hosts reach them.
 
+In runs of crashes, a part of some prompts crashes the engines that begin to
+answer it, beside other faults; all hosts may be killed at once.
+
 Restarts starts and terminates that many daemons in series, with signals at
 any moment, and reports what they take.
 
 Options:
   --first=SEED      The first seed; random by default.
   --length=SECONDS  How long one run injects faults; by default 10, 30 in
-                    runs of cuts and 60 in long runs.
+                    runs of cuts and of crashes, and 60 in long runs.
   --hosts=NUMBER    How many hosts a run of a seed has; by default 4, and 9 in
                     long runs.
   --tree=TREE       The source tree that all hosts run; by default this one.
@@ -36,9 +40,10 @@
 
 from docopt import docopt
 
+from soak.crash_plan import draw_crash_plan
 from soak.cut_plan import draw_cut_plan
 from soak.hosts import ROOT
-from soak.load import DENSE, SHOP
+from soak.load import CRASHES, DENSE, SHOP
 from soak.long_plan import draw_long_plan
 from soak.plan import Plan, draw_plan
 from soak.restarts import Restarts
@@ -53,20 +58,24 @@
     options = docopt(__doc__)
     first = int(options["--first"] or random.randrange(1_000_000_000))
     is_long = options["long"]
-    default_s = CUTS_S if options["cuts"] else LONG_S if is_long else SHORT_S
+    is_short = not (options["cuts"] or options["crashes"])
+    default_s = CUTS_S if not is_short else LONG_S if is_long else SHORT_S
     length_s = float(options["--length"] or default_s)
     if options["restarts"]:
         return _run_restarts(first, int(options["DAEMONS"]), length_s)
     other = options["--other"]
+    load = SHOP if is_long else CRASHES if options["crashes"] else DENSE
     fleet = Fleet(
         hosts=int(options["--hosts"] or (LONG_HOSTS if is_long else HOSTS)),
-        load=SHOP if is_long else DENSE,
+        load=load,
         tree=Path(options["--tree"] or ROOT).resolve(),
         other_tree=Path(other).resolve() if other else None,
     )
     draw = draw_long_plan if is_long else draw_plan
     if options["cuts"]:
         draw = draw_cut_plan
+    if options["crashes"]:
+        draw = draw_crash_plan
     plans = [draw(first + n, length_s) for n in range(int(options["COUNT"]))]
     return _run_plans(plans, fleet)
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,6 +14,7 @@
 from balsamlift.testing.relay import read_answer
 from soak.configuration import SERVED_HOST, STABLE_KEY
 from soak.contact import ContactChecker
+from soak.crashing_parts import CrashingParts
 from soak.guarantees import CallerOutcome, GuaranteeChecker
 from soak.hosts import Host
 from soak.load import KINDS, Load
@@ -37,6 +38,7 @@
 
     request_id: str
     kind: str
+    parts: str = ""  # of its prompt, as the header lists them
 
     @property
     def is_idempotent(self) -> bool:
@@ -61,6 +63,8 @@
             f"Authorization: Token {key}",
             "Content-Length: 0",
         ]
+        if self.parts:
+            lines.append(f"{HEADERS.prompt_parts}: {self.parts}")
         return "\r\n".join([*lines, "", ""]).encode()
 
 
@@ -109,6 +113,7 @@
         statements: StatementChecker,
         retries: RetryChecker,
         contact: ContactChecker,
+        crashing_parts: CrashingParts,
         load: Load,
         rng: random.Random,
         on_interrupted: Callable[[str], None],
@@ -123,6 +128,7 @@
         self._statements = statements
         self._retries = retries
         self._contact = contact
+        self._crashing_parts = crashing_parts
         self._load = load
         self._random = rng
         self._on_interrupted = on_interrupted
@@ -145,7 +151,11 @@
         """Return a request of a random kind."""
         weights = [self._load.shares[kind] for kind in KINDS]
         (kind,) = self._random.choices(KINDS, weights)
-        return CallerRequest(f"r{next(self._numbers)}", kind)
+        request_id = f"r{next(self._numbers)}"
+        parts = ""
+        if kind == "stream":
+            parts = self._crashing_parts.draw(request_id)
+        return CallerRequest(request_id, kind, parts)
 
     async def _run_caller(self) -> None:
         while not self._stopped:
@@ -177,6 +187,11 @@
             self._rate_limits.record_request(request.request_id, host_ip)
             self._statements.record_request(request.request_id, host_ip)
             self._retries.record_request(request.service)
+            is_stream = request.kind == "stream"
+            if is_stream:
+                self._crashing_parts.record_request(
+                    request.request_id, host_ip, request.parts
+                )
             sent_s = self._contact.now_s()
             outcome, can_reuse = await send(request, reader, writer)
             self._contact.record_attempt(
@@ -184,6 +199,10 @@
                 sent_s,
                 is_served=outcome.status == OK and outcome.is_whole,
             )
+            if is_stream:
+                self._crashing_parts.record_outcome(
+                    request.request_id, is_begun=outcome.status == OK
+                )
             if outcome.names_rate_limit:
                 self._rate_limits.record_passed_on(request.request_id)
             if outcome.is_notice:
--- a/tests/soak/cut_plan.py
+++ b/tests/soak/cut_plan.py
@@ -4,7 +4,7 @@
 
 import random
 
-from soak.plan import Fault, Kind, Plan
+from soak.plan import Kind, Plan, draw_fault
 
 OTHER_FAULTS: tuple[Kind, ...] = (
     "kill",
@@ -31,29 +31,17 @@
     start_s = FIRST_CUT_S
     while start_s < length_s:
         duration_s = rng.uniform(MIN_CUT_S, MAX_CUT_S)
-        faults.append(_draw(rng, "host_cut", start_s, duration_s))
+        faults.append(draw_fault(rng, "host_cut", start_s, duration_s))
         start_s += rng.uniform(MIN_CUT_PAUSE_S, MAX_CUT_PAUSE_S)
     if rng.random() >= CUTS_ONLY_SHARE:
         start_s = rng.uniform(0, MAX_PAUSE_S)
         while start_s < length_s:
             duration_s = rng.uniform(0.1, MAX_FAULT_S)
             kind = rng.choice(OTHER_FAULTS)
-            faults.append(_draw(rng, kind, start_s, duration_s))
+            faults.append(draw_fault(rng, kind, start_s, duration_s))
             start_s += rng.uniform(0.2, MAX_PAUSE_S)
     return Plan(
         seed=seed,
         is_planned_only=False,
         faults=tuple(sorted(faults, key=lambda fault: fault.start_s)),
     )
-
-
-def _draw(
-    rng: random.Random, kind: Kind, start_s: float, duration_s: float
-) -> Fault:
-    return Fault(
-        kind=kind,
-        start_s=start_s,
-        duration_s=duration_s,
-        target_number=rng.randrange(1_000),
-        variant_number=rng.randrange(1_000),
-    )
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -39,6 +39,16 @@
     extra_retries=50,
 )
 
+# Enough engines for some to be away at any time.
+CRASHES = Load(
+    services={"plain": 2, "model": 8},
+    callers_per_host=4.0,
+    pause_s=0.3,
+    shares={"idempotent": 1.0, "non_idempotent": 1.0, "stream": 4.0},
+    times=dict.fromkeys(KINDS, RouteTimes()),
+    extra_retries=100,
+)
+
 # 50 requests a second of 61 callers at nine hosts: the size and the rates of a
 # deployment in service.
 SHOP = Load(
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -26,6 +26,8 @@
     "upstream_hangs",
     "pool_refuses",
     "host_cut",
+    "crashing_part",
+    "herd_kill",
 ]
 
 # Planned operations of operators. They may not interrupt any request.
@@ -92,6 +94,19 @@
     faults: tuple[Fault, ...]
 
 
+def draw_fault(
+    rng: random.Random, kind: Kind, start_s: float, duration_s: float
+) -> Fault:
+    """Return a fault with a random target and variant."""
+    return Fault(
+        kind=kind,
+        start_s=start_s,
+        duration_s=duration_s,
+        target_number=rng.randrange(1_000),
+        variant_number=rng.randrange(1_000),
+    )
+
+
 def draw_plan(seed: int, length_s: float) -> Plan:
     """Return the plan that follows from a seed."""
     rng = random.Random(seed)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,6 +25,7 @@
     version_path,
 )
 from soak.contact import ContactChecker
+from soak.crashing_parts import CrashingParts
 from soak.departures import Departures, Entries
 from soak.guarantees import GuaranteeChecker
 from soak.host_links import HostLinks
@@ -53,6 +54,7 @@
 # The longest that the store and the hosts may need to reconnect after the last
 # fault, on a machine that is busy with other work.
 RECOVERY_S = 20.0
+ENTRY_TTL_S = 1.5  # of the entry of an upstream that has crashed
 LEAVING_S = 2.5  # that an upstream keeps serving after it announces to leave
 
 
@@ -103,13 +105,18 @@
         self._retries = RetryChecker(
             fleet.load.extra_retries, self._guarantees.report_violation
         )
+        self._crashing_parts = CrashingParts(
+            plan.seed, self._guarantees.report_violation
+        )
         self._upstreams = Upstreams(
             self._guarantees,
             self._rate_limits,
             self._statements,
             self._retries,
+            self._crashing_parts,
             self._random,
             self._network,
+            self._start_crash,
         )
         self._departures = Departures(
             self._upstreams,
@@ -119,6 +126,7 @@
         self._version = 1
         self._updates = itertools.count(1)
         self._faults: set[asyncio.Task[None]] = set()
+        self._crashes: set[asyncio.Task[None]] = set()
         self._lateness = LoopLateness()
 
     async def run(self) -> Result:
@@ -143,6 +151,8 @@
         finally:
             for host in self._hosts:
                 await host.stop()
+            if self._crashes:
+                await asyncio.wait(self._crashes)
             await self._upstreams.stop_all()
             await self._store.stop()
             self._network.release()
@@ -190,6 +200,7 @@
             self._statements,
             self._retries,
             self._contact,
+            self._crashing_parts,
             self._fleet.load,
             self._random,
             self._check_interrupted,
@@ -207,6 +218,7 @@
         self._rate_limits.check()
         self._retries.check()
         self._contact.check()
+        self._crashing_parts.check()
 
     def _check_interrupted(self, request_id: str) -> None:
         """Report a request that a planned operation interrupted.
@@ -266,6 +278,15 @@
                 await self._replace(name, after_s=LEAVING_S)
             case "host_cut":
                 await self._cut_hosts(fault)
+            case "herd_kill":
+                for each in self._hosts:
+                    self._exempt(each)
+                    each.kill()
+            case "crashing_part":
+                part = f"c0de{fault.variant_number}"
+                self._crashing_parts.begin(part)
+                await asyncio.sleep(fault.duration_s)
+                self._crashing_parts.end(part)
             case "configuration":
                 self._version += 1
                 self._configure()
@@ -325,6 +346,7 @@
         self._contact.exempt_host(host.ip)
         self._rate_limits.exempt_host(host.ip)
         self._statements.exempt_host(host.ip)
+        self._crashing_parts.exempt_host(host.ip)
 
     async def _replace(self, name: str, after_s: float) -> None:
         """Start a new upstream, then stop an old one and remove its entry."""
@@ -334,6 +356,21 @@
             await self._upstreams.stop(name)
         self._remove_entry(name)
 
+    def _start_crash(self, name: str) -> None:
+        """Let an engine end that begins to answer a prompt."""
+        task = asyncio.create_task(self._crash(name))
+        self._crashes.add(task)
+        task.add_done_callback(self._crashes.discard)
+
+    async def _crash(self, name: str) -> None:
+        """Stop an upstream; another one is there some seconds later."""
+        if name not in self._upstreams.live:
+            return
+        await self._upstreams.stop(name)
+        await asyncio.sleep(ENTRY_TTL_S)
+        self._remove_entry(name)
+        await self._add_successor(name)
+
     def _remove_entry(self, name: str) -> None:
         self._store.topic(UPSTREAMS_TOPIC).append(name, b"")
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Callable
 from typing import Literal
 
 import attrs
@@ -17,6 +18,7 @@
     ReplicaRequest,
     ReplicaStandIn,
 )
+from soak.crashing_parts import CrashingParts
 from soak.guarantees import GuaranteeChecker, last_event, stream_event
 from soak.host_links import HostLinks
 from soak.network import Network
@@ -27,6 +29,7 @@
 NO_FAULTS = attrs.asdict(LinkFaults())
 EVENT_GAP_S = 0.01
 MAX_WORK_S = 0.04
+CRASH_DELAY_S = 0.02  # after the head of the response
 UPSTREAM_HEADER = "Answered-By"  # passed on to the caller
 UPSTREAMS = 252  # the number of their IP address
 
@@ -43,10 +46,18 @@
         rate_limits: RateLimitChecker,
         statements: StatementChecker,
         retries: RetryChecker,
+        crashing_parts: CrashingParts,
         rng: random.Random,
         network: Network,
+        on_crash: Callable[[str], None],
     ) -> None:
-        """Report each executed request to `guarantees`."""
+        """Report each executed request to `guarantees`.
+
+        Calls `on_crash` with the name of an engine that begins to answer a
+        prompt which crashes it.
+        """
+        self._crashing_parts = crashing_parts
+        self._on_crash = on_crash
         self._network = network
         self.guarantees = guarantees
         self.rate_limits = rate_limits
@@ -92,6 +103,7 @@
             self.rate_limits.record_arrival(name, request_id)
             self.statements.record_arrival(name, request_id)
             self.retries.record_arrival(service, request_id)
+            self._crashing_parts.record_arrival(request_id)
             self._say(name, connection)
             await self._hang(name)
             if not await self._refuse(name, connection, request):
@@ -239,11 +251,34 @@
             return
         request_id = self._begin(request)
         first = int(request.headers.get(HEADERS.last_event_id, "-1")) + 1
-        await connection.begin_stream(request)
+        is_unframed = self._crashing_parts.is_unframed(request_id)
+        if is_unframed:
+            await connection.head(
+                request, 200, "Content-Type: text/event-stream"
+            )
+        else:
+            await connection.begin_stream(request)
+        await self._crash_on(request)
         for number in range(first, last_event(request_id) + 1):
-            await connection.chunk(stream_event(request_id, number))
+            data = stream_event(request_id, number)
+            await (connection.send if is_unframed else connection.chunk)(data)
             await asyncio.sleep(EVENT_GAP_S)
             if chance < 0.08 and number > first + 3:
                 connection.reset()
                 return
-        await connection.end_stream()
+        if is_unframed:
+            connection.writer.close()
+        else:
+            await connection.end_stream()
+
+    async def _crash_on(self, request: ReplicaRequest) -> None:
+        """Crash the engine if a part of the prompt does so."""
+        header = request.headers.get(HEADERS.prompt_parts, "")
+        part = self._crashing_parts.find(header)
+        if not part:
+            return
+        await asyncio.sleep(CRASH_DELAY_S)
+        self._crashing_parts.record_crash(part)
+        expected = request.headers[HEADERS.expected_incarnation]
+        self._on_crash(expected)
+        await asyncio.sleep(MAX_WORK_S)  # ended meanwhile
