Keep a part of prompts that crashes engines from reaching more of them

Cause: what one request may share with the next was never looked at.

Change: hosts tell one another, for each part but the last, with which upstream it crashed, and that a request with it has run since. A suspected part is tried by one request at a time over all hosts, at the least loaded engine; meanwhile others with it get 503. Three crashes that were all at the head, or five, convict: 400 at every host, also for what waits at an engine without a head. A generation without an event does not go on at its backup if its engine has crashed.

Why it works: the part that crashes is in each crash and never runs; any other part is cleared by the first request with it that is whole or has had events for two seconds.

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -19,8 +19,9 @@
 from balsamlift.peers._list_reader import UpstreamList
 from balsamlift.peers._load import CountsBasis
 from balsamlift.peers._membership import Peers
-from balsamlift.peers._messages import CrashReport
+from balsamlift.peers._messages import CrashReport, PartReport
 from balsamlift.peers._observed_states import UpstreamState
+from balsamlift.peers._part_reports import PartReports, PartState
 from balsamlift.peers._peer import Peer
 from balsamlift.peers._permits import Permit, Permits
 from balsamlift.peers._rate_limits import RateLimits
@@ -44,6 +45,9 @@
     "HostRank",
     "LeavingNotices",
     "ListEntry",
+    "PartReport",
+    "PartReports",
+    "PartState",
     "Peer",
     "Peers",
     "Permit",
--- a/src/balsamlift/peers/_composer.py
+++ b/src/balsamlift/peers/_composer.py
@@ -88,6 +88,7 @@
             leaving_notices=reports.leaving_notices.changed_since(
                 sent.leaving_notices
             ),
+            part_reports=reports.parts.changed_since(sent.parts),
         )
         sent_changes = SentChanges(
             self._members.change, self._counts.change, reports.change
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -69,6 +69,15 @@
     had_output: bool = False  # from that upstream
 
 
+class PartReport(msgspec.Struct, frozen=True, array_like=True):
+    """Report the state of a part of prompts until it expires."""
+
+    part: str  # a digest
+    upstream: str  # incarnation that crashed; "": the state concerns none
+    state: int  # a `PartState`
+    ttl_ms: int
+
+
 class RateLimitReport(msgspec.Struct, frozen=True, array_like=True):
     """Report the rate limit that an upstream names to all hosts together."""
 
@@ -137,6 +146,7 @@
     crash_reports: list[CrashReport] = msgspec.field(default_factory=list)
     rate_limits: list[RateLimitReport] = msgspec.field(default_factory=list)
     leaving_notices: list[LeavingReport] = msgspec.field(default_factory=list)
+    part_reports: list[PartReport] = msgspec.field(default_factory=list)
 
 
 class CountsUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/src/balsamlift/peers/_report_table.py
+++ b/src/balsamlift/peers/_report_table.py
@@ -8,11 +8,15 @@
 import attrs
 import msgspec
 
-from balsamlift.peers._messages import CrashReport, UpstreamReport
+from balsamlift.peers._messages import (
+    CrashReport,
+    PartReport,
+    UpstreamReport,
+)
 
 _MS_PER_S = 1_000
 
-R = TypeVar("R", CrashReport, UpstreamReport)
+R = TypeVar("R", CrashReport, PartReport, UpstreamReport)
 
 
 @attrs.define
--- a/src/balsamlift/peers/_reports.py
+++ b/src/balsamlift/peers/_reports.py
@@ -10,6 +10,7 @@
 from balsamlift.metrics import Metrics
 from balsamlift.peers._crash_reports import CrashReports
 from balsamlift.peers._messages import PeerMessage
+from balsamlift.peers._part_reports import PartReports
 from balsamlift.peers._rate_limits import RateLimits
 from balsamlift.peers._upstream_gossip import UpstreamGossip
 from balsamlift.peers._upstream_reports import UpstreamReports
@@ -24,6 +25,7 @@
     crashes: int = 0
     rate_limits: int = 0
     leaving_notices: int = 0
+    parts: int = 0
 
 
 NO_REPORTS_SENT = SentReports()
@@ -37,6 +39,7 @@
         self._clock = clock
         self.upstream_states = UpstreamReports()
         self.crashes = CrashReports(clock)
+        self.parts = PartReports(clock)
         self.rate_limits = RateLimits(clock)
         self.gossip = UpstreamGossip(self.upstream_states, clock)
 
@@ -46,6 +49,7 @@
         """Call `wake` after each change, to send it to peers at once."""
         self.gossip.start(upstreams, wake)
         self.crashes.start(wake)
+        self.parts.start(wake)
         self.rate_limits.start(wake, metrics)
         self.leaving_notices = upstreams.leaving_notices
         self.leaving_notices.share(wake)
@@ -54,6 +58,7 @@
         """Apply the reports in the message of a peer."""
         self.gossip.receive(message.upstream_reports)
         self.crashes.add(message.crash_reports)
+        self.parts.add(message.part_reports)
         self.rate_limits.add(message.rate_limits)
         self.leaving_notices.add(message.leaving_notices)
 
@@ -65,6 +70,7 @@
             self.crashes.change,
             self.rate_limits.change,
             self.leaving_notices.change,
+            self.parts.change,
         )
 
     def expire(self) -> None:
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -158,6 +158,12 @@
         """Register a callback for every decrease of this host's load."""
         self._on_release.append(callback)
 
+    def busy(self, scope: Scope, tried: Collection[str]) -> set[str]:
+        """Return the upstreams with more load than the least one."""
+        loads = {u.name: self.load(u.name) for u in self.usable(scope, tried)}
+        least = min(loads.values(), default=0)
+        return {name for name, load in loads.items() if load > least}
+
     def usable(self, scope: Scope, tried: Collection[str]) -> list[Upstream]:
         """Return the upstreams to choose from.
 
--- a/src/balsamlift/relay/_refusals.py
+++ b/src/balsamlift/relay/_refusals.py
@@ -14,6 +14,9 @@
 RETRY_NO_UPSTREAM_MS = 2_000
 # Engines have free memory again as generations end.
 RETRY_NO_MEMORY_MS = 4_000
+# The result of a trial is known once its response has ended, or two seconds
+# after its first event.
+RETRY_SUSPECTED_MS = 1_000
 # Callers refused for an upstream's pause return within this time after it.
 RETURN_SPREAD_MS = 1_000
 # Upper bound of Retry-After, as a fraction of the caller's remaining time.
@@ -64,6 +67,19 @@
     return give_up(attempt, "upstreams asked for no requests", wait_ms)
 
 
+def suspected(attempt: Attempt, call: Call, now_s: float) -> Refusal:
+    """Return the refusal of a call that may crash its upstream.
+
+    Another one like it is tried meanwhile.
+    """
+    wait_ms = RETRY_SUSPECTED_MS + _spread(call) * RETURN_SPREAD_MS
+    return give_up(
+        attempt,
+        "prompt suspected to crash upstreams",
+        _wait_in_time(call, now_s, int(wait_ms)),
+    )
+
+
 def _wait_in_time(call: Call, now_s: float, wanted_ms: int) -> int:
     """Return a wait; one limited by the deadline is spread over its half."""
     wait_ms = _limit_to_deadline(call, now_s, wanted_ms)
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -34,7 +34,7 @@
 from balsamlift.relay._unary import UnaryCalls
 from balsamlift.relay._upstream_chooser import UpstreamChooser
 from balsamlift.relay._upstream_links import UpstreamLinks
-from balsamlift.relay.crashes import CrashGuard
+from balsamlift.relay.crashes import CrashGuard, PartGuard
 from balsamlift.relay.forwarding import (
     FORWARDED_HEAD_BYTES,
     Forwarder,
@@ -209,8 +209,14 @@
         self._admission = Admission(
             routing, names, self._random, self._settings.decode_prompt_parts
         )
+        self._part_guard = PartGuard(
+            peers.part_reports, peers.rank_for, self._clock, self._metrics
+        )
         self._crash_guard = CrashGuard(
-            peers.crash_reports, self._upstreams, self._clock
+            peers.crash_reports,
+            self._upstreams,
+            self._clock,
+            self._part_guard,
         )
         self._unary_calls = UnaryCalls(
             exchange,
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -34,7 +34,7 @@
     RateLimited,
     UpstreamChooser,
 )
-from balsamlift.relay.crashes import CRASHING_REQUEST, CrashGuard
+from balsamlift.relay.crashes import CrashGuard
 from balsamlift.relay.forwarding import Forwarder, Unreached
 
 log = logger.bind(part="calls")
@@ -108,8 +108,9 @@
         tried: set[str] = set()
         unreachable = 0
         while True:
-            if self._crash_guard.is_culprit(call):
-                return CRASHING_REQUEST
+            blamed = self._crash_guard.refusal(call, attempt)
+            if blamed is not None:
+                return blamed
             unreached = self._forwarder.unreached(call, attempt)
             tried |= unreached
             is_unreached = bool(unreached or unreachable)
--- a/src/balsamlift/relay/crashes/_crash_detector.py
+++ b/src/balsamlift/relay/crashes/_crash_detector.py
@@ -64,13 +64,22 @@
         self._on_crash = on_crash
         # Broken calls of upstreams that are being checked, by upstream name.
         self._pending: dict[str, list[BrokenCall]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        # By upstream name, whether it has crashed.
+        self._checks: dict[str, asyncio.Task[bool]] = {}
 
     async def stop(self) -> None:
         """Cancel the checks in progress."""
-        for task in list(self._tasks):
+        for task in list(self._checks.values()):
             await end_task(task)
 
+    async def has_crashed(self, upstream: str) -> bool:
+        """Return the result of the check in progress; False if there is none.
+
+        Waits for the check.
+        """
+        check = self._checks.get(upstream)
+        return check is not None and await asyncio.shield(check)
+
     def check_broken_call(
         self,
         call: Call,
@@ -95,11 +104,11 @@
             self._pending[upstream.name].append(broken)
             return
         self._pending[upstream.name] = [broken]
-        task = asyncio.create_task(self._check(upstream))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        check = asyncio.create_task(self._check(upstream))
+        self._checks[upstream.name] = check
+        check.add_done_callback(lambda _: self._checks.pop(upstream.name))
 
-    async def _check(self, upstream: Upstream) -> None:
+    async def _check(self, upstream: Upstream) -> bool:
         await self._clock.sleep(CHECK_DELAY_S)
         try:
             is_gone = await try_connection(upstream.address) == "refuses"
@@ -108,6 +117,7 @@
             pending = self._pending.pop(upstream.name)
         for broken in pending if is_gone else ():
             self._report(broken, reaches_others=reaches_others)
+        return reaches_others
 
     async def _reaches_others(self, upstream: Upstream) -> bool:
         """Return whether this host's own links are not what is broken."""
--- a/src/balsamlift/relay/crashes/_crash_guard.py
+++ b/src/balsamlift/relay/crashes/_crash_guard.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 from collections import OrderedDict, defaultdict
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
 
 from loguru import logger
 
 from balsamlift.clock import Clock
 from balsamlift.peers import CrashReport, CrashReports, Upstream, Upstreams
+from balsamlift.relay._attempt import Attempt
+from balsamlift.relay._refusals import suspected
 from balsamlift.relay._request import Call, Refusal
 from balsamlift.relay.crashes._crash_detector import BrokenCall, CrashDetector
 from balsamlift.relay.crashes._culprits import CrashHistory, find_culprits
+from balsamlift.relay.crashes._part_guard import PartGuard
 
 log = logger.bind(part="crashes")
 
@@ -29,9 +33,15 @@
     """Identify requests that crash upstreams from the reports of all hosts."""
 
     def __init__(
-        self, reports: CrashReports, upstreams: Upstreams, clock: Clock
+        self,
+        reports: CrashReports,
+        upstreams: Upstreams,
+        clock: Clock,
+        parts: PartGuard,
     ) -> None:
         """Begin with the reports that this host already holds."""
+        self._parts = parts
+        self._clock = clock
         self._reports = reports
         self._detector = CrashDetector(
             upstreams,
@@ -49,12 +59,47 @@
         """Cancel the crash checks in progress."""
         await self._detector.stop()
 
-    def is_culprit(self, call: Call) -> bool:
-        """Return whether a request must be refused."""
-        return call.fingerprint in self._culprits
+    def refusal(self, call: Call, attempt: Attempt) -> Refusal | None:
+        """Return the refusal of a call that may not be sent now."""
+        if call.fingerprint in self._culprits:
+            return CRASHING_REQUEST
+        verdict = self._parts.check(call)
+        if verdict == "refused":
+            return CRASHING_REQUEST
+        if verdict == "doubtful":
+            return suspected(attempt, call, self._clock.monotonic())
+        return None
+
+    def may_go_on(self, call: Call) -> bool:
+        """Return whether a generation may go on at another upstream."""
+        if call.fingerprint in self._culprits:
+            return False
+        return self._parts.may_go_on(call)
+
+    def is_trial(self, call: Call) -> bool:
+        """Return whether a call is sent to learn about its parts."""
+        return self._parts.is_trial(call)
+
+    @asynccontextmanager
+    async def limit(self, call: Call) -> AsyncIterator[None]:
+        """Raise `TimeoutError` if a call that has not begun is to end.
+
+        A part of its prompt was found to crash upstreams.
+        """
+        async with self._parts.limit(call):
+            yield
+
+    async def has_crashed(self, upstream: Upstream) -> bool:
+        """Return whether an upstream that broke off a call has crashed."""
+        return await self._detector.has_crashed(upstream.name)
+
+    def record_run(self, call: Call) -> None:
+        """Record that an upstream runs a request and does not crash."""
+        self._parts.record_run(call)
 
     def record_completed(self, call: Call) -> None:
         """Record that an upstream completed a request."""
+        self.record_run(call)
         self._completed[call.fingerprint] = None
         self._completed.move_to_end(call.fingerprint)
         if len(self._completed) > MAX_COMPLETED:
@@ -81,6 +126,7 @@
             crashed.upstream,
             had_output=crashed.had_output,
         )
+        self._parts.record_crash(crashed)
 
     def _process_new_reports(self, reports: Iterable[CrashReport]) -> None:
         for report in reports:
@@ -90,6 +136,7 @@
 
     def discard_expired(self) -> None:
         """Discard expired reports; called every second."""
+        self._parts.discard_expired()
         if self._reported:
             self._update_culprits()
 
--- a/src/balsamlift/relay/generations/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -39,6 +39,8 @@
 LOST_SILENCE_S = 0.6
 # Another host may have to wait for the engine's response too.
 CARRIER_TIMEOUT_S = 1.5
+# An engine that crashes because of a generation does so as it begins.
+SOUND_AFTER_S = 2.0
 # The response to the last copy arrives once the copy is complete.
 COPY_TIMEOUT_S = 1.0
 
@@ -78,6 +80,8 @@
         self._last_event_s = asyncio.get_running_loop().time()
         self._lost_engines = 0
         self._is_carried = False  # by another host
+        self._first_event_s = 0.0
+        self._is_sound = False  # its engine has run it for long enough
         self.stats = StreamStats()
 
     @property
@@ -221,10 +225,14 @@
         gap_ms = (now_s - self._last_event_s) * 1_000
         self._last_event_s = now_s
         if self.stats.first_ms is None:
+            self._first_event_s = now_s
             arrived_s = self._job.call.request.arrived_s
             self.stats.first_ms = round((now_s - arrived_s) * 1_000)
-        else:
-            self.stats.gap_ms = max(self.stats.gap_ms, round(gap_ms))
+            return
+        self.stats.gap_ms = max(self.stats.gap_ms, round(gap_ms))
+        if not self._is_sound and now_s - self._first_event_s >= SOUND_AFTER_S:
+            self._is_sound = True
+            self._context.crash_guard.record_run(self._job.call)
 
     def _fail(self, reason: str) -> str:
         self._stop_reading()
@@ -260,8 +268,21 @@
         self._lost_engines += 1
         if self._lost_engines >= CRASH_THRESHOLD:
             return False
+        if not self.stats.events and await self._has_crashed_engine():
+            return False
         return await self._resume_at_backup()
 
+    async def _has_crashed_engine(self) -> bool:
+        """Return whether the engine that was lost has crashed.
+
+        A generation without any event is then the most likely cause.
+        """
+        if self._is_carried or self._reply is None:
+            return False
+        return await self._context.crash_guard.has_crashed(
+            self._reply.upstream
+        )
+
     def _release_move(self) -> None:
         if self._move is not None:
             self._move.release()
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -186,8 +186,11 @@
         tried: set[str] = set()
         unreachable = 0
         while True:
-            if self._context.crash_guard.is_culprit(call):
-                return CRASHING_REQUEST
+            blamed = self._context.crash_guard.refusal(call, attempt)
+            if blamed is not None:
+                return blamed
+            if self._context.crash_guard.is_trial(call):
+                tried |= self._context.balancer.busy(call.scope, tried)
             unreached = self._forwarder.unreached(call, attempt)
             tried |= unreached
             is_unreached = bool(unreached or unreachable)
@@ -219,8 +222,9 @@
             try:
                 if not self._admission.still_allows(call):
                     return give_up(attempt, "configuration changed", 0)
-                if self._context.crash_guard.is_culprit(call):
-                    return CRASHING_REQUEST
+                blamed = self._context.crash_guard.refusal(call, attempt)
+                if blamed is not None:
+                    return blamed
                 result = await self._send(
                     call, attempt, reservation.upstream, backup.headers()
                 )
@@ -272,9 +276,12 @@
     ) -> Reply | Refusal:
         balancer = self._context.balancer
         try:
-            reply = await self._context.exchange.send(
-                call, attempt, upstream, extra
-            )
+            async with self._context.crash_guard.limit(call):
+                reply = await self._context.exchange.send(
+                    call, attempt, upstream, extra
+                )
+        except TimeoutError:
+            return CRASHING_REQUEST
         except UpstreamRestrictedError as error:
             return give_up(attempt, f"engine {error.restriction}")
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
--- a/src/balsamlift/relay/generations/_resume_request.py
+++ b/src/balsamlift/relay/generations/_resume_request.py
@@ -36,7 +36,7 @@
     Raises `UpstreamUnreachableError` if nothing was sent, perhaps because
     this host has lost its links.
     """
-    if context.crash_guard.is_culprit(job.call):
+    if not context.crash_guard.may_go_on(job.call):
         return None
     if context.upstreams.is_in_evacuation(upstream):
         return None
