Tell no answer as whole that a crash ended where that can be known

Cause: any close without an error was taken for the end of such an answer.

Change: when it has ended so, the upstream is asked for a connection 20 ms later. If it refuses, the answer has broken off: a generation goes on at its backup, a call may be retried, and the crash is looked into. A stream that ends inside an event has broken off too. If that cannot be known, as the upstream is silent or leaving, the answer is passed on as before, but clears nothing.

Cost: the end of an unframed answer comes 20 ms later, an unframed call as a whole; all others as before.

The check of answers cut short now compares the events of all whole answers, as sound ones go on at a backup and none may be cut any more.

--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -81,6 +81,10 @@
         self._clock = clock
         self._stream: IOStream | None = None
         self.is_kept = False  # it was idle since it was opened
+        # The response has ended with the connection, and by that alone.
+        self.is_ended_by_close = False
+        # It may not have been all of it.
+        self.has_doubtful_end = False
         self._reusable = False
         self._idle_until_s = 0.0
         self._is_head_request = False
@@ -183,7 +187,8 @@
     async def read_body(self, head: ResponseHead) -> AsyncIterator[bytes]:
         """Yield the body of the response as it arrives.
 
-        Raises `UpstreamBrokenError` if it is truncated.
+        Raises `UpstreamBrokenError` if it is truncated. Whether a body that
+        `is_ended_by_close` is whole is left to `Exchange.confirm_end`.
         """
         assert self._stream is not None
         if self._is_head_request or head.status in _NO_BODY:
@@ -258,6 +263,7 @@
                     raise UpstreamBrokenError(
                         self.upstream, "connection reset"
                     ) from error
+                self.is_ended_by_close = True
                 return
             yield chunk
 
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager, suppress
 from typing import Literal
 
@@ -21,6 +21,7 @@
     CONNECT_TIMEOUT_S,
     ResponseHead,
     UpstreamConnection,
+    try_connection,
 )
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._headers import is_signed, upstream_headers
@@ -39,6 +40,8 @@
 SILENCE_S, STREAM_SILENCE_S = 0.4, 1.0
 # Part of a call's remaining time in which a connection has to open.
 CONNECT_FRACTION = 0.2
+# The listening port of a process that crashes may be closed a little later.
+END_CHECK_DELAY_S = 0.02
 
 Disposition = Literal["answer", "failure", "not_executed"]
 
@@ -69,8 +72,13 @@
         statements: StatementReader,
         restrictions: Restrictions,
         reachability: Reachability,
+        is_leaving: Callable[[str], bool],
     ) -> None:
-        """Create a client that acquires connections from `pool`."""
+        """Create a client that acquires connections from `pool`.
+
+        `is_leaving` returns whether the upstream of that name is leaving.
+        """
+        self._is_leaving = is_leaving
         self._pool = pool
         self._names = names
         self._clock = clock
@@ -194,12 +202,35 @@
                         f"over {max_bytes} bytes",
                     )
                 chunks.append(chunk)
+            await self.confirm_end(reply)
         except BaseException:
             reply.connection.close()
             raise
         self._pool.release(reply.connection)
         return b"".join(chunks)
 
+    async def confirm_end(self, reply: Reply) -> None:
+        """Check whether a crash has ended a response.
+
+        One with neither a length nor chunks ends with its connection, as does
+        one whose upstream has crashed. Raises `UpstreamBrokenError` if the
+        upstream accepts no connections any more; its end is doubtful if that
+        cannot be known, or was planned.
+        """
+        connection = reply.connection
+        if not connection.is_ended_by_close:
+            return
+        if self._is_leaving(reply.upstream.name):
+            connection.has_doubtful_end = True
+            return
+        await self._clock.sleep(END_CHECK_DELAY_S)
+        answer = await try_connection(connection.address)
+        if answer == "refuses":
+            raise UpstreamBrokenError(
+                reply.upstream.name, "crashed as its answer ended"
+            )
+        connection.has_doubtful_end = answer != "accepts"
+
     def release_connection(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after a complete response."""
         self._pool.release(connection)
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -187,6 +187,7 @@
             statements,
             restrictions,
             links.reachability,
+            self._upstreams.is_leaving,
         )
         forwarder = self._forwarder = Forwarder(
             peers,
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -189,7 +189,8 @@
             raise UpstreamBrokenError(
                 upstream.name, "no answer yet"
             ) from error
-        if reply.disposition != "not_executed":
+        is_certain = not reply.connection.has_doubtful_end
+        if reply.disposition != "not_executed" and is_certain:
             self._crash_guard.record_completed(call)
         if reply.disposition == "answer":
             self._balancer.record_success(upstream.name)
--- a/src/balsamlift/relay/generations/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -168,6 +168,8 @@
                 had_output = True
                 await self._buffer_slots.acquire()
                 self._inbox.put_nowait(chunk)
+            if not self._is_carried:  # else the other host has checked it
+                await self._context.exchange.confirm_end(reply)
         except UpstreamBrokenError as error:
             log.bind(
                 request=self._job.request_id,
@@ -175,16 +177,19 @@
                 event=self._splitter.last_id,
             ).info("{}", error)
             self._inbox.put_nowait("broken")
-            self._context.crash_guard.check_broken_call(
-                self._job.call,
-                reply.upstream,
-                had_output=had_output,
-                has_begun=True,
-            )
+            self._check_crash(reply, had_output=had_output)
             return
         self._context.exchange.release_connection(reply.connection)
         self._inbox.put_nowait("whole")
 
+    def _check_crash(self, reply: Reply, *, had_output: bool) -> None:
+        self._context.crash_guard.check_broken_call(
+            self._job.call,
+            reply.upstream,
+            had_output=had_output,
+            has_begun=True,
+        )
+
     async def _relay(self) -> str:
         while True:
             item = await self._inbox.get()
@@ -194,9 +199,11 @@
                     return self._fail("events out of order")
             elif item == "whole":
                 if self._splitter.incomplete:
+                    if await self._resume_cut_short():
+                        continue
                     return self._fail("ended within an event")
                 self._responder.finish()
-                self._context.crash_guard.record_completed(self._job.call)
+                self._record_whole()
                 return "whole"
             elif item == "unreached":
                 await self._resume_at_backup()
@@ -208,6 +215,19 @@
             elif not await self._resume_elsewhere():
                 return self._fail("engine lost")
 
+    def _record_whole(self) -> None:
+        reply = self._reply
+        if reply is None or not reply.connection.has_doubtful_end:
+            self._context.crash_guard.record_completed(self._job.call)
+
+    async def _resume_cut_short(self) -> bool:
+        """Resume if the response ended with its connection, in an event."""
+        reply = self._reply
+        if reply is None or not reply.connection.is_ended_by_close:
+            return False
+        self._check_crash(reply, had_output=True)
+        return await self._resume_elsewhere()
+
     async def _forward(self, data: bytes) -> bool:
         try:
             events = self._splitter.feed(data)
--- a/tests/test_relay_crashing_parts.py
+++ b/tests/test_relay_crashing_parts.py
@@ -59,11 +59,10 @@
 ):
     async def test() -> None:
         crowd = await play(is_framed=False)
-        cut = [s for s in crowd.sent if 0 < s.events < crowd.sound_events]
-        assert cut
-        assert not any(sent.is_whole for sent in cut)
-        crashing = [s for s in crowd.sent if s.is_crashing]
-        assert not any(s.status == 200 and s.is_whole for s in crashing)
+        assert crowd.crashes_s
+        whole = [s for s in crowd.sent if s.status == 200 and s.is_whole]
+        assert whole
+        assert {sent.events for sent in whole} == {crowd.sound_events}
 
     run(test)
 
--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -7,6 +7,7 @@
 from _relay_helpers import (
     LAST_EVENT_ID,
     USAGE,
+    Behave,
     behave_all,
     hang_midway,
     refuse,
@@ -52,6 +53,15 @@
     connection.reset()
 
 
+async def end_within_an_event(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    await connection.head(request, 200, "Content-Type: text/event-stream")
+    await connection.send(event_stream(4) + b"id: 5\ndata: tok")
+    await asyncio.sleep(0.05)
+    connection.writer.close()
+
+
 async def begin_call(
     world: RelayHarness, stand_ins: list[ReplicaStandIn]
 ) -> tuple[asyncio.Task[CallerAnswer], ReplicaStandIn]:
@@ -74,10 +84,11 @@
     run(test())
 
 
-def test_resumes_at_the_backup_when_its_engine_is_lost() -> None:
+@pytest.mark.parametrize("lose", [break_midway, end_within_an_event])
+def test_resumes_at_the_backup_when_its_engine_is_lost(lose: Behave) -> None:
     async def test() -> None:
         stand_ins = engines()
-        behave_all(stand_ins, break_midway)
+        behave_all(stand_ins, lose)
         async with RelayHarness(stand_ins) as world:
             world.configure()
             calling, used = await begin_call(world, stand_ins)
--- a/tests/test_relay_unary.py
+++ b/tests/test_relay_unary.py
@@ -370,3 +370,31 @@
         assert 0.8 <= float(answer.headers["Retry-After"]) <= 0.9
 
     run(test())
+
+
+@pytest.mark.parametrize(
+    ("is_crash", "status"), [(True, 502), (False, 200)], ids=["crash", "end"]
+)
+def test_an_unframed_answer_is_whole_unless_its_upstream_has_crashed(
+    is_crash: bool, status: int
+) -> None:
+    async def test() -> None:
+        stand_ins = replicas(1)
+
+        async def answer(
+            connection: ReplicaConnection, request: ReplicaRequest
+        ) -> None:
+            await connection.head(request, 200)
+            await connection.send(b"all, or half")
+            if is_crash:
+                stand_ins[0].crash()
+            connection.writer.close()
+
+        behave_all(stand_ins, answer)
+        async with RelayHarness(stand_ins) as world:
+            world.configure()
+            told = await world.call("/order/1", body=b"x")
+            assert told.status == status
+            assert len(all_arrivals(stand_ins)) == 1
+
+    run(test())
