Keep blocked parts of prompts in the store for hosts that restart

What callers saw: after all hosts were restarted at once, a part that had been found to crash engines was sent to them again, five more of them.

Cause: what the hosts know of such parts is in memory only. Those that restart alone are told by the others; all at once are told by nobody.

Change: one host for all (the first by its rank for the part) writes a blocked part to the store, with the time until which it holds, and drops it when it is lifted; another one does if that host is gone, and all is written again where the store was restored from an older copy.

The stand-in engines of the soak broke some streams off between two events by an ordinary close; without framing nothing can tell that from the end, so that they now do it within an event there.

Parts that may not run are called blocked; states and names are renamed so.

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -21,7 +21,7 @@
 from balsamlift.peers._membership import Peers
 from balsamlift.peers._messages import CrashReport, PartReport
 from balsamlift.peers._observed_states import UpstreamState
-from balsamlift.peers._part_reports import PartReports, PartState
+from balsamlift.peers._part_reports import PartEntry, PartReports, PartState
 from balsamlift.peers._peer import Peer
 from balsamlift.peers._permits import Permit, Permits
 from balsamlift.peers._rate_limits import RateLimits
@@ -45,6 +45,7 @@
     "HostRank",
     "LeavingNotices",
     "ListEntry",
+    "PartEntry",
     "PartReport",
     "PartReports",
     "PartState",
--- a/src/balsamlift/peers/_part_reports.py
+++ b/src/balsamlift/peers/_part_reports.py
@@ -29,8 +29,8 @@
     SURVIVED = 3  # since that crash, an upstream has run the part
     KNOWN = 10  # an upstream had run the part before
     TRIED = 20  # a request with the part is being tried
-    CONVICTED = 30  # the part is not run again
-    ACQUITTED = 31  # it is after all
+    BLOCKED = 30  # the part is not run again
+    UNBLOCKED = 31  # it is after all
 
     @property
     def ttl_ms(self) -> int:
@@ -42,7 +42,7 @@
 _TTLS_MS = {
     PartState.KNOWN: 60_000,
     PartState.TRIED: 3_000,
-    PartState.ACQUITTED: 60_000,
+    PartState.UNBLOCKED: 60_000,
 }
 # The states of each range replace each other.
 _RANGE = 10
--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -29,6 +29,7 @@
     RecordSources,
     Upstreams,
 )
+from balsamlift.platform._blocked_parts import BlockedParts
 from balsamlift.platform._decode import HostRecord, encode_operator_records
 from balsamlift.platform._engines import PlatformEngines
 from balsamlift.platform._settings import NodeSettings, load_node_settings
@@ -116,6 +117,10 @@
         )
         registration = HostRegistration(store, clock, settings.host, record)
         self._configuration_watch.follower.on_restored(registration.renew)
+        blocked_parts = BlockedParts(
+            store, clock, is_first_start=node.is_first_start
+        )
+        self._configuration_watch.follower.on_restored(blocked_parts.rewrite)
         self._upstreams_source.upstreams_follower.on_restored(
             self.upstreams.suspend_removals
         )
@@ -136,6 +141,7 @@
                 rng,
                 node.regions,
             ),
+            blocked_parts,
             self.relay,
             PlatformServer(node.directory_address, node.readiness_address),
         )
--- a/src/balsamlift/platform/_names.py
+++ b/src/balsamlift/platform/_names.py
@@ -42,6 +42,7 @@
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"  # same topic; a failure domain follows
 UPSTREAMS_TOPIC = "keyed.servers"
+BLOCKED_PARTS_TOPIC = "keyed.blocked-parts"  # of prompts
 HOSTS_TOPIC = "keyed.hosts"  # entries of Balsamlift's own hosts
 
 # In all answers of the store; incremented when it is restored from a copy.
--- a/src/balsamlift/platform/_settings.py
+++ b/src/balsamlift/platform/_settings.py
@@ -87,6 +87,7 @@
     retries: RetryLimits
     cold_limits: ColdLimits | None  # None: no limit
     regions: dict[str, str]  # by failure domain
+    is_first_start: bool  # of the whole system
 
     @property
     def read_wait_ms(self) -> int:
@@ -235,6 +236,7 @@
         ),
         cold_limits=reader.cold_limits(),
         regions=reader.regions(),
+        is_first_start=reader.is_set("Bootstrap"),
     )
 
 
@@ -265,6 +267,9 @@
             raise SettingsError(self._file, ".".join(path), "a number")
         return float(value)
 
+    def is_set(self, *path: str) -> bool:
+        return self._find(path) is True
+
     def first_port(self) -> int:
         value = self._find(("InternalPorts",))
         if not isinstance(value, list) or not value:
--- a/src/balsamlift/relay/crashes/__init__.py
+++ b/src/balsamlift/relay/crashes/__init__.py
@@ -6,12 +6,11 @@
 )
 from balsamlift.relay.crashes._culprits import CRASH_THRESHOLD
 from balsamlift.relay.crashes._fingerprint import fingerprint
-from balsamlift.relay.crashes._part_guard import Conviction, PartGuard
+from balsamlift.relay.crashes._part_guard import PartGuard
 
 __all__ = [
     "CRASHING_REQUEST",
     "CRASH_THRESHOLD",
-    "Conviction",
     "CrashGuard",
     "PartGuard",
     "fingerprint",
--- a/src/balsamlift/relay/crashes/_part_guard.py
+++ b/src/balsamlift/relay/crashes/_part_guard.py
@@ -8,7 +8,6 @@
 from contextlib import asynccontextmanager
 from typing import Literal
 
-import attrs
 from loguru import logger
 
 from balsamlift.clock import Clock
@@ -37,20 +36,12 @@
 # Requests with one suspected part tell more than those with several.
 SEVERAL_SUSPECTS_WAIT_S = 1.0
 MAX_TRIALS = 1_000  # that are remembered
-# Part of its time after which a conviction is renewed by a refused request.
+# Part of its time after which a block is renewed by a refused request.
 RENEWAL_FRACTION = 0.5
 
 Verdict = Literal["allowed", "doubtful", "refused"]
 
 
-@attrs.frozen
-class Conviction:
-    """A part that is not run again."""
-
-    part: str
-    expires_s: float  # monotonic
-
-
 class PartGuard:
     """Decide from the reports of all hosts which parts may run."""
 
@@ -69,7 +60,7 @@
         self._survivors = Survivors(clock)
         self._histories: dict[str, PartHistory] = {}
         self._suspects: dict[str, Suspicion] = {}
-        self._convicted: dict[str, float] = {}  # when each expires
+        self._blocked: dict[str, float] = {}  # when each expires
         self._tried: set[str] = set()  # whose trial has no result yet
         # Requests of this host that are tried, by id, and since when.
         self._trials: OrderedDict[str, float] = OrderedDict()
@@ -82,11 +73,11 @@
 
         A call with a suspected part may become the one that is tried.
         """
-        if not call.prompt_parts or not (self._convicted or self._suspects):
+        if not call.prompt_parts or not (self._blocked or self._suspects):
             return "allowed"
-        convicted = [p for p in call.prompt_parts if p in self._convicted]
-        if convicted:
-            self._renew(convicted)
+        blocked = [p for p in call.prompt_parts if p in self._blocked]
+        if blocked:
+            self._renew(blocked)
             return "refused"
         suspects = [p for p in call.prompt_parts if p in self._suspects]
         if not suspects or self.is_trial(call):
@@ -98,7 +89,7 @@
 
     def may_go_on(self, call: Call) -> bool:
         """Return whether a generation may go on at another upstream."""
-        blamed = self._convicted.keys() | self._suspects.keys()
+        blamed = self._blocked.keys() | self._suspects.keys()
         return blamed.isdisjoint(call.prompt_parts)
 
     def is_trial(self, call: Call) -> bool:
@@ -111,7 +102,7 @@
 
     @asynccontextmanager
     async def limit(self, call: Call) -> AsyncIterator[None]:
-        """Raise `TimeoutError` if a part of the call is convicted meanwhile.
+        """Raise `TimeoutError` if a part of the call is blocked meanwhile.
 
         For a call that waits at an upstream and has not begun to run.
         """
@@ -125,7 +116,7 @@
     def record_run(self, call: Call) -> None:
         """Record that an upstream has run a call without crashing."""
         self._survivors.record(call.prompt_parts)
-        if not self._histories and not self._convicted:
+        if not self._histories and not self._blocked:
             return
         for part in call.prompt_parts:
             self._clear(part)
@@ -140,13 +131,9 @@
             if not self._survivors.is_known(part, RECENTLY_RUN_S)
         )
 
-    def convictions(self) -> list[Conviction]:
-        """Return the parts that are not run again."""
-        return [Conviction(p, at_s) for p, at_s in self._convicted.items()]
-
     def discard_expired(self) -> None:
         """Discard expired reports; called every second."""
-        if self._histories or self._convicted or self._tried:
+        if self._histories or self._blocked or self._tried:
             self._update()
 
     def _clear(self, part: str) -> None:
@@ -162,8 +149,8 @@
                 PartReport(part, crash.upstream, state, state.ttl_ms)
                 for crash in history.crashes
             )
-        if part in self._convicted:
-            self._reports.report(part, PartState.ACQUITTED)
+        if part in self._blocked:
+            self._reports.report(part, PartState.UNBLOCKED)
 
     def _may_try(self, suspects: list[str]) -> bool:
         if not self._tried.isdisjoint(suspects):
@@ -196,12 +183,12 @@
             self._reports.report(part, PartState.TRIED)
 
     def _renew(self, parts: Iterable[str]) -> None:
-        """Extend convictions, as requests with the parts still come."""
-        ttl_s = PartState.CONVICTED.ttl_ms / 1_000
+        """Extend blocks, as requests with the parts still come."""
+        ttl_s = PartState.BLOCKED.ttl_ms / 1_000
         renewal_s = self._clock.monotonic() + ttl_s * RENEWAL_FRACTION
         for part in parts:
-            if self._convicted[part] < renewal_s:
-                self._reports.report(part, PartState.CONVICTED)
+            if self._blocked[part] < renewal_s:
+                self._reports.report(part, PartState.BLOCKED)
 
     def _process_new_reports(self, reports: Iterable[PartReport]) -> None:
         for report in list(reports):
@@ -218,7 +205,7 @@
     def _update(self) -> None:
         crashes: dict[str, list[PartCrash]] = defaultdict(list)
         known: set[str] = set()
-        convicted: dict[str, float] = {}
+        blocked: dict[str, float] = {}
         self._tried = set()
         for entry in self._reports.entries():
             match entry.state:
@@ -226,9 +213,9 @@
                     known.add(entry.part)
                 case PartState.TRIED:
                     self._tried.add(entry.part)
-                case PartState.CONVICTED:
-                    convicted[entry.part] = entry.expires_s
-                case PartState.SURVIVED | PartState.ACQUITTED:
+                case PartState.BLOCKED:
+                    blocked[entry.part] = entry.expires_s
+                case PartState.SURVIVED | PartState.UNBLOCKED:
                     pass
                 case _:
                     crashes[entry.part].append(
@@ -238,36 +225,36 @@
             part: PartHistory(tuple(listed), part in known)
             for part, listed in crashes.items()
         }
-        self._apply(find_suspects(self._histories), convicted)
+        self._apply(find_suspects(self._histories), blocked)
 
     def _apply(
-        self, suspects: dict[str, Suspicion], convicted: dict[str, float]
+        self, suspects: dict[str, Suspicion], blocked: dict[str, float]
     ) -> None:
         for part in suspects.keys() - self._suspects.keys():
             self._log_suspicion(part, suspects[part], "suspecting a part")
         for part in self._suspects.keys() - suspects.keys():
             log.bind(crashed_part=part).info("no longer suspecting a part")
-        for part in self._convicted.keys() - convicted.keys():
+        for part in self._blocked.keys() - blocked.keys():
             log.bind(crashed_part=part).info(
                 "no longer refusing requests with a part"
             )
         self._suspects = suspects
-        found = convicted.keys() - self._convicted.keys()
-        self._convicted = convicted
+        found = blocked.keys() - self._blocked.keys()
+        self._blocked = blocked
         for part in found:
-            self._metrics.count("crashes.parts_convicted")
+            self._metrics.count("crashes.parts_blocked")
             log.bind(crashed_part=part).warning(
                 "refusing requests with a part that crashes upstreams"
             )
         if found:
             self._end_waiting(found)
-        self._convict()
+        self._block()
 
-    def _convict(self) -> None:
+    def _block(self) -> None:
         for part, suspicion in list(self._suspects.items()):
-            if suspicion.is_convicted and part not in self._convicted:
-                self._log_suspicion(part, suspicion, "convicting a part")
-                self._reports.report(part, PartState.CONVICTED)
+            if suspicion.is_blocked and part not in self._blocked:
+                self._log_suspicion(part, suspicion, "blocking a part")
+                self._reports.report(part, PartState.BLOCKED)
 
     def _log_suspicion(
         self, part: str, suspicion: Suspicion, message: str
--- a/src/balsamlift/relay/crashes/_suspects.py
+++ b/src/balsamlift/relay/crashes/_suspects.py
@@ -21,9 +21,9 @@
 # the same if upstreams had run the part before.
 SUSPECT_CRASHES, KNOWN_SUSPECT_CRASHES = 2, 4
 # Crashes from which no request with a suspected part is tried any more.
-CONVICT_CRASHES = 5
+BLOCK_CRASHES = 5
 # The same if each time the response had only just begun.
-CLEAR_CONVICT_CRASHES = 3
+CLEAR_BLOCK_CRASHES = 3
 
 
 @attrs.frozen
@@ -57,13 +57,13 @@
     is_known: bool
 
     @property
-    def is_convicted(self) -> bool:
+    def is_blocked(self) -> bool:
         """Return whether no request with the part is to run again."""
         if self.is_known:
-            return self.crashes > CONVICT_CRASHES
-        if self.at_head >= CLEAR_CONVICT_CRASHES:
+            return self.crashes > BLOCK_CRASHES
+        if self.at_head >= CLEAR_BLOCK_CRASHES:
             return self.at_head == self.crashes
-        return self.crashes >= CONVICT_CRASHES
+        return self.crashes >= BLOCK_CRASHES
 
     @property
     def failed_trials(self) -> int:
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -264,6 +264,8 @@
             await (connection.send if is_unframed else connection.chunk)(data)
             await asyncio.sleep(EVENT_GAP_S)
             if chance < 0.08 and number > first + 3:
+                if is_unframed:  # its end would show nothing between events
+                    await connection.send(b"id: ")
                 connection.reset()
                 return
         if is_unframed:
