Learn what brittle upstreams run at once where the list does not tell

Cause: without slots, one was assumed, and nothing was ever learned.

Change: the most that an upstream of the pool had, over all hosts, as it answered, and one more each second that it had all of these, are shared among the hosts as slots are. After a refusal it is three quarters of what it had, and no more for 8 s.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -306,6 +306,9 @@
 
     def record_success(self, upstream: str) -> None:
         """Record a complete response, or the start of a streamed one."""
+        listed = self._upstreams.find(upstream)
+        if listed is not None:
+            self._brittle_pools.record_served(listed, self.load(upstream) + 1)
         self.health.record_success(upstream)
         self._shared_health.record(
             upstream, self._clock.monotonic(), is_failing=False
@@ -324,6 +327,9 @@
         One that says for how long is not rated by it: it gets its share again
         after that time.
         """
+        listed = self._upstreams.find(upstream)
+        if listed is not None:
+            self._brittle_pools.record_refused(listed, self.load(upstream) + 1)
         self.abandon_trial(upstream)
         if not self._retry_after.is_pausing(upstream):
             self.health.record_failure(upstream)
--- a/src/balsamlift/relay/statements/_brittle_pools.py
+++ b/src/balsamlift/relay/statements/_brittle_pools.py
@@ -18,8 +18,15 @@
 
 # Without a response for that long, a pool may be brittle no more.
 STATEMENT_TTL_S = 10.0
-# Where the list does not tell how many requests an upstream runs.
+# Where the list does not tell how many requests an upstream runs, until more
+# were seen to run at once.
 UNTOLD_SLOTS = 1
+# An upstream that had all it may have, and turned nothing away for that long,
+# may have one request more.
+GROWTH_INTERVAL_S = 1.0
+# The same after it has turned one away, and the part that it then gets.
+REFUSED_INTERVAL_S = 8.0
+REFUSED_FRACTION = 0.75
 
 
 class BrittlePools:
@@ -43,6 +50,9 @@
         self._rank_for = rank_for
         self._hosts_for = hosts_for
         self._said_s: dict[str, float] = {}  # by pool
+        # Requests that an upstream of the pool runs at once, where the list
+        # does not tell, and when it may have one more.
+        self._learned: dict[str, tuple[int, float]] = {}
 
     def record(self, upstream: Upstream, named: str) -> None:
         """Record that an upstream said how many it may turn away."""
@@ -59,11 +69,36 @@
                 "pool is brittle no more"
             )
 
+    def record_served(self, upstream: Upstream, load: int) -> None:
+        """Record an answer of an upstream that had `load` requests."""
+        if upstream.slots:
+            return
+        now_s = self._clock.monotonic()
+        learned, grows_s = self._learned.get(upstream.pool, (0, now_s))
+        is_brittle = self._is_brittle(upstream.pool)
+        if load < learned or (is_brittle and now_s < grows_s):
+            return
+        self._learned[upstream.pool] = (
+            load + int(is_brittle),
+            now_s + GROWTH_INTERVAL_S,
+        )
+
+    def record_refused(self, upstream: Upstream, load: int) -> None:
+        """Record that an upstream with `load` requests turned one away."""
+        if upstream.slots:
+            return
+        learned, _ = self._learned.get(upstream.pool, (load, 0.0))
+        fewer = int(min(learned, load) * REFUSED_FRACTION)
+        grows_s = self._clock.monotonic() + REFUSED_INTERVAL_S
+        self._learned[upstream.pool] = max(fewer, UNTOLD_SLOTS), grows_s
+
     def places(self, upstream: Upstream) -> int | None:
         """Return how many requests this host may have there, None for any."""
         if not self._is_brittle(upstream.pool):
             return None
-        return whole_share(_slots(upstream), self._rank_for(upstream.name))
+        return whole_share(
+            self._slots(upstream), self._rank_for(upstream.name)
+        )
 
     def holders(self, upstreams: Iterable[Upstream]) -> set[str]:
         """Return the hosts that may send to one of some brittle upstreams."""
@@ -71,7 +106,7 @@
             host
             for upstream in upstreams
             if self._is_brittle(upstream.pool)
-            for host in self._hosts_for(upstream.name)[: _slots(upstream)]
+            for host in self._hosts_for(upstream.name)[: self._slots(upstream)]
         }
 
     def _is_brittle(self, pool: str) -> bool:
@@ -80,9 +115,11 @@
             return False
         return self._clock.monotonic() < said_s + STATEMENT_TTL_S
 
-
-def _slots(upstream: Upstream) -> int:
-    return upstream.slots or UNTOLD_SLOTS
+    def _slots(self, upstream: Upstream) -> int:
+        if upstream.slots:
+            return upstream.slots
+        learned, _ = self._learned.get(upstream.pool, (UNTOLD_SLOTS, 0.0))
+        return max(learned, UNTOLD_SLOTS)
 
 
 def no_brittle_pools(clock: Clock) -> BrittlePools:
--- a/tests/_listed_engines.py
+++ b/tests/_listed_engines.py
@@ -29,6 +29,10 @@
             for i, (name, domain) in enumerate(domains.items())
         ]
 
+    def find(self, name: str) -> Upstream | None:
+        found = [u for u in self._upstreams if u.name == name]
+        return found[0] if found else None
+
     def in_pool(self, pool: str) -> list[Upstream]:
         return list(self._upstreams)
 
--- a/tests/test_relay_brittle.py
+++ b/tests/test_relay_brittle.py
@@ -140,6 +140,21 @@
     run(test())
 
 
+def test_brittle_upstreams_that_tell_no_slots_get_what_they_can_run() -> None:
+    async def test() -> None:
+        replicas = [BrittleReplica(f"plain-{n}") for n in range(REPLICAS)]
+        for replica in replicas:
+            replica.slots = 0
+        async with RelayHarness(replicas) as world:
+            world.configure()
+            statuses = await press(world, 0.75 * CAPACITY_PER_S)
+        falls = sum(replica.falls for replica in replicas)
+        assert falls <= TOLERATED_FALLS + REPLICAS // 10, statuses
+        assert statuses[200] > 0.55 * CAPACITY_PER_S * LENGTH_S
+
+    run(test())
+
+
 def test_a_place_at_a_brittle_upstream_wakes_one_waiting_call(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
