Let statistics of a stream count for themselves, and share the mesh of hosts

A generation that goes on elsewhere clears its parts only after two seconds at that engine, and one that lasts clears them every two seconds. The simulation of crash reports uses the mesh of hosts that three other tests have, instead of one of its own.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -158,12 +158,6 @@
         """Register a callback for every decrease of this host's load."""
         self._on_release.append(callback)
 
-    def busy(self, scope: Scope, tried: Collection[str]) -> set[str]:
-        """Return the upstreams with more load than the least one."""
-        loads = {u.name: self.load(u.name) for u in self.usable(scope, tried)}
-        least = min(loads.values(), default=0)
-        return {name for name, load in loads.items() if load > least}
-
     def usable(self, scope: Scope, tried: Collection[str]) -> list[Upstream]:
         """Return the upstreams to choose from.
 
@@ -307,7 +301,7 @@
     def record_success(self, upstream: str) -> None:
         """Record a complete response, or the start of a streamed one."""
         listed = self._upstreams.find(upstream)
-        if listed is not None:
+        if listed:
             self._brittle_pools.record_served(listed, self.load(upstream) + 1)
         self.health.record_success(upstream)
         self._shared_health.record(
@@ -328,7 +322,7 @@
         after that time.
         """
         listed = self._upstreams.find(upstream)
-        if listed is not None:
+        if listed:
             self._brittle_pools.record_refused(listed, self.load(upstream) + 1)
         self.abandon_trial(upstream)
         if not self._retry_after.is_pausing(upstream):
--- a/src/balsamlift/relay/generations/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -55,6 +55,13 @@
                 return reservation
             waits_s[reservation.upstream.name] = wait_s
 
+    def busy(self, job: Job, tried: Collection[str]) -> set[str]:
+        """Return the engines with more load than the least loaded one."""
+        usable = self._balancer.usable(job.scope, tried)
+        loads = {u.name: self._balancer.load(u.name) for u in usable}
+        least = min(loads.values(), default=0)
+        return {name for name, load in loads.items() if load > least}
+
     def _find_long_pause(
         self, job: Job, tried: Collection[str]
     ) -> Pausing | None:
--- a/src/balsamlift/relay/generations/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Literal
@@ -77,12 +78,10 @@
         self._reply: Reply | None = None
         self._move: Move | None = None
         self._move_task: asyncio.Task[MemoryCopy | None] | None = None
-        self._last_event_s = asyncio.get_running_loop().time()
         self._lost_engines = 0
         self._is_carried = False  # by another host
-        self._first_event_s = 0.0
-        self._is_sound = False  # its engine has run it for long enough
-        self.stats = StreamStats()
+        self._sound_at_s = math.inf  # once the engine has run it for so long
+        self.stats = StreamStats(asyncio.get_running_loop().time())
 
     @property
     def upstream(self) -> Upstream | None:
@@ -103,10 +102,10 @@
         upstream = self.upstream
         if upstream is None:
             return
-        last_event_s = self._last_event_s
+        last_event_s = self.stats.last_event_s
 
         def check() -> None:
-            is_silent = self._last_event_s == last_event_s
+            is_silent = self.stats.last_event_s == last_event_s
             if is_silent and is_unreached(upstream.pool):
                 self._inbox.put_nowait("unreached")
 
@@ -146,6 +145,7 @@
 
     def _start_reading(self, reply: Reply) -> None:
         self._reply = reply
+        self._sound_at_s = math.inf
         self._read_task = asyncio.create_task(self._read_body(reply))
 
     def _stop_reading(self) -> None:
@@ -240,18 +240,12 @@
         return True
 
     def _record_events(self) -> None:
-        self.stats.events = self._splitter.last_id + 1
         now_s = asyncio.get_running_loop().time()
-        gap_ms = (now_s - self._last_event_s) * 1_000
-        self._last_event_s = now_s
-        if self.stats.first_ms is None:
-            self._first_event_s = now_s
-            arrived_s = self._job.call.request.arrived_s
-            self.stats.first_ms = round((now_s - arrived_s) * 1_000)
-            return
-        self.stats.gap_ms = max(self.stats.gap_ms, round(gap_ms))
-        if not self._is_sound and now_s - self._first_event_s >= SOUND_AFTER_S:
-            self._is_sound = True
+        arrived_s = self._job.call.request.arrived_s
+        self.stats.record(self._splitter.last_id + 1, now_s, arrived_s)
+        self._sound_at_s = min(self._sound_at_s, now_s + SOUND_AFTER_S)
+        if now_s >= self._sound_at_s:
+            self._sound_at_s = math.inf
             self._context.crash_guard.record_run(self._job.call)
 
     def _fail(self, reason: str) -> str:
@@ -297,11 +291,10 @@
 
         A generation without any event is then the most likely cause.
         """
-        if self._is_carried or self._reply is None:
+        upstream = self.upstream
+        if upstream is None:
             return False
-        return await self._context.crash_guard.has_crashed(
-            self._reply.upstream
-        )
+        return await self._context.crash_guard.has_crashed(upstream)
 
     def _release_move(self) -> None:
         if self._move is not None:
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -190,7 +190,7 @@
             if blamed is not None:
                 return blamed
             if self._context.crash_guard.is_trial(call):
-                tried |= self._context.balancer.busy(call.scope, tried)
+                tried |= self._placement.busy(job, tried)
             unreached = self._forwarder.unreached(call, attempt)
             tried |= unreached
             is_unreached = bool(unreached or unreachable)
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -5,15 +5,16 @@
 """
 
 import asyncio
-import random
-from collections import defaultdict
+from collections.abc import Sequence
+from typing import cast
 
+import attrs
 import pytest
+from _host_mesh import HostMesh, MeshHost
 from _virtual_time import LoopClock, run_virtual
 
 from balsamlift.metrics import Metrics
 from balsamlift.peers import (
-    CrashReport,
     CrashReports,
     HostRank,
     PartReports,
@@ -22,37 +23,28 @@
 )
 from balsamlift.peers._crash_reports import MAX_REPORTS, REPORT_TTL_MS
 from balsamlift.peers._messages import PeerMessage, encode_message
-from balsamlift.platform._settings import FAN_OUT
 from balsamlift.relay.crashes._crash_guard import CrashGuard
 from balsamlift.relay.crashes._culprits import CRASH_THRESHOLD
 from balsamlift.relay.crashes._part_guard import PartGuard
 
 PROPAGATION_S = 3.0  # within which reports reach a host
-BATCH_S = 0.01
-HEARTBEAT_S = 0.5
-LINK_S = 0.005
 CHECK_S = 0.05  # until a host has detected a crash
-CHOSEN_PEERS = 2  # per host, if there are more than FAN_OUT
 CONCURRENT_REQUESTS = 6  # harmless, on each upstream that crashes
 REPEAT_PROBABILITY = 0.3  # of a harmless request
 DURATION_S = 60.0
 MAX_LATE_RUNS = 3  # after the third crash and PROPAGATION_S
 
 
-class Host:
+@attrs.define(eq=False)
+class Host(MeshHost):
     """The reports that one host holds, and its crash guard."""
 
-    def __init__(self, started_s: float) -> None:
-        self.started_s = started_s
-        self.reports = CrashReports(LoopClock())
-        self.wake_event = asyncio.Event()
-        self.reports.start(self.wake_event.set)
-        self.sent_change: dict[int, int] = defaultdict(int)  # by host
-        clock = LoopClock()
-        parts = PartGuard(
-            PartReports(clock), lambda _: HostRank(0, 1), clock, Metrics()
-        )
-        self.guard = CrashGuard(self.reports, NO_UPSTREAMS, clock, parts)
+    started_s: float = 0.0
+    guard: CrashGuard = attrs.field(init=False)
+
+    @property
+    def reports(self) -> CrashReports:
+        return cast(CrashReports, self.table)
 
     def refuses(self, request: str) -> bool:
         return request in self.guard._culprits
@@ -72,58 +64,43 @@
 NO_UPSTREAMS = NoUpstreams()
 
 
-class Simulation:
+class Simulation(HostMesh):
     """Hosts that restart, and a crashing request that is repeated."""
 
     def __init__(self, hosts: int, seed: int) -> None:
-        self.rng = random.Random(seed)
-        self.hosts = [Host(-PROPAGATION_S) for _ in range(hosts)]
-        self.peers: dict[int, set[int]] = defaultdict(set)
+        super().__init__(seed)
+        self.hosts: list[Host] = []
+        for number in range(hosts):
+            self.hosts.append(self._make_host(number, -PROPAGATION_S))
+        for number in range(hosts):
+            self.link(number)
         self.crash_s: list[float] = []
         self.late_runs = 0
         self.harmless_refused = 0
         self.harmless_runs = 0
-        self.deliveries: set[asyncio.Task[None]] = set()
         self.to_repeat: list[str] = []  # harmless requests
 
-    def link_hosts(self) -> None:
-        number = len(self.hosts)
-        for index in range(number):
-            others = [other for other in range(number) if other != index]
-            if number > FAN_OUT:
-                others = self.rng.sample(others, CHOSEN_PEERS)
-            for other in others:
-                self.peers[index].add(other)
-                self.peers[other].add(index)
-
-    async def send_reports(self, index: int) -> None:
-        while True:
-            host = self.hosts[index]
-            try:
-                async with asyncio.timeout(HEARTBEAT_S):
-                    await host.wake_event.wait()
-                    await asyncio.sleep(BATCH_S)
-            except TimeoutError:
-                pass
-            host.wake_event.clear()
-            for peer in self.peers[index]:
-                reports = host.reports.changed_since(host.sent_change[peer])
-                host.sent_change[peer] = host.reports.change
-                if reports:
-                    task = asyncio.create_task(self.deliver(peer, reports))
-                    self.deliveries.add(task)
-
-    async def deliver(self, peer: int, reports: list[CrashReport]) -> None:
-        await asyncio.sleep(LINK_S)
-        self.hosts[peer].reports.add(reports)
+    def mesh_hosts(self) -> Sequence[MeshHost]:
+        return self.hosts
+
+    def _make_host(self, number: int, started_s: float) -> Host:
+        clock = LoopClock()
+        host = Host(number, CrashReports(clock), started_s=started_s)
+        host.reports.start(host.wake_event.set)
+        parts = PartGuard(
+            PartReports(clock), lambda _: HostRank(0, 1), clock, Metrics()
+        )
+        host.guard = CrashGuard(host.reports, NO_UPSTREAMS, clock, parts)
+        self.begin_gossip(host)
+        return host
 
     async def restart_hosts(self) -> None:
         while True:
             await asyncio.sleep(2.0)
-            index = self.rng.randrange(len(self.hosts))
-            self.hosts[index] = Host(asyncio.get_running_loop().time())
-            for host in self.hosts:
-                host.sent_change[index] = 0  # new connection: send all reports
+            number = self.rng.randrange(len(self.hosts))
+            now_s = asyncio.get_running_loop().time()
+            self.hosts[number] = self._make_host(number, now_s)
+            self.send_all_to(number)
 
     def run_harmless_requests(self) -> list[tuple[Host, str]]:
         """Run harmless requests; return those not refused, by host."""
@@ -156,12 +133,7 @@
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
-        self.link_hosts()
-        tasks = [
-            asyncio.create_task(self.send_reports(index))
-            for index in range(len(self.hosts))
-        ]
-        tasks.append(asyncio.create_task(self.restart_hosts()))
+        self.spawn(self.restart_hosts())
         while loop.time() < DURATION_S:
             await asyncio.sleep(self.rng.uniform(0.2, 1.5))
             host = self.rng.choice(self.hosts)
@@ -178,8 +150,7 @@
             ):
                 self.late_runs += 1
             await self.crash_upstream(host, len(self.crash_s))
-        for task in tasks:
-            task.cancel()
+        self.stop()
 
 
 @pytest.mark.parametrize("seed", range(4))
