Write a blocked part again if the store was restored during the write

Found by `test_blocked_parts_are_written_again_if_the_store_has_lost_them`, which had passed before and failed once beside other load: the word that the store was restored came between the write and its answer, after which the part counted as written. It is marked before the call now, and unmarked if that fails.

--- a/src/balsamlift/platform/_blocked_parts.py
+++ b/src/balsamlift/platform/_blocked_parts.py
@@ -145,10 +145,15 @@
                 continue
             if self._peers.rank_for(entry.part).position:
                 continue
-            await self._store.append(
-                BLOCKED_PARTS_TOPIC, entry.part, self._encode(entry)
-            )
+            # Set first, as the store may be restored during the call.
             self._written[entry.part] = entry.state, entry.expires_s
+            try:
+                await self._store.append(
+                    BLOCKED_PARTS_TOPIC, entry.part, self._encode(entry)
+                )
+            except StoreError:
+                self._written.pop(entry.part, None)
+                raise
 
     def _is_written(self, entry: PartEntry) -> bool:
         state, expires_s = self._written.get(
