Try one request before a block of a part ends, instead of extending it

What callers could see: a part that was blocked wrongly stayed so for as long as requests with it came, as each of them extended the block; one that did crash engines was free again after ten minutes without any, and crashed three more.

In the last of the ten minutes one request with the part is tried, by turns of the hosts as a suspected part is. If it crashes its engine the block begins again at all hosts and in the store, if it runs the block is lifted. Found by reading; the test, with a request each second, has the part refused for nine minutes, then one trial, then what follows from it. Against the users' bound that is one arrival in nine minutes.

--- a/src/balsamlift/relay/crashes/_part_guard.py
+++ b/src/balsamlift/relay/crashes/_part_guard.py
@@ -36,8 +36,8 @@
 # Requests with one suspected part tell more than those with several.
 SEVERAL_SUSPECTS_WAIT_S = 1.0
 MAX_TRIALS = 1_000  # that are remembered
-# Part of its time after which a block is renewed by a refused request.
-RENEWAL_FRACTION = 0.5
+# Time before the end of a block in which one request is tried.
+LAST_TRIAL_S = 60.0
 
 Verdict = Literal["allowed", "doubtful", "refused"]
 
@@ -77,8 +77,7 @@
             return "allowed"
         blocked = [p for p in call.prompt_parts if p in self._blocked]
         if blocked:
-            self._renew(blocked)
-            return "refused"
+            return self._check_blocked(call, blocked)
         suspects = [p for p in call.prompt_parts if p in self._suspects]
         if not suspects or self.is_trial(call):
             return "allowed"
@@ -87,6 +86,23 @@
         self._try(call, suspects)
         return "allowed"
 
+    def _check_blocked(self, call: Call, parts: list[str]) -> Verdict:
+        """Let one request be tried before a block ends.
+
+        If it crashes its upstream the block begins again.
+        """
+        ends_s = max(self._blocked[part] for part in parts)
+        due_for_s = self._clock.monotonic() - (ends_s - LAST_TRIAL_S)
+        if due_for_s < 0:
+            return "refused"
+        if self.is_trial(call):
+            return "allowed"
+        has_turn = all(self._has_turn(part, due_for_s) for part in parts)
+        if not has_turn or not self._tried.isdisjoint(parts):
+            return "refused"
+        self._try(call, parts)
+        return "allowed"
+
     def may_go_on(self, call: Call) -> bool:
         """Return whether a generation may go on at another upstream."""
         blamed = self._blocked.keys() | self._suspects.keys()
@@ -123,7 +139,10 @@
 
     def record_crash(self, crashed: BrokenCall) -> None:
         """Report that an upstream crashed while it ran a call."""
-        self._trials.pop(crashed.request_id, None)
+        was_trial = self._trials.pop(crashed.request_id, None) is not None
+        for part in crashed.prompt_parts if was_trial else ():
+            if part in self._blocked:
+                self._reports.report(part, PartState.BLOCKED)
         state = _state_of(crashed)
         self._reports.add(
             PartReport(part, crashed.upstream, state, state.ttl_ms)
@@ -182,14 +201,6 @@
         for part in suspects:
             self._reports.report(part, PartState.TRIED)
 
-    def _renew(self, parts: Iterable[str]) -> None:
-        """Extend blocks, as requests with the parts still come."""
-        ttl_s = PartState.BLOCKED.ttl_ms / 1_000
-        renewal_s = self._clock.monotonic() + ttl_s * RENEWAL_FRACTION
-        for part in parts:
-            if self._blocked[part] < renewal_s:
-                self._reports.report(part, PartState.BLOCKED)
-
     def _process_new_reports(self, reports: Iterable[PartReport]) -> None:
         for report in list(reports):
             if report.state > PartState.CRASHED_AFTER_HEAD:
--- a/tests/test_crashing_parts_fleet.py
+++ b/tests/test_crashing_parts_fleet.py
@@ -1,12 +1,22 @@
 """Hosts of any number find the parts that crash engines, and no others."""
 
+import asyncio
 import random
+from collections.abc import Awaitable, Callable
+from typing import cast
 
 import pytest
-from _crashing_parts_fleet import CONTACT_S, CRASHES, Crowd, Fleet
-from _virtual_time import run_virtual
+from _crashing_parts_fleet import CONTACT_S, CRASHES, Crowd, FakeCall, Fleet
+from _virtual_time import LoopClock, run_virtual
+
+from balsamlift.metrics import Metrics
+from balsamlift.peers import HostRank, PartReports, PartState
+from balsamlift.relay._request import Call
+from balsamlift.relay.crashes._crash_detector import BrokenCall
+from balsamlift.relay.crashes._part_guard import PartGuard, Verdict
 
 MAX_LATE = 3
+PART = "part"
 LENGTH_S = 40.0
 # Sound requests that wait for a trial; beyond the least, of all.
 MAX_DOUBTFUL, MAX_DOUBTFUL_SHARE = 5, 1 / 50
@@ -78,3 +88,50 @@
     seed: int,
 ) -> None:
     check(play(7, seed, draw_crowd(seed), restarts=seed % 2 == 1))
+
+
+def run_one_guard(
+    test: Callable[[PartGuard, PartReports], Awaitable[None]],
+) -> None:
+    async def main() -> None:
+        clock = LoopClock()
+        reports = PartReports(clock)
+        guard = PartGuard(reports, lambda _: HostRank(0, 1), clock, Metrics())
+        await test(guard, reports)
+
+    run_virtual(main)
+
+
+def check_one(guard: PartGuard, request_id: str) -> Verdict:
+    guard.discard_expired()
+    return guard.check(cast(Call, FakeCall(request_id, (PART,))))
+
+
+@pytest.mark.parametrize("is_crash", [True, False])
+def test_one_request_is_tried_before_a_block_ends(is_crash: bool) -> None:
+    """Where requests never cease, a part that was blocked wrongly gets free.
+
+    Without the trial the block would end, or never.
+    """
+
+    async def test(guard: PartGuard, reports: PartReports) -> None:
+        reports.report(PART, PartState.BLOCKED)
+        for second in range(9 * 60):
+            assert check_one(guard, f"a{second}") == "refused"
+            await asyncio.sleep(1.0)
+        assert check_one(guard, "trial") == "allowed"
+        assert check_one(guard, "other") == "refused"
+        assert check_one(guard, "trial") == "allowed"  # before it is sent
+        await asyncio.sleep(0.5)
+        if is_crash:
+            guard.record_crash(
+                BrokenCall("", "trial", (PART,), "i-1", False, True)
+            )
+        else:
+            guard.record_run(cast(Call, FakeCall("trial", (PART,))))
+        for second in range(8 * 60):
+            await asyncio.sleep(1.0)
+            expected = "refused" if is_crash else "allowed"
+            assert check_one(guard, f"b{second}") == expected
+
+    run_one_guard(test)
