End a call that waits at an engine once, and send reports of parts together

What callers could see: none of 400 or a stuck update, had two parts of one waiting call been blocked between the end of the call and the next turn of the loop: the second block asked a time limit that was already ending to end, which raises an error inside the update of the verdicts. Found by reading the change; the test fails without the check.

The reports with which a host clears a call's parts, or answers those of others, are added in one go, so that the verdicts are updated once and not for each of them.

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -21,7 +21,12 @@
 from balsamlift.peers._membership import Peers
 from balsamlift.peers._messages import CrashReport, PartReport
 from balsamlift.peers._observed_states import UpstreamState
-from balsamlift.peers._part_reports import PartEntry, PartReports, PartState
+from balsamlift.peers._part_reports import (
+    PartEntry,
+    PartReports,
+    PartState,
+    new_report,
+)
 from balsamlift.peers._peer import Peer
 from balsamlift.peers._permits import Permit, Permits
 from balsamlift.peers._rate_limits import RateLimits
@@ -64,5 +69,6 @@
     "UpstreamState",
     "Upstreams",
     "even_share",
+    "new_report",
     "whole_share",
 ]
--- a/src/balsamlift/peers/_part_reports.py
+++ b/src/balsamlift/peers/_part_reports.py
@@ -49,6 +49,11 @@
 _STATES = frozenset(PartState)
 
 
+def new_report(part: str, state: PartState, upstream: str = "") -> PartReport:
+    """Return a report of a state, at an upstream that crashed if named."""
+    return PartReport(part, upstream, state, state.ttl_ms)
+
+
 @attrs.frozen
 class PartEntry:
     """A report with the times at which it was made and expires."""
@@ -69,7 +74,7 @@
 
     def report(self, part: str, state: PartState, upstream: str = "") -> None:
         """Report a state of a part, at an upstream that crashed if named."""
-        self.add([PartReport(part, upstream, state, state.ttl_ms)])
+        self.add([new_report(part, state, upstream)])
 
     def entries(self) -> Iterator[PartEntry]:
         """Return the reports that have not expired."""
--- a/src/balsamlift/relay/crashes/_part_guard.py
+++ b/src/balsamlift/relay/crashes/_part_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections import OrderedDict, defaultdict
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
@@ -12,7 +13,13 @@
 
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
-from balsamlift.peers import HostRank, PartReport, PartReports, PartState
+from balsamlift.peers import (
+    HostRank,
+    PartReport,
+    PartReports,
+    PartState,
+    new_report,
+)
 from balsamlift.relay._request import Call
 from balsamlift.relay.crashes._crash_detector import BrokenCall
 from balsamlift.relay.crashes._survivors import Survivors
@@ -134,42 +141,47 @@
         self._survivors.record(call.prompt_parts)
         if not self._histories and not self._blocked:
             return
-        for part in call.prompt_parts:
-            self._clear(part)
+        cleared = [self._clear(part) for part in call.prompt_parts]
+        self._reports.add(itertools.chain.from_iterable(cleared))
 
     def record_crash(self, crashed: BrokenCall) -> None:
         """Report that an upstream crashed while it ran a call."""
         was_trial = self._trials.pop(crashed.request_id, None) is not None
-        for part in crashed.prompt_parts if was_trial else ():
-            if part in self._blocked:
-                self._reports.report(part, PartState.BLOCKED)
         state = _state_of(crashed)
-        self._reports.add(
-            PartReport(part, crashed.upstream, state, state.ttl_ms)
+        reports = [
+            new_report(part, state, crashed.upstream)
             for part in crashed.prompt_parts
             if not self._survivors.is_known(part, RECENTLY_RUN_S)
-        )
+        ]
+        if was_trial:
+            reports += [
+                new_report(part, PartState.BLOCKED)
+                for part in crashed.prompt_parts
+                if part in self._blocked
+            ]
+        self._reports.add(reports)
 
     def discard_expired(self) -> None:
         """Discard expired reports; called every second."""
         if self._histories or self._blocked or self._tried:
             self._update()
 
-    def _clear(self, part: str) -> None:
-        """Report a part as cleared of the crashes so far."""
+    def _clear(self, part: str) -> list[PartReport]:
+        """Return the reports that clear a part of the crashes so far."""
+        reports = []
         history = self._histories.get(part)
         if history is not None:
             self._metrics.count("crashes.parts_cleared")
             log.bind(crashed_part=part, crashes=len(history.crashes)).info(
                 "part cleared, a request with it was run"
             )
-            state = PartState.SURVIVED
-            self._reports.add(
-                PartReport(part, crash.upstream, state, state.ttl_ms)
+            reports = [
+                new_report(part, PartState.SURVIVED, crash.upstream)
                 for crash in history.crashes
-            )
+            ]
         if part in self._blocked:
-            self._reports.report(part, PartState.UNBLOCKED)
+            reports.append(new_report(part, PartState.UNBLOCKED))
+        return reports
 
     def _may_try(self, suspects: list[str]) -> bool:
         if not self._tried.isdisjoint(suspects):
@@ -198,20 +210,22 @@
         log.bind(
             request=call.request_id, crashed_part=" ".join(suspects)
         ).info("trying a suspected part")
-        for part in suspects:
-            self._reports.report(part, PartState.TRIED)
+        self._reports.add(new_report(p, PartState.TRIED) for p in suspects)
 
     def _process_new_reports(self, reports: Iterable[PartReport]) -> None:
-        for report in list(reports):
-            if report.state > PartState.CRASHED_AFTER_HEAD:
-                continue
-            if self._survivors.is_known(report.part, RECENTLY_RUN_S):
-                self._reports.report(
-                    report.part, PartState.SURVIVED, report.upstream
-                )
-            elif self._survivors.is_known(report.part):
-                self._reports.report(report.part, PartState.KNOWN)
+        answers = [self._answer(report) for report in reports]
         self._update()
+        self._reports.add(answer for answer in answers if answer is not None)
+
+    def _answer(self, report: PartReport) -> PartReport | None:
+        """Return what this host knows of a part with a new crash."""
+        if report.state > PartState.CRASHED_AFTER_HEAD:
+            return None
+        if self._survivors.is_known(report.part, RECENTLY_RUN_S):
+            return new_report(report.part, PartState.SURVIVED, report.upstream)
+        if self._survivors.is_known(report.part):
+            return new_report(report.part, PartState.KNOWN)
+        return None
 
     def _update(self) -> None:
         crashes: dict[str, list[PartCrash]] = defaultdict(list)
@@ -285,7 +299,8 @@
         found = set(parts)
         now_s = asyncio.get_running_loop().time()
         for timeout, call in list(self._waiting.items()):
-            if not found.isdisjoint(call.prompt_parts):
+            is_ending = timeout.expired()
+            if not is_ending and not found.isdisjoint(call.prompt_parts):
                 timeout.reschedule(now_s)
 
 
--- a/tests/test_relay_part_guard.py
+++ b/tests/test_relay_part_guard.py
@@ -121,6 +121,32 @@
     run(test())
 
 
+def test_two_parts_that_are_blocked_at_once_end_a_waiting_call_once() -> None:
+    async def test() -> None:
+        stand_ins = engines()
+        behave_all(stand_ins, hang)
+        async with RelayHarness(stand_ins) as world:
+            world.configure()
+            waiting = asyncio.create_task(ask(world, "r1"))
+            await until_arrived(stand_ins)
+            await asyncio.sleep(SETTLE_S)
+            first, second = decode_prompt_parts(PARTS)
+            loop = asyncio.get_running_loop()
+            blocked: list[str] = []
+
+            def block(part: str) -> None:
+                world.peers.part_reports.report(part, PartState.BLOCKED)
+                blocked.append(part)
+
+            # The second comes between the end and what it cancels.
+            loop.call_soon(block, first)
+            loop.call_soon(loop.call_soon, block, second)
+            assert (await waiting).status == 400
+            assert blocked == [first, second]
+
+    run(test())
+
+
 def test_a_part_that_runs_after_all_is_allowed_again() -> None:
     async def test() -> None:
         stand_ins = engines()
