--- a/src/balsamlift/relay/crashes/_crash_guard.py
+++ b/src/balsamlift/relay/crashes/_crash_guard.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict, defaultdict
-from collections.abc import AsyncIterator, Iterable
-from contextlib import asynccontextmanager
+from collections.abc import Iterable
+from contextlib import AbstractAsyncContextManager
 
 from loguru import logger
 
@@ -80,14 +80,12 @@
         """Return whether a call is sent to learn about its parts."""
         return self._parts.is_trial(call)
 
-    @asynccontextmanager
-    async def limit(self, call: Call) -> AsyncIterator[None]:
+    def limit(self, call: Call) -> AbstractAsyncContextManager[None]:
         """Raise `TimeoutError` if a call that has not begun is to end.
 
         A part of its prompt was found to crash upstreams.
         """
-        async with self._parts.limit(call):
-            yield
+        return self._parts.limit(call)
 
     async def has_crashed(self, upstream: Upstream) -> bool:
         """Return whether an upstream that broke off a call has crashed."""
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -280,7 +280,7 @@
                 reply = await self._context.exchange.send(
                     call, attempt, upstream, extra
                 )
-        except TimeoutError:
+        except TimeoutError:  # a part of its prompt was blocked meanwhile
             return CRASHING_REQUEST
         except UpstreamRestrictedError as error:
             return give_up(attempt, f"engine {error.restriction}")
