Test two guards of answers and generations that no test held

An unframed answer of a leaving upstream is passed on, and a generation that has crashed its engine before its first event does not go on at its backup: both tests fail with the guard taken out.

--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -109,6 +109,37 @@
     run(test())
 
 
+@pytest.mark.parametrize("is_crash", [True, False])
+def test_a_generation_that_crashed_its_engine_at_once_does_not_go_on(
+    is_crash: bool,
+) -> None:
+    """It took its backup with it; after a mere reset it goes on."""
+
+    async def test() -> None:
+        stand_ins = engines()
+
+        async def begin(
+            connection: ReplicaConnection, request: ReplicaRequest
+        ) -> None:
+            await connection.begin_stream(request)
+            (used,) = [s for s in stand_ins if s.arrivals]
+            behave_all(stand_ins, stream)
+            if is_crash:
+                used.crash()
+            connection.reset()
+
+        behave_all(stand_ins, begin)
+        async with RelayHarness(stand_ins) as world:
+            world.configure()
+            answer = await world.call("/draft/1", headers=USAGE)
+        arrivals = sum(len(stand_in.arrivals) for stand_in in stand_ins)
+        assert (answer.is_whole, arrivals) == (
+            (False, 1) if is_crash else (True, 2)
+        )
+
+    run(test())
+
+
 def test_moves_from_a_leaving_engine_to_the_backup() -> None:
     async def test() -> None:
         stand_ins = engines()
--- a/tests/test_relay_unary.py
+++ b/tests/test_relay_unary.py
@@ -398,3 +398,29 @@
             assert len(all_arrivals(stand_ins)) == 1
 
     run(test())
+
+
+def test_an_unframed_answer_of_an_upstream_that_leaves_is_passed_on() -> None:
+    """Its end was planned, so that a refused connection tells nothing."""
+
+    async def test() -> None:
+        (stand_in,) = replicas(1)
+        async with RelayHarness([stand_in]) as world:
+
+            async def answer(
+                connection: ReplicaConnection, request: ReplicaRequest
+            ) -> None:
+                await connection.head(request, 200)
+                await connection.send(b"all of it")
+                stand_in.state = "leaving"
+                while not world.upstreams.is_leaving(stand_in.name):
+                    await asyncio.sleep(0.01)
+                stand_in.crash()
+                connection.writer.close()
+
+            stand_in.behave = answer
+            world.configure()
+            told = await world.call("/order/1", body=b"x")
+            assert (told.status, told.body) == (200, b"all of it")
+
+    run(test())
