Keep the port at which tests have connections refused

`CuttableHost` bound a port, closed it and used it as the address that refuses connections. Any listener may get a freed port, here one that accepts and closes, of another test or of the same one. All eight calls then ended in 34 ms as `no answer: Stream is closed`: a connection was accepted, so that the request may have run, and the host rightly neither repeats nor forwards it. The product is not at fault. Change: the port stays bound, without listening, until the host stops. Ruled out: time. No step of the test waits for less than it needs; each call failed within 3 ms, by an answer and not by a timeout. The new test fails before and passes after.

--- a/tests/_relay_fleet.py
+++ b/tests/_relay_fleet.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 
+from balsamlift._address import join_address
 from balsamlift.testing._cuts import (
     NO_CUT,
     OPEN_FAULTS,
@@ -29,9 +30,11 @@
         self.relay = relay
         self._links: dict[str, Link] = {}
         self._black_hole = BlackHole()
-        with socket.socket() as closed:
-            closed.bind(("127.0.0.1", 0))
-            self._refusing = "{}:{}".format(*closed.getsockname())
+        # Bound, but not listening: refuses, and nobody else gets the port.
+        self._refusing_socket = socket.socket()
+        self._refusing_socket.bind(("127.0.0.1", 0))
+        name = self._refusing_socket.getsockname()
+        self._refusing = join_address(*name)
 
     async def start(self) -> None:
         """Put a link before each upstream of the relay."""
@@ -51,6 +54,7 @@
     async def stop(self) -> None:
         """Close the links."""
         self._black_hole.close()
+        self._refusing_socket.close()
         for link in self._links.values():
             await link.stop()
 
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -1,6 +1,7 @@
 """What holds for requests that one host forwards to another."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -18,6 +19,7 @@
     stream,
 )
 
+from balsamlift._address import split_address
 from balsamlift.testing._cuts import Cut
 from balsamlift.testing.relay import (
     HEADER_NAMES,
@@ -87,6 +89,16 @@
     await connection.end_stream()
 
 
+def test_nobody_else_gets_the_address_that_refuses_connections() -> None:
+    async def test() -> None:
+        async with forwarding() as world:
+            refusing = world.lost.relay.list.addresses["plain-0"]
+            with pytest.raises(OSError, match="in use"):
+                socket.create_server(split_address(refusing))
+
+    run(test())
+
+
 def test_the_request_and_its_answer_are_unchanged() -> None:
     async def test() -> None:
         async with forwarding() as world:
