Give the allocator a memory request and a backlog

Whoever decides how long a generation waits needs to know what is free and what stands before it. MemoryRequest names the workspace, its weight and the time until which an answer is in time, besides what was passed before; the queue does not use them yet. The backlog counts this host's queue only.

Tests: test_relay_memory_allocator (one added), _shared_health, _fill_limit and _move_reservation pass; calls of wait() in the first two take the request.

--- a/src/balsamlift/relay/generations/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -16,6 +16,7 @@
 from balsamlift.relay.generations._job import Job
 from balsamlift.relay.generations._memory_allocator import (
     MemoryAllocator,
+    MemoryRequest,
     MemoryReservation,
 )
 
@@ -122,17 +123,30 @@
             async with asyncio.timeout_at(_wait_by_s(job)):
                 await self._balancer.refresh()
                 return await self._allocator.wait(
-                    job.scope,
-                    job.traits,
-                    job.tokens,
-                    job.call.priority,
-                    tried,
+                    _memory_request(job, tried),
                     lambda: self._find_long_pause(job, tried) is not None,
                 )
         except TimeoutError:
             return None
 
 
+def _memory_request(job: Job, tried: Collection[str]) -> MemoryRequest:
+    call = job.call
+    workspace = call.workspace
+    return MemoryRequest(
+        scope=job.scope,
+        traits=job.traits,
+        tokens=job.tokens,
+        priority=call.priority,
+        workspace=workspace.name if workspace else "",
+        weight=workspace.weight if workspace else 1.0,
+        in_time_until_s=(
+            call.request.arrived_s + call.route.target_ms / 1_000
+        ),
+        tried=tried,
+    )
+
+
 def _wait_by_s(job: Job) -> float:
     call = job.call
     target_s = call.route.target_ms / 1_000
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable, Collection
 
 import attrs
 
 from balsamlift.peers import Upstream
+from balsamlift.placement import Backlog
 from balsamlift.relay._balance import Balancer, backup_key
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._scope import Scope
@@ -29,6 +31,20 @@
 BACKUP_POOL_FILL_LIMIT = 0.6
 
 
+@attrs.frozen(kw_only=True)
+class MemoryRequest:
+    """Describe the memory that a generation needs and who asks for it."""
+
+    scope: Scope
+    traits: EngineTraits
+    tokens: int
+    priority: int = 0  # 0 is served first
+    workspace: str = ""
+    weight: float = 1.0  # of its workspace's share while requests wait
+    in_time_until_s: float = math.inf  # monotonic; it is late afterwards
+    tried: Collection[str] = ()  # names of engines not to be used
+
+
 @attrs.define(eq=False)
 class _WaitingRequest:
     """Hold a generation that waits for memory."""
@@ -182,27 +198,53 @@
         )
         return MemoryReservation(self._balancer, upstream, tokens, backup_key)
 
-    async def wait(
+    def backlog(
         self,
         scope: Scope,
         traits: EngineTraits,
         tokens: int,
         priority: int,
-        tried: Collection[str] = (),
+        workspace: str,
+        weight: float,
+    ) -> Backlog:
+        """Return what a request would find before it if it waited now."""
+        usable = self._balancer.usable(scope, ())
+        capacity = int(traits.memory_tokens * self._policy.fill_limit)
+        used_tokens = sum(self._balancer.load(u.name) for u in usable)
+        free_tokens = sum(
+            max(capacity - self._balancer.load(u.name), 0) for u in usable
+        )
+        ahead_tokens = sum(
+            entry.tokens
+            for queued, entry in self._waiting
+            if entry.scope == scope and queued[0] <= priority
+        )
+        return Backlog(
+            free_tokens=free_tokens,
+            used_tokens=used_tokens,
+            ahead_tokens=ahead_tokens,
+            is_known=self._balancer.counts_basis in ("heard", "gathered"),
+        )
+
+    async def wait(
+        self,
+        request: MemoryRequest,
         is_hopeless: Callable[[], bool] = lambda: False,
     ) -> MemoryReservation | None:
-        """Reserve `tokens` of memory as soon as an engine has it free.
+        """Reserve the requested memory as soon as an engine has it free.
 
         A request that is larger than an engine waits for an empty one.
         Returns None as soon as there is no use in waiting: no engine is left,
         or `is_hopeless`.
         """
+        scope, traits, tried = request.scope, request.traits, request.tried
         if self._balancer.is_closed(scope):
             return None
         tokens = min(
-            tokens, int(traits.memory_tokens * self._policy.fill_limit)
+            request.tokens,
+            int(traits.memory_tokens * self._policy.fill_limit),
         )
-        if not self._must_wait(scope, priority):
+        if not self._must_wait(scope, request.priority):
             upstream = self.find(scope, traits, tokens, tried)
             if upstream is not None:
                 return self.reserve(upstream, tokens)
@@ -212,7 +254,7 @@
         entry = _WaitingRequest(
             scope, traits, tokens, tried, is_hopeless, granted
         )
-        queued = ((priority, next(self._sequence)), entry)
+        queued = ((request.priority, next(self._sequence)), entry)
         self._waiting.append(queued)
         self._waiting.sort(key=lambda item: item[0])
         try:
--- a/tests/test_relay_memory_allocator.py
+++ b/tests/test_relay_memory_allocator.py
@@ -10,10 +10,12 @@
 
 from balsamlift.clock import SystemClock
 from balsamlift.peers import CountsBasis, HostRank, Peers, Upstreams
+from balsamlift.placement import Backlog
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer, backup_key
 from balsamlift.relay.generations._memory_allocator import (
     MemoryAllocator,
+    MemoryRequest,
     MemoryReservation,
 )
 from balsamlift.relay.generations._placement_policy import DEFAULT_POLICY
@@ -70,7 +72,14 @@
         self, tokens: int, priority: int = 0
     ) -> asyncio.Task[MemoryReservation]:
         return asyncio.create_task(
-            self.allocator.wait(SCOPE, TRAITS, tokens, priority)
+            self.allocator.wait(
+                MemoryRequest(
+                    scope=SCOPE,
+                    traits=TRAITS,
+                    tokens=tokens,
+                    priority=priority,
+                )
+            )
         )
 
 
@@ -136,6 +145,28 @@
     asyncio.run(test())
 
 
+def test_a_backlog_counts_free_memory_and_requests_that_go_first() -> None:
+    async def test() -> None:
+        host = AllocatorOfOneHost(e1="north", e2="north")
+        host.others.counts.update(e1=9_000, e2=9_500)
+        tasks = [host.wait(3_000, priority) for priority in (0, 1, 2)]
+        await asyncio.sleep(0)
+        found = host.allocator.backlog(SCOPE, TRAITS, 2_000, 1, "w", 1.0)
+        assert found == Backlog(
+            free_tokens=1_500,
+            used_tokens=18_500,
+            ahead_tokens=6_000,
+            is_known=True,
+        )
+        host.others.counts_basis = "scaled"
+        found = host.allocator.backlog(SCOPE, TRAITS, 2_000, 1, "w", 1.0)
+        assert not found.is_known
+        for task in tasks:
+            task.cancel()
+
+    asyncio.run(test())
+
+
 def test_a_cancelled_wait_leaves_no_reservation() -> None:
     async def test() -> None:
         host = AllocatorOfOneHost(e1="north")
--- a/tests/test_relay_shared_health.py
+++ b/tests/test_relay_shared_health.py
@@ -15,7 +15,10 @@
 from balsamlift.peers import HostRank, Peers, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay.generations._memory_allocator import MemoryAllocator
+from balsamlift.relay.generations._memory_allocator import (
+    MemoryAllocator,
+    MemoryRequest,
+)
 from balsamlift.relay.health._shared_health import (
     FAILURE_TTL_S,
     LOCAL_FAULT_FAILURES,
@@ -110,7 +113,9 @@
         try:
             async with asyncio.timeout(WAIT_S):
                 await balancer.refresh()
-                reservation = await allocator.wait(SCOPE, TRAITS, tokens, 0)
+                reservation = await allocator.wait(
+                    MemoryRequest(scope=SCOPE, traits=TRAITS, tokens=tokens)
+                )
         except TimeoutError:
             results.refused += 1
             return
