Order waiting requests of a pool in a module of its own

FairQueue takes any item with a workspace, a weight and a cost. The waiting line orders by urgency, by time and by share, with a minimum for the less urgent and a bound for those that do not fit; the host order says what other hosts' requests take first. Nothing uses them yet.

--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -2,17 +2,28 @@
 
 from balsamlift.placement._backlog import Backlog
 from balsamlift.placement._engine import LoadReport
+from balsamlift.placement._host_order import (
+    WaitingGroup,
+    YieldLimit,
+    tokens_before,
+)
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._request import PlacementRequest, Ticket
 from balsamlift.placement._scheduler import Scheduler
 from balsamlift.placement._service import Placement
+from balsamlift.placement._waiting_line import Offer, WaitingLine
 
 __all__ = [
     "Backlog",
     "LoadReport",
+    "Offer",
     "Placement",
     "PlacementRequest",
     "Policy",
     "Scheduler",
     "Ticket",
+    "WaitingGroup",
+    "WaitingLine",
+    "YieldLimit",
+    "tokens_before",
 ]
--- a/src/balsamlift/placement/_pool.py
+++ b/src/balsamlift/placement/_pool.py
@@ -29,7 +29,7 @@
 
     engines: dict[str, Engine] = attrs.field(factory=dict)
     rotation: list[str] = attrs.field(factory=list)  # for short turns
-    queues: dict[int, FairQueue] = attrs.field(factory=dict)
+    queues: dict[int, FairQueue[Ticket]] = attrs.field(factory=dict)
     rate: ServiceRate = attrs.field(factory=ServiceRate)
 
     def set_engines(self, engines: Iterable[Engine]) -> None:
@@ -38,11 +38,11 @@
         self.engines = {e.name: known.get(e.name, e) for e in engines}
         self.rotation = rotation_order(self.engines)
 
-    def queue(self, priority: int) -> FairQueue:
+    def queue(self, priority: int) -> FairQueue[Ticket]:
         """Return the queue of a priority, creating it if needed."""
         return self.queues.setdefault(priority, FairQueue())
 
-    def by_priority(self) -> Iterator[FairQueue]:
+    def by_priority(self) -> Iterator[FairQueue[Ticket]]:
         """Iterate over the queues, highest priority first."""
         for priority in sorted(self.queues):
             yield self.queues[priority]
@@ -104,7 +104,7 @@
         queue.remove(newest)
         return Refusal(newest, error)
 
-    def _lowest_priority_queue(self) -> FairQueue:
+    def _lowest_priority_queue(self) -> FairQueue[Ticket]:
         """Return the non-empty queue of the lowest priority."""
         levels = sorted(self.queues, reverse=True)
         non_empty = [
--- a/src/balsamlift/placement/_request.py
+++ b/src/balsamlift/placement/_request.py
@@ -34,3 +34,13 @@
     upstream: str = ""  # that holds its reservation; "" if none
     tokens: int = 0  # generated so far
     started: bool = False
+
+    @property
+    def workspace(self) -> str:
+        """Return the workspace that it is charged to."""
+        return self.request.workspace
+
+    @property
+    def weight(self) -> float:
+        """Return the scheduling weight of its workspace."""
+        return self.request.weight
