--- a/src/balsamlift/peers/_aggregation.py
+++ b/src/balsamlift/peers/_aggregation.py
@@ -25,6 +25,7 @@
 from balsamlift.exceptions import PeerMessageError
 from balsamlift.metrics import Metrics
 from balsamlift.peers._aggregator import CountsAggregator
+from balsamlift.peers._counts import under_prefix
 from balsamlift.peers._host_ranks import rank_hosts
 from balsamlift.peers._messages import (
     CountsSums,
@@ -141,6 +142,10 @@
         """Return the sum over all other hosts."""
         return self._sums.get(upstream, 0)
 
+    def others_under(self, prefix: str) -> dict[str, int]:
+        """Return the sums over all other hosts under a prefix."""
+        return under_prefix(self._sums, prefix)
+
     def send(self) -> None:
         """Send this host's counts at once."""
         self._wake.set()
--- a/src/balsamlift/peers/_counts.py
+++ b/src/balsamlift/peers/_counts.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Mapping
 
 # A change by less than this fraction (1/16) of the sent count is not sent.
 MIN_CHANGE_DIVISOR = 16
 
 
+def under_prefix(counts: Mapping[str, int], prefix: str) -> dict[str, int]:
+    """Return the counts whose keys begin with a prefix."""
+    return {key: n for key, n in counts.items() if key.startswith(prefix)}
+
+
 class OwnCounts:
     """Hold this host's counts, and the order in which they changed."""
 
@@ -86,6 +92,10 @@
         """Return the sum over all peers."""
         return self._sums.get(upstream, 0)
 
+    def totals_under(self, prefix: str) -> dict[str, int]:
+        """Return the sums over all peers whose keys begin with a prefix."""
+        return under_prefix(self._sums, prefix)
+
     def sums_without(self, host: str) -> dict[str, int]:
         """Return the sums over all peers but one, without zeros."""
         own = self._by_host.get(host, {})
--- a/src/balsamlift/peers/_load.py
+++ b/src/balsamlift/peers/_load.py
@@ -92,6 +92,15 @@
             return total
         return round(total * self._members.live_others / known_hosts)
 
+    def others_under(self, prefix: str) -> dict[str, int]:
+        """Return the sums of the other hosts' counts under a prefix.
+
+        They are not scaled up where they come from a few peers.
+        """
+        if not self.is_full_mesh and self._aggregation.is_fresh:
+            return self._aggregation.others_under(prefix)
+        return self.peer_counts.totals_under(prefix)
+
     def send(self) -> None:
         """Send this host's counts to the other hosts at once."""
         if self.is_full_mesh:
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -73,12 +73,9 @@
         self.address = self._listener.address
         self.records = SharedRecords(clock)
         self._load = Load(
-            settings,
-            incarnation,
-            ip_of(self.address),
-            clock,
-            self.records,
+            settings, incarnation, ip_of(self.address), clock, self.records
         )
+        self.counts_under = self._load.others_under
         self._members = Members(
             Member(
                 host=settings.host,
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -103,6 +103,10 @@
         """Return the load of all hosts together on this upstream."""
         return self._own_counts[upstream] + self._peers.in_flight(upstream)
 
+    def other_counts(self, prefix: str) -> dict[str, int]:
+        """Return the counts of all other hosts whose keys begin so."""
+        return self._peers.counts_under(prefix)
+
     @property
     def receives_pushed_counts(self) -> bool:
         """Return whether other hosts push their counts as they change."""
@@ -117,10 +121,8 @@
         self, upstreams: Sequence[Upstream], limit: int | None
     ) -> list[Upstream]:
         """Return a random sample; all of them if there is no `limit`."""
-        number = (
-            len(upstreams) if limit is None else min(limit, len(upstreams))
-        )
-        return self._random.sample(upstreams, number)
+        number = len(upstreams) if limit is None else limit
+        return self._random.sample(upstreams, min(number, len(upstreams)))
 
     def own_load(self, upstream: str) -> int:
         """Return the load of this host on an upstream."""
--- a/src/balsamlift/relay/_routing.py
+++ b/src/balsamlift/relay/_routing.py
@@ -31,6 +31,7 @@
     services: dict[str, Service]
     _routes: dict[str, dict[str, Route]]  # by host name, then path prefix
     _workspaces: dict[str, Workspace]  # by API key
+    weights: dict[str, float]  # of workspaces, by name
 
     @property
     def version(self) -> int:
@@ -85,6 +86,7 @@
             for workspace in configuration.workspaces
             for key in workspace.keys
         },
+        {each.name: each.weight for each in configuration.workspaces},
     )
 
 
@@ -192,6 +194,10 @@
         service = self._table.services.get(pool) if self._table else None
         return service.cold_requests_per_s if service else None
 
+    def weight_of(self, workspace: str) -> float:
+        """Return the weight of a workspace, 1 if it is unknown."""
+        return self._table.weights.get(workspace, 1.0) if self._table else 1.0
+
     def table(self) -> RoutingTable:
         """Return the table in force.
 
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -148,7 +148,9 @@
             self._retry_after,
             brittle_pools,
         )
-        self._allocator = MemoryAllocator(balancer)
+        self._allocator = MemoryAllocator(
+            balancer, metrics=self._metrics, weight_of=routing.weight_of
+        )
         self._retries = RetryBudget(
             self._settings.retries,
             lambda: len(peers.live()) + 1,
@@ -363,6 +365,8 @@
             if self._allocator.waiting_count:
                 await self._balancer.refresh()
                 self._allocator.place_waiting()
+            else:
+                self._allocator.publish_groups()
 
     async def _sweep_periodically(self) -> None:
         while True:
--- a/src/balsamlift/relay/generations/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -16,9 +16,9 @@
 from balsamlift.relay.generations._job import Job
 from balsamlift.relay.generations._memory_allocator import (
     MemoryAllocator,
-    MemoryRequest,
     MemoryReservation,
 )
+from balsamlift.relay.generations._waiting_requests import MemoryRequest
 
 # Longest wait for memory or a permit, as a multiple of the route's target
 # latency. A generation that starts after its target is late, and a caller who
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
-import math
 from collections.abc import Callable, Collection
 
 import attrs
 
+from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream
 from balsamlift.placement import Backlog
 from balsamlift.relay._balance import Balancer, backup_key
@@ -18,10 +17,20 @@
     EngineCost,
     reserved_tokens,
 )
+from balsamlift.relay.generations._group_counts import GroupCounts
+from balsamlift.relay.generations._memory_reservation import MemoryReservation
 from balsamlift.relay.generations._placement_policy import (
     DEFAULT_POLICY,
     PlacementPolicy,
 )
+from balsamlift.relay.generations._waiting_requests import (
+    EngineMemory,
+    MemoryRequest,
+    WaitingRequest,
+    WaitingRequests,
+)
+
+__all__ = ["MemoryAllocator", "MemoryRequest", "MemoryReservation"]
 
 # Fill level above which an engine stores no backups: copying them would
 # delay moves on the links between engines.
@@ -31,77 +40,34 @@
 BACKUP_POOL_FILL_LIMIT = 0.6
 
 
-@attrs.frozen(kw_only=True)
-class MemoryRequest:
-    """Describe the memory that a generation needs and who asks for it."""
-
-    scope: Scope
-    traits: EngineTraits
-    tokens: int
-    priority: int = 0  # 0 is served first
-    workspace: str = ""
-    weight: float = 1.0  # of its workspace's share while requests wait
-    in_time_until_s: float = math.inf  # monotonic; it is late afterwards
-    tried: Collection[str] = ()  # names of engines not to be used
-
-
-@attrs.define(eq=False)
-class _WaitingRequest:
-    """Hold a generation that waits for memory."""
-
-    scope: Scope
-    traits: EngineTraits
-    tokens: int
-    tried: Collection[str]
-    is_hopeless: Callable[[], bool]
-    granted: asyncio.Future[MemoryReservation | None]
-
-
-class MemoryReservation:
-    """A reservation of one engine's memory for one generation."""
+class MemoryAllocator:
+    """Allocate engine memory to generations, in order while they wait."""
 
     def __init__(
         self,
         balancer: Balancer,
-        upstream: Upstream,
-        tokens: int,
-        key: Callable[[str], str] = str,
+        policy: PlacementPolicy = DEFAULT_POLICY,
+        metrics: Metrics | None = None,
+        weight_of: Callable[[str], float] = lambda workspace: 1.0,
     ) -> None:
-        """Reserve the memory, counted under the key `key(upstream)`."""
-        self._balancer = balancer
-        self._key = key
-        self.upstream = upstream
-        self.tokens = tokens
-        balancer.add(key(upstream.name), tokens)
-        balancer.publish()
-
-    def move(self, upstream: Upstream) -> None:
-        """Reserve the same amount on another engine instead."""
-        self._balancer.add(self._key(upstream.name), self.tokens)
-        self._balancer.add(self._key(self.upstream.name), -self.tokens)
-        self._balancer.publish()
-        self.upstream = upstream
-
-    def release(self) -> None:
-        """Release the memory; further calls have no effect."""
-        tokens, self.tokens = self.tokens, 0
-        if tokens:
-            self._balancer.add(self._key(self.upstream.name), -tokens)
-            self._balancer.publish()
+        """Count memory in tokens, through `balancer`.
 
-
-class MemoryAllocator:
-    """Allocate engine memory to generations in order of priority."""
-
-    def __init__(
-        self, balancer: Balancer, policy: PlacementPolicy = DEFAULT_POLICY
-    ) -> None:
-        """Count memory in tokens, through `balancer`."""
+        `weight_of` returns the weight of a workspace that waits elsewhere.
+        """
         self._balancer = balancer
         self._policy = policy
         self._cost = EngineCost(balancer, policy)
-        self._waiting: list[tuple[tuple[int, int], _WaitingRequest]] = []
-        self._sequence = itertools.count()
+        self._groups = GroupCounts(balancer, weight_of)
+        self._waiting = WaitingRequests(
+            balancer,
+            self._groups,
+            EngineMemory(
+                find=self._find_for,
+                free_tokens=self._free_tokens_for,
+                reserve=self._grant,
+            ),
+            metrics or Metrics(),
+        )
         balancer.on_release(self.place_waiting)
 
     def find(
@@ -208,21 +174,21 @@
         weight: float,
     ) -> Backlog:
         """Return what a request would find before it if it waited now."""
-        usable = self._balancer.usable(scope, ())
-        capacity = int(traits.memory_tokens * self._policy.fill_limit)
-        used_tokens = sum(self._balancer.load(u.name) for u in usable)
-        free_tokens = sum(
-            max(capacity - self._balancer.load(u.name), 0) for u in usable
-        )
-        ahead_tokens = sum(
-            entry.tokens
-            for queued, entry in self._waiting
-            if entry.scope == scope and queued[0] <= priority
+        request = MemoryRequest(
+            scope=scope,
+            traits=traits,
+            tokens=tokens,
+            priority=priority,
+            workspace=workspace,
+            weight=weight,
         )
+        usable = self._balancer.usable(scope, ())
+        loads = [self._balancer.load(upstream.name) for upstream in usable]
+        capacity = self._capacity(traits)
         return Backlog(
-            free_tokens=free_tokens,
-            used_tokens=used_tokens,
-            ahead_tokens=ahead_tokens,
+            free_tokens=sum(max(capacity - load, 0) for load in loads),
+            used_tokens=sum(loads),
+            ahead_tokens=self._waiting.tokens_before(request),
             is_known=self._balancer.counts_basis in ("heard", "gathered"),
         )
 
@@ -237,26 +203,20 @@
         Returns None as soon as there is no use in waiting: no engine is left,
         or `is_hopeless`.
         """
-        scope, traits, tried = request.scope, request.traits, request.tried
-        if self._balancer.is_closed(scope):
+        if self._balancer.is_closed(request.scope):
             return None
-        tokens = min(
-            request.tokens,
-            int(traits.memory_tokens * self._policy.fill_limit),
-        )
-        if not self._must_wait(scope, request.priority):
-            upstream = self.find(scope, traits, tokens, tried)
+        tokens = min(request.tokens, self._capacity(request.traits))
+        request = attrs.evolve(request, tokens=tokens)
+        if not self._waiting.must_wait(request.scope.pool):
+            upstream = self._find_for(request)
             if upstream is not None:
-                return self.reserve(upstream, tokens)
+                return self._reserve_for(request, upstream)
         granted: asyncio.Future[MemoryReservation | None] = (
             asyncio.get_running_loop().create_future()
         )
-        entry = _WaitingRequest(
-            scope, traits, tokens, tried, is_hopeless, granted
-        )
-        queued = ((request.priority, next(self._sequence)), entry)
-        self._waiting.append(queued)
-        self._waiting.sort(key=lambda item: item[0])
+        waiting = WaitingRequest(request, is_hopeless, granted)
+        self._waiting.push(waiting)
+        self._waiting.place()
         try:
             return await granted
         except asyncio.CancelledError:
@@ -266,8 +226,7 @@
                     reservation.release()
             raise
         finally:
-            if queued in self._waiting:
-                self._waiting.remove(queued)
+            self._waiting.remove(waiting)
 
     @property
     def waiting_count(self) -> int:
@@ -275,27 +234,48 @@
         return len(self._waiting)
 
     def place_waiting(self) -> None:
-        """Place waiting generations in order of priority."""
-        blocked: set[Scope] = set()
-        for queued in list(self._waiting):
-            entry = queued[1]
-            if entry.scope in blocked or entry.granted.done():
-                continue
-            upstream = self.find(
-                entry.scope, entry.traits, entry.tokens, entry.tried
-            )
-            if upstream is not None:
-                self._waiting.remove(queued)
-                entry.granted.set_result(self.reserve(upstream, entry.tokens))
-            elif self._balancer.is_closed(entry.scope) or entry.is_hopeless():
-                self._waiting.remove(queued)
-                entry.granted.set_result(None)
-            else:
-                # Smaller requests behind it must not starve it.
-                blocked.add(entry.scope)
+        """Place waiting generations in order."""
+        self._waiting.place()
+
+    def publish_groups(self) -> None:
+        """Publish what generations hold here while any wait elsewhere."""
+        self._waiting.publish()
+
+    def _find_for(self, request: MemoryRequest) -> Upstream | None:
+        return self.find(
+            request.scope, request.traits, request.tokens, request.tried
+        )
 
-    def _must_wait(self, scope: Scope, priority: int) -> bool:
-        return any(
-            entry.scope == scope and queued[0] <= priority
-            for queued, entry in self._waiting
+    def _free_tokens_for(self, request: MemoryRequest) -> int:
+        """Return the free memory, in pieces that the request fits in."""
+        if not request.tokens:
+            return 0
+        capacity = self._capacity(request.traits)
+        pieces = 0
+        for upstream in self._balancer.usable(request.scope, request.tried):
+            free_tokens = capacity - self._balancer.load(upstream.name)
+            pieces += max(free_tokens, 0) // request.tokens
+        return pieces * request.tokens
+
+    def _grant(self, waiting: WaitingRequest, upstream: Upstream) -> None:
+        waiting.granted.set_result(
+            self._reserve_for(waiting.request, upstream)
         )
+
+    def _reserve_for(
+        self, request: MemoryRequest, upstream: Upstream
+    ) -> MemoryReservation:
+        """Reserve memory and count it as held by the request's group."""
+        pool, group, tokens = request.scope.pool, request.group, request.tokens
+        self._balancer.record_send(upstream)
+        self._groups.hold(pool, group, tokens)
+        return MemoryReservation(
+            self._balancer,
+            upstream,
+            tokens,
+            on_release=lambda: self._groups.hold(pool, group, -tokens),
+        )
+
+    def _capacity(self, traits: EngineTraits) -> int:
+        """Return the memory of an engine that may be given out, in tokens."""
+        return int(traits.memory_tokens * self._policy.fill_limit)
--- /dev/null
+++ b/src/balsamlift/relay/generations/_memory_reservation.py
@@ -0,0 +1,45 @@
+"""A reservation of engine memory."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from balsamlift.peers import Upstream
+from balsamlift.relay._balance import Balancer
+
+
+class MemoryReservation:
+    """A reservation of one engine's memory for one generation."""
+
+    def __init__(
+        self,
+        balancer: Balancer,
+        upstream: Upstream,
+        tokens: int,
+        key: Callable[[str], str] = str,
+        on_release: Callable[[], None] | None = None,
+    ) -> None:
+        """Reserve the memory, counted under the key `key(upstream)`."""
+        self._on_release = on_release
+        self._balancer = balancer
+        self._key = key
+        self.upstream = upstream
+        self.tokens = tokens
+        balancer.add(key(upstream.name), tokens)
+        balancer.publish()
+
+    def move(self, upstream: Upstream) -> None:
+        """Reserve the same amount on another engine instead."""
+        self._balancer.add(self._key(upstream.name), self.tokens)
+        self._balancer.add(self._key(self.upstream.name), -self.tokens)
+        self._balancer.publish()
+        self.upstream = upstream
+
+    def release(self) -> None:
+        """Release the memory; further calls have no effect."""
+        tokens, self.tokens = self.tokens, 0
+        if tokens:
+            if self._on_release is not None:
+                self._on_release()
+            self._balancer.add(self._key(self.upstream.name), -tokens)
+            self._balancer.publish()
--- /dev/null
+++ b/src/balsamlift/relay/generations/_waiting_requests.py
@@ -0,0 +1,293 @@
+"""The generations that wait for engine memory on this host."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import Counter
+from collections.abc import Callable, Collection, Sequence
+
+import attrs
+from loguru import logger
+
+from balsamlift.metrics import Metrics
+from balsamlift.peers import Upstream
+from balsamlift.placement import (
+    Offer,
+    WaitingGroup,
+    WaitingLine,
+    YieldLimit,
+    tokens_before,
+)
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._scope import Scope
+from balsamlift.relay.generations._group_counts import Group, GroupCounts
+from balsamlift.relay.generations._memory_reservation import MemoryReservation
+
+log = logger.bind(part="relay")
+
+
+@attrs.frozen(kw_only=True)
+class MemoryRequest:
+    """Describe the memory that a generation needs and who asks for it."""
+
+    scope: Scope
+    traits: EngineTraits
+    tokens: int
+    priority: int = 0  # 0 is served first
+    workspace: str = ""
+    weight: float = 1.0  # of its workspace's share while requests wait
+    in_time_until_s: float = math.inf  # monotonic; it is late afterwards
+    tried: Collection[str] = ()  # names of engines not to be used
+
+    @property
+    def group(self) -> Group:
+        """Return its priority and workspace."""
+        return self.priority, self.workspace
+
+
+@attrs.define(eq=False)
+class WaitingRequest:
+    """Hold a request for memory until an engine has it free."""
+
+    request: MemoryRequest
+    is_hopeless: Callable[[], bool]
+    granted: asyncio.Future[MemoryReservation | None]
+    yielded_since_s: float | None = None  # left memory to other hosts
+    ahead_tokens: int = 0  # of other hosts' requests, when it yielded
+
+    @property
+    def workspace(self) -> str:
+        """Return the workspace that it is charged to."""
+        return self.request.workspace
+
+    @property
+    def weight(self) -> float:
+        """Return the weight of its workspace."""
+        return self.request.weight
+
+    @property
+    def cost(self) -> float:
+        """Return the memory that it needs, in tokens."""
+        return self.request.tokens
+
+    @property
+    def priority(self) -> int:
+        """Return the priority; 0 is served first."""
+        return self.request.priority
+
+    @property
+    def scope(self) -> Scope:
+        """Return the pool and regions in which it may run."""
+        return self.request.scope
+
+    @property
+    def in_time_until_s(self) -> float:
+        """Return the time after which it is late."""
+        return self.request.in_time_until_s
+
+
+@attrs.frozen(kw_only=True)
+class EngineMemory:
+    """How to look for free memory and to reserve it."""
+
+    find: Callable[[MemoryRequest], Upstream | None]
+    # Free memory in pieces of the size of the request, in tokens.
+    free_tokens: Callable[[MemoryRequest], int]
+    reserve: Callable[[WaitingRequest, Upstream], None]
+
+
+class WaitingRequests:
+    """Keep the waiting requests of all pools, and place them in order."""
+
+    def __init__(
+        self,
+        balancer: Balancer,
+        groups: GroupCounts,
+        memory: EngineMemory,
+        metrics: Metrics,
+    ) -> None:
+        """Tell other hosts by `groups` what waits here."""
+        self._balancer = balancer
+        self._groups = groups
+        self._memory = memory
+        self._metrics = metrics
+        self._lines: dict[str, WaitingLine[WaitingRequest]] = {}
+        self._yields = YieldLimit()
+        self._is_placing = False
+        self._gauged: set[int] = set()
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return sum(len(line) for line in self._lines.values())
+
+    def must_wait(self, pool: str) -> bool:
+        """Return whether a new request joins a line, here or elsewhere."""
+        return pool in self._lines or self._groups.others_wait(pool)
+
+    def push(self, waiting: WaitingRequest) -> None:
+        """Append a request to the line of its pool."""
+        line = self._lines.setdefault(waiting.scope.pool, WaitingLine())
+        line.push(waiting)
+
+    def remove(self, waiting: WaitingRequest) -> None:
+        """Remove a request if it waits, and tell the other hosts."""
+        line = self._lines.get(waiting.scope.pool)
+        if line is not None and line.remove(waiting):
+            self.publish()
+
+    def tokens_before(self, request: MemoryRequest) -> int:
+        """Return the tokens wanted here and elsewhere before a request.
+
+        Requests of its own group wait elsewhere as long as here: they came
+        first.
+        """
+        pool = request.scope.pool
+        elsewhere = self._groups.waiting_elsewhere(pool)
+        ahead = self._ahead(request, elsewhere)
+        ahead += sum(
+            group.waiting_tokens
+            for group in elsewhere
+            if (group.priority, group.workspace) == request.group
+        )
+        line = self._lines.get(pool)
+        if line is None:
+            return ahead
+        return ahead + round(
+            line.tokens_before(
+                request.scope,
+                request.priority,
+                request.workspace,
+                request.weight,
+                request.tokens,
+            )
+        )
+
+    def place(self) -> None:
+        """Offer free memory to the waiting requests in order."""
+        if self._is_placing or not self._lines:
+            return
+        self._is_placing = True
+        now_s = asyncio.get_running_loop().time()
+        try:
+            for pool, line in self._lines.items():
+                line.place(self._offer_in(pool, now_s), now_s)
+        finally:
+            self._is_placing = False
+        self.publish()
+
+    def publish(self) -> None:
+        """Publish what waits here, and what is held while any waits."""
+        was_placing, self._is_placing = self._is_placing, True
+        waiting: dict[str, Counter[Group]] = {}
+        for pool, line in list(self._lines.items()):
+            if not len(line):
+                del self._lines[pool]
+                continue
+            groups = waiting[pool] = Counter()
+            for each in line:
+                groups[each.request.group] += each.request.tokens
+        if not self._lines:
+            self._yields.clear()
+        try:
+            self._groups.publish(waiting)
+        finally:
+            self._is_placing = was_placing
+        self._update_gauges()
+
+    def _offer_in(
+        self, pool: str, now_s: float
+    ) -> Callable[[WaitingRequest], Offer]:
+        """Return what offers memory of a pool in one pass."""
+        elsewhere = self._groups.waiting_elsewhere(pool)
+        failed_tokens: dict[Scope, int] = {}  # the smallest without room
+
+        def offer(waiting: WaitingRequest) -> Offer:
+            request = waiting.request
+            if waiting.granted.done():
+                return Offer.GONE
+            if request.tokens >= failed_tokens.get(request.scope, math.inf):
+                return Offer.NO_ROOM
+            upstream = self._memory.find(request)
+            if upstream is None:
+                if not request.tried:
+                    failed_tokens[request.scope] = request.tokens
+                return self._handle_no_room(waiting)
+            if elsewhere and self._must_yield(waiting, elsewhere, now_s):
+                return Offer.YIELDED
+            self._log_yield(waiting, now_s)
+            self._memory.reserve(waiting, upstream)
+            return Offer.TAKEN
+
+        return offer
+
+    def _handle_no_room(self, waiting: WaitingRequest) -> Offer:
+        request = waiting.request
+        if self._balancer.is_closed(request.scope) or waiting.is_hopeless():
+            waiting.granted.set_result(None)
+            return Offer.GONE
+        if not request.tried:
+            self._yields.record_no_room(request.scope, request.tokens)
+        return Offer.NO_ROOM
+
+    def _must_yield(
+        self,
+        waiting: WaitingRequest,
+        elsewhere: Sequence[WaitingGroup],
+        now_s: float,
+    ) -> bool:
+        request = waiting.request
+        ahead = self._ahead(request, elsewhere)
+        if not ahead:
+            return False
+        if self._memory.free_tokens(request) - ahead >= request.tokens:
+            return False
+        if not self._yields.allows(request.scope, request.tokens, now_s):
+            return False
+        if waiting.yielded_since_s is None:
+            waiting.yielded_since_s = now_s
+            self._metrics.count("generations.memory_yields")
+        waiting.ahead_tokens = ahead
+        return True
+
+    def _ahead(
+        self, request: MemoryRequest, elsewhere: Sequence[WaitingGroup]
+    ) -> int:
+        """Return the tokens that go first to requests of other hosts."""
+        if not elsewhere:
+            return 0
+        held = self._groups.held(request.scope.pool)
+        by_priority: Counter[int] = Counter()
+        for (priority, _), tokens in held.items():
+            by_priority[priority] += tokens
+        own = WaitingGroup(
+            priority=request.priority,
+            workspace=request.workspace,
+            weight=request.weight,
+            waiting_tokens=request.tokens,
+            held_tokens=held[request.group],
+        )
+        return tokens_before(own, elsewhere, request.tokens, by_priority)
+
+    def _log_yield(self, waiting: WaitingRequest, now_s: float) -> None:
+        if waiting.yielded_since_s is None:
+            return
+        log.bind(
+            pool=waiting.scope.pool,
+            priority=waiting.priority,
+            workspace=waiting.workspace,
+            yielded_ms=round((now_s - waiting.yielded_since_s) * 1_000),
+            ahead_tokens=waiting.ahead_tokens,
+            counts_basis=self._balancer.counts_basis,
+        ).info("memory taken after other hosts")
+
+    def _update_gauges(self) -> None:
+        numbers = Counter(
+            each.priority for line in self._lines.values() for each in line
+        )
+        for priority in self._gauged | numbers.keys():
+            self._metrics.gauge(
+                f"generations.waiting.{priority}", numbers[priority]
+            )
+        self._gauged = set(numbers)
--- a/tests/_shared_counts.py
+++ b/tests/_shared_counts.py
@@ -43,6 +43,9 @@
     def in_flight(self, upstream: str) -> int:
         return self._others[upstream]
 
+    def counts_under(self, prefix: str) -> dict[str, int]:
+        return {k: n for k, n in self._others.items() if k.startswith(prefix)}
+
     def set_in_flight(self, upstream: str, n: int) -> None:
         self._own[upstream] = n
 
