Order waiting generations by urgency, time and share, over hosts

Cause: the list of one host went by priority and arrival, so that a workspace had memory in proportion to what it sent, and memory that became free went to the host that looked first.

Change: WaitingRequests keeps a WaitingLine per pool and publishes what waits and is held by groups; a request leaves free memory to groups of other hosts that go first, for 0.9 s at most without effect.

--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -5,7 +5,8 @@
 from balsamlift.placement._host_order import (
     WaitingGroup,
     YieldLimit,
-    tokens_before,
+    groups_before,
+    leaves_room,
 )
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._request import PlacementRequest, Ticket
@@ -25,5 +26,6 @@
     "WaitingGroup",
     "WaitingLine",
     "YieldLimit",
-    "tokens_before",
+    "groups_before",
+    "leaves_room",
 ]
--- a/src/balsamlift/placement/_host_order.py
+++ b/src/balsamlift/placement/_host_order.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Hashable, Iterable, Mapping
+from collections.abc import Hashable, Iterable, Mapping, Sequence
+from math import ceil
 
 import attrs
 
@@ -29,44 +30,62 @@
     workspace: str
     weight: float
     waiting_tokens: int
+    request_tokens: int  # of one request, on average
     held_tokens: int  # reserved by the workspace at this priority, all hosts
 
 
-def tokens_before(
+def groups_before(
     own: WaitingGroup,
     others: Iterable[WaitingGroup],
-    request_tokens: int,
     held_by_priority: Mapping[int, int],
-) -> int:
-    """Return the tokens wanted by groups that are served before `own`.
+) -> list[WaitingGroup]:
+    """Return the groups of other hosts that are served before `own`.
 
-    `others` are the groups that wait at other hosts, and `request_tokens` the
-    size of the own request. Held tokens are those of all hosts.
+    Held tokens are those of all hosts. A less urgent group is returned with
+    the tokens that it lacks to its minimum share.
     """
     min_tokens = sum(held_by_priority.values()) * MIN_SHARE
     missing: defaultdict[int, float] = defaultdict(lambda: min_tokens)
     for priority, held in held_by_priority.items():
         missing[priority] -= held
-    before = 0.0
+    before: list[WaitingGroup] = []
     for group in others:
         if group.priority == own.priority:
-            if _is_less_served(group, own, request_tokens):
-                before += group.waiting_tokens
+            if _is_less_served(group, own):
+                before.append(group)
         elif group.priority < own.priority:
             if missing[own.priority] <= 0:
-                before += group.waiting_tokens
-        else:
-            lacking = max(missing[group.priority], 0.0)
-            before += min(group.waiting_tokens, lacking)
-            missing[group.priority] -= group.waiting_tokens
-    return round(before)
+                before.append(group)
+        elif missing[group.priority] > 0:
+            tokens = min(group.waiting_tokens, round(missing[group.priority]))
+            before.append(attrs.evolve(group, waiting_tokens=tokens))
+            missing[group.priority] -= tokens
+    return before
 
 
-def _is_less_served(
-    group: WaitingGroup, own: WaitingGroup, request_tokens: int
+def leaves_room(
+    free_tokens: Sequence[int], groups: Iterable[WaitingGroup]
 ) -> bool:
-    """Return whether a group holds less, also after one more request."""
-    held_then = group.held_tokens + request_tokens
+    """Return whether all requests of some groups fit into free memory.
+
+    `free_tokens` holds the free memory of each engine; a request needs to fit
+    into one of them.
+    """
+    free = list(free_tokens)
+    for group in sorted(groups, key=lambda g: -g.request_tokens):
+        missing = ceil(group.waiting_tokens / group.request_tokens)
+        for engine, tokens in enumerate(free):
+            fitting = min(tokens // group.request_tokens, missing)
+            free[engine] -= fitting * group.request_tokens
+            missing -= fitting
+        if missing > 0:
+            return False
+    return True
+
+
+def _is_less_served(group: WaitingGroup, own: WaitingGroup) -> bool:
+    """Return whether a group holds less, also after one request more."""
+    held_then = group.held_tokens + own.request_tokens
     return held_then / group.weight <= own.held_tokens / own.weight
 
 
@@ -76,6 +95,7 @@
 
     since_s: float
     tokens: int  # of the smallest request that left it
+    held_tokens: int  # by the groups that it is left to
 
 
 class YieldLimit:
@@ -85,10 +105,24 @@
         """Start with no memory left to others."""
         self._yields: dict[Hashable, _Yield] = {}
 
-    def allows(self, scope: Hashable, tokens: int, now_s: float) -> bool:
-        """Return whether a request that fits may be held back now."""
-        current = self._yields.setdefault(scope, _Yield(now_s, tokens))
+    def allows(
+        self,
+        scope: Hashable,
+        tokens: int,
+        groups: Iterable[WaitingGroup],
+        now_s: float,
+    ) -> bool:
+        """Return whether a request that fits may be held back for `groups`.
+
+        The time starts again whenever they have taken some memory.
+        """
+        held_tokens = sum(group.held_tokens for group in groups)
+        current = self._yields.get(scope)
+        if current is None or current.held_tokens < held_tokens:
+            current = _Yield(now_s, tokens, held_tokens)
+            self._yields[scope] = current
         current.tokens = min(current.tokens, tokens)
+        current.held_tokens = held_tokens
         return now_s - current.since_s < MAX_YIELD_S
 
     def record_no_room(self, scope: Hashable, tokens: int) -> None:
--- a/src/balsamlift/relay/generations/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -18,7 +18,7 @@
     MemoryAllocator,
     MemoryReservation,
 )
-from balsamlift.relay.generations._waiting_requests import MemoryRequest
+from balsamlift.relay.generations._memory_request import MemoryRequest
 
 # Longest wait for memory or a permit, as a multiple of the route's target
 # latency. A generation that starts after its target is late, and a caller who
--- a/src/balsamlift/relay/generations/_group_counts.py
+++ b/src/balsamlift/relay/generations/_group_counts.py
@@ -1,34 +1,24 @@
 """The memory that groups of requests wait for and hold, over all hosts.
 
-A group is the requests of one workspace and priority in one pool.
+A group is the requests of one workspace and priority in one scope.
 """
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from urllib.parse import quote
 
 from balsamlift.placement import WaitingGroup
 from balsamlift.relay._balance import Balancer
+from balsamlift.relay._scope import Scope
+from balsamlift.relay.generations._memory_request import Group, MemoryRequest
 
-Group = tuple[int, str]  # priority and workspace
-
-# Groups of a kind that a host publishes for one pool; the rest are added up
+# Groups of a kind that a host publishes for one scope; the rest are added up
 # under an empty workspace.
 MAX_GROUPS = 32
 
 
-def waiting_key(pool: str) -> str:
-    """Return the key that counts the tokens wanted by waiting requests."""
-    return f"{quote(pool, safe='')}/waiting"
-
-
-def held_key(pool: str) -> str:
-    """Return the prefix of the keys that count reserved tokens."""
-    return f"{quote(pool, safe='')}/held"
-
-
 class GroupCounts:
     """Publish the counts of this host's groups, and read the others'."""
 
@@ -41,87 +31,90 @@
         """
         self._balancer = balancer
         self._weight_of = weight_of
-        self._held: dict[str, Counter[Group]] = {}
-        self._published: dict[str, Counter[str]] = {}  # by pool
+        self._held: dict[Scope, Counter[Group]] = {}
+        self._published: dict[Scope, Counter[str]] = {}
 
-    def hold(self, pool: str, group: Group, tokens: int) -> None:
+    def hold(self, scope: Scope, group: Group, tokens: int) -> None:
         """Add tokens, which may be negative, to those that a group holds."""
-        held = self._held.setdefault(pool, Counter())
+        held = self._held.setdefault(scope, Counter())
         held[group] += tokens
         if not held[group]:
             del held[group]
         if not held:
-            del self._held[pool]
+            del self._held[scope]
 
-    def others_wait(self, pool: str) -> bool:
+    def others_wait(self, scope: Scope) -> bool:
         """Return whether requests wait at other hosts, as far as known."""
         if self._balancer.counts_basis not in ("heard", "gathered"):
             return False
-        own = self._published.get(pool, Counter())
-        key = waiting_key(pool)
+        own = self._published.get(scope, Counter())
+        key = _key(scope, "waiting")
         return self._balancer.load(key) > own[key]
 
-    def waiting_elsewhere(self, pool: str) -> list[WaitingGroup]:
+    def waiting_elsewhere(self, scope: Scope) -> list[WaitingGroup]:
         """Return the groups that wait at other hosts."""
-        if not self.others_wait(pool):
+        if not self.others_wait(scope):
             return []
-        waiting = self._others(waiting_key(pool))
-        held = self.held(pool)
+        waiting = self._others(_key(scope, "waiting"))
+        requests = self._others(_key(scope, "requests"))
+        held = self.held(scope)
         return [
-            self.describe(group, tokens, held)
+            WaitingGroup(
+                priority=group[0],
+                workspace=group[1],
+                weight=self._weight_of(group[1]),
+                waiting_tokens=tokens,
+                request_tokens=max(tokens // max(requests[group], 1), 1),
+                held_tokens=held[group],
+            )
             for group, tokens in waiting.items()
         ]
 
-    def describe(
-        self,
-        group: Group,
-        waiting_tokens: int,
-        held: Mapping[Group, int],
-    ) -> WaitingGroup:
-        """Return a group with its weight and the tokens it holds."""
-        priority, workspace = group
-        return WaitingGroup(
-            priority=priority,
-            workspace=workspace,
-            weight=self._weight_of(workspace),
-            waiting_tokens=waiting_tokens,
-            held_tokens=held.get(group, 0),
-        )
-
-    def held(self, pool: str) -> Counter[Group]:
+    def held(self, scope: Scope) -> Counter[Group]:
         """Return the tokens held by each group, over all hosts."""
-        return self._others(held_key(pool)) + self._held.get(pool, Counter())
+        return self._others(_key(scope, "held")) + self._held.get(
+            scope, Counter()
+        )
 
-    def publish(self, waiting: Mapping[str, Mapping[Group, int]]) -> None:
-        """Publish what waits here, by pool, and what is held if any waits.
+    def publish(
+        self, waiting: Mapping[Scope, Sequence[MemoryRequest]]
+    ) -> None:
+        """Publish what waits here, and what is held if any waits.
 
         A group that is new is sent at once, the rest with the next counts.
         """
         is_new = False
-        for pool in {*waiting, *self._held, *self._published}:
-            counts = self._counts_of(pool, waiting.get(pool, {}))
-            before = self._published.get(pool, Counter())
+        for scope in {*waiting, *self._held, *self._published}:
+            counts = self._counts_of(scope, waiting.get(scope, ()))
+            before = self._published.get(scope, Counter())
             is_new = is_new or not counts.keys() <= before.keys()
             for key in {*counts, *before}:
                 change = counts[key] - before[key]
                 if change:
                     self._balancer.add(key, change)
-            self._published[pool] = counts
+            self._published[scope] = counts
             if not counts:
-                del self._published[pool]
+                del self._published[scope]
         if is_new:
             self._balancer.publish()
 
     def _counts_of(
-        self, pool: str, waiting: Mapping[Group, int]
+        self, scope: Scope, waiting: Sequence[MemoryRequest]
     ) -> Counter[str]:
-        """Return the counts to publish for a pool, by key."""
+        """Return the counts to publish for a scope, by key."""
         counts: Counter[str] = Counter()
         if waiting:
-            counts[waiting_key(pool)] = sum(waiting.values())
-            counts.update(_by_key(waiting_key(pool), waiting))
-        if waiting or self.others_wait(pool):
-            counts.update(_by_key(held_key(pool), self._held.get(pool, {})))
+            tokens: Counter[Group] = Counter()
+            for request in waiting:
+                tokens[request.group] += request.tokens
+            requests = Counter(request.group for request in waiting)
+            counts[_key(scope, "waiting")] = sum(tokens.values())
+            counts.update(_by_key(_key(scope, "waiting"), tokens))
+            counts.update(_by_key(_key(scope, "requests"), requests))
+        if waiting or self.others_wait(scope):
+            counts.update(
+                _by_key(_key(scope, "held"), self._held.get(scope, {}))
+            )
         return counts
 
     def _others(self, prefix: str) -> Counter[Group]:
@@ -134,6 +127,18 @@
         return counts
 
 
+def _key(scope: Scope, counted: str) -> str:
+    """Return the key, or the prefix of the keys, of what is counted.
+
+    Only the separators contain slashes, whatever the names.
+    """
+    name = quote(scope.pool, safe="")
+    if scope.regions is not None:
+        regions = (quote(region, safe="") for region in scope.regions)
+        name += "@" + ",".join(sorted(regions))
+    return f"{name}/{counted}"
+
+
 def _by_key(prefix: str, tokens: Mapping[Group, int]) -> Counter[str]:
     """Return the tokens of the largest groups, and of the rest together."""
     counts: Counter[str] = Counter()
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -18,6 +18,7 @@
     reserved_tokens,
 )
 from balsamlift.relay.generations._group_counts import GroupCounts
+from balsamlift.relay.generations._memory_request import MemoryRequest
 from balsamlift.relay.generations._memory_reservation import MemoryReservation
 from balsamlift.relay.generations._placement_policy import (
     DEFAULT_POLICY,
@@ -25,7 +26,6 @@
 )
 from balsamlift.relay.generations._waiting_requests import (
     EngineMemory,
-    MemoryRequest,
     WaitingRequest,
     WaitingRequests,
 )
@@ -63,7 +63,7 @@
             self._groups,
             EngineMemory(
                 find=self._find_for,
-                free_tokens=self._free_tokens_for,
+                free_tokens_after=self._free_tokens_after,
                 reserve=self._grant,
             ),
             metrics or Metrics(),
@@ -207,7 +207,7 @@
             return None
         tokens = min(request.tokens, self._capacity(request.traits))
         request = attrs.evolve(request, tokens=tokens)
-        if not self._waiting.must_wait(request.scope.pool):
+        if not self._waiting.must_wait(request.scope):
             upstream = self._find_for(request)
             if upstream is not None:
                 return self._reserve_for(request, upstream)
@@ -246,16 +246,20 @@
             request.scope, request.traits, request.tokens, request.tried
         )
 
-    def _free_tokens_for(self, request: MemoryRequest) -> int:
-        """Return the free memory, in pieces that the request fits in."""
-        if not request.tokens:
-            return 0
+    def _free_tokens_after(
+        self, request: MemoryRequest, taken: Upstream
+    ) -> list[int]:
+        """Return the free memory of each engine of a request's scope.
+
+        Counts the request itself as placed on the engine `taken`.
+        """
         capacity = self._capacity(request.traits)
-        pieces = 0
-        for upstream in self._balancer.usable(request.scope, request.tried):
-            free_tokens = capacity - self._balancer.load(upstream.name)
-            pieces += max(free_tokens, 0) // request.tokens
-        return pieces * request.tokens
+        loads = {
+            upstream.name: self._balancer.load(upstream.name)
+            for upstream in self._balancer.usable(request.scope, ())
+        }
+        loads[taken.name] += request.tokens
+        return [max(capacity - load, 0) for load in loads.values()]
 
     def _grant(self, waiting: WaitingRequest, upstream: Upstream) -> None:
         waiting.granted.set_result(
@@ -266,14 +270,14 @@
         self, request: MemoryRequest, upstream: Upstream
     ) -> MemoryReservation:
         """Reserve memory and count it as held by the request's group."""
-        pool, group, tokens = request.scope.pool, request.group, request.tokens
+        scope, group, tokens = request.scope, request.group, request.tokens
         self._balancer.record_send(upstream)
-        self._groups.hold(pool, group, tokens)
+        self._groups.hold(scope, group, tokens)
         return MemoryReservation(
             self._balancer,
             upstream,
             tokens,
-            on_release=lambda: self._groups.hold(pool, group, -tokens),
+            on_release=lambda: self._groups.hold(scope, group, -tokens),
         )
 
     def _capacity(self, traits: EngineTraits) -> int:
--- a/src/balsamlift/relay/generations/_waiting_requests.py
+++ b/src/balsamlift/relay/generations/_waiting_requests.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 from loguru import logger
@@ -17,36 +17,18 @@
     WaitingGroup,
     WaitingLine,
     YieldLimit,
-    tokens_before,
+    groups_before,
+    leaves_room,
 )
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._scope import Scope
-from balsamlift.relay.generations._group_counts import Group, GroupCounts
+from balsamlift.relay.generations._group_counts import GroupCounts
+from balsamlift.relay.generations._memory_request import MemoryRequest
 from balsamlift.relay.generations._memory_reservation import MemoryReservation
 
 log = logger.bind(part="relay")
 
 
-@attrs.frozen(kw_only=True)
-class MemoryRequest:
-    """Describe the memory that a generation needs and who asks for it."""
-
-    scope: Scope
-    traits: EngineTraits
-    tokens: int
-    priority: int = 0  # 0 is served first
-    workspace: str = ""
-    weight: float = 1.0  # of its workspace's share while requests wait
-    in_time_until_s: float = math.inf  # monotonic; it is late afterwards
-    tried: Collection[str] = ()  # names of engines not to be used
-
-    @property
-    def group(self) -> Group:
-        """Return its priority and workspace."""
-        return self.priority, self.workspace
-
-
 @attrs.define(eq=False)
 class WaitingRequest:
     """Hold a request for memory until an engine has it free."""
@@ -93,8 +75,8 @@
     """How to look for free memory and to reserve it."""
 
     find: Callable[[MemoryRequest], Upstream | None]
-    # Free memory in pieces of the size of the request, in tokens.
-    free_tokens: Callable[[MemoryRequest], int]
+    # Free memory of each engine of a request, once it has its own in one.
+    free_tokens_after: Callable[[MemoryRequest, Upstream], list[int]]
     reserve: Callable[[WaitingRequest, Upstream], None]
 
 
@@ -122,9 +104,9 @@
         """Return the number of waiting requests."""
         return sum(len(line) for line in self._lines.values())
 
-    def must_wait(self, pool: str) -> bool:
+    def must_wait(self, scope: Scope) -> bool:
         """Return whether a new request joins a line, here or elsewhere."""
-        return pool in self._lines or self._groups.others_wait(pool)
+        return scope.pool in self._lines or self._groups.others_wait(scope)
 
     def push(self, waiting: WaitingRequest) -> None:
         """Append a request to the line of its pool."""
@@ -143,15 +125,14 @@
         Requests of its own group wait elsewhere as long as here: they came
         first.
         """
-        pool = request.scope.pool
-        elsewhere = self._groups.waiting_elsewhere(pool)
-        ahead = self._ahead(request, elsewhere)
-        ahead += sum(
-            group.waiting_tokens
+        elsewhere = self._groups.waiting_elsewhere(request.scope)
+        ahead = _sum_waiting(self._groups_before(request, elsewhere))
+        ahead += _sum_waiting(
+            group
             for group in elsewhere
             if (group.priority, group.workspace) == request.group
         )
-        line = self._lines.get(pool)
+        line = self._lines.get(request.scope.pool)
         if line is None:
             return ahead
         return ahead + round(
@@ -171,8 +152,8 @@
         self._is_placing = True
         now_s = asyncio.get_running_loop().time()
         try:
-            for pool, line in self._lines.items():
-                line.place(self._offer_in(pool, now_s), now_s)
+            for line in self._lines.values():
+                line.place(self._offering(now_s), now_s)
         finally:
             self._is_placing = False
         self.publish()
@@ -180,14 +161,13 @@
     def publish(self) -> None:
         """Publish what waits here, and what is held while any waits."""
         was_placing, self._is_placing = self._is_placing, True
-        waiting: dict[str, Counter[Group]] = {}
+        waiting: dict[Scope, list[MemoryRequest]] = {}
         for pool, line in list(self._lines.items()):
             if not len(line):
                 del self._lines[pool]
                 continue
-            groups = waiting[pool] = Counter()
             for each in line:
-                groups[each.request.group] += each.request.tokens
+                waiting.setdefault(each.scope, []).append(each.request)
         if not self._lines:
             self._yields.clear()
         try:
@@ -196,11 +176,9 @@
             self._is_placing = was_placing
         self._update_gauges()
 
-    def _offer_in(
-        self, pool: str, now_s: float
-    ) -> Callable[[WaitingRequest], Offer]:
-        """Return what offers memory of a pool in one pass."""
-        elsewhere = self._groups.waiting_elsewhere(pool)
+    def _offering(self, now_s: float) -> Callable[[WaitingRequest], Offer]:
+        """Return what offers memory in one pass."""
+        elsewhere: dict[Scope, list[WaitingGroup]] = {}
         failed_tokens: dict[Scope, int] = {}  # the smallest without room
 
         def offer(waiting: WaitingRequest) -> Offer:
@@ -214,7 +192,12 @@
                 if not request.tried:
                     failed_tokens[request.scope] = request.tokens
                 return self._handle_no_room(waiting)
-            if elsewhere and self._must_yield(waiting, elsewhere, now_s):
+            if request.scope not in elsewhere:
+                elsewhere[request.scope] = self._groups.waiting_elsewhere(
+                    request.scope
+                )
+            others = elsewhere[request.scope]
+            if others and self._must_yield(waiting, upstream, others, now_s):
                 return Offer.YIELDED
             self._log_yield(waiting, now_s)
             self._memory.reserve(waiting, upstream)
@@ -234,30 +217,32 @@
     def _must_yield(
         self,
         waiting: WaitingRequest,
+        upstream: Upstream,
         elsewhere: Sequence[WaitingGroup],
         now_s: float,
     ) -> bool:
         request = waiting.request
-        ahead = self._ahead(request, elsewhere)
-        if not ahead:
-            return False
-        if self._memory.free_tokens(request) - ahead >= request.tokens:
+        before = self._groups_before(request, elsewhere)
+        left_tokens = self._memory.free_tokens_after(request, upstream)
+        if leaves_room(left_tokens, before):
             return False
-        if not self._yields.allows(request.scope, request.tokens, now_s):
+        if not self._yields.allows(
+            request.scope, request.tokens, before, now_s
+        ):
             return False
         if waiting.yielded_since_s is None:
             waiting.yielded_since_s = now_s
             self._metrics.count("generations.memory_yields")
-        waiting.ahead_tokens = ahead
+        waiting.ahead_tokens = _sum_waiting(before)
         return True
 
-    def _ahead(
+    def _groups_before(
         self, request: MemoryRequest, elsewhere: Sequence[WaitingGroup]
-    ) -> int:
-        """Return the tokens that go first to requests of other hosts."""
+    ) -> list[WaitingGroup]:
+        """Return the groups of other hosts that go before a request."""
         if not elsewhere:
-            return 0
-        held = self._groups.held(request.scope.pool)
+            return []
+        held = self._groups.held(request.scope)
         by_priority: Counter[int] = Counter()
         for (priority, _), tokens in held.items():
             by_priority[priority] += tokens
@@ -266,9 +251,10 @@
             workspace=request.workspace,
             weight=request.weight,
             waiting_tokens=request.tokens,
+            request_tokens=request.tokens,
             held_tokens=held[request.group],
         )
-        return tokens_before(own, elsewhere, request.tokens, by_priority)
+        return groups_before(own, elsewhere, by_priority)
 
     def _log_yield(self, waiting: WaitingRequest, now_s: float) -> None:
         if waiting.yielded_since_s is None:
@@ -291,3 +277,7 @@
                 f"generations.waiting.{priority}", numbers[priority]
             )
         self._gauged = set(numbers)
+
+
+def _sum_waiting(groups: Iterable[WaitingGroup]) -> int:
+    return sum(group.waiting_tokens for group in groups)
--- a/tests/_shared_counts.py
+++ b/tests/_shared_counts.py
@@ -49,6 +49,9 @@
     def set_in_flight(self, upstream: str, n: int) -> None:
         self._own[upstream] = n
 
+    def own_keys(self) -> dict[str, int]:
+        return {key: n for key, n in self._own.items() if n}
+
     def send_counts(self) -> None:
         sent = dict(self._own)
         asyncio.get_running_loop().call_later(
--- a/tests/test_peers_aggregation.py
+++ b/tests/test_peers_aggregation.py
@@ -117,6 +117,18 @@
         known = {host: await cluster.sums(host) for host in cluster.by_host}
 
 
+def test_sums_are_found_by_the_prefix_of_their_keys() -> None:
+    async def test(cluster: Cluster) -> None:
+        for counts in cluster.counts.values():
+            counts.update({"e1": 1, "p/waiting": 7, "p/waiting/0/a/b": 7})
+        await until_exact(cluster)
+        for aggregation in cluster.by_host.values():
+            found = aggregation.others_under("p/waiting/")
+            assert found == {"p/waiting/0/a/b": 4 * 7}
+
+    run(test)
+
+
 def test_every_host_knows_the_exact_sum_of_the_others() -> None:
     async def test(cluster: Cluster) -> None:
         set_distinct_counts(cluster)
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -384,6 +384,26 @@
     assert (entry.cold_ms, entry.written) == (800.5, 9)
 
 
+@pytest.mark.parametrize(
+    ("fields", "weight"), [({}, 1.0), ({"Weight": 2.5}, 2.5)]
+)
+def test_decodes_the_weight_of_a_workspace(
+    fields: dict[str, Any], weight: float
+) -> None:
+    workspace = {"Name": "w", "ApiKeys": ["k"], **fields}
+    manifest = {**MANIFEST, "Tenants": [workspace]}
+    configuration = decode_configuration(json.dumps(manifest).encode())
+    assert configuration.workspaces[0].weight == weight
+
+
+@pytest.mark.parametrize("weight", [0, -1, 1_000.5, "2", None])
+def test_rejects_an_invalid_weight_of_a_workspace(weight: object) -> None:
+    workspace = {"Name": "w", "ApiKeys": ["k"], "Weight": weight}
+    manifest = {**MANIFEST, "Tenants": [workspace]}
+    with pytest.raises(RecordError):
+        decode_configuration(json.dumps(manifest).encode())
+
+
 def test_decodes_evacuations_with_any_value() -> None:
     values = {
         "config": b"{}",
--- a/tests/test_relay_memory_allocator.py
+++ b/tests/test_relay_memory_allocator.py
@@ -17,8 +17,8 @@
     MemoryAllocator,
     MemoryReservation,
 )
+from balsamlift.relay.generations._memory_request import MemoryRequest
 from balsamlift.relay.generations._placement_policy import DEFAULT_POLICY
-from balsamlift.relay.generations._waiting_requests import MemoryRequest
 
 TRAITS = EngineTraits(memory_tokens=10_000)
 MAX_LOAD = int(TRAITS.memory_tokens * DEFAULT_POLICY.fill_limit)
--- a/tests/test_relay_shared_health.py
+++ b/tests/test_relay_shared_health.py
@@ -16,7 +16,7 @@
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay.generations._memory_allocator import MemoryAllocator
-from balsamlift.relay.generations._waiting_requests import MemoryRequest
+from balsamlift.relay.generations._memory_request import MemoryRequest
 from balsamlift.relay.health._shared_health import (
     FAILURE_TTL_S,
     LOCAL_FAULT_FAILURES,
