--- /dev/null
+++ b/src/balsamlift/placement/_wait_decision.py
@@ -0,0 +1,189 @@
+"""Decide whether a request waits for memory, and when to return if not.
+
+Answers a load that exceeds the memory of a pool, for some seconds or for as
+long as engines are missing: callers who would wait in vain are told at once,
+the others are served late rather than refused.
+"""
+
+from __future__ import annotations
+
+from math import inf
+from typing import Literal
+
+import attrs
+
+from balsamlift.placement._backlog import Backlog
+from balsamlift.placement._residence import EXPECTED_START_MS
+from balsamlift.placement._wait_estimate import (
+    retry_after_ms,
+    spread_retry_ms,
+)
+
+# Callers give up a stream that sends no event for the greatest of these.
+MIN_PATIENCE_MS = 2_000.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_GAPS = 8.0
+# A request is refused if its whole wait would be this many times the longest.
+# A forecast is not exact, and who has waited already needs to lose more.
+REFUSAL_FACTOR = 1.5
+WAITING_REFUSAL_FACTOR = 2.0
+# Callers refused at one moment return within this time at least.
+MIN_RETURN_SPREAD_MS = 1_000.0
+
+_MS_PER_S = 1_000.0
+
+RefusalReason = Literal["no_room", "too_late", "overdue"]
+
+
+@attrs.frozen(kw_only=True)
+class WaitRequest:
+    """Describe a request that finds no free memory; times are monotonic."""
+
+    tokens: int
+    run_ms: float  # expected
+    arrived_s: float
+    target_ms: float  # of its route, to the first event
+    max_gap_ms: float  # of its route, between events; 0: any
+    timeout_at_s: float  # by which it must have ended
+    deadline_s: float  # after which its caller does not return
+    spread: float  # 0 to 1, differs between the requests of one moment
+
+    @property
+    def target_s(self) -> float:
+        """Return when its target passes."""
+        return self.arrived_s + self.target_ms / _MS_PER_S
+
+    @property
+    def patience_s(self) -> float:
+        """Return until when it can wait with its caller still listening.
+
+        The engine needs some time for the first event after that.
+        """
+        patience_ms = max(
+            MIN_PATIENCE_MS,
+            self.target_ms * PATIENCE_TARGETS,
+            self.max_gap_ms * PATIENCE_GAPS,
+        )
+        return self.arrived_s + (patience_ms - EXPECTED_START_MS) / _MS_PER_S
+
+    @property
+    def latest_start_s(self) -> float:
+        """Return until when it can start and is expected to end in time."""
+        return self.timeout_at_s - self.run_ms / _MS_PER_S
+
+
+@attrs.frozen(kw_only=True)
+class WaitUntil:
+    """Let the request wait for memory."""
+
+    until_s: float  # monotonic
+    expected_ms: float | None  # None: unknown
+
+
+@attrs.frozen(kw_only=True)
+class RefuseNow:
+    """Refuse the request.
+
+    `no_room`: the expected wait is too long. `too_late`: it cannot end in
+    time. `overdue`: it has waited for as long as it could.
+    """
+
+    reason: RefusalReason
+    expected_ms: float | None  # wait for memory; None: unknown
+    retry_after_ms: int | None  # None: unknown
+
+
+def expected_wait_ms(
+    backlog: Backlog, tokens: int, residence_ms: float
+) -> float | None:
+    """Return the wait until `tokens` are free, or None if unknown.
+
+    `residence_ms` is the mean time that memory is held. By Little's law, the
+    tokens in use divided by it are the rate at which they become free.
+    """
+    if not backlog.is_known:
+        return None
+    missing = backlog.ahead_tokens + tokens - backlog.free_tokens
+    if missing <= 0:
+        return 0.0
+    if backlog.used_tokens <= 0:
+        return None
+    return missing * residence_ms / backlog.used_tokens
+
+
+def decide_wait(
+    request: WaitRequest,
+    backlog: Backlog,
+    residence_ms: float,
+    now_s: float,
+    *,
+    is_waiting: bool = False,
+) -> WaitUntil | RefuseNow:
+    """Return until when a request waits, or that there is no use in it.
+
+    Asked again while it `is_waiting`: the backlog changes.
+    """
+    expected_ms = expected_wait_ms(backlog, request.tokens, residence_ms)
+    if expected_ms is None:
+        return _wait_for_target(request, now_s)
+    until_s = min(request.patience_s, request.latest_start_s)
+    # Memory becomes free by whole generations, one of this size in this time.
+    service_ms = request.tokens * residence_ms / max(backlog.used_tokens, 1)
+    start_s = now_s + (expected_ms - service_ms) / _MS_PER_S
+    factor = WAITING_REFUSAL_FACTOR if is_waiting else REFUSAL_FACTOR
+    reason = _refusal_reason(request, until_s, start_s, now_s, factor)
+    if reason is None:
+        return WaitUntil(until_s=until_s, expected_ms=expected_ms)
+    return RefuseNow(
+        reason=reason,
+        expected_ms=expected_ms,
+        retry_after_ms=_retry_ms(request, expected_ms, service_ms, now_s),
+    )
+
+
+def _wait_for_target(
+    request: WaitRequest, now_s: float
+) -> WaitUntil | RefuseNow:
+    """Decide without a forecast: those refused at their target can return."""
+    if now_s < request.target_s:
+        return WaitUntil(until_s=request.target_s, expected_ms=None)
+    return RefuseNow(reason="overdue", expected_ms=None, retry_after_ms=None)
+
+
+def _refusal_reason(
+    request: WaitRequest,
+    until_s: float,
+    start_s: float,
+    now_s: float,
+    factor: float,
+) -> RefusalReason | None:
+    """Return why there is no use in waiting until `until_s`, if there is none.
+
+    `start_s` is the earliest start by the forecast.
+    """
+    if now_s >= request.latest_start_s:
+        return "too_late"
+    if now_s >= until_s:
+        return "overdue"
+    longest_s = until_s - request.arrived_s
+    if start_s - request.arrived_s > longest_s * factor:
+        return "no_room"
+    return None
+
+
+def _retry_ms(
+    request: WaitRequest, expected_ms: float, service_ms: float, now_s: float
+) -> int:
+    """Return after which time the caller of a refused request may return.
+
+    From when the wait is short enough until when room is expected. One that
+    is too late in any case is not told to return sooner.
+    """
+    bearable_ms = (request.patience_s - request.arrived_s) * _MS_PER_S
+    earliest_ms = retry_after_ms(expected_ms, bearable_ms, service_ms)
+    latest_ms = max(expected_ms, earliest_ms + MIN_RETURN_SPREAD_MS)
+    is_late = now_s >= request.latest_start_s
+    remaining_ms = inf if is_late else (request.deadline_s - now_s) * _MS_PER_S
+    return spread_retry_ms(
+        earliest_ms, latest_ms, remaining_ms, request.spread
+    )
--- a/src/balsamlift/placement/_wait_estimate.py
+++ b/src/balsamlift/placement/_wait_estimate.py
@@ -7,6 +7,8 @@
 AVERAGING_MS = 5_000.0  # time constant of the moving average
 MIN_RETRY_AFTER_MS = 50
 MAX_RETRY_AFTER_MS = 60_000
+# Upper bound of Retry-After, as a fraction of the caller's remaining time.
+RETRY_AFTER_FRACTION = 0.3
 
 
 class ServiceRate:
@@ -50,3 +52,21 @@
     """
     excess_ms = max(wait_ms - max_wait_ms, service_time_ms)
     return int(min(max(excess_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS))
+
+
+def limit_retry_ms(wait_ms: float, remaining_ms: float) -> int:
+    """Return a wait that leaves the caller time for another attempt."""
+    return int(min(wait_ms, max(remaining_ms, 0.0) * RETRY_AFTER_FRACTION))
+
+
+def spread_retry_ms(
+    earliest_ms: float, latest_ms: float, remaining_ms: float, fraction: float
+) -> int:
+    """Return the time at `fraction` between two, within the caller's time.
+
+    Callers whose time is too short return within the second half of the time
+    that they can wait.
+    """
+    last_ms = limit_retry_ms(latest_ms, remaining_ms)
+    first_ms = min(earliest_ms, last_ms / 2)
+    return int(first_ms + (last_ms - first_ms) * fraction)
--- /dev/null
+++ b/tests/test_placement_wait_decision.py
@@ -0,0 +1,263 @@
+"""Loads beyond the memory of a pool, played against the decision to wait."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from math import inf, sqrt
+
+import attrs
+import pytest
+
+from balsamlift.placement import (
+    Backlog,
+    RefuseNow,
+    ResidenceTimes,
+    WaitRequest,
+    WaitUntil,
+    decide_wait,
+)
+
+STEP_S = 0.05
+RENEWAL_S = 0.2
+COUNTS_AGE_S = 0.5
+TOKENS = 1_000
+RUN_S = 2.0
+PLACES = 20
+CAPACITY_PER_S = PLACES / RUN_S
+AT_ONCE_S = 0.2
+SLOT_S = 0.5
+
+
+@attrs.define(eq=False)
+class Caller:
+    """A caller that returns when told to, until its deadline."""
+
+    first_s: float
+    number: int = 0
+    target_s: float = 2.0
+    patience_s: float = 39.0  # of its deadline, from its first attempt
+    until_s: float = inf  # that it may wait
+    served_s: float | None = None
+    attempts: list[tuple[float, float]] = attrs.field(factory=list)
+    returns: list[float] = attrs.field(factory=list)
+    reasons: list[str] = attrs.field(factory=list)
+
+    def request(self) -> WaitRequest:
+        """Return its latest attempt."""
+        random.seed(self.number * 100 + len(self.attempts))
+        deadline_s = self.first_s + self.patience_s
+        return WaitRequest(
+            tokens=TOKENS,
+            run_ms=RUN_S * 1_000,
+            arrived_s=self.attempts[-1][0],
+            target_ms=self.target_s * 1_000,
+            max_gap_ms=0.0,
+            timeout_at_s=deadline_s,
+            deadline_s=deadline_s,
+            spread=random.random(),
+        )
+
+
+class Play:
+    """One pool, first come first served, as callers at a host find it."""
+
+    def __init__(
+        self, callers: list[Caller], age_s: float = 0.0, known: bool = True
+    ) -> None:
+        self.callers = callers
+        self.places = PLACES
+        self._known = known
+        self._arriving = [(c.first_s, c) for c in callers]
+        self._waiting: list[Caller] = []
+        self._ends: list[float] = []
+        self._used = [0] * (round(age_s / STEP_S) + 1)
+
+    def run(self, until_s: float, from_s: float = 0.0) -> None:
+        """Advance in steps."""
+        for step in range(round(from_s / STEP_S), round(until_s / STEP_S)):
+            self._step(step * STEP_S)
+
+    def _step(self, now_s: float) -> None:
+        self._ends = [s for s in self._ends if s > now_s][: self.places]
+        self._place(now_s)
+        due = [c for at_s, c in self._arriving if at_s <= now_s]
+        self._arriving = [a for a in self._arriving if a[0] > now_s]
+        for caller in due:
+            caller.attempts.append((now_s, inf))
+            self._waiting.append(caller)
+            self._place(now_s)
+        self._used = [*self._used[1:], len(self._ends)]
+        is_renewal = round(now_s / STEP_S) % round(RENEWAL_S / STEP_S) == 0
+        for caller in list(self._waiting):
+            if is_renewal or caller in due or now_s >= caller.until_s:
+                self._decide(caller, now_s)
+
+    def _place(self, now_s: float) -> None:
+        while self._waiting and len(self._ends) < self.places:
+            self._waiting.pop(0).served_s = now_s
+            self._ends.append(now_s + RUN_S)
+
+    def _decide(self, caller: Caller, now_s: float) -> None:
+        used = min(self._used[0], self.places)
+        backlog = Backlog(
+            free_tokens=(self.places - used) * TOKENS,
+            used_tokens=used * TOKENS,
+            ahead_tokens=self._waiting.index(caller) * TOKENS,
+            is_known=self._known,
+        )
+        request = caller.request()
+        decision = decide_wait(
+            request,
+            backlog,
+            RUN_S * 1_000,
+            now_s,
+            is_waiting=now_s > request.arrived_s,
+        )
+        if isinstance(decision, WaitUntil):
+            caller.until_s = decision.until_s
+            return
+        self._waiting.remove(caller)
+        caller.attempts[-1] = (caller.attempts[-1][0], now_s)
+        caller.reasons.append(decision.reason)
+        if decision.retry_after_ms is not None:
+            returns_s = now_s + decision.retry_after_ms / 1_000
+            caller.returns.append(returns_s)
+            if returns_s < request.deadline_s:
+                self._arriving.append((returns_s, caller))
+
+
+def crowd(
+    per_s: float, length_s: float, seed: int = 3, **fields: float
+) -> list[Caller]:
+    """Return callers that arrive at random."""
+    rng = random.Random(seed)
+    number = round(per_s * length_s)
+    times_s = sorted(rng.uniform(0.0, length_s) for _ in range(number))
+    return [Caller(s, n, **fields) for n, s in enumerate(times_s)]
+
+
+def refusals(callers: list[Caller]) -> list[tuple[float, float]]:
+    """Return when each refused attempt began and ended."""
+    return [a for c in callers for a in c.attempts if a[1] < inf]
+
+
+def at_once_share(callers: list[Caller]) -> float:
+    """Return the share of refusals that were told at once."""
+    refused = refusals(callers)
+    return sum(e - b <= AT_ONCE_S for b, e in refused) / len(refused)
+
+
+def check_no_wave(callers: list[Caller], width_s: float = 1.0) -> None:
+    """Check that returns are as spread as `width_s` allows."""
+    ended = Counter(int(e / width_s) for _, e in refusals(callers))
+    slots = Counter(int(s / SLOT_S) for c in callers for s in c.returns)
+    expected = max(ended.values()) * SLOT_S / width_s
+    assert max(slots.values()) <= expected + 3 * sqrt(expected)
+
+
+@pytest.mark.parametrize("age_s", [0.0, COUNTS_AGE_S])
+@pytest.mark.parametrize("patience_s", [6.0, 39.0])
+def test_beyond_what_fits_callers_are_served_or_told_at_once(
+    age_s: float, patience_s: float
+) -> None:
+    length_s = 20.0
+    callers = crowd(3 * CAPACITY_PER_S, length_s, patience_s=patience_s)
+    play = Play(callers, age_s)
+    play.run(length_s)
+    served = [c for c in callers if c.served_s is not None]
+    assert len(served) >= 0.95 * CAPACITY_PER_S * length_s
+    # Half of what fits may wait in vain: a forecast may be off by as much.
+    assert at_once_share(callers) >= (3.0 - 1.5) / (3.0 - 1.0)
+    check_no_wave(callers)
+    for caller in served:
+        begun_s = caller.attempts[-1][0]
+        assert caller.served_s is not None
+        assert caller.served_s - begun_s <= 4 * caller.target_s
+        last_s = caller.first_s + patience_s - RUN_S
+        assert caller.served_s <= last_s + STEP_S
+
+
+def test_after_a_crowd_all_whose_time_suffices_are_served() -> None:
+    callers = crowd(4 * CAPACITY_PER_S, 5.0)
+    play = Play(callers)
+    play.run(45.0)
+    assert all(c.served_s is not None for c in callers)
+    check_no_wave(callers)
+
+
+def test_callers_refused_at_one_moment_return_at_different_ones() -> None:
+    callers = [Caller(1.0, n) for n in range(20 * PLACES)]
+    Play(callers).run(1.5)
+    assert len(refusals(callers)) > 10 * PLACES
+    check_no_wave(callers)
+
+
+def test_those_who_wait_as_engines_are_lost_are_told_soon() -> None:
+    lost_s = 8.0
+    callers = crowd(1.5 * CAPACITY_PER_S, lost_s)
+    play = Play(callers)
+    play.run(lost_s)
+    before = len(refusals(callers))
+    waiting = len(play._waiting)
+    play.places = PLACES // 10
+    play.run(lost_s + 2 * RENEWAL_S, from_s=lost_s)
+    assert len(refusals(callers)) - before > 0.5 * waiting
+    bearable = 2.0 * 7.0 * play.places / RUN_S  # in twice the longest wait
+    assert len(play._waiting) <= bearable
+
+
+def test_without_a_forecast_callers_wait_for_their_target() -> None:
+    callers = crowd(3 * CAPACITY_PER_S, 5.0)
+    Play(callers, known=False).run(10.0)
+    waits_s = [e - b for b, e in refusals(callers)]
+    assert waits_s
+    assert all(2.0 <= wait_s <= 2.0 + RENEWAL_S for wait_s in waits_s)
+    assert not any(c.returns for c in callers)
+
+
+def test_those_who_could_not_be_answered_in_time_are_told_at_once() -> None:
+    callers = crowd(3 * CAPACITY_PER_S, 5.0, patience_s=0.9 * RUN_S)
+    Play(callers).run(8.0)
+    assert at_once_share(callers) == 1.0
+    assert {r for c in callers for r in c.reasons} == {"too_late"}
+    assert all(s > c.first_s for c in callers for s in c.returns)
+
+
+def test_a_caller_who_bears_it_is_served_late_instead_of_refused() -> None:
+    waiting = [Caller(0.0, n, 4.0) for n in range(4 * PLACES)]
+    Play(waiting).run(10.0)
+    assert not refusals(waiting)
+    late = [c for c in waiting if (c.served_s or 0.0) > c.target_s]
+    assert len(late) == PLACES  # the last turn of four, after 6 s
+
+
+def test_a_forecast_that_is_short_of_half_refuses_nobody_to_be_served() -> (
+    None
+):
+    request = Caller(0.0, attempts=[(0.0, inf)]).request()
+    longest_ms = 7_000.0  # 4 targets, less the time to start
+    for factor, kind in ((1.4, WaitUntil), (1.6, RefuseNow)):
+        missing = round(factor * longest_ms / (RUN_S * 1_000) * 20_000)
+        backlog = Backlog(
+            free_tokens=0,
+            used_tokens=20_000,
+            ahead_tokens=missing - TOKENS,
+            is_known=True,
+        )
+        decision = decide_wait(request, backlog, RUN_S * 1_000, 0.0)
+        assert isinstance(decision, kind)
+        assert decision.expected_ms == pytest.approx(factor * longest_ms)
+
+
+def test_residence_is_learned_by_tokens_from_an_estimate() -> None:
+    times = ResidenceTimes()
+    assert times.mean_ms("p", 3_000.0) == 3_000.0
+    assert times.run_ms("p", 3_000.0) == 3_000.0
+    for _ in range(500):
+        times.record("p", 1_000, 2_000.0, 1_000.0)
+        times.record("p", 3_000, 6_000.0, 3_000.0)
+    mean_ms = (1_000 * 1_000 + 3_000 * 3_000) / 4_000
+    assert times.mean_ms("p", 6_000.0) == pytest.approx(mean_ms, rel=0.15)
+    assert times.run_ms("p", 4_000.0) == pytest.approx(2_000.0, rel=0.1)
+    assert times.mean_ms("other", 6_000.0) == 6_000.0
