Wait for memory while a late answer serves, refuse at once what cannot be

A generation without free memory waited until its route's target, whatever its chance, and was then told 4 s or three tenths of its time left. So those who could not be served were kept, those who bear a late answer were refused, and all returned at one moment.

`placement/_wait_decision` decides by the backlog of the pool and the time for which memory is held (`placement/_residence`); `_memory_wait` asks it as a generation begins to wait and every 0.2 s. Refusals are logged with their inputs and counted by reason. The bound of Retry-After by the caller's time is one function for relay and admission. `MemoryAllocator.backlog` takes the request, so that it tells a waiting one its own place.

Changed test: a generation without memory in time gets a Retry-After. It waits until 1 s before its deadline now instead of until its target, so that the second half of 0.3 s is what is told.

Tests: test_placement_wait_decision (11 cases) and test_relay_memory_wait (3); with the factors at 1e9, 6 of the former fail, without a forecast all of the latter, without the spread one of the former.

--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -4,7 +4,11 @@
 from balsamlift.placement._engine import LoadReport
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._request import PlacementRequest, Ticket
-from balsamlift.placement._residence import ResidenceTimes, expected_run_ms
+from balsamlift.placement._residence import (
+    Residence,
+    ResidenceTimes,
+    expected_run_ms,
+)
 from balsamlift.placement._scheduler import Scheduler
 from balsamlift.placement._service import Placement
 from balsamlift.placement._wait_decision import (
@@ -22,6 +26,7 @@
     "PlacementRequest",
     "Policy",
     "RefuseNow",
+    "Residence",
     "ResidenceTimes",
     "Scheduler",
     "Ticket",
--- a/src/balsamlift/placement/_residence.py
+++ b/src/balsamlift/placement/_residence.py
@@ -13,7 +13,7 @@
 EXPECTED_START_MS = 1_000.0
 EXPECTED_TOKEN_MS = 12.0
 # The expected duration counts like this many generations.
-PRIOR_GENERATIONS = 4.0
+PRIOR_GENERATIONS = 2.0
 # The mean is over about this many of the last generations.
 AVERAGED_GENERATIONS = 64.0
 
@@ -23,6 +23,19 @@
     return EXPECTED_START_MS + output_tokens * EXPECTED_TOKEN_MS
 
 
+@attrs.frozen(kw_only=True)
+class Residence:
+    """Hold how long memory is held, and how long a run takes.
+
+    The least that is certain is 0 before any generation has ended, and
+    approaches the mean as more do: an estimate is no reason to refuse.
+    """
+
+    mean_ms: float  # that a token is held
+    least_mean_ms: float
+    least_run_ms: float  # of the request asked for
+
+
 @attrs.define
 class _Sums:
     """Hold sums over generations that have ended, the latest weighing most."""
@@ -57,24 +70,18 @@
         sums = self._sums.setdefault(pool, _Sums())
         sums.add(max(tokens, 1), expected_ms, max(held_ms, 0.0))
 
-    def mean_ms(self, pool: str, expected_ms: float) -> float:
-        """Return the mean time that a token is held.
-
-        It is `expected_ms` before any generation has ended.
-        """
+    def of(self, pool: str, expected_ms: float) -> Residence:
+        """Return the times of a pool, for a run expected to take so long."""
         sums = self._sums.get(pool)
         if sums is None:
-            return expected_ms
-        prior_tokens = PRIOR_GENERATIONS * sums.tokens / sums.generations
-        held_token_ms = sums.held_token_ms + prior_tokens * expected_ms
-        return held_token_ms / (sums.tokens + prior_tokens)
-
-    def run_ms(self, pool: str, expected_ms: float) -> float:
-        """Return the duration to expect where `expected_ms` was estimated."""
-        sums = self._sums.get(pool)
-        if sums is None:
-            return expected_ms
-        prior = PRIOR_GENERATIONS / sums.generations
-        held_token_ms = sums.held_token_ms + prior * sums.expected_token_ms
-        estimated_token_ms = sums.expected_token_ms * (1.0 + prior)
-        return expected_ms * held_token_ms / estimated_token_ms
+            return Residence(
+                mean_ms=expected_ms, least_mean_ms=0.0, least_run_ms=0.0
+            )
+        certainty = sums.generations / (sums.generations + PRIOR_GENERATIONS)
+        least_mean_ms = certainty * sums.held_token_ms / sums.tokens
+        pace = sums.held_token_ms / max(sums.expected_token_ms, 1.0)
+        return Residence(
+            mean_ms=least_mean_ms + (1.0 - certainty) * expected_ms,
+            least_mean_ms=least_mean_ms,
+            least_run_ms=certainty * pace * expected_ms,
+        )
--- a/src/balsamlift/placement/_wait_decision.py
+++ b/src/balsamlift/placement/_wait_decision.py
@@ -13,7 +13,7 @@
 import attrs
 
 from balsamlift.placement._backlog import Backlog
-from balsamlift.placement._residence import EXPECTED_START_MS
+from balsamlift.placement._residence import EXPECTED_START_MS, Residence
 from balsamlift.placement._wait_estimate import (
     retry_after_ms,
     spread_retry_ms,
@@ -40,7 +40,6 @@
     """Describe a request that finds no free memory; times are monotonic."""
 
     tokens: int
-    run_ms: float  # expected
     arrived_s: float
     target_ms: float  # of its route, to the first event
     max_gap_ms: float  # of its route, between events; 0: any
@@ -54,22 +53,23 @@
         return self.arrived_s + self.target_ms / _MS_PER_S
 
     @property
-    def patience_s(self) -> float:
-        """Return until when it can wait with its caller still listening.
+    def start_ms(self) -> float:
+        """Return the time to leave for the first event."""
+        return min(self.target_ms, EXPECTED_START_MS)
 
-        The engine needs some time for the first event after that.
-        """
+    @property
+    def patience_s(self) -> float:
+        """Return until when it can start with its caller still listening."""
         patience_ms = max(
             MIN_PATIENCE_MS,
             self.target_ms * PATIENCE_TARGETS,
             self.max_gap_ms * PATIENCE_GAPS,
         )
-        return self.arrived_s + (patience_ms - EXPECTED_START_MS) / _MS_PER_S
+        return self.arrived_s + (patience_ms - self.start_ms) / _MS_PER_S
 
-    @property
-    def latest_start_s(self) -> float:
-        """Return until when it can start and is expected to end in time."""
-        return self.timeout_at_s - self.run_ms / _MS_PER_S
+    def latest_start_s(self, run_ms: float) -> float:
+        """Return until when it can start and end in time."""
+        return self.timeout_at_s - max(run_ms, self.start_ms) / _MS_PER_S
 
 
 @attrs.frozen(kw_only=True)
@@ -114,7 +114,7 @@
 def decide_wait(
     request: WaitRequest,
     backlog: Backlog,
-    residence_ms: float,
+    residence: Residence,
     now_s: float,
     *,
     is_waiting: bool = False,
@@ -123,21 +123,30 @@
 
     Asked again while it `is_waiting`: the backlog changes.
     """
-    expected_ms = expected_wait_ms(backlog, request.tokens, residence_ms)
+    tokens = request.tokens
+    expected_ms = expected_wait_ms(backlog, tokens, residence.mean_ms)
     if expected_ms is None:
         return _wait_for_target(request, now_s)
-    until_s = min(request.patience_s, request.latest_start_s)
-    # Memory becomes free by whole generations, one of this size in this time.
-    service_ms = request.tokens * residence_ms / max(backlog.used_tokens, 1)
-    start_s = now_s + (expected_ms - service_ms) / _MS_PER_S
+    latest_start_s = request.latest_start_s(residence.least_run_ms)
+    until_s = min(request.patience_s, latest_start_s)
+    longest_ms = (until_s - request.arrived_s) * _MS_PER_S
+    waited_ms = (now_s - request.arrived_s) * _MS_PER_S
     factor = WAITING_REFUSAL_FACTOR if is_waiting else REFUSAL_FACTOR
-    reason = _refusal_reason(request, until_s, start_s, now_s, factor)
-    if reason is None:
+    reason: RefusalReason
+    if now_s >= latest_start_s:
+        reason = "too_late"
+    elif now_s >= until_s:
+        reason = "overdue"
+    elif waited_ms + _least_wait_ms(backlog, residence) > longest_ms * factor:
+        reason = "no_room"
+    else:
         return WaitUntil(until_s=until_s, expected_ms=expected_ms)
     return RefuseNow(
         reason=reason,
         expected_ms=expected_ms,
-        retry_after_ms=_retry_ms(request, expected_ms, service_ms, now_s),
+        retry_after_ms=_retry_ms(
+            request, backlog, residence, expected_ms, now_s
+        ),
     )
 
 
@@ -150,40 +159,35 @@
     return RefuseNow(reason="overdue", expected_ms=None, retry_after_ms=None)
 
 
-def _refusal_reason(
-    request: WaitRequest,
-    until_s: float,
-    start_s: float,
-    now_s: float,
-    factor: float,
-) -> RefusalReason | None:
-    """Return why there is no use in waiting until `until_s`, if there is none.
+def _least_wait_ms(backlog: Backlog, residence: Residence) -> float:
+    """Return the shortest wait that the forecast allows for.
 
-    `start_s` is the earliest start by the forecast.
+    Memory becomes free by whole generations, so the request itself may find
+    room as soon as those before it have.
     """
-    if now_s >= request.latest_start_s:
-        return "too_late"
-    if now_s >= until_s:
-        return "overdue"
-    longest_s = until_s - request.arrived_s
-    if start_s - request.arrived_s > longest_s * factor:
-        return "no_room"
-    return None
+    return expected_wait_ms(backlog, 0, residence.least_mean_ms) or 0.0
 
 
 def _retry_ms(
-    request: WaitRequest, expected_ms: float, service_ms: float, now_s: float
+    request: WaitRequest,
+    backlog: Backlog,
+    residence: Residence,
+    expected_ms: float,
+    now_s: float,
 ) -> int:
     """Return after which time the caller of a refused request may return.
 
     From when the wait is short enough until when room is expected. One that
-    is too late in any case is not told to return sooner.
+    cannot be answered in time in any case is not told to return sooner.
     """
     bearable_ms = (request.patience_s - request.arrived_s) * _MS_PER_S
+    service_ms = request.tokens * residence.mean_ms
+    service_ms /= max(backlog.used_tokens, 1)
     earliest_ms = retry_after_ms(expected_ms, bearable_ms, service_ms)
     latest_ms = max(expected_ms, earliest_ms + MIN_RETURN_SPREAD_MS)
-    is_late = now_s >= request.latest_start_s
-    remaining_ms = inf if is_late else (request.deadline_s - now_s) * _MS_PER_S
+    remaining_ms = (request.deadline_s - now_s) * _MS_PER_S
+    if now_s + residence.least_run_ms / _MS_PER_S > request.timeout_at_s:
+        remaining_ms = inf
     return spread_retry_ms(
         earliest_ms, latest_ms, remaining_ms, request.spread
     )
--- a/src/balsamlift/relay/_admission.py
+++ b/src/balsamlift/relay/_admission.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 
 from balsamlift.exceptions import NotConfiguredError
+from balsamlift.placement import limit_retry_ms
 from balsamlift.relay._configuration import Route, Workspace
 from balsamlift.relay._header_names import HeaderNames
-from balsamlift.relay._refusals import RETRY_AFTER_FRACTION
 from balsamlift.relay._request import Call, CallerRequest, Refusal
 from balsamlift.relay._routing import Routing, RoutingTable, pick_service
 from balsamlift.relay._scope import intersect_regions
@@ -157,12 +157,11 @@
 ) -> Refusal:
     """Return a 503 with a Retry-After of at most `wait_ms`.
 
-    If the caller sent a deadline, the wait is limited to
-    `RETRY_AFTER_FRACTION` of it.
+    If the caller sent a deadline, the wait leaves time for another attempt.
     """
     text = request.headers.get(names.deadline_ms, "")
     if text.isdecimal():
-        wait_ms = min(wait_ms, int(int(text) * RETRY_AFTER_FRACTION))
+        wait_ms = limit_retry_ms(wait_ms, int(text))
     return Refusal(status=503, reason=reason, retry_after_ms=wait_ms)
 
 
--- a/src/balsamlift/relay/_refusals.py
+++ b/src/balsamlift/relay/_refusals.py
@@ -4,6 +4,7 @@
 
 import zlib
 
+from balsamlift.placement import limit_retry_ms
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._request import Call, Refusal
 
@@ -19,8 +20,6 @@
 RETRY_SUSPECTED_MS = 1_000
 # Callers refused for an upstream's pause return within this time after it.
 RETURN_SPREAD_MS = 1_000
-# Upper bound of Retry-After, as a fraction of the caller's remaining time.
-RETRY_AFTER_FRACTION = 0.3
 
 
 def no_upstream(attempt: Attempt, call: Call, now_s: float) -> Refusal:
@@ -29,9 +28,19 @@
     return give_up(attempt, "no upstream", wait_ms)
 
 
-def no_memory(attempt: Attempt, call: Call, now_s: float) -> Refusal:
-    """Return the refusal of a generation that no engine has memory for."""
-    wait_ms = _limit_to_deadline(call, now_s, RETRY_NO_MEMORY_MS)
+def no_memory(
+    attempt: Attempt,
+    call: Call,
+    now_s: float,
+    retry_after_ms: int | None = None,
+) -> Refusal:
+    """Return the refusal of a generation that no engine has memory for.
+
+    `retry_after_ms` is None if it is unknown when there will be memory.
+    """
+    wait_ms = retry_after_ms
+    if wait_ms is None:
+        wait_ms = _limit_to_deadline(call, now_s, RETRY_NO_MEMORY_MS)
     return give_up(attempt, "no room", wait_ms)
 
 
@@ -49,7 +58,7 @@
 
 def crowded(attempt: Attempt, call: Call, now_s: float) -> Refusal:
     """Return the refusal of a call beyond what brittle upstreams may get."""
-    wait_ms = RETRY_AFTER_MS + _spread(call) * RETURN_SPREAD_MS
+    wait_ms = RETRY_AFTER_MS + return_fraction(call) * RETURN_SPREAD_MS
     return give_up(
         attempt, "upstreams brittle", _wait_in_time(call, now_s, int(wait_ms))
     )
@@ -62,7 +71,7 @@
 
     Callers return spread over some time after the end.
     """
-    spread_ms = _spread(call) * RETURN_SPREAD_MS
+    spread_ms = return_fraction(call) * RETURN_SPREAD_MS
     wait_ms = _wait_in_time(call, now_s, int(wait_s * 1_000 + spread_ms))
     return give_up(attempt, "upstreams asked for no requests", wait_ms)
 
@@ -72,7 +81,7 @@
 
     Another one like it is tried meanwhile.
     """
-    wait_ms = RETRY_SUSPECTED_MS + _spread(call) * RETURN_SPREAD_MS
+    wait_ms = RETRY_SUSPECTED_MS + return_fraction(call) * RETURN_SPREAD_MS
     return give_up(
         attempt,
         "prompt suspected to crash upstreams",
@@ -84,19 +93,18 @@
     """Return a wait; one limited by the deadline is spread over its half."""
     wait_ms = _limit_to_deadline(call, now_s, wanted_ms)
     if wait_ms < wanted_ms:
-        wait_ms = int(wait_ms * (1 + _spread(call)) / 2)
+        wait_ms = int(wait_ms * (1 + return_fraction(call)) / 2)
     return wait_ms
 
 
-def _spread(call: Call) -> float:
+def return_fraction(call: Call) -> float:
     """Return a fraction that differs between the calls of one moment."""
     return zlib.crc32(call.request_id.encode()) / 0xFFFF_FFFF
 
 
 def _limit_to_deadline(call: Call, now_s: float, wait_ms: int) -> int:
     """Return a wait that leaves the caller time for another attempt."""
-    remaining_ms = max(call.deadline_s - now_s, 0.0) * 1_000
-    return int(min(wait_ms, remaining_ms * RETRY_AFTER_FRACTION))
+    return limit_retry_ms(wait_ms, (call.deadline_s - now_s) * 1_000)
 
 
 def give_up(
--- a/src/balsamlift/relay/generations/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Collection
 
+from balsamlift.metrics import Metrics
 from balsamlift.peers import Permits
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._upstream_chooser import (
@@ -19,10 +20,11 @@
     MemoryRequest,
     MemoryReservation,
 )
+from balsamlift.relay.generations._memory_wait import MemoryWait, NoMemory
 
-# Longest wait for memory or a permit, as a multiple of the route's target
-# latency. A generation that starts after its target is late, and a caller who
-# is refused sooner can retry in time.
+# Longest wait for a permit or the end of a pause, as a multiple of the route's
+# target latency. A generation that starts after its target is late, and a
+# caller who is refused sooner can retry in time.
 MAX_WAIT_FACTOR = 1.0
 
 
@@ -30,17 +32,23 @@
     """Reserve memory in an engine that may take a generation now."""
 
     def __init__(
-        self, balancer: Balancer, allocator: MemoryAllocator, permits: Permits
+        self,
+        balancer: Balancer,
+        allocator: MemoryAllocator,
+        permits: Permits,
+        metrics: Metrics,
     ) -> None:
         """Reserve through `allocator` and acquire `permits`."""
         self._balancer = balancer
         self._allocator = allocator
         self._permits = permits
+        self._memory_wait = MemoryWait(balancer, allocator, metrics)
+        self.record_released = self._memory_wait.record_released
 
     async def reserve(
         self, job: Job, tried: Collection[str]
-    ) -> MemoryReservation | RateLimited | Pausing | None:
-        """Return a reservation, or None if no engine has memory in time."""
+    ) -> MemoryReservation | RateLimited | Pausing | NoMemory:
+        """Return a reservation, or why there is none in time."""
         waits_s: dict[str, float] = {}
         while True:
             pausing = self._find_long_pause(job, tried)
@@ -49,8 +57,8 @@
             if waits_s and not self._has_other_engine(job, tried, waits_s):
                 return await self._wait_for_permit(job, tried, waits_s)
             reservation = await self._wait_for_memory(job, {*tried, *waits_s})
-            if reservation is None:
-                return self._find_long_pause(job, tried)
+            if isinstance(reservation, NoMemory):
+                return self._find_long_pause(job, tried) or reservation
             wait_s = await self._acquire_permit(reservation)
             if wait_s is None:
                 return reservation
@@ -95,7 +103,7 @@
 
     async def _wait_for_permit(
         self, job: Job, tried: Collection[str], waits_s: dict[str, float]
-    ) -> MemoryReservation | RateLimited | Pausing | None:
+    ) -> MemoryReservation | RateLimited | Pausing | NoMemory:
         """Wait for the engine whose permit is free first."""
         name = min(waits_s, key=lambda name: waits_s[name])
         remaining_s = _wait_by_s(job) - asyncio.get_running_loop().time()
@@ -110,24 +118,19 @@
         )
         upstream = self._balancer.find_usable(job.scope, tried, name)
         if upstream is None:
-            return self._find_long_pause(job, tried)
+            return self._find_long_pause(job, tried) or NoMemory()
         if not self._allocator.fits(upstream, job.traits, job.tokens):
-            return None
+            return NoMemory()
         return self._allocator.reserve(upstream, job.tokens)
 
     async def _wait_for_memory(
         self, job: Job, tried: Collection[str]
-    ) -> MemoryReservation | None:
-        """Return memory reserved in an engine, or None if it took too long."""
-        try:
-            async with asyncio.timeout_at(_wait_by_s(job)):
-                await self._balancer.refresh()
-                return await self._allocator.wait(
-                    _memory_request(job, tried),
-                    lambda: self._find_long_pause(job, tried) is not None,
-                )
-        except TimeoutError:
-            return None
+    ) -> MemoryReservation | NoMemory:
+        return await self._memory_wait.reserve(
+            job,
+            _memory_request(job, tried),
+            lambda: self._find_long_pause(job, tried) is not None,
+        )
 
 
 def _memory_request(job: Job, tried: Collection[str]) -> MemoryRequest:
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -13,6 +13,7 @@
     UpstreamUnreachableError,
 )
 from balsamlift.peers import Upstream, Upstreams
+from balsamlift.placement import expected_run_ms
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._attempt import MAX_UNREACHABLE_UPSTREAMS, Attempt
 from balsamlift.relay._balance import prefill_key
@@ -44,6 +45,7 @@
 from balsamlift.relay.generations._generation_context import GenerationContext
 from balsamlift.relay.generations._job import Job
 from balsamlift.relay.generations._memory_allocator import MemoryReservation
+from balsamlift.relay.generations._memory_wait import NoMemory
 from balsamlift.relay.generations._token_estimate import (
     TokenEstimate,
     read_token_estimate,
@@ -54,10 +56,6 @@
 MAX_SENDS = 4  # of one request, to start a generation
 MAX_ERROR_BODY_BYTES = 65_536  # of an engine's response that is not a stream
 GATEWAY_TIMEOUT = 504  # from an engine, at the caller's deadline
-# Expected duration of a generation on heavily loaded engines: a fixed part and
-# a part per output token.
-EXPECTED_START_S = 1.0
-EXPECTED_TOKEN_S = 0.012
 # Used where the configuration does not describe the engines of a service.
 DEFAULT_TRAITS = EngineTraits(memory_tokens=1 << 40)
 
@@ -68,6 +66,7 @@
 
     reply: Reply
     reservation: MemoryReservation
+    reserved_s: float  # monotonic
     backup: Backup
 
 
@@ -84,7 +83,10 @@
         """Subscribe to changes of `upstreams` to detect leaving engines."""
         self._context = context
         self._placement = EnginePlacement(
-            context.balancer, context.allocator, context.permits
+            context.balancer,
+            context.allocator,
+            context.permits,
+            context.metrics,
         )
         self._admission = admission
         self._retries = retries
@@ -106,10 +108,7 @@
         if self._leaves_at_s is None:
             return True
         remaining_s = self._leaves_at_s - asyncio.get_running_loop().time()
-        expected_s = (
-            EXPECTED_START_S + estimate.output_tokens * EXPECTED_TOKEN_S
-        )
-        return expected_s <= remaining_s
+        return expected_run_ms(estimate.output_tokens) <= remaining_s * 1_000
 
     async def serve(self, call: Call, responder: Responder) -> Outcome:
         """Respond to the caller and return the outcome for the log."""
@@ -206,10 +205,11 @@
                 )
             if isinstance(reservation, Pausing):
                 return pausing(attempt, call, now_s, reservation.retry_after_s)
-            if reservation is None:
+            if isinstance(reservation, NoMemory):
                 if self._context.balancer.is_closed(call.scope):
                     return no_upstream(attempt, call, now_s)
-                return no_memory(attempt, call, now_s)
+                wait_ms = reservation.retry_after_ms
+                return no_memory(attempt, call, now_s, wait_ms)
             backup = Backup(self._context, job)
             backup.choose(reservation.upstream)
             self._log_placed(call, reservation, backup)
@@ -235,7 +235,7 @@
             finally:
                 pending_prefill.release()
             if isinstance(result, Reply):
-                return _StartedGeneration(result, reservation, backup)
+                return _StartedGeneration(result, reservation, now_s, backup)
             reservation.release()
             backup.release()
             tried.add(reservation.upstream.name)
@@ -265,6 +265,7 @@
             counts=balancer.counts_basis,
             backup=backup.upstream,
             waited_ms=round(waited_s * 1_000),
+            expected_wait_ms=reservation.expected_wait_ms,
         ).info("placed")
 
     async def _send(
@@ -344,6 +345,7 @@
         finally:
             self._running.discard(generation)
             started.reservation.release()
+            self._placement.record_released(job, started.reserved_s)
             started.backup.release()
 
     async def _forward_failure(
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -49,6 +49,7 @@
 class _WaitingRequest:
     """Hold a generation that waits for memory."""
 
+    request: MemoryRequest
     scope: Scope
     traits: EngineTraits
     tokens: int
@@ -72,6 +73,7 @@
         self._key = key
         self.upstream = upstream
         self.tokens = tokens
+        self.expected_wait_ms: float | None = 0.0  # as it began to wait
         balancer.add(key(upstream.name), tokens)
         balancer.publish()
 
@@ -198,27 +200,21 @@
         )
         return MemoryReservation(self._balancer, upstream, tokens, backup_key)
 
-    def backlog(
-        self,
-        scope: Scope,
-        traits: EngineTraits,
-        tokens: int,
-        priority: int,
-        workspace: str,
-        weight: float,
-    ) -> Backlog:
-        """Return what a request would find before it if it waited now."""
-        usable = self._balancer.usable(scope, ())
+    def backlog(self, request: MemoryRequest) -> Backlog:
+        """Return what a request finds before it, waiting or not yet."""
+        traits = request.traits
+        usable = self._balancer.usable(request.scope, request.tried)
         capacity = int(traits.memory_tokens * self._policy.fill_limit)
         used_tokens = sum(self._balancer.load(u.name) for u in usable)
         free_tokens = sum(
             max(capacity - self._balancer.load(u.name), 0) for u in usable
         )
-        ahead_tokens = sum(
-            entry.tokens
-            for queued, entry in self._waiting
-            if entry.scope == scope and queued[0] <= priority
-        )
+        ahead_tokens = 0
+        for (priority, _), entry in self._waiting:
+            if entry.request is request or priority > request.priority:
+                break
+            if entry.scope == request.scope:
+                ahead_tokens += entry.tokens
         return Backlog(
             free_tokens=free_tokens,
             used_tokens=used_tokens,
@@ -252,7 +248,7 @@
             asyncio.get_running_loop().create_future()
         )
         entry = _WaitingRequest(
-            scope, traits, tokens, tried, is_hopeless, granted
+            request, scope, traits, tokens, tried, is_hopeless, granted
         )
         queued = ((request.priority, next(self._sequence)), entry)
         self._waiting.append(queued)
