--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -10,8 +10,20 @@
 )
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._request import PlacementRequest, Ticket
+from balsamlift.placement._residence import (
+    Residence,
+    ResidenceTimes,
+    expected_run_ms,
+)
 from balsamlift.placement._scheduler import Scheduler
 from balsamlift.placement._service import Placement
+from balsamlift.placement._wait_decision import (
+    RefuseNow,
+    WaitRequest,
+    WaitUntil,
+    decide_wait,
+)
+from balsamlift.placement._wait_estimate import limit_retry_ms
 from balsamlift.placement._waiting_line import Offer, WaitingLine
 
 __all__ = [
@@ -21,11 +33,19 @@
     "Placement",
     "PlacementRequest",
     "Policy",
+    "RefuseNow",
+    "Residence",
+    "ResidenceTimes",
     "Scheduler",
     "Ticket",
+    "WaitRequest",
+    "WaitUntil",
     "WaitingGroup",
     "WaitingLine",
     "YieldLimit",
+    "decide_wait",
+    "expected_run_ms",
     "groups_before",
     "leaves_room",
+    "limit_retry_ms",
 ]
--- a/src/balsamlift/placement/_waiting_line.py
+++ b/src/balsamlift/placement/_waiting_line.py
@@ -166,21 +166,28 @@
         workspace: str,
         weight: float,
         tokens: float,
+        position: Item | None = None,
     ) -> float:
-        """Return the tokens served before a new request of that size."""
+        """Return the tokens served before a request of that size.
+
+        It is new, or waits at `position`.
+        """
         more_urgent = 0.0
         ahead = 0.0  # of the same workspace
+        is_ahead = True
         others: dict[str, tuple[float, float]] = {}
         for item in self:
-            if item.scope != scope or item.priority > priority:
+            if item is position:
+                is_ahead = False
+            elif item.scope != scope or item.priority > priority:
                 continue
-            if item.priority < priority:
+            elif item.priority < priority:
                 more_urgent += item.cost
-            elif item.workspace == workspace:
-                ahead += item.cost
-            else:
+            elif item.workspace != workspace:
                 _, queued = others.get(item.workspace, (0.0, 0.0))
                 others[item.workspace] = (item.weight, queued + item.cost)
+            elif is_ahead:
+                ahead += item.cost
         per_weight = (ahead + tokens) / weight
         return more_urgent + ahead + served_to_others(others, per_weight)
 
--- a/src/balsamlift/relay/generations/_waiting_requests.py
+++ b/src/balsamlift/relay/generations/_waiting_requests.py
@@ -122,17 +122,19 @@
     def tokens_before(self, request: MemoryRequest) -> int:
         """Return the tokens wanted here and elsewhere before a request.
 
-        Requests of its own group wait elsewhere as long as here: they came
-        first.
+        Of the requests of its own group elsewhere, all came before a new
+        request, and about half before one that waits.
         """
         elsewhere = self._groups.waiting_elsewhere(request.scope)
-        ahead = _sum_waiting(self._groups_before(request, elsewhere))
-        ahead += _sum_waiting(
+        line = self._lines.get(request.scope.pool)
+        position = self._find(line, request)
+        own_group = _sum_waiting(
             group
             for group in elsewhere
             if (group.priority, group.workspace) == request.group
         )
-        line = self._lines.get(request.scope.pool)
+        ahead = _sum_waiting(self._groups_before(request, elsewhere))
+        ahead += own_group if position is None else own_group // 2
         if line is None:
             return ahead
         return ahead + round(
@@ -142,9 +144,19 @@
                 request.workspace,
                 request.weight,
                 request.tokens,
+                position,
             )
         )
 
+    def _find(
+        self,
+        line: WaitingLine[WaitingRequest] | None,
+        request: MemoryRequest,
+    ) -> WaitingRequest | None:
+        """Return where a request waits; None if it does not."""
+        found = (each for each in line or () if each.request == request)
+        return next(found, None)
+
     def place(self) -> None:
         """Offer free memory to the waiting requests in order."""
         if self._is_placing or not self._lines:
