Yield no more to hosts that took nothing, and refuse all that wait in vain

A line that became empty forgot for how long it had yielded, so that each new request yielded 0.9 s to a host that cannot use the memory. And only one request in vain was refused at each poll: a request of the size of one that found no room was not looked at, though that one had gone. The latter failed test_relay_evacuated.

Tests: test_relay_evacuated, _fair_shares, _memory_allocator and test_placement_waiting_line pass.

--- a/src/balsamlift/placement/_host_order.py
+++ b/src/balsamlift/placement/_host_order.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Hashable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Hashable, Iterable, Mapping, Sequence
 from math import ceil
+from typing import Generic, TypeVar
 
 import attrs
 
@@ -21,6 +22,8 @@
 # be gone, or may not fit.
 MAX_YIELD_S = 0.9
 
+Scope = TypeVar("Scope", bound=Hashable)
+
 
 @attrs.frozen(kw_only=True)
 class WaitingGroup:
@@ -98,16 +101,16 @@
     held_tokens: int  # by the groups that it is left to
 
 
-class YieldLimit:
+class YieldLimit(Generic[Scope]):
     """Limit for how long this host leaves free memory to others."""
 
     def __init__(self) -> None:
         """Start with no memory left to others."""
-        self._yields: dict[Hashable, _Yield] = {}
+        self._yields: dict[Scope, _Yield] = {}
 
     def allows(
         self,
-        scope: Hashable,
+        scope: Scope,
         tokens: int,
         groups: Iterable[WaitingGroup],
         now_s: float,
@@ -125,12 +128,13 @@
         current.held_tokens = held_tokens
         return now_s - current.since_s < MAX_YIELD_S
 
-    def record_no_room(self, scope: Hashable, tokens: int) -> None:
+    def record_no_room(self, scope: Scope, tokens: int) -> None:
         """Record that a request does not fit: the memory has been taken."""
         current = self._yields.get(scope)
         if current is not None and tokens <= current.tokens:
             del self._yields[scope]
 
-    def clear(self) -> None:
-        """Forget all: no request waits any more."""
-        self._yields.clear()
+    def prune(self, others_wait: Callable[[Scope], bool]) -> None:
+        """Forget the scopes in which no requests of other hosts wait."""
+        for scope in [s for s in self._yields if not others_wait(s)]:
+            del self._yields[scope]
--- a/src/balsamlift/relay/generations/_waiting_requests.py
+++ b/src/balsamlift/relay/generations/_waiting_requests.py
@@ -96,7 +96,7 @@
         self._memory = memory
         self._metrics = metrics
         self._lines: dict[str, WaitingLine[WaitingRequest]] = {}
-        self._yields = YieldLimit()
+        self._yields: YieldLimit[Scope] = YieldLimit()
         self._is_placing = False
         self._gauged: set[int] = set()
 
@@ -168,8 +168,7 @@
                 continue
             for each in line:
                 waiting.setdefault(each.scope, []).append(each.request)
-        if not self._lines:
-            self._yields.clear()
+        self._yields.prune(self._groups.others_wait)
         try:
             self._groups.publish(waiting)
         finally:
@@ -189,9 +188,10 @@
                 return Offer.NO_ROOM
             upstream = self._memory.find(request)
             if upstream is None:
-                if not request.tried:
+                result = self._handle_no_room(waiting)
+                if result is Offer.NO_ROOM and not request.tried:
                     failed_tokens[request.scope] = request.tokens
-                return self._handle_no_room(waiting)
+                return result
             if request.scope not in elsewhere:
                 elsewhere[request.scope] = self._groups.waiting_elsewhere(
                     request.scope
--- a/tests/test_placement_waiting_line.py
+++ b/tests/test_placement_waiting_line.py
@@ -226,7 +226,7 @@
 
 
 def test_free_memory_is_left_to_other_hosts_for_a_limited_time() -> None:
-    limit = YieldLimit()
+    limit: YieldLimit[str] = YieldLimit()
     others = [group(0, "b", 0)]
     end_s = MAX_YIELD_S + 0.1
     assert limit.allows("any", 1_000, others, 0.0)
@@ -236,3 +236,8 @@
     limit.record_no_room("any", 1_000)
     assert limit.allows("any", 1_000, others, end_s)
     assert limit.allows("any", 1_000, [group(0, "b", 1_000)], 2 * end_s)
+    assert not limit.allows("any", 1_000, others, 3 * end_s)
+    limit.prune(lambda scope: True)
+    assert not limit.allows("any", 1_000, others, 3 * end_s)
+    limit.prune(lambda scope: False)
+    assert limit.allows("any", 1_000, others, 3 * end_s)
--- a/tests/test_relay_fair_shares.py
+++ b/tests/test_relay_fair_shares.py
@@ -266,6 +266,8 @@
         host = OneOfTwo()
         host.others.update(urgent_elsewhere())
         assert await host.wait(priority=1) >= 0.9
+        # The other host has taken nothing: it may not be able to.
+        assert await host.wait(priority=1) < 0.2
         assert await host.wait(priority=0, workspace="a/b") < 0.2
 
     run_virtual(test)
