Measure the pace of engines, share it, and weigh it in placing

Nothing in the relay knew how fast an engine is, so long streams ran on slow engines as often as short ones. Each host now measures the time between events and long pauses, hosts share both as counts, and the cost of an engine takes in the memory that a stream holds longer there and the risk of a pause or an end that is too late. Equal engines cost what they did.

--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -2,6 +2,14 @@
 
 from balsamlift.placement._backlog import Backlog
 from balsamlift.placement._engine import LoadReport
+from balsamlift.placement._pace import (
+    EnginePace,
+    GapAverage,
+    LongestPause,
+    PaceRating,
+    StreamDemand,
+    rate_paces,
+)
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._request import PlacementRequest, Ticket
 from balsamlift.placement._scheduler import Scheduler
@@ -9,10 +17,16 @@
 
 __all__ = [
     "Backlog",
+    "EnginePace",
+    "GapAverage",
     "LoadReport",
+    "LongestPause",
+    "PaceRating",
     "Placement",
     "PlacementRequest",
     "Policy",
     "Scheduler",
+    "StreamDemand",
     "Ticket",
+    "rate_paces",
 ]
--- a/src/balsamlift/placement/_engine.py
+++ b/src/balsamlift/placement/_engine.py
@@ -5,11 +5,10 @@
 import attrs
 
 from balsamlift.placement._forecast import MemoryProfile, PeerLoad
+from balsamlift.placement._pace import GapAverage
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._request import Ticket
 
-GAP_WINDOW_MS = 500.0  # over which gaps between tokens are averaged
-GAP_SMOOTHING = 0.5  # weight of the newest window
 INITIAL_LIMIT = 32.0
 MAX_LIMIT = 1_024.0
 LIMIT_INTERVAL_MS = 500.0  # between two adjustments of a limit
@@ -49,11 +48,7 @@
     profile: MemoryProfile = attrs.field(factory=MemoryProfile)  # of `tickets`
     profile_updated_ms: float = -1e9
     unaccounted_tokens: float = 0.0  # reported beyond those accounted for
-    gap_ms: float = 0.0  # between tokens, smoothed; 0 until measured
-    gap_seen_ms: float = -1e9  # when the last gap was observed
-    window_start_ms: float = 0.0  # of the gaps being averaged
-    window_sum_ms: float = 0.0
-    window_count: int = 0
+    gaps: GapAverage = attrs.field(factory=GapAverage)  # between tokens
     limit: float = INITIAL_LIMIT  # on this host's requests in flight
     limit_changed_ms: float = 0.0
     closed_until_ms: float = -1e9
@@ -71,25 +66,23 @@
             return DEFAULT_MEMORY_TOKENS
         return self.report.memory_total
 
+    @property
+    def gap_ms(self) -> float:
+        """Return the smoothed gap between tokens; 0 until measured."""
+        return self.gaps.gap_ms
+
+    @property
+    def gap_seen_ms(self) -> float:
+        """Return when the last gap between tokens was observed."""
+        return self.gaps.seen_ms
+
     def expected_gap_ms(self) -> float:
         """Return the expected gap between two tokens."""
         return self.gap_ms or DEFAULT_GAP_MS
 
     def observe_gap(self, gap_ms: float, now_ms: float) -> None:
         """Record the gap between two tokens."""
-        self.gap_seen_ms = now_ms
-        self.window_sum_ms += gap_ms
-        self.window_count += 1
-        if now_ms - self.window_start_ms < GAP_WINDOW_MS:
-            return
-        mean_ms = self.window_sum_ms / self.window_count
-        if self.gap_ms:
-            self.gap_ms += GAP_SMOOTHING * (mean_ms - self.gap_ms)
-        else:
-            self.gap_ms = mean_ms
-        self.window_start_ms = now_ms
-        self.window_sum_ms = 0.0
-        self.window_count = 0
+        self.gaps.observe(gap_ms, now_ms)
 
     def adapt_limit(self, policy: Policy, now_ms: float) -> None:
         """Adapt the concurrency limit to the gap between tokens (AIMD).
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -134,6 +134,11 @@
             for callback in self._on_release:
                 callback()
 
+    def share_value(self, key: str, value: int) -> None:
+        """Set a value that other hosts get as a sum; it is no load."""
+        self._own_counts[key] = value
+        self._peers.set_in_flight(key, value)
+
     def publish(self) -> None:
         """Publish the counts of this host to the other hosts at once.
 
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -43,6 +43,7 @@
 )
 from balsamlift.relay.generations import (
     EngineClient,
+    EnginePaces,
     GenerationContext,
     Generations,
     LeavingDetector,
@@ -148,7 +149,10 @@
             self._retry_after,
             brittle_pools,
         )
-        self._allocator = MemoryAllocator(balancer)
+        paces = self._paces = EnginePaces(
+            balancer, self._upstreams, self._clock
+        )
+        self._allocator = MemoryAllocator(balancer, paces=paces)
         self._retries = RetryBudget(
             self._settings.retries,
             lambda: len(peers.live()) + 1,
@@ -234,6 +238,7 @@
             balancer=balancer,
             allocator=self._allocator,
             engines=engines,
+            paces=paces,
             names=names,
             metrics=self._metrics,
             upstreams=self._upstreams,
@@ -374,6 +379,7 @@
             self._peers.permits.prune(live)
             self._retry_after.discard_expired()
             self._balancer.discard_expired()
+            self._paces.discard_expired()
             self._crash_guard.discard_expired()
 
 
--- a/src/balsamlift/relay/generations/__init__.py
+++ b/src/balsamlift/relay/generations/__init__.py
@@ -1,5 +1,6 @@
 """Generations on engines: placed, relayed, moved and backed up."""
 
+from balsamlift.relay.generations._engine_paces import EnginePaces
 from balsamlift.relay.generations._engines import (
     CopyError,
     CopyRefusedError,
@@ -19,6 +20,7 @@
     "CopyError",
     "CopyRefusedError",
     "EngineClient",
+    "EnginePaces",
     "EngineReport",
     "GenerationContext",
     "Generations",
--- a/src/balsamlift/relay/generations/_engine_cost.py
+++ b/src/balsamlift/relay/generations/_engine_cost.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from balsamlift.peers import Upstream
+from balsamlift.placement import PaceRating
 from balsamlift.relay._balance import Balancer, backup_key, prefill_key
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay.generations._placement_policy import PlacementPolicy
@@ -15,7 +16,7 @@
 
 
 class EngineCost:
-    """Rate engines by their load, failures and distance."""
+    """Rate engines by their load, pace, failures and distance."""
 
     def __init__(self, balancer: Balancer, policy: PlacementPolicy) -> None:
         """Weigh what `balancer` knows as `policy` says."""
@@ -23,16 +24,25 @@
         self._policy = policy
 
     def of(
-        self, upstream: Upstream, traits: EngineTraits, near_domain: str
+        self,
+        upstream: Upstream,
+        traits: EngineTraits,
+        near_domain: str,
+        pace: PaceRating | None = None,
     ) -> float:
         """Return the cost, as a fraction of an engine's memory.
 
-        `near_domain` defaults to the failure domain of this host.
+        `near_domain` defaults to the failure domain of this host. Without
+        `pace`, all engines count as equally fast.
         """
         policy = self._policy
         load = reserved_tokens(self._balancer, upstream) / traits.memory_tokens
         pending_prefill = self._balancer.load(prefill_key(upstream.name))
-        load += pending_prefill / traits.memory_tokens * policy.prefill_weight
+        prefill_share = pending_prefill / traits.memory_tokens
+        if pace is not None:
+            prefill_share *= pace.slowness(upstream.name)
+            load += pace.cost(upstream.name)
+        load += prefill_share * policy.prefill_weight
         failures = self._balancer.failure_share(upstream.name)
         domain_weight = (
             policy.cross_domain_copy_cost
--- a/src/balsamlift/relay/generations/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -128,6 +128,7 @@
                     job.call.priority,
                     tried,
                     lambda: self._find_long_pause(job, tried) is not None,
+                    job.demand,
                 )
         except TimeoutError:
             return None
--- a/src/balsamlift/relay/generations/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -30,6 +30,7 @@
 from balsamlift.relay.generations._memory_allocator import MemoryReservation
 from balsamlift.relay.generations._move import Move
 from balsamlift.relay.generations._resume_request import send_resume
+from balsamlift.relay.generations._stream_pace import StreamPace
 from balsamlift.relay.generations._stream_stats import StreamStats
 
 log = logger.bind(part="generations")
@@ -82,6 +83,7 @@
         self._is_carried = False  # by another host
         self._sound_at_s = math.inf  # once the engine has run it for so long
         self.stats = StreamStats(asyncio.get_running_loop().time())
+        self._pace = StreamPace(context.paces, job.call.route.max_gap_ms)
 
     @property
     def upstream(self) -> Upstream | None:
@@ -237,12 +239,14 @@
         if events:
             self._record_events()
             await self._responder.write(events)
+            self._pace.is_delayed = not self._inbox.empty()
         return True
 
     def _record_events(self) -> None:
         now_s = asyncio.get_running_loop().time()
         arrived_s = self._job.call.request.arrived_s
         self.stats.record(self._splitter.last_id + 1, now_s, arrived_s)
+        self._pace.record(self.upstream, self.stats)
         self._sound_at_s = min(self._sound_at_s, now_s + SOUND_AFTER_S)
         if now_s >= self._sound_at_s:
             self._sound_at_s = math.inf
--- a/src/balsamlift/relay/generations/_generation_context.py
+++ b/src/balsamlift/relay/generations/_generation_context.py
@@ -13,6 +13,7 @@
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay.crashes import CrashGuard
 from balsamlift.relay.forwarding import Forwarder
+from balsamlift.relay.generations._engine_paces import EnginePaces
 from balsamlift.relay.generations._engines import EngineClient
 from balsamlift.relay.generations._memory_allocator import MemoryAllocator
 from balsamlift.relay.statements import RetryAfterTracker
@@ -26,6 +27,7 @@
     balancer: Balancer
     allocator: MemoryAllocator
     engines: EngineClient
+    paces: EnginePaces
     names: HeaderNames
     metrics: Metrics
     upstreams: Upstreams
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -265,6 +265,7 @@
             counts=balancer.counts_basis,
             backup=backup.upstream,
             waited_ms=round(waited_s * 1_000),
+            **self._context.paces.describe(upstream),
         ).info("placed")
 
     async def _send(
--- a/src/balsamlift/relay/generations/_job.py
+++ b/src/balsamlift/relay/generations/_job.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from balsamlift.placement import StreamDemand
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._request import Call
 from balsamlift.relay._scope import Scope
@@ -32,3 +33,20 @@
     def tokens(self) -> int:
         """Return the memory expected to be in use when it ends."""
         return self.estimate.tokens
+
+    @property
+    def demand(self) -> StreamDemand | None:
+        """Return what it needs of an engine's pace.
+
+        None if its route bears pauses of any length.
+        """
+        route = self.call.route
+        if not route.max_gap_ms:
+            return None
+        return StreamDemand(
+            memory_share=self.tokens / self.traits.memory_tokens,
+            events=self.estimate.output_tokens,
+            target_ms=route.target_ms,
+            max_gap_ms=route.max_gap_ms,
+            deadline_ms=self.call.timeout_at_s * 1_000,
+        )
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -9,6 +9,7 @@
 import attrs
 
 from balsamlift.peers import Upstream
+from balsamlift.placement import StreamDemand
 from balsamlift.relay._balance import Balancer, backup_key
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._scope import Scope
@@ -16,6 +17,7 @@
     EngineCost,
     reserved_tokens,
 )
+from balsamlift.relay.generations._engine_paces import EnginePaces
 from balsamlift.relay.generations._placement_policy import (
     DEFAULT_POLICY,
     PlacementPolicy,
@@ -39,6 +41,7 @@
     tried: Collection[str]
     is_hopeless: Callable[[], bool]
     granted: asyncio.Future[MemoryReservation | None]
+    demand: StreamDemand | None = None
 
 
 class MemoryReservation:
@@ -78,11 +81,18 @@
     """Allocate engine memory to generations in order of priority."""
 
     def __init__(
-        self, balancer: Balancer, policy: PlacementPolicy = DEFAULT_POLICY
+        self,
+        balancer: Balancer,
+        policy: PlacementPolicy = DEFAULT_POLICY,
+        paces: EnginePaces | None = None,
     ) -> None:
-        """Count memory in tokens, through `balancer`."""
+        """Count memory in tokens, through `balancer`.
+
+        Without `paces`, all engines count as equally fast.
+        """
         self._balancer = balancer
         self._policy = policy
+        self._paces = paces
         self._cost = EngineCost(balancer, policy)
         self._waiting: list[tuple[tuple[int, int], _WaitingRequest]] = []
         self._sequence = itertools.count()
@@ -96,25 +106,29 @@
         tried: Collection[str] = (),
         near_domain: str = "",
         fill_limit: float | None = None,
+        demand: StreamDemand | None = None,
     ) -> Upstream | None:
         """Return the best engine with memory for `tokens`, if there is one.
 
         Prefers the failure domain `near_domain`, which defaults to that of
         this host. Fills an engine up to the fraction `fill_limit` of its
-        memory, which defaults to that of the policy.
+        memory, which defaults to that of the policy. The pace of engines
+        counts for streams with a `demand`.
         """
         max_load = self._max_load(traits, tokens, fill_limit)
+        usable = self._balancer.usable(scope, tried)
         fitting = [
-            u
-            for u in self._balancer.usable(scope, tried)
-            if self._balancer.load(u.name) <= max_load
+            u for u in usable if self._balancer.load(u.name) <= max_load
         ]
         if not fitting:
             return None
         candidates = self._proven(fitting) or fitting
         sampled = self._balancer.sample(candidates, self._sample_size())
+        pace = None
+        if self._paces is not None and demand is not None:
+            pace = self._paces.rate(usable, demand)
         return min(
-            sampled, key=lambda u: self._cost.of(u, traits, near_domain)
+            sampled, key=lambda u: self._cost.of(u, traits, near_domain, pace)
         )
 
     def _proven(self, upstreams: list[Upstream]) -> list[Upstream]:
@@ -190,6 +204,7 @@
         priority: int,
         tried: Collection[str] = (),
         is_hopeless: Callable[[], bool] = lambda: False,
+        demand: StreamDemand | None = None,
     ) -> MemoryReservation | None:
         """Reserve `tokens` of memory as soon as an engine has it free.
 
@@ -203,14 +218,14 @@
             tokens, int(traits.memory_tokens * self._policy.fill_limit)
         )
         if not self._must_wait(scope, priority):
-            upstream = self.find(scope, traits, tokens, tried)
+            upstream = self.find(scope, traits, tokens, tried, demand=demand)
             if upstream is not None:
                 return self.reserve(upstream, tokens)
         granted: asyncio.Future[MemoryReservation | None] = (
             asyncio.get_running_loop().create_future()
         )
         entry = _WaitingRequest(
-            scope, traits, tokens, tried, is_hopeless, granted
+            scope, traits, tokens, tried, is_hopeless, granted, demand
         )
         queued = ((priority, next(self._sequence)), entry)
         self._waiting.append(queued)
@@ -240,7 +255,11 @@
             if entry.scope in blocked or entry.granted.done():
                 continue
             upstream = self.find(
-                entry.scope, entry.traits, entry.tokens, entry.tried
+                entry.scope,
+                entry.traits,
+                entry.tokens,
+                entry.tried,
+                demand=entry.demand,
             )
             if upstream is not None:
                 self._waiting.remove(queued)
--- a/src/balsamlift/relay/generations/_move_reservation.py
+++ b/src/balsamlift/relay/generations/_move_reservation.py
@@ -66,6 +66,7 @@
         tried,
         near_domain=near_domain,
         fill_limit=MOVE_FILL_LIMIT,
+        demand=job.demand,
     )
 
 
--- a/tests/test_relay_move_reservation.py
+++ b/tests/test_relay_move_reservation.py
@@ -56,7 +56,7 @@
             permits=Namespace(limited=frozenset),
             rng=rng,
         )
-        job = Namespace(scope=SCOPE, traits=TRAITS, tokens=TOKENS)
+        job = Namespace(scope=SCOPE, traits=TRAITS, tokens=TOKENS, demand=None)
         return await reserve_for_move(
             cast(GenerationContext, context), cast(Job, job), "north", ()
         )
