Tell slow engines from those that read prompts, and count long pauses

The mean gap of a window took engines that read prompts for slow ones: in a play of 16 equal engines up to a quarter of the paces was beyond 1.25 of the median, and choices differed. Now the lower quartile of at least 8 gaps counts, gaps during unread prompts change no known pace, a few gaps can only show an engine to be faster, and hosts weigh by the gaps that they saw. Long pauses are counted per gap, so that streams of two events weigh them too.

--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -5,10 +5,13 @@
 from balsamlift.placement._pace import (
     EnginePace,
     GapAverage,
-    LongestPause,
     PaceRating,
+    PauseCounts,
+    RecentPauses,
     StreamDemand,
+    is_long,
     rate_paces,
+    smooth_usual,
 )
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._request import PlacementRequest, Ticket
@@ -20,13 +23,16 @@
     "EnginePace",
     "GapAverage",
     "LoadReport",
-    "LongestPause",
     "PaceRating",
+    "PauseCounts",
     "Placement",
     "PlacementRequest",
     "Policy",
+    "RecentPauses",
     "Scheduler",
     "StreamDemand",
     "Ticket",
+    "is_long",
     "rate_paces",
+    "smooth_usual",
 ]
--- a/src/balsamlift/placement/_pace.py
+++ b/src/balsamlift/placement/_pace.py
@@ -9,16 +9,15 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Mapping
-from statistics import median
+from collections.abc import Callable, Collection, Mapping, Sequence
+from statistics import fmean, median
 
 import attrs
 
 GAP_WINDOW_MS = 500.0  # over which gaps between events are averaged
 GAP_SMOOTHING = 0.5  # weight of the newest window
-# The longest pause is that of the current half of this time and of the half
-# before it.
-LONG_PAUSE_WINDOW_MS = 4_000.0
+MIN_GAPS = 8  # in a window, to tell gaps with a prompt in them from others
+PAUSE_WINDOW_MS = 4_000.0  # for which long pauses tell of further ones
 # Engines whose gaps are longer than the typical one by at most this share are
 # not slow: their gaps differ as much by what they run.
 EVEN_RANGE = 0.25
@@ -30,74 +29,110 @@
 MAX_HOLDING_COST = 0.5
 
 
+Update = Callable[[Sequence[float], float], float]
+
+
+def smooth_mean(gaps_ms: Sequence[float], known_ms: float) -> float:
+    """Return the smoothed mean; `known_ms` is 0 for the first window."""
+    return _smooth(fmean(gaps_ms), known_ms)
+
+
+def smooth_usual(gaps_ms: Sequence[float], known_ms: float) -> float:
+    """Return the smoothed gap between events while no prompt is computed.
+
+    Prompts lengthen single gaps, up to most of them on a crowded engine, so
+    the lower quartile counts. A few gaps can only show that an engine is
+    faster than known. Returns 0 if they show nothing.
+    """
+    if len(gaps_ms) >= MIN_GAPS:
+        return _smooth(_lower_quartile(gaps_ms), known_ms)
+    return min(known_ms, *gaps_ms)
+
+
 @attrs.define
 class GapAverage:
-    """Average the gaps between events over windows, and smooth the means."""
+    """Average the gaps between events over windows of time."""
 
-    gap_ms: float = 0.0  # smoothed; 0 until the first window has ended
+    gap_ms: float = 0.0  # as of the last window that has ended; 0: unknown
     seen_ms: float = -1e9  # when the last gap was observed
     window_start_ms: float = 0.0
-    _window_sum_ms: float = 0.0
-    _window_count: int = 0
+    update: Update = smooth_mean
+    _window: list[float] = attrs.field(factory=list)
 
     def observe(self, gap_ms: float, now_ms: float, gaps: int = 1) -> None:
         """Record a number of equal gaps."""
         self.seen_ms = now_ms
-        self._window_sum_ms += gap_ms * gaps
-        self._window_count += gaps
+        self._window += [gap_ms] * gaps
         if now_ms - self.window_start_ms < GAP_WINDOW_MS:
             return
-        mean_ms = self._window_sum_ms / self._window_count
-        if self.gap_ms:
-            self.gap_ms += GAP_SMOOTHING * (mean_ms - self.gap_ms)
-        else:
-            self.gap_ms = mean_ms
+        self.gap_ms = self.estimate_ms()
         self.window_start_ms = now_ms
-        self._window_sum_ms = 0.0
-        self._window_count = 0
+        self._window.clear()
 
     def estimate_ms(self) -> float:
-        """Return the smoothed gap, or the mean until the first window ends."""
-        if self.gap_ms or not self._window_count:
+        """Return what it would be if the current window ended now."""
+        if not self._window:
             return self.gap_ms
-        return self._window_sum_ms / self._window_count
+        return self.update(self._window, self.gap_ms)
+
+
+@attrs.frozen(kw_only=True)
+class PauseCounts:
+    """Count gaps between events, and the long ones among them."""
+
+    gaps: int = 0
+    pauses: int = 0
+    pause_ms: float = 0.0  # sum over the pauses
+
+    def __add__(self, other: PauseCounts) -> PauseCounts:
+        """Return the sum."""
+        return PauseCounts(
+            gaps=self.gaps + other.gaps,
+            pauses=self.pauses + other.pauses,
+            pause_ms=self.pause_ms + other.pause_ms,
+        )
 
 
 @attrs.define
-class LongestPause:
-    """Hold the longest pause of the last `LONG_PAUSE_WINDOW_MS`."""
+class RecentPauses:
+    """Hold the counts of the last `PAUSE_WINDOW_MS`, at least half of it."""
 
     _half_start_ms: float = -1e9
-    _current_ms: float = 0.0
-    _previous_ms: float = 0.0
+    _current: PauseCounts = PauseCounts()
+    _previous: PauseCounts = PauseCounts()
 
-    def observe(self, pause_ms: float, now_ms: float) -> None:
-        """Record a pause."""
+    def add(self, counts: PauseCounts, now_ms: float) -> None:
+        """Add new counts."""
         self._advance(now_ms)
-        self._current_ms = max(self._current_ms, pause_ms)
+        self._current += counts
 
-    def longest_ms(self, now_ms: float) -> float:
-        """Return the longest pause, or 0 if there was none."""
+    def counts(self, now_ms: float) -> PauseCounts:
+        """Return the recent counts."""
         self._advance(now_ms)
-        return max(self._current_ms, self._previous_ms)
+        return self._current + self._previous
 
     def _advance(self, now_ms: float) -> None:
-        half_ms = LONG_PAUSE_WINDOW_MS / 2
+        half_ms = PAUSE_WINDOW_MS / 2
         halves = (now_ms - self._half_start_ms) // half_ms
         if halves < 1:
             return
-        self._previous_ms = self._current_ms if halves == 1 else 0.0
-        self._current_ms = 0.0
+        self._previous = self._current if halves == 1 else PauseCounts()
+        self._current = PauseCounts()
         self._half_start_ms += halves * half_ms
 
 
+def is_long(gap_ms: float, max_gap_ms: float) -> bool:
+    """Return whether a gap is a pause that is nearly too long, or longer."""
+    return gap_ms >= max_gap_ms * NEAR_SHARE
+
+
 @attrs.frozen(kw_only=True)
 class EnginePace:
     """Hold how fast an engine sends events, as measured by some hosts."""
 
     gap_ms: float  # mean time between events
-    long_pause_ms: float = 0.0  # longest of the last seconds; 0: none
-    hosts: int = 1  # that measured the gap
+    long_pause_ms: float = 0.0  # mean length of recent long pauses
+    pause_share: float = 0.0  # of recent gaps that were long pauses
 
 
 @attrs.frozen(kw_only=True)
@@ -141,7 +176,7 @@
     def _pace(self, engine: str) -> EnginePace:
         pace = self.paces.get(engine)
         if pace is None:
-            return EnginePace(gap_ms=self.pool.median_gap_ms, hosts=0)
+            return EnginePace(gap_ms=self.pool.median_gap_ms)
         return pace
 
 
@@ -163,10 +198,9 @@
     """
     if not gaps_ms:
         return None
-    ordered = sorted(gaps_ms)
-    median_ms = median(ordered)
-    quartile_ms = ordered[len(ordered) // 4]
-    typical_ms = min(median_ms, quartile_ms / (1 - EVEN_RANGE))
+    median_ms = median(gaps_ms)
+    lowest_ms = _lower_quartile(gaps_ms) / (1 - EVEN_RANGE)
+    typical_ms = min(median_ms, lowest_ms)
     return PoolPace(
         median_gap_ms=median_ms, even_gap_ms=typical_ms * (1 + EVEN_RANGE)
     )
@@ -197,12 +231,11 @@
 
 
 def _pause_probability(demand: StreamDemand, pace: EnginePace) -> float:
-    """Return the probability of a pause that is too long."""
-    if not demand.max_gap_ms:
+    """Return the probability of at least one pause that is too long."""
+    if not pace.pause_share:
         return 0.0
-    run_ms = demand.events * pace.gap_ms
-    met_probability = 1 - math.exp(-run_ms / LONG_PAUSE_WINDOW_MS)
-    return met_probability * _risk(pace.long_pause_ms, demand.max_gap_ms)
+    too_long = _risk(pace.long_pause_ms, demand.max_gap_ms)
+    return 1 - math.exp(-demand.events * pace.pause_share * too_long)
 
 
 def _deadline_probability(
@@ -217,6 +250,14 @@
     return here - elsewhere
 
 
+def _smooth(value: float, known: float) -> float:
+    return known + GAP_SMOOTHING * (value - known) if known else value
+
+
+def _lower_quartile(values: Collection[float]) -> float:
+    return sorted(values)[len(values) // 4]
+
+
 def _risk(value: float, limit: float) -> float:
     """Return the probability, 0 to 1, that a value exceeds its limit."""
     share = value / limit
