Weigh prompts that make streams late, and show paces to operators

A prompt on an engine with pauses near the route's bound makes the streams there late, so it counts as unread prompt. The table and two gauges show known and slow engines. Publishing is checked twice a second, not at each event.

--- a/src/balsamlift/placement/_pace.py
+++ b/src/balsamlift/placement/_pace.py
@@ -142,12 +142,17 @@
     median_gap_ms: float  # assumed for engines that are not known
     even_gap_ms: float  # longest gap of an engine that is not slow
 
+    def slowness(self, gap_ms: float) -> float:
+        """Return how many times as long it takes; 1 if it is not slow."""
+        return max(gap_ms / self.even_gap_ms, 1.0)
+
 
 @attrs.frozen(kw_only=True)
 class StreamDemand:
     """Describe the stream that an engine is looked for."""
 
     memory_share: float  # of an engine, that it needs in the end
+    prompt_share: float  # of an engine's memory, that its prompt needs
     events: int  # expected
     target_ms: float  # from its arrival to its first event
     max_gap_ms: float  # longest pause between events
@@ -171,7 +176,15 @@
 
     def slowness(self, engine: str) -> float:
         """Return how many times as long it takes; 1 if it is not slow."""
-        return max(self._pace(engine).gap_ms / self.pool.even_gap_ms, 1.0)
+        return self.pool.slowness(self._pace(engine).gap_ms)
+
+    def pausing_prompt_share(self, engine: str) -> float:
+        """Return the share of its prompt that makes other streams late."""
+        pace = self._pace(engine)
+        if not pace.pause_share:
+            return 0.0
+        too_long = _risk(pace.long_pause_ms, self.demand.max_gap_ms)
+        return self.demand.prompt_share * too_long
 
     def _pace(self, engine: str) -> EnginePace:
         pace = self.paces.get(engine)
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -150,7 +150,7 @@
             brittle_pools,
         )
         paces = self._paces = EnginePaces(
-            balancer, self._upstreams, self._clock
+            balancer, self._upstreams, self._clock, self._metrics
         )
         self._allocator = MemoryAllocator(balancer, paces=paces)
         self._retries = RetryBudget(
--- a/src/balsamlift/relay/generations/_engine_paces.py
+++ b/src/balsamlift/relay/generations/_engine_paces.py
@@ -7,11 +7,13 @@
 import attrs
 
 from balsamlift.clock import Clock
+from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream, Upstreams
 from balsamlift.placement import (
     EnginePace,
     PaceRating,
     StreamDemand,
+    compare_gaps,
     rate_paces,
 )
 from balsamlift.relay._balance import Balancer, prefill_key
@@ -53,6 +55,7 @@
 
     upstream: str
     gap_ms: float
+    slowness: float  # compared with the engines of its pool; 1: not slow
     long_pause_ms: float  # mean of recent ones; 0: none
     pause_share: float  # of recent gaps that were long pauses
     own_age_ms: int | None  # of this host's measure; None: it has none
@@ -62,12 +65,17 @@
     """Measure engines, and share what was measured with the other hosts."""
 
     def __init__(
-        self, balancer: Balancer, upstreams: Upstreams, clock: Clock
+        self,
+        balancer: Balancer,
+        upstreams: Upstreams,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         """Publish through `balancer`; forget engines that are gone."""
         self._balancer = balancer
         self._upstreams = upstreams
         self._clock = clock
+        self._metrics = metrics
         self._measures: dict[str, PaceMeasure] = {}
         upstreams.on_change(self.discard_expired)
 
@@ -113,20 +121,24 @@
 
     def snapshot(self) -> list[EnginePaceRow]:
         """Return the known engines, the slowest first."""
-        rows = [self._row(upstream.name) for upstream in self._upstreams.all()]
-        known = [row for row in rows if row is not None]
-        return sorted(known, key=lambda row: -row.gap_ms)
+        by_pool: dict[str, dict[str, EnginePace]] = {}
+        for upstream in self._upstreams.all():
+            pace = self.find(upstream.name)
+            if pace is not None:
+                by_pool.setdefault(upstream.pool, {})[upstream.name] = pace
+        rows = [row for paces in by_pool.values() for row in self._rows(paces)]
+        return sorted(rows, key=lambda row: (-row.slowness, -row.gap_ms))
 
     def describe(self, upstream: str) -> dict[str, float | None]:
         """Return the pace of an engine as fields for the log."""
-        row = self._row(upstream)
-        if row is None:
+        pace = self.find(upstream)
+        if pace is None:
             return {}
         return {
-            "pace_ms": round(row.gap_ms, 1),
-            "long_pause_ms": round(row.long_pause_ms),
-            "pause_share": round(row.pause_share, 4),
-            "pace_age_ms": row.own_age_ms,
+            "pace_ms": round(pace.gap_ms, 1),
+            "long_pause_ms": round(pace.long_pause_ms),
+            "pause_share": round(pace.pause_share, 4),
+            "pace_age_ms": self._own_age_ms(upstream),
         }
 
     def discard_expired(self) -> None:
@@ -139,6 +151,11 @@
                 self._share(name, PaceValues())
             else:
                 self._publish(name, measure, now_ms)
+        rows = self.snapshot()
+        self._metrics.gauge("generations.engines_paced", len(rows))
+        self._metrics.gauge(
+            "generations.engines_slow", sum(row.slowness > 1 for row in rows)
+        )
 
     def _start_measure(self, upstream: str, now_ms: float) -> PaceMeasure:
         """Start from what the other hosts have measured, if anything."""
@@ -160,19 +177,24 @@
     def _is_old(self, measure: PaceMeasure) -> bool:
         return measure.age_ms(self._now_ms()) > MAX_AGE_S * _MS_PER_S
 
-    def _row(self, upstream: str) -> EnginePaceRow | None:
-        pace = self.find(upstream)
-        if pace is None:
-            return None
+    def _own_age_ms(self, upstream: str) -> int | None:
         measure = self._find_recent(upstream)
-        age_ms = round(measure.age_ms(self._now_ms())) if measure else None
-        return EnginePaceRow(
-            upstream=upstream,
-            gap_ms=pace.gap_ms,
-            long_pause_ms=pace.long_pause_ms,
-            pause_share=pace.pause_share,
-            own_age_ms=age_ms,
-        )
+        return round(measure.age_ms(self._now_ms())) if measure else None
+
+    def _rows(self, paces: dict[str, EnginePace]) -> list[EnginePaceRow]:
+        """Return the rows of the known engines of one pool."""
+        pool = compare_gaps([pace.gap_ms for pace in paces.values()])
+        return [
+            EnginePaceRow(
+                upstream=upstream,
+                gap_ms=pace.gap_ms,
+                slowness=pool.slowness(pace.gap_ms) if pool else 1.0,
+                long_pause_ms=pace.long_pause_ms,
+                pause_share=pace.pause_share,
+                own_age_ms=self._own_age_ms(upstream),
+            )
+            for upstream, pace in paces.items()
+        ]
 
     def _others(self, key: str) -> int:
         return self._balancer.load(key) - self._balancer.own_load(key)
--- a/src/balsamlift/relay/generations/_pace_measure.py
+++ b/src/balsamlift/relay/generations/_pace_measure.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 import attrs
 
 from balsamlift.placement import (
@@ -14,10 +12,9 @@
     smooth_usual,
 )
 
-# The other hosts are told a value that moved by this share since the last
-# time, at most this often.
+# The other hosts are told a value that moved by this share.
 PUBLISH_CHANGE = 0.2
-PUBLISH_INTERVAL_MS = 500.0
+CHECK_INTERVAL_MS = 500.0  # between two checks whether to publish
 
 _US_PER_MS = 1_000.0
 
@@ -57,7 +54,7 @@
         self._pauses = RecentPauses()
         self._seen_ms = now_ms
         self._published = PaceValues()
-        self._published_ms = -math.inf
+        self._checked_ms = now_ms
 
     def observe(
         self,
@@ -74,7 +71,7 @@
         is known.
         """
         self._seen_ms = now_ms
-        if not is_reading or not self._gaps.estimate_ms():
+        if not is_reading or not self._gaps.gap_ms:
             self._gaps.observe(gap_ms, now_ms, gaps)
         pauses = gaps if is_long(gap_ms, max_gap_ms) else 0
         counts = PauseCounts(
@@ -101,13 +98,13 @@
 
     def take_to_publish(self, now_ms: float) -> PaceValues | None:
         """Return the values if it is time to publish them, else None."""
-        if now_ms - self._published_ms < PUBLISH_INTERVAL_MS:
+        if now_ms - self._checked_ms < CHECK_INTERVAL_MS:
             return None
+        self._checked_ms = now_ms
         values = self.values(now_ms)
         if values.is_close_to(self._published):
             return None
         self._published = values
-        self._published_ms = now_ms
         return values
 
 
--- a/tests/_uneven_engines.py
+++ b/tests/_uneven_engines.py
@@ -15,6 +15,7 @@
 from _listed_engines import SCOPE, ListedEngines
 from _manual_clock import ManualClock
 
+from balsamlift.metrics import Metrics
 from balsamlift.peers import HostRank, Peers, Upstream, Upstreams
 from balsamlift.placement import StreamDemand
 from balsamlift.relay import EngineTraits
@@ -98,7 +99,7 @@
             "north",
         )
         self.paces = EnginePaces(
-            self.balancer, cast(Upstreams, engines), clock
+            self.balancer, cast(Upstreams, engines), clock, Metrics()
         )
         self.allocator = MemoryAllocator(
             self.balancer, paces=self.paces if uses_pace else None
@@ -226,6 +227,7 @@
         tokens = kind.prompt_tokens + kind.output_tokens
         demand = StreamDemand(
             memory_share=tokens / TRAITS.memory_tokens,
+            prompt_share=kind.prompt_tokens / TRAITS.memory_tokens,
             events=kind.output_tokens,
             target_ms=kind.target_s * 1_000,
             max_gap_ms=MAX_GAP_MS,
