--- a/tests/_uneven_engines.py
+++ b/tests/_uneven_engines.py
@@ -50,6 +50,7 @@
 
     def __init__(self, shared: SharedCounts) -> None:
         self.is_cut_off = False
+        self.published_times = 0
         self._shared = shared
         self._own: dict[str, int] = {}
         self._published: Counter[str] = Counter()
@@ -64,6 +65,7 @@
 
     def send_counts(self) -> None:
         """Publish what has changed."""
+        self.published_times += bool(self._own)
         for key, n in self._own.items():
             self._shared.totals[key] += n - self._published[key]
             self._published[key] = n
@@ -136,6 +138,18 @@
 )
 
 
+def demand_of(kind: Kind, requested_s: float) -> StreamDemand:
+    tokens = kind.prompt_tokens + kind.output_tokens
+    return StreamDemand(
+        memory_share=tokens / TRAITS.memory_tokens,
+        prompt_share=kind.prompt_tokens / TRAITS.memory_tokens,
+        events=kind.output_tokens,
+        target_ms=kind.target_s * 1_000,
+        max_gap_ms=MAX_GAP_MS,
+        deadline_ms=(requested_s + kind.deadline_s) * 1_000,
+    )
+
+
 @attrs.define(eq=False)
 class Stream:
     """One stream, from its request to its last event."""
@@ -171,7 +185,6 @@
     ) -> None:
         self.streams: list[Stream] = []
         self.preempted = 0
-        self.placed: list[tuple[str, str]] = []
         self._rng = random.Random(seed)
         self._clock = ManualClock()
         names = {f"e{i}": "north" for i in range(len(speeds))}
@@ -225,14 +238,7 @@
     def _start(self, stream: Stream) -> None:
         kind, host = stream.kind, stream.host
         tokens = kind.prompt_tokens + kind.output_tokens
-        demand = StreamDemand(
-            memory_share=tokens / TRAITS.memory_tokens,
-            prompt_share=kind.prompt_tokens / TRAITS.memory_tokens,
-            events=kind.output_tokens,
-            target_ms=kind.target_s * 1_000,
-            max_gap_ms=MAX_GAP_MS,
-            deadline_ms=(stream.requested_s + kind.deadline_s) * 1_000,
-        )
+        demand = demand_of(kind, stream.requested_s)
         found = host.allocator.find(SCOPE, TRAITS, tokens, demand=demand)
         now_s = self._clock.now_s
         if found is None:
