--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -8,6 +8,18 @@
     groups_before,
     leaves_room,
 )
+from balsamlift.placement._pace import (
+    EnginePace,
+    GapAverage,
+    PaceRating,
+    PauseCounts,
+    RecentPauses,
+    StreamDemand,
+    compare_gaps,
+    is_long,
+    rate_paces,
+    smooth_usual,
+)
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._request import PlacementRequest, Ticket
 from balsamlift.placement._residence import (
@@ -28,24 +40,34 @@
 
 __all__ = [
     "Backlog",
+    "EnginePace",
+    "GapAverage",
     "LoadReport",
     "Offer",
+    "PaceRating",
+    "PauseCounts",
     "Placement",
     "PlacementRequest",
     "Policy",
+    "RecentPauses",
     "RefuseNow",
     "Residence",
     "ResidenceTimes",
     "Scheduler",
+    "StreamDemand",
     "Ticket",
     "WaitRequest",
     "WaitUntil",
     "WaitingGroup",
     "WaitingLine",
     "YieldLimit",
+    "compare_gaps",
     "decide_wait",
     "expected_run_ms",
     "groups_before",
+    "is_long",
     "leaves_room",
     "limit_retry_ms",
+    "rate_paces",
+    "smooth_usual",
 ]
--- a/src/balsamlift/relay/generations/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -147,6 +147,7 @@
             call.request.arrived_s + call.route.target_ms / 1_000
         ),
         tried=tried,
+        demand=job.demand,
     )
 
 
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -266,6 +266,7 @@
             backup=backup.upstream,
             waited_ms=round(waited_s * 1_000),
             expected_wait_ms=reservation.expected_wait_ms,
+            **self._context.paces.describe(upstream),
         ).info("placed")
 
     async def _send(
--- a/src/balsamlift/relay/generations/_memory_request.py
+++ b/src/balsamlift/relay/generations/_memory_request.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from balsamlift.placement import StreamDemand
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._scope import Scope
 
@@ -25,6 +26,7 @@
     weight: float = 1.0  # of its workspace's share while requests wait
     in_time_until_s: float = math.inf  # monotonic; it is late afterwards
     tried: Collection[str] = ()  # names of engines not to be used
+    demand: StreamDemand | None = None  # None: engines are equally fast
 
     @property
     def group(self) -> Group:
--- a/tests/test_relay_fair_shares.py
+++ b/tests/test_relay_fair_shares.py
@@ -311,11 +311,16 @@
         host = OneOfTwo()
         host.others.update(urgent_elsewhere())
         await host.peers.refresh_counts()
-        backlog = partial(host.allocator.backlog, SCOPE, TRAITS, TOKENS)
-        assert backlog(1, "w", 1.0).ahead_tokens == 36 * TOKENS
-        assert backlog(0, "a/b", 1.0).ahead_tokens == 36 * TOKENS
+        request = partial(
+            MemoryRequest, scope=SCOPE, traits=TRAITS, tokens=TOKENS
+        )
+        less_urgent = request(priority=1, workspace="w")
+        same_group = request(priority=0, workspace="a/b")
+        backlog = host.allocator.backlog
+        assert backlog(less_urgent).ahead_tokens == 36 * TOKENS
+        assert backlog(same_group).ahead_tokens == 36 * TOKENS
         host.peers.basis = "old"
-        assert backlog(1, "w", 1.0).ahead_tokens == 0
-        assert not backlog(1, "w", 1.0).is_known
+        assert backlog(less_urgent).ahead_tokens == 0
+        assert not backlog(less_urgent).is_known
 
     run_virtual(test)
