--- a/tests/test_relay_fair_shares.py
+++ b/tests/test_relay_fair_shares.py
@@ -8,17 +8,20 @@
 import random
 from collections import Counter
 from functools import partial
-from typing import cast
+from typing import Any, cast
 
 import attrs
 import pytest
-from _listed_engines import SCOPE, engines_of_one_domain
+from _listed_engines import POOL, SCOPE, engines_of_one_domain
 from _shared_counts import Counts, HostCounts
 from _virtual_time import LoopClock, run_virtual
+from loguru import logger
 
+from balsamlift.metrics import Metrics
 from balsamlift.peers import CountsBasis, Peers, Upstreams
 from balsamlift.relay import EngineTraits
 from balsamlift.relay._balance import Balancer
+from balsamlift.relay._scope import Scope
 from balsamlift.relay.generations._memory_allocator import MemoryAllocator
 from balsamlift.relay.generations._memory_request import MemoryRequest
 
@@ -202,17 +205,20 @@
     def __init__(self, basis: CountsBasis = "gathered") -> None:
         pool = Pool(2, [], 1)
         self.peers, self.balancer = pool.peers[0], pool.balancers[0]
-        self.allocator = pool.allocators[0]
+        self.metrics = Metrics()
+        self.allocator = MemoryAllocator(self.balancer, metrics=self.metrics)
         self.peers.basis = basis
         self.others = pool.counts.by_host.setdefault(1, {})
 
-    async def wait(self, priority: int = 1, workspace: str = "w") -> float:
+    async def wait(
+        self, priority: int = 1, workspace: str = "w", scope: Scope = SCOPE
+    ) -> float:
         """Return after how many seconds a request gets memory."""
         loop = asyncio.get_running_loop()
         start_s = loop.time()
         await self.peers.refresh_counts()
         request = MemoryRequest(
-            scope=SCOPE,
+            scope=scope,
             traits=TRAITS,
             tokens=TOKENS,
             priority=priority,
@@ -273,6 +279,37 @@
     run_virtual(test)
 
 
+def test_requests_for_other_regions_are_not_waited_for() -> None:
+    async def test() -> None:
+        host = OneOfTwo()
+        host.others.update(urgent_elsewhere())
+        # The engines of this test have no region.
+        assert await host.wait(scope=Scope(POOL, frozenset({""}))) < 0.2
+
+    run_virtual(test)
+
+
+def test_operators_see_what_waits_and_what_yielded() -> None:
+    async def test() -> None:
+        host = OneOfTwo()
+        host.others.update(urgent_elsewhere())
+        waiting = asyncio.create_task(host.wait())
+        await asyncio.sleep(POLL_S / 2)
+        assert host.metrics.snapshot().gauges["generations.waiting.1"] == 1
+        lines: list[Any] = []
+        sink = logger.add(lambda line: lines.append(line.record["extra"]))
+        await waiting
+        logger.remove(sink)
+        snapshot = host.metrics.snapshot()
+        assert snapshot.gauges["generations.waiting.1"] == 0
+        assert snapshot.counters["generations.memory_yields"] == 1
+        assert lines[0]["yielded_ms"] >= 900
+        assert lines[0]["ahead_tokens"] == 36 * TOKENS
+        assert lines[0]["counts_basis"] == "gathered"
+
+    run_virtual(test)
+
+
 def test_counts_of_groups_are_published_only_while_requests_wait() -> None:
     async def test() -> None:
         host = OneOfTwo()
--- a/tests/test_relay_routing.py
+++ b/tests/test_relay_routing.py
@@ -102,6 +102,15 @@
     assert 60 < counts["b"] < 140
 
 
+def test_an_unknown_workspace_has_the_weight_one() -> None:
+    routing = Routing()
+    assert routing.weight_of(WORKSPACE) == 1.0
+    workspace = Workspace(name=WORKSPACE, keys=(KEY,), weight=2.5)
+    offer_version(routing, 1, workspaces=(workspace,))
+    assert routing.weight_of(WORKSPACE) == 2.5
+    assert routing.weight_of("other") == 1.0
+
+
 @pytest.mark.parametrize(
     ("path", "fields", "status"),
     [
