Send resumable streams to another engine when theirs is lost

A stream whose engine was lost without a copy of its memory ended broken, and one that may have run before its head ended with 502, also on routes whose streams may be resumed (`Route.can_resume`).

- `Call.is_idempotent` holds for such streams, so that `Attempt` lets them be sent again.
All other streams are handled as before.
- `generations/_repeat.py` decides on and sends a repeat: attempts of the route over both hosts (`Origin.sends`), crash guard, host that leaves, configuration, memory, permit, retry budget.
Where the pool is not reached, another host sends it (`Forwarder.repeat`).
- The last event id of a caller is where its events begin, and where a later repeat goes on.
- `relay/_retries.py` holds what unary calls and generations share; `generations/_sender.py` (out of `_generations.py`) sends to an engine whose memory is reserved; `resume_at` moves to `_resume_request.py`.
- Mended on the way: a generation refused between its reservation and its send (configuration changed, prompt suspected) kept its memory reserved for good.

No existing test was changed.

--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -75,6 +75,8 @@
     @property
     def is_idempotent(self) -> bool:
         """Return whether the request may run more than once."""
+        if self.route.kind == "stream":
+            return self.route.can_resume
         return self.route.kind == "idempotent"
 
 
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -26,6 +26,11 @@
     rate_limited,
 )
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
+from balsamlift.relay._retries import (
+    max_sends,
+    may_send_again,
+    spend_retry,
+)
 from balsamlift.relay._retry_budget import RetryBudget
 from balsamlift.relay._time_limit import end_in_time
 from balsamlift.relay._upstream_chooser import (
@@ -161,7 +166,7 @@
     ) -> _BufferedReply:
         loop = asyncio.get_running_loop()
         attempt_deadline_s = None
-        if attempt.is_idempotent and attempt.sends + 1 < self._max_sends(call):
+        if attempt.is_idempotent and attempt.sends + 1 < max_sends(call):
             remaining_s = call.timeout_at_s - loop.time()
             attempt_deadline_s = (
                 loop.time() + remaining_s * ATTEMPT_TIME_FRACTION
@@ -214,29 +219,11 @@
             may_have_run=attempt.may_have_run,
         ).warning("ejected: {}", cause)
 
-    def _max_sends(self, call: Call) -> int:
-        """Return how often this host may send a call to upstreams."""
-        origin = call.request.origin
-        sends_before = origin.sends if origin is not None else 0
-        return max(call.route.most_attempts - sends_before, 1)
-
     def _may_retry(self, call: Call, attempt: Attempt) -> bool:
         """Return whether to try another upstream.
 
         A permitted retry is charged to the retry budget of the service.
         """
-        if not attempt.may_send:
-            return False
-        if attempt.may_have_run and attempt.sends >= self._max_sends(call):
-            return False
-        is_allowed = self._retries.spend(call.service)
-        log.bind(
-            request=call.request_id,
-            sends=attempt.sends,
-            may_have_run=attempt.may_have_run,
-        ).info(
-            "retrying on another upstream"
-            if is_allowed
-            else "retry budget spent"
+        return may_send_again(call, attempt) and spend_retry(
+            call, attempt, self._retries
         )
-        return is_allowed
--- a/src/balsamlift/relay/forwarding/_forwarder.py
+++ b/src/balsamlift/relay/forwarding/_forwarder.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 import attrs
 from loguru import logger
@@ -155,9 +155,19 @@
         further attempt.
         """
         attempt = Attempt(is_idempotent=False)
-        if not self.may_forward(call, attempt):
-            return None
-        result = await self._forward(call, attempt, resume_headers(resume))
+        return await self.repeat(call, attempt, resume_headers(resume))
+
+    async def repeat(
+        self,
+        call: Call,
+        attempt: Attempt,
+        extra: Iterable[tuple[str, str]],
+    ) -> ForwardedReply | None:
+        """Return the stream of a host that sends a generation again.
+
+        `extra` replaces headers of the same name from the caller.
+        """
+        result = await self._forward(call, attempt, list(extra))
         if not isinstance(result, ForwardedReply):
             return None
         if result.is_success:
@@ -169,7 +179,7 @@
         self,
         call: Call,
         attempt: Attempt,
-        extra: Iterable[tuple[str, str]] = (),
+        extra: Sequence[tuple[str, str]] = (),
     ) -> ForwardedReply | Refusal | None:
         tried: set[str] = set()
         while len(tried) < MAX_HOSTS and self.may_forward(call, attempt):
@@ -198,7 +208,7 @@
         attempt: Attempt,
         peer: Peer,
         connection: UpstreamConnection,
-        extra: Iterable[tuple[str, str]],
+        extra: Sequence[tuple[str, str]],
     ) -> ForwardedReply | Refusal | None:
         """Return the response of a host, or None if it sent the call nowhere.
 
@@ -208,10 +218,9 @@
         remaining_ms = (call.timeout_at_s - self._clock.monotonic()) * 1_000
         deadline = self._names.deadline_ms, str(max(int(remaining_ms), 0))
         host = self._peers.own.host
-        headers = [
-            *forwarded_headers(call, attempt, host, deadline),
-            *extra,
-        ]
+        headers = list(
+            forwarded_headers(call, attempt, host, [deadline, *extra])
+        )
         may_have_run_before = attempt.may_have_run
         attempt.record_send(peer.host)
         connection.send(
--- a/src/balsamlift/relay/forwarding/_wire.py
+++ b/src/balsamlift/relay/forwarding/_wire.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 from tornado.httputil import HTTPHeaders
@@ -28,12 +28,12 @@
     call: Call,
     attempt: Attempt,
     host: str,
-    deadline: tuple[str, str],
+    extra: Collection[tuple[str, str]],
 ) -> Iterable[tuple[str, str]]:
-    """Return the caller's headers, with the `deadline` that is left."""
-    dropped = _OWN | {deadline[0].lower()}
+    """Return the caller's headers; `extra` replaces those of the same name."""
+    dropped = _OWN | {name.lower() for name, _ in extra}
     yield from end_to_end_headers(call.request.headers, dropped)
-    yield deadline
+    yield from extra
     yield HOST, host
     yield SENDS, str(attempt.sends)
 
--- a/src/balsamlift/relay/generations/_backup.py
+++ b/src/balsamlift/relay/generations/_backup.py
@@ -61,6 +61,11 @@
             return None
         return reservation.upstream
 
+    def replace_by(self, other: Backup) -> None:
+        """Release this memory and hold that of another backup."""
+        self.release()
+        self._reservation, other._reservation = other._reservation, None
+
     def release(self) -> None:
         """Release the reserved memory."""
         reservation, self._reservation = self._reservation, None
--- a/src/balsamlift/relay/generations/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -134,6 +134,8 @@
 
 
 def _wait_by_s(job: Job) -> float:
+    if job.wait_until_s is not None:
+        return job.wait_until_s
     call = job.call
     target_s = call.route.target_ms / 1_000
     return call.request.arrived_s + target_s * MAX_WAIT_FACTOR
--- a/src/balsamlift/relay/generations/_events.py
+++ b/src/balsamlift/relay/generations/_events.py
@@ -8,11 +8,19 @@
 
 MAX_EVENT_BYTES = 1_048_576
 NO_EVENT_ID = -1  # valid ids are 0 or more
+MAX_ID_DIGITS = 18
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)\r?(?:\n|$)")
 
 
+def parse_event_id(text: str) -> int:
+    """Return the id in a header, or `NO_EVENT_ID` if it is none."""
+    if not text.isdecimal() or len(text) > MAX_ID_DIGITS:
+        return NO_EVENT_ID
+    return int(text)
+
+
 class EventError(BalsamliftError):
     """Raised when an event is out of order or too large."""
 
--- a/src/balsamlift/relay/generations/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -21,7 +21,6 @@
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._request import Responder, Resume
 from balsamlift.relay.crashes import CRASH_THRESHOLD
-from balsamlift.relay.forwarding import ForwardedReply
 from balsamlift.relay.generations._backup import Backup
 from balsamlift.relay.generations._engines import MemoryCopy
 from balsamlift.relay.generations._events import EventError, EventSplitter
@@ -29,7 +28,11 @@
 from balsamlift.relay.generations._job import Job
 from balsamlift.relay.generations._memory_allocator import MemoryReservation
 from balsamlift.relay.generations._move import Move
-from balsamlift.relay.generations._resume_request import send_resume
+from balsamlift.relay.generations._repeat import Repeat
+from balsamlift.relay.generations._resume_request import (
+    resume_at,
+    send_resume,
+)
 from balsamlift.relay.generations._stream_stats import StreamStats
 
 log = logger.bind(part="generations")
@@ -38,8 +41,6 @@
 MAX_BUFFERED_CHUNKS = 8
 # An engine that sends events does so several times as often.
 LOST_SILENCE_S = 0.6
-# Another host may have to wait for the engine's response too.
-CARRIER_TIMEOUT_S = 1.5
 # An engine that crashes because of a generation does so as it begins.
 SOUND_AFTER_S = 2.0
 # The response to the last copy arrives once the copy is complete.
@@ -64,14 +65,19 @@
         responder: Responder,
         reservation: MemoryReservation,
         backup: Backup,
+        repeat: Repeat | None = None,
     ) -> None:
-        """Create a relay to `responder`; `relay` starts it."""
+        """Create a relay to `responder`; `relay` starts it.
+
+        Without `repeat`, the request is not sent to another engine again.
+        """
         self._context = context
         self._job = job
         self._responder = responder
         self._reservation = reservation
         self._backup = backup
-        self._splitter = EventSplitter()
+        self._repeat = repeat
+        self._splitter = EventSplitter(job.last_event)
         self._inbox: asyncio.Queue[bytes | Signal] = asyncio.Queue()
         self._buffer_slots = asyncio.Semaphore(MAX_BUFFERED_CHUNKS)
         self._read_task: asyncio.Task[None] | None = None
@@ -138,7 +144,14 @@
         self._splitter = EventSplitter(resume.last_event)
         self._backup.choose(upstream)
         with suppress(UpstreamUnreachableError):
-            return await self._send_resume(upstream, resume.source)
+            return await send_resume(
+                self._context,
+                self._job,
+                upstream,
+                resume.source,
+                resume.last_event,
+                self._backup.headers(),
+            )
         return None
 
     # Reading from the current engine
@@ -206,7 +219,8 @@
                 self._record_whole()
                 return "whole"
             elif item == "unreached":
-                await self._resume_at_backup()
+                if not await self._resume_at_backup():
+                    await self._repeat_elsewhere("engine not reached")
             elif item == "leaving":
                 if self._is_carried:
                     continue
@@ -221,10 +235,12 @@
             self._context.crash_guard.record_completed(self._job.call)
 
     async def _resume_cut_short(self) -> bool:
-        """Resume if the response ended with its connection, in an event."""
+        """Resume after a response that ended within an event."""
         reply = self._reply
-        if reply is None or not reply.connection.is_ended_by_close:
+        if reply is None:
             return False
+        if not reply.connection.is_ended_by_close:
+            return await self._repeat_elsewhere("ended within an event")
         self._check_crash(reply, had_output=True)
         return await self._resume_elsewhere()
 
@@ -268,12 +284,14 @@
             if copy is None:
                 return await self._recover()
             source = f"{copy.source.address}/{copy.handle}"
-            return await self._resume_at(copy.target, source)
+            if await self._resume_at(copy.target, source):
+                return True
+            return await self._repeat_elsewhere("not resumed after a move")
         finally:
             self._release_move()
 
     async def _recover(self) -> bool:
-        """Resume at the backup unless too many engines were lost.
+        """Go on elsewhere unless too many engines were lost.
 
         The crash check has not finished yet, so each lost engine counts as
         crashed. This prevents one generation from crashing its backups in
@@ -284,7 +302,9 @@
             return False
         if not self.stats.events and await self._has_crashed_engine():
             return False
-        return await self._resume_at_backup()
+        if await self._resume_at_backup():
+            return True
+        return await self._repeat_elsewhere("engine lost")
 
     async def _has_crashed_engine(self) -> bool:
         """Return whether the engine that was lost has crashed.
@@ -321,78 +341,51 @@
         return await self._resume_at(upstream, source)
 
     async def _resume_at(self, upstream: Upstream, source: str) -> bool:
-        before = self._reservation.upstream
-        self._backup.choose(upstream)
-        reply = None
-        carrier = None
-        if self._context.forwarder.is_unreached(upstream.pool):
-            carrier = await self._request_carrier(upstream, source)
-        else:
-            try:
-                reply = await self._send_resume(upstream, source)
-            except UpstreamUnreachableError:
-                carrier = await self._request_carrier(upstream, source)
-        log.bind(
-            request=self._job.request_id,
-            upstream=before.name,
-            target=upstream.name,
-            event=self._splitter.last_id,
+        resume = Resume(
+            upstream=upstream.name,
             source=source,
-            to_host=carrier.host if carrier else "",
-        ).info(
-            "resumed on another engine"
-            if reply or carrier
-            else "could not resume"
+            last_event=self._splitter.last_id,
         )
-        if carrier is not None:
-            self._is_carried = True
-            self._reservation.release()
-            reply = Reply(upstream, carrier.connection, carrier.head, "answer")
-        if reply is None or self._is_carried:
-            self._backup.release()
-        if reply is None:
+        resumed = await resume_at(
+            self._context,
+            self._job,
+            upstream,
+            resume,
+            self._reservation,
+            self._backup,
+        )
+        if resumed is None:
             return False
-        self.stats.moves += 1
         self._context.metrics.count("generations.moved")
-        self._stop_reading()
-        self._discard_buffered()
-        if not self._is_carried:
-            self._reservation.move(upstream)
-        self._splitter = EventSplitter(self._splitter.last_id)
-        self._start_reading(reply)
-        if self._is_carried:
-            return True
-        if self._context.upstreams.is_leaving(upstream.name):
-            self.leave_engine()  # notified while it resumed
+        self._go_on(resumed.reply, is_carried=resumed.is_carried)
         return True
 
-    async def _send_resume(
-        self, upstream: Upstream, source: str
-    ) -> Reply | None:
-        return await send_resume(
-            self._context,
-            self._job,
-            upstream,
-            source,
+    async def _repeat_elsewhere(self, reason: str) -> bool:
+        """Send the request again, from its last whole event on."""
+        if self._repeat is None or self._reply is None:
+            return False
+        repeated = await self._repeat.run(
+            self._reply.upstream,
             self._splitter.last_id,
-            self._backup.headers(),
+            self.stats.last_event_s,
+            reason,
         )
+        if repeated is None:
+            return False
+        repeated.replace(self._reservation, self._backup)
+        self._go_on(repeated.reply, is_carried=repeated.is_carried)
+        return True
 
-    async def _request_carrier(
-        self, upstream: Upstream, source: str
-    ) -> ForwardedReply | None:
-        """Ask another host to go on at an engine that this one lost."""
-        resume = Resume(
-            upstream=upstream.name,
-            source=source,
-            last_event=self._splitter.last_id,
-        )
-        with suppress(TimeoutError):
-            async with asyncio.timeout(CARRIER_TIMEOUT_S):
-                return await self._context.forwarder.resume(
-                    self._job.call, resume
-                )
-        return None
+    def _go_on(self, reply: Reply, *, is_carried: bool) -> None:
+        """Relay the response of the next engine instead."""
+        self.stats.moves += 1
+        self._stop_reading()
+        self._discard_buffered()
+        self._is_carried = is_carried
+        self._splitter = EventSplitter(self._splitter.last_id)
+        self._start_reading(reply)
+        if self._context.upstreams.is_leaving(reply.upstream.name):
+            self.leave_engine()  # notified while it resumed
 
     def _discard_buffered(self) -> None:
         """Drop chunks of the previous engine, which the next one repeats."""
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -4,18 +4,14 @@
 
 import asyncio
 
-import attrs
 from loguru import logger
 
 from balsamlift.exceptions import (
     UpstreamBrokenError,
-    UpstreamRestrictedError,
-    UpstreamUnreachableError,
 )
 from balsamlift.peers import Upstream, Upstreams
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._attempt import MAX_UNREACHABLE_UPSTREAMS, Attempt
-from balsamlift.relay._balance import prefill_key
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._headers import caller_headers
@@ -40,20 +36,22 @@
 from balsamlift.relay.forwarding import Unreached
 from balsamlift.relay.generations._backup import Backup
 from balsamlift.relay.generations._engine_placement import EnginePlacement
+from balsamlift.relay.generations._events import parse_event_id
 from balsamlift.relay.generations._generation import Generation
 from balsamlift.relay.generations._generation_context import GenerationContext
 from balsamlift.relay.generations._job import Job
-from balsamlift.relay.generations._memory_allocator import MemoryReservation
-from balsamlift.relay.generations._token_estimate import (
-    TokenEstimate,
-    read_token_estimate,
+from balsamlift.relay.generations._repeat import Repeat, RepeatContext
+from balsamlift.relay.generations._sender import (
+    GATEWAY_TIMEOUT,
+    Sender,
+    StartedGeneration,
 )
+from balsamlift.relay.generations._token_estimate import read_token_estimate
 
 log = logger.bind(part="generations")
 
 MAX_SENDS = 4  # of one request, to start a generation
 MAX_ERROR_BODY_BYTES = 65_536  # of an engine's response that is not a stream
-GATEWAY_TIMEOUT = 504  # from an engine, at the caller's deadline
 # Expected duration of a generation on heavily loaded engines: a fixed part and
 # a part per output token.
 EXPECTED_START_S = 1.0
@@ -62,15 +60,6 @@
 DEFAULT_TRAITS = EngineTraits(memory_tokens=1 << 40)
 
 
-@attrs.frozen
-class _StartedGeneration:
-    """An engine's response and the memory reserved for the generation."""
-
-    reply: Reply
-    reservation: MemoryReservation
-    backup: Backup
-
-
 class Generations:
     """Runs generations, and moves them off engines that are leaving."""
 
@@ -86,8 +75,15 @@
         self._placement = EnginePlacement(
             context.balancer, context.allocator, context.permits
         )
-        self._admission = admission
+        self._sender = Sender(context, admission)
         self._retries = retries
+        self._repeats = RepeatContext(
+            context,
+            self._placement,
+            self._sender,
+            retries,
+            self._fits_before_leaving,
+        )
         self._upstreams = upstreams
         self._forwarder = context.forwarder
         self._running: set[Generation] = set()
@@ -102,18 +98,18 @@
         """
         self._leaves_at_s = leaves_at_s
 
-    def _fits_before_leaving(self, estimate: TokenEstimate) -> bool:
+    def _fits_before_leaving(self, job: Job) -> bool:
         if self._leaves_at_s is None:
             return True
         remaining_s = self._leaves_at_s - asyncio.get_running_loop().time()
         expected_s = (
-            EXPECTED_START_S + estimate.output_tokens * EXPECTED_TOKEN_S
+            EXPECTED_START_S + job.estimate.output_tokens * EXPECTED_TOKEN_S
         )
         return expected_s <= remaining_s
 
     async def serve(self, call: Call, responder: Responder) -> Outcome:
         """Respond to the caller and return the outcome for the log."""
-        attempt = Attempt(is_idempotent=False)
+        attempt = Attempt(call.is_idempotent)
         origin = call.request.origin
         resume = origin.resume if origin is not None else None
         job = self._make_job(call)
@@ -132,7 +128,12 @@
         )
         service = call.table.services.get(call.service)
         traits = (service.engine if service else None) or DEFAULT_TRAITS
-        return Job(call, estimate, traits)
+        if not call.is_idempotent:
+            return Job(call, estimate, traits)
+        position = call.request.headers.get(
+            self._context.names.last_event_id, ""
+        )
+        return Job(call, estimate, traits, parse_event_id(position))
 
     async def _resume(
         self,
@@ -167,12 +168,12 @@
     async def _run(
         self, job: Job, attempt: Attempt, responder: Responder
     ) -> Outcome | Refusal:
-        if not self._fits_before_leaving(job.estimate):
+        if not self._fits_before_leaving(job):
             # Another host can finish it; this one would have to abort it.
             return give_up(attempt, "host is leaving", 0)
         result = await self._start(job, attempt)
-        if isinstance(result, _StartedGeneration):
-            text = await self._relay(result, job, responder)
+        if isinstance(result, StartedGeneration):
+            text = await self._relay(result, job, attempt, responder)
             upstream = result.reservation.upstream.name
             return Outcome(text, upstream, attempt.sent_to)
         if not isinstance(result, Unreached):
@@ -181,7 +182,7 @@
 
     async def _start(
         self, job: Job, attempt: Attempt
-    ) -> _StartedGeneration | Refusal | Unreached:
+    ) -> StartedGeneration | Refusal | Unreached:
         call = job.call
         tried: set[str] = set()
         unreachable = 0
@@ -210,114 +211,72 @@
                 if self._context.balancer.is_closed(call.scope):
                     return no_upstream(attempt, call, now_s)
                 return no_memory(attempt, call, now_s)
-            backup = Backup(self._context, job)
-            backup.choose(reservation.upstream)
-            self._log_placed(call, reservation, backup)
-            pending_prefill = MemoryReservation(
-                self._context.balancer,
-                reservation.upstream,
-                job.estimate.prompt_tokens,
-                prefill_key,
-            )
-            try:
-                if not self._admission.still_allows(call):
-                    return give_up(attempt, "configuration changed", 0)
-                blamed = self._context.crash_guard.refusal(call, attempt)
-                if blamed is not None:
-                    return blamed
-                result = await self._send(
-                    call, attempt, reservation.upstream, backup.headers()
-                )
-            except BaseException:
+            upstream = reservation.upstream
+            refusal = self._sender.refusal(call, attempt)
+            if refusal is not None:
                 reservation.release()
-                backup.release()
-                raise
-            finally:
-                pending_prefill.release()
-            if isinstance(result, Reply):
-                return _StartedGeneration(result, reservation, backup)
-            reservation.release()
-            backup.release()
-            tried.add(reservation.upstream.name)
-            if attempt.sends == sends_before:
+                return refusal
+            result = await self._sender.send(job, attempt, reservation)
+            if isinstance(result, StartedGeneration) and not result.has_failed:
+                return result
+            tried.add(upstream.name)
+            if isinstance(result, Refusal) and attempt.sends == sends_before:
                 unreachable += 1  # the request was not sent
                 if unreachable >= MAX_UNREACHABLE_UPSTREAMS:
                     return Unreached(result)
                 continue
-            sends_exhausted = attempt.sends >= MAX_SENDS
-            if sends_exhausted or not attempt.certainly_not_run:
-                return result
-            if not self._retries.spend(call.service):
+            if not await self._may_start_again(
+                job, attempt, result, upstream, tried
+            ):
                 return result
+            if isinstance(result, StartedGeneration):
+                result.release()
+                result.reply.connection.close()
+                self._context.balancer.record_error(upstream.name)
 
-    def _log_placed(
-        self, call: Call, reservation: MemoryReservation, backup: Backup
-    ) -> None:
-        waited_s = asyncio.get_running_loop().time() - call.request.arrived_s
-        balancer = self._context.balancer
-        upstream = reservation.upstream.name
-        log.bind(
-            request=call.request_id,
-            upstream=upstream,
-            tokens=reservation.tokens,
-            load=balancer.load(upstream),  # including this call
-            unread=balancer.load(prefill_key(upstream)),  # excluding this call
-            counts=balancer.counts_basis,
-            backup=backup.upstream,
-            waited_ms=round(waited_s * 1_000),
-        ).info("placed")
-
-    async def _send(
+    async def _may_start_again(
         self,
-        call: Call,
+        job: Job,
         attempt: Attempt,
+        result: StartedGeneration | Refusal,
         upstream: Upstream,
-        extra: list[tuple[str, str]],
-    ) -> Reply | Refusal:
-        balancer = self._context.balancer
-        try:
-            async with self._context.crash_guard.limit(call):
-                reply = await self._context.exchange.send(
-                    call, attempt, upstream, extra
-                )
-        except TimeoutError:  # a part of its prompt was blocked meanwhile
-            return CRASHING_REQUEST
-        except UpstreamRestrictedError as error:
-            return give_up(attempt, f"engine {error.restriction}")
-        except (UpstreamUnreachableError, UpstreamBrokenError) as error:
-            backoff_s = balancer.eject(upstream.name)
-            log.bind(
-                request=call.request_id,
-                upstream=upstream.name,
-                out_ms=round(backoff_s * 1_000),
-                may_have_run=attempt.may_have_run,
-            ).warning("ejected: {}", error)
-            if isinstance(error, UpstreamBrokenError):
-                self._context.crash_guard.check_broken_call(
-                    call, upstream, had_output=False
-                )
-            return give_up(attempt, "engine gave no answer")
-        if reply.disposition == "not_executed":
-            reply.connection.close()
-            balancer.abandon_trial(upstream.name)
-            log.bind(
-                request=call.request_id,
-                upstream=upstream.name,
-                status=reply.head.status,
-                load=balancer.load(upstream.name),
-            ).info("engine refused")
-            return give_up(attempt, "engines full")
-        return reply
+        tried: set[str],
+    ) -> bool:
+        """Return whether to send a generation to one more engine."""
+        if attempt.sends >= MAX_SENDS or result is CRASHING_REQUEST:
+            return False
+        if attempt.certainly_not_run:
+            return self._retries.spend(job.call.service)
+        repeat = self._make_repeat(job, attempt)
+        if repeat is None:
+            return False
+        reason = (
+            result.reason
+            if isinstance(result, Refusal)
+            else f"engine answered {result.reply.head.status}"
+        )
+        return await repeat.may_start_again(upstream, tried, reason)
+
+    def _make_repeat(self, job: Job, attempt: Attempt) -> Repeat | None:
+        if not job.call.is_idempotent:
+            return None
+        return Repeat(self._repeats, job, attempt)
 
     async def _relay(
         self,
-        started: _StartedGeneration,
+        started: StartedGeneration,
         job: Job,
+        attempt: Attempt,
         responder: Responder,
     ) -> str:
         reply = started.reply
         generation = Generation(
-            self._context, job, responder, started.reservation, started.backup
+            self._context,
+            job,
+            responder,
+            started.reservation,
+            started.backup,
+            self._make_repeat(job, attempt),
         )
         self._running.add(generation)
         if self._upstreams.is_leaving(reply.upstream.name):
@@ -343,8 +302,7 @@
             return outcome
         finally:
             self._running.discard(generation)
-            started.reservation.release()
-            started.backup.release()
+            started.release()
 
     async def _forward_failure(
         self, reply: Reply, responder: Responder
--- a/src/balsamlift/relay/generations/_job.py
+++ b/src/balsamlift/relay/generations/_job.py
@@ -7,6 +7,7 @@
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._request import Call
 from balsamlift.relay._scope import Scope
+from balsamlift.relay.generations._events import NO_EVENT_ID
 from balsamlift.relay.generations._token_estimate import TokenEstimate
 
 
@@ -17,6 +18,9 @@
     call: Call
     estimate: TokenEstimate
     traits: EngineTraits  # of the engines of its service
+    last_event: int = NO_EVENT_ID  # that the caller has already
+    # Monotonic time until which it waits for memory; None: its target.
+    wait_until_s: float | None = None
 
     @property
     def request_id(self) -> str:
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -66,6 +66,12 @@
         self._balancer.publish()
         self.upstream = upstream
 
+    def replace_by(self, other: MemoryReservation) -> None:
+        """Release this memory and hold that of another reservation."""
+        self.release()
+        self.upstream, self.tokens = other.upstream, other.tokens
+        other.tokens = 0
+
     def release(self) -> None:
         """Release the memory; further calls have no effect."""
         tokens, self.tokens = self.tokens, 0
--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -553,6 +553,41 @@
     run(test())
 
 
+def test_a_generation_refused_after_its_wait_holds_no_memory() -> None:
+    async def slow(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await go_on.wait()
+        await stream(connection, request)
+
+    go_on = asyncio.Event()
+
+    async def test() -> None:
+        stand_ins = engines(1)
+        stand_ins[0].behave = slow
+        full = [f"{HEADER_NAMES.token_usage}: 8000,500"]
+        async with RelayHarness(stand_ins) as world:
+            world.configure()
+            first = asyncio.create_task(
+                world.call("/draft/1", "first", headers=full)
+            )
+            while not stand_ins[0].arrivals:
+                await asyncio.sleep(0.005)
+            second = asyncio.create_task(
+                world.call("/draft/1", "second", headers=full)
+            )
+            while not world.relay._allocator.waiting_count:
+                await asyncio.sleep(0.005)
+            world.configure(2, routes=())
+            go_on.set()
+            assert (await first).is_whole
+            assert (await second).status == 503
+            assert world.relay._balancer.load(stand_ins[0].name) == 0
+        assert stand_ins[0].ids() == ["first"]
+
+    run(test())
+
+
 def test_unreachable_engines_cost_no_retry() -> None:
     """Nothing reached the engines, so no retry is charged.
 
