Test the wait for memory of a repeat

Callers wait two seconds for an event, so a repeat may wait one for memory, also after the route's target.

--- a/tests/test_relay_resumable.py
+++ b/tests/test_relay_resumable.py
@@ -341,6 +341,34 @@
     assert parse_event_id(text) == event_id
 
 
+@pytest.mark.parametrize("is_freed", [True, False])
+def test_a_repeat_waits_for_memory_while_callers_stay(is_freed: bool) -> None:
+    """Callers wait two seconds for an event, and memory may take one."""
+
+    async def test() -> None:
+        stand_ins = engines(2)
+        lose_first(stand_ins, lose_after(1))
+        async with RelayHarness(stand_ins) as world:
+            configure(world, target_ms=200)
+            balancer = world.relay._balancer
+            balancer.add("model-1", PLAIN.memory_tokens)
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE)
+            )
+            await until_arrived(stand_ins, 1)
+            await asyncio.sleep(0.4)  # the target has passed
+            assert not calling.done()
+            if is_freed:
+                balancer.add("model-1", -PLAIN.memory_tokens)
+            async with asyncio.timeout(1.6):
+                answer = await calling
+            assert count(world, "repeat_failed") == (not is_freed)
+        assert answer.is_whole is is_freed
+        assert answer.body == (events(0) if is_freed else events(0, 0))
+
+    run(test())
+
+
 def test_the_second_engine_may_leave() -> None:
     async def test() -> None:
         stand_ins = engines()
