--- a/src/balsamlift/relay/generations/_memory_wait.py
+++ b/src/balsamlift/relay/generations/_memory_wait.py
@@ -127,6 +127,8 @@
     def _decide(
         self, job: Job, request: MemoryRequest, *, is_waiting: bool
     ) -> WaitUntil | RefuseNow:
+        if job.wait_until_s is not None:
+            return WaitUntil(until_s=job.wait_until_s, expected_ms=None)
         return decide_wait(
             _wait_request(job),
             self._allocator.backlog(request),
