Foresee that late generations are served after those in time

Hosts learn which share of the grants goes to late ones while such wait; the part of a wait after the target takes longer by that share.

Tests: test_placement_wait_decision plays both orders; without the learned share two cases fail. test_relay_*, test_placement_*, test_retry_after and test_embedding pass (two workers).

--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from balsamlift.placement._backlog import Backlog
 from balsamlift.placement._engine import LoadReport
+from balsamlift.placement._late_share import LateShares
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._request import PlacementRequest, Ticket
 from balsamlift.placement._residence import (
@@ -21,6 +22,7 @@
 
 __all__ = [
     "Backlog",
+    "LateShares",
     "LoadReport",
     "Placement",
     "PlacementRequest",
--- a/src/balsamlift/placement/_wait_decision.py
+++ b/src/balsamlift/placement/_wait_decision.py
@@ -118,10 +118,12 @@
     now_s: float,
     *,
     is_waiting: bool = False,
+    late_share: float = 1.0,
 ) -> WaitUntil | RefuseNow:
     """Return until when a request waits, or that there is no use in it.
 
-    Asked again while it `is_waiting`: the backlog changes.
+    Asked again while it `is_waiting`: the backlog changes. `late_share` of the
+    memory goes to those that have passed their target.
     """
     tokens = request.tokens
     expected_ms = expected_wait_ms(backlog, tokens, residence.mean_ms)
@@ -131,13 +133,18 @@
     until_s = min(request.patience_s, latest_start_s)
     longest_ms = (until_s - request.arrived_s) * _MS_PER_S
     waited_ms = (now_s - request.arrived_s) * _MS_PER_S
+    least_ms = _slow_down(
+        _least_wait_ms(backlog, residence),
+        max(request.target_ms - waited_ms, 0.0),
+        late_share,
+    )
     factor = WAITING_REFUSAL_FACTOR if is_waiting else REFUSAL_FACTOR
     reason: RefusalReason
     if now_s >= latest_start_s:
         reason = "too_late"
     elif now_s >= until_s:
         reason = "overdue"
-    elif waited_ms + _least_wait_ms(backlog, residence) > longest_ms * factor:
+    elif waited_ms + least_ms > longest_ms * factor:
         reason = "no_room"
     else:
         return WaitUntil(until_s=until_s, expected_ms=expected_ms)
@@ -168,6 +175,12 @@
     return expected_wait_ms(backlog, 0, residence.least_mean_ms) or 0.0
 
 
+def _slow_down(wait_ms: float, in_time_ms: float, late_share: float) -> float:
+    """Return a wait of which the part after the target takes longer."""
+    late_ms = max(wait_ms - in_time_ms, 0.0)
+    return wait_ms - late_ms + late_ms / late_share
+
+
 def _retry_ms(
     request: WaitRequest,
     backlog: Backlog,
--- a/src/balsamlift/relay/generations/_memory_wait.py
+++ b/src/balsamlift/relay/generations/_memory_wait.py
@@ -11,6 +11,7 @@
 
 from balsamlift.metrics import Metrics
 from balsamlift.placement import (
+    LateShares,
     RefuseNow,
     ResidenceTimes,
     WaitRequest,
@@ -41,6 +42,14 @@
     retry_after_ms: int | None = None  # None: unknown
 
 
+@attrs.frozen(eq=False)
+class _Waiting:
+    """Name the pool of a waiting generation, and when its target passes."""
+
+    pool: str
+    target_s: float
+
+
 class MemoryWait:
     """Reserve memory, and refuse generations that would wait in vain."""
 
@@ -52,6 +61,8 @@
         self._allocator = allocator
         self._metrics = metrics
         self._residence = ResidenceTimes()
+        self._late_shares = LateShares()
+        self._waiting: set[_Waiting] = set()
 
     def record_released(self, job: Job, reserved_s: float) -> None:
         """Record a generation that held memory from `reserved_s` until now."""
@@ -81,10 +92,8 @@
 
     async def _refresh(self, job: Job) -> None:
         """Fetch the counts of other hosts; go on without if it takes long."""
-        call = job.call
-        target_s = call.request.arrived_s + call.route.target_ms / _MS_PER_S
         now_s = asyncio.get_running_loop().time()
-        until_s = max(target_s, now_s + RENEWAL_INTERVAL_S)
+        until_s = max(_target_s(job), now_s + RENEWAL_INTERVAL_S)
         with suppress(TimeoutError):
             async with asyncio.timeout_at(until_s):
                 await self._balancer.refresh()
@@ -113,6 +122,8 @@
             renewal = loop.call_later(RENEWAL_INTERVAL_S, renew)
 
         renewal = loop.call_soon(renew)
+        waiting = _Waiting(job.scope.pool, _target_s(job))
+        self._waiting.add(waiting)
         try:
             async with asyncio.timeout(None) as limit:
                 reservation = await self._allocator.wait(request, is_over)
@@ -120,10 +131,22 @@
             return None
         finally:
             renewal.cancel()
+            self._waiting.discard(waiting)
         if reservation is not None and first is not None:
             reservation.expected_wait_ms = first.expected_ms
+            self._record_granted(waiting)
         return reservation
 
+    def _record_granted(self, granted: _Waiting) -> None:
+        """Record whether late generations of its pool get memory."""
+        now_s = asyncio.get_running_loop().time()
+        is_late = granted.target_s <= now_s
+        if is_late or any(
+            other.pool == granted.pool and other.target_s <= now_s
+            for other in self._waiting
+        ):
+            self._late_shares.record(granted.pool, is_late=is_late)
+
     def _decide(
         self, job: Job, request: MemoryRequest, *, is_waiting: bool
     ) -> WaitUntil | RefuseNow:
@@ -133,6 +156,7 @@
             self._residence.of(job.scope.pool, _expected_ms(job)),
             asyncio.get_running_loop().time(),
             is_waiting=is_waiting,
+            late_share=self._late_shares.share(job.scope.pool),
         )
 
     def _refuse(
@@ -175,5 +199,10 @@
     )
 
 
+def _target_s(job: Job) -> float:
+    call = job.call
+    return call.request.arrived_s + call.route.target_ms / _MS_PER_S
+
+
 def _expected_ms(job: Job) -> float:
     return expected_run_ms(job.estimate.output_tokens)
--- a/tests/test_placement_wait_decision.py
+++ b/tests/test_placement_wait_decision.py
@@ -11,6 +11,7 @@
 
 from balsamlift.placement import (
     Backlog,
+    LateShares,
     RefuseNow,
     Residence,
     ResidenceTimes,
@@ -48,6 +49,10 @@
     returns: list[float] = attrs.field(factory=list)
     reasons: list[str] = attrs.field(factory=list)
 
+    def is_late(self, now_s: float) -> bool:
+        """Return whether its latest attempt has passed its target."""
+        return now_s >= self.attempts[-1][0] + self.target_s
+
     def request(self) -> WaitRequest:
         """Return its latest attempt."""
         random.seed(self.number * 100 + len(self.attempts))
@@ -66,10 +71,17 @@
 class Play:
     """One pool, first come first served, as callers at a host find it."""
 
-    def __init__(self, callers: list[Caller], known: bool = True) -> None:
+    def __init__(
+        self,
+        callers: list[Caller],
+        known: bool = True,
+        late_last: bool = False,
+    ) -> None:
         self.callers = callers
         self.places = PLACES
         self._known = known
+        self._late_last = late_last
+        self._late_shares = LateShares()
         self._arriving = [(c.first_s, c) for c in callers]
         self._waiting: list[Caller] = []
         self._ends: list[float] = []
@@ -94,8 +106,16 @@
                 self._decide(caller, now_s)
 
     def _place(self, now_s: float) -> None:
+        if self._late_last:
+            self._waiting.sort(
+                key=lambda c: (c.is_late(now_s), c.attempts[-1][0])
+            )
         while self._waiting and len(self._ends) < self.places:
-            self._waiting.pop(0).served_s = now_s
+            caller = self._waiting.pop(0)
+            caller.served_s = now_s
+            is_late = caller.is_late(now_s)
+            if is_late or any(c.is_late(now_s) for c in self._waiting):
+                self._late_shares.record("p", is_late=is_late)
             self._ends.append(now_s + RUN_S)
 
     def _decide(self, caller: Caller, now_s: float) -> None:
@@ -113,6 +133,7 @@
             RESIDENCE,
             now_s,
             is_waiting=now_s > request.arrived_s,
+            late_share=self._late_shares.share("p"),
         )
         if isinstance(decision, WaitUntil):
             caller.until_s = decision.until_s
@@ -156,13 +177,14 @@
     assert max(slots.values()) <= expected + 3 * sqrt(expected)
 
 
+@pytest.mark.parametrize("late_last", [False, True])
 @pytest.mark.parametrize("patience_s", [6.0, 39.0])
 def test_beyond_what_fits_callers_are_served_or_told_at_once(
-    patience_s: float,
+    patience_s: float, late_last: bool
 ) -> None:
     length_s = 20.0
     callers = crowd(3 * CAPACITY_PER_S, length_s, patience_s=patience_s)
-    play = Play(callers)
+    play = Play(callers, late_last=late_last)
     play.run(length_s)
     served = [c for c in callers if c.served_s is not None]
     assert len(served) >= 0.95 * CAPACITY_PER_S * length_s
@@ -177,14 +199,28 @@
         assert caller.served_s <= last_s + STEP_S
 
 
-def test_after_a_crowd_all_whose_time_suffices_are_served() -> None:
+@pytest.mark.parametrize("late_last", [False, True])
+def test_after_a_crowd_all_whose_time_suffices_are_served(
+    late_last: bool,
+) -> None:
     callers = crowd(4 * CAPACITY_PER_S, 5.0)
-    play = Play(callers)
+    play = Play(callers, late_last=late_last)
     play.run(45.0)
     assert all(c.served_s is not None for c in callers)
     check_no_wave(callers)
 
 
+def test_behind_those_in_time_few_wait_in_vain() -> None:
+    length_s = 20.0
+    callers = crowd(3 * CAPACITY_PER_S, length_s)
+    Play(callers, late_last=True).run(length_s)
+    in_vain_s = sum(e - b for b, e in refusals(callers))
+    # No more than the half that a forecast may be off by, 7 s each.
+    assert in_vain_s <= 0.5 * CAPACITY_PER_S * length_s * 7.0
+    in_time = [c for c in callers if (c.served_s or inf) - c.first_s <= 2.0]
+    assert len(in_time) >= 0.5 * CAPACITY_PER_S * length_s
+
+
 def test_callers_refused_at_one_moment_return_at_different_ones() -> None:
     callers = [Caller(1.0, n) for n in range(20 * PLACES)]
     Play(callers).run(1.5)
