--- a/src/balsamlift/relay/generations/_memory_wait.py
+++ b/src/balsamlift/relay/generations/_memory_wait.py
@@ -176,6 +176,7 @@
             request=job.request_id,
             waited_ms=round(waited_ms),
             expected_wait_ms=decision.expected_ms,
+            late_share=self._late_shares.share(job.scope.pool),
             retry_after_ms=retry_after_ms,
             tokens=request.tokens,
             ahead_tokens=backlog.ahead_tokens,
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -388,7 +388,14 @@
 )
 NEWER = ("version", "in_force", "source")
 CRASHED = ("request", "fingerprint", "upstream", "had_output")
-PLACED = ("request", "upstream", "tokens", "load", "counts", "waited_ms")
+PLACED = (
+    *("request", "upstream", "tokens", "load", "counts"),
+    *("waited_ms", "expected_wait_ms"),
+)
+NO_MEMORY = (
+    *("request", "tokens", "waited_ms", "expected_wait_ms", "retry_after_ms"),
+    *("ahead_tokens", "free_tokens", "used_tokens", "counts", "late_share"),
+)
 ENDED = ("request", "fingerprint", "route", "service", "version", "took_ms")
 EXPECTED = [
     Expected(unknown_key, "unknown key", REFUSED),
@@ -460,6 +467,7 @@
         engines_on_trial, "trial succeeded", ("upstream", "failed_trials")
     ),
     Expected(no_memory, "no room", ENDED),
+    Expected(no_memory, "no memory: ", NO_MEMORY),
     Expected(caller_leaves, "caller gone", ENDED),
     Expected(
         resumed_at_backup,
