--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -8,6 +8,7 @@
     groups_before,
     leaves_room,
 )
+from balsamlift.placement._late_share import LateShares
 from balsamlift.placement._pace import (
     EnginePace,
     GapAverage,
@@ -42,6 +43,7 @@
     "Backlog",
     "EnginePace",
     "GapAverage",
+    "LateShares",
     "LoadReport",
     "Offer",
     "PaceRating",
--- a/src/balsamlift/placement/_waiting_line.py
+++ b/src/balsamlift/placement/_waiting_line.py
@@ -170,16 +170,17 @@
     ) -> float:
         """Return the tokens served before a request of that size.
 
-        It is new, or waits at `position`.
+        It is new, or waits at `position`. One that is in time goes before
+        those of its priority that are late.
         """
         more_urgent = 0.0
         ahead = 0.0  # of the same workspace
         is_ahead = True
         others: dict[str, tuple[float, float]] = {}
-        for item in self:
+        for item in self._competing(priority, position):
             if item is position:
                 is_ahead = False
-            elif item.scope != scope or item.priority > priority:
+            elif item.scope != scope:
                 continue
             elif item.priority < priority:
                 more_urgent += item.cost
@@ -191,6 +192,19 @@
         per_weight = (ahead + tokens) / weight
         return more_urgent + ahead + served_to_others(others, per_weight)
 
+    def _competing(
+        self, priority: int, position: Item | None
+    ) -> Iterator[Item]:
+        """Iterate over the requests that may be served before one."""
+        for each in sorted(self._levels):
+            level = self._levels[each]
+            if each < priority:
+                yield from level
+            elif each == priority:
+                yield from level.in_time
+                if position is not None and position not in level.in_time:
+                    yield from level.late
+
     def _choose(
         self, passes: dict[int, _LevelPass[Item]]
     ) -> tuple[FairPass[Item], Item] | None:
