Predict pauses from the pace, and keep prompts off slow engines in use

A rare pause is not seen in the last seconds of one engine, and a reference by the lowest quartile finds no slow engine where most are slow. Now the pool's gaps are counted by their ratio to the usual gap of their engine for a minute; an engine's own pace and that distribution give the risk of a pause beyond the route's. A prompt costs what it makes streams there late. Engines are compared with the fastest tenth, and the events of whole streams by expected token correct what further ones are expected to send.

--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -3,15 +3,15 @@
 from balsamlift.placement._backlog import Backlog
 from balsamlift.placement._engine import LoadReport
 from balsamlift.placement._pace import (
-    EnginePace,
+    RATIOS,
     GapAverage,
+    GapRatios,
     PaceRating,
-    PauseCounts,
-    RecentPauses,
+    RecentRatios,
     StreamDemand,
     compare_gaps,
-    is_long,
     rate_paces,
+    ratio_of,
     smooth_usual,
 )
 from balsamlift.placement._policy import Policy
@@ -20,21 +20,21 @@
 from balsamlift.placement._service import Placement
 
 __all__ = [
+    "RATIOS",
     "Backlog",
-    "EnginePace",
     "GapAverage",
+    "GapRatios",
     "LoadReport",
     "PaceRating",
-    "PauseCounts",
     "Placement",
     "PlacementRequest",
     "Policy",
-    "RecentPauses",
+    "RecentRatios",
     "Scheduler",
     "StreamDemand",
     "Ticket",
     "compare_gaps",
-    "is_long",
     "rate_paces",
+    "ratio_of",
     "smooth_usual",
 ]
--- a/src/balsamlift/placement/_pace.py
+++ b/src/balsamlift/placement/_pace.py
@@ -1,13 +1,14 @@
 """Pace of engines, and what it costs a generation to run on a slow one.
 
 Answers a load of long and short streams on engines that differ in speed: long
-ones go to fast engines, short ones to the memory that this leaves free on slow
-ones. Costs are fractions of an engine's memory. They are 0 where engines are
-about equally fast and none pauses for nearly too long.
+ones go to fast engines, and no prompt to a slow one where it would make other
+streams pause for too long. Costs are fractions of an engine's memory. They
+are 0 for engines that are not slow.
 """
 
 from __future__ import annotations
 
+import bisect
 import math
 from collections.abc import Callable, Collection, Mapping, Sequence
 from statistics import fmean, median
@@ -17,7 +18,11 @@
 GAP_WINDOW_MS = 500.0  # over which gaps between events are averaged
 GAP_SMOOTHING = 0.5  # weight of the newest window
 MIN_GAPS = 8  # in a window, to tell gaps with a prompt in them from others
-PAUSE_WINDOW_MS = 4_000.0  # for which long pauses tell of further ones
+# Multiples of the usual gap by which longer gaps are counted.
+RATIOS = (1.5, 2.0, 2.5, 3.0, 3.5, 4.0, 5.0, 7.0, 10.0, 14.0)
+RATIO_WINDOW_MS = 60_000.0  # for which they are counted
+MIN_RATIO_GAPS = 200  # fewer say nothing about long ones
+RARE_SHARE = 1 / 500  # of gaps; longer ones are no pauses for a prompt
 # Engines whose gaps are longer than the typical one by at most this share are
 # not slow: their gaps differ as much by what they run.
 EVEN_RANGE = 0.25
@@ -25,6 +30,9 @@
 # Cost of a generation that will certainly be late. One that fails costs 1,
 # and a late one is of some use to its caller.
 LATE_COST = 0.5
+# Streams that a prompt is taken to delay at most: their cost is that of an
+# engine that fails all requests.
+MAX_DELAYED_STREAMS = 2.0
 # A slow engine is preferred to a fast one with this much less free memory.
 MAX_HOLDING_COST = 0.5
 
@@ -45,8 +53,8 @@
     faster than known. Returns 0 if they show nothing.
     """
     if len(gaps_ms) >= MIN_GAPS:
-        return _smooth(_lower_quartile(gaps_ms), known_ms)
-    return min(known_ms, *gaps_ms)
+        return _smooth(sorted(gaps_ms)[len(gaps_ms) // 4], known_ms)
+    return min(known_ms, _smooth(min(gaps_ms), known_ms))
 
 
 @attrs.define
@@ -77,70 +85,85 @@
 
 
 @attrs.frozen(kw_only=True)
-class PauseCounts:
-    """Count gaps between events, and the long ones among them."""
+class GapRatios:
+    """Count gaps by how many times as long as the usual gap they were.
+
+    The ratio does not depend on how fast the engine was.
+    """
 
     gaps: int = 0
-    pauses: int = 0
-    pause_ms: float = 0.0  # sum over the pauses
+    at_least: tuple[int, ...] = (0,) * len(RATIOS)  # for each of `RATIOS`
 
-    def __add__(self, other: PauseCounts) -> PauseCounts:
+    def __add__(self, other: GapRatios) -> GapRatios:
         """Return the sum."""
-        return PauseCounts(
+        pairs = zip(self.at_least, other.at_least, strict=True)
+        return GapRatios(
             gaps=self.gaps + other.gaps,
-            pauses=self.pauses + other.pauses,
-            pause_ms=self.pause_ms + other.pause_ms,
+            at_least=tuple(a + b for a, b in pairs),
         )
 
+    def share_beyond(self, ratio: float) -> float:
+        """Return the share of gaps that are longer than that; 1 below 1."""
+        if self.gaps < MIN_RATIO_GAPS:
+            return 0.0
+        shares = [1.0, *(n / self.gaps for n in self.at_least), 0.0]
+        edges = [1.0, *RATIOS, RATIOS[-1] * 2]
+        above = bisect.bisect_left(edges, ratio)
+        if above in (0, len(edges)):
+            return float(above == 0)
+        low, high = edges[above - 1 : above + 1]
+        part = (ratio - low) / (high - low)
+        return shares[above - 1] + part * (shares[above] - shares[above - 1])
+
+    def rare_ratio(self) -> float:
+        """Return the highest ratio that more than rare gaps reach, or 1."""
+        limit = max(self.gaps * RARE_SHARE, 1.0)
+        if self.gaps < MIN_RATIO_GAPS:
+            return 1.0
+        counts = zip(RATIOS, self.at_least, strict=True)
+        return max((r for r, n in counts if n >= limit), default=1.0)
+
+
+def ratio_of(gap_ms: float, usual_ms: float, gaps: int = 1) -> GapRatios:
+    """Return the counts of a number of equal gaps."""
+    at_least = (gaps * (gap_ms >= r * usual_ms) for r in RATIOS)
+    return GapRatios(gaps=gaps, at_least=tuple(at_least))
+
 
 @attrs.define
-class RecentPauses:
-    """Hold the counts of the last `PAUSE_WINDOW_MS`, at least half of it."""
+class RecentRatios:
+    """Hold the ratios of the last `RATIO_WINDOW_MS`, at least half of it."""
 
     _half_start_ms: float = -1e9
-    _current: PauseCounts = PauseCounts()
-    _previous: PauseCounts = PauseCounts()
+    _current: GapRatios = GapRatios()
+    _previous: GapRatios = GapRatios()
 
-    def add(self, counts: PauseCounts, now_ms: float) -> None:
+    def add(self, ratios: GapRatios, now_ms: float) -> None:
         """Add new counts."""
         self._advance(now_ms)
-        self._current += counts
+        self._current += ratios
 
-    def counts(self, now_ms: float) -> PauseCounts:
+    def sum(self, now_ms: float) -> GapRatios:
         """Return the recent counts."""
         self._advance(now_ms)
         return self._current + self._previous
 
     def _advance(self, now_ms: float) -> None:
-        half_ms = PAUSE_WINDOW_MS / 2
+        half_ms = RATIO_WINDOW_MS / 2
         halves = (now_ms - self._half_start_ms) // half_ms
         if halves < 1:
             return
-        self._previous = self._current if halves == 1 else PauseCounts()
-        self._current = PauseCounts()
+        self._previous = self._current if halves == 1 else GapRatios()
+        self._current = GapRatios()
         self._half_start_ms += halves * half_ms
 
 
-def is_long(gap_ms: float, max_gap_ms: float) -> bool:
-    """Return whether a gap is a pause that is nearly too long, or longer."""
-    return gap_ms >= max_gap_ms * NEAR_SHARE
-
-
-@attrs.frozen(kw_only=True)
-class EnginePace:
-    """Hold how fast an engine sends events, as measured by some hosts."""
-
-    gap_ms: float  # mean time between events
-    long_pause_ms: float = 0.0  # mean length of recent long pauses
-    pause_share: float = 0.0  # of recent gaps that were long pauses
-
-
 @attrs.frozen(kw_only=True)
 class PoolPace:
     """Hold what the engines of a pool are compared with."""
 
-    median_gap_ms: float  # assumed for engines that are not known
-    even_gap_ms: float  # longest gap of an engine that is not slow
+    median_gap_ms: float
+    even_gap_ms: float  # longest usual gap of an engine that is not slow
 
     def slowness(self, gap_ms: float) -> float:
         """Return how many times as long it takes; 1 if it is not slow."""
@@ -152,8 +175,7 @@
     """Describe the stream that an engine is looked for."""
 
     memory_share: float  # of an engine, that it needs in the end
-    prompt_share: float  # of an engine's memory, that its prompt needs
-    events: int  # expected
+    events: float  # expected
     target_ms: float  # from its arrival to its first event
     max_gap_ms: float  # longest pause between events
     deadline_ms: float  # monotonic
@@ -161,116 +183,111 @@
 
 @attrs.frozen(kw_only=True)
 class PaceRating:
-    """Rate engines for one stream by how fast they are."""
+    """Rate engines for one stream by how fast they are.
+
+    All that is not slow costs nothing, so that memory in use decides.
+    """
 
     demand: StreamDemand
-    paces: Mapping[str, EnginePace]  # of the known engines, by name
+    gaps_ms: Mapping[str, float]  # usual ones, by engine; known ones only
+    ratios: GapRatios  # of the pool
     pool: PoolPace
     now_ms: float
 
-    def cost(self, engine: str) -> float:
-        """Return the cost of running the stream at the engine's pace."""
-        return pace_cost(
-            self.demand, self._pace(engine), self.pool, self.now_ms
+    def cost(self, engine: str, used_share: float) -> float:
+        """Return the cost of running the stream at the engine's pace.
+
+        `used_share` of the engine's memory is in use. An engine that nobody
+        has measured costs what the others cost on average.
+        """
+        gap_ms = self.gaps_ms.get(engine)
+        if gap_ms is not None:
+            return self._cost_at(gap_ms, used_share)
+        return fmean(
+            self._cost_at(gap_ms, used_share)
+            for gap_ms in self.gaps_ms.values()
         )
 
     def slowness(self, engine: str) -> float:
         """Return how many times as long it takes; 1 if it is not slow."""
-        return self.pool.slowness(self._pace(engine).gap_ms)
+        gap_ms = self.gaps_ms.get(engine, self.pool.median_gap_ms)
+        return self.pool.slowness(gap_ms)
 
-    def pausing_prompt_share(self, engine: str) -> float:
-        """Return the share of its prompt that makes other streams late."""
-        pace = self._pace(engine)
-        if not pace.pause_share:
+    def _cost_at(self, gap_ms: float, used_share: float) -> float:
+        even_ms = self.pool.even_gap_ms
+        if gap_ms <= even_ms:
             return 0.0
-        too_long = _risk(pace.long_pause_ms, self.demand.max_gap_ms)
-        return self.demand.prompt_share * too_long
-
-    def _pace(self, engine: str) -> EnginePace:
-        pace = self.paces.get(engine)
-        if pace is None:
-            return EnginePace(gap_ms=self.pool.median_gap_ms)
-        return pace
+        late = self._late_probability(gap_ms) - self._late_probability(even_ms)
+        delayed = self._pausing_risk(gap_ms) - self._pausing_risk(even_ms)
+        streams = used_share / max(self.demand.memory_share, 0.01)
+        delayed *= min(streams, MAX_DELAYED_STREAMS)
+        holding = _holding_cost(self.demand, gap_ms - even_ms)
+        return holding + LATE_COST * (late + delayed)
+
+    def _late_probability(self, gap_ms: float) -> float:
+        """Return the probability of a pause or an end that is too late."""
+        demand = self.demand
+        left_ms = max(demand.deadline_ms - self.now_ms, 1.0)
+        share = self.ratios.share_beyond(demand.max_gap_ms / gap_ms)
+        pause_probability = 1 - math.pow(1 - share, demand.events)
+        end_risk = _risk(demand.events * gap_ms, left_ms)
+        return max(pause_probability, end_risk)
+
+    def _pausing_risk(self, gap_ms: float) -> float:
+        """Return the risk that its prompt makes another stream late.
+
+        While the engine reads a prompt, streams have the longest pauses that
+        are usual in the pool.
+        """
+        pause_ms = gap_ms * self.ratios.rare_ratio()
+        return _risk(pause_ms, self.demand.max_gap_ms)
 
 
 def rate_paces(
-    demand: StreamDemand, paces: Mapping[str, EnginePace], now_ms: float
+    demand: StreamDemand,
+    gaps_ms: Mapping[str, float],
+    ratios: GapRatios,
+    now_ms: float,
 ) -> PaceRating | None:
     """Return how to rate the engines of a pool, None if none is known."""
-    pool = compare_gaps([pace.gap_ms for pace in paces.values()])
+    pool = compare_gaps(gaps_ms.values())
     if pool is None:
         return None
-    return PaceRating(demand=demand, paces=paces, pool=pool, now_ms=now_ms)
+    return PaceRating(
+        demand=demand, gaps_ms=gaps_ms, ratios=ratios, pool=pool, now_ms=now_ms
+    )
 
 
 def compare_gaps(gaps_ms: Collection[float]) -> PoolPace | None:
     """Return what to compare engines with, or None if no gap is known.
 
-    The typical gap is the median, unless the lowest quartile shows that more
-    than half of the engines may be slow.
+    The typical gap is the median, unless the fastest tenth shows that most
+    engines are slow.
     """
     if not gaps_ms:
         return None
     median_ms = median(gaps_ms)
-    lowest_ms = _lower_quartile(gaps_ms) / (1 - EVEN_RANGE)
-    typical_ms = min(median_ms, lowest_ms)
+    fast_ms = sorted(gaps_ms)[len(gaps_ms) // 10]
+    typical_ms = min(median_ms, fast_ms / (1 - EVEN_RANGE))
     return PoolPace(
         median_gap_ms=median_ms, even_gap_ms=typical_ms * (1 + EVEN_RANGE)
     )
 
 
-def pace_cost(
-    demand: StreamDemand, pace: EnginePace, pool: PoolPace, now_ms: float
-) -> float:
-    """Return the cost of running a stream at this pace."""
-    late_probability = max(
-        _pause_probability(demand, pace),
-        _deadline_probability(demand, pace, pool, now_ms),
-    )
-    return _holding_cost(demand, pace, pool) + LATE_COST * late_probability
-
-
-def _holding_cost(
-    demand: StreamDemand, pace: EnginePace, pool: PoolPace
-) -> float:
+def _holding_cost(demand: StreamDemand, longer_gap_ms: float) -> float:
     """Return the cost of the time for which memory is held longer.
 
     Requests that need it meanwhile wait for their target at most, so that
     time is counted in targets.
     """
-    extra_ms = max(pace.gap_ms - pool.even_gap_ms, 0.0) * demand.events
-    targets = extra_ms / max(demand.target_ms, 1.0)
+    targets = longer_gap_ms * demand.events / max(demand.target_ms, 1.0)
     return min(demand.memory_share * targets, MAX_HOLDING_COST)
 
 
-def _pause_probability(demand: StreamDemand, pace: EnginePace) -> float:
-    """Return the probability of at least one pause that is too long."""
-    if not pace.pause_share:
-        return 0.0
-    too_long = _risk(pace.long_pause_ms, demand.max_gap_ms)
-    return 1 - math.exp(-demand.events * pace.pause_share * too_long)
-
-
-def _deadline_probability(
-    demand: StreamDemand, pace: EnginePace, pool: PoolPace, now_ms: float
-) -> float:
-    """Return by how much a slow engine makes a missed deadline likelier."""
-    if pace.gap_ms <= pool.even_gap_ms:
-        return 0.0
-    left_ms = max(demand.deadline_ms - now_ms, 1.0)
-    here = _risk(demand.events * pace.gap_ms, left_ms)
-    elsewhere = _risk(demand.events * pool.even_gap_ms, left_ms)
-    return here - elsewhere
-
-
 def _smooth(value: float, known: float) -> float:
     return known + GAP_SMOOTHING * (value - known) if known else value
 
 
-def _lower_quartile(values: Collection[float]) -> float:
-    return sorted(values)[len(values) // 4]
-
-
 def _risk(value: float, limit: float) -> float:
     """Return the probability, 0 to 1, that a value exceeds its limit."""
     share = value / limit
--- a/src/balsamlift/relay/generations/_engine_cost.py
+++ b/src/balsamlift/relay/generations/_engine_cost.py
@@ -41,8 +41,7 @@
         prefill_share = pending_prefill / traits.memory_tokens
         if pace is not None:
             prefill_share *= pace.slowness(upstream.name)
-            prefill_share += pace.pausing_prompt_share(upstream.name)
-            load += pace.cost(upstream.name)
+            load += pace.cost(upstream.name, load)
         load += prefill_share * policy.prefill_weight
         failures = self._balancer.failure_share(upstream.name)
         domain_weight = (
--- a/src/balsamlift/relay/generations/_engine_paces.py
+++ b/src/balsamlift/relay/generations/_engine_paces.py
@@ -10,7 +10,8 @@
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream, Upstreams
 from balsamlift.placement import (
-    EnginePace,
+    RATIOS,
+    GapRatios,
     PaceRating,
     StreamDemand,
     compare_gaps,
@@ -20,6 +21,7 @@
 from balsamlift.relay.generations._pace_measure import (
     PaceMeasure,
     PaceValues,
+    RatioMeasure,
 )
 
 # Age after which a measured pace says nothing about an engine any more.
@@ -39,14 +41,21 @@
     return f"{upstream}/pauses"
 
 
-def long_pause_key(upstream: str) -> str:
-    """Return the key of the length of long pauses, in milliseconds."""
-    return f"{upstream}/long_pause_ms"
+def ratio_keys(pool: str) -> list[str]:
+    """Return the keys of gaps in a pool: of all, and from each ratio on."""
+    return [f"{pool}/gaps", *(f"{pool}/gaps/{ratio:g}" for ratio in RATIOS)]
 
 
-def long_pause_count_key(upstream: str) -> str:
-    """Return the key of the number of long pauses."""
-    return f"{upstream}/long_pauses"
+@attrs.define
+class _Lengths:
+    """Sum up whole streams."""
+
+    events: int = 0
+    tokens: int = 0  # as expected when they started
+
+    @property
+    def events_per_token(self) -> float:
+        return self.events / self.tokens if self.tokens else 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -56,8 +65,6 @@
     upstream: str
     gap_ms: float
     slowness: float  # compared with the engines of its pool; 1: not slow
-    long_pause_ms: float  # mean of recent ones; 0: none
-    pause_share: float  # of recent gaps that were long pauses
     own_age_ms: int | None  # of this host's measure; None: it has none
 
 
@@ -77,68 +84,79 @@
         self._clock = clock
         self._metrics = metrics
         self._measures: dict[str, PaceMeasure] = {}
+        self._ratios: dict[str, RatioMeasure] = {}  # by pool
+        self._lengths: dict[str, _Lengths] = {}  # by pool
         upstreams.on_change(self.discard_expired)
 
-    def observe(
-        self, upstream: str, gap_ms: float, gaps: int, max_gap_ms: float
-    ) -> None:
-        """Record equal gaps between events of one stream.
-
-        The route of the stream bears gaps up to `max_gap_ms`.
-        """
+    def observe(self, upstream: Upstream, gap_ms: float, gaps: int) -> None:
+        """Record equal gaps between events of one stream."""
         now_ms = self._now_ms()
-        measure = self._measures.get(upstream)
+        measure = self._measures.get(upstream.name)
         if measure is None:
-            measure = self._start_measure(upstream, now_ms)
-        is_reading = self._balancer.load(prefill_key(upstream)) > 0
-        measure.observe(
-            gap_ms, gaps, max_gap_ms, now_ms, is_reading=is_reading
-        )
-        self._publish(upstream, measure, now_ms)
+            measure = self._start_measure(upstream.name, now_ms)
+        is_reading = self._balancer.load(prefill_key(upstream.name)) > 0
+        ratios = measure.observe(gap_ms, gaps, now_ms, is_reading=is_reading)
+        self._publish(upstream.name, measure, now_ms)
+        if ratios.gaps:
+            self._add_ratios(upstream.pool, ratios, now_ms)
+
+    def record_length(
+        self, pool: str, events: int, expected_tokens: int
+    ) -> None:
+        """Record the events of a whole stream, to expect those of others."""
+        lengths = self._lengths.setdefault(pool, _Lengths())
+        lengths.events += events
+        lengths.tokens += expected_tokens
 
-    def find(self, upstream: str) -> EnginePace | None:
-        """Return the pace as all hosts measured it, None if none did."""
+    def find_gap_ms(self, upstream: str) -> float | None:
+        """Return the usual gap as all hosts measured it, None if unknown."""
         own = self._own_values(upstream)
         weight = own.weight + self._others(gap_weight_key(upstream))
         gap_us = own.weighted_us + self._others(gap_key(upstream))
-        pauses = own.pauses + self._others(long_pause_count_key(upstream))
-        pause_ms = own.pause_ms + self._others(long_pause_key(upstream))
         if weight <= 0 or gap_us <= 0:
             return None
-        return EnginePace(
-            gap_ms=gap_us / weight / _US_PER_MS,
-            long_pause_ms=pause_ms / pauses if pauses > 0 else 0.0,
-            pause_share=min(max(pauses / weight, 0.0), 1.0),
-        )
+        return gap_us / weight / _US_PER_MS
+
+    def find_ratios(self, pool: str) -> GapRatios:
+        """Return the ratios of the gaps that all hosts saw in a pool."""
+        counts = [self._others(key) for key in ratio_keys(pool)]
+        others = GapRatios(gaps=counts[0], at_least=tuple(counts[1:]))
+        own = self._ratios.get(pool)
+        return others + own.values(self._now_ms()) if own else others
 
     def rate(
-        self, upstreams: Iterable[Upstream], demand: StreamDemand
+        self, pool: str, upstreams: Iterable[Upstream], demand: StreamDemand
     ) -> PaceRating | None:
         """Return how to rate these engines, None if no pace is known."""
-        paces = {u.name: self.find(u.name) for u in upstreams}
-        known = {name: pace for name, pace in paces.items() if pace}
-        return rate_paces(demand, known, self._now_ms())
+        gaps_ms = {u.name: self.find_gap_ms(u.name) for u in upstreams}
+        known = {name: gap_ms for name, gap_ms in gaps_ms.items() if gap_ms}
+        lengths = self._lengths.get(pool, _Lengths())
+        demand = attrs.evolve(
+            demand, events=demand.events * lengths.events_per_token
+        )
+        ratios = self.find_ratios(pool)
+        return rate_paces(demand, known, ratios, self._now_ms())
 
     def snapshot(self) -> list[EnginePaceRow]:
         """Return the known engines, the slowest first."""
-        by_pool: dict[str, dict[str, EnginePace]] = {}
+        by_pool: dict[str, dict[str, float]] = {}
         for upstream in self._upstreams.all():
-            pace = self.find(upstream.name)
-            if pace is not None:
-                by_pool.setdefault(upstream.pool, {})[upstream.name] = pace
-        rows = [row for paces in by_pool.values() for row in self._rows(paces)]
+            gap_ms = self.find_gap_ms(upstream.name)
+            if gap_ms is not None:
+                by_pool.setdefault(upstream.pool, {})[upstream.name] = gap_ms
+        rows = [row for gaps in by_pool.values() for row in self._rows(gaps)]
         return sorted(rows, key=lambda row: (-row.slowness, -row.gap_ms))
 
-    def describe(self, upstream: str) -> dict[str, float | None]:
+    def describe(self, upstream: Upstream) -> dict[str, float | None]:
         """Return the pace of an engine as fields for the log."""
-        pace = self.find(upstream)
-        if pace is None:
+        gap_ms = self.find_gap_ms(upstream.name)
+        if gap_ms is None:
             return {}
+        pause_ms = gap_ms * self.find_ratios(upstream.pool).rare_ratio()
         return {
-            "pace_ms": round(pace.gap_ms, 1),
-            "long_pause_ms": round(pace.long_pause_ms),
-            "pause_share": round(pace.pause_share, 4),
-            "pace_age_ms": self._own_age_ms(upstream),
+            "gap_ms": round(gap_ms, 1),
+            "expected_pause_ms": round(pause_ms),
+            "gap_age_ms": self._own_age_ms(upstream.name),
         }
 
     def discard_expired(self) -> None:
@@ -151,6 +169,8 @@
                 self._share(name, PaceValues())
             else:
                 self._publish(name, measure, now_ms)
+        for pool, ratios in self._ratios.items():
+            self._publish_ratios(pool, ratios, now_ms)
         rows = self.snapshot()
         self._metrics.gauge("generations.engines_paced", len(rows))
         self._metrics.gauge(
@@ -159,14 +179,13 @@
 
     def _start_measure(self, upstream: str, now_ms: float) -> PaceMeasure:
         """Start from what the other hosts have measured, if anything."""
-        known = self.find(upstream)
-        measure = PaceMeasure(known.gap_ms if known else 0.0, now_ms)
+        measure = PaceMeasure(self.find_gap_ms(upstream) or 0.0, now_ms)
         self._measures[upstream] = measure
         return measure
 
     def _own_values(self, upstream: str) -> PaceValues:
         measure = self._find_recent(upstream)
-        return measure.values(self._now_ms()) if measure else PaceValues()
+        return measure.values() if measure else PaceValues()
 
     def _find_recent(self, upstream: str) -> PaceMeasure | None:
         measure = self._measures.get(upstream)
@@ -181,21 +200,34 @@
         measure = self._find_recent(upstream)
         return round(measure.age_ms(self._now_ms())) if measure else None
 
-    def _rows(self, paces: dict[str, EnginePace]) -> list[EnginePaceRow]:
+    def _rows(self, gaps_ms: dict[str, float]) -> list[EnginePaceRow]:
         """Return the rows of the known engines of one pool."""
-        pool = compare_gaps([pace.gap_ms for pace in paces.values()])
+        pool = compare_gaps(gaps_ms.values())
         return [
             EnginePaceRow(
                 upstream=upstream,
-                gap_ms=pace.gap_ms,
-                slowness=pool.slowness(pace.gap_ms) if pool else 1.0,
-                long_pause_ms=pace.long_pause_ms,
-                pause_share=pace.pause_share,
+                gap_ms=gap_ms,
+                slowness=pool.slowness(gap_ms) if pool else 1.0,
                 own_age_ms=self._own_age_ms(upstream),
             )
-            for upstream, pace in paces.items()
+            for upstream, gap_ms in gaps_ms.items()
         ]
 
+    def _add_ratios(self, pool: str, ratios: GapRatios, now_ms: float) -> None:
+        measure = self._ratios.setdefault(pool, RatioMeasure(now_ms))
+        measure.add(ratios, now_ms)
+        self._publish_ratios(pool, measure, now_ms)
+
+    def _publish_ratios(
+        self, pool: str, measure: RatioMeasure, now_ms: float
+    ) -> None:
+        values = measure.take_to_publish(now_ms)
+        if values is None:
+            return
+        counts = (values.gaps, *values.at_least)
+        for key, n in zip(ratio_keys(pool), counts, strict=True):
+            self._balancer.share_value(key, n)
+
     def _others(self, key: str) -> int:
         return self._balancer.load(key) - self._balancer.own_load(key)
 
@@ -210,8 +242,6 @@
         share = self._balancer.share_value
         share(gap_key(upstream), values.weighted_us)
         share(gap_weight_key(upstream), values.weight)
-        share(long_pause_key(upstream), values.pause_ms)
-        share(long_pause_count_key(upstream), values.pauses)
 
     def _now_ms(self) -> float:
         return self._clock.monotonic() * _MS_PER_S
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -265,7 +265,7 @@
             counts=balancer.counts_basis,
             backup=backup.upstream,
             waited_ms=round(waited_s * 1_000),
-            **self._context.paces.describe(upstream),
+            **self._context.paces.describe(reservation.upstream),
         ).info("placed")
 
     async def _send(
@@ -331,6 +331,10 @@
             self._context.balancer.record_success(reply.upstream.name)
             outcome = await generation.relay(reply)
             stats = generation.stats
+            if outcome == "whole":
+                self._context.paces.record_length(
+                    job.scope.pool, stats.events, job.estimate.output_tokens
+                )
             log.bind(
                 request=job.request_id,
                 upstream=started.reservation.upstream.name,
--- a/src/balsamlift/relay/generations/_job.py
+++ b/src/balsamlift/relay/generations/_job.py
@@ -45,9 +45,6 @@
             return None
         return StreamDemand(
             memory_share=self.tokens / self.traits.memory_tokens,
-            prompt_share=(
-                self.estimate.prompt_tokens / self.traits.memory_tokens
-            ),
             events=self.estimate.output_tokens,
             target_ms=route.target_ms,
             max_gap_ms=route.max_gap_ms,
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -126,7 +126,7 @@
         sampled = self._balancer.sample(candidates, self._sample_size())
         pace = None
         if self._paces is not None and demand is not None:
-            pace = self._paces.rate(usable, demand)
+            pace = self._paces.rate(scope.pool, usable, demand)
         return min(
             sampled, key=lambda u: self._cost.of(u, traits, near_domain, pace)
         )
--- a/src/balsamlift/relay/generations/_stream_pace.py
+++ b/src/balsamlift/relay/generations/_stream_pace.py
@@ -15,7 +15,7 @@
     def __init__(self, paces: EnginePaces, max_gap_ms: float) -> None:
         """Record in `paces` unless the route bears any pause (0)."""
         self._paces = paces
-        self._max_gap_ms = max_gap_ms
+        self._is_measured = max_gap_ms > 0
         self._source: tuple[str, int] | None = None  # of the last event
         self._last_s = 0.0
         self._events = 0
@@ -31,11 +31,11 @@
         events = stats.events - self._events
         elapsed_ms = (stats.last_event_s - self._last_s) * _MS_PER_S
         source = (upstream.name, stats.moves) if upstream else None
-        if self.is_delayed or not self._max_gap_ms:
+        if self.is_delayed or not self._is_measured:
             source = None
-        if source is not None and source == self._source and events > 0:
+        if upstream and source and source == self._source and events > 0:
             gap_ms = elapsed_ms / events
-            self._paces.observe(source[0], gap_ms, events, self._max_gap_ms)
+            self._paces.observe(upstream, gap_ms, events)
         self._source = source
         self._last_s = stats.last_event_s
         self._events = stats.events
