--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -10,15 +10,15 @@
 )
 from balsamlift.placement._late_share import LateShares
 from balsamlift.placement._pace import (
-    EnginePace,
+    RATIOS,
     GapAverage,
+    GapRatios,
     PaceRating,
-    PauseCounts,
-    RecentPauses,
+    RecentRatios,
     StreamDemand,
     compare_gaps,
-    is_long,
     rate_paces,
+    ratio_of,
     smooth_usual,
 )
 from balsamlift.placement._policy import Policy
@@ -40,18 +40,18 @@
 from balsamlift.placement._waiting_line import Offer, WaitingLine
 
 __all__ = [
+    "RATIOS",
     "Backlog",
-    "EnginePace",
     "GapAverage",
+    "GapRatios",
     "LateShares",
     "LoadReport",
     "Offer",
     "PaceRating",
-    "PauseCounts",
     "Placement",
     "PlacementRequest",
     "Policy",
-    "RecentPauses",
+    "RecentRatios",
     "RefuseNow",
     "Residence",
     "ResidenceTimes",
@@ -67,9 +67,9 @@
     "decide_wait",
     "expected_run_ms",
     "groups_before",
-    "is_long",
     "leaves_room",
     "limit_retry_ms",
     "rate_paces",
+    "ratio_of",
     "smooth_usual",
 ]
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -289,6 +289,10 @@
             self._context.balancer.record_success(reply.upstream.name)
             outcome = await generation.relay(reply)
             stats = generation.stats
+            if outcome == "whole":
+                self._context.paces.record_length(
+                    job.scope.pool, stats.events, job.estimate.output_tokens
+                )
             log.bind(
                 request=job.request_id,
                 upstream=started.reservation.upstream.name,
--- a/src/balsamlift/relay/generations/_sender.py
+++ b/src/balsamlift/relay/generations/_sender.py
@@ -123,7 +123,7 @@
             backup=backup.upstream,
             waited_ms=round(waited_s * 1_000),
             expected_wait_ms=reservation.expected_wait_ms,
-            **self._context.paces.describe(upstream),
+            **self._context.paces.describe(reservation.upstream),
         ).info("placed")
 
     async def _send(
