Let the soak have weights, resumable streams and a flooding workspace

Cause: the soak had one workspace, one priority of streams and no stream that may be sent again, so that nothing of the new parts ran under faults. Change: three workspaces with weights 1, 3 and 0.5; streams of two priorities, of which the less urgent ones may be resumed; in every second seed sixteen callers of one workspace ask for twice the memory that the engines have. Guarantees: a request reaches upstreams with its own caller's workspace; a resumable stream is begun at most as often as its route says and shows its caller each event once and in order; a refusal is true for it as well. All other requests are held to what they were.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,7 +12,15 @@
 
 from balsamlift.platform._names import ADDRESSES_PATH, HEADERS
 from balsamlift.testing.relay import read_answer
-from soak.configuration import SERVED_HOST, STABLE_KEY
+from soak.configuration import (
+    FLOODING,
+    HEAVY,
+    KEYS,
+    MAIN,
+    RESUMABLE_ATTEMPTS,
+    RESUMABLE_PATH,
+    SERVED_HOST,
+)
 from soak.contact import ContactChecker
 from soak.crashing_parts import CrashingParts
 from soak.guarantees import CallerOutcome, GuaranteeChecker
@@ -24,8 +32,15 @@
 from soak.upstreams import UPSTREAM_HEADER
 
 DEADLINE_MS = 3_000
-PATHS = {"idempotent": "/view/", "non_idempotent": "/order/"}
-STREAM_PATH = "/draft/"
+PATHS = {
+    "idempotent": "/view/",
+    "non_idempotent": "/order/",
+    "stream": "/draft/",
+    "resumable": RESUMABLE_PATH,
+}
+STREAMS = ("stream", "resumable")
+# Tokens read and written. A few requests of the flood fill an engine.
+TOKENS = {MAIN: "1000,150", HEAVY: "1000,150", FLOODING: "6000,1000"}
 RESOLVE_PAUSE_S = 0.1
 REQUESTS_PER_CONNECTION = 6
 CONNECT_S = 1.0
@@ -39,6 +54,19 @@
     request_id: str
     kind: str
     parts: str = ""  # of its prompt, as the header lists them
+    workspace: str = MAIN
+
+    @property
+    def is_stream(self) -> bool:
+        """Return whether it is answered by a stream."""
+        return self.kind in STREAMS
+
+    @property
+    def max_runs(self) -> int | None:
+        """Return how often upstreams may begin it, None without a limit."""
+        if self.kind == "resumable":
+            return RESUMABLE_ATTEMPTS
+        return None if self.is_idempotent else 1
 
     @property
     def is_idempotent(self) -> bool:
@@ -48,19 +76,19 @@
     @property
     def service(self) -> str:
         """Return the service that the request is for."""
-        return "model" if self.kind == "stream" else "plain"
+        return "model" if self.is_stream else "plain"
 
-    def encode(self, key: str, path: str = "") -> bytes:
+    def encode(self, key: str = "", path: str = "") -> bytes:
         """Return the encoded HTTP request."""
         method = "GET" if self.is_idempotent else "POST"
-        path = path or PATHS.get(self.kind, STREAM_PATH) + self.request_id
+        path = path or PATHS[self.kind] + self.request_id
         lines = [
             f"{method} {path} HTTP/1.1",
             f"Host: {SERVED_HOST}",
             f"{HEADERS.request_id}: {self.request_id}",
             f"{HEADERS.deadline_ms}: {DEADLINE_MS}",
-            f"{HEADERS.token_usage}: 1000,150",
-            f"Authorization: Token {key}",
+            f"{HEADERS.token_usage}: {TOKENS[self.workspace]}",
+            f"Authorization: Token {key or KEYS[self.workspace]}",
             "Content-Length: 0",
         ]
         if self.parts:
@@ -72,13 +100,13 @@
     request: CallerRequest,
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
-    key: str = STABLE_KEY,
+    key: str = "",
     path: str = "",
 ) -> tuple[CallerOutcome, bool]:
     """Return the outcome of a request and whether to keep the connection."""
     outcome = CallerOutcome(
         request_id=request.request_id,
-        is_stream=request.kind == "stream",
+        is_stream=request.is_stream,
         is_idempotent=request.is_idempotent,
         status=0,
     )
@@ -136,10 +164,12 @@
         self._stopped = False
         self._tasks: list[asyncio.Task[None]] = []
 
-    def start(self, number: int) -> None:
-        """Start `number` callers."""
+    def start(self, number: int, *, flooding: int = 0) -> None:
+        """Start `number` callers, and some that flood the engines."""
+        draws = [self.draw_request] * number
+        draws += [self.draw_flooding_request] * flooding
         self._tasks = [
-            asyncio.create_task(self._run_caller()) for _ in range(number)
+            asyncio.create_task(self._run_caller(draw)) for draw in draws
         ]
 
     async def stop(self) -> None:
@@ -149,15 +179,22 @@
 
     def draw_request(self) -> CallerRequest:
         """Return a request of a random kind."""
-        weights = [self._load.shares[kind] for kind in KINDS]
+        weights = [self._load.shares.get(kind, 0.0) for kind in KINDS]
         (kind,) = self._random.choices(KINDS, weights)
+        return self._make_request(kind, self._random.choice((MAIN, HEAVY)))
+
+    def draw_flooding_request(self) -> CallerRequest:
+        """Return a large stream of the workspace that floods the engines."""
+        return self._make_request(self._random.choice(STREAMS), FLOODING)
+
+    def _make_request(self, kind: str, workspace: str) -> CallerRequest:
         request_id = f"r{next(self._numbers)}"
         parts = ""
-        if kind == "stream":
+        if kind in STREAMS:
             parts = self._crashing_parts.draw(request_id)
-        return CallerRequest(request_id, kind, parts)
+        return CallerRequest(request_id, kind, parts, workspace)
 
-    async def _run_caller(self) -> None:
+    async def _run_caller(self, draw: Callable[[], CallerRequest]) -> None:
         while not self._stopped:
             address = await self._resolve_address()
             if not address:
@@ -168,11 +205,12 @@
                     reader, writer = await asyncio.open_connection(*address)
             except (OSError, TimeoutError):
                 continue
-            await self._call(address[0], reader, writer)
+            await self._call(draw, address[0], reader, writer)
             writer.close()
 
     async def _call(
         self,
+        draw: Callable[[], CallerRequest],
         host_ip: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -180,15 +218,14 @@
         for number in range(REQUESTS_PER_CONNECTION):
             if self._stopped:
                 return
-            request = self.draw_request()
+            request = draw()
             self._guarantees.record_request(
-                request.request_id, is_idempotent=request.is_idempotent
+                request.request_id, request.workspace, request.max_runs
             )
             self._rate_limits.record_request(request.request_id, host_ip)
             self._statements.record_request(request.request_id, host_ip)
             self._retries.record_request(request.service)
-            is_stream = request.kind == "stream"
-            if is_stream:
+            if request.is_stream:
                 self._crashing_parts.record_request(
                     request.request_id, host_ip, request.parts
                 )
@@ -199,7 +236,7 @@
                 sent_s,
                 is_served=outcome.status == OK and outcome.is_whole,
             )
-            if is_stream:
+            if request.is_stream:
                 self._crashing_parts.record_outcome(
                     request.request_id, is_begun=outcome.status == OK
                 )
@@ -215,7 +252,9 @@
                 self._on_interrupted(request.request_id)
             if not can_reuse:
                 return
-            await asyncio.sleep(self._random.uniform(0, self._load.pause_s))
+            if request.workspace != FLOODING:
+                pause_s = self._random.uniform(0, self._load.pause_s)
+                await asyncio.sleep(pause_s)
 
     async def _resolve_address(self) -> tuple[str, int] | None:
         """Ask a random host for an address; return None on failure."""
--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -10,10 +10,16 @@
 
 SERVED_HOST = "shop.example"
 STABLE_KEY = "key-that-stays"
+MAIN, HEAVY, FLOODING = "t-1", "t-2", "t-3"  # workspaces
+KEYS = {MAIN: STABLE_KEY, HEAVY: "key-of-heavy", FLOODING: "key-of-flooding"}
+WEIGHTS = {MAIN: 1.0, HEAVY: 3.0, FLOODING: 0.5}
+RESUMABLE_PATH = "/digest/"
+RESUMABLE_ATTEMPTS = 2
 ROUTES = {
     "/view/": ("idempotent", "plain"),
     "/order/": ("non_idempotent", "plain"),
     "/draft/": ("streaming", "model"),
+    RESUMABLE_PATH: ("streaming", "model"),
 }
 ENGINE = {
     "Slots": 32,
@@ -41,7 +47,6 @@
     It has a route and a key of its own besides those of every version.
     """
     kinds = {**ROUTES, version_path(version): ("non_idempotent", "plain")}
-    keys = [STABLE_KEY, version_key(version)]
     fields = {
         "Version": version,
         "Routes": [
@@ -58,15 +63,24 @@
             "HeaderTimeoutMs": 5_000,
             "IdleTimeoutMs": 15_000,
         },
-        "Tenants": [{"Name": "t-1", "ApiKeys": keys}],
+        "Tenants": [_workspace(name, version) for name in KEYS],
     }
     return json.dumps(fields).encode()
 
 
+def _workspace(name: str, version: int) -> dict[str, Any]:
+    keys = [KEYS[name]]
+    if name == MAIN:
+        keys.append(version_key(version))
+    return {"Name": name, "ApiKeys": keys, "Weight": WEIGHTS[name]}
+
+
 def _route(
     path: str, kind: str, service: str, times: Mapping[str, RouteTimes]
 ) -> dict[str, Any]:
     route_times = times["stream" if kind == "streaming" else kind]
+    can_resume = path == RESUMABLE_PATH
+    can_repeat = can_resume or kind == "idempotent"
     return {
         "Name": path.strip("/"),
         "Hostname": SERVED_HOST,
@@ -75,5 +89,7 @@
         "Service": service,
         "TimeoutMs": route_times.timeout_ms,
         "TargetLatencyMs": route_times.target_ms,
-        "MaxAttempts": 2 if kind == "idempotent" else 1,
+        "MaxAttempts": RESUMABLE_ATTEMPTS if can_repeat else 1,
+        "Priority": int(can_resume),
+        "StreamResume": can_resume,
     }
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from soak.configuration import MAIN
+
 # Each guarantees that the request was not executed and never will be.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
@@ -36,7 +38,8 @@
     bodies: dict[str, set[bytes]] = attrs.field(factory=dict)
     statuses: dict[str, set[int]] = attrs.field(factory=dict)
     outcomes: list[CallerOutcome] = attrs.field(factory=list)
-    _idempotent: set[str] = attrs.field(factory=set)
+    _workspaces: dict[str, str] = attrs.field(factory=dict)
+    _max_runs: dict[str, int | None] = attrs.field(factory=dict)
     _refused: set[str] = attrs.field(factory=set)
 
     def record_run(
@@ -47,7 +50,7 @@
             self.resumed[request_id] += 1
         else:
             self.runs[request_id] += 1
-        if workspace != "t-1":
+        if workspace != self._workspaces.get(request_id, MAIN):
             self.report_violation(
                 "workspace",
                 request_id,
@@ -61,12 +64,17 @@
             self.report_violation(
                 "refused", request_id, "was executed after its refusal"
             )
-        self._check_single_run(request_id)
+        self._check_runs(request_id)
+
+    def record_request(
+        self, request_id: str, workspace: str, max_runs: int | None
+    ) -> None:
+        """Record that a caller is about to send a request.
 
-    def record_request(self, request_id: str, *, is_idempotent: bool) -> None:
-        """Record that a caller is about to send a request."""
-        if is_idempotent:
-            self._idempotent.add(request_id)
+        Upstreams may begin it `max_runs` times; None: without a limit.
+        """
+        self._workspaces[request_id] = workspace
+        self._max_runs[request_id] = max_runs
 
     def record_upstream_answer(
         self, request_id: str, status: int, body: bytes
@@ -99,10 +107,9 @@
         """Record a violated guarantee."""
         self.violations.append(f"{guarantee}: {request_id} {description}")
 
-    def _check_single_run(self, request_id: str) -> None:
-        if request_id in self._idempotent:
-            return
-        if self.runs[request_id] > 1:
+    def _check_runs(self, request_id: str) -> None:
+        max_runs = self._max_runs.get(request_id, 1)
+        if max_runs is not None and self.runs[request_id] > max_runs:
             self.report_violation("twice", request_id, "was executed again")
 
     def _check_answer(self, outcome: CallerOutcome) -> None:
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -22,13 +22,13 @@
     services: Mapping[str, int]  # upstreams of each
     callers_per_host: float
     pause_s: float  # the longest between two requests of a caller
-    shares: Mapping[str, float]  # of each kind of request
+    shares: Mapping[str, float]  # by kind of request; none: 0
     times: Mapping[str, RouteTimes]  # by kind of request
     extra_retries: int  # of a service in `BUDGET_WINDOW_S`
     grace_s: float = 3.0
 
 
-KINDS = ("idempotent", "non_idempotent", "stream")
+KINDS = ("idempotent", "non_idempotent", "stream", "resumable")
 
 DENSE = Load(
     services={"plain": 3, "model": 2},
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -62,6 +62,7 @@
 MAX_PAUSE_S = 0.8
 MAX_FAULT_S = 2.5
 PLANNED_ONLY_SHARE = 0.3  # of all seeds
+FLOOD_EVERY = 2  # seeds
 # Requests per second that an upstream takes from all hosts together.
 RATE_LIMITS_PER_S = (0.5, 1.1, 2.4, 6.0)
 # Long compared with the time after which a limit has to be kept.
@@ -92,6 +93,7 @@
     seed: int
     is_planned_only: bool
     faults: tuple[Fault, ...]
+    has_flood: bool = False  # a workspace asks for more than the engines have
 
 
 def draw_fault(
@@ -133,6 +135,7 @@
         seed=seed,
         is_planned_only=is_planned_only,
         faults=tuple(sorted(faults, key=lambda fault: fault.start_s)),
+        has_flood=seed % FLOOD_EVERY == 0,
     )
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -50,6 +50,7 @@
 HOSTS = 4
 # Of faults of one service; most hit the one that has fewer upstreams.
 SERVICE_TARGETS = ("plain", "plain", "model")
+FLOODING_CALLERS = 16  # twice of what the engines have memory for
 START_S = 30.0
 # The longest that the store and the hosts may need to reconnect after the last
 # fault, on a machine that is busy with other work.
@@ -206,7 +207,10 @@
             self._check_interrupted,
         )
         load = self._fleet.load
-        callers.start(int(self._fleet.hosts * load.callers_per_host))
+        callers.start(
+            int(self._fleet.hosts * load.callers_per_host),
+            flooding=FLOODING_CALLERS if self._plan.has_flood else 0,
+        )
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         for fault in self._plan.faults:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -270,6 +270,25 @@
     ]
 
 
+@pytest.mark.parametrize(("runs", "broken"), [(2, []), (3, ["twice"])])
+def test_a_resumable_stream_may_run_as_often_as_its_route_says(
+    runs: int, broken: list[str]
+) -> None:
+    guarantees = GuaranteeChecker()
+    guarantees.record_request("r1", "t-2", max_runs=2)
+    for _ in range(runs):
+        guarantees.record_run("r1", "t-2", has_key=False, resumes=False)
+    guarantees.check_outcome(
+        make_outcome(is_stream=True, body=stream_body("r1"))
+    )
+    assert [v.split(":")[0] for v in guarantees.violations] == broken
+    twice = stream_body("r1") + stream_body("r1")
+    guarantees.check_outcome(make_outcome(is_stream=True, body=twice))
+    guarantees.check_outcome(make_outcome(status=503, signature=""))
+    reported = [v.split(":")[0] for v in guarantees.violations]
+    assert reported == [*broken, "order", "refused"]
+
+
 def test_passed_on_key_and_wrong_workspace_are_reported() -> None:
     guarantees = GuaranteeChecker()
     guarantees.record_run("r1", "t-2", has_key=True, resumes=False)
