--- a/src/balsamlift/cli.py
+++ b/src/balsamlift/cli.py
@@ -32,6 +32,8 @@
   preset     Check, publish, switch and look at presets.
   hosts      Show the entry hosts.
   upstreams  Show the engines and plain services.
+  queues     Show who waits for engine memory, and who holds it.
+  engines    Show how full and how fast engines are.
   timeline   Show the events of all hosts in one order.
   logs       Show the log lines of all hosts, out of files.
   metrics    Show the measurements of all hosts together.
@@ -50,6 +52,8 @@
     "preset",
     "hosts",
     "upstreams",
+    "queues",
+    "engines",
     "timeline",
     "logs",
     "metrics",
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -366,6 +366,10 @@
         """Return whether to use an upstream only if no other has capacity."""
         return self._shared_health.is_suspected(upstream)
 
+    def is_ejected(self, upstream: str) -> bool:
+        """Return whether this host leaves an upstream out for a while."""
+        return self.health.is_ejected(upstream, self._clock.monotonic())
+
     def discard_expired(self) -> None:
         """Discard expired observations; called every second."""
         live = {upstream.name for upstream in self._upstreams.all()}
