--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -7,6 +7,14 @@
     YieldLimit,
     tokens_before,
 )
+from balsamlift.placement._pace import (
+    EnginePace,
+    GapAverage,
+    LongestPause,
+    PaceRating,
+    StreamDemand,
+    rate_paces,
+)
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._request import PlacementRequest, Ticket
 from balsamlift.placement._scheduler import Scheduler
@@ -15,15 +23,21 @@
 
 __all__ = [
     "Backlog",
+    "EnginePace",
+    "GapAverage",
     "LoadReport",
+    "LongestPause",
     "Offer",
+    "PaceRating",
     "Placement",
     "PlacementRequest",
     "Policy",
     "Scheduler",
+    "StreamDemand",
     "Ticket",
     "WaitingGroup",
     "WaitingLine",
     "YieldLimit",
+    "rate_paces",
     "tokens_before",
 ]
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -43,6 +43,7 @@
 )
 from balsamlift.relay.generations import (
     EngineClient,
+    EnginePaces,
     GenerationContext,
     Generations,
     LeavingDetector,
@@ -148,8 +149,14 @@
             self._retry_after,
             brittle_pools,
         )
+        paces = self._paces = EnginePaces(
+            balancer, self._upstreams, self._clock
+        )
         self._allocator = MemoryAllocator(
-            balancer, metrics=self._metrics, weight_of=routing.weight_of
+            balancer,
+            metrics=self._metrics,
+            weight_of=routing.weight_of,
+            paces=paces,
         )
         self._retries = RetryBudget(
             self._settings.retries,
@@ -236,6 +243,7 @@
             balancer=balancer,
             allocator=self._allocator,
             engines=engines,
+            paces=paces,
             names=names,
             metrics=self._metrics,
             upstreams=self._upstreams,
@@ -378,6 +386,7 @@
             self._peers.permits.prune(live)
             self._retry_after.discard_expired()
             self._balancer.discard_expired()
+            self._paces.discard_expired()
             self._crash_guard.discard_expired()
 
 
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -9,7 +9,7 @@
 
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream
-from balsamlift.placement import Backlog
+from balsamlift.placement import Backlog, StreamDemand
 from balsamlift.relay._balance import Balancer, backup_key
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._scope import Scope
@@ -17,6 +17,7 @@
     EngineCost,
     reserved_tokens,
 )
+from balsamlift.relay.generations._engine_paces import EnginePaces
 from balsamlift.relay.generations._group_counts import GroupCounts
 from balsamlift.relay.generations._memory_reservation import MemoryReservation
 from balsamlift.relay.generations._placement_policy import (
@@ -49,13 +50,16 @@
         policy: PlacementPolicy = DEFAULT_POLICY,
         metrics: Metrics | None = None,
         weight_of: Callable[[str], float] = lambda workspace: 1.0,
+        paces: EnginePaces | None = None,
     ) -> None:
         """Count memory in tokens, through `balancer`.
 
         `weight_of` returns the weight of a workspace that waits elsewhere.
+        Without `paces`, all engines count as equally fast.
         """
         self._balancer = balancer
         self._policy = policy
+        self._paces = paces
         self._cost = EngineCost(balancer, policy)
         self._groups = GroupCounts(balancer, weight_of)
         self._waiting = WaitingRequests(
@@ -78,25 +82,29 @@
         tried: Collection[str] = (),
         near_domain: str = "",
         fill_limit: float | None = None,
+        demand: StreamDemand | None = None,
     ) -> Upstream | None:
         """Return the best engine with memory for `tokens`, if there is one.
 
         Prefers the failure domain `near_domain`, which defaults to that of
         this host. Fills an engine up to the fraction `fill_limit` of its
-        memory, which defaults to that of the policy.
+        memory, which defaults to that of the policy. The pace of engines
+        counts for streams with a `demand`.
         """
         max_load = self._max_load(traits, tokens, fill_limit)
+        usable = self._balancer.usable(scope, tried)
         fitting = [
-            u
-            for u in self._balancer.usable(scope, tried)
-            if self._balancer.load(u.name) <= max_load
+            u for u in usable if self._balancer.load(u.name) <= max_load
         ]
         if not fitting:
             return None
         candidates = self._proven(fitting) or fitting
         sampled = self._balancer.sample(candidates, self._sample_size())
+        pace = None
+        if self._paces is not None and demand is not None:
+            pace = self._paces.rate(usable, demand)
         return min(
-            sampled, key=lambda u: self._cost.of(u, traits, near_domain)
+            sampled, key=lambda u: self._cost.of(u, traits, near_domain, pace)
         )
 
     def _proven(self, upstreams: list[Upstream]) -> list[Upstream]:
@@ -243,7 +251,11 @@
 
     def _find_for(self, request: MemoryRequest) -> Upstream | None:
         return self.find(
-            request.scope, request.traits, request.tokens, request.tried
+            request.scope,
+            request.traits,
+            request.tokens,
+            request.tried,
+            demand=request.demand,
         )
 
     def _free_tokens_for(self, request: MemoryRequest) -> int:
--- a/src/balsamlift/relay/generations/_waiting_requests.py
+++ b/src/balsamlift/relay/generations/_waiting_requests.py
@@ -14,6 +14,7 @@
 from balsamlift.peers import Upstream
 from balsamlift.placement import (
     Offer,
+    StreamDemand,
     WaitingGroup,
     WaitingLine,
     YieldLimit,
@@ -40,6 +41,7 @@
     weight: float = 1.0  # of its workspace's share while requests wait
     in_time_until_s: float = math.inf  # monotonic; it is late afterwards
     tried: Collection[str] = ()  # names of engines not to be used
+    demand: StreamDemand | None = None  # of an engine's pace
 
     @property
     def group(self) -> Group:
