Serve queues and engines to operators

Cause: nobody saw who waits for engine memory, for how long and with which weight, nor the memory, the ejections and the pace that a host places by. Change: `/v1/queues` and `/v1/engines` at the operators' address, also on the platform, from what the allocator, the counts and the pace hold; the commands `balsamlift queues` and `balsamlift engines`. A waiting request knows since when it waits; the lines `placed` and `memory taken after other hosts` tell workspace, priority and request. The settings of the relay are a module of their own, so that `_service.py` stays short.

--- a/src/balsamlift/relay/__init__.py
+++ b/src/balsamlift/relay/__init__.py
@@ -23,7 +23,8 @@
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._retry_budget import RetryLimits
 from balsamlift.relay._routing import Routing
-from balsamlift.relay._service import Relay, RelaySettings
+from balsamlift.relay._service import Relay
+from balsamlift.relay._settings import RelaySettings
 from balsamlift.relay.generations import (
     CopyError,
     CopyRefusedError,
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
 from math import isinf
 
 import attrs
@@ -15,12 +14,11 @@
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Peers, Upstreams
-from balsamlift.relay._admission import Admission, PartsDecoder
+from balsamlift.relay._admission import Admission
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._cold_starts import ColdLimits, ColdStartLimiter
+from balsamlift.relay._cold_starts import ColdStartLimiter
 from balsamlift.relay._exchange import Exchange
 from balsamlift.relay._frontend import FORWARDING_FRONTEND, Frontend
-from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._request import (
     Call,
@@ -29,11 +27,13 @@
     Refusal,
     Responder,
 )
-from balsamlift.relay._retry_budget import RetryBudget, RetryLimits
+from balsamlift.relay._retry_budget import RetryBudget
 from balsamlift.relay._routing import Routing, RoutingTable
+from balsamlift.relay._settings import RelaySettings
 from balsamlift.relay._unary import UnaryCalls
 from balsamlift.relay._upstream_chooser import UpstreamChooser
 from balsamlift.relay._upstream_links import UpstreamLinks
+from balsamlift.relay._views import serve_views
 from balsamlift.relay.crashes import CrashGuard, PartGuard
 from balsamlift.relay.forwarding import (
     FORWARDED_HEAD_BYTES,
@@ -55,7 +55,6 @@
     Restrictions,
     RetryAfterTracker,
     SendAudit,
-    StatementDecoders,
     StatementReader,
 )
 
@@ -73,20 +72,6 @@
 SWEEP_INTERVAL_S = 1.0
 
 
-@attrs.frozen(kw_only=True)
-class RelaySettings:
-    """Settings of the relay, fixed at its start."""
-
-    failure_domain: str
-    retries: RetryLimits
-    cold_limits: ColdLimits | None = None  # None: unlimited
-    regions: Mapping[str, str] = attrs.field(factory=dict)  # by domain
-    names: HeaderNames
-    decoders: StatementDecoders
-    decode_prompt_parts: PartsDecoder
-    drain_s: float  # for which an upstream still works once it is leaving
-
-
 class Relay:
     """Forwards requests to upstreams with at-most-once execution.
 
@@ -269,6 +254,7 @@
         links.start(exchange.probe)
         self._frontend = frontend
         self._forwarding_frontend = forwarding_frontend
+        serve_views(kernel, self._allocator, balancer, paces)
         routing.on_change(self._apply_limits)
         frontend.serve(self.handle)
         forwarding_frontend.serve(self.handle_forwarded)
--- a/src/balsamlift/relay/_views.py
+++ b/src/balsamlift/relay/_views.py
@@ -2,53 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from typing import Any, Protocol
+from typing import Any
 
 import attrs
 
-from balsamlift.operators import JsonHandler, Routes
-from balsamlift.peers import CountsBasis, Upstream
+from balsamlift.kernel import Kernel
+from balsamlift.operators import JsonHandler, OperatorsServer
+from balsamlift.peers import CountsBasis, Upstream, Upstreams
+from balsamlift.placement import WaitingGroup
 from balsamlift.relay._balance import Balancer, backup_key, prefill_key
 from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._routing import Routing
+from balsamlift.relay.generations import (
+    EnginePaceRow,
+    EnginePaces,
+    Group,
+    MemoryAllocator,
+    WaitingRequest,
+)
 
 _MS_PER_S = 1_000
 
 
-# Pool, priority and workspace of requests that are served alike.
-GroupKey = tuple[str, int, str]
-
-
-@attrs.frozen(kw_only=True)
-class Wait:
-    """One request that waits for engine memory at this host."""
-
-    group: GroupKey
-    tokens: int
-    since_s: float  # monotonic
-
-
-class Pace(Protocol):
-    """How fast an engine is, as hosts measured it."""
-
-    @property
-    def gap_ms(self) -> float:
-        """Return the mean time between events."""
-
-    @property
-    def long_pause_ms(self) -> float:
-        """Return the longest pause of late."""
-
-    @property
-    def hosts(self) -> int:
-        """Return how many hosts measured it."""
-
-    @property
-    def own_age_ms(self) -> int | None:
-        """Return the age of this host's measure, None without one."""
-
-
 @attrs.frozen(kw_only=True)
 class QueueRow:
     """Show one group that waits for memory or holds some."""
@@ -87,46 +65,61 @@
 
 
 def queue_rows(
-    waits: Iterable[Wait],
-    waiting_elsewhere: Mapping[GroupKey, int],
-    held_tokens: Mapping[GroupKey, int],
-    weight_of: Callable[[str], float],
+    pools: Iterable[str],
+    allocator: MemoryAllocator,
     counts: CountsBasis,
     now_s: float,
 ) -> list[QueueRow]:
     """Return a row for each group, the most urgent of a pool first.
 
-    `weight_of` returns the weight of a workspace.
+    `now_s` is on the clock of the event loop.
     """
-    waits_by_group: defaultdict[GroupKey, list[Wait]] = defaultdict(list)
-    for wait in waits:
-        waits_by_group[wait.group].append(wait)
     rows = []
-    for group in sorted({*waits_by_group, *waiting_elsewhere, *held_tokens}):
-        pool, priority, workspace = group
-        own = waits_by_group.get(group, [])
-        first_s = min((wait.since_s for wait in own), default=now_s)
-        row = QueueRow(
-            pool=pool,
-            priority=priority,
-            workspace=workspace,
-            weight=weight_of(workspace),
-            waiting_requests=len(own),
-            waiting_tokens=sum(wait.tokens for wait in own),
-            longest_wait_ms=round((now_s - first_s) * _MS_PER_S),
-            waiting_tokens_elsewhere=waiting_elsewhere.get(group, 0),
-            held_tokens=held_tokens.get(group, 0),
-            counts=counts,
-        )
-        rows.append(row)
+    waiting = allocator.waiting()
+    for pool in sorted(pools):
+        held = allocator.groups.held(pool)
+        elsewhere = {
+            (group.priority, group.workspace): group.waiting_tokens
+            for group in allocator.groups.waiting_elsewhere(pool)
+        }
+        by_group: defaultdict[Group, list[WaitingRequest]] = defaultdict(list)
+        for each in waiting:
+            if each.scope.pool == pool:
+                by_group[each.request.group].append(each)
+        for key in sorted({*by_group, *elsewhere, *held}):
+            group = allocator.groups.describe(key, elsewhere.get(key, 0), held)
+            row = _queue_row(pool, group, by_group[key], counts, now_s)
+            rows.append(row)
     return rows
 
 
+def _queue_row(
+    pool: str,
+    group: WaitingGroup,
+    waiting: Sequence[WaitingRequest],
+    counts: CountsBasis,
+    now_s: float,
+) -> QueueRow:
+    first_s = min((each.since_s for each in waiting), default=now_s)
+    return QueueRow(
+        pool=pool,
+        priority=group.priority,
+        workspace=group.workspace,
+        weight=group.weight,
+        waiting_requests=len(waiting),
+        waiting_tokens=sum(each.request.tokens for each in waiting),
+        longest_wait_ms=round((now_s - first_s) * _MS_PER_S),
+        waiting_tokens_elsewhere=group.waiting_tokens,
+        held_tokens=group.held_tokens,
+        counts=counts,
+    )
+
+
 def engine_rows(
     upstreams: Iterable[Upstream],
     traits: Mapping[str, EngineTraits],
     balancer: Balancer,
-    paces: Mapping[str, Pace],
+    paces: Mapping[str, EnginePaceRow],
 ) -> list[EngineRow]:
     """Return a row for each upstream of the pools in `traits`, by name."""
     engines = [u for u in upstreams if u.pool in traits]
@@ -140,7 +133,7 @@
     upstream: Upstream,
     traits: EngineTraits,
     balancer: Balancer,
-    pace: Pace | None,
+    pace: EnginePaceRow | None,
 ) -> EngineRow:
     name = upstream.name
     return EngineRow(
@@ -174,12 +167,38 @@
         self.reply(self._rows())
 
 
-def view_routes(
-    queues: Callable[[], Sequence[QueueRow]],
-    engines: Callable[[], Sequence[EngineRow]],
-) -> Routes:
-    """Return the routes that serve these views to operators."""
-    return [
-        (r"/v1/queues", RowsHandler, {"rows": queues}),
-        (r"/v1/engines", RowsHandler, {"rows": engines}),
-    ]
+def serve_views(
+    kernel: Kernel,
+    allocator: MemoryAllocator,
+    balancer: Balancer,
+    paces: EnginePaces,
+) -> None:
+    """Add the routes that serve queues and engines to operators."""
+    routing = kernel.find("routing", Routing)
+    upstreams = kernel.find("upstreams", Upstreams)
+    operators = kernel.find("operators", OperatorsServer)
+
+    def queues() -> list[QueueRow]:
+        now_s = asyncio.get_running_loop().time()
+        pools = _engine_traits(routing)
+        return queue_rows(pools, allocator, balancer.counts_basis, now_s)
+
+    def engines() -> list[EngineRow]:
+        rows = {row.upstream: row for row in paces.snapshot()}
+        traits = _engine_traits(routing)
+        return engine_rows(upstreams.all(), traits, balancer, rows)
+
+    operators.add_routes(
+        [
+            (r"/v1/queues", RowsHandler, {"rows": queues}),
+            (r"/v1/engines", RowsHandler, {"rows": engines}),
+        ]
+    )
+
+
+def _engine_traits(routing: Routing) -> dict[str, EngineTraits]:
+    """Return the traits of engines by pool; empty if not configured."""
+    if not routing.is_configured:
+        return {}
+    services = routing.table().services.values()
+    return {s.name: s.engine for s in services if s.engine is not None}
--- a/src/balsamlift/relay/generations/__init__.py
+++ b/src/balsamlift/relay/generations/__init__.py
@@ -1,6 +1,9 @@
 """Generations on engines: placed, relayed, moved and backed up."""
 
-from balsamlift.relay.generations._engine_paces import EnginePaces
+from balsamlift.relay.generations._engine_paces import (
+    EnginePaceRow,
+    EnginePaces,
+)
 from balsamlift.relay.generations._engines import (
     CopyError,
     CopyRefusedError,
@@ -12,22 +15,27 @@
 )
 from balsamlift.relay.generations._generation_context import GenerationContext
 from balsamlift.relay.generations._generations import Generations
+from balsamlift.relay.generations._group_counts import Group
 from balsamlift.relay.generations._leaving_detector import LeavingDetector
 from balsamlift.relay.generations._memory_allocator import MemoryAllocator
 from balsamlift.relay.generations._quiet_engines import QuietEngines
+from balsamlift.relay.generations._waiting_requests import WaitingRequest
 
 __all__ = [
     "CopyError",
     "CopyRefusedError",
     "EngineClient",
+    "EnginePaceRow",
     "EnginePaces",
     "EngineReport",
     "GenerationContext",
     "Generations",
+    "Group",
     "LeavingDetector",
     "MemoryAllocator",
     "MemoryCopy",
     "QuietEngines",
     "ReportError",
     "RunningGeneration",
+    "WaitingRequest",
 ]
--- a/src/balsamlift/relay/generations/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -145,6 +145,7 @@
         ),
         tried=tried,
         demand=job.demand,
+        request_id=job.request_id,
     )
 
 
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -259,6 +259,8 @@
         log.bind(
             request=call.request_id,
             upstream=upstream,
+            priority=call.priority,
+            workspace=call.workspace.name if call.workspace else "",
             tokens=reservation.tokens,
             load=balancer.load(upstream),  # including this call
             unread=balancer.load(prefill_key(upstream)),  # excluding this call
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -61,10 +61,10 @@
         self._policy = policy
         self._paces = paces
         self._cost = EngineCost(balancer, policy)
-        self._groups = GroupCounts(balancer, weight_of)
+        self.groups = GroupCounts(balancer, weight_of)
         self._waiting = WaitingRequests(
             balancer,
-            self._groups,
+            self.groups,
             EngineMemory(
                 find=self._find_for,
                 free_tokens=self._free_tokens_for,
@@ -219,10 +219,11 @@
             upstream = self._find_for(request)
             if upstream is not None:
                 return self._reserve_for(request, upstream)
+        loop = asyncio.get_running_loop()
         granted: asyncio.Future[MemoryReservation | None] = (
-            asyncio.get_running_loop().create_future()
+            loop.create_future()
         )
-        waiting = WaitingRequest(request, is_hopeless, granted)
+        waiting = WaitingRequest(request, is_hopeless, granted, loop.time())
         self._waiting.push(waiting)
         self._waiting.place()
         try:
@@ -241,6 +242,10 @@
         """Return the number of waiting generations."""
         return len(self._waiting)
 
+    def waiting(self) -> list[WaitingRequest]:
+        """Return the waiting generations, by pool, the most urgent first."""
+        return list(self._waiting)
+
     def place_waiting(self) -> None:
         """Place waiting generations in order."""
         self._waiting.place()
@@ -280,12 +285,12 @@
         """Reserve memory and count it as held by the request's group."""
         pool, group, tokens = request.scope.pool, request.group, request.tokens
         self._balancer.record_send(upstream)
-        self._groups.hold(pool, group, tokens)
+        self.groups.hold(pool, group, tokens)
         return MemoryReservation(
             self._balancer,
             upstream,
             tokens,
-            on_release=lambda: self._groups.hold(pool, group, -tokens),
+            on_release=lambda: self.groups.hold(pool, group, -tokens),
         )
 
     def _capacity(self, traits: EngineTraits) -> int:
--- a/src/balsamlift/relay/generations/_waiting_requests.py
+++ b/src/balsamlift/relay/generations/_waiting_requests.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 
 import attrs
 from loguru import logger
@@ -42,6 +42,7 @@
     in_time_until_s: float = math.inf  # monotonic; it is late afterwards
     tried: Collection[str] = ()  # names of engines not to be used
     demand: StreamDemand | None = None  # of an engine's pace
+    request_id: str = ""  # for the log
 
     @property
     def group(self) -> Group:
@@ -56,6 +57,7 @@
     request: MemoryRequest
     is_hopeless: Callable[[], bool]
     granted: asyncio.Future[MemoryReservation | None]
+    since_s: float  # monotonic
     yielded_since_s: float | None = None  # left memory to other hosts
     ahead_tokens: int = 0  # of other hosts' requests, when it yielded
 
@@ -124,6 +126,11 @@
         """Return the number of waiting requests."""
         return sum(len(line) for line in self._lines.values())
 
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        """Iterate over the waiting requests, by pool."""
+        for line in self._lines.values():
+            yield from line
+
     def must_wait(self, pool: str) -> bool:
         """Return whether a new request joins a line, here or elsewhere."""
         return pool in self._lines or self._groups.others_wait(pool)
@@ -276,6 +283,7 @@
         if waiting.yielded_since_s is None:
             return
         log.bind(
+            request=waiting.request.request_id,
             pool=waiting.scope.pool,
             priority=waiting.priority,
             workspace=waiting.workspace,
--- a/src/balsamlift/testing/_relay_harness.py
+++ b/src/balsamlift/testing/_relay_harness.py
@@ -205,8 +205,9 @@
             drain_s=DRAIN_S,
         )
         self.relay = Relay(relay, self.engines, self.clock, rng)
+        self.operators = OperatorsServer("127.0.0.1:0")
         for service in (
-            OperatorsServer("127.0.0.1:0"),
+            self.operators,
             Timeline(self.host, self.clock, 1_000),
             self.metrics,
             self.routing,
--- a/tests/test_cli_views.py
+++ b/tests/test_cli_views.py
@@ -149,6 +149,32 @@
     assert "engine-2" in capsys.readouterr().out
 
 
+@pytest.mark.parametrize(
+    ("command", "row"),
+    [
+        ("queues", {"pool": "model", "workspace": "w-7", "held_tokens": 41}),
+        ("engines", {"name": "w-7", "reserved_tokens": 41, "gap_ms": None}),
+    ],
+)
+def test_queues_and_engines_are_shown_with_who_shows_them(
+    hosts: list[Host],
+    capsys: pytest.CaptureFixture[str],
+    command: str,
+    row: dict[str, Any],
+) -> None:
+    hosts[0].serve(f"/v1/{command}", [row])
+    at = [f"--at={host.address}" for host in hosts]
+    code, body = run_json(capsys, command, *at)
+    assert code == 1  # the other host is of a version without the view
+    assert body["rows"] == [{**row, "seen_by": [hosts[0].address]}]
+    assert list(body["unanswered"]) == [hosts[1].address]
+    assert main([command, at[0]]) == 0
+    header, shown = capsys.readouterr().out.splitlines()
+    assert "seen_by" not in header
+    assert "w-7" in shown
+    assert "41" in shown
+
+
 def test_table_shows_no_control_characters(
     hosts: list[Host], capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -388,7 +388,10 @@
 )
 NEWER = ("version", "in_force", "source")
 CRASHED = ("request", "fingerprint", "upstream", "had_output")
-PLACED = ("request", "upstream", "tokens", "load", "counts", "waited_ms")
+PLACED = (
+    *("request", "upstream", "tokens", "load", "counts", "waited_ms"),
+    *("priority", "workspace"),
+)
 ENDED = ("request", "fingerprint", "route", "service", "version", "took_ms")
 EXPECTED = [
     Expected(unknown_key, "unknown key", REFUSED),
