--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -32,7 +32,12 @@
     decode_node_settings,
 )
 from balsamlift.platform._store import _decode_read_answer
-from balsamlift.relay import DEFAULT_CALLER_LIMITS, CallerLimits, ColdLimits
+from balsamlift.relay import (
+    DEFAULT_CALLER_LIMITS,
+    CallerLimits,
+    ColdLimits,
+    Configuration,
+)
 
 MANIFEST: dict[str, Any] = {
     "Version": 7,
@@ -138,6 +143,43 @@
     )
 
 
+def decode_with(
+    route: dict[str, Any] | None = None, tenant: dict[str, Any] | None = None
+) -> Configuration:
+    """Return the configuration with other fields of its first entries."""
+    first, second = MANIFEST["Routes"]
+    manifest = {
+        **MANIFEST,
+        "Routes": [{**first, **(route or {})}, second],
+        "Tenants": [{**MANIFEST["Tenants"][0], **(tenant or {})}],
+    }
+    return decode_configuration(json.dumps(manifest).encode())
+
+
+def test_weight_pause_and_resuming_have_defaults() -> None:
+    stream, other = decode_with().routes
+    assert (stream.max_gap_ms, stream.can_resume) == (180, False)
+    assert (other.max_gap_ms, other.can_resume) == (0, False)
+    assert decode_with().workspaces[0].weight == 1.0
+    assert decode_with(route={"StreamResume": True}).routes[0].can_resume
+    assert decode_with(route={"TargetGapMs": -1}).routes[0].max_gap_ms == 0
+
+
+@pytest.mark.parametrize("weight", [0.001, 1_000])
+def test_a_weight_within_its_range_is_taken(weight: float) -> None:
+    assert decode_with(tenant={"Weight": weight}).workspaces[0].weight == (
+        weight
+    )
+
+
+@pytest.mark.parametrize("weight", [0, -1.0, 1_000.5, "2", None])
+def test_a_configuration_with_a_weight_out_of_range_is_not_taken(
+    weight: object,
+) -> None:
+    with pytest.raises(RecordError, match="Weight"):
+        decode_with(tenant={"Weight": weight})
+
+
 def test_missing_limits_have_wide_defaults() -> None:
     manifest = {**MANIFEST, "Limits": {"MaxBodyBytes": 1}}
     configuration = decode_configuration(json.dumps(manifest).encode())
