--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -15,6 +15,7 @@
 WEIGHTS = {MAIN: 1.0, HEAVY: 3.0, FLOODING: 0.5}
 RESUMABLE_PATH = "/digest/"
 RESUMABLE_ATTEMPTS = 2
+MAX_GAP_MS = 60  # between events of a stream
 ROUTES = {
     "/view/": ("idempotent", "plain"),
     "/order/": ("non_idempotent", "plain"),
@@ -89,6 +90,7 @@
         "Service": service,
         "TimeoutMs": route_times.timeout_ms,
         "TargetLatencyMs": route_times.target_ms,
+        "TargetGapMs": MAX_GAP_MS if kind == "streaming" else 0,
         "MaxAttempts": RESUMABLE_ATTEMPTS if can_repeat else 1,
         "Priority": int(can_resume),
         "StreamResume": can_resume,
