--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -5,7 +5,8 @@
 from balsamlift.placement._host_order import (
     WaitingGroup,
     YieldLimit,
-    tokens_before,
+    groups_before,
+    leaves_room,
 )
 from balsamlift.placement._pace import (
     EnginePace,
@@ -38,6 +39,7 @@
     "WaitingGroup",
     "WaitingLine",
     "YieldLimit",
+    "groups_before",
+    "leaves_room",
     "rate_paces",
-    "tokens_before",
 ]
--- a/src/balsamlift/relay/_views.py
+++ b/src/balsamlift/relay/_views.py
@@ -12,10 +12,10 @@
 from balsamlift.kernel import Kernel
 from balsamlift.operators import JsonHandler, OperatorsServer
 from balsamlift.peers import CountsBasis, Upstream, Upstreams
-from balsamlift.placement import WaitingGroup
 from balsamlift.relay._balance import Balancer, backup_key, prefill_key
 from balsamlift.relay._configuration import EngineTraits
 from balsamlift.relay._routing import Routing
+from balsamlift.relay._scope import Scope
 from balsamlift.relay.generations import (
     EnginePaceRow,
     EnginePaces,
@@ -32,6 +32,7 @@
     """Show one group that waits for memory or holds some."""
 
     pool: str
+    regions: list[str]  # where its requests may run; none: anywhere
     priority: int  # 0 is served first
     workspace: str  # "": callers without one
     weight: float  # of its workspace
@@ -67,6 +68,7 @@
 def queue_rows(
     pools: Iterable[str],
     allocator: MemoryAllocator,
+    weight_of: Callable[[str], float],
     counts: CountsBasis,
     now_s: float,
 ) -> list[QueueRow]:
@@ -74,43 +76,66 @@
 
     `now_s` is on the clock of the event loop.
     """
-    rows = []
-    waiting = allocator.waiting()
-    for pool in sorted(pools):
-        held = allocator.groups.held(pool)
-        elsewhere = {
-            (group.priority, group.workspace): group.waiting_tokens
-            for group in allocator.groups.waiting_elsewhere(pool)
-        }
-        by_group: defaultdict[Group, list[WaitingRequest]] = defaultdict(list)
-        for each in waiting:
-            if each.scope.pool == pool:
-                by_group[each.request.group].append(each)
-        for key in sorted({*by_group, *elsewhere, *held}):
-            group = allocator.groups.describe(key, elsewhere.get(key, 0), held)
-            row = _queue_row(pool, group, by_group[key], counts, now_s)
-            rows.append(row)
-    return rows
+    scopes = {Scope(pool) for pool in pools} | allocator.groups.scopes()
+    scopes |= {each.scope for each in allocator.waiting()}
+    rows = [
+        _queue_row(scope, group, state, weight_of(group[1]), counts, now_s)
+        for scope in scopes
+        for group, state in _queue_table(scope, allocator).items()
+    ]
+    return sorted(
+        rows,
+        key=lambda row: (row.pool, row.regions, row.priority, row.workspace),
+    )
+
+
+@attrs.define
+class _GroupState:
+    """Hold what a group waits for and holds."""
+
+    waiting: list[WaitingRequest] = attrs.field(factory=list)
+    elsewhere_tokens: int = 0
+    held_tokens: int = 0
+
+
+def _queue_table(
+    scope: Scope, allocator: MemoryAllocator
+) -> dict[Group, _GroupState]:
+    """Return the groups of one scope."""
+    table: defaultdict[Group, _GroupState] = defaultdict(_GroupState)
+    for each in allocator.waiting():
+        if each.scope == scope:
+            table[each.request.group].waiting.append(each)
+    for group in allocator.groups.waiting_elsewhere(scope):
+        state = table[group.priority, group.workspace]
+        state.elsewhere_tokens = group.waiting_tokens
+    for held_by, tokens in allocator.groups.held(scope).items():
+        table[held_by].held_tokens = tokens
+    return table
 
 
 def _queue_row(
-    pool: str,
-    group: WaitingGroup,
-    waiting: Sequence[WaitingRequest],
+    scope: Scope,
+    group: Group,
+    state: _GroupState,
+    weight: float,
     counts: CountsBasis,
     now_s: float,
 ) -> QueueRow:
-    first_s = min((each.since_s for each in waiting), default=now_s)
+    priority, workspace = group
+    since_s = [each.since_s for each in state.waiting]
+    longest_wait_s = now_s - min(since_s, default=now_s)
     return QueueRow(
-        pool=pool,
-        priority=group.priority,
-        workspace=group.workspace,
-        weight=group.weight,
-        waiting_requests=len(waiting),
-        waiting_tokens=sum(each.request.tokens for each in waiting),
-        longest_wait_ms=round((now_s - first_s) * _MS_PER_S),
-        waiting_tokens_elsewhere=group.waiting_tokens,
-        held_tokens=group.held_tokens,
+        pool=scope.pool,
+        regions=sorted(scope.regions or ()),
+        priority=priority,
+        workspace=workspace,
+        weight=weight,
+        waiting_requests=len(state.waiting),
+        waiting_tokens=sum(each.request.tokens for each in state.waiting),
+        longest_wait_ms=round(longest_wait_s * _MS_PER_S),
+        waiting_tokens_elsewhere=state.elsewhere_tokens,
+        held_tokens=state.held_tokens,
         counts=counts,
     )
 
@@ -181,7 +206,13 @@
     def queues() -> list[QueueRow]:
         now_s = asyncio.get_running_loop().time()
         pools = _engine_traits(routing)
-        return queue_rows(pools, allocator, balancer.counts_basis, now_s)
+        return queue_rows(
+            pools,
+            allocator,
+            routing.weight_of,
+            balancer.counts_basis,
+            now_s,
+        )
 
     def engines() -> list[EngineRow]:
         rows = {row.upstream: row for row in paces.snapshot()}
--- a/src/balsamlift/relay/generations/__init__.py
+++ b/src/balsamlift/relay/generations/__init__.py
@@ -15,9 +15,9 @@
 )
 from balsamlift.relay.generations._generation_context import GenerationContext
 from balsamlift.relay.generations._generations import Generations
-from balsamlift.relay.generations._group_counts import Group
 from balsamlift.relay.generations._leaving_detector import LeavingDetector
 from balsamlift.relay.generations._memory_allocator import MemoryAllocator
+from balsamlift.relay.generations._memory_request import Group
 from balsamlift.relay.generations._quiet_engines import QuietEngines
 from balsamlift.relay.generations._waiting_requests import WaitingRequest
 
--- a/tests/test_relay_views.py
+++ b/tests/test_relay_views.py
@@ -45,9 +45,7 @@
             random.Random(5),
             "north",
         )
-        self.allocator = MemoryAllocator(
-            self.balancer, weight_of=lambda name: WEIGHTS.get(name, 1.0)
-        )
+        self.allocator = MemoryAllocator(self.balancer)
 
     async def ask(self, workspace: str, tokens: int, priority: int) -> None:
         request = MemoryRequest(
@@ -101,7 +99,13 @@
         host.others.counts[f"{POOL}/held/0/served"] = 600
         waiting = host.allocator.waiting()
         now_s = waiting[0].since_s + 7.0
-        rows = queue_rows([POOL, "idle"], host.allocator, "heard", now_s)
+        rows = queue_rows(
+            [POOL, "idle"],
+            host.allocator,
+            lambda workspace: WEIGHTS.get(workspace, 1.0),
+            "heard",
+            now_s,
+        )
         shown = {(row.priority, row.workspace): row for row in rows}
         assert set(shown) == {(0, "elsewhere"), (0, "served"), (1, "large")}
         row = attrs.asdict(shown[group])
