--- a/src/balsamlift/_commands/_engines.py
+++ b/src/balsamlift/_commands/_engines.py
@@ -17,8 +17,9 @@
     "is_suspected",
     "is_ejected",
     "gap_ms",
+    "slowness",
     "long_pause_ms",
-    "pace_hosts",
+    "pause_share",
     "pace_age_ms",
 ]
 USAGE = """Show how full and how fast engines are, as hosts know.
@@ -26,8 +27,10 @@
 Tokens are those reserved through all hosts (`counts`: how these are known;
 `old` and `scaled` are estimates). An engine that a host suspects or has
 ejected gets work only if no other has memory. `gap_ms` is the mean time
-between events of a stream, `long_pause_ms` the longest pause of late, both as
-`pace_hosts` hosts measured them; `pace_age_ms` is the age of this host's.
+between events of a stream, `slowness` how often that of a typical engine of
+its pool, `long_pause_ms` and `pause_share` the mean long pause and the share
+of gaps that were one, as measured by all hosts; `pace_age_ms` is the age of
+this host's own measure.
 
 Usage:
   balsamlift engines --at=IP:PORT... [--json]
--- a/src/balsamlift/relay/_views.py
+++ b/src/balsamlift/relay/_views.py
@@ -59,9 +59,10 @@
     failure_share: float
     is_suspected: bool
     is_ejected: bool  # by this host
-    gap_ms: float | None  # None: nobody measured it
+    gap_ms: float | None  # None: nobody measured its pace
+    slowness: float | None  # compared with its pool; 1: not slow
     long_pause_ms: float | None
-    pace_hosts: int
+    pause_share: float | None  # of gaps that were long pauses
     pace_age_ms: int | None  # None: this host measured nothing
 
 
@@ -174,8 +175,9 @@
         is_suspected=balancer.is_suspected(name),
         is_ejected=balancer.is_ejected(name),
         gap_ms=round(pace.gap_ms, 1) if pace else None,
+        slowness=round(pace.slowness, 2) if pace else None,
         long_pause_ms=round(pace.long_pause_ms, 1) if pace else None,
-        pace_hosts=pace.hosts if pace else 0,
+        pause_share=round(pace.pause_share, 4) if pace else None,
         pace_age_ms=pace.own_age_ms if pace else None,
     )
 
