--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -22,8 +22,20 @@
 )
 from balsamlift.placement._policy import Policy
 from balsamlift.placement._request import PlacementRequest, Ticket
+from balsamlift.placement._residence import (
+    Residence,
+    ResidenceTimes,
+    expected_run_ms,
+)
 from balsamlift.placement._scheduler import Scheduler
 from balsamlift.placement._service import Placement
+from balsamlift.placement._wait_decision import (
+    RefuseNow,
+    WaitRequest,
+    WaitUntil,
+    decide_wait,
+)
+from balsamlift.placement._wait_estimate import limit_retry_ms
 from balsamlift.placement._waiting_line import Offer, WaitingLine
 
 __all__ = [
@@ -38,16 +50,24 @@
     "PlacementRequest",
     "Policy",
     "RecentPauses",
+    "RefuseNow",
+    "Residence",
+    "ResidenceTimes",
     "Scheduler",
     "StreamDemand",
     "Ticket",
+    "WaitRequest",
+    "WaitUntil",
     "WaitingGroup",
     "WaitingLine",
     "YieldLimit",
     "compare_gaps",
+    "decide_wait",
+    "expected_run_ms",
     "groups_before",
     "is_long",
     "leaves_room",
+    "limit_retry_ms",
     "rate_paces",
     "smooth_usual",
 ]
--- a/src/balsamlift/relay/_views.py
+++ b/src/balsamlift/relay/_views.py
@@ -146,11 +146,15 @@
     traits: Mapping[str, EngineTraits],
     balancer: Balancer,
     paces: Mapping[str, EnginePaceRow],
+    now_s: float,
 ) -> list[EngineRow]:
-    """Return a row for each upstream of the pools in `traits`, by name."""
+    """Return a row for each upstream of the pools in `traits`, by name.
+
+    `now_s` is on the clock of the event loop.
+    """
     engines = [u for u in upstreams if u.pool in traits]
     return [
-        _engine_row(u, traits[u.pool], balancer, paces.get(u.name))
+        _engine_row(u, traits[u.pool], balancer, paces.get(u.name), now_s)
         for u in sorted(engines, key=lambda u: (u.pool, u.name))
     ]
 
@@ -160,6 +164,7 @@
     traits: EngineTraits,
     balancer: Balancer,
     pace: EnginePaceRow | None,
+    now_s: float,
 ) -> EngineRow:
     name = upstream.name
     return EngineRow(
@@ -173,7 +178,7 @@
         counts=balancer.counts_basis,
         failure_share=round(balancer.failure_share(name), 3),
         is_suspected=balancer.is_suspected(name),
-        is_ejected=balancer.is_ejected(name),
+        is_ejected=balancer.health.is_ejected(name, now_s),
         gap_ms=round(pace.gap_ms, 1) if pace else None,
         slowness=round(pace.slowness, 2) if pace else None,
         long_pause_ms=round(pace.long_pause_ms, 1) if pace else None,
@@ -217,9 +222,10 @@
         )
 
     def engines() -> list[EngineRow]:
+        now_s = asyncio.get_running_loop().time()
         rows = {row.upstream: row for row in paces.snapshot()}
         traits = _engine_traits(routing)
-        return engine_rows(upstreams.all(), traits, balancer, rows)
+        return engine_rows(upstreams.all(), traits, balancer, rows, now_s)
 
     operators.add_routes(
         [
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -172,27 +172,12 @@
         )
         return MemoryReservation(self._balancer, upstream, tokens, backup_key)
 
-    def backlog(
-        self,
-        scope: Scope,
-        traits: EngineTraits,
-        tokens: int,
-        priority: int,
-        workspace: str,
-        weight: float,
-    ) -> Backlog:
-        """Return what a request would find before it if it waited now."""
-        request = MemoryRequest(
-            scope=scope,
-            traits=traits,
-            tokens=tokens,
-            priority=priority,
-            workspace=workspace,
-            weight=weight,
-        )
-        usable = self._balancer.usable(scope, ())
+    def backlog(self, request: MemoryRequest) -> Backlog:
+        """Return what a request finds before it, waiting or not yet."""
+        request = self._limit_tokens(request)
+        usable = self._balancer.usable(request.scope, request.tried)
         loads = [self._balancer.load(upstream.name) for upstream in usable]
-        capacity = self._capacity(traits)
+        capacity = self._capacity(request.traits)
         return Backlog(
             free_tokens=sum(max(capacity - load, 0) for load in loads),
             used_tokens=sum(loads),
@@ -213,8 +198,7 @@
         """
         if self._balancer.is_closed(request.scope):
             return None
-        tokens = min(request.tokens, self._capacity(request.traits))
-        request = attrs.evolve(request, tokens=tokens)
+        request = self._limit_tokens(request)
         if not self._waiting.must_wait(request.scope):
             upstream = self._find_for(request)
             if upstream is not None:
@@ -297,6 +281,11 @@
             on_release=lambda: self.groups.hold(scope, group, -tokens),
         )
 
+    def _limit_tokens(self, request: MemoryRequest) -> MemoryRequest:
+        """Return the request with no more tokens than an engine has."""
+        tokens = min(request.tokens, self._capacity(request.traits))
+        return attrs.evolve(request, tokens=tokens)
+
     def _capacity(self, traits: EngineTraits) -> int:
         """Return the memory of an engine that may be given out, in tokens."""
         return int(traits.memory_tokens * self._policy.fill_limit)
--- a/src/balsamlift/relay/generations/_memory_reservation.py
+++ b/src/balsamlift/relay/generations/_memory_reservation.py
@@ -25,6 +25,7 @@
         self._key = key
         self.upstream = upstream
         self.tokens = tokens
+        self.expected_wait_ms: float | None = 0.0  # as it began to wait
         balancer.add(key(upstream.name), tokens)
         balancer.publish()
 
--- a/tests/test_relay_views.py
+++ b/tests/test_relay_views.py
@@ -128,7 +128,11 @@
 
 def engine_row(host: OneHost, paces: dict[str, EnginePaceRow]) -> EngineRow:
     (row,) = engine_rows(
-        host.listed.all(), {POOL: TRAITS}, host.balancer, paces
+        host.listed.all(),
+        {POOL: TRAITS},
+        host.balancer,
+        paces,
+        SystemClock().monotonic(),
     )
     return row
 
