--- a/src/balsamlift/relay/generations/_memory_request.py
+++ b/src/balsamlift/relay/generations/_memory_request.py
@@ -26,7 +26,7 @@
     weight: float = 1.0  # of its workspace's share while requests wait
     in_time_until_s: float = math.inf  # monotonic; it is late afterwards
     tried: Collection[str] = ()  # names of engines not to be used
-    demand: StreamDemand | None = None  # of an engine's pace
+    demand: StreamDemand | None = None  # None: engines are equally fast
     request_id: str = ""  # for the log
 
     @property
--- a/tests/test_relay_memory_allocator.py
+++ b/tests/test_relay_memory_allocator.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import Any, cast
 
+import attrs
 import pytest
 from _listed_engines import SCOPE, ListedEngines
 
@@ -158,9 +159,12 @@
         assert found == Backlog(
             free_tokens=1_500,
             used_tokens=18_500,
-            ahead_tokens=3_000 + 2_000,  # more urgent, and of another
+            ahead_tokens=3_000 + 3_000,  # more urgent, and of its workspace
             is_known=True,
         )
+        of_another = attrs.evolve(asking, workspace="w")
+        found = host.allocator.backlog(of_another)
+        assert found.ahead_tokens == 3_000 + 2_000  # an equal share
         host.others.counts_basis = "scaled"
         found = host.allocator.backlog(asking)
         assert not found.is_known
