--- a/src/balsamlift/relay/generations/_group_counts.py
+++ b/src/balsamlift/relay/generations/_group_counts.py
@@ -34,6 +34,10 @@
         self._held: dict[Scope, Counter[Group]] = {}
         self._published: dict[Scope, Counter[str]] = {}
 
+    def scopes(self) -> set[Scope]:
+        """Return the scopes in which requests wait or hold memory here."""
+        return {*self._held, *self._published}
+
     def hold(self, scope: Scope, group: Group, tokens: int) -> None:
         """Add tokens, which may be negative, to those that a group holds."""
         held = self._held.setdefault(scope, Counter())
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -61,10 +61,10 @@
         self._policy = policy
         self._paces = paces
         self._cost = EngineCost(balancer, policy)
-        self._groups = GroupCounts(balancer, weight_of)
+        self.groups = GroupCounts(balancer, weight_of)
         self._waiting = WaitingRequests(
             balancer,
-            self._groups,
+            self.groups,
             EngineMemory(
                 find=self._find_for,
                 free_tokens_after=self._free_tokens_after,
@@ -203,10 +203,11 @@
             upstream = self._find_for(request)
             if upstream is not None:
                 return self._reserve_for(request, upstream)
+        loop = asyncio.get_running_loop()
         granted: asyncio.Future[MemoryReservation | None] = (
-            asyncio.get_running_loop().create_future()
+            loop.create_future()
         )
-        waiting = WaitingRequest(request, is_hopeless, granted)
+        waiting = WaitingRequest(request, is_hopeless, granted, loop.time())
         self._waiting.push(waiting)
         self._waiting.place()
         try:
@@ -225,6 +226,10 @@
         """Return the number of waiting generations."""
         return len(self._waiting)
 
+    def waiting(self) -> list[WaitingRequest]:
+        """Return the waiting generations, by pool, the most urgent first."""
+        return list(self._waiting)
+
     def place_waiting(self) -> None:
         """Place waiting generations in order."""
         self._waiting.place()
@@ -268,12 +273,12 @@
         """Reserve memory and count it as held by the request's group."""
         scope, group, tokens = request.scope, request.group, request.tokens
         self._balancer.record_send(upstream)
-        self._groups.hold(scope, group, tokens)
+        self.groups.hold(scope, group, tokens)
         return MemoryReservation(
             self._balancer,
             upstream,
             tokens,
-            on_release=lambda: self._groups.hold(scope, group, -tokens),
+            on_release=lambda: self.groups.hold(scope, group, -tokens),
         )
 
     def _limit_tokens(self, request: MemoryRequest) -> MemoryRequest:
--- a/src/balsamlift/relay/generations/_memory_request.py
+++ b/src/balsamlift/relay/generations/_memory_request.py
@@ -27,6 +27,7 @@
     in_time_until_s: float = math.inf  # monotonic; it is late afterwards
     tried: Collection[str] = ()  # names of engines not to be used
     demand: StreamDemand | None = None  # None: engines are equally fast
+    request_id: str = ""  # for the log
 
     @property
     def group(self) -> Group:
--- a/src/balsamlift/relay/generations/_sender.py
+++ b/src/balsamlift/relay/generations/_sender.py
@@ -116,6 +116,8 @@
         log.bind(
             request=call.request_id,
             upstream=upstream,
+            priority=call.priority,
+            workspace=call.workspace.name if call.workspace else "",
             tokens=reservation.tokens,
             load=balancer.load(upstream),  # including this call
             unread=balancer.load(prefill_key(upstream)),  # excluding this call
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -390,7 +390,7 @@
 CRASHED = ("request", "fingerprint", "upstream", "had_output")
 PLACED = (
     *("request", "upstream", "tokens", "load", "counts"),
-    *("waited_ms", "expected_wait_ms"),
+    *("waited_ms", "expected_wait_ms", "priority", "workspace"),
 )
 NO_MEMORY = (
     *("request", "tokens", "waited_ms", "expected_wait_ms", "retry_after_ms"),
