Show operators the gap and the slowness of engines as they are now known

Cause: the pace of engines no longer holds the longest pause; the view still read it, so that it failed with the first measured engine once joined. Change: the view, the command and the page show the gap, the slowness and the age of the gap, under the names that the lines of placements have. Measured: tests of the views, the commands, the lines of decisions and the pace pass; mypy passes.

--- a/src/balsamlift/_commands/_engines.py
+++ b/src/balsamlift/_commands/_engines.py
@@ -18,19 +18,16 @@
     "is_ejected",
     "gap_ms",
     "slowness",
-    "long_pause_ms",
-    "pause_share",
-    "pace_age_ms",
+    "gap_age_ms",
 ]
 USAGE = """Show how full and how fast engines are, as hosts know.
 
 Tokens are those reserved through all hosts (`counts`: how these are known;
 `old` and `scaled` are estimates). An engine that a host suspects or has
 ejected gets work only if no other has memory. `gap_ms` is the mean time
-between events of a stream, `slowness` how often that of a typical engine of
-its pool, `long_pause_ms` and `pause_share` the mean long pause and the share
-of gaps that were one, as measured by all hosts; `pace_age_ms` is the age of
-this host's own measure.
+between events of a stream, as measured by all hosts, and `slowness` its ratio
+to that of a typical engine of the pool; `gap_age_ms` is the age of this
+host's own measure.
 
 Usage:
   balsamlift engines --at=IP:PORT... [--json]
--- a/src/balsamlift/relay/_views.py
+++ b/src/balsamlift/relay/_views.py
@@ -61,9 +61,7 @@
     is_ejected: bool  # by this host
     gap_ms: float | None  # None: nobody measured its pace
     slowness: float | None  # compared with its pool; 1: not slow
-    long_pause_ms: float | None
-    pause_share: float | None  # of gaps that were long pauses
-    pace_age_ms: int | None  # None: this host measured nothing
+    gap_age_ms: int | None  # None: this host measured nothing
 
 
 def queue_rows(
@@ -181,9 +179,7 @@
         is_ejected=balancer.health.is_ejected(name, now_s),
         gap_ms=round(pace.gap_ms, 1) if pace else None,
         slowness=round(pace.slowness, 2) if pace else None,
-        long_pause_ms=round(pace.long_pause_ms, 1) if pace else None,
-        pause_share=round(pace.pause_share, 4) if pace else None,
-        pace_age_ms=pace.own_age_ms if pace else None,
+        gap_age_ms=pace.own_age_ms if pace else None,
     )
 
 
