--- a/src/balsamlift/placement/_pace.py
+++ b/src/balsamlift/placement/_pace.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import bisect
+import functools
 import math
 from collections.abc import Callable, Collection, Mapping, Sequence
 from statistics import fmean, median
@@ -22,7 +23,9 @@
 RATIOS = (1.5, 2.0, 2.5, 3.0, 3.5, 4.0, 5.0, 7.0, 10.0, 14.0)
 RATIO_WINDOW_MS = 60_000.0  # for which they are counted
 MIN_RATIO_GAPS = 200  # fewer say nothing about long ones
-RARE_SHARE = 1 / 500  # of gaps; longer ones are no pauses for a prompt
+# Pauses for prompts are at least this share of all gaps: about one in a few
+# long streams. What is rarer has other causes.
+RARE_SHARE = 1 / 1_000
 # Engines whose gaps are longer than the typical one by at most this share are
 # not slow: their gaps differ as much by what they run.
 EVEN_RANGE = 0.25
@@ -33,10 +36,11 @@
 # Streams that a prompt is taken to delay at most: their cost is that of an
 # engine that fails all requests.
 MAX_DELAYED_STREAMS = 2.0
+MIN_MEMORY_SHARE = 0.01  # that a stream is taken to need
 # A slow engine is preferred to a fast one with this much less free memory.
 MAX_HOLDING_COST = 0.5
 
-
+# Turns the gaps of a window and what is known into what is known next.
 Update = Callable[[Sequence[float], float], float]
 
 
@@ -201,28 +205,32 @@
         has measured costs what the others cost on average.
         """
         gap_ms = self.gaps_ms.get(engine)
-        if gap_ms is not None:
-            return self._cost_at(gap_ms, used_share)
-        return fmean(
-            self._cost_at(gap_ms, used_share)
-            for gap_ms in self.gaps_ms.values()
+        own, per_stream = (
+            self._mean_costs if gap_ms is None else self._costs_at(gap_ms)
         )
+        streams = used_share / max(self.demand.memory_share, MIN_MEMORY_SHARE)
+        return own + per_stream * min(streams, MAX_DELAYED_STREAMS)
 
     def slowness(self, engine: str) -> float:
         """Return how many times as long it takes; 1 if it is not slow."""
         gap_ms = self.gaps_ms.get(engine, self.pool.median_gap_ms)
         return self.pool.slowness(gap_ms)
 
-    def _cost_at(self, gap_ms: float, used_share: float) -> float:
+    @functools.cached_property
+    def _mean_costs(self) -> tuple[float, float]:
+        costs = [self._costs_at(gap_ms) for gap_ms in self.gaps_ms.values()]
+        own, per_stream = zip(*costs, strict=True)
+        return fmean(own), fmean(per_stream)
+
+    def _costs_at(self, gap_ms: float) -> tuple[float, float]:
+        """Return its own cost, and that to each stream on the engine."""
         even_ms = self.pool.even_gap_ms
         if gap_ms <= even_ms:
-            return 0.0
+            return 0.0, 0.0
         late = self._late_probability(gap_ms) - self._late_probability(even_ms)
-        delayed = self._pausing_risk(gap_ms) - self._pausing_risk(even_ms)
-        streams = used_share / max(self.demand.memory_share, 0.01)
-        delayed *= min(streams, MAX_DELAYED_STREAMS)
+        delays = self._pausing_risk(gap_ms) - self._pausing_risk(even_ms)
         holding = _holding_cost(self.demand, gap_ms - even_ms)
-        return holding + LATE_COST * (late + delayed)
+        return holding + LATE_COST * late, LATE_COST * delays
 
     def _late_probability(self, gap_ms: float) -> float:
         """Return the probability of a pause or an end that is too late."""
