--- a/src/balsamlift/placement/_pace.py
+++ b/src/balsamlift/placement/_pace.py
@@ -30,12 +30,10 @@
 # not slow: their gaps differ as much by what they run.
 EVEN_RANGE = 0.25
 NEAR_SHARE = 0.75  # of a limit; less is no risk of exceeding it
-# Cost of a generation that will certainly be late. One that fails costs 1,
-# and a late one is of some use to its caller.
-LATE_COST = 0.5
-# Streams that a prompt is taken to delay at most: their cost is that of an
-# engine that fails all requests.
-MAX_DELAYED_STREAMS = 2.0
+# Cost of a generation that will certainly be late, and of making another one
+# late. All costs together are no higher, as an engine that fails all requests
+# costs 1.
+LATE_COST = 1.0
 MIN_MEMORY_SHARE = 0.01  # that a stream is taken to need
 # A slow engine is preferred to a fast one with this much less free memory.
 MAX_HOLDING_COST = 0.5
@@ -209,7 +207,7 @@
             self._mean_costs if gap_ms is None else self._costs_at(gap_ms)
         )
         streams = used_share / max(self.demand.memory_share, MIN_MEMORY_SHARE)
-        return own + per_stream * min(streams, MAX_DELAYED_STREAMS)
+        return min(own + per_stream * min(streams, 1.0), LATE_COST)
 
     def slowness(self, engine: str) -> float:
         """Return how many times as long it takes; 1 if it is not slow."""
@@ -223,7 +221,7 @@
         return fmean(own), fmean(per_stream)
 
     def _costs_at(self, gap_ms: float) -> tuple[float, float]:
-        """Return its own cost, and that to each stream on the engine."""
+        """Return its own cost, and that to a stream on the engine."""
         even_ms = self.pool.even_gap_ms
         if gap_ms <= even_ms:
             return 0.0, 0.0
