Keep prompts at the hosts that engines could not read in time

Change: hosts measure together how fast engines read; an engine is given no more than it reads in half of the shortest target of streams that the prompt may delay, or one prompt of any size. What is beyond waits in the line of the host, where the urgent go first.

--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -22,6 +22,11 @@
     smooth_usual,
 )
 from balsamlift.placement._policy import Policy
+from balsamlift.placement._prompt_reading import (
+    Reading,
+    max_unread_tokens,
+    may_read,
+)
 from balsamlift.placement._request import PlacementRequest, Ticket
 from balsamlift.placement._residence import (
     Residence,
@@ -51,6 +56,7 @@
     "Placement",
     "PlacementRequest",
     "Policy",
+    "Reading",
     "RecentRatios",
     "RefuseNow",
     "Residence",
@@ -69,6 +75,8 @@
     "groups_before",
     "leaves_room",
     "limit_retry_ms",
+    "max_unread_tokens",
+    "may_read",
     "rate_paces",
     "ratio_of",
     "smooth_usual",
--- a/src/balsamlift/relay/_routing.py
+++ b/src/balsamlift/relay/_routing.py
@@ -32,6 +32,9 @@
     _routes: dict[str, dict[str, Route]]  # by host name, then path prefix
     _workspaces: dict[str, Workspace]  # by API key
     weights: dict[str, float]  # of workspaces, by name
+    _shortest_targets_ms: dict[tuple[str, int], int] = attrs.field(
+        factory=dict, init=False, eq=False
+    )
 
     @property
     def version(self) -> int:
@@ -67,6 +70,22 @@
         routes = self._routes.get(host.lower(), {})
         return intersect_regions(*(route.regions for route in routes.values()))
 
+    def shortest_target_ms(self, service: str, priority: int) -> int:
+        """Return the shortest target of its streams up to that priority.
+
+        Returns 0 if there is none.
+        """
+        key = service, priority
+        if key not in self._shortest_targets_ms:
+            targets_ms = (
+                route.target_ms
+                for route in self.configuration.routes
+                if route.kind == "stream" and route.priority <= priority
+                if any(share.service == service for share in route.services)
+            )
+            self._shortest_targets_ms[key] = min(targets_ms, default=0)
+        return self._shortest_targets_ms[key]
+
     def find_workspace(self, key: str) -> Workspace | None:
         """Return the workspace that an API key belongs to, or None."""
         return self._workspaces.get(key)
--- a/src/balsamlift/relay/generations/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -147,6 +147,10 @@
             call.request.arrived_s + call.route.target_ms / 1_000
         ),
         tried=tried,
+        prompt_tokens=job.estimate.prompt_tokens,
+        first_event_ms=call.table.shortest_target_ms(
+            call.service, call.priority
+        ),
         demand=job.demand,
         request_id=job.request_id,
     )
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -25,6 +25,7 @@
     DEFAULT_POLICY,
     PlacementPolicy,
 )
+from balsamlift.relay.generations._prompt_reading import PromptReading
 from balsamlift.relay.generations._waiting_requests import (
     EngineMemory,
     WaitingRequest,
@@ -61,6 +62,7 @@
         self._policy = policy
         self._paces = paces
         self._cost = EngineCost(balancer, policy)
+        self.reading = PromptReading(balancer)
         self.groups = GroupCounts(balancer, weight_of)
         self._waiting = WaitingRequests(
             balancer,
@@ -83,18 +85,22 @@
         near_domain: str = "",
         fill_limit: float | None = None,
         demand: StreamDemand | None = None,
+        may_read: Callable[[str], bool] = lambda upstream: True,
     ) -> Upstream | None:
         """Return the best engine with memory for `tokens`, if there is one.
 
         Prefers the failure domain `near_domain`, which defaults to that of
         this host. Fills an engine up to the fraction `fill_limit` of its
         memory, which defaults to that of the policy. The pace of engines
-        counts for streams with a `demand`.
+        counts for streams with a `demand`. `may_read` returns whether an
+        engine may be given one more prompt.
         """
         max_load = self._max_load(traits, tokens, fill_limit)
         usable = self._balancer.usable(scope, tried)
         fitting = [
-            u for u in usable if self._balancer.load(u.name) <= max_load
+            u
+            for u in usable
+            if self._balancer.load(u.name) <= max_load and may_read(u.name)
         ]
         if not fitting:
             return None
@@ -245,6 +251,7 @@
             request.tokens,
             request.tried,
             demand=request.demand,
+            may_read=self.reading.limit(request),
         )
 
     def _free_tokens_after(
--- a/src/balsamlift/relay/generations/_memory_request.py
+++ b/src/balsamlift/relay/generations/_memory_request.py
@@ -26,6 +26,9 @@
     weight: float = 1.0  # of its workspace's share while requests wait
     in_time_until_s: float = math.inf  # monotonic; it is late afterwards
     tried: Collection[str] = ()  # names of engines not to be used
+    prompt_tokens: int = 0
+    # Shortest target of the streams that its prompt may delay; 0: none.
+    first_event_ms: int = 0
     demand: StreamDemand | None = None  # None: engines are equally fast
     request_id: str = ""  # for the log
 
--- a/src/balsamlift/relay/generations/_sender.py
+++ b/src/balsamlift/relay/generations/_sender.py
@@ -88,6 +88,8 @@
             job.estimate.prompt_tokens,
             prefill_key,
         )
+        reading = self._context.allocator.reading
+        unread_tokens = reading.unread_tokens(reservation.upstream.name)
         try:
             result = await self._send(
                 job.call,
@@ -102,6 +104,9 @@
         finally:
             pending_prefill.release()
         if isinstance(result, Reply):
+            if result.is_success:
+                took_s = asyncio.get_running_loop().time() - reserved_s
+                reading.record(job.scope.pool, unread_tokens, took_s * 1_000)
             return StartedGeneration(result, reservation, reserved_s, backup)
         reservation.release()
         backup.release()
