--- a/bench/placing.py
+++ b/bench/placing.py
@@ -27,7 +27,8 @@
 from balsamlift.clock import SystemClock
 from balsamlift.peers import HostRank, Peers, Upstream, Upstreams
 from balsamlift.relay import EngineTraits
-from balsamlift.relay._balance import Balancer, prefill_key
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._count_keys import prefill_key
 from balsamlift.relay._scope import Scope
 from balsamlift.relay.generations._memory_allocator import (
     MemoryAllocator,
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -41,21 +41,6 @@
 CROSS_DOMAIN_PENALTY_CALLS = 1.5
 
 
-def backup_key(upstream: str) -> str:
-    """Return the key that counts memory reserved there for backups."""
-    return f"{upstream}/backups"
-
-
-def prefill_key(upstream: str) -> str:
-    """Return the key that counts prompt tokens not yet processed there."""
-    return f"{upstream}/prefill"
-
-
-def link_key(upstream: str) -> str:
-    """Return the key that counts copies in progress from there."""
-    return f"{upstream}/link"
-
-
 class Balancer:
     """Track the load of upstreams and choose upstreams for new calls."""
 
--- a/src/balsamlift/relay/_views.py
+++ b/src/balsamlift/relay/_views.py
@@ -12,8 +12,9 @@
 from balsamlift.kernel import Kernel
 from balsamlift.operators import JsonHandler, OperatorsServer
 from balsamlift.peers import CountsBasis, Upstream, Upstreams
-from balsamlift.relay._balance import Balancer, backup_key, prefill_key
+from balsamlift.relay._balance import Balancer
 from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._count_keys import backup_key, prefill_key
 from balsamlift.relay._routing import Routing
 from balsamlift.relay._scope import Scope
 from balsamlift.relay.generations import (
--- a/src/balsamlift/relay/generations/_engine_cost.py
+++ b/src/balsamlift/relay/generations/_engine_cost.py
@@ -4,8 +4,9 @@
 
 from balsamlift.peers import Upstream
 from balsamlift.placement import PaceRating
-from balsamlift.relay._balance import Balancer, backup_key, prefill_key
+from balsamlift.relay._balance import Balancer
 from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._count_keys import backup_key, prefill_key
 from balsamlift.relay.generations._placement_policy import PlacementPolicy
 
 
--- a/src/balsamlift/relay/generations/_engine_paces.py
+++ b/src/balsamlift/relay/generations/_engine_paces.py
@@ -17,7 +17,8 @@
     compare_gaps,
     rate_paces,
 )
-from balsamlift.relay._balance import Balancer, prefill_key
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._count_keys import prefill_key
 from balsamlift.relay.generations._pace_measure import (
     PaceMeasure,
     PaceValues,
--- a/src/balsamlift/relay/generations/_link_access.py
+++ b/src/balsamlift/relay/generations/_link_access.py
@@ -8,7 +8,8 @@
 
 from balsamlift.exceptions import UpstreamError
 from balsamlift.peers import Upstream
-from balsamlift.relay._balance import Balancer, link_key
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._count_keys import link_key
 from balsamlift.relay.generations._engines import EngineClient
 from balsamlift.relay.generations._termination import (
     TerminationEstimate,
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -10,8 +10,9 @@
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream
 from balsamlift.placement import Backlog, StreamDemand
-from balsamlift.relay._balance import Balancer, backup_key
+from balsamlift.relay._balance import Balancer
 from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._count_keys import backup_key
 from balsamlift.relay._scope import Scope
 from balsamlift.relay.generations._engine_cost import (
     EngineCost,
--- a/src/balsamlift/relay/generations/_prompt_reading.py
+++ b/src/balsamlift/relay/generations/_prompt_reading.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from balsamlift.placement import Reading, max_unread_tokens, may_read
-from balsamlift.relay._balance import Balancer, prefill_key
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._count_keys import prefill_key
 from balsamlift.relay.generations._memory_request import MemoryRequest
 
 
--- a/src/balsamlift/relay/generations/_sender.py
+++ b/src/balsamlift/relay/generations/_sender.py
@@ -16,7 +16,7 @@
 from balsamlift.peers import Upstream
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._attempt import Attempt
-from balsamlift.relay._balance import prefill_key
+from balsamlift.relay._count_keys import prefill_key
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._refusals import give_up
 from balsamlift.relay._request import Call, Refusal
--- a/tests/_uneven_engines.py
+++ b/tests/_uneven_engines.py
@@ -19,7 +19,8 @@
 from balsamlift.peers import HostRank, Peers, Upstream, Upstreams
 from balsamlift.placement import StreamDemand
 from balsamlift.relay import EngineTraits
-from balsamlift.relay._balance import Balancer, prefill_key
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._count_keys import prefill_key
 from balsamlift.relay.generations._engine_paces import EnginePaces
 from balsamlift.relay.generations._memory_allocator import (
     MemoryAllocator,
--- a/tests/test_relay_memory_allocator.py
+++ b/tests/test_relay_memory_allocator.py
@@ -13,7 +13,8 @@
 from balsamlift.peers import CountsBasis, HostRank, Peers, Upstreams
 from balsamlift.placement import Backlog
 from balsamlift.relay import EngineTraits
-from balsamlift.relay._balance import Balancer, backup_key
+from balsamlift.relay._balance import Balancer
+from balsamlift.relay._count_keys import backup_key
 from balsamlift.relay.generations._memory_allocator import (
     MemoryAllocator,
     MemoryReservation,
