Let hosts with the most urgent requests look for memory more often

Cause: beside many hosts, one that waits looks for memory every 0.3 s. Change: a host looks every 0.15 s while one of the most urgent waits there and a less urgent one elsewhere.

--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -65,6 +65,9 @@
 MEMORY_POLL_INTERVAL_S = 0.1
 # The same if the load counts have to be requested from another host.
 REMOTE_MEMORY_POLL_INTERVAL_S = 0.3
+# The same for generations that are more urgent than those of other hosts, so
+# that they find free memory first.
+URGENT_MEMORY_POLL_INTERVAL_S = 0.15
 # Part of the time for which a leaving upstream still works in which calls that
 # no other upstream can take are sent there. The rest is for their responses.
 LAST_RESORT_FRACTION = 0.5
@@ -350,18 +353,20 @@
 
     async def _poll_for_memory(self) -> None:
         while True:
-            is_full_mesh = self._peers.is_full_mesh
-            await self._clock.sleep(
-                MEMORY_POLL_INTERVAL_S
-                if is_full_mesh
-                else REMOTE_MEMORY_POLL_INTERVAL_S
-            )
+            await self._clock.sleep(self._memory_poll_interval_s())
             if self._allocator.waiting_count:
                 await self._balancer.refresh()
                 self._allocator.place_waiting()
             else:
                 self._allocator.publish_groups()
 
+    def _memory_poll_interval_s(self) -> float:
+        if self._peers.is_full_mesh:
+            return MEMORY_POLL_INTERVAL_S
+        if self._allocator.has_precedence():
+            return URGENT_MEMORY_POLL_INTERVAL_S
+        return REMOTE_MEMORY_POLL_INTERVAL_S
+
     async def _sweep_periodically(self) -> None:
         while True:
             await self._clock.sleep(SWEEP_INTERVAL_S)
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -237,6 +237,10 @@
         """Return the waiting generations, by pool, the most urgent first."""
         return list(self._waiting)
 
+    def has_precedence(self) -> bool:
+        """Return whether one that waits here goes before other hosts'."""
+        return self._waiting.has_precedence()
+
     def place_waiting(self) -> None:
         """Place waiting generations in order."""
         self._waiting.place()
--- a/src/balsamlift/relay/generations/_waiting_requests.py
+++ b/src/balsamlift/relay/generations/_waiting_requests.py
@@ -163,6 +163,20 @@
         found = (each for each in line or () if each.request == request)
         return next(found, None)
 
+    def has_precedence(self) -> bool:
+        """Return whether a request here goes before all of other hosts.
+
+        That is, one of the most urgent waits here and a less urgent one
+        elsewhere.
+        """
+        for scope in {each.scope for each in self}:
+            own = min(e.priority for e in self if e.scope == scope)
+            others = self._groups.waiting_elsewhere(scope)
+            elsewhere = {group.priority for group in others}
+            if elsewhere and min(elsewhere) >= own < max(elsewhere):
+                return True
+        return False
+
     def place(self) -> None:
         """Offer free memory to the waiting requests in order."""
         if self._is_placing or not self._lines:
--- a/tests/test_relay_fair_shares.py
+++ b/tests/test_relay_fair_shares.py
@@ -361,3 +361,36 @@
         assert not backlog(less_urgent).is_known
 
     run_virtual(test)
+
+
+@pytest.mark.parametrize(
+    ("priority", "elsewhere", "expected"),
+    [
+        (0, [1], True),
+        (0, [0, 1], True),
+        (0, [0], False),  # nobody waits that is less urgent
+        (1, [0, 2], False),
+        (0, [], False),
+    ],
+)
+def test_only_the_most_urgent_look_for_memory_more_often(
+    priority: int, elsewhere: list[int], expected: bool
+) -> None:
+    async def test() -> None:
+        host = OneOfTwo()
+        host.others.update({"model/waiting": len(elsewhere) * TOKENS})
+        for each in elsewhere:
+            host.others[f"model/waiting/{each}/w"] = TOKENS
+        await host.peers.refresh_counts()
+        full = [
+            host.allocator.reserve(upstream, TRAITS.memory_tokens)
+            for upstream in host.balancer.usable(SCOPE, ())
+        ]
+        waiting = asyncio.create_task(host.wait(priority))
+        await asyncio.sleep(POLL_S / 2)
+        assert host.allocator.has_precedence() is expected
+        for reservation in full:
+            reservation.release()
+        await waiting
+
+    run_virtual(test)
