--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -41,21 +41,6 @@
 CROSS_DOMAIN_PENALTY_CALLS = 1.5
 
 
-def backup_key(upstream: str) -> str:
-    """Return the key that counts memory reserved there for backups."""
-    return f"{upstream}/backups"
-
-
-def prefill_key(upstream: str) -> str:
-    """Return the key that counts prompt tokens not yet processed there."""
-    return f"{upstream}/prefill"
-
-
-def link_key(upstream: str) -> str:
-    """Return the key that counts copies in progress from there."""
-    return f"{upstream}/link"
-
-
 class Balancer:
     """Track the load of upstreams and choose upstreams for new calls."""
 
@@ -103,6 +88,10 @@
         """Return the load of all hosts together on this upstream."""
         return self._own_counts[upstream] + self._peers.in_flight(upstream)
 
+    def other_counts(self, prefix: str) -> dict[str, int]:
+        """Return the counts of all other hosts whose keys begin so."""
+        return self._peers.counts_under(prefix)
+
     @property
     def receives_pushed_counts(self) -> bool:
         """Return whether other hosts push their counts as they change."""
@@ -117,10 +106,8 @@
         self, upstreams: Sequence[Upstream], limit: int | None
     ) -> list[Upstream]:
         """Return a random sample; all of them if there is no `limit`."""
-        number = (
-            len(upstreams) if limit is None else min(limit, len(upstreams))
-        )
-        return self._random.sample(upstreams, number)
+        number = len(upstreams) if limit is None else limit
+        return self._random.sample(upstreams, min(number, len(upstreams)))
 
     def own_load(self, upstream: str) -> int:
         """Return the load of this host on an upstream."""
@@ -134,6 +121,11 @@
             for callback in self._on_release:
                 callback()
 
+    def share_value(self, key: str, value: int) -> None:
+        """Set a value that other hosts get as a sum; it is no load."""
+        self._own_counts[key] = value
+        self._peers.set_in_flight(key, value)
+
     def publish(self) -> None:
         """Publish the counts of this host to the other hosts at once.
 
--- a/src/balsamlift/relay/_routing.py
+++ b/src/balsamlift/relay/_routing.py
@@ -31,6 +31,10 @@
     services: dict[str, Service]
     _routes: dict[str, dict[str, Route]]  # by host name, then path prefix
     _workspaces: dict[str, Workspace]  # by API key
+    weights: dict[str, float]  # of workspaces, by name
+    _shortest_targets_ms: dict[tuple[str, int], int] = attrs.field(
+        factory=dict, init=False, eq=False
+    )
 
     @property
     def version(self) -> int:
@@ -66,6 +70,22 @@
         routes = self._routes.get(host.lower(), {})
         return intersect_regions(*(route.regions for route in routes.values()))
 
+    def shortest_target_ms(self, service: str, priority: int) -> int:
+        """Return the shortest target of its streams up to that priority.
+
+        Returns 0 if there is none.
+        """
+        key = service, priority
+        if key not in self._shortest_targets_ms:
+            targets_ms = (
+                route.target_ms
+                for route in self.configuration.routes
+                if route.kind == "stream" and route.priority <= priority
+                if any(share.service == service for share in route.services)
+            )
+            self._shortest_targets_ms[key] = min(targets_ms, default=0)
+        return self._shortest_targets_ms[key]
+
     def find_workspace(self, key: str) -> Workspace | None:
         """Return the workspace that an API key belongs to, or None."""
         return self._workspaces.get(key)
@@ -85,6 +105,7 @@
             for workspace in configuration.workspaces
             for key in workspace.keys
         },
+        {each.name: each.weight for each in configuration.workspaces},
     )
 
 
@@ -192,6 +213,10 @@
         service = self._table.services.get(pool) if self._table else None
         return service.cold_requests_per_s if service else None
 
+    def weight_of(self, workspace: str) -> float:
+        """Return the weight of a workspace, 1 if it is unknown."""
+        return self._table.weights.get(workspace, 1.0) if self._table else 1.0
+
     def table(self) -> RoutingTable:
         """Return the table in force.
 
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
 from math import isinf
 
 import attrs
@@ -15,12 +14,11 @@
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Peers, Upstreams
-from balsamlift.relay._admission import Admission, PartsDecoder
+from balsamlift.relay._admission import Admission
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._cold_starts import ColdLimits, ColdStartLimiter
+from balsamlift.relay._cold_starts import ColdStartLimiter
 from balsamlift.relay._exchange import Exchange
 from balsamlift.relay._frontend import FORWARDING_FRONTEND, Frontend
-from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._request import (
     Call,
@@ -29,11 +27,13 @@
     Refusal,
     Responder,
 )
-from balsamlift.relay._retry_budget import RetryBudget, RetryLimits
+from balsamlift.relay._retry_budget import RetryBudget
 from balsamlift.relay._routing import Routing, RoutingTable
+from balsamlift.relay._settings import RelaySettings
 from balsamlift.relay._unary import UnaryCalls
 from balsamlift.relay._upstream_chooser import UpstreamChooser
 from balsamlift.relay._upstream_links import UpstreamLinks
+from balsamlift.relay._views import serve_views
 from balsamlift.relay.crashes import CrashGuard, PartGuard
 from balsamlift.relay.forwarding import (
     FORWARDED_HEAD_BYTES,
@@ -43,6 +43,7 @@
 )
 from balsamlift.relay.generations import (
     EngineClient,
+    EnginePaces,
     GenerationContext,
     Generations,
     LeavingDetector,
@@ -54,7 +55,6 @@
     Restrictions,
     RetryAfterTracker,
     SendAudit,
-    StatementDecoders,
     StatementReader,
 )
 
@@ -65,6 +65,9 @@
 MEMORY_POLL_INTERVAL_S = 0.1
 # The same if the load counts have to be requested from another host.
 REMOTE_MEMORY_POLL_INTERVAL_S = 0.3
+# The same for generations that are more urgent than those of other hosts, so
+# that they find free memory first.
+URGENT_MEMORY_POLL_INTERVAL_S = 0.15
 # Part of the time for which a leaving upstream still works in which calls that
 # no other upstream can take are sent there. The rest is for their responses.
 LAST_RESORT_FRACTION = 0.5
@@ -72,20 +75,6 @@
 SWEEP_INTERVAL_S = 1.0
 
 
-@attrs.frozen(kw_only=True)
-class RelaySettings:
-    """Settings of the relay, fixed at its start."""
-
-    failure_domain: str
-    retries: RetryLimits
-    cold_limits: ColdLimits | None = None  # None: unlimited
-    regions: Mapping[str, str] = attrs.field(factory=dict)  # by domain
-    names: HeaderNames
-    decoders: StatementDecoders
-    decode_prompt_parts: PartsDecoder
-    drain_s: float  # for which an upstream still works once it is leaving
-
-
 class Relay:
     """Forwards requests to upstreams with at-most-once execution.
 
@@ -148,7 +137,15 @@
             self._retry_after,
             brittle_pools,
         )
-        self._allocator = MemoryAllocator(balancer)
+        paces = self._paces = EnginePaces(
+            balancer, self._upstreams, self._clock, self._metrics
+        )
+        self._allocator = MemoryAllocator(
+            balancer,
+            metrics=self._metrics,
+            weight_of=routing.weight_of,
+            paces=paces,
+        )
         self._retries = RetryBudget(
             self._settings.retries,
             lambda: len(peers.live()) + 1,
@@ -234,6 +231,7 @@
             balancer=balancer,
             allocator=self._allocator,
             engines=engines,
+            paces=paces,
             names=names,
             metrics=self._metrics,
             upstreams=self._upstreams,
@@ -259,6 +257,7 @@
         links.start(exchange.probe)
         self._frontend = frontend
         self._forwarding_frontend = forwarding_frontend
+        serve_views(kernel, self._allocator, balancer, paces)
         routing.on_change(self._apply_limits)
         frontend.serve(self.handle)
         forwarding_frontend.serve(self.handle_forwarded)
@@ -354,15 +353,19 @@
 
     async def _poll_for_memory(self) -> None:
         while True:
-            is_full_mesh = self._peers.is_full_mesh
-            await self._clock.sleep(
-                MEMORY_POLL_INTERVAL_S
-                if is_full_mesh
-                else REMOTE_MEMORY_POLL_INTERVAL_S
-            )
+            await self._clock.sleep(self._memory_poll_interval_s())
             if self._allocator.waiting_count:
                 await self._balancer.refresh()
                 self._allocator.place_waiting()
+            else:
+                self._allocator.publish_groups()
+
+    def _memory_poll_interval_s(self) -> float:
+        if self._peers.is_full_mesh:
+            return MEMORY_POLL_INTERVAL_S
+        if self._allocator.has_precedence():
+            return URGENT_MEMORY_POLL_INTERVAL_S
+        return REMOTE_MEMORY_POLL_INTERVAL_S
 
     async def _sweep_periodically(self) -> None:
         while True:
@@ -374,6 +377,7 @@
             self._peers.permits.prune(live)
             self._retry_after.discard_expired()
             self._balancer.discard_expired()
+            self._paces.discard_expired()
             self._crash_guard.discard_expired()
 
 
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -3,23 +3,37 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from collections.abc import Callable, Collection
 
 import attrs
 
+from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream
-from balsamlift.relay._balance import Balancer, backup_key
+from balsamlift.placement import Backlog, StreamDemand
+from balsamlift.relay._balance import Balancer
 from balsamlift.relay._configuration import EngineTraits
+from balsamlift.relay._count_keys import backup_key
 from balsamlift.relay._scope import Scope
 from balsamlift.relay.generations._engine_cost import (
     EngineCost,
     reserved_tokens,
 )
+from balsamlift.relay.generations._engine_paces import EnginePaces
+from balsamlift.relay.generations._group_counts import GroupCounts
+from balsamlift.relay.generations._memory_request import MemoryRequest
+from balsamlift.relay.generations._memory_reservation import MemoryReservation
 from balsamlift.relay.generations._placement_policy import (
     DEFAULT_POLICY,
     PlacementPolicy,
 )
+from balsamlift.relay.generations._prompt_reading import PromptReading
+from balsamlift.relay.generations._waiting_requests import (
+    EngineMemory,
+    WaitingRequest,
+    WaitingRequests,
+)
+
+__all__ = ["MemoryAllocator", "MemoryRequest", "MemoryReservation"]
 
 # Fill level above which an engine stores no backups: copying them would
 # delay moves on the links between engines.
@@ -29,63 +43,38 @@
 BACKUP_POOL_FILL_LIMIT = 0.6
 
 
-@attrs.define(eq=False)
-class _WaitingRequest:
-    """Hold a generation that waits for memory."""
-
-    scope: Scope
-    traits: EngineTraits
-    tokens: int
-    tried: Collection[str]
-    is_hopeless: Callable[[], bool]
-    granted: asyncio.Future[MemoryReservation | None]
-
-
-class MemoryReservation:
-    """A reservation of one engine's memory for one generation."""
+class MemoryAllocator:
+    """Allocate engine memory to generations, in order while they wait."""
 
     def __init__(
         self,
         balancer: Balancer,
-        upstream: Upstream,
-        tokens: int,
-        key: Callable[[str], str] = str,
+        policy: PlacementPolicy = DEFAULT_POLICY,
+        metrics: Metrics | None = None,
+        weight_of: Callable[[str], float] = lambda workspace: 1.0,
+        paces: EnginePaces | None = None,
     ) -> None:
-        """Reserve the memory, counted under the key `key(upstream)`."""
-        self._balancer = balancer
-        self._key = key
-        self.upstream = upstream
-        self.tokens = tokens
-        balancer.add(key(upstream.name), tokens)
-        balancer.publish()
-
-    def move(self, upstream: Upstream) -> None:
-        """Reserve the same amount on another engine instead."""
-        self._balancer.add(self._key(upstream.name), self.tokens)
-        self._balancer.add(self._key(self.upstream.name), -self.tokens)
-        self._balancer.publish()
-        self.upstream = upstream
-
-    def release(self) -> None:
-        """Release the memory; further calls have no effect."""
-        tokens, self.tokens = self.tokens, 0
-        if tokens:
-            self._balancer.add(self._key(self.upstream.name), -tokens)
-            self._balancer.publish()
+        """Count memory in tokens, through `balancer`.
 
-
-class MemoryAllocator:
-    """Allocate engine memory to generations in order of priority."""
-
-    def __init__(
-        self, balancer: Balancer, policy: PlacementPolicy = DEFAULT_POLICY
-    ) -> None:
-        """Count memory in tokens, through `balancer`."""
+        `weight_of` returns the weight of a workspace that waits elsewhere.
+        Without `paces`, all engines count as equally fast.
+        """
         self._balancer = balancer
         self._policy = policy
+        self._paces = paces
         self._cost = EngineCost(balancer, policy)
-        self._waiting: list[tuple[tuple[int, int], _WaitingRequest]] = []
-        self._sequence = itertools.count()
+        self.reading = PromptReading(balancer)
+        self.groups = GroupCounts(balancer, weight_of)
+        self._waiting = WaitingRequests(
+            balancer,
+            self.groups,
+            EngineMemory(
+                find=self._find_for,
+                free_tokens_after=self._free_tokens_after,
+                reserve=self._grant,
+            ),
+            metrics or Metrics(),
+        )
         balancer.on_release(self.place_waiting)
 
     def find(
@@ -96,25 +85,33 @@
         tried: Collection[str] = (),
         near_domain: str = "",
         fill_limit: float | None = None,
+        demand: StreamDemand | None = None,
+        may_read: Callable[[str], bool] = lambda upstream: True,
     ) -> Upstream | None:
         """Return the best engine with memory for `tokens`, if there is one.
 
         Prefers the failure domain `near_domain`, which defaults to that of
         this host. Fills an engine up to the fraction `fill_limit` of its
-        memory, which defaults to that of the policy.
+        memory, which defaults to that of the policy. The pace of engines
+        counts for streams with a `demand`. `may_read` returns whether an
+        engine may be given one more prompt.
         """
         max_load = self._max_load(traits, tokens, fill_limit)
+        usable = self._balancer.usable(scope, tried)
         fitting = [
             u
-            for u in self._balancer.usable(scope, tried)
-            if self._balancer.load(u.name) <= max_load
+            for u in usable
+            if self._balancer.load(u.name) <= max_load and may_read(u.name)
         ]
         if not fitting:
             return None
         candidates = self._proven(fitting) or fitting
         sampled = self._balancer.sample(candidates, self._sample_size())
+        pace = None
+        if self._paces is not None and demand is not None:
+            pace = self._paces.rate(scope.pool, usable, demand)
         return min(
-            sampled, key=lambda u: self._cost.of(u, traits, near_domain)
+            sampled, key=lambda u: self._cost.of(u, traits, near_domain, pace)
         )
 
     def _proven(self, upstreams: list[Upstream]) -> list[Upstream]:
@@ -182,39 +179,44 @@
         )
         return MemoryReservation(self._balancer, upstream, tokens, backup_key)
 
+    def backlog(self, request: MemoryRequest) -> Backlog:
+        """Return what a request finds before it, waiting or not yet."""
+        request = self._limit_tokens(request)
+        usable = self._balancer.usable(request.scope, request.tried)
+        loads = [self._balancer.load(upstream.name) for upstream in usable]
+        capacity = self._capacity(request.traits)
+        return Backlog(
+            free_tokens=sum(max(capacity - load, 0) for load in loads),
+            used_tokens=sum(loads),
+            ahead_tokens=self._waiting.tokens_before(request),
+            is_known=self._balancer.counts_basis in ("heard", "gathered"),
+        )
+
     async def wait(
         self,
-        scope: Scope,
-        traits: EngineTraits,
-        tokens: int,
-        priority: int,
-        tried: Collection[str] = (),
+        request: MemoryRequest,
         is_hopeless: Callable[[], bool] = lambda: False,
     ) -> MemoryReservation | None:
-        """Reserve `tokens` of memory as soon as an engine has it free.
+        """Reserve the requested memory as soon as an engine has it free.
 
         A request that is larger than an engine waits for an empty one.
         Returns None as soon as there is no use in waiting: no engine is left,
         or `is_hopeless`.
         """
-        if self._balancer.is_closed(scope):
+        if self._balancer.is_closed(request.scope):
             return None
-        tokens = min(
-            tokens, int(traits.memory_tokens * self._policy.fill_limit)
-        )
-        if not self._must_wait(scope, priority):
-            upstream = self.find(scope, traits, tokens, tried)
+        request = self._limit_tokens(request)
+        if not self._waiting.must_wait(request.scope):
+            upstream = self._find_for(request)
             if upstream is not None:
-                return self.reserve(upstream, tokens)
+                return self._reserve_for(request, upstream)
+        loop = asyncio.get_running_loop()
         granted: asyncio.Future[MemoryReservation | None] = (
-            asyncio.get_running_loop().create_future()
+            loop.create_future()
         )
-        entry = _WaitingRequest(
-            scope, traits, tokens, tried, is_hopeless, granted
-        )
-        queued = ((priority, next(self._sequence)), entry)
-        self._waiting.append(queued)
-        self._waiting.sort(key=lambda item: item[0])
+        waiting = WaitingRequest(request, is_hopeless, granted, loop.time())
+        self._waiting.push(waiting)
+        self._waiting.place()
         try:
             return await granted
         except asyncio.CancelledError:
@@ -224,36 +226,78 @@
                     reservation.release()
             raise
         finally:
-            if queued in self._waiting:
-                self._waiting.remove(queued)
+            self._waiting.remove(waiting)
 
     @property
     def waiting_count(self) -> int:
         """Return the number of waiting generations."""
         return len(self._waiting)
 
+    def waiting(self) -> list[WaitingRequest]:
+        """Return the waiting generations, by pool, the most urgent first."""
+        return list(self._waiting)
+
+    def has_precedence(self) -> bool:
+        """Return whether one that waits here goes before other hosts'."""
+        return self._waiting.has_precedence()
+
     def place_waiting(self) -> None:
-        """Place waiting generations in order of priority."""
-        blocked: set[Scope] = set()
-        for queued in list(self._waiting):
-            entry = queued[1]
-            if entry.scope in blocked or entry.granted.done():
-                continue
-            upstream = self.find(
-                entry.scope, entry.traits, entry.tokens, entry.tried
-            )
-            if upstream is not None:
-                self._waiting.remove(queued)
-                entry.granted.set_result(self.reserve(upstream, entry.tokens))
-            elif self._balancer.is_closed(entry.scope) or entry.is_hopeless():
-                self._waiting.remove(queued)
-                entry.granted.set_result(None)
-            else:
-                # Smaller requests behind it must not starve it.
-                blocked.add(entry.scope)
-
-    def _must_wait(self, scope: Scope, priority: int) -> bool:
-        return any(
-            entry.scope == scope and queued[0] <= priority
-            for queued, entry in self._waiting
+        """Place waiting generations in order."""
+        self._waiting.place()
+
+    def publish_groups(self) -> None:
+        """Publish what generations hold here while any wait elsewhere."""
+        self._waiting.publish()
+
+    def _find_for(self, request: MemoryRequest) -> Upstream | None:
+        return self.find(
+            request.scope,
+            request.traits,
+            request.tokens,
+            request.tried,
+            demand=request.demand,
+            may_read=self.reading.limit(request),
         )
+
+    def _free_tokens_after(
+        self, request: MemoryRequest, taken: Upstream
+    ) -> list[int]:
+        """Return the free memory of each engine of a request's scope.
+
+        Counts the request itself as placed on the engine `taken`.
+        """
+        capacity = self._capacity(request.traits)
+        loads = {
+            upstream.name: self._balancer.load(upstream.name)
+            for upstream in self._balancer.usable(request.scope, ())
+        }
+        loads[taken.name] += request.tokens
+        return [max(capacity - load, 0) for load in loads.values()]
+
+    def _grant(self, waiting: WaitingRequest, upstream: Upstream) -> None:
+        waiting.granted.set_result(
+            self._reserve_for(waiting.request, upstream)
+        )
+
+    def _reserve_for(
+        self, request: MemoryRequest, upstream: Upstream
+    ) -> MemoryReservation:
+        """Reserve memory and count it as held by the request's group."""
+        scope, group, tokens = request.scope, request.group, request.tokens
+        self._balancer.record_send(upstream)
+        self.groups.hold(scope, group, tokens)
+        return MemoryReservation(
+            self._balancer,
+            upstream,
+            tokens,
+            on_release=lambda: self.groups.hold(scope, group, -tokens),
+        )
+
+    def _limit_tokens(self, request: MemoryRequest) -> MemoryRequest:
+        """Return the request with no more tokens than an engine has."""
+        tokens = min(request.tokens, self._capacity(request.traits))
+        return attrs.evolve(request, tokens=tokens)
+
+    def _capacity(self, traits: EngineTraits) -> int:
+        """Return the memory of an engine that may be given out, in tokens."""
+        return int(traits.memory_tokens * self._policy.fill_limit)
--- a/tests/_shared_counts.py
+++ b/tests/_shared_counts.py
@@ -43,9 +43,15 @@
     def in_flight(self, upstream: str) -> int:
         return self._others[upstream]
 
+    def counts_under(self, prefix: str) -> dict[str, int]:
+        return {k: n for k, n in self._others.items() if k.startswith(prefix)}
+
     def set_in_flight(self, upstream: str, n: int) -> None:
         self._own[upstream] = n
 
+    def own_keys(self) -> dict[str, int]:
+        return {key: n for key, n in self._own.items() if n}
+
     def send_counts(self) -> None:
         sent = dict(self._own)
         asyncio.get_running_loop().call_later(
