Keep how long callers wait for an event in one place

Cause: the wait for memory and repeats each had the rule. Measured: the tests of the wait and of repeats pass.

--- a/src/balsamlift/placement/__init__.py
+++ b/src/balsamlift/placement/__init__.py
@@ -29,6 +29,7 @@
     ratio_of,
     smooth_usual,
 )
+from balsamlift.placement._patience import patience_ms
 from balsamlift.placement._prompt_reading import (
     Reading,
     max_unread_tokens,
@@ -88,6 +89,7 @@
     "limit_retry_ms",
     "max_unread_tokens",
     "may_read",
+    "patience_ms",
     "rate_paces",
     "ratio_of",
     "smooth_usual",
--- a/src/balsamlift/placement/_wait_decision.py
+++ b/src/balsamlift/placement/_wait_decision.py
@@ -13,16 +13,13 @@
 import attrs
 
 from balsamlift.placement._backlog import Backlog
+from balsamlift.placement._patience import patience_ms
 from balsamlift.placement._residence import EXPECTED_START_MS, Residence
 from balsamlift.placement._wait_estimate import (
     retry_after_ms,
     spread_retry_ms,
 )
 
-# Callers give up a stream that sends no event for the greatest of these.
-MIN_PATIENCE_MS = 2_000.0
-PATIENCE_TARGETS = 4.0
-PATIENCE_GAPS = 8.0
 # A request is refused if its whole wait would be this many times the longest.
 # A forecast is not exact, and who has waited already needs to lose more.
 REFUSAL_FACTOR = 1.5
@@ -60,12 +57,8 @@
     @property
     def patience_s(self) -> float:
         """Return until when it can start with its caller still listening."""
-        patience_ms = max(
-            MIN_PATIENCE_MS,
-            self.target_ms * PATIENCE_TARGETS,
-            self.max_gap_ms * PATIENCE_GAPS,
-        )
-        return self.arrived_s + (patience_ms - self.start_ms) / _MS_PER_S
+        borne_ms = patience_ms(self.target_ms, self.max_gap_ms)
+        return self.arrived_s + (borne_ms - self.start_ms) / _MS_PER_S
 
     def latest_start_s(self, run_ms: float) -> float:
         """Return until when it can start and end in time."""
--- a/src/balsamlift/relay/generations/_repeat.py
+++ b/src/balsamlift/relay/generations/_repeat.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from balsamlift.peers import Upstream
+from balsamlift.placement import patience_ms
 from balsamlift.relay._attempt import MAX_UNREACHABLE_UPSTREAMS, Attempt
 from balsamlift.relay._configuration import Route
 from balsamlift.relay._exchange import Reply
@@ -28,23 +29,15 @@
 
 log = logger.bind(part="generations")
 
-# Callers leave a stream after the longest of these times without an event.
-MIN_BORNE_GAP_S = 2.0
-BORNE_TARGETS = 4
-BORNE_GAPS = 8
-# Part of that time for which a repeat waits for memory. The rest is for the
-# engine, which has the prompt to read.
+# Part of the time that callers wait for an event in which a repeat waits for
+# memory. The rest is for the engine, which has the prompt to read.
 MEMORY_WAIT_FRACTION = 0.5
 _MS_PER_S = 1_000
 
 
 def borne_gap_s(route: Route) -> float:
     """Return how long callers of a stream wait for its next event."""
-    return max(
-        MIN_BORNE_GAP_S,
-        BORNE_TARGETS * route.target_ms / _MS_PER_S,
-        BORNE_GAPS * route.max_gap_ms / _MS_PER_S,
-    )
+    return patience_ms(route.target_ms, route.max_gap_ms) / _MS_PER_S
 
 
 @attrs.frozen
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -345,6 +345,7 @@
     "host_order",
     "late_share",
     "pace",
+    "patience",
     "prompt_reading",
     "queue",
     "residence",
