Make the commands that show a table of hosts from one function

Change: `make_view_command` builds them from a name, a description and the columns. The example of `hosts` names one host, as the others do.

--- a/src/balsamlift/_commands/_hosts.py
+++ b/src/balsamlift/_commands/_hosts.py
@@ -2,34 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
-from balsamlift._commands._arguments import Arguments
-from balsamlift._commands._exit import ExitCode
-from balsamlift._commands._views import show_view
+from balsamlift._commands._views import make_view_command
 
 COLUMNS = ["host", "state", "evacuated"]
-USAGE = """Show the entry hosts, as one or several of them see each other.
-
-Usage:
-  balsamlift hosts --at=IP:PORT... [--json]
-  balsamlift hosts (-h | --help)
-
-Options:
-  --at=IP:PORT  The operators' address of a host; may be repeated. Rows in
-                which hosts differ are shown apart, with who shows which.
-  --json        Print JSON: {"rows": [...], "unanswered": {ADDRESS: WHY}}.
-  -h --help     Show this text.
-
-Example:
-  balsamlift hosts --at=127.0.11.1:7101 --at=127.0.11.2:7101
-
-Exit codes: 0 all asked have answered, 1 some or all have not (what came is
-shown), 2 wrong usage.
-"""
-
+DESCRIPTION = "Show the entry hosts, as one or several of them see each other."
 
-def run(argv: Sequence[str]) -> ExitCode:
-    """Run `balsamlift hosts` and return its exit code."""
-    arguments = Arguments(USAGE, argv)
-    return show_view(arguments, "/v1/hosts", COLUMNS)
+run = make_view_command("hosts", DESCRIPTION, COLUMNS)
--- a/src/balsamlift/_commands/_views.py
+++ b/src/balsamlift/_commands/_views.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, TypeVar
 
 import msgspec
@@ -20,6 +20,36 @@
 T = TypeVar("T")
 
 SEEN_BY = "seen_by"
+_USAGE = """{description}
+
+Usage:
+  balsamlift {name} --at=IP:PORT... [--json]
+  balsamlift {name} (-h | --help)
+
+Options:
+  --at=IP:PORT  The operators' address of a host; may be repeated. Rows in
+                which hosts differ are shown apart, with who shows which.
+  --json        Print JSON: {{"rows": [...], "unanswered": {{ADDRESS: WHY}}}}.
+  -h --help     Show this text.
+
+Example:
+  balsamlift {name} --at=127.0.11.1:7101
+
+Exit codes: 0 all asked have answered, 1 some or all have not (what came is
+shown), 2 wrong usage.
+"""
+
+
+def make_view_command(
+    name: str, description: str, columns: list[str]
+) -> Callable[[Sequence[str]], ExitCode]:
+    """Return a command that shows the table of that name."""
+    usage = _USAGE.format(name=name, description=description)
+
+    def run(argv: Sequence[str]) -> ExitCode:
+        return show_view(Arguments(usage, argv), f"/v1/{name}", columns)
+
+    return run
 
 
 def show_view(arguments: Arguments, path: str, columns: list[str]) -> ExitCode:
