Let the route's priority decide among requests of one priority

Cause: a workspace's priority replaces its routes'. Change: the order of waiting generations goes by the rank of a call: its priority, then that of its route. Ruled out: that hosts do not yield; they did so for most requests.

--- a/src/balsamlift/_commands/_queues.py
+++ b/src/balsamlift/_commands/_queues.py
@@ -19,9 +19,11 @@
 
 A row for each pool (with its regions, where a route or a workspace names
 some), priority and workspace: the requests and tokens that wait at the host
-that shows it and the longest wait so far, the tokens that wait at other
-hosts, and the weight of the workspace. The tokens held are those of all hosts
-while requests wait, else those of this host. `counts` says how the other
-hosts' part is known; `old` and `scaled` are estimates."""
+that shows it and the longest wait so far, the tokens that wait at other hosts,
+and the weight of the workspace. The priority is ten times that of the
+workspace, or of the route if it has none, plus that of the route. The tokens
+held are those of all hosts while requests wait, else those of this host.
+`counts` says how the other hosts' part is known; `old` and `scaled` are
+estimates."""
 
 run = make_view_command("queues", DESCRIPTION, COLUMNS)
--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -12,6 +12,9 @@
 from balsamlift.relay._routing import RoutingTable
 from balsamlift.relay._scope import Scope
 
+# Ranks of requests with the same priority.
+RANKS_PER_PRIORITY = 10
+
 
 @attrs.frozen(kw_only=True)
 class Resume:
@@ -72,6 +75,16 @@
         """Return the service and regions whose upstreams may run it."""
         return Scope(self.service, self.regions)
 
+    @property
+    def rank(self) -> int:
+        """Return its place in the order of service; 0 is first.
+
+        Among requests with the same priority, which may be that of their
+        workspace, the priority of the route decides.
+        """
+        within = min(self.route.priority, RANKS_PER_PRIORITY - 1)
+        return self.priority * RANKS_PER_PRIORITY + within
+
     @property
     def is_idempotent(self) -> bool:
         """Return whether the request may run more than once."""
--- a/src/balsamlift/relay/generations/_engine_placement.py
+++ b/src/balsamlift/relay/generations/_engine_placement.py
@@ -140,7 +140,7 @@
         scope=job.scope,
         traits=job.traits,
         tokens=job.tokens,
-        priority=call.priority,
+        priority=call.rank,
         workspace=workspace.name if workspace else "",
         weight=workspace.weight if workspace else 1.0,
         in_time_until_s=(
@@ -149,7 +149,7 @@
         tried=tried,
         prompt_tokens=job.estimate.prompt_tokens,
         first_event_ms=call.table.shortest_target_ms(
-            call.service, call.priority
+            call.service, call.route.priority
         ),
         demand=job.demand,
         request_id=job.request_id,
--- a/src/balsamlift/relay/generations/_memory_request.py
+++ b/src/balsamlift/relay/generations/_memory_request.py
@@ -21,7 +21,7 @@
     scope: Scope
     traits: EngineTraits
     tokens: int
-    priority: int = 0  # 0 is served first
+    priority: int = 0  # rank of its call; 0 is served first
     workspace: str = ""
     weight: float = 1.0  # of its workspace's share while requests wait
     in_time_until_s: float = math.inf  # monotonic; it is late afterwards
--- a/tests/test_relay_generations.py
+++ b/tests/test_relay_generations.py
@@ -17,9 +17,12 @@
 )
 from soak.processes import describe_process
 
+from balsamlift.relay import Workspace
 from balsamlift.relay._attempt import MAX_UNREACHABLE_UPSTREAMS
 from balsamlift.testing.relay import (
     HEADER_NAMES,
+    KEY,
+    WORKSPACE,
     CallerAnswer,
     RelayHarness,
     ReplicaConnection,
@@ -28,6 +31,7 @@
     event,
     read_answer,
     request_bytes,
+    route,
 )
 
 DISCONNECTING_CALLERS = 400  # the fault occurred for one caller in a hundred
@@ -554,6 +558,50 @@
     run(test())
 
 
+def test_the_route_decides_among_requests_of_one_priority() -> None:
+    """A workspace's priority replaces that of its routes."""
+
+    async def slow(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await go_on.wait()
+        await stream(connection, request)
+
+    go_on = asyncio.Event()
+
+    async def test() -> None:
+        stand_ins = engines(1)
+        stand_ins[0].behave = slow
+        full = [f"{HEADER_NAMES.token_usage}: 8000,500"]
+        calls = []
+        async with RelayHarness(stand_ins) as world:
+            world.configure(
+                routes=(
+                    route("stream", "/draft/", "model", priority=2),
+                    route("stream", "/check/", "model", priority=0),
+                ),
+                workspaces=(
+                    Workspace(name=WORKSPACE, keys=(KEY,), priority=1),
+                ),
+            )
+            for number, path in enumerate(
+                ("/draft/1", "/draft/2", "/check/3")
+            ):
+                call = world.call(path, f"r{number}", headers=full)
+                calls.append(asyncio.create_task(call))
+                while (
+                    len(stand_ins[0].arrivals)
+                    + (world.relay._allocator.waiting_count)
+                    <= number
+                ):
+                    await asyncio.sleep(0.005)
+            go_on.set()
+            assert all([(await call).is_whole for call in calls])
+        assert stand_ins[0].ids() == ["r0", "r2", "r1"]
+
+    run(test())
+
+
 def test_a_generation_refused_after_its_wait_holds_no_memory() -> None:
     async def slow(
         connection: ReplicaConnection, request: ReplicaRequest
