Let no generation wait for memory beyond its target

Change: the wait ends at the target as it did before the parts; what cannot be served is still refused at once, with the forecast's time to return.

--- a/src/balsamlift/relay/generations/_memory_wait.py
+++ b/src/balsamlift/relay/generations/_memory_wait.py
@@ -113,11 +113,7 @@
             decision = self._decide(job, request, is_waiting=bool(first))
             # Once there was a forecast, it stays in force until the next.
             if first is None or decision.expected_ms is not None:
-                limit.reschedule(
-                    decision.until_s
-                    if isinstance(decision, WaitUntil)
-                    else loop.time()
-                )
+                limit.reschedule(_until_s(job, decision))
             first = first or decision
             renewal = loop.call_later(RENEWAL_INTERVAL_S, renew)
 
@@ -202,6 +198,18 @@
     )
 
 
+def _until_s(job: Job, decision: WaitUntil | RefuseNow) -> float:
+    """Return until when a generation waits; until its target at most.
+
+    One that waits for longer holds up those that can still be in time.
+    """
+    if isinstance(decision, RefuseNow):
+        return asyncio.get_running_loop().time()
+    if job.wait_until_s is not None:
+        return decision.until_s
+    return min(decision.until_s, _target_s(job))
+
+
 def _target_s(job: Job) -> float:
     call = job.call
     return call.request.arrived_s + call.route.target_ms / _MS_PER_S
