Let the first generation reach its engine before the second one waits

Cause: the test of the refusal at the target started both at once; either could get the memory (failed once in three runs beside others). Change: the second one is sent once the first has arrived. Measured: the file passes.

--- a/tests/test_relay_memory_wait.py
+++ b/tests/test_relay_memory_wait.py
@@ -79,11 +79,13 @@
             world.configure(
                 routes=[attrs.evolve(r, target_ms=target_ms) for r in routes]
             )
-            calls = [
-                asyncio.create_task(world.call("/draft/1", name, headers=FULL))
-                for name in ("r1", "r2")
-            ]
-            answers = await asyncio.gather(*calls)
+            first = asyncio.create_task(
+                world.call("/draft/1", "r1", headers=FULL)
+            )
+            while not pool.stand_ins[0].arrivals:
+                await asyncio.sleep(0.005)
+            second = await world.call("/draft/1", "r2", headers=FULL)
+            answers = [await first, second]
             assert [answer.status for answer in answers] == [200, 503]
             assert float(answers[1].headers["Retry-After"]) > 0
         assert [name for each in pool.stand_ins for name in each.ids()] == [
