--- a/review/2/case.py
+++ b/review/2/case.py
@@ -26,6 +26,7 @@
     run_case,
 )
 
+ENGINES = 5
 EVENTS = 120
 EVENT_GAP_S = 0.05
 PATH = "/draft/"
@@ -113,7 +114,7 @@
             [{"Name": "llm", "MaxConnections": 300, "Engine": ENGINE}],
         )
     )
-    engines = [Engine(f"i-{n}", recorder) for n in (1, 2)]
+    engines = [Engine(f"i-{n}", recorder) for n in range(ENGINES)]
     deployment.replicas = [engine.replica for engine in engines]
     try:
         await deployment.start()
