Say how a response ended that ends with its connection

No line or metric says how such a response ended, so that the three hypotheses in docs/incidents/STOPPED_STREAM_TOLD_AS_WHOLE.md can't be told apart.

Change: counters relay.ended_by_close.ANSWER, a line unless the upstream still accepts connections, and a line before a run is stopped. No decision changes.

--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -8,6 +8,7 @@
 from typing import Literal
 
 import attrs
+from loguru import logger
 
 from balsamlift.clock import Clock
 from balsamlift.exceptions import (
@@ -15,6 +16,7 @@
     UpstreamRestrictedError,
     UpstreamUnreachableError,
 )
+from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._connection import (
@@ -35,6 +37,8 @@
     StatementReader,
 )
 
+log = logger.bind(part="upstreams")
+
 # Time without a response after which the link to an upstream is suspected, and
 # the same for the first event of a generation.
 SILENCE_S, STREAM_SILENCE_S = 0.4, 1.0
@@ -73,12 +77,14 @@
         restrictions: Restrictions,
         reachability: Reachability,
         is_leaving: Callable[[str], bool],
+        metrics: Metrics,
     ) -> None:
         """Create a client that acquires connections from `pool`.
 
         `is_leaving` returns whether the upstream of that name is leaving.
         """
         self._is_leaving = is_leaving
+        self._metrics = metrics
         self._pool = pool
         self._names = names
         self._clock = clock
@@ -221,16 +227,29 @@
         if not connection.is_ended_by_close:
             return
         if self._is_leaving(reply.upstream.name):
+            self._record_end(reply, "not asked")
             connection.has_doubtful_end = True
             return
         await self._clock.sleep(END_CHECK_DELAY_S)
         answer = await try_connection(connection.address)
+        self._record_end(reply, answer)
         if answer == "refuses":
             raise UpstreamBrokenError(
                 reply.upstream.name, "crashed as its answer ended"
             )
         connection.has_doubtful_end = answer != "accepts"
 
+    def _record_end(self, reply: Reply, answer: str) -> None:
+        """Count a response that ended with its connection, and log doubts."""
+        self._metrics.count(f"relay.ended_by_close.{answer.replace(' ', '_')}")
+        if answer == "accepts":
+            return
+        log.bind(
+            upstream=reply.upstream.name,
+            is_leaving=self._is_leaving(reply.upstream.name),
+            answer=answer,
+        ).info("response ended with its connection")
+
     def release_connection(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after a complete response."""
         self._pool.release(connection)
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -185,6 +185,7 @@
             restrictions,
             links.reachability,
             self._upstreams.is_leaving,
+            self._metrics,
         )
         forwarder = self._forwarder = Forwarder(
             peers,
--- a/src/balsamlift/relay/generations/_move.py
+++ b/src/balsamlift/relay/generations/_move.py
@@ -107,6 +107,7 @@
             if self._context.upstreams.leaving_notices.has(target.name):
                 raise CopyRefusedError(target.name, "leaving")
             stopped_s = loop.time()
+            self._log(target, "stopping the run")
             copy = await self._context.engines.copy(
                 self._source, self._job.request_id, target, stop=True
             )
