Go on with a stream that was stopped for a move, also without a length

What callers saw: a stream with neither a length nor chunks, on an engine that leaves, ended as complete (200, last chunk) with 22 or 23 of 120 events.

Cause: the call that copies the last part of a run's memory stops the run, and its stream ends with its connection. Generation took that end as the stream's own: nobody asked whether a stop had been sent. The copy, complete with its handle, was never used.

Change: a move remembers that it may have stopped the run, until the engine says that it did not (a rejection, or a refusal without a handle). At such an end Generation waits for the engine's answer, and goes on from the copy, at the backup or elsewhere as after any lost engine; else the stream ends as cut.

Ruled out: that events are lost on the way (chunked streams resume, and all events before the stop arrive).

--- a/src/balsamlift/platform/_engines.py
+++ b/src/balsamlift/platform/_engines.py
@@ -10,6 +10,7 @@
 from balsamlift.relay import (
     CopyError,
     CopyRefusedError,
+    CopyRejectedError,
     EngineReport,
     MemoryCopy,
     ReportError,
@@ -86,7 +87,8 @@
         """Copy the memory of a running generation from `source` to `target`.
 
         With `stop`, the generation stops first. Raises `CopyRefusedError` if
-        there is no room, and `CopyError` for any other failure.
+        there is no room, `CopyRejectedError` if the engine does not run it or
+        copies it already, and `CopyError` for any other failure.
         """
         body: dict[str, str | bool] = {
             "InstanceId": request_id,
@@ -110,6 +112,8 @@
             return MemoryCopy(moved.Handle, source, target)
         if answer.status == _SERVICE_UNAVAILABLE:
             raise CopyRefusedError(source.name, "no room", moved.Handle)
+        if 400 <= answer.status < 500:
+            raise CopyRejectedError(source.name, f"status {answer.status}")
         raise CopyError(source.name, f"status {answer.status}")
 
 
--- a/src/balsamlift/relay/__init__.py
+++ b/src/balsamlift/relay/__init__.py
@@ -28,6 +28,7 @@
 from balsamlift.relay.generations import (
     CopyError,
     CopyRefusedError,
+    CopyRejectedError,
     EngineClient,
     EngineReport,
     MemoryCopy,
@@ -46,6 +47,7 @@
     "Configuration",
     "CopyError",
     "CopyRefusedError",
+    "CopyRejectedError",
     "Directory",
     "EngineClient",
     "EngineReport",
--- a/src/balsamlift/relay/generations/__init__.py
+++ b/src/balsamlift/relay/generations/__init__.py
@@ -7,6 +7,7 @@
 from balsamlift.relay.generations._engines import (
     CopyError,
     CopyRefusedError,
+    CopyRejectedError,
     EngineClient,
     EngineReport,
     MemoryCopy,
@@ -24,6 +25,7 @@
 __all__ = [
     "CopyError",
     "CopyRefusedError",
+    "CopyRejectedError",
     "EngineClient",
     "EnginePaceRow",
     "EnginePaces",
--- a/src/balsamlift/relay/generations/_engines.py
+++ b/src/balsamlift/relay/generations/_engines.py
@@ -27,6 +27,13 @@
         self.handle = handle
 
 
+class CopyRejectedError(CopyError):
+    """Raised when an engine rejected a copy, without effect on the run.
+
+    The run goes on, or it had ended before.
+    """
+
+
 class ReportError(UpstreamError):
     """Raised when an engine returned no report."""
 
@@ -79,5 +86,7 @@
         """Copy the memory of a running generation to another engine.
 
         A repeated copy transfers only what is new since the last one. With
-        `stop`, the generation stops first. Raises `CopyError`.
+        `stop`, the generation stops first. Raises `CopyError`; the generation
+        may have stopped then, unless it is a `CopyRejectedError` or a
+        `CopyRefusedError` without a handle.
         """
--- a/src/balsamlift/relay/generations/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -217,6 +217,10 @@
                     if await self._resume_cut_short():
                         continue
                     return self._fail("ended within an event")
+                if await self._was_stopped():
+                    if await self._resume_elsewhere():
+                        continue
+                    return self._fail("stopped for a move")
                 self._responder.finish()
                 self._record_whole()
                 return "whole"
@@ -246,6 +250,21 @@
         self._check_crash(reply, had_output=True)
         return await self._resume_elsewhere()
 
+    async def _was_stopped(self) -> bool:
+        """Return whether a move may have ended the response.
+
+        One with neither a length nor chunks looks complete then. Waits for
+        the engine's answer to the call that stops the run.
+        """
+        move, move_task, reply = self._move, self._move_task, self._reply
+        if move is None or move_task is None or reply is None:
+            return False
+        if not reply.connection.is_ended_by_close:
+            return False
+        if move.may_have_stopped_run:
+            await asyncio.wait({move_task}, timeout=COPY_TIMEOUT_S)
+        return move.may_have_stopped_run
+
     async def _forward(self, data: bytes) -> bool:
         try:
             events = self._splitter.feed(data)
--- a/src/balsamlift/relay/generations/_move.py
+++ b/src/balsamlift/relay/generations/_move.py
@@ -8,7 +8,11 @@
 
 from balsamlift.exceptions import UpstreamError
 from balsamlift.peers import Upstream
-from balsamlift.relay.generations._engines import CopyRefusedError, MemoryCopy
+from balsamlift.relay.generations._engines import (
+    CopyRefusedError,
+    CopyRejectedError,
+    MemoryCopy,
+)
 from balsamlift.relay.generations._generation_context import GenerationContext
 from balsamlift.relay.generations._job import Job
 from balsamlift.relay.generations._link_access import LinkAccess
@@ -45,6 +49,8 @@
         self._job = job
         self._source = source
         self._reservation: MemoryReservation | None = None
+        # The engine was told to, and has not said that it did not.
+        self.may_have_stopped_run = False
         self._link_access = LinkAccess(
             context.balancer, context.engines, source, job.request_id
         )
@@ -108,13 +114,24 @@
                 raise CopyRefusedError(target.name, "leaving")
             stopped_s = loop.time()
             self._log(target, "stopping the run")
-            copy = await self._context.engines.copy(
-                self._source, self._job.request_id, target, stop=True
-            )
+            copy = await self._stop_and_copy(target)
         stop_ms = round((loop.time() - stopped_s) * 1_000)
         self._log(target, f"copied, last part in {stop_ms} ms")
         return copy
 
+    async def _stop_and_copy(self, target: Upstream) -> MemoryCopy:
+        self.may_have_stopped_run = True
+        try:
+            return await self._context.engines.copy(
+                self._source, self._job.request_id, target, stop=True
+            )
+        except CopyRefusedError as error:
+            self.may_have_stopped_run = bool(error.handle)
+            raise
+        except CopyRejectedError:
+            self.may_have_stopped_run = False
+            raise
+
     async def _pre_copy(self, target: Upstream) -> None:
         """Copy while the engine runs, until little is left to copy.
 
--- a/src/balsamlift/testing/_relay_stand_ins.py
+++ b/src/balsamlift/testing/_relay_stand_ins.py
@@ -10,6 +10,7 @@
 from balsamlift.exceptions import HostsUnavailableError
 from balsamlift.peers import ListEntry, Upstream
 from balsamlift.relay import (
+    CopyError,
     CopyRefusedError,
     EngineReport,
     MemoryCopy,
@@ -52,6 +53,9 @@
         self.started_ms: dict[str, int] = {}
         self.report_calls: list[str] = []
         self.stop_events: list[asyncio.Event] = []
+        self.last_copy_s = 0.0  # from the stop until the copy is complete
+        # Raised after the stop, instead of a copy.
+        self.stop_error: CopyError | None = None
 
     async def report(self, upstream: Upstream) -> EngineReport:
         """Return the report that the test has set for the engine."""
@@ -77,4 +81,7 @@
         if stop:
             for waiting in self.stop_events:
                 waiting.set()
+            await asyncio.sleep(self.last_copy_s)
+            if self.stop_error is not None:
+                raise self.stop_error
         return MemoryCopy(f"handle-{request_id}", source, target)
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -9,6 +9,7 @@
 from balsamlift.peers import Upstream
 from balsamlift.platform._engines import PlatformEngines
 from balsamlift.platform._names import HEADERS
+from balsamlift.relay import CopyError, CopyRefusedError, CopyRejectedError
 
 ENGINE = Upstream(
     name="e1",
@@ -46,3 +47,23 @@
     http = cast(HttpClient, AnsweringClient(Answer(200, headers, body)))
     report = asyncio.run(PlatformEngines(http).report(ENGINE))
     assert report.is_leaving is is_leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "expected"),
+    [
+        (404, CopyRejectedError),
+        (409, CopyRejectedError),
+        (429, CopyRejectedError),
+        (500, CopyError),
+        (503, CopyRefusedError),
+    ],
+)
+def test_a_failed_copy_tells_whether_the_run_may_have_stopped(
+    status: int, expected: type[CopyError]
+) -> None:
+    http = cast(HttpClient, AnsweringClient(Answer(status, {}, b"")))
+    engines = PlatformEngines(http)
+    with pytest.raises(CopyError) as raised:
+        asyncio.run(engines.copy(ENGINE, "r1", ENGINE, stop=True))
+    assert raised.type is expected
