Tell no answer as whole whose end cannot be known

What callers saw: a part of an answer with neither a length nor chunks, told as all of it: where its upstream exits midway after notice or without its entry, or is silent as the answer ends; on calls and streams.

Cause: Exchange.confirm_end did not ask an upstream that leaves or is not listed, and took silence for consent. It marked such ends as doubtful, which only the crash guard read.

Change: every upstream is asked; one that refuses or is silent has broken the answer off, so that all that holds for broken answers holds here: repeat where that is allowed, else 502, a resumed or a cut stream. has_doubtful_end is gone. A connection that this host has closed is no end of an answer either.

--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -83,8 +83,7 @@
         self.is_kept = False  # it was idle since it was opened
         # The response has ended with the connection, and by that alone.
         self.is_ended_by_close = False
-        # It may not have been all of it.
-        self.has_doubtful_end = False
+        self._is_closed_here = False
         self._reusable = False
         self._idle_until_s = 0.0
         self._is_head_request = False
@@ -123,6 +122,7 @@
     def close(self) -> None:
         """Close the connection, on which the upstream aborts the request."""
         self._reusable = False
+        self._is_closed_here = True
         if self._stream is not None:
             self._stream.close()
 
@@ -259,7 +259,7 @@
             try:
                 chunk = await stream.read_bytes(READ_BYTES, partial=True)
             except StreamClosedError as error:
-                if stream.error is not None:
+                if stream.error is not None or self._is_closed_here:
                     raise UpstreamBrokenError(
                         self.upstream, "connection reset"
                     ) from error
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager, suppress
 from typing import Literal
 
 import attrs
-from loguru import logger
 
 from balsamlift.clock import Clock
 from balsamlift.exceptions import (
@@ -37,8 +36,6 @@
     StatementReader,
 )
 
-log = logger.bind(part="upstreams")
-
 # Time without a response after which the link to an upstream is suspected, and
 # the same for the first event of a generation.
 SILENCE_S, STREAM_SILENCE_S = 0.4, 1.0
@@ -76,14 +73,9 @@
         statements: StatementReader,
         restrictions: Restrictions,
         reachability: Reachability,
-        is_leaving: Callable[[str], bool],
         metrics: Metrics,
     ) -> None:
-        """Create a client that acquires connections from `pool`.
-
-        `is_leaving` returns whether the upstream of that name is leaving.
-        """
-        self._is_leaving = is_leaving
+        """Create a client that acquires connections from `pool`."""
         self._metrics = metrics
         self._pool = pool
         self._names = names
@@ -216,39 +208,26 @@
         return b"".join(chunks)
 
     async def confirm_end(self, reply: Reply) -> None:
-        """Check whether a crash has ended a response.
+        """Check that a response that ended with its connection is complete.
 
         One with neither a length nor chunks ends with its connection, as does
-        one whose upstream has crashed. Raises `UpstreamBrokenError` if the
-        upstream accepts no connections any more; its end is doubtful if that
-        cannot be known, or was planned.
+        one that is broken off by the end of its upstream, planned or not.
+        Raises `UpstreamBrokenError` unless the upstream still accepts
+        connections.
         """
-        connection = reply.connection
-        if not connection.is_ended_by_close:
-            return
-        if self._is_leaving(reply.upstream.name):
-            self._record_end(reply, "not asked")
-            connection.has_doubtful_end = True
+        if not reply.connection.is_ended_by_close:
             return
         await self._clock.sleep(END_CHECK_DELAY_S)
-        answer = await try_connection(connection.address)
-        self._record_end(reply, answer)
-        if answer == "refuses":
-            raise UpstreamBrokenError(
-                reply.upstream.name, "crashed as its answer ended"
-            )
-        connection.has_doubtful_end = answer != "accepts"
-
-    def _record_end(self, reply: Reply, answer: str) -> None:
-        """Count a response that ended with its connection, and log doubts."""
-        self._metrics.count(f"relay.ended_by_close.{answer.replace(' ', '_')}")
+        answer = await try_connection(reply.connection.address)
+        self._metrics.count(f"relay.ended_by_close.{answer}")
         if answer == "accepts":
             return
-        log.bind(
-            upstream=reply.upstream.name,
-            is_leaving=self._is_leaving(reply.upstream.name),
-            answer=answer,
-        ).info("response ended with its connection")
+        raise UpstreamBrokenError(
+            reply.upstream.name,
+            "refuses connections as its answer ended"
+            if answer == "refuses"
+            else "silent as its answer ended",
+        )
 
     def release_connection(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after a complete response."""
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -184,7 +184,6 @@
             statements,
             restrictions,
             links.reachability,
-            self._upstreams.is_leaving,
             self._metrics,
         )
         forwarder = self._forwarder = Forwarder(
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -196,8 +196,7 @@
             ) from error
         finally:
             self._chooser.release_place(call.service)
-        is_certain = not reply.connection.has_doubtful_end
-        if reply.disposition != "not_executed" and is_certain:
+        if reply.disposition != "not_executed":
             self._crash_guard.record_completed(call)
         if reply.disposition == "answer":
             self._balancer.record_success(upstream.name)
--- a/src/balsamlift/relay/generations/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -222,7 +222,7 @@
                         continue
                     return self._fail("stopped for a move")
                 self._responder.finish()
-                self._record_whole()
+                self._context.crash_guard.record_completed(self._job.call)
                 return "whole"
             elif item == "unreached":
                 if not await self._resume_at_backup():
@@ -235,11 +235,6 @@
             elif not await self._resume_elsewhere():
                 return self._fail("engine lost")
 
-    def _record_whole(self) -> None:
-        reply = self._reply
-        if reply is None or not reply.connection.has_doubtful_end:
-            self._context.crash_guard.record_completed(self._job.call)
-
     async def _resume_cut_short(self) -> bool:
         """Resume after a response that ended within an event."""
         reply = self._reply
--- a/tests/test_relay_stream_ends.py
+++ b/tests/test_relay_stream_ends.py
@@ -14,6 +14,7 @@
     CopyRejectedError,
     EngineTraits,
     Service,
+    _exchange,
 )
 from balsamlift.testing.relay import (
     HEADER_NAMES,
@@ -130,3 +131,92 @@
         assert answer.is_whole
 
     run(test())
+
+
+async def answer_done(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    await connection.answer(request, b"done")
+
+
+async def end_midway(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    """Send a part of an answer without a length, and close."""
+    await connection.head(request, 200, "Content-Type: text/event-stream")
+    await connection.send(event(0))
+    await asyncio.sleep(0.05)
+    connection.writer.close()
+
+
+@pytest.mark.parametrize("state", ["leaving", "gone", "live"])
+@pytest.mark.parametrize("answer", ["refuses", "silent"])
+@pytest.mark.parametrize("path", ["/draft/1", "/order/1", "/view/1"])
+def test_an_end_that_cannot_be_known_is_not_told_as_whole(
+    path: str, answer: str, state: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a part of an answer that is told as all of it.
+
+    Its upstream exits or is not reached as the answer ends, with or without
+    notice. Only what may be repeated is served by another.
+    """
+
+    async def test() -> None:
+        pool = "model" if path == "/draft/1" else "plain"
+        stand_ins = [
+            ReplicaStandIn(f"r-{i}", pool, HEADER_NAMES) for i in "12"
+        ]
+
+        async def leave_midway(
+            connection: ReplicaConnection, request: ReplicaRequest
+        ) -> None:
+            behave_all(stand_ins, answer_done)
+            (used,) = [s for s in stand_ins if s.arrivals]
+            monkeypatch.setattr(_exchange, "try_connection", ask_in_vain)
+            if state == "leaving":
+                used.state = "leaving"
+            elif state == "gone":
+                world.list.replicas.remove(used)
+            await end_midway(connection, request)
+
+        async def ask_in_vain(address: str) -> str:
+            return answer
+
+        behave_all(stand_ins, leave_midway)
+        async with RelayHarness(stand_ins) as world:
+            world.configure(
+                services=(NO_BACKUPS, Service(name="plain", max_connections=9))
+            )
+            told = await world.call(path, headers=USAGE)
+        if path == "/draft/1":
+            assert not told.is_whole
+        elif path == "/order/1":
+            assert told.status == 502
+        else:
+            assert (told.status, told.body) == (200, b"done")
+
+    run(test())
+
+
+@pytest.mark.parametrize("state", ["leaving", "live"])
+def test_an_answer_without_a_length_is_whole_while_its_upstream_serves(
+    state: str,
+) -> None:
+    """Guard against an upstream that leaves being taken for one that exits."""
+
+    async def test() -> None:
+        stand_ins = [ReplicaStandIn("r-1", "plain", HEADER_NAMES)]
+
+        async def leave(
+            connection: ReplicaConnection, request: ReplicaRequest
+        ) -> None:
+            stand_ins[0].state = state
+            await end_midway(connection, request)
+
+        behave_all(stand_ins, leave)
+        async with RelayHarness(stand_ins) as world:
+            world.configure()
+            told = await world.call("/order/1")
+        assert (told.status, told.body) == (200, event(0))
+
+    run(test())
