Give up a move once its generation goes on at another engine

What callers saw: a generation that went on elsewhere while its move was under way (its engine was not reached) could not be moved again, and the stop of its previous run would speak for the end of the next: a whole stream was cut.

Cause: Generation kept the move of the engine that it had left.

Change: going on at another engine cancels the move and releases its memory.

Measured: test_a_move_does_not_outlive_the_engine_that_it_leaves failed before ('stopped for a move' after all ten events), and passes.

--- a/src/balsamlift/relay/generations/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -398,6 +398,7 @@
         """Relay the response of the next engine instead."""
         self.stats.moves += 1
         self._stop_reading()
+        self._give_up_move()
         self._discard_buffered()
         self._is_carried = is_carried
         self._splitter = EventSplitter(self._splitter.last_id)
@@ -405,6 +406,13 @@
         if self._context.upstreams.is_leaving(reply.upstream.name):
             self.leave_engine()  # notified while it resumed
 
+    def _give_up_move(self) -> None:
+        """Give up a move off an engine that the generation has left."""
+        move_task, self._move_task = self._move_task, None
+        if move_task is not None:
+            move_task.cancel()
+        self._release_move()
+
     def _discard_buffered(self) -> None:
         """Drop chunks of the previous engine, which the next one repeats."""
         self._inbox = asyncio.Queue()
--- a/tests/test_relay_stream_ends.py
+++ b/tests/test_relay_stream_ends.py
@@ -24,6 +24,7 @@
     ReplicaRequest,
     ReplicaStandIn,
     event,
+    route,
 )
 
 STOPPED_AT = 4  # the last event before a stop
@@ -220,3 +221,38 @@
         assert (told.status, told.body) == (200, event(0))
 
     run(test())
+
+
+def test_a_move_does_not_outlive_the_engine_that_it_leaves() -> None:
+    """Guard against the stop of a previous run that speaks for the next end.
+
+    The generation is sent elsewhere while the call to stop it is unanswered.
+    """
+
+    async def test() -> None:
+        engines = Engines(2)
+
+        async def keep_silent(
+            connection: ReplicaConnection, request: ReplicaRequest
+        ) -> None:
+            behave_all(engines.stand_ins, engines.stream)
+            await connection.begin_stream(request)
+            await connection.events(0, STOPPED_AT)
+            await connection.reader.read()
+
+        behave_all(engines.stand_ins, keep_silent)
+        async with RelayHarness(engines.stand_ins) as world:
+            repeatable = route(
+                "stream", "/draft/", "model", can_resume=True, most_attempts=2
+            )
+            world.configure(routes=(repeatable,), services=(NO_BACKUPS,))
+            world.engines.last_copy_s = 30.0
+            asking = asyncio.create_task(engines.call_and_leave(world))
+            await engines.stop.wait()
+            for generation in world.relay._generations._running:
+                generation.check_links(lambda pool: True)
+            answer = await asking
+        assert answer.body == engines.events(LAST_EVENT_ID)
+        assert answer.is_whole
+
+    run(test())
