Take an ejected engine while requests wait at other hosts

Cause: a generation that all sound engines have refused falls back to ejected ones; what is then left for other hosts was counted among the sound ones only: KeyError in MemoryAllocator._free_tokens_after.

Change: an engine that others do not use leaves them as much as before.

The new test failed before with the KeyError.

--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -264,14 +264,17 @@
     ) -> list[int]:
         """Return the free memory of each engine of a request's scope.
 
-        Counts the request itself as placed on the engine `taken`.
+        Counts the request itself as placed on the engine `taken`. That may
+        be one that others do not use, as it is ejected: it leaves them as
+        much as before.
         """
         capacity = self._capacity(request.traits)
         loads = {
             upstream.name: self._balancer.load(upstream.name)
             for upstream in self._balancer.usable(request.scope, ())
         }
-        loads[taken.name] += request.tokens
+        if taken.name in loads:
+            loads[taken.name] += request.tokens
         return [max(capacity - load, 0) for load in loads.values()]
 
     def _grant(self, waiting: WaitingRequest, upstream: Upstream) -> None:
--- a/tests/test_relay_memory_allocator.py
+++ b/tests/test_relay_memory_allocator.py
@@ -40,6 +40,9 @@
     def set_in_flight(self, upstream: str, n: int) -> None:
         self._own[upstream] = n
 
+    def counts_under(self, prefix: str) -> dict[str, int]:
+        return {k: n for k, n in self.counts.items() if k.startswith(prefix)}
+
     counts_basis: CountsBasis = "heard"
 
     def rank_for(self, subject: str) -> HostRank:
@@ -226,6 +229,28 @@
     assert kept <= 2_000  # 5_000, half of it, without pool limit
 
 
+def test_an_ejected_engine_is_taken_while_others_wait_elsewhere() -> None:
+    """Guard against a placing that fails where only ejected engines are left.
+
+    The sound engine has refused the request; requests wait at another host.
+    """
+
+    async def test() -> None:
+        host = AllocatorOfOneHost(e1="north", e2="north")
+        host.balancer.eject("e1")
+        host.others.counts["model/waiting"] = 500
+        host.others.counts["model/waiting/0/"] = 500
+        host.others.counts["model/requests/0/"] = 1
+        request = MemoryRequest(
+            scope=SCOPE, traits=TRAITS, tokens=1_000, priority=0, tried={"e2"}
+        )
+        reservation = await host.allocator.wait(request)
+        assert reservation is not None
+        assert reservation.upstream.name == "e1"
+
+    asyncio.run(test())
+
+
 READ_TOKENS_PER_S = 14_000
 TARGET_S = 1.8
 
