Let a failed placing end the wait of its own request only

What callers saw: once one placing had failed, every release of load failed too, so that answered calls of other services were closed without an answer.

Cause: a request whose placing raises stayed in the line (wait placed it before its try), every release placed it again, and Balancer.add passed the exception on to the call that released.

Change: a placing that fails ends its own wait (refused with 503, it has not run), with a line and the counter generations.placing_failed; others go on. A release does not fail for what its load is used for, with a line. wait removes its request also if the first placing fails.

Measured: two new tests failed before with the KeyError, and pass.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -13,6 +13,8 @@
 )
 from contextlib import contextmanager
 
+from loguru import logger
+
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
 from balsamlift.peers import (
@@ -33,6 +35,8 @@
     no_restrictions,
 )
 
+log = logger.bind(part="relay")
+
 # Extra calls in flight that an upstream is charged with if all of its
 # requests fail.
 FAILURE_PENALTY_CALLS = 12.0
@@ -118,8 +122,15 @@
         self._own_counts[upstream] += n
         self._peers.set_in_flight(upstream, self._own_counts[upstream])
         if n < 0:
-            for callback in self._on_release:
+            self._notify_release()
+
+    def _notify_release(self) -> None:
+        for callback in self._on_release:
+            try:
                 callback()
+            except Exception:
+                # The call that released its load has ended well.
+                log.exception("could not use released load")
 
     def share_value(self, key: str, value: int) -> None:
         """Set a value that other hosts get as a sum; it is no load."""
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -215,9 +215,9 @@
             loop.create_future()
         )
         waiting = WaitingRequest(request, is_hopeless, granted, loop.time())
-        self._waiting.push(waiting)
-        self._waiting.place()
         try:
+            self._waiting.push(waiting)
+            self._waiting.place()
             return await granted
         except asyncio.CancelledError:
             if granted.done() and not granted.cancelled():
--- a/src/balsamlift/relay/generations/_waiting_requests.py
+++ b/src/balsamlift/relay/generations/_waiting_requests.py
@@ -185,7 +185,7 @@
         now_s = asyncio.get_running_loop().time()
         try:
             for line in self._lines.values():
-                line.place(self._offering(now_s), now_s)
+                line.place(self._isolated(self._offering(now_s)), now_s)
         finally:
             self._is_placing = False
         self.publish()
@@ -207,6 +207,28 @@
             self._is_placing = was_placing
         self._update_gauges()
 
+    def _isolated(
+        self, offer: Callable[[WaitingRequest], Offer]
+    ) -> Callable[[WaitingRequest], Offer]:
+        """Return `offer`, with a failure ending the wait of its request only.
+
+        It would otherwise come back with each release, whoever releases.
+        """
+
+        def offer_or_end(waiting: WaitingRequest) -> Offer:
+            try:
+                return offer(waiting)
+            except Exception:
+                self._metrics.count("generations.placing_failed")
+                log.bind(request=waiting.request.request_id).exception(
+                    "could not place a generation"
+                )
+                if not waiting.granted.done():
+                    waiting.granted.set_result(None)
+                return Offer.GONE
+
+        return offer_or_end
+
     def _offering(self, now_s: float) -> Callable[[WaitingRequest], Offer]:
         """Return what offers memory in one pass."""
         elsewhere: dict[Scope, list[WaitingGroup]] = {}
--- a/tests/test_relay_memory_allocator.py
+++ b/tests/test_relay_memory_allocator.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, cast
 
 import attrs
@@ -251,6 +252,48 @@
     asyncio.run(test())
 
 
+def test_a_failed_placing_ends_the_wait_of_its_own_request_only(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against one request whose placing fails others and releases."""
+
+    async def test() -> None:
+        host = AllocatorOfOneHost(e1="north")
+        held = await host.wait(MAX_LOAD)
+        failing, other = host.wait(2_000), host.wait(1_000)
+        await asyncio.sleep(0)
+        limit = host.allocator.reading.limit
+
+        def fail_for_one(request: MemoryRequest) -> Callable[[str], bool]:
+            if request.tokens == 2_000:
+                raise KeyError("e1")
+            return limit(request)
+
+        monkeypatch.setattr(host.allocator.reading, "limit", fail_for_one)
+        held.release()
+        assert await failing is None
+        assert (await other).tokens == 1_000
+        assert host.allocator.waiting_count == 0
+        assert host.balancer.load("e1") == 1_000
+
+    asyncio.run(test())
+
+
+def test_a_release_does_not_fail_for_what_it_is_used_for() -> None:
+    """Guard against an answered call that is lost as its load is released."""
+    host = AllocatorOfOneHost(e1="north")
+    used = []
+
+    def fail() -> None:
+        raise KeyError("e1")
+
+    host.balancer.on_release(fail)
+    host.balancer.on_release(lambda: used.append("e1"))
+    with host.balancer.count_in_flight("e1", 1):
+        pass
+    assert used == ["e1"]
+
+
 READ_TOKENS_PER_S = 14_000
 TARGET_S = 1.8
 
