Run the tasks of a service again when they fail

Cause: the task that looks for memory ended with the exception. The service holds the task, so that nothing was ever reported.

Change: start_task runs them; a failure is a line with the task's name, and the task is run again after half a second.

Two new tests; the one of the relay timed out with the task started as before.

--- a/src/balsamlift/orders/_service.py
+++ b/src/balsamlift/orders/_service.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from balsamlift._http import HttpClient
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.exceptions import LogUnavailableError
 from balsamlift.kernel import Kernel
@@ -70,7 +70,9 @@
             fence=self.fence,
             holds_lease=lambda: self.holds_lease,
         )
-        self._tasks.append(asyncio.create_task(self._follow_lease()))
+        self._tasks.append(
+            start_task("lease on orders", self._follow_lease, self._clock)
+        )
 
     async def stop(self) -> None:
         """Stop all tasks; the lease expires on its own."""
--- a/src/balsamlift/peers/_aggregation.py
+++ b/src/balsamlift/peers/_aggregation.py
@@ -20,7 +20,7 @@
 import pynng
 from loguru import logger
 
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.exceptions import PeerMessageError
 from balsamlift.metrics import Metrics
@@ -106,7 +106,9 @@
         self._hosts = hosts
         self._metrics = metrics
         self._aggregator.start()
-        self._task = asyncio.create_task(self._keep_sending())
+        self._task = start_task(
+            "counts to the aggregator", self._keep_sending, self._clock
+        )
 
     def answer_permits(
         self, grant: Callable[[PermitRequest], PermitAnswer]
--- a/src/balsamlift/peers/_aggregator.py
+++ b/src/balsamlift/peers/_aggregator.py
@@ -5,12 +5,13 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from functools import partial
 
 import pynng
 from loguru import logger
 
 from balsamlift._address import join_address, split_address
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.exceptions import PeerMessageError, PeersAddressError
 from balsamlift.peers._counts import PeerCounts
@@ -76,7 +77,11 @@
         """Start answering updates."""
         self._contexts = [self._rep.new_context() for _ in range(WORKERS)]
         self._tasks = [
-            asyncio.create_task(self._serve(context))
+            start_task(
+                "counts from hosts",
+                partial(self._serve, context),
+                self._clock,
+            )
             for context in self._contexts
         ]
 
--- a/src/balsamlift/peers/_link.py
+++ b/src/balsamlift/peers/_link.py
@@ -11,7 +11,7 @@
 import pynng
 from loguru import logger
 
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
 from balsamlift.peers._messages import Member, PeerMessage, encode_message
@@ -97,7 +97,9 @@
     def start(self) -> None:
         """Dial and start sending."""
         self._dial()
-        self._task = asyncio.create_task(self._keep_sending())
+        self._task = start_task(
+            f"messages to {self.host}", self._keep_sending, self._clock
+        )
 
     async def stop(self) -> None:
         """Stop sending and close the connection."""
--- a/src/balsamlift/peers/_list_reader.py
+++ b/src/balsamlift/peers/_list_reader.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from balsamlift._back_off import BackOff
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.exceptions import HostsUnavailableError
 from balsamlift.metrics import Metrics
@@ -71,7 +71,9 @@
         self._timeline = timeline
         self._metrics = metrics
         await self._read()
-        self._task = asyncio.create_task(self._keep_reading())
+        self._task = start_task(
+            "list of hosts", self._keep_reading, self._clock
+        )
 
     async def stop(self) -> None:
         """Stop reading the list."""
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -10,7 +10,7 @@
 import attrs
 from loguru import logger
 
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
@@ -160,12 +160,10 @@
             on_version=self._handle_version,
         )
         self._tasks = [
-            asyncio.create_task(
-                self._receiver.process_all(
-                    self._listener.messages(self._metrics)
-                )
+            start_task(
+                "messages of peers", self._process_messages, self._clock
             ),
-            asyncio.create_task(self._keep_links()),
+            start_task("links to peers", self._keep_links, self._clock),
         ]
 
     async def stop(self) -> None:
@@ -332,6 +330,10 @@
         )
         return self._composer.compose(link, status)
 
+    async def _process_messages(self) -> None:
+        messages = self._listener.messages(self._metrics)
+        await self._receiver.process_all(messages)
+
     # Links
 
     async def _keep_links(self) -> None:
--- a/src/balsamlift/peers/_probes.py
+++ b/src/balsamlift/peers/_probes.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from balsamlift._http import Answer, CallError, HttpClient
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.peers._observed_states import LEAVING_HOLD_S, UpstreamState
 from balsamlift.peers._upstream import Upstream
@@ -108,7 +108,9 @@
     def start(self) -> None:
         """Start probing."""
         self._upstreams.on_change(self._invalidate_targets)
-        self._task = asyncio.create_task(self._keep_probing())
+        self._task = start_task(
+            "probes of upstreams", self._keep_probing, self._clock
+        )
 
     async def stop(self) -> None:
         """Cancel all probes."""
--- a/src/balsamlift/platform/_blocked_parts.py
+++ b/src/balsamlift/platform/_blocked_parts.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from balsamlift._back_off import BackOff
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.exceptions import StoreError
 from balsamlift.kernel import Kernel
@@ -66,9 +66,14 @@
         self._peers = kernel.find("peers", Peers)
         self._reports = self._peers.part_reports
         self._reports.on_new_reports(self._process_new_reports)
-        self._tasks = [asyncio.create_task(self._keep_writing())]
+        self._tasks = [
+            start_task("blocked parts", self._keep_writing, self._clock)
+        ]
         if not self._is_first_start:
-            self._tasks.append(asyncio.create_task(self._read()))
+            reading = start_task(
+                "read of blocked parts", self._read, self._clock
+            )
+            self._tasks.append(reading)
 
     async def stop(self) -> None:
         """Stop reading and writing."""
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from balsamlift._back_off import BackOff
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.exceptions import HostsUnavailableError, StoreError
 from balsamlift.kernel import Kernel
@@ -80,7 +80,9 @@
     async def start(self, kernel: Kernel) -> None:
         """Start reading in the background."""
         self._routing = kernel.find("routing", Routing)
-        self._task = asyncio.create_task(self._keep_reading())
+        self._task = start_task(
+            "configuration", self._keep_reading, self._clock
+        )
 
     async def stop(self) -> None:
         """Stop reading."""
@@ -267,7 +269,9 @@
     async def start(self, kernel: Kernel) -> None:
         """Write the entry and renew it in the background."""
         del kernel
-        self._task = asyncio.create_task(self._keep_writing())
+        self._task = start_task(
+            "entry in the list", self._keep_writing, self._clock
+        )
 
     async def stop(self) -> None:
         """Stop renewing the entry, so that it expires."""
--- a/src/balsamlift/presets/_service.py
+++ b/src/balsamlift/presets/_service.py
@@ -11,6 +11,7 @@
 
 from balsamlift._back_off import BackOff
 from balsamlift._http import HttpClient
+from balsamlift._tasks import start_task
 from balsamlift.clock import Clock
 from balsamlift.exceptions import LogUnavailableError, OffsetGapError
 from balsamlift.kernel import Kernel
@@ -95,7 +96,7 @@
         )
         operators = kernel.find("operators", OperatorsServer)
         operators.add_routes(preset_routes(self))
-        self._task = asyncio.create_task(self._follow())
+        self._task = start_task("preset log", self._follow, self._clock)
 
     async def stop(self) -> None:
         """Stop following the log and cancel a checkpoint in progress."""
--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -22,7 +22,7 @@
 from tornado.netutil import add_accept_handler
 
 from balsamlift._listening import listen
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.kernel import Kernel
 from balsamlift.relay._caller_stream import (
@@ -268,7 +268,9 @@
             add_accept_handler(listener, self._accept)
             for listener in self._sockets
         ]
-        self._timeout_task = asyncio.create_task(self._check_timeouts())
+        self._timeout_task = start_task(
+            "timeouts of callers", self._check_timeouts, self.clock
+        )
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -9,7 +9,7 @@
 import attrs
 from loguru import logger
 
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.kernel import Kernel
 from balsamlift.metrics import Metrics
@@ -262,8 +262,8 @@
         frontend.serve(self.handle)
         forwarding_frontend.serve(self.handle_forwarded)
         self._tasks = [
-            asyncio.create_task(self._poll_for_memory()),
-            asyncio.create_task(self._sweep_periodically()),
+            start_task("memory poll", self._poll_for_memory, self._clock),
+            start_task("sweep", self._sweep_periodically, self._clock),
         ]
 
     def leave(self, within_s: float) -> None:
--- a/src/balsamlift/relay/generations/_leaving_detector.py
+++ b/src/balsamlift/relay/generations/_leaving_detector.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Collection
 
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.peers import Upstream, Upstreams
 from balsamlift.relay.generations._engines import EngineClient, ReportError
@@ -39,7 +39,9 @@
 
     def start(self) -> None:
         """Start polling."""
-        self._task = asyncio.create_task(self._keep_polling())
+        self._task = start_task(
+            "reports of engines", self._keep_polling, self._clock
+        )
 
     async def stop(self) -> None:
         """Stop polling."""
--- a/src/balsamlift/relay/health/_link_prober.py
+++ b/src/balsamlift/relay/health/_link_prober.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 
-from balsamlift._tasks import end_task
+from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.peers import Upstream
 from balsamlift.relay.health._reachability import Reachability
@@ -44,7 +44,7 @@
 
     def start(self) -> None:
         """Start probing."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_task("probes of links", self._run, self._clock)
 
     async def stop(self) -> None:
         """Stop probing."""
--- a/src/balsamlift/requests/_service.py
+++ b/src/balsamlift/requests/_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+from balsamlift._tasks import start_task
 from balsamlift.exceptions import RefusedError
 from balsamlift.kernel import Kernel
 from balsamlift.operators import OperatorsServer
@@ -53,7 +54,9 @@
         arguments = {"handover": self.handover}
         operators.add_routes([(r"/v1/peer/keys", HandoverHandler, arguments)])
         self._runner.registry.start()
-        self._maintenance = asyncio.ensure_future(self._maintain())
+        self._maintenance = start_task(
+            "request keys", self._maintain, self.dependencies.clock
+        )
 
     async def stop(self) -> None:
         """Cancel maintenance and all running requests."""
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -5,7 +5,13 @@
 import pynng
 import pytest
 
-from balsamlift._tasks import end_other_tasks, end_task
+from balsamlift._tasks import end_other_tasks, end_task, start_task
+from balsamlift.clock import SystemClock
+from balsamlift.testing.relay import (
+    HEADER_NAMES,
+    RelayHarness,
+    ReplicaStandIn,
+)
 
 TIMEOUT_S = 20.0
 
@@ -91,3 +97,53 @@
         await end_task(task)
 
     asyncio.run(main())
+
+
+def test_a_background_task_that_fails_goes_on() -> None:
+    """Guard against a host that stops doing something for good, silently."""
+
+    async def main() -> None:
+        runs = 0
+        has_gone_on = asyncio.Event()
+
+        async def run() -> None:
+            nonlocal runs
+            runs += 1
+            if runs < 3:
+                raise KeyError("e1")
+            has_gone_on.set()
+            await asyncio.sleep(3_600)
+
+        task = start_task("test", run, SystemClock())
+        async with asyncio.timeout(TIMEOUT_S):
+            await has_gone_on.wait()
+        await end_task(task)
+        assert task.cancelled()
+
+    asyncio.run(main())
+
+
+def test_waiting_generations_are_placed_after_a_failure_as_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against the end of the task that looks for released memory."""
+
+    async def main() -> None:
+        stand_ins = [ReplicaStandIn("model-1", "model", HEADER_NAMES)]
+        async with RelayHarness(stand_ins) as world:
+            polls = 0
+            is_polled_again = asyncio.Event()
+
+            def fail_once() -> None:
+                nonlocal polls
+                polls += 1
+                if polls == 1:
+                    raise KeyError("model-1")
+                is_polled_again.set()
+
+            allocator = world.relay._allocator
+            monkeypatch.setattr(allocator, "publish_groups", fail_once)
+            async with asyncio.timeout(TIMEOUT_S):
+                await is_polled_again.wait()
+
+    asyncio.run(main())
