Answer a request whose handling fails inside the host

Cause: an exception in the handling of a request ended its task, and the connection was closed at its end; the line came later, or never.

Change: such a request gets 500, which promises nothing, unless its response has begun; the failure is logged with the path. A caller that has disconnected is no failure.

Measured: the new test failed before (connection closed without a byte).

--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -19,6 +19,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.iostream import StreamClosedError
 from tornado.netutil import add_accept_handler
 
 from balsamlift._listening import listen
@@ -207,6 +208,14 @@
     async def _run(self, request: CallerRequest) -> None:
         try:
             await self._frontend.handle(request, self._responder)
+        except StreamClosedError:
+            pass  # the caller has disconnected
+        except Exception:
+            log.bind(path=request.target.partition("?")[0][:80]).exception(
+                "could not handle a request"
+            )
+            if not self._responder.is_started:
+                self._refuse(500)
         finally:
             if not self._responder.is_finished:
                 # Otherwise the caller would wait for the rest of the response.
--- a/tests/test_relay_frontend.py
+++ b/tests/test_relay_frontend.py
@@ -122,3 +122,26 @@
         assert answer.body == b"late"
 
     run(test())
+
+
+def test_a_request_whose_handling_fails_gets_an_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a connection that is closed for a fault of the host."""
+
+    async def test() -> None:
+        stand_in = replica()
+        async with RelayHarness([stand_in]) as world:
+            world.configure()
+            reader, writer = await world.connect()
+            admission = world.relay._admission
+            with monkeypatch.context() as patched:
+                patched.setattr(admission, "admit", {}.__getitem__)
+                writer.write(request_bytes("/order/1", "r1"))
+                assert (await read_answer(reader)).status == 500
+            writer.write(request_bytes("/order/1", "r2"))
+            assert (await read_answer(reader)).status == 200
+            writer.close()
+        assert stand_in.ids() == ["r2"]
+
+    run(test())
