Send no crashing request in a crowd that has none

Cause: a test's. The eleventh came 0.03 s after the end of the crowd, as long as a crashing request takes to crash an engine: with no time for crashing requests, one was sent all the same if a timer that is set for their end fires a rounding error before it (virtual time, whose start depends on when the hosts have met).

Change: without any time for them, none is sent. The bound of ten stays.

--- a/tests/_crashing_crowd.py
+++ b/tests/_crashing_crowd.py
@@ -125,6 +125,8 @@
         return served / len(sound)
 
     async def _send_from(self, from_s: float, until_s: float) -> None:
+        if from_s >= until_s:
+            return
         loop = asyncio.get_running_loop()
         await asyncio.sleep(from_s - loop.time())
         await self._send_until(until_s, CRASHING_PER_S, is_crashing=True)
