Bound what is read of an upstream, and what it takes of a turn

What callers saw: while one upstream sent interim responses, trailers or chunks of a byte without end, no caller of a host was answered and no deadline fired (measured on: nothing in 20 s); comments made others wait 3.6 s.

Cause: a read that finds its bytes in the buffer returns without giving way, and no loop of reads had a bound over all of its bytes.

Change: one place for the limits (_response_limits) and one for the turns (_fair_stream), asked by UpstreamConnection, so that calls, streams, resumed runs and the hop have them alike. Heads with interim responses, dropped responses and trailers have bounds; chunk lines and comments may be as long as twice the data and 2 KB; events 64 KB; bodies held whole share 32 MB. At a bound the connection is closed, the answer is broken (502, or a stream that ends as cut), the engine or upstream is ejected, a line and a counter name the form. An id of an event with thousands of digits no longer raises. The move of a generation owns its task, which makes Generation smaller; sockets' options and attempts to connect have a module.

Ruled out: a pause in each loop, which the next loop would lack; a limit on reads per turn and stream alone, as 50 streams then make one turn of 50.

--- a/src/balsamlift/exceptions.py
+++ b/src/balsamlift/exceptions.py
@@ -282,6 +282,15 @@
     """Raised when an upstream sent an incomplete answer or none."""
 
 
+class ResponseLimitError(UpstreamBrokenError):
+    """Raised when an upstream sent too many bytes of one form."""
+
+    def __init__(self, upstream: str, form: str) -> None:
+        """Store the form."""
+        super().__init__(upstream, f"too many bytes: {form}")
+        self.form = form
+
+
 class NoUpstreamError(BalsamliftError):
     """Raised when no upstream of a pool may take the request now."""
 
--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -10,7 +10,6 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator, Callable, Iterable
-from typing import Literal
 
 import attrs
 from tornado.httputil import HTTPHeaders, HTTPInputError
@@ -25,40 +24,52 @@
 from balsamlift._address import split_address
 from balsamlift.clock import Clock
 from balsamlift.exceptions import (
+    ResponseLimitError,
     UpstreamBrokenError,
     UpstreamUnreachableError,
 )
+from balsamlift.relay._fair_stream import FairStream, ReadLane
+from balsamlift.relay._reaching import (
+    CONNECT_TIMEOUT_S,
+    enable_dead_peer_detection,
+)
+from balsamlift.relay._response_limits import (
+    MAX_CHUNK_LINE_BYTES,
+    MAX_DROPPED_BYTES,
+    MAX_DROPPED_RESPONSES,
+    MAX_HEAD_BYTES,
+    MAX_INTERIM_RESPONSES,
+    MAX_TRAILER_BYTES,
+    ByteLimit,
+    ByteLimitError,
+    ResponseForm,
+    overhead_limit,
+)
 
-# Connecting within a deployment takes a few milliseconds; the kernel resends a
-# lost SYN packet after one second.
-CONNECT_TIMEOUT_S = 0.5
-# Links may lose packets for seconds. A lost packet is retransmitted after
-# 0.2 s, 0.4 s and 0.8 s; after that, the other end is considered dead.
-SILENCE_TIMEOUT_S = 2
-KEEPALIVE_INTERVAL_S = 1
-MAX_HEAD_BYTES = 65_536
-MAX_LINE_BYTES = 1_024  # of a chunk size line or a trailer
-READ_BYTES = 65_536
-MAX_BUFFER_BYTES = 1_048_576  # a single read never buffers more
+READ_BYTES = 4_096
+MAX_BUFFER_BYTES = 131_072  # a single read never buffers more
 # Fraction of the upstream's keep-alive timeout within which a connection is
 # reused. Close to the timeout, the upstream may close the connection while a
 # request is in flight, and it is then unknown whether the request ran.
 IDLE_TIMEOUT_FRACTION = 0.5
 DEFAULT_IDLE_TIMEOUT_S = 1.0  # without a Keep-Alive header
 
-# To an attempt to open a connection.
-Answer = Literal["accepts", "refuses", "silent"]
-
+_LINE_END = b"\r\n"
 _NO_BODY = frozenset({204, 304})
 _READ_ERRORS = (
     StreamClosedError,
     StreamBufferFullError,
     UnsatisfiableReadError,
     HTTPInputError,
+    ByteLimitError,
     ValueError,
 )
 
 
+def _ignore_limit(upstream: str, form: ResponseForm) -> None:
+    del upstream, form
+
+
 @attrs.frozen
 class ResponseHead:
     """Status line and headers of a response."""
@@ -74,12 +85,25 @@
     It carries one request at a time.
     """
 
-    def __init__(self, upstream: str, address: str, clock: Clock) -> None:
-        """Create a closed connection; `connect` opens it."""
+    def __init__(
+        self,
+        upstream: str,
+        address: str,
+        clock: Clock,
+        lane: ReadLane | None = None,
+        on_limit: Callable[[str, ResponseForm], None] = _ignore_limit,
+    ) -> None:
+        """Create a closed connection; `connect` opens it.
+
+        Its reads share `lane` with those of others. `on_limit` is called with
+        its upstream and the form of which that has sent too much.
+        """
         self.upstream = upstream
         self.address = address
         self._clock = clock
-        self._stream: IOStream | None = None
+        self._lane = lane or ReadLane()
+        self._on_limit = on_limit
+        self._stream: FairStream | None = None
         self.is_kept = False  # it was idle since it was opened
         # The response has ended with the connection, and by that alone.
         self.is_ended_by_close = False
@@ -95,7 +119,9 @@
         Raises `UpstreamUnreachableError`.
         """
         ip, port = split_address(self.address)
-        stream = IOStream(socket.socket(), max_buffer_size=MAX_BUFFER_BYTES)
+        stream = FairStream(
+            socket.socket(), self._lane, self._clock, MAX_BUFFER_BYTES
+        )
         try:
             async with asyncio.timeout(timeout_s):
                 await stream.connect((ip, port))
@@ -126,6 +152,17 @@
         if self._stream is not None:
             self._stream.close()
 
+    def charge(self, work_us: float) -> None:
+        """Charge work that a response has caused, in microseconds."""
+        if self._stream is not None:
+            self._stream.charge(work_us)
+
+    def break_off(self, form: ResponseForm) -> ResponseLimitError:
+        """Close for too many bytes of a form; return the error to raise."""
+        self.close()
+        self._on_limit(self.upstream, form)
+        return ResponseLimitError(self.upstream, form)
+
     def is_reusable(self) -> bool:
         """Return whether an idle connection can carry another request.
 
@@ -174,15 +211,31 @@
         response for which `is_expected` returns false is read to its end
         and dropped. Raises `UpstreamBrokenError`.
         """
+        interim_limit = ByteLimit("interim responses", MAX_INTERIM_RESPONSES)
+        dropped_limit = ByteLimit("dropped responses", MAX_DROPPED_RESPONSES)
+        head_limit = ByteLimit("head", MAX_HEAD_BYTES)
         while True:
-            head = await self._read_head()
+            head = await self._read_head(head_limit)
             if head.status < 200:
+                self._spend(interim_limit, 1)
                 continue
             if is_expected(head):
                 return head
-            async for _ in self.read_body(head):
-                pass
-            self._reusable = False
+            self._spend(dropped_limit, 1)
+            await self._drop(head)
+
+    async def _drop(self, head: ResponseHead) -> None:
+        limit = ByteLimit("dropped responses", MAX_DROPPED_BYTES)
+        async for chunk in self.read_body(head):
+            self._spend(limit, len(chunk))
+        self._reusable = False
+
+    def _spend(self, limit: ByteLimit, count: int) -> None:
+        """Count towards a limit; raise `ResponseLimitError` beyond it."""
+        try:
+            limit.spend(count)
+        except ByteLimitError as error:
+            raise self.break_off(error.form) from error
 
     async def read_body(self, head: ResponseHead) -> AsyncIterator[bytes]:
         """Yield the body of the response as it arrives.
@@ -207,26 +260,25 @@
                     yield chunk
                 return
         except _READ_ERRORS as error:
-            self.close()
-            raise UpstreamBrokenError(
-                self.upstream, f"answer broken off: {error}"
-            ) from error
+            raise self._broken(error, "answer broken off") from error
         self._finish(head)
 
-    async def _read_head(self) -> ResponseHead:
+    def _broken(self, error: Exception, cause: str) -> UpstreamBrokenError:
+        """Close after a failed read; return the error to raise."""
+        if isinstance(error, ByteLimitError):
+            return self.break_off(error.form)
+        self.close()
+        return UpstreamBrokenError(self.upstream, f"{cause}: {error}")
+
+    async def _read_head(self, limit: ByteLimit) -> ResponseHead:
         assert self._stream is not None
         try:
-            data = await self._stream.read_until(
-                b"\r\n\r\n", max_bytes=MAX_HEAD_BYTES
-            )
+            data = await _read_until(self._stream, b"\r\n\r\n", limit)
             first, _, rest = data.decode("latin-1").partition("\r\n")
             line = parse_start_line(first)
             headers = HTTPHeaders.parse(rest)
         except _READ_ERRORS as error:
-            self.close()
-            raise UpstreamBrokenError(
-                self.upstream, f"no answer: {error}"
-            ) from error
+            raise self._broken(error, "no answer") from error
         return ResponseHead(line.code, line.reason, headers)
 
     async def _read_length(
@@ -240,17 +292,21 @@
             yield chunk
 
     async def _read_chunks(self, stream: IOStream) -> AsyncIterator[bytes]:
+        overhead = overhead_limit("chunks")
         while True:
-            line = await stream.read_until(b"\r\n", max_bytes=MAX_LINE_BYTES)
+            line = await _read_chunk_line(stream)
             size = _parse_chunk_size(line)
             if size == 0:
                 break
+            overhead.spend(len(line) + len(_LINE_END))
             async for chunk in self._read_length(stream, size):
+                overhead.earn(len(chunk))
                 yield chunk
-            if await stream.read_bytes(2) != b"\r\n":
+            if await stream.read_bytes(len(_LINE_END)) != _LINE_END:
                 raise HTTPInputError("a chunk does not end where it says")
-        while line != b"\r\n":
-            line = await stream.read_until(b"\r\n", max_bytes=MAX_LINE_BYTES)
+        trailers = ByteLimit("trailers", MAX_TRAILER_BYTES)
+        while line != _LINE_END:
+            line = await _read_until(stream, _LINE_END, trailers)
 
     async def _read_until_close(
         self, stream: IOStream
@@ -286,47 +342,23 @@
         self._idle_until_s = self._clock.monotonic() + idle_s
 
 
-async def try_connection(address: str) -> Answer:
-    """Return how a host answers an attempt to open a connection."""
-    ip, port = split_address(address)
-    stream = IOStream(socket.socket())
+async def _read_until(
+    stream: IOStream, delimiter: bytes, limit: ByteLimit
+) -> bytes:
+    """Return the bytes up to a delimiter; raise `ByteLimitError`."""
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            await stream.connect((ip, port))
+        data = await stream.read_until(delimiter, max_bytes=limit.left_bytes)
     except StreamClosedError as error:
-        is_refusal = isinstance(error.real_error, ConnectionError)
-        return "refuses" if is_refusal else "silent"
-    except TimeoutError:
-        return "silent"
-    finally:
-        stream.close()
-    return "accepts"
-
+        if isinstance(error.real_error, UnsatisfiableReadError):
+            raise ByteLimitError(limit.form) from error
+        raise
+    limit.spend(len(data))
+    return data
 
-def enable_dead_peer_detection(sock: socket.socket) -> None:
-    """Let the kernel close a connection whose other end is unreachable.
 
-    A connection may stop carrying packets for good while new ones work.
-    The kernel closes it when sent bytes stay unacknowledged, or keepalive
-    probes stay unanswered, for `SILENCE_TIMEOUT_S`.
-    """
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_KEEPCNT,
-            SILENCE_TIMEOUT_S // KEEPALIVE_INTERVAL_S,
-        ),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            SILENCE_TIMEOUT_S * 1_000,
-        ),
-    )
-    for level, name, value in options:
-        sock.setsockopt(level, name, value)
+async def _read_chunk_line(stream: IOStream) -> bytes:
+    limit = ByteLimit("chunk line", MAX_CHUNK_LINE_BYTES)
+    return await _read_until(stream, _LINE_END, limit)
 
 
 def _ignore_write_error(write: asyncio.Future[None]) -> None:
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -18,15 +18,12 @@
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream
 from balsamlift.relay._attempt import Attempt
-from balsamlift.relay._connection import (
-    CONNECT_TIMEOUT_S,
-    ResponseHead,
-    UpstreamConnection,
-    try_connection,
-)
+from balsamlift.relay._body_memory import BodyMemory, BodyMemoryError
+from balsamlift.relay._connection import ResponseHead, UpstreamConnection
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._headers import is_signed, upstream_headers
 from balsamlift.relay._pool import ConnectionPool
+from balsamlift.relay._reaching import CONNECT_TIMEOUT_S, try_connection
 from balsamlift.relay._request import Call
 from balsamlift.relay.health import Reachability
 from balsamlift.relay.statements import (
@@ -77,6 +74,7 @@
     ) -> None:
         """Create a client that acquires connections from `pool`."""
         self._metrics = metrics
+        self._bodies = BodyMemory()
         self._pool = pool
         self._names = names
         self._clock = clock
@@ -189,23 +187,20 @@
 
         Raises `UpstreamBrokenError` if it breaks off or exceeds `max_bytes`.
         """
-        chunks: list[bytes] = []
-        size = 0
+        body = self._bodies.open(max_bytes)
         try:
             async for chunk in reply.connection.read_body(reply.head):
-                size += len(chunk)
-                if size > max_bytes:
-                    raise UpstreamBrokenError(
-                        reply.upstream.name,
-                        f"over {max_bytes} bytes",
-                    )
-                chunks.append(chunk)
+                body.append(chunk)
             await self.confirm_end(reply)
+            self._pool.release(reply.connection)
+            return body.join()
+        except BodyMemoryError:
+            raise reply.connection.break_off("body") from None
         except BaseException:
             reply.connection.close()
             raise
-        self._pool.release(reply.connection)
-        return b"".join(chunks)
+        finally:
+            body.release()
 
     async def confirm_end(self, reply: Reply) -> None:
         """Check that a response that ended with its connection is complete.
--- a/src/balsamlift/relay/_pool.py
+++ b/src/balsamlift/relay/_pool.py
@@ -4,10 +4,17 @@
 
 from collections import deque
 
+from loguru import logger
+
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream
-from balsamlift.relay._connection import CONNECT_TIMEOUT_S, UpstreamConnection
+from balsamlift.relay._connection import UpstreamConnection
+from balsamlift.relay._fair_stream import ReadLane
+from balsamlift.relay._reaching import CONNECT_TIMEOUT_S
+from balsamlift.relay._response_limits import ResponseForm
+
+log = logger.bind(part="upstreams")
 
 MAX_IDLE_CONNECTIONS = 16  # per upstream
 
@@ -18,10 +25,11 @@
     def __init__(
         self, clock: Clock, metrics: Metrics, part: str = "relay"
     ) -> None:
-        """Create an empty pool; `part` names its counter."""
+        """Create an empty pool; `part` begins the names of its counters."""
         self._clock = clock
         self._metrics = metrics
-        self._counter = f"{part}.connections_opened"
+        self._part = part
+        self._lane = ReadLane()
         self._idle: dict[str, deque[UpstreamConnection]] = {}
 
     async def acquire(
@@ -59,8 +67,10 @@
         self, name: str, address: str, connect_timeout_s: float
     ) -> UpstreamConnection:
         """Open a connection; raise `UpstreamUnreachableError`."""
-        connection = UpstreamConnection(name, address, self._clock)
-        self._metrics.count(self._counter)
+        connection = UpstreamConnection(
+            name, address, self._clock, self._lane, self._record_limit
+        )
+        self._metrics.count(f"{self._part}.connections_opened")
         await connection.connect(connect_timeout_s)
         return connection
 
@@ -97,3 +107,9 @@
     def close(self) -> None:
         """Close all idle connections."""
         self.sweep(set())
+
+    def _record_limit(self, name: str, form: ResponseForm) -> None:
+        """Log and count a response with too many bytes of one form."""
+        counted = form.replace(" ", "_")
+        self._metrics.count(f"{self._part}.too_many_bytes.{counted}")
+        log.bind(upstream=name, form=form).warning("too many bytes")
--- /dev/null
+++ b/src/balsamlift/relay/_reaching.py
@@ -0,0 +1,65 @@
+"""Whether the other end of a connection is reached."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Literal
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from balsamlift._address import split_address
+
+# Connecting within a deployment takes a few milliseconds; the kernel resends a
+# lost SYN packet after one second.
+CONNECT_TIMEOUT_S = 0.5
+# Links may lose packets for seconds. A lost packet is retransmitted after
+# 0.2 s, 0.4 s and 0.8 s; after that, the other end is considered dead.
+SILENCE_TIMEOUT_S = 2
+KEEPALIVE_INTERVAL_S = 1
+
+# To an attempt to open a connection.
+Answer = Literal["accepts", "refuses", "silent"]
+
+
+async def try_connection(address: str) -> Answer:
+    """Return how a host answers an attempt to open a connection."""
+    ip, port = split_address(address)
+    stream = IOStream(socket.socket())
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            await stream.connect((ip, port))
+    except StreamClosedError as error:
+        is_refusal = isinstance(error.real_error, ConnectionError)
+        return "refuses" if is_refusal else "silent"
+    except TimeoutError:
+        return "silent"
+    finally:
+        stream.close()
+    return "accepts"
+
+
+def enable_dead_peer_detection(sock: socket.socket) -> None:
+    """Let the kernel close a connection whose other end is unreachable.
+
+    A connection may stop carrying packets for good while new ones work.
+    The kernel closes it when sent bytes stay unacknowledged, or keepalive
+    probes stay unanswered, for `SILENCE_TIMEOUT_S`.
+    """
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_KEEPCNT,
+            SILENCE_TIMEOUT_S // KEEPALIVE_INTERVAL_S,
+        ),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            SILENCE_TIMEOUT_S * 1_000,
+        ),
+    )
+    for level, name, value in options:
+        sock.setsockopt(level, name, value)
--- a/src/balsamlift/relay/crashes/_crash_detector.py
+++ b/src/balsamlift/relay/crashes/_crash_detector.py
@@ -11,7 +11,7 @@
 from balsamlift._tasks import end_task
 from balsamlift.clock import Clock
 from balsamlift.peers import Upstream, Upstreams
-from balsamlift.relay._connection import try_connection
+from balsamlift.relay._reaching import try_connection
 from balsamlift.relay._request import Call
 
 log = logger.bind(part="crashes")
--- a/src/balsamlift/relay/generations/_events.py
+++ b/src/balsamlift/relay/generations/_events.py
@@ -5,12 +5,19 @@
 import re
 
 from balsamlift.exceptions import BalsamliftError
+from balsamlift.relay._response_limits import (
+    ByteLimitError,
+    overhead_limit,
+)
 
-MAX_EVENT_BYTES = 1_048_576
+MAX_EVENT_BYTES = 65_536
 NO_EVENT_ID = -1  # valid ids are 0 or more
 MAX_ID_DIGITS = 18
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_EVENT_END_BYTES = 4  # at most
+# A line that is neither empty nor a comment.
+_FIELD = re.compile(rb"^[^:\r\n]", re.MULTILINE)
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)\r?(?:\n|$)")
 
 
@@ -22,7 +29,7 @@
 
 
 class EventError(BalsamliftError):
-    """Raised when an event is out of order or too large."""
+    """Raised when an event is out of order, or its id is no number."""
 
 
 class EventSplitter:
@@ -35,21 +42,27 @@
     def __init__(self, last_id: int = NO_EVENT_ID) -> None:
         """Create a splitter for events with ids above `last_id`."""
         self.last_id = last_id
+        self.fed_count = 0  # events and comments in the bytes fed last
         self._buffer = b""
+        self._comments = overhead_limit("comments")
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that `data` completes.
 
-        Raises `EventError`.
+        Raises `EventError`, and `ByteLimitError` for an event that is too
+        large or for too many comments.
         """
+        searched = max(len(self._buffer) - _EVENT_END_BYTES, 0)
         buffer = self._buffer + data
         end = 0
-        for match in _EVENT_END.finditer(buffer):
-            self._check_order(buffer[end : match.end()])
+        self.fed_count = 0
+        for match in _EVENT_END.finditer(buffer, searched):
+            self._check(buffer[end : match.end()])
+            self.fed_count += 1
             end = match.end()
         self._buffer = buffer[end:]
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise EventError(f"event exceeds {MAX_EVENT_BYTES} bytes")
+            raise ByteLimitError("event")
         return buffer[:end]
 
     @property
@@ -57,10 +70,16 @@
         """Return the bytes of an event that is not complete yet."""
         return self._buffer
 
-    def _check_order(self, event: bytes) -> None:
+    def _check(self, event: bytes) -> None:
+        if _FIELD.search(event) is None:
+            self._comments.spend(len(event))
+            return
+        self._comments.earn(len(event))
         match = _EVENT_ID.search(event)
         if match is None:
             return
+        if len(match[1]) > MAX_ID_DIGITS:
+            raise EventError("an id has too many digits")
         event_id = int(match[1])
         if event_id <= self.last_id:
             raise EventError(
--- a/src/balsamlift/relay/generations/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -11,8 +11,8 @@
 from loguru import logger
 from tornado.iostream import StreamClosedError
 
-from balsamlift._tasks import end_task
 from balsamlift.exceptions import (
+    ResponseLimitError,
     UpstreamBrokenError,
     UpstreamUnreachableError,
 )
@@ -20,9 +20,9 @@
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._request import Responder, Resume
+from balsamlift.relay._response_limits import ByteLimitError, ResponseForm
 from balsamlift.relay.crashes import CRASH_THRESHOLD
 from balsamlift.relay.generations._backup import Backup
-from balsamlift.relay.generations._engines import MemoryCopy
 from balsamlift.relay.generations._events import EventError, EventSplitter
 from balsamlift.relay.generations._generation_context import GenerationContext
 from balsamlift.relay.generations._job import Job
@@ -38,14 +38,13 @@
 
 log = logger.bind(part="generations")
 
-# Chunks of up to 64 KB buffered for a caller who does not read.
+# Chunks of up to 4 KB buffered for a caller who does not read.
 MAX_BUFFERED_CHUNKS = 8
+EVENT_US = 3.0  # estimated work for one event
 # An engine that sends events does so several times as often.
 LOST_SILENCE_S = 0.6
 # An engine that crashes because of a generation does so as it begins.
 SOUND_AFTER_S = 2.0
-# The response to the last copy arrives once the copy is complete.
-COPY_TIMEOUT_S = 1.0
 
 Signal = Literal["whole", "broken", "leaving", "unreached"]
 
@@ -84,7 +83,6 @@
         self._read_task: asyncio.Task[None] | None = None
         self._reply: Reply | None = None
         self._move: Move | None = None
-        self._move_task: asyncio.Task[MemoryCopy | None] | None = None
         self._lost_engines = 0
         self._is_carried = False  # by another host
         self._sound_at_s = math.inf  # once the engine has run it for so long
@@ -134,10 +132,8 @@
             return "caller gone"
         finally:
             self._stop_reading()
-            try:
-                await end_task(self._move_task)
-            finally:
-                self._release_move()
+            if self._move is not None:
+                await self._move.end()
 
     async def request_resume(
         self, upstream: Upstream, resume: Resume
@@ -192,6 +188,7 @@
                 event=self._splitter.last_id,
             ).info("{}", error)
             self._inbox.put_nowait("broken")
+            self._judge(reply, error)
             self._check_crash(reply, had_output=had_output)
             return
         self._context.exchange.release_connection(reply.connection)
@@ -210,8 +207,9 @@
             item = await self._inbox.get()
             if isinstance(item, bytes):
                 self._buffer_slots.release()
-                if not await self._forward(item):
-                    return self._fail("events out of order")
+                failure = await self._forward(item)
+                if failure:
+                    return self._fail(failure)
             elif item == "whole":
                 if self._splitter.incomplete:
                     if await self._resume_cut_short():
@@ -251,26 +249,46 @@
         One with neither a length nor chunks looks complete then. Waits for
         the engine's answer to the call that stops the run.
         """
-        move, move_task, reply = self._move, self._move_task, self._reply
-        if move is None or move_task is None or reply is None:
+        if self._move is None or self._reply is None:
             return False
-        if not reply.connection.is_ended_by_close:
+        if not self._reply.connection.is_ended_by_close:
             return False
-        if move.may_have_stopped_run:
-            await asyncio.wait({move_task}, timeout=COPY_TIMEOUT_S)
-        return move.may_have_stopped_run
+        return await self._move.may_have_stopped_run()
 
-    async def _forward(self, data: bytes) -> bool:
+    async def _forward(self, data: bytes) -> str:
+        """Write the events that are complete; return why that failed."""
         try:
             events = self._splitter.feed(data)
         except EventError as error:
             log.bind(request=self._job.request_id).warning("{}", error)
-            return False
+            return "events out of order"
+        except ByteLimitError as error:
+            self._break_off(error.form)
+            return str(error)
+        self._charge_events()
         if events:
             self._record_events()
             await self._responder.write(events)
             self._pace.is_delayed = not self._inbox.empty()
-        return True
+        if not self._inbox.empty():
+            await asyncio.sleep(0)  # others' turn
+        return ""
+
+    def _charge_events(self) -> None:
+        if self._reply is not None:
+            work_us = self._splitter.fed_count * EVENT_US
+            self._reply.connection.charge(work_us)
+
+    def _break_off(self, form: ResponseForm) -> None:
+        """Close the connection of an engine that sends too much."""
+        if self._reply is None:
+            return
+        self._judge(self._reply, self._reply.connection.break_off(form))
+
+    def _judge(self, reply: Reply, error: UpstreamBrokenError) -> None:
+        """Let others' requests go elsewhere if an engine sent too much."""
+        if isinstance(error, ResponseLimitError) and not self._is_carried:
+            self._context.balancer.eject(reply.upstream.name)
 
     def _record_events(self) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -290,14 +308,14 @@
     # Moving to another engine
 
     def _start_move(self) -> None:
-        if not self._job.traits.can_move or self._move_task is not None:
+        if not self._job.traits.can_move or self._move is not None:
             return
         self._move = Move(self._context, self._job, self._reservation.upstream)
-        self._move_task = asyncio.create_task(self._move.run())
+        self._move.start()
 
     async def _resume_elsewhere(self) -> bool:
         """Resume where the memory is, after the current engine has ended."""
-        copy = await self._finish_move()
+        copy = None if self._move is None else await self._move.finish()
         try:
             if copy is None:
                 return await self._recover()
@@ -306,7 +324,7 @@
                 return True
             return await self._repeat_elsewhere("not resumed after a move")
         finally:
-            self._release_move()
+            self._give_up_move()
 
     async def _recover(self) -> bool:
         """Go on elsewhere unless too many engines were lost.
@@ -334,22 +352,6 @@
             return False
         return await self._context.crash_guard.has_crashed(upstream)
 
-    def _release_move(self) -> None:
-        if self._move is not None:
-            self._move.release()
-
-    async def _finish_move(self) -> MemoryCopy | None:
-        """Return the copy for which the engine was stopped, or None.
-
-        With None, the engine was lost and any move in progress has failed.
-        """
-        move_task, self._move_task = self._move_task, None
-        if move_task is None:
-            return None
-        with suppress(TimeoutError):
-            return await asyncio.wait_for(move_task, COPY_TIMEOUT_S)
-        return None
-
     async def _resume_at_backup(self) -> bool:
         """Resume at the backup engine; return whether that succeeded."""
         upstream = self._backup.take()
@@ -407,11 +409,9 @@
             self.leave_engine()  # notified while it resumed
 
     def _give_up_move(self) -> None:
-        """Give up a move off an engine that the generation has left."""
-        move_task, self._move_task = self._move_task, None
-        if move_task is not None:
-            move_task.cancel()
-        self._release_move()
+        move, self._move = self._move, None
+        if move is not None:
+            move.give_up()
 
     def _discard_buffered(self) -> None:
         """Drop chunks of the previous engine, which the next one repeats."""
--- a/src/balsamlift/relay/generations/_move.py
+++ b/src/balsamlift/relay/generations/_move.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 
 from loguru import logger
 
+from balsamlift._tasks import end_task
 from balsamlift.exceptions import UpstreamError
 from balsamlift.peers import Upstream
 from balsamlift.relay.generations._engines import (
@@ -33,6 +35,8 @@
 STOP_MARGIN_S = 0.2
 # Delay before looking again for an engine with enough memory.
 RETRY_DELAY_S = 0.1
+# The response to the last copy arrives once the copy is complete.
+COPY_TIMEOUT_S = 1.0
 
 
 class Move:
@@ -44,24 +48,66 @@
         job: Job,
         source: Upstream,
     ) -> None:
-        """Start at the engine's notice, which has just arrived."""
+        """Begin at the engine's notice, which has just arrived."""
         self._context = context
         self._job = job
         self._source = source
         self._reservation: MemoryReservation | None = None
         # The engine was told to, and has not said that it did not.
-        self.may_have_stopped_run = False
+        self._may_have_stopped_run = False
+        self._task: asyncio.Task[MemoryCopy | None] | None = None
         self._link_access = LinkAccess(
             context.balancer, context.engines, source, job.request_id
         )
 
-    async def run(self) -> MemoryCopy | None:
+    def start(self) -> None:
         """Copy the memory while the engine runs, then stop it and finish.
 
         Stopping closes the engine's stream without an end event, and the
-        request is resumed on the engine with the copy. Returns None if the
-        copy failed; the generation then continues where it is.
+        request is resumed on the engine with the copy.
         """
+        self._task = asyncio.create_task(self._run())
+
+    async def may_have_stopped_run(self) -> bool:
+        """Return whether the engine may have ended its response for this.
+
+        Waits for its answer if it was told to.
+        """
+        if self._may_have_stopped_run and self._task is not None:
+            await asyncio.wait({self._task}, timeout=COPY_TIMEOUT_S)
+        return self._may_have_stopped_run
+
+    async def finish(self) -> MemoryCopy | None:
+        """Return the copy for which the engine was stopped, or None.
+
+        With None, the engine was lost, and the move has failed.
+        """
+        if self._task is None:
+            return None
+        with suppress(TimeoutError):
+            return await asyncio.wait_for(self._task, COPY_TIMEOUT_S)
+        return None
+
+    async def end(self) -> None:
+        """Give up, and wait for the end of all calls."""
+        try:
+            await end_task(self._task)
+        finally:
+            self._release()
+
+    def give_up(self) -> None:
+        """Give up a move off an engine that the generation has left.
+
+        Called once the resumed generation occupies the memory reserved on the
+        target: an engine that resumes from a copy takes up to a second to
+        respond, and the memory must not be given to others before that.
+        """
+        if self._task is not None:
+            self._task.cancel()
+        self._release()
+
+    async def _run(self) -> MemoryCopy | None:
+        """Return None if the copy failed; the generation then goes on."""
         tried = {self._source.name}
         while True:
             target = await self._reserve_target(tried)
@@ -72,23 +118,18 @@
             try:
                 return await self._move_to(target)
             except CopyRefusedError as error:
-                self.release()
+                self._release()
                 if error.handle:
                     return MemoryCopy(error.handle, self._source, self._source)
                 self._log(target, str(error))
                 tried.add(target.name)
             except UpstreamError as error:
-                self.release()
+                self._release()
                 self._log(target, str(error))
                 return None
 
-    def release(self) -> None:
-        """Release the memory reserved on the target.
-
-        Called once the resumed generation occupies it: an engine that resumes
-        from a copy takes up to a second to respond, and the memory must not be
-        given to others before that.
-        """
+    def _release(self) -> None:
+        """Release the memory reserved on the target."""
         if self._reservation is not None:
             self._reservation.release()
             self._reservation = None
@@ -120,16 +161,16 @@
         return copy
 
     async def _stop_and_copy(self, target: Upstream) -> MemoryCopy:
-        self.may_have_stopped_run = True
+        self._may_have_stopped_run = True
         try:
             return await self._context.engines.copy(
                 self._source, self._job.request_id, target, stop=True
             )
         except CopyRefusedError as error:
-            self.may_have_stopped_run = bool(error.handle)
+            self._may_have_stopped_run = bool(error.handle)
             raise
         except CopyRejectedError:
-            self.may_have_stopped_run = False
+            self._may_have_stopped_run = False
             raise
 
     async def _pre_copy(self, target: Upstream) -> None:
--- a/src/balsamlift/relay/generations/_resume_request.py
+++ b/src/balsamlift/relay/generations/_resume_request.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from balsamlift.exceptions import (
+    ResponseLimitError,
     UpstreamBrokenError,
     UpstreamRestrictedError,
     UpstreamUnreachableError,
@@ -137,14 +138,19 @@
     # other, so it is not tracked as a second send of the request.
     attempt = Attempt(is_idempotent=False)
     context.balancer.record_send(upstream)
-    with suppress(UpstreamRestrictedError, UpstreamBrokenError, TimeoutError):
+    try:
         async with asyncio.timeout(RESUME_TIMEOUT_S):
             reply = await context.exchange.send(
                 job.call, attempt, upstream, headers, path="resumed"
             )
-        if reply.is_success:
-            return reply
-        reply.connection.close()
+    except ResponseLimitError:
+        context.balancer.eject(upstream.name)
+        return None
+    except (UpstreamRestrictedError, UpstreamBrokenError, TimeoutError):
+        return None
+    if reply.is_success:
+        return reply
+    reply.connection.close()
     return None
 
 
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -397,7 +397,37 @@
     *("ahead_tokens", "free_tokens", "used_tokens", "counts", "late_share"),
 )
 ENDED = ("request", "fingerprint", "route", "service", "version", "took_ms")
+
+
+async def handling_fails(world: RelayHarness, _: list[ReplicaStandIn]) -> None:
+    admission = world.relay._admission
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(admission, "admit", lambda request: 1 / 0)
+        await world.call("/order/1", "r1", body=BODY)
+
+
+async def release_fails(world: RelayHarness, _: list[ReplicaStandIn]) -> None:
+    world.relay._balancer.on_release(lambda: [].pop())
+    await world.call("/order/1", "r1", body=BODY)
+
+
+async def sends_too_much(
+    world: RelayHarness, stand_ins: list[ReplicaStandIn]
+) -> None:
+    async def send_interim_responses(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await connection.send(b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
+        await hang(connection, request)
+
+    behave_all(stand_ins, send_interim_responses)
+    await world.call("/order/1", "r1", body=BODY)
+
+
 EXPECTED = [
+    Expected(handling_fails, "could not handle a request", ("path",)),
+    Expected(release_fails, "could not use released load", ()),
+    Expected(sends_too_much, "too many bytes", ("upstream", "form")),
     Expected(unknown_key, "unknown key", REFUSED),
     Expected(unknown_route, "no route", REFUSED),
     Expected(answered, "answered 200", (*ENDED, "upstream", "sends")),
