Read reports and copies of engines within the same bounds

Cause: these calls went through curl, which reads what it finds in one turn.

Change: UpstreamHttp makes them over UpstreamConnection, with its limits, its turns and 1 MB at most. Reports use kept connections; a copy opens its own, as it is not known whether one that breaks was received.

Measured: 26 cases by form (13 forms, report and copy).

--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -47,6 +47,7 @@
     Frontend,
     Relay,
     Routing,
+    UpstreamHttp,
 )
 from balsamlift.timeline import Timeline
 
@@ -105,8 +106,10 @@
             rng,
             self.forwarding_frontend.address,
         )
+        metrics = Metrics()
+        engine_http = UpstreamHttp(clock, metrics)
         self.relay = Relay(
-            node.relay_settings(), PlatformEngines(http), clock, rng
+            node.relay_settings(), PlatformEngines(engine_http), clock, rng
         )
         record = HostRecord(
             callers_address=self.frontend.address,
@@ -127,7 +130,7 @@
         services = (
             OperatorsServer(settings.operators_address),
             timeline,
-            Metrics(),
+            metrics,
             routing,
             self.frontend,
             self.forwarding_frontend,
--- a/src/balsamlift/platform/_engines.py
+++ b/src/balsamlift/platform/_engines.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from balsamlift._http import Answer, CallError, HttpClient
+from balsamlift._http import Answer, CallError
 from balsamlift.peers import Upstream
 from balsamlift.platform._names import HEADERS, MOVE_PATH, REPORT_PATH
 from balsamlift.relay import (
@@ -15,6 +15,7 @@
     MemoryCopy,
     ReportError,
     RunningGeneration,
+    UpstreamHttp,
 )
 
 # The 1.3 GB of a long report take 0.5 s to copy between failure domains, and
@@ -46,7 +47,7 @@
 class PlatformEngines:
     """Call engines over HTTP."""
 
-    def __init__(self, http: HttpClient) -> None:
+    def __init__(self, http: UpstreamHttp) -> None:
         """Send calls through `http`."""
         self._http = http
 
@@ -103,7 +104,6 @@
                 body,
                 timeout_ms=MOVE_TIMEOUT_MS,
                 connect_ms=CONNECT_TIMEOUT_MS,
-                headers={"Content-Type": "application/json"},
             )
         except CallError as error:
             raise CopyError(source.name, error.message) from error
--- a/src/balsamlift/relay/__init__.py
+++ b/src/balsamlift/relay/__init__.py
@@ -25,6 +25,7 @@
 from balsamlift.relay._routing import Routing
 from balsamlift.relay._service import Relay
 from balsamlift.relay._settings import RelaySettings
+from balsamlift.relay._upstream_http import UpstreamHttp
 from balsamlift.relay.generations import (
     CopyError,
     CopyRefusedError,
@@ -66,5 +67,6 @@
     "Service",
     "ServiceShare",
     "StatementDecoders",
+    "UpstreamHttp",
     "Workspace",
 ]
--- a/src/balsamlift/relay/_pool.py
+++ b/src/balsamlift/relay/_pool.py
@@ -104,6 +104,10 @@
             if not kept:
                 del self._idle[name]
 
+    def close_stale(self) -> None:
+        """Close connections that cannot be reused."""
+        self.sweep(set(self._idle))
+
     def close(self) -> None:
         """Close all idle connections."""
         self.sweep(set())
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -5,11 +5,16 @@
 
 import pytest
 
-from balsamlift._http import Answer, HttpClient
+from balsamlift._http import Answer
 from balsamlift.peers import Upstream
 from balsamlift.platform._engines import PlatformEngines
 from balsamlift.platform._names import HEADERS
-from balsamlift.relay import CopyError, CopyRefusedError, CopyRejectedError
+from balsamlift.relay import (
+    CopyError,
+    CopyRefusedError,
+    CopyRejectedError,
+    UpstreamHttp,
+)
 
 ENGINE = Upstream(
     name="e1",
@@ -44,7 +49,7 @@
 ) -> None:
     headers = {HEADERS.leaving: header} if header else {}
     body = b'{"Runs":[],"LifecycleState":"%s"}' % state.encode()
-    http = cast(HttpClient, AnsweringClient(Answer(200, headers, body)))
+    http = cast(UpstreamHttp, AnsweringClient(Answer(200, headers, body)))
     report = asyncio.run(PlatformEngines(http).report(ENGINE))
     assert report.is_leaving is is_leaving
 
@@ -62,7 +67,7 @@
 def test_a_failed_copy_tells_whether_the_run_may_have_stopped(
     status: int, expected: type[CopyError]
 ) -> None:
-    http = cast(HttpClient, AnsweringClient(Answer(status, {}, b"")))
+    http = cast(UpstreamHttp, AnsweringClient(Answer(status, {}, b"")))
     engines = PlatformEngines(http)
     with pytest.raises(CopyError) as raised:
         asyncio.run(engines.copy(ENGINE, "r1", ENGINE, stop=True))
--- a/tests/test_relay_endless_bytes.py
+++ b/tests/test_relay_endless_bytes.py
@@ -5,12 +5,19 @@
 """
 
 import asyncio
+from contextlib import suppress
 
 import attrs
 import pytest
 from _relay_helpers import USAGE, behave_all, run
+from tornado.httputil import HTTPHeaders
 
-from balsamlift.relay import Service
+from balsamlift._address import join_address
+from balsamlift.clock import SystemClock
+from balsamlift.metrics import Metrics
+from balsamlift.peers import Upstream
+from balsamlift.platform._engines import PlatformEngines
+from balsamlift.relay import CopyError, ReportError, Service, UpstreamHttp
 from balsamlift.relay._connection import MAX_BUFFER_BYTES
 from balsamlift.relay._fair_stream import FairStream
 from balsamlift.relay._response_limits import (
@@ -200,3 +207,50 @@
             assert counters[f"relay.too_many_bytes.{form.counted}"] >= 1
 
     run(test())
+
+
+@pytest.mark.parametrize("name", [*HEADS, *BODIES, *WHOLE_BODIES])
+@pytest.mark.parametrize("is_copy", [False, True], ids=["report", "copy"])
+def test_engines_that_answer_without_end_hold_up_nobody(
+    is_copy: bool, name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against reports and copies that no limit applies to."""
+    form = FORMS[name]
+    counting = Counting(monkeypatch)
+
+    async def test() -> None:
+        is_closed = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            connection = ReplicaConnection(reader, writer, HEADER_NAMES)
+            request = ReplicaRequest("GET", "/", HTTPHeaders(), b"")
+            with suppress(ConnectionError):
+                await send_endlessly(connection, request, form)
+            is_closed.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        engine = Upstream(
+            name="flood-1",
+            pool="model",
+            kind="service",
+            address=join_address(*server.sockets[0].getsockname()),
+            failure_domain="north",
+        )
+        http = UpstreamHttp(SystemClock(), Metrics())
+        engines = PlatformEngines(http)
+        calling = (
+            engines.copy(engine, "r1", engine, stop=True)
+            if is_copy
+            else engines.report(engine)
+        )
+        with pytest.raises(CopyError if is_copy else ReportError):
+            await calling
+        await is_closed.wait()
+        server.close()
+        (read_bytes,) = counting.bytes_by_port.values()
+        assert read_bytes <= form.most_bytes
+
+    run(test())
