Let generations take places at brittle engines

What callers saw: engines that say that they are brittle fell over again and again under a crowd of short generations; what they ran was cut.

Cause: only calls asked for the places that hosts share at brittle upstreams. Generations were limited by memory alone, and short ones need little of it.

Change: a reservation for a run takes a place too; without one, a generation waits as for memory until its target, and a host that has no place at all lets another carry it.

Ruled out: passing on refused generations more slowly (they are refused because of the missing places; without those there were none).

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -69,7 +69,7 @@
         self._retry_after = retry_after or RetryAfterTracker(
             clock, Metrics(), rng
         )
-        self._brittle_pools = brittle_pools or no_brittle_pools(clock)
+        self.brittle_pools = brittle_pools or no_brittle_pools(clock)
         self._cold_starts = cold_starts
         self._regions = regions or {}
         self._upstreams = upstreams
@@ -263,11 +263,11 @@
         """Return whether other hosts have all places at brittle upstreams."""
         usable = self.usable(scope, ())
         return bool(usable) and not any(
-            self._brittle_pools.places(upstream) != 0 for upstream in usable
+            self.brittle_pools.places(upstream) != 0 for upstream in usable
         )
 
     def _has_place(self, upstream: Upstream) -> bool:
-        places = self._brittle_pools.places(upstream)
+        places = self.brittle_pools.places(upstream)
         return places is None or self.own_load(upstream.name) < places
 
     def _last_resorts(
@@ -305,7 +305,7 @@
         """Record a complete response, or the start of a streamed one."""
         listed = self._upstreams.find(upstream)
         if listed:
-            self._brittle_pools.record_served(listed, self.load(upstream) + 1)
+            self.brittle_pools.record_served(listed, self.load(upstream) + 1)
         self.health.record_success(upstream)
         self._shared_health.record(
             upstream, self._clock.monotonic(), is_failing=False
@@ -326,7 +326,7 @@
         """
         listed = self._upstreams.find(upstream)
         if listed:
-            self._brittle_pools.record_refused(listed, self.load(upstream) + 1)
+            self.brittle_pools.record_refused(listed, self.load(upstream) + 1)
         self.abandon_trial(upstream)
         if not self._retry_after.is_pausing(upstream):
             self.health.record_failure(upstream)
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -17,6 +17,7 @@
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._refusals import (
+    crowded,
     give_up,
     no_memory,
     no_upstream,
@@ -197,6 +198,9 @@
             if is_unreached and self._forwarder.is_cut_off(call, tried):
                 now_s = asyncio.get_running_loop().time()
                 return Unreached(no_memory(attempt, call, now_s))
+            if self._context.balancer.is_shut_out(call.scope):
+                now_s = asyncio.get_running_loop().time()
+                return Unreached(crowded(attempt, call, now_s))
             sends_before = attempt.sends
             reservation = await self._placement.reserve(job, tried)
             now_s = asyncio.get_running_loop().time()
--- a/src/balsamlift/relay/generations/_memory_allocator.py
+++ b/src/balsamlift/relay/generations/_memory_allocator.py
@@ -101,7 +101,9 @@
         fitting = [
             u
             for u in usable
-            if self._balancer.load(u.name) <= max_load and may_read(u.name)
+            if self._balancer.load(u.name) <= max_load
+            and may_read(u.name)
+            and self._balancer.brittle_pools.may_generate(u)
         ]
         if not fitting:
             return None
@@ -146,7 +148,7 @@
     def reserve(self, upstream: Upstream, tokens: int) -> MemoryReservation:
         """Reserve memory of an engine for a request to be sent there now."""
         self._balancer.record_send(upstream)
-        return MemoryReservation(self._balancer, upstream, tokens)
+        return MemoryReservation(self._balancer, upstream, tokens, is_run=True)
 
     def reserve_backup(
         self,
@@ -294,6 +296,7 @@
             upstream,
             tokens,
             on_release=lambda: self.groups.hold(scope, group, -tokens),
+            is_run=True,
         )
 
     def _limit_tokens(self, request: MemoryRequest) -> MemoryRequest:
--- a/src/balsamlift/relay/statements/_brittle_pools.py
+++ b/src/balsamlift/relay/statements/_brittle_pools.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 
 from loguru import logger
@@ -53,6 +54,8 @@
         # Requests that an upstream of the pool runs at once, where the list
         # does not tell, and when it may have one more.
         self._learned: dict[str, tuple[int, float]] = {}
+        # Generations that this host has at an upstream.
+        self._generations: Counter[str] = Counter()
 
     def record(self, upstream: Upstream, named: str) -> None:
         """Record that an upstream said how many it may turn away."""
@@ -100,6 +103,20 @@
             self._slots(upstream), self._rank_for(upstream.name)
         )
 
+    def count_generation(self, upstream: str, n: int) -> None:
+        """Add `n`, which may be negative, to this host's generations there."""
+        self._generations[upstream] += n
+        if not self._generations[upstream]:
+            del self._generations[upstream]
+
+    def may_generate(self, upstream: Upstream) -> bool:
+        """Return whether this host has a place for one more generation.
+
+        What an upstream runs is known for generations only if it is told.
+        """
+        places = self.places(upstream) if upstream.slots else None
+        return places is None or self._generations[upstream.name] < places
+
     def holders(self, upstreams: Iterable[Upstream]) -> set[str]:
         """Return the hosts that may send to one of some brittle upstreams."""
         return {
--- a/tests/test_relay_brittle.py
+++ b/tests/test_relay_brittle.py
@@ -7,7 +7,7 @@
 import pytest
 from _manual_clock import ManualClock
 from _relay_fleet import relay_fleet
-from _relay_helpers import run
+from _relay_helpers import USAGE, run, stream
 
 from balsamlift.peers import Upstream
 from balsamlift.peers._host_ranks import find_rank, hosts_for
@@ -21,6 +21,7 @@
     ReplicaConnection,
     ReplicaRequest,
     ReplicaStandIn,
+    route,
 )
 
 REPLICAS = 3
@@ -256,15 +257,22 @@
     assert all(found == having_some for found in holders)
 
 
-def test_a_host_without_a_place_lets_another_carry() -> None:
+@pytest.mark.parametrize(
+    ("path", "pool"), [("/order/", "plain"), ("/draft/", "model")]
+)
+def test_a_host_without_a_place_lets_another_carry(
+    path: str, pool: str
+) -> None:
     async def test() -> None:
-        replica = ReplicaStandIn("plain-0", "plain", HEADER_NAMES, slots=1)
+        replica = ReplicaStandIn(f"{pool}-0", pool, HEADER_NAMES, slots=1)
         replica.brittle = "3"
+        if pool == "model":
+            replica.behave = stream
         async with relay_fleet([replica], 3) as fleet:
             for number, host in enumerate(fleet):
-                await host.relay.call("/order/1", f"a{number}")
+                await host.relay.call(f"{path}1", f"a{number}", headers=USAGE)
             answers = [
-                await host.relay.call("/order/2", f"b{number}")
+                await host.relay.call(f"{path}2", f"b{number}", headers=USAGE)
                 for number, host in enumerate(fleet)
             ]
         assert [answer.status for answer in answers] == [200] * 3
@@ -296,3 +304,39 @@
             assert await most_at_once(world, replica) == 1
 
     run(test())
+
+
+def test_generations_take_places_at_brittle_engines() -> None:
+    """Guard against engines that fall over for generations beyond slots."""
+
+    async def test() -> None:
+        engine = ReplicaStandIn("model-0", "model", HEADER_NAMES, slots=SLOTS)
+        engine.brittle = str(MAX_TURNED_AWAY)
+        running: list[str] = []
+        most = 0
+
+        async def generate(
+            connection: ReplicaConnection, request: ReplicaRequest
+        ) -> None:
+            nonlocal most
+            running.append(request.headers[HEADER_NAMES.request_id])
+            most = max(most, len(running))
+            await connection.begin_stream(request)
+            await connection.events(0, 1, WORK_S / 2)
+            running.remove(request.headers[HEADER_NAMES.request_id])
+            await connection.end_stream()
+
+        engine.behave = generate
+        async with RelayHarness([engine]) as world:
+            unhurried = route("stream", "/draft/", "model", target_ms=3_000)
+            world.configure(routes=(unhurried,))
+            await world.call("/draft/1", "first", headers=USAGE)
+            calls = [
+                world.call("/draft/1", f"r{n}", headers=USAGE)
+                for n in range(3 * SLOTS)
+            ]
+            answers = await asyncio.gather(*calls)
+        assert [answer.is_whole for answer in answers] == [True] * len(calls)
+        assert most == SLOTS
+
+    run(test())
