Let upstreams of the soak send without end

Change: a new fault for seeds with unplanned ones, drawn apart so that the other faults of a seed stay as they were: an upstream answers what comes within up to two seconds by bytes of one of eight forms without end, every second time slowly, until its caller closes.

--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -28,6 +28,7 @@
     "host_cut",
     "crashing_part",
     "herd_kill",
+    "upstream_floods",
 ]
 
 # Planned operations of operators. They may not interrupt any request.
@@ -42,6 +43,8 @@
     "upstream_crash",
 )
 STATEMENTS: tuple[Kind, ...] = ("upstream_notice", "upstream_refuses")
+# Upstreams that send without end, for this long and this often.
+MAX_FLOOD_S, MAX_FLOOD_PAUSE_S = 2.0, 4.0
 # Hit the upstreams of one service, whatever their number.
 SERVICE_FAULTS: tuple[Kind, ...] = (
     "departure",
@@ -131,6 +134,8 @@
         start_s += rng.uniform(0.05, MAX_PAUSE_S)
     faults += _draw_rate_limits(seed, length_s)
     faults += _draw_statements(seed, length_s)
+    if not is_planned_only:
+        faults += _draw_floods(seed, length_s)
     return Plan(
         seed=seed,
         is_planned_only=is_planned_only,
@@ -158,6 +163,18 @@
     return limits
 
 
+def _draw_floods(seed: int, length_s: float) -> list[Fault]:
+    """Return floods drawn apart, so that they do not change other faults."""
+    rng = random.Random(f"{seed}/floods")
+    floods = []
+    start_s = rng.uniform(0, MAX_FLOOD_PAUSE_S)
+    while start_s < length_s:
+        duration_s = rng.uniform(0.1, MAX_FLOOD_S)
+        floods.append(draw_fault(rng, "upstream_floods", start_s, duration_s))
+        start_s += rng.uniform(0.5, MAX_FLOOD_PAUSE_S)
+    return floods
+
+
 def _draw_statements(seed: int, length_s: float) -> list[Fault]:
     """Return statements drawn apart, so that they do not change others."""
     rng = random.Random(f"{seed}/statements")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -313,6 +313,10 @@
                 )
             case "upstream_hangs":
                 self._upstreams.hang(name, fault.duration_s)
+            case "upstream_floods":
+                self._upstreams.flood(
+                    name, fault.duration_s, fault.variant_number
+                )
             case "pool_refuses":
                 for each in names:
                     self._upstreams.refuse(each, fault.duration_s)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -19,6 +19,7 @@
     ReplicaStandIn,
 )
 from soak.crashing_parts import CrashingParts
+from soak.floods import send_without_end
 from soak.guarantees import GuaranteeChecker, last_event, stream_event
 from soak.host_links import HostLinks
 from soak.network import Network
@@ -65,6 +66,7 @@
         self.retries = retries
         self._refuses_until_s: dict[str, float] = {}
         self._hangs_until_s: dict[str, float] = {}
+        self._floods: dict[str, tuple[float, int]] = {}  # end, variant
         self._notices: dict[str, NoticeForm] = {}
         self.is_fault_free = False  # no upstream fails at random
         self.live: dict[str, tuple[ReplicaStandIn, Link]] = {}
@@ -106,8 +108,10 @@
             self._crashing_parts.record_arrival(request_id)
             self._say(name, connection)
             await self._hang(name)
-            if not await self._refuse(name, connection, request):
-                await work(connection, request)
+            if await self._refuse(name, connection, request):
+                return
+            await self._flood(name, connection, request)
+            await work(connection, request)
 
         replica.behave = behave
         await replica.start()
@@ -171,6 +175,21 @@
         if left_s > 0 and not self.is_fault_free:
             await asyncio.sleep(left_s)
 
+    def flood(self, name: str, duration_s: float, variant: int) -> None:
+        """Let an upstream answer without end for a while."""
+        now_s = asyncio.get_running_loop().time()
+        self._floods[name] = now_s + duration_s, variant
+
+    async def _flood(
+        self, name: str, connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        """Send without end if an upstream does, until its caller closes."""
+        now_s = asyncio.get_running_loop().time()
+        until_s, variant = self._floods.get(name, (0.0, 0))
+        if now_s < until_s and not self.is_fault_free:
+            self._begin(request)
+            await send_without_end(connection, request, variant)
+
     def refuse(self, name: str, duration_s: float) -> None:
         """Let an upstream refuse, and ask for no requests meanwhile."""
         now_s = asyncio.get_running_loop().time()
