Send nothing on a connection with bytes that were not read

What callers saw: bytes that an upstream sends in one write with a whole answer were taken for the answer to the next request on that connection, if they name no request: a refusal (503, not run) of a request that had run.

Cause: is_reusable looked at the socket; these bytes had been received already and waited in the stream's buffer.

Change: a connection with unread bytes is not reused.

Measured: the new test had the next request answered 503 before; 200 now. An answer without an id that comes alone while a request waits is still taken.

--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -174,6 +174,8 @@
             return False
         if self._clock.monotonic() >= self._idle_until_s:
             return False
+        if stream.unread_bytes:  # they belong to no request
+            return False
         try:
             stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
--- a/tests/test_relay_unary.py
+++ b/tests/test_relay_unary.py
@@ -427,3 +427,37 @@
             assert told.status == 502
 
     run(test())
+
+
+def test_bytes_after_a_whole_answer_answer_no_other_request() -> None:
+    """Guard against a refusal, so told to the caller, of what has run.
+
+    They are sent together with the answer, and name no request.
+    """
+
+    async def answer_twice(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await connection.send(
+            b"HTTP/1.1 200 Told\r\nContent-Length: 4\r\n"
+            b"%b: %b\r\n%b: signed\r\n\r\ndone"
+            b"HTTP/1.1 503 Told\r\nContent-Length: 0\r\n%b: 1\r\n\r\n"
+            % (
+                HEADER_NAMES.request_id.encode(),
+                request.headers[HEADER_NAMES.request_id].encode(),
+                HEADER_NAMES.signature.encode(),
+                HEADER_NAMES.not_executed.encode(),
+            )
+        )
+
+    async def test() -> None:
+        stand_ins = replicas(1)
+        behave_all(stand_ins, answer_twice)
+        async with RelayHarness(stand_ins) as world:
+            world.configure()
+            for number in range(3):
+                told = await world.call("/order/1", f"r{number}")
+                assert (told.status, told.body) == (200, b"done")
+        assert stand_ins[0].ids() == ["r0", "r1", "r2"]
+
+    run(test())
