Stop no run for a target that leaves by now

Cause: before the last copy, a move looked at evacuations and notices in answers, not at what the list or other hosts say.

Change: it looks at all that makes an engine one that leaves.

--- a/src/balsamlift/relay/generations/_move.py
+++ b/src/balsamlift/relay/generations/_move.py
@@ -149,9 +149,11 @@
         self._log(target, f"started, {position} ahead, {left_s:.2f} s left")
         with self._link_access.hold():
             await self._pre_copy(target)
-            if self._context.upstreams.is_in_evacuation(target):
+            upstreams = self._context.upstreams
+            if upstreams.is_in_evacuation(target):
                 raise CopyRefusedError(target.name, "evacuated")
-            if self._context.upstreams.leaving_notices.has(target.name):
+            has_notice = upstreams.leaving_notices.has(target.name)
+            if has_notice or upstreams.is_leaving(target.name):
                 raise CopyRefusedError(target.name, "leaving")
             stopped_s = loop.time()
             self._log(target, "stopping the run")
--- a/tests/test_relay_stream_ends.py
+++ b/tests/test_relay_stream_ends.py
@@ -8,11 +8,13 @@
 import pytest
 from _relay_helpers import LAST_EVENT_ID, USAGE, behave_all, first_event, run
 
+from balsamlift.peers import Upstream
 from balsamlift.relay import (
     CopyError,
     CopyRefusedError,
     CopyRejectedError,
     EngineTraits,
+    MemoryCopy,
     Service,
     _exchange,
 )
@@ -256,3 +258,41 @@
         assert answer.is_whole
 
     run(test())
+
+
+def test_a_target_that_begins_to_leave_during_the_copy_is_not_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a run that is stopped for an engine that leaves too."""
+
+    async def test() -> None:
+        engines = Engines()
+        async with RelayHarness(engines.stand_ins) as world:
+            world.configure(services=(NO_BACKUPS,))
+            copy = world.engines.copy
+            targets: list[str] = []
+
+            async def copy_meanwhile(
+                source: Upstream,
+                request_id: str,
+                target: Upstream,
+                *,
+                stop: bool,
+            ) -> MemoryCopy:
+                targets.append(target.name)
+                if len(targets) == 1:
+                    (used,) = [
+                        s for s in engines.stand_ins if s.name == target.name
+                    ]
+                    used.state = "leaving"
+                    while not world.upstreams.is_leaving(target.name):
+                        await asyncio.sleep(0.005)
+                return await copy(source, request_id, target, stop=stop)
+
+            monkeypatch.setattr(world.engines, "copy", copy_meanwhile)
+            answer = await engines.call_and_leave(world)
+        assert answer.body == engines.events(LAST_EVENT_ID)
+        assert answer.is_whole
+        assert targets[0] not in targets[1:]
+
+    run(test())
