Reject entries whose numbers hosts could not tell each other

What callers saw: nothing; by reading (the review), an entry of the list with a Sequence of 2^64 could not be encoded for hosts that cannot read the list.

Cause: integers of the list have any size, those of messages 64 bits.

Change: such an entry of another writer is invalid, as others are.

--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -35,6 +35,8 @@
     """Indicate that a record is invalid for its key."""
 
 
+# What messages between hosts can carry.
+_Integer = Annotated[int, msgspec.Meta(ge=-(1 << 63), le=(1 << 63) - 1)]
 _Weight = Annotated[float, msgspec.Meta(gt=0, le=MAX_WEIGHT)]
 
 
@@ -116,11 +118,11 @@
     Address: str
     Zone: str
     Version: str  # of the software
-    Slots: int
+    Slots: _Integer
     LifecycleState: str
-    Sequence: int  # counted by the upstream since its start
+    Sequence: _Integer  # counted by the upstream since its start
     ColdRemainingMs: float  # for which it is still slow after its start
-    born: int = 0  # wall time of its start; not written by all upstreams
+    born: _Integer = 0  # wall time of its start; not written by all upstreams
 
 
 class HostRecord(msgspec.Struct, frozen=True):
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -251,6 +251,11 @@
         ),
         pytest.param(entry_with(born=1.5), id="fractional start"),
         pytest.param(entry_with(born=-1), id="negative start"),
+        # Hosts could not tell each other these.
+        *(
+            pytest.param(entry_with(**{name: 1 << 64}), id=f"huge {name}")
+            for name in ("Slots", "Sequence", "born")
+        ),
         pytest.param(entry_with(Address="10.1.0.9"), id="no port"),
         pytest.param(
             entry_with(Address="store.example:80"), id="no IP address"
