Keep what a generation receives in a module of its own

Whether a pool is brittle is asked before its engines are listed, so that a generation elsewhere pays for one look-up.

Measured: the tests of generations, of ends of streams and of endless bytes.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -261,6 +261,8 @@
 
     def is_shut_out(self, scope: Scope) -> bool:
         """Return whether other hosts have all places at brittle upstreams."""
+        if not self.brittle_pools.is_brittle(scope.pool):
+            return False
         usable = self.usable(scope, ())
         return bool(usable) and not any(
             self.brittle_pools.places(upstream) != 0 for upstream in usable
--- a/src/balsamlift/relay/generations/_generation.py
+++ b/src/balsamlift/relay/generations/_generation.py
@@ -6,7 +6,6 @@
 import math
 from collections.abc import Callable
 from contextlib import suppress
-from typing import Literal
 
 from loguru import logger
 from tornado.iostream import StreamClosedError
@@ -20,11 +19,12 @@
 from balsamlift.relay._exchange import Reply
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._request import Responder, Resume
-from balsamlift.relay._response_limits import ByteLimitError, ResponseForm
+from balsamlift.relay._response_limits import ByteLimitError
 from balsamlift.relay.crashes import CRASH_THRESHOLD
 from balsamlift.relay.generations._backup import Backup
 from balsamlift.relay.generations._events import EventError, EventSplitter
 from balsamlift.relay.generations._generation_context import GenerationContext
+from balsamlift.relay.generations._inbox import Inbox
 from balsamlift.relay.generations._job import Job
 from balsamlift.relay.generations._memory_allocator import MemoryReservation
 from balsamlift.relay.generations._move import Move
@@ -38,16 +38,12 @@
 
 log = logger.bind(part="generations")
 
-# Chunks of up to 4 KB buffered for a caller who does not read.
-MAX_BUFFERED_CHUNKS = 8
 EVENT_US = 3.0  # estimated work for one event
 # An engine that sends events does so several times as often.
 LOST_SILENCE_S = 0.6
 # An engine that crashes because of a generation does so as it begins.
 SOUND_AFTER_S = 2.0
 
-Signal = Literal["whole", "broken", "leaving", "unreached"]
-
 
 class Generation:
     """Relays the events of one generation, across engines if needed.
@@ -78,8 +74,7 @@
         self._backup = backup
         self._repeat = repeat
         self._splitter = EventSplitter(job.last_event)
-        self._inbox: asyncio.Queue[bytes | Signal] = asyncio.Queue()
-        self._buffer_slots = asyncio.Semaphore(MAX_BUFFERED_CHUNKS)
+        self._inbox = Inbox()
         self._read_task: asyncio.Task[None] | None = None
         self._reply: Reply | None = None
         self._move: Move | None = None
@@ -101,7 +96,7 @@
 
     def leave_engine(self) -> None:
         """Continue on another engine, as the current one is leaving."""
-        self._inbox.put_nowait("leaving")
+        self._inbox.signal("leaving")
 
     def check_links(self, is_unreached: Callable[[str], bool]) -> None:
         """Go on elsewhere if the engine stays silent and is not reached."""
@@ -113,7 +108,7 @@
         def check() -> None:
             is_silent = self.stats.last_event_s == last_event_s
             if is_silent and is_unreached(upstream.pool):
-                self._inbox.put_nowait("unreached")
+                self._inbox.signal("unreached")
 
         loop = asyncio.get_running_loop()
         loop.call_at(last_event_s + LOST_SILENCE_S, check)
@@ -177,8 +172,7 @@
         try:
             async for chunk in reply.connection.read_body(reply.head):
                 had_output = True
-                await self._buffer_slots.acquire()
-                self._inbox.put_nowait(chunk)
+                await self._inbox.put_chunk(chunk)
             if not self._is_carried:  # else the other host has checked it
                 await self._context.exchange.confirm_end(reply)
         except UpstreamBrokenError as error:
@@ -187,12 +181,12 @@
                 upstream=reply.upstream.name,
                 event=self._splitter.last_id,
             ).info("{}", error)
-            self._inbox.put_nowait("broken")
+            self._inbox.signal("broken")
             self._judge(reply, error)
             self._check_crash(reply, had_output=had_output)
             return
         self._context.exchange.release_connection(reply.connection)
-        self._inbox.put_nowait("whole")
+        self._inbox.signal("whole")
 
     def _check_crash(self, reply: Reply, *, had_output: bool) -> None:
         self._context.crash_guard.check_broken_call(
@@ -206,7 +200,6 @@
         while True:
             item = await self._inbox.get()
             if isinstance(item, bytes):
-                self._buffer_slots.release()
                 failure = await self._forward(item)
                 if failure:
                     return self._fail(failure)
@@ -257,34 +250,25 @@
 
     async def _forward(self, data: bytes) -> str:
         """Write the events that are complete; return why that failed."""
+        reply = self._reply
+        assert reply is not None
         try:
             events = self._splitter.feed(data)
         except EventError as error:
             log.bind(request=self._job.request_id).warning("{}", error)
             return "events out of order"
         except ByteLimitError as error:
-            self._break_off(error.form)
+            self._judge(reply, reply.connection.break_off(error.form))
             return str(error)
-        self._charge_events()
+        reply.connection.charge(self._splitter.fed_count * EVENT_US)
         if events:
             self._record_events()
             await self._responder.write(events)
-            self._pace.is_delayed = not self._inbox.empty()
-        if not self._inbox.empty():
+            self._pace.is_delayed = not self._inbox.is_empty
+        if not self._inbox.is_empty:
             await asyncio.sleep(0)  # others' turn
         return ""
 
-    def _charge_events(self) -> None:
-        if self._reply is not None:
-            work_us = self._splitter.fed_count * EVENT_US
-            self._reply.connection.charge(work_us)
-
-    def _break_off(self, form: ResponseForm) -> None:
-        """Close the connection of an engine that sends too much."""
-        if self._reply is None:
-            return
-        self._judge(self._reply, self._reply.connection.break_off(form))
-
     def _judge(self, reply: Reply, error: UpstreamBrokenError) -> None:
         """Let others' requests go elsewhere if an engine sent too much."""
         if isinstance(error, ResponseLimitError) and not self._is_carried:
@@ -401,7 +385,7 @@
         self.stats.moves += 1
         self._stop_reading()
         self._give_up_move()
-        self._discard_buffered()
+        self._inbox = Inbox()  # the next engine repeats what it held
         self._is_carried = is_carried
         self._splitter = EventSplitter(self._splitter.last_id)
         self._start_reading(reply)
@@ -412,8 +396,3 @@
         move, self._move = self._move, None
         if move is not None:
             move.give_up()
-
-    def _discard_buffered(self) -> None:
-        """Drop chunks of the previous engine, which the next one repeats."""
-        self._inbox = asyncio.Queue()
-        self._buffer_slots = asyncio.Semaphore(MAX_BUFFERED_CHUNKS)
--- a/src/balsamlift/relay/statements/_brittle_pools.py
+++ b/src/balsamlift/relay/statements/_brittle_pools.py
@@ -59,7 +59,7 @@
 
     def record(self, upstream: Upstream, named: str) -> None:
         """Record that an upstream said how many it may turn away."""
-        if not self._is_brittle(upstream.pool):
+        if not self.is_brittle(upstream.pool):
             log.bind(
                 pool=upstream.pool, upstream=upstream.name, named=named[:40]
             ).warning("pool is brittle")
@@ -78,7 +78,7 @@
             return
         now_s = self._clock.monotonic()
         learned, grows_s = self._learned.get(upstream.pool, (0, now_s))
-        is_brittle = self._is_brittle(upstream.pool)
+        is_brittle = self.is_brittle(upstream.pool)
         if load < learned or (is_brittle and now_s < grows_s):
             return
         self._learned[upstream.pool] = (
@@ -97,7 +97,7 @@
 
     def places(self, upstream: Upstream) -> int | None:
         """Return how many requests this host may have there, None for any."""
-        if not self._is_brittle(upstream.pool):
+        if not self.is_brittle(upstream.pool):
             return None
         return whole_share(
             self._slots(upstream), self._rank_for(upstream.name)
@@ -122,11 +122,12 @@
         return {
             host
             for upstream in upstreams
-            if self._is_brittle(upstream.pool)
+            if self.is_brittle(upstream.pool)
             for host in self._hosts_for(upstream.name)[: self._slots(upstream)]
         }
 
-    def _is_brittle(self, pool: str) -> bool:
+    def is_brittle(self, pool: str) -> bool:
+        """Return whether upstreams of a pool say that they are brittle."""
         said_s = self._said_s.get(pool)
         if said_s is None:
             return False
