Test slow bytes without end, and those that another host reads

Guards: an answer kept from its end by a few bytes each 50 ms ends with its call's time (28 cases), and a host that carries a call tells the other one that its upstream was cut off (3 cases). No product code changes.

--- a/tests/test_relay_endless_bytes.py
+++ b/tests/test_relay_endless_bytes.py
@@ -9,6 +9,7 @@
 
 import attrs
 import pytest
+from _relay_fleet import relay_fleet
 from _relay_helpers import USAGE, behave_all, run
 from tornado.httputil import HTTPHeaders
 
@@ -36,6 +37,7 @@
 
 FLOODS = 2
 WRITE_BYTES = 32_768
+SLOW_GAP_S, SLOW_TIMEOUT_MS = 0.05, 400
 EVENTS = "Content-Type: text/event-stream"
 CHUNKS = "Transfer-Encoding: chunked"
 MAX_BODY_BYTES = 4_194_304
@@ -120,14 +122,19 @@
 
 
 async def send_endlessly(
-    connection: ReplicaConnection, request: ReplicaRequest, form: Form
+    connection: ReplicaConnection,
+    request: ReplicaRequest,
+    form: Form,
+    gap_s: float = 0.0,
 ) -> None:
+    """Send as fast as it is read, or a piece after each gap."""
     if form.lines is not None:
         await connection.head(request, 200, *form.lines)
     await connection.send(form.before)
-    piece = form.endless * (WRITE_BYTES // len(form.endless))
+    pieces = 1 if gap_s else WRITE_BYTES // len(form.endless)
     while True:
-        await connection.send(piece)
+        await connection.send(form.endless * pieces)
+        await asyncio.sleep(gap_s)
 
 
 class Counting:
@@ -254,3 +261,67 @@
         assert read_bytes <= form.most_bytes
 
     run(test())
+
+
+@pytest.mark.parametrize(("path", "name"), CASES)
+def test_bytes_that_come_slowly_end_with_the_time_of_the_call(
+    path: str, name: str
+) -> None:
+    """Guard against an answer that is kept from its end by a few bytes."""
+    form = FORMS[name]
+
+    async def test() -> None:
+        flood = ReplicaStandIn("flood-1", "flood", HEADER_NAMES)
+
+        async def behave(
+            connection: ReplicaConnection, request: ReplicaRequest
+        ) -> None:
+            await send_endlessly(connection, request, form, SLOW_GAP_S)
+
+        flood.behave = behave
+        async with RelayHarness([flood]) as world:
+            kinds = {"/call/": "non_idempotent", "/stream/": "stream"}
+            world.configure(
+                routes=[
+                    route(kind, prefix, "flood", timeout_ms=SLOW_TIMEOUT_MS)
+                    for prefix, kind in kinds.items()
+                ],
+                services=[Service(name="flood", max_connections=100)],
+            )
+            answer = await world.call(path, headers=USAGE)
+            while flood.open:
+                await asyncio.sleep(0.01)  # its connection is closed
+        is_begun = path == "/stream/1" and form.lines is not None
+        assert answer.status in ([200] if is_begun else [502, 504])
+        assert is_begun != answer.is_whole
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "name", ["interim responses", "trailers", "no length"]
+)
+def test_bytes_without_end_at_another_host_end_its_answer(name: str) -> None:
+    """Guard against a hop that hides that an answer was cut off."""
+    form = FORMS[name]
+
+    async def test() -> None:
+        floods = [
+            ReplicaStandIn(f"plain-{n}", "plain", HEADER_NAMES)
+            for n in range(2)
+        ]
+
+        async def behave(
+            connection: ReplicaConnection, request: ReplicaRequest
+        ) -> None:
+            await send_endlessly(connection, request, form)
+
+        behave_all(floods, behave)
+        async with relay_fleet(floods) as fleet:
+            await fleet[0].cut("refuse")
+            answer = await fleet[0].relay.call("/order/1")
+            counters = fleet[1].relay.metrics.snapshot().counters
+        assert counters["relay.carried"] >= 1
+        assert answer.status == 502
+
+    run(test())
