Take no upstream that sends too much for one that is not reached

What callers saw: nothing yet; found by reading the change again. Two upstreams that send heads without end on kept connections made a host believe that it reaches no upstream of their service, so that it let other hosts carry its calls.

Cause: a response that breaks a limit is a broken one, and a kept connection that breaks is a sure sign of a lost link.

Change: its bytes are a sign of the upstream, as any other response.

--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -11,6 +11,7 @@
 
 from balsamlift.clock import Clock
 from balsamlift.exceptions import (
+    ResponseLimitError,
     UpstreamBrokenError,
     UpstreamRestrictedError,
     UpstreamUnreachableError,
@@ -129,6 +130,9 @@
         except asyncio.CancelledError:
             connection.close()
             raise
+        except ResponseLimitError:
+            self._reachability.record_contact(upstream)
+            raise
         except UpstreamBrokenError:
             self._reachability.record_failure(
                 upstream,
--- a/tests/test_relay_endless_bytes.py
+++ b/tests/test_relay_endless_bytes.py
@@ -325,3 +325,36 @@
         assert answer.status == 502
 
     run(test())
+
+
+def test_upstreams_that_send_too_much_are_reached() -> None:
+    """Guard against a host that takes their bytes for broken links."""
+    form = FORMS["interim responses"]
+
+    async def test() -> None:
+        floods = [
+            ReplicaStandIn(f"plain-{n}", "plain", HEADER_NAMES)
+            for n in range(FLOODS)
+        ]
+
+        async def behave(
+            connection: ReplicaConnection, request: ReplicaRequest
+        ) -> None:
+            if request.target == "/order/first":
+                await connection.answer(request, b"done")
+            else:
+                await send_endlessly(connection, request, form)
+
+        behave_all(floods, behave)
+        async with RelayHarness(floods) as world:
+            world.configure()
+            unreached: list[str] = []
+            world.relay._links.reachability.on_change(unreached.append)
+            while not all(flood.arrivals for flood in floods):
+                await world.call("/order/first")  # on connections that stay
+            for number in range(2 * FLOODS):
+                answer = await world.call("/order/1", f"r{number}")
+                assert answer.status == 502
+        assert unreached == []
+
+    run(test())
