Count a body once its first bytes are held

By reading: an empty first chunk would have counted a body that release does not count down, and so have made the share of each smaller for good. No stream yields empty chunks today, so that nothing was seen; the tests of bodies pass.

--- a/src/balsamlift/relay/_body_memory.py
+++ b/src/balsamlift/relay/_body_memory.py
@@ -32,7 +32,7 @@
 
         Raises `BodyMemoryError`.
         """
-        self._bodies += size == count
+        self._bodies += 0 < count == size  # its first bytes
         self._held_bytes += count
         is_short = self._held_bytes > self._limit_bytes
         if is_short and size > self._limit_bytes / self._bodies:
