Name the fair streams' parts by the terms of the field

Token bucket, deficit and queue, where the code had metaphors of its own. No behaviour changes; the tests of streams, callers and endless bytes pass.

--- a/src/balsamlift/relay/_caller_stream.py
+++ b/src/balsamlift/relay/_caller_stream.py
@@ -12,7 +12,7 @@
 
 from balsamlift.clock import Clock
 from balsamlift.relay._configuration import CallerLimits
-from balsamlift.relay._fair_stream import FairStream, ReadLane
+from balsamlift.relay._fair_stream import FairStream, ReadQueue
 
 log = logger.bind(part="callers")
 
@@ -30,13 +30,13 @@
     """A stream that tracks how long it has waited for a request head."""
 
     def __init__(
-        self, connection: socket.socket, lane: ReadLane, clock: Clock
+        self, connection: socket.socket, read_queue: ReadQueue, clock: Clock
     ) -> None:
         """Create a stream that expects its first request head.
 
-        Its reads share `lane` with those of other callers.
+        Its reads share `read_queue` with those of other callers.
         """
-        super().__init__(connection, lane, clock, MAX_BUFFER_BYTES)
+        super().__init__(connection, read_queue, clock, MAX_BUFFER_BYTES)
         self.bytes_since_head = 0  # received, also if not read yet
         self._clock = clock
         self._idle_since_s: float | None = None
--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -28,7 +28,7 @@
     UpstreamBrokenError,
     UpstreamUnreachableError,
 )
-from balsamlift.relay._fair_stream import FairStream, ReadLane
+from balsamlift.relay._fair_stream import FairStream, ReadQueue
 from balsamlift.relay._reaching import (
     CONNECT_TIMEOUT_S,
     enable_dead_peer_detection,
@@ -90,18 +90,18 @@
         upstream: str,
         address: str,
         clock: Clock,
-        lane: ReadLane | None = None,
+        read_queue: ReadQueue | None = None,
         on_limit: Callable[[str, ResponseForm], None] = _ignore_limit,
     ) -> None:
         """Create a closed connection; `connect` opens it.
 
-        Its reads share `lane` with those of others. `on_limit` is called with
-        its upstream and the form of which that has sent too much.
+        Its reads share `read_queue` with those of others. `on_limit` is
+        called with its upstream and the form that had too many bytes.
         """
         self.upstream = upstream
         self.address = address
         self._clock = clock
-        self._lane = lane or ReadLane()
+        self._read_queue = read_queue or ReadQueue()
         self._on_limit = on_limit
         self._stream: FairStream | None = None
         self.is_kept = False  # it was idle since it was opened
@@ -120,7 +120,7 @@
         """
         ip, port = split_address(self.address)
         stream = FairStream(
-            socket.socket(), self._lane, self._clock, MAX_BUFFER_BYTES
+            socket.socket(), self._read_queue, self._clock, MAX_BUFFER_BYTES
         )
         try:
             async with asyncio.timeout(timeout_s):
--- a/src/balsamlift/relay/_fair_stream.py
+++ b/src/balsamlift/relay/_fair_stream.py
@@ -19,17 +19,16 @@
 # Estimates of processor time.
 READ_US = 15.0
 BYTE_US = 0.004
-# What one stream may use without waiting for others, and how much of that it
-# regains while it is used.
+# The token bucket of one stream.
 BURST_US = 1_000.0
-REGAINED_US_PER_S = 5_000.0
-MAX_DEBT_US = 20_000.0
-LANE_READS = 2  # per turn of the event loop
+REFILL_US_PER_S = 5_000.0
+MAX_DEFICIT_US = 20_000.0
+READS_PER_TURN = 2  # of all streams that wait, per turn of the event loop
 READ_CHUNK_BYTES = 16_384
 
 
-class ReadLane:
-    """Let a few streams that have used their share go on in each turn."""
+class ReadQueue:
+    """Queue reads of streams over their budgets, few per turn of the loop."""
 
     def __init__(self) -> None:
         """Start with no stream that waits."""
@@ -46,7 +45,7 @@
 
     def _release(self) -> None:
         released = 0
-        while self._waiting and released < LANE_READS:
+        while self._waiting and released < READS_PER_TURN:
             turn = self._waiting.popleft()
             if not turn.done():  # else the reader was cancelled
                 turn.set_result(None)
@@ -55,11 +54,11 @@
             asyncio.get_running_loop().call_soon(self._release)
 
 
-class WorkAccount:
-    """Track the processor time that one stream has used, as estimated."""
+class WorkBudget:
+    """Limit the estimated processor time of one stream by a token bucket."""
 
     def __init__(self, clock: Clock) -> None:
-        """Start with a full share."""
+        """Start with a full bucket."""
         self._clock = clock
         self._left_us = BURST_US
         self._updated_s = clock.monotonic()
@@ -67,30 +66,30 @@
     def charge(self, work_us: float) -> None:
         """Charge work, in microseconds."""
         now_s = self._clock.monotonic()
-        regained_us = (now_s - self._updated_s) * REGAINED_US_PER_S
+        refill_us = (now_s - self._updated_s) * REFILL_US_PER_S
         self._updated_s = now_s
-        left_us = min(self._left_us + regained_us, BURST_US) - work_us
-        self._left_us = max(left_us, -MAX_DEBT_US)
+        left_us = min(self._left_us + refill_us, BURST_US) - work_us
+        self._left_us = max(left_us, -MAX_DEFICIT_US)
 
     @property
-    def is_overdrawn(self) -> bool:
-        """Return whether it has used more than its share."""
+    def is_spent(self) -> bool:
+        """Return whether more was used than was refilled."""
         return self._left_us < 0
 
 
 class FairStream(IOStream):
-    """A stream whose reads wait for others once it has used its share."""
+    """A stream whose reads wait for others once its budget is spent."""
 
     def __init__(
         self,
         connection: socket.socket,
-        lane: ReadLane,
+        read_queue: ReadQueue,
         clock: Clock,
         max_buffer_size: int | None = None,
     ) -> None:
-        """Wait in `lane`, which streams share."""
-        self._lane = lane
-        self._account = WorkAccount(clock)
+        """Wait in `read_queue`, which streams share."""
+        self._read_queue = read_queue
+        self._budget = WorkBudget(clock)
         super().__init__(
             connection,
             max_buffer_size=max_buffer_size,
@@ -99,7 +98,7 @@
 
     def charge(self, work_us: float) -> None:
         """Charge work that its bytes have caused, in microseconds."""
-        self._account.charge(work_us)
+        self._budget.charge(work_us)
 
     @property
     def unread_bytes(self) -> int:
@@ -133,11 +132,11 @@
 
     def _in_turn(self, read: Awaitable[bytes]) -> Awaitable[bytes]:
         self.charge(READ_US)
-        if not self._account.is_overdrawn:
+        if not self._budget.is_spent:
             return read
         return self._wait_and_read(read)
 
     async def _wait_and_read(self, read: Awaitable[bytes]) -> bytes:
         data = await read
-        await self._lane.wait()
+        await self._read_queue.wait()
         return data
--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -32,7 +32,7 @@
     CallerStream,
 )
 from balsamlift.relay._configuration import CallerLimits
-from balsamlift.relay._fair_stream import ReadLane
+from balsamlift.relay._fair_stream import ReadQueue
 from balsamlift.relay._header_names import UNREACHED_HEADER
 from balsamlift.relay._request import CallerRequest, Refusal, Responder
 from balsamlift.relay._response_limits import (
@@ -268,7 +268,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self._handle: RequestHandler = _refuse_all
         self._streams: set[CallerStream] = set()
-        self._lane = ReadLane()
+        self._read_queue = ReadQueue()
         self.bodies = BodyMemory()
         self._remove_accept_handlers: list[Callable[[], None]] = []
         self._timeout_task: asyncio.Task[None] | None = None
@@ -321,7 +321,7 @@
         await self._server.close_all_connections()
 
     def _accept(self, connection: socket.socket, address: Any) -> None:
-        stream = CallerStream(connection, self._lane, self.clock)
+        stream = CallerStream(connection, self._read_queue, self.clock)
         self._streams.add(stream)
         self._server.handle_stream(stream, address)
 
--- a/src/balsamlift/relay/_pool.py
+++ b/src/balsamlift/relay/_pool.py
@@ -10,7 +10,7 @@
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream
 from balsamlift.relay._connection import UpstreamConnection
-from balsamlift.relay._fair_stream import ReadLane
+from balsamlift.relay._fair_stream import ReadQueue
 from balsamlift.relay._reaching import CONNECT_TIMEOUT_S
 from balsamlift.relay._response_limits import ResponseForm
 
@@ -29,7 +29,7 @@
         self._clock = clock
         self._metrics = metrics
         self._part = part
-        self._lane = ReadLane()
+        self._read_queue = ReadQueue()
         self._idle: dict[str, deque[UpstreamConnection]] = {}
 
     async def acquire(
@@ -68,7 +68,7 @@
     ) -> UpstreamConnection:
         """Open a connection; raise `UpstreamUnreachableError`."""
         connection = UpstreamConnection(
-            name, address, self._clock, self._lane, self._record_limit
+            name, address, self._clock, self._read_queue, self._record_limit
         )
         self._metrics.count(f"{self._part}.connections_opened")
         await connection.connect(connect_timeout_s)
--- a/tests/test_relay_fair_stream.py
+++ b/tests/test_relay_fair_stream.py
@@ -18,13 +18,13 @@
 from balsamlift.relay._fair_stream import (
     BURST_US,
     BYTE_US,
-    LANE_READS,
-    MAX_DEBT_US,
+    MAX_DEFICIT_US,
     READ_US,
-    REGAINED_US_PER_S,
+    READS_PER_TURN,
+    REFILL_US_PER_S,
     FairStream,
-    ReadLane,
-    WorkAccount,
+    ReadQueue,
+    WorkBudget,
 )
 from balsamlift.relay._response_limits import (
     MAX_DROPPED_BYTES,
@@ -82,14 +82,14 @@
     async def test() -> None:
         ours, theirs = socket.socketpair()
         theirs.sendall(b"x\n" * LINES)
-        stream = FairStream(ours, ReadLane(), SystemClock())
+        stream = FairStream(ours, ReadQueue(), SystemClock())
         ticker = Ticker()
         for _ in range(LINES):
             assert await stream.read_until(b"\n") == b"x\n"
         ticker.stop()
         stream.close()
         theirs.close()
-        turns = (LINES - 2 * BURST_US / READ_US) / LANE_READS
+        turns = (LINES - 2 * BURST_US / READ_US) / READS_PER_TURN
         assert ticker.turns >= turns
 
     run(test())
@@ -100,11 +100,11 @@
     """Guard against turns that grow with the number of streams."""
 
     async def test() -> None:
-        lane = ReadLane()
+        read_queue = ReadQueue()
         released: list[int] = []
 
         async def wait(number: int) -> None:
-            await lane.wait()
+            await read_queue.wait()
             released.append(number)
 
         tasks = [asyncio.create_task(wait(n)) for n in range(others + 1)]
@@ -115,7 +115,7 @@
             await asyncio.sleep(0)
             seen.append(len(released))
         steps = [b - a for a, b in itertools.pairwise(seen)]
-        assert max(steps) == min(others, LANE_READS)
+        assert max(steps) == min(others, READS_PER_TURN)
         assert released == list(range(1, others + 1))
 
     run(test())
@@ -123,14 +123,14 @@
 
 def test_a_stream_regains_its_share() -> None:
     clock = ManualClock()
-    account = WorkAccount(clock)
-    account.charge(BURST_US)
-    assert not account.is_overdrawn
-    account.charge(100 * MAX_DEBT_US)
-    assert account.is_overdrawn
-    clock.now_s += MAX_DEBT_US / REGAINED_US_PER_S
-    account.charge(0)
-    assert not account.is_overdrawn
+    budget = WorkBudget(clock)
+    budget.charge(BURST_US)
+    assert not budget.is_spent
+    budget.charge(100 * MAX_DEFICIT_US)
+    assert budget.is_spent
+    clock.now_s += MAX_DEFICIT_US / REFILL_US_PER_S
+    budget.charge(0)
+    assert not budget.is_spent
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
@@ -175,7 +175,7 @@
         ticker.stop()
         server.close()
         assert counts["bytes"] <= 2 * received + MAX_READ_BYTES
-        turns = (counts["reads"] - 2 * BURST_US / READ_US) / LANE_READS
+        turns = (counts["reads"] - 2 * BURST_US / READ_US) / READS_PER_TURN
         assert ticker.turns >= turns
 
     run(test())
