Let a caller's body go on by half a millisecond of reads per turn

What was seen: the test of a body in 2,000 chunks of 16 bytes, beside load, had 503 ('timed out waiting') where 200 is due: of two reads per turn it took longer than the three seconds that its caller waits.

Cause: a queued stream went on by one read per turn, however small.

Change: callers' streams have a quantum of 500 us per turn; upstreams' go on by one read, as theirs cause more work than the read itself.

Ruled out: the same quantum for upstreams: valid events without end then made the sound callers' p50 113 ms (26 before), with a buffer of two chunks 55 ms.

--- a/src/balsamlift/relay/_caller_stream.py
+++ b/src/balsamlift/relay/_caller_stream.py
@@ -20,6 +20,8 @@
 # head arrives. Closing a connection with unread bytes may reset it first.
 MAX_READ_HEAD_BYTES = 262_144
 MAX_BUFFER_BYTES = 2 * MAX_READ_HEAD_BYTES
+# Bodies in small chunks take many reads, which cause no other work.
+QUANTUM_US = 500.0
 # Callers observe the idle timeout too. A request sent while the relay closes
 # the connection costs its caller a second connection, so the relay waits
 # longer than the configured limit.
@@ -36,7 +38,9 @@
 
         Its reads share `read_queue` with those of other callers.
         """
-        super().__init__(connection, read_queue, clock, MAX_BUFFER_BYTES)
+        super().__init__(
+            connection, read_queue, clock, MAX_BUFFER_BYTES, QUANTUM_US
+        )
         self.bytes_since_head = 0  # received, also if not read yet
         self._clock = clock
         self._idle_since_s: float | None = None
--- a/src/balsamlift/relay/_fair_stream.py
+++ b/src/balsamlift/relay/_fair_stream.py
@@ -23,12 +23,13 @@
 BURST_US = 1_000.0
 REFILL_US_PER_S = 5_000.0
 MAX_DEFICIT_US = 20_000.0
-READS_PER_TURN = 2  # of all streams that wait, per turn of the event loop
+# Of the streams that wait, so many go on in a turn of the event loop.
+STREAMS_PER_TURN = 2
 READ_CHUNK_BYTES = 16_384
 
 
 class ReadQueue:
-    """Queue reads of streams over their budgets, few per turn of the loop."""
+    """Queue streams over their budgets; a few go on per turn of the loop."""
 
     def __init__(self) -> None:
         """Start with no stream that waits."""
@@ -45,7 +46,7 @@
 
     def _release(self) -> None:
         released = 0
-        while self._waiting and released < READS_PER_TURN:
+        while self._waiting and released < STREAMS_PER_TURN:
             turn = self._waiting.popleft()
             if not turn.done():  # else the reader was cancelled
                 turn.set_result(None)
@@ -86,10 +87,16 @@
         read_queue: ReadQueue,
         clock: Clock,
         max_buffer_size: int | None = None,
+        quantum_us: float = 0.0,
     ) -> None:
-        """Wait in `read_queue`, which streams share."""
+        """Wait in `read_queue`, which streams share.
+
+        After each wait, reads of `quantum_us` go on; at least one does.
+        """
         self._read_queue = read_queue
         self._budget = WorkBudget(clock)
+        self._quantum_us = quantum_us
+        self._turn_us = 0.0  # left of its turn
         super().__init__(
             connection,
             max_buffer_size=max_buffer_size,
@@ -99,6 +106,7 @@
     def charge(self, work_us: float) -> None:
         """Charge work that its bytes have caused, in microseconds."""
         self._budget.charge(work_us)
+        self._turn_us -= work_us
 
     @property
     def unread_bytes(self) -> int:
@@ -132,11 +140,12 @@
 
     def _in_turn(self, read: Awaitable[bytes]) -> Awaitable[bytes]:
         self.charge(READ_US)
-        if not self._budget.is_spent:
+        if not self._budget.is_spent or self._turn_us > 0:
             return read
         return self._wait_and_read(read)
 
     async def _wait_and_read(self, read: Awaitable[bytes]) -> bytes:
         data = await read
         await self._read_queue.wait()
+        self._turn_us = self._quantum_us
         return data
--- a/tests/test_relay_fair_stream.py
+++ b/tests/test_relay_fair_stream.py
@@ -14,14 +14,15 @@
 from balsamlift.clock import SystemClock
 from balsamlift.exceptions import UpstreamBrokenError
 from balsamlift.relay import _connection
+from balsamlift.relay._caller_stream import QUANTUM_US, CallerStream
 from balsamlift.relay._connection import MAX_BUFFER_BYTES, UpstreamConnection
 from balsamlift.relay._fair_stream import (
     BURST_US,
     BYTE_US,
     MAX_DEFICIT_US,
     READ_US,
-    READS_PER_TURN,
     REFILL_US_PER_S,
+    STREAMS_PER_TURN,
     FairStream,
     ReadQueue,
     WorkBudget,
@@ -89,7 +90,7 @@
         ticker.stop()
         stream.close()
         theirs.close()
-        turns = (LINES - 2 * BURST_US / READ_US) / READS_PER_TURN
+        turns = (LINES - 2 * BURST_US / READ_US) / STREAMS_PER_TURN
         assert ticker.turns >= turns
 
     run(test())
@@ -115,12 +116,31 @@
             await asyncio.sleep(0)
             seen.append(len(released))
         steps = [b - a for a, b in itertools.pairwise(seen)]
-        assert max(steps) == min(others, READS_PER_TURN)
+        assert max(steps) == min(others, STREAMS_PER_TURN)
         assert released == list(range(1, others + 1))
 
     run(test())
 
 
+def test_a_turn_of_a_caller_is_as_long_as_its_quantum() -> None:
+    """Guard against small chunks of a body that take a turn each."""
+
+    async def test() -> None:
+        ours, theirs = socket.socketpair()
+        theirs.sendall(b"x\n" * LINES)
+        stream = CallerStream(ours, ReadQueue(), SystemClock())
+        ticker = Ticker()
+        for _ in range(LINES):
+            await stream.read_until(b"\n")
+        ticker.stop()
+        stream.close()
+        theirs.close()
+        turns = LINES * READ_US / QUANTUM_US
+        assert turns / 2 <= ticker.turns <= 4 * turns
+
+    run(test())
+
+
 def test_a_stream_regains_its_share() -> None:
     clock = ManualClock()
     budget = WorkBudget(clock)
@@ -175,7 +195,7 @@
         ticker.stop()
         server.close()
         assert counts["bytes"] <= 2 * received + MAX_READ_BYTES
-        turns = (counts["reads"] - 2 * BURST_US / READ_US) / READS_PER_TURN
+        turns = (counts["reads"] - 2 * BURST_US / READ_US) / STREAMS_PER_TURN
         assert ticker.turns >= turns
 
     run(test())
