Hold callers' bodies to the limits in force as they arrive

By reading: the limit was taken when the connection began to wait for its next request, so that a configuration with another limit bound it one request late: 503 for a body that is allowed by now, or a body taken that is not.

--- a/src/balsamlift/relay/_body_memory.py
+++ b/src/balsamlift/relay/_body_memory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 # Of all bodies that one component holds.
 MAX_HELD_BYTES = 33_554_432
 
@@ -23,7 +25,7 @@
         self._held_bytes = 0
         self._bodies = 0
 
-    def open(self, max_bytes: int) -> HeldBody:
+    def open(self, max_bytes: float = math.inf) -> HeldBody:
         """Return an empty body that may grow up to `max_bytes`."""
         return HeldBody(self, max_bytes)
 
@@ -47,7 +49,7 @@
 class HeldBody:
     """The bytes of one body, which count until `release`."""
 
-    def __init__(self, memory: BodyMemory, max_bytes: int) -> None:
+    def __init__(self, memory: BodyMemory, max_bytes: float) -> None:
         """Start empty."""
         self._memory: BodyMemory | None = memory
         self._max_bytes = max_bytes
--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -158,7 +158,7 @@
         self._responder = TornadoResponder(
             connection, lambda: frontend.is_closing
         )
-        self._body = frontend.bodies.open(frontend.limits.body_bytes)
+        self._body = frontend.bodies.open()
         self._task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -184,13 +184,12 @@
         try:
             self._body.append(chunk)
         except BodyMemoryError:
-            is_too_large = len(self._body) > self._frontend.limits.body_bytes
-            self._refuse(413 if is_too_large else 503)
+            self._refuse(503)
             return
-        overhead_bytes = self._overhead_bytes()
-        if overhead_bytes > OVERHEAD_PER_BYTE * len(self._body) + (
-            FREE_OVERHEAD_BYTES
-        ):
+        earned_bytes = OVERHEAD_PER_BYTE * len(self._body)
+        if len(self._body) > self._frontend.limits.body_bytes:
+            self._refuse(413)
+        elif self._overhead_bytes() > earned_bytes + FREE_OVERHEAD_BYTES:
             self._refuse(400)
 
     def _overhead_bytes(self) -> int:
