Keep control ports of the soak's links off the hosts' addresses

Cause: a test's. A host's link to an upstream has the port of that upstream; its control port was any free one of the same address, and could be the port of an upstream that comes later. By reading; the address and the call are those of the trace.

Change: the control ports lie on the upstreams' address, where the kernel draws the upstreams' own ports as well, so that they differ.

--- a/tests/soak/host_links.py
+++ b/tests/soak/host_links.py
@@ -48,13 +48,15 @@
 
     async def add(self, address: str) -> None:
         """Add the link to an upstream at `address`."""
-        _, port = split_address(address)
+        ip, port = split_address(address)
         link = Link(
             LinkSettings(
                 name=address,
                 address=join_address(self._ip, port),
                 target_address=address,
-                control_address=join_address(self._ip, 0),
+                # Not on the host's IP, where it could take the port of the
+                # link to a later upstream.
+                control_address=join_address(ip, 0),
             )
         )
         await link.start()
