Log requests that an exit cuts off, and unsent responses

Change: a line `cut at the exit` with the request's age, the age of its last send, the time left and whether a response had begun, a counter relay.cut_at_exit, and a line on connections with unsent bytes at the exit. No logic of serving or leaving is changed.

--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -269,6 +269,9 @@
     else:
         log.info("stopped before it had started")
     unfinished = await end_other_tasks(END_TIMEOUT_S)
+    unsent = daemon.frontend.unsent_count
+    if unsent:
+        log.bind(connections=unsent).warning("responses not sent at the exit")
     if unfinished:
         log.bind(tasks=unfinished).error("tasks did not end")
     # asyncio would wait for those tasks, and the interpreter takes long to
--- a/src/balsamlift/relay/_attempt.py
+++ b/src/balsamlift/relay/_attempt.py
@@ -28,6 +28,7 @@
     is_idempotent: bool
     may_have_run: bool = False
     sent_to: list[str] = attrs.field(factory=list)  # names of upstreams
+    sent_s: float | None = None  # monotonic, of the last send
 
     @property
     def sends(self) -> int:
@@ -44,7 +45,7 @@
         """Return whether no upstream can have run the request."""
         return not self.may_have_run
 
-    def record_send(self, upstream: str) -> None:
+    def record_send(self, upstream: str, now_s: float) -> None:
         """Record that the request is about to be sent to an upstream.
 
         Raises `UnsafeResendError` if it must not be sent again.
@@ -52,6 +53,7 @@
         if not self.may_send:
             raise UnsafeResendError("the request may have run already")
         self.sent_to.append(upstream)
+        self.sent_s = now_s
         self.may_have_run = True
 
     def record_not_executed(self, may_have_run_before: bool) -> None:
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -107,12 +107,12 @@
             self._pool.release(connection)
             raise UpstreamRestrictedError(upstream.name, restriction)
         may_have_run_before = attempt.may_have_run
-        attempt.record_send(upstream.name)
+        sent_s = self._clock.monotonic()
+        attempt.record_send(upstream.name, sent_s)
         self._statements.record_send(call.request_id, upstream, path)
         headers = upstream_headers(
             call, self._names, upstream.id, self._remaining_ms(call), extra
         )
-        sent_s = self._clock.monotonic()
         connection.send(
             call.method, call.request.target, headers, call.request.body
         )
--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -78,6 +78,7 @@
         self._should_close = should_close
         self._is_started = False
         self._is_finished = False
+        self.is_caller_gone = False
 
     @property
     def is_started(self) -> bool:
@@ -221,6 +222,7 @@
     def on_connection_close(self) -> None:
         """Cancel the request, as its caller has disconnected."""
         self._body.release()
+        self._responder.is_caller_gone = True
         if self._task is not None:
             self._task.cancel()
 
@@ -331,6 +333,11 @@
             for stream in self._streams:
                 stream.close_if_timed_out(self.limits)
 
+    @property
+    def unsent_count(self) -> int:
+        """Return how many connections have bytes that are not sent yet."""
+        return sum(s.writing() for s in self._streams if not s.closed())
+
     async def wait_idle(self) -> None:
         """Wait until no request is being handled."""
         while self.tasks:
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -15,6 +15,7 @@
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Peers, Upstreams
 from balsamlift.relay._admission import Admission
+from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._cold_starts import ColdStartLimiter
 from balsamlift.relay._exchange import Exchange
@@ -97,6 +98,7 @@
         self._clock = clock
         self._random = rng
         self._tasks: list[asyncio.Task[None]] = []
+        self._leaves_at_s: float | None = None  # monotonic; None: it stays
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the other services and start serving callers."""
@@ -274,7 +276,8 @@
         """
         self._frontend.is_closing = True
         self._forwarding_frontend.is_closing = True
-        self._generations.leave(self._clock.monotonic() + within_s)
+        self._leaves_at_s = self._clock.monotonic() + within_s
+        self._generations.leave(self._leaves_at_s)
 
     async def stop(self) -> None:
         """Close the connections to upstreams."""
@@ -302,18 +305,44 @@
             responder.refuse(admitted)
             self._log_refused(request, admitted)
             return
+        attempt = Attempt(admitted.is_idempotent)
         outcome = Outcome("caller gone")
         try:
-            outcome = await self._run(admitted, responder)
+            outcome = await self._run(admitted, attempt, responder)
+        except asyncio.CancelledError:
+            if not responder.is_caller_gone:
+                self._log_cut(admitted, attempt, responder)
+                outcome = Outcome("cut at the exit", sent_to=attempt.sent_to)
+            raise
         finally:
             self._log_outcome(admitted, outcome)
 
-    async def _run(self, call: Call, responder: Responder) -> Outcome:
+    async def _run(
+        self, call: Call, attempt: Attempt, responder: Responder
+    ) -> Outcome:
         if call.request.origin is None:  # else its host has recorded it
             self._retries.record_request(call.service)
         if call.route.kind == "stream":
-            return await self._generations.serve(call, responder)
-        return await self._unary_calls.run(call, responder)
+            return await self._generations.serve(call, attempt, responder)
+        return await self._unary_calls.run(call, attempt, responder)
+
+    def _log_cut(
+        self, call: Call, attempt: Attempt, responder: Responder
+    ) -> None:
+        """Log a request that ends without a whole response."""
+        self._metrics.count("relay.cut_at_exit")
+        now_s = self._clock.monotonic()
+        left_s = (self._leaves_at_s or now_s) - now_s
+        sent_s = attempt.sent_s
+        log.bind(
+            request=call.request_id,
+            route=call.route.name,
+            sends=attempt.sends,
+            arrived_ms=_age_ms(call.request.arrived_s, now_s),
+            sent_ms=None if sent_s is None else _age_ms(sent_s, now_s),
+            left_ms=round(left_s * 1_000),
+            is_response_begun=responder.is_started,
+        ).warning("cut at the exit")
 
     def _log_refused(self, request: CallerRequest, refusal: Refusal) -> None:
         self._metrics.count(f"relay.refused.{refusal.status}")
@@ -381,6 +410,10 @@
             self._crash_guard.discard_expired()
 
 
+def _age_ms(then_s: float, now_s: float) -> int:
+    return round((now_s - then_s) * 1_000)
+
+
 def _hosts_of(call: Call, outcome: Outcome) -> dict[str, str]:
     """Return the other hosts that had part in a call, for the log."""
     hosts = {}
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -80,9 +80,10 @@
         self._crash_guard = crash_guard
         self._forwarder = forwarder
 
-    async def run(self, call: Call, responder: Responder) -> Outcome:
+    async def run(
+        self, call: Call, attempt: Attempt, responder: Responder
+    ) -> Outcome:
         """Respond to the caller and return the outcome for the log."""
-        attempt = Attempt(call.is_idempotent)
         result = await end_in_time(
             call, attempt, responder, self._fetch(call, attempt, responder)
         )
--- a/src/balsamlift/relay/forwarding/_forwarder.py
+++ b/src/balsamlift/relay/forwarding/_forwarder.py
@@ -222,7 +222,7 @@
             forwarded_headers(call, attempt, host, [deadline, *extra])
         )
         may_have_run_before = attempt.may_have_run
-        attempt.record_send(peer.host)
+        attempt.record_send(peer.host, self._clock.monotonic())
         connection.send(
             call.method, call.request.target, headers, call.request.body
         )
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -107,9 +107,10 @@
         run_ms = expected_run_ms(job.estimate.most_output_tokens)
         return run_ms <= remaining_s * 1_000
 
-    async def serve(self, call: Call, responder: Responder) -> Outcome:
+    async def serve(
+        self, call: Call, attempt: Attempt, responder: Responder
+    ) -> Outcome:
         """Respond to the caller and return the outcome for the log."""
-        attempt = Attempt(call.is_idempotent)
         origin = call.request.origin
         resume = origin.resume if origin is not None else None
         job = self._make_job(call)
--- a/tests/test_relay_attempt.py
+++ b/tests/test_relay_attempt.py
@@ -32,10 +32,10 @@
     def send(self, runs: bool) -> None:
         if not self.attempt.may_send:
             with pytest.raises(UnsafeResendError):
-                self.attempt.record_send("e1")
+                self.attempt.record_send("e1", 0.0)
             return
         self.may_have_run_before = self.attempt.may_have_run
-        self.attempt.record_send("e1")
+        self.attempt.record_send("e1", 0.0)
         self.is_pending = True
         self.runs += runs
 
@@ -65,16 +65,16 @@
 
 def test_an_idempotent_attempt_may_be_sent_again() -> None:
     attempt = Attempt(is_idempotent=True)
-    attempt.record_send("e1")
-    attempt.record_send("e1")
+    attempt.record_send("e1", 0.0)
+    attempt.record_send("e1", 0.0)
     assert attempt.sends == 2
     assert not attempt.certainly_not_run
 
 
 def test_a_refused_send_does_not_undo_an_earlier_one() -> None:
     attempt = Attempt(is_idempotent=True)
-    attempt.record_send("e1")
+    attempt.record_send("e1", 0.0)
     may_have_run_before = attempt.may_have_run
-    attempt.record_send("e1")
+    attempt.record_send("e1", 0.0)
     attempt.record_not_executed(may_have_run_before)
     assert attempt.may_have_run
