--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import os
 import signal
 import subprocess
 import sys
@@ -10,141 +9,13 @@
 from pathlib import Path
 
 import pytest
-from test_platform_decode import ENTRY, MANIFEST, SETTINGS
-
-from balsamlift.platform._names import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_TOPIC,
-    HEADERS,
-    UPSTREAMS_TOPIC,
-)
-from balsamlift.platform._settings import METRICS_PORT, SETTINGS_FILE_VARIABLE
-from balsamlift.testing.platform import KeyedStore
-from balsamlift.testing.relay import (
-    ReplicaConnection,
-    ReplicaRequest,
-    ReplicaStandIn,
-    read_answer,
-)
-
-ROOT = Path(__file__).parent.parent
-IP = "127.0.77.1"  # no other test listens there
-PORTS = {"Frontend": 7781, "Readiness": 7782, "Directory": 7783}
-FIRST_PORT = 7790
-HOST = "shop.example"
-DEADLINE_S = 40.0
-GRACE_S = 3
-
-
-def settings_text(store_address: str) -> str:
-    """Return the content of a settings file of the platform."""
-    lines = [
-        'NodeName = "edge-north-1"',
-        'Zone = "north"',
-        'Region = "land"',
-        f'Ip = "{IP}"',
-        f"InternalPorts = [{FIRST_PORT}, {FIRST_PORT + 15}]",
-        "[Listen]",
-        *(f'{name} = "{IP}:{port}"' for name, port in PORTS.items()),
-        "[Platform]",
-        f'Address = "{store_address}"',
-        "[Bounds]",
-    ]
-    bounds = {**SETTINGS["Bounds"], "GraceS": GRACE_S, "ttl_max_s": 1}
-    lines += [f"{name} = {value}" for name, value in bounds.items()]
-    return "\n".join(lines)
-
-
-def encode_manifest() -> bytes:
-    route = {**MANIFEST["Routes"][0], "RouteType": "non_idempotent"}
-    route |= {"Hostname": HOST, "PathPrefix": "/a/", "Service": "plain"}
-    return json.dumps({**MANIFEST, "Routes": [route]}).encode()
-
-
-def encode_upstream_entry(replica: ReplicaStandIn) -> bytes:
-    fields = {**ENTRY, "Service": "plain", "Address": replica.address}
-    return json.dumps(fields).encode()
-
-
-class Deployment:
-    """A daemon process with a fake store and one upstream."""
-
-    def __init__(self) -> None:
-        self.store = KeyedStore()
-        self.replica = ReplicaStandIn("i-1", "plain", HEADERS)
-
-    async def start(self, directory: Path) -> None:
-        await self.store.start()
-        await self.replica.start()
-        self.store.topic(CONFIGURATION_TOPIC).append(
-            CONFIGURATION_KEY, encode_manifest()
-        )
-        self.store.topic(UPSTREAMS_TOPIC).append(
-            "i-1", encode_upstream_entry(self.replica)
-        )
-        self.file = directory / "settings.toml"
-        self.file.write_text(settings_text(self.store.address))
-        self.process = await self.start_process()
-        while await self.get("Readiness", "/readyz") != 200:
-            await asyncio.sleep(0.05)
+from _daemon_deployment import HOST, PORTS, Deployment
 
-    async def start_process(
-        self, **variables: str
-    ) -> asyncio.subprocess.Process:
-        variables = {SETTINGS_FILE_VARIABLE: str(self.file), **variables}
-        return await asyncio.create_subprocess_exec(
-            sys.executable,
-            "deploy/serve.py",
-            cwd=ROOT,
-            env={**os.environ, **variables},
-            stdout=asyncio.subprocess.PIPE,
-        )
+from balsamlift.platform._names import HEADERS
+from balsamlift.testing.relay import ReplicaConnection, ReplicaRequest
 
-    async def restart(self, **variables: str) -> None:
-        """Kill the daemon and start another with these variables."""
-        self.process.kill()
-        await self.process.wait()
-        self.process = await self.start_process(**variables)
-
-    async def stop(self) -> None:
-        if self.process.returncode is None:
-            self.process.kill()
-        await self.process.wait()
-        await self.replica.stop()
-        await self.store.stop()
-
-    async def get(self, name: str, path: str) -> int:
-        """Return the status of a GET; 0 if the connection fails."""
-        try:
-            answer = await self.request(name, f"GET {path} HTTP/1.1")
-        except OSError:
-            return 0
-        return answer.status
-
-    async def request(self, name: str, *lines: str):
-        ports = {**PORTS, "forwarding": FIRST_PORT + 2}
-        port = ports.get(name, METRICS_PORT)
-        reader, writer = await asyncio.open_connection(IP, port)
-        head = [*lines, f"Host: {HOST}", "Content-Length: 0", "", ""]
-        writer.write("\r\n".join(head).encode())
-        try:
-            return await read_answer(reader)
-        finally:
-            writer.close()
-
-    async def call(self, request_id: str, port: str = "Frontend"):
-        return await self.request(
-            port,
-            "POST /a/1 HTTP/1.1",
-            f"{HEADERS.request_id}: {request_id}",
-            f"{HEADERS.deadline_ms}: 5000",
-            "Authorization: Token k1",
-        )
-
-    async def log_lines(self) -> list[dict[str, object]]:
-        assert self.process.stdout is not None
-        text = await self.process.stdout.read()
-        return [json.loads(line) for line in text.decode().splitlines()]
+IP = "127.0.77.1"  # no other test listens there
+DEADLINE_S = 40.0
 
 
 def is_default_action_replaced(
@@ -161,7 +32,7 @@
     test: Callable[[Deployment], Awaitable[None]], directory: Path
 ) -> None:
     async def main() -> None:
-        deployment = Deployment()
+        deployment = Deployment(IP)
         try:
             async with asyncio.timeout(DEADLINE_S):
                 await deployment.start(directory)
