Close callers' connections so that their last response arrives

Callers saw: a refusal of a body that was still being sent, or the rest of a response with another request behind it, was lost to a reset; a host that said `Connection: close` read on and passed on what came next; a process that ended discarded responses in its buffers, and closed on bodies without a response. Cause: Tornado closes a connection at once after a response to a request that is not read in full, and does not close for a header of ours. A connection closed with unread bytes is reset. The end of the drain looked at tasks alone. Change: the frontend closes a connection after its last response: for writing once all is sent, for reading after the other end or a second. What comes behind it stays unread, so that its caller may tell that it was not taken. A drained frontend is idle only when nothing is being read, handled or sent; `close` accepts and refuses what is left, sends it and closes. Ruled out: reading on and discarding, as a caller could then not know that its next request was not read.

--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -59,6 +59,7 @@
 # Part of the grace period reserved for ending the remaining requests and the
 # process.
 GRACE_MARGIN_S = 0.4
+IDLE_CHECK_INTERVAL_S = 0.02
 # Longest time for ending all tasks, some of which lose a cancellation.
 END_TIMEOUT_S = 0.3
 EXIT_NOT_STARTED, EXIT_UNFINISHED = 1, 2
@@ -230,8 +231,10 @@
         try:
             async with asyncio.timeout(drain_timeout_s):
                 await asyncio.sleep(3 * self._address_ttl_ms / 1_000)
-                await self.frontend.wait_idle()
-                await self.forwarding_frontend.wait_idle()
+                while not (
+                    self.frontend.is_idle and self.forwarding_frontend.is_idle
+                ):
+                    await self.clock.sleep(IDLE_CHECK_INTERVAL_S)
         except TimeoutError:
             log.bind(running=len(self.frontend.tasks)).warning(
                 "requests still running at the end of the grace period"
--- a/src/balsamlift/relay/_caller_stream.py
+++ b/src/balsamlift/relay/_caller_stream.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
+from collections.abc import Awaitable
 from http.client import responses
 from typing import Any
 
 from loguru import logger
-from tornado.iostream import UnsatisfiableReadError
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from balsamlift.clock import Clock
 from balsamlift.relay._configuration import CallerLimits
@@ -43,10 +45,29 @@
         )
         self.bytes_since_head = 0  # received, also if not read yet
         self._clock = clock
+        # Raises once the stream is closed; None while heads are read.
+        self._unread: asyncio.Future[bytes] | None = None
         self._idle_since_s: float | None = None
         self._head_since_s: float | None = None
         self.expect_head()
 
+    @property
+    def is_reading_head(self) -> bool:
+        """Return whether a part of a request head has arrived."""
+        return self._head_since_s is not None
+
+    def expect_no_more(self) -> None:
+        """Leave what the caller sends from now on unread."""
+        self._unread = asyncio.get_running_loop().create_future()
+
+    def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        """Return the bytes up to a match, unless no more are expected."""
+        if self._unread is not None:
+            return self._unread
+        return super().read_until_regex(regex, max_bytes)
+
     def expect_head(self) -> None:
         """Start the idle timeout after the previous response has ended."""
         self._idle_since_s = self._clock.monotonic()
@@ -85,6 +106,8 @@
             with contextlib.suppress(OSError):  # caller disconnected; logged
                 self.write_to_fd(memoryview(_closing_response(431)))
         super().close(exc_info)
+        if self._unread is not None and not self._unread.done():
+            self._unread.set_exception(StreamClosedError())
 
     def _reject_slow_head(self) -> None:
         log.bind(status=408, peer=self._peer()).info(
@@ -94,6 +117,12 @@
             self.write_to_fd(memoryview(_closing_response(408)))
         self.close()
 
+    def refuse_head(self) -> None:
+        """Refuse the request whose head has arrived in part, and close."""
+        with contextlib.suppress(OSError):  # caller disconnected
+            self.write_to_fd(memoryview(_closing_response(503)))
+        self.close()
+
     def _peer(self) -> str:
         try:
             ip, port = self.socket.getpeername()[:2]
--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 from loguru import logger
@@ -27,6 +28,7 @@
     CallerStream,
 )
 from balsamlift.relay._configuration import CallerLimits
+from balsamlift.relay._connection_close import close_in_order
 from balsamlift.relay._fair_stream import ReadQueue
 from balsamlift.relay._request import CallerRequest, Refusal, Responder
 from balsamlift.relay._request_reader import RequestReader
@@ -48,6 +50,8 @@
 # A complete body may take as long as the longest generation.
 BODY_TIMEOUT_S = 120.0
 
+IDLE_CHECK_INTERVAL_S = 0.02
+
 FORWARDING_FRONTEND = "forwarding_frontend"  # the one for other hosts
 
 RequestHandler = Callable[[CallerRequest, Responder], Awaitable[None]]
@@ -64,8 +68,10 @@
         self._sockets, self.address = listen(address)
         self.clock = clock
         self.limits = DEFAULT_CALLER_LIMITS
-        self.is_closing = False  # responses carry "Connection: close"
+        self.is_draining = False
         self.tasks: set[asyncio.Task[None]] = set()
+        self.readers: set[RequestReader] = set()
+        self._closing: set[asyncio.Task[None]] = set()
         self._handle: RequestHandler = _refuse_all
         self._streams: set[CallerStream] = set()
         self._read_queue = ReadQueue()
@@ -111,14 +117,68 @@
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
+        self._stop_listening()
+        await end_task(self._timeout_task)
+        for task in [*self.tasks, *self._closing]:
+            task.cancel()
+        await self._server.close_all_connections()
+
+    def drain(self) -> None:
+        """Close each connection after its next response."""
+        self.is_draining = True
+
+    async def close(self, within_s: float) -> None:
+        """Stop listening, send what is left and close all connections.
+
+        Requests that arrive meanwhile are still passed to the handler.
+        """
+        until_s = self.clock.monotonic() + within_s
+        self._accept_waiting()
+        self._stop_listening()
+        await self.clock.sleep(IDLE_CHECK_INTERVAL_S)
+        for reader in list(self.readers):
+            reader.refuse_unread()
+        while not self.is_idle and self.clock.monotonic() < until_s:
+            await self.clock.sleep(IDLE_CHECK_INTERVAL_S)
+        if self.unsent_count:
+            log.bind(connections=self.unsent_count).warning(
+                "responses not sent in time"
+            )
+        for stream in self._open_streams():
+            if stream.is_reading_head:
+                stream.refuse_head()
+            else:
+                stream.close()
+
+    def close_after(self, stream: CallerStream) -> None:
+        """Close a connection whose last response is written."""
+        task = asyncio.create_task(close_in_order(stream, self.clock))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing is being read, handled or sent."""
+        if self.tasks or self.readers or self._closing or self.unsent_count:
+            return False
+        return not any(s.is_reading_head for s in self._open_streams())
+
+    def _accept_waiting(self) -> None:
+        """Accept the connections that the system holds for this process."""
+        for listener in self._sockets:
+            with suppress(OSError):  # no more of them
+                while True:
+                    self._accept(*listener.accept())
+
+    def _stop_listening(self) -> None:
         for remove_handler in self._remove_accept_handlers:
             remove_handler()
+        self._remove_accept_handlers = []
         for listener in self._sockets:
             listener.close()
-        await end_task(self._timeout_task)
-        for task in list(self.tasks):
-            task.cancel()
-        await self._server.close_all_connections()
+
+    def _open_streams(self) -> list[CallerStream]:
+        return [stream for stream in self._streams if not stream.closed()]
 
     def _accept(self, connection: socket.socket, address: Any) -> None:
         stream = CallerStream(connection, self._read_queue, self.clock)
@@ -135,12 +195,7 @@
     @property
     def unsent_count(self) -> int:
         """Return how many connections have bytes that are not sent yet."""
-        return sum(s.writing() for s in self._streams if not s.closed())
-
-    async def wait_idle(self) -> None:
-        """Wait until no request is being handled."""
-        while self.tasks:
-            await asyncio.wait(set(self.tasks))
+        return sum(stream.writing() for stream in self._open_streams())
 
 
 async def _refuse_all(request: CallerRequest, responder: Responder) -> None:
--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -136,7 +136,3 @@
     @property
     def is_started(self) -> bool:
         """Return whether the response head was sent."""
-
-    @property
-    def is_caller_gone(self) -> bool:
-        """Return whether the caller has closed the connection."""
--- a/src/balsamlift/relay/_request_reader.py
+++ b/src/balsamlift/relay/_request_reader.py
@@ -39,13 +39,17 @@
     limits: CallerLimits
     bodies: BodyMemory
     tasks: set[asyncio.Task[None]]  # of the requests being handled
-    is_closing: bool  # responses carry "Connection: close"
+    readers: set[RequestReader]  # of requests that are arriving
+    is_draining: bool  # connections are closed after their next response
 
     async def handle(
         self, request: CallerRequest, responder: Responder
     ) -> None:
         """Handle one request."""
 
+    def close_after(self, stream: CallerStream) -> None:
+        """Close a connection whose last response is written."""
+
 
 class RequestReader(HTTPMessageDelegate):
     """Reads one request, then handles it in a separate task."""
@@ -58,8 +62,12 @@
         self._connection = connection
         self._stream = connection.stream
         self._stream.expect_head()
+        self._is_read = False
         self._responder = TornadoResponder(
-            connection, lambda: frontend.is_closing
+            connection,
+            lambda: frontend.is_draining,
+            lambda: self._is_read,
+            frontend.close_after,
         )
         self._body = frontend.bodies.open()
         self._task: asyncio.Task[None] | None = None
@@ -74,12 +82,15 @@
         self._headers = headers
         self._arrived_s = self._frontend.clock.monotonic()
         self._stream.head_received()
+        self._frontend.readers.add(self)
         limits = self._frontend.limits
         length = headers.get("Content-Length", "")
         if _head_bytes(start_line, headers) > limits.head_bytes:
             self._refuse(431)
         elif length.isdecimal() and int(length) > limits.body_bytes:
             self._refuse(413)
+        if self._responder.is_started:
+            headers.pop("Expect", None)  # else Tornado asks for the body
 
     def data_received(self, chunk: bytes) -> None:
         if self._responder.is_started:
@@ -101,9 +112,16 @@
         read_bytes = stream.bytes_since_head - stream.unread_bytes
         return read_bytes - len(self._body)
 
+    def refuse_unread(self) -> None:
+        """Refuse a request of which the rest has not arrived."""
+        if not self._responder.is_started:
+            self._refuse(503)
+
     def finish(self) -> None:
+        self._frontend.readers.discard(self)
         if self._responder.is_started:
             return
+        self._is_read = True
         if not self._start_line.path.startswith("/"):
             self._refuse(400)
             return
@@ -123,8 +141,8 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request, as its caller has disconnected."""
+        self._frontend.readers.discard(self)
         self._body.release()
-        self._responder.is_caller_gone = True
         if self._task is not None:
             self._task.cancel()
 
--- a/src/balsamlift/relay/_responder.py
+++ b/src/balsamlift/relay/_responder.py
@@ -6,8 +6,9 @@
 from http.client import responses
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httputil import HTTPConnection, HTTPHeaders, ResponseStartLine
+from tornado.httputil import HTTPHeaders, ResponseStartLine
 
+from balsamlift.relay._caller_stream import CallerStream
 from balsamlift.relay._header_names import UNREACHED_HEADER
 from balsamlift.relay._request import Refusal
 
@@ -16,18 +17,25 @@
     """Responds on one Tornado connection."""
 
     def __init__(
-        self, connection: HTTPConnection, should_close: Callable[[], bool]
+        self,
+        connection: HTTP1Connection,
+        should_close: Callable[[], bool],
+        is_request_read: Callable[[], bool],
+        on_last: Callable[[CallerStream], None],
     ) -> None:
         """Create a responder.
 
         If `should_close()` is true when a response starts, it carries
-        `Connection: close`.
+        `Connection: close`, as does a response to a request that is not read
+        in full. `on_last` is called once such a response is written.
         """
         self._connection = connection
         self._should_close = should_close
+        self._is_request_read = is_request_read
+        self._on_last = on_last
+        self._is_last = False
         self._is_started = False
         self._is_finished = False
-        self.is_caller_gone = False
 
     @property
     def is_started(self) -> bool:
@@ -67,12 +75,19 @@
     def finish(self) -> None:
         """End the response as complete."""
         self._is_finished = True
-        self._connection.finish()
+        stream = self._connection.stream
+        if not self._is_last or stream is None or stream.closed():
+            self._connection.finish()
+            return
+        assert isinstance(stream, CallerStream)
+        if self._is_request_read():
+            stream.expect_no_more()
+            self._connection.finish()
+        self._on_last(stream)
 
     def abort(self) -> None:
         """Close the connection, so that the response appears truncated."""
         self._is_finished = True
-        assert isinstance(self._connection, HTTP1Connection)
         self._connection.close()
 
     def _write_head(
@@ -83,12 +98,13 @@
         body: bytes | None,
     ) -> Awaitable[None]:
         self._is_started = True
-        if self._should_close():
+        self._is_last = self._should_close() or not self._is_request_read()
+        if self._is_last:
             headers["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, reason)
         # With Nagle's algorithm, an event would wait for the
         # acknowledgement of the previous one.
-        stream = getattr(self._connection, "stream", None)
+        stream = self._connection.stream
         if stream is not None and not stream.closed():
             stream.set_nodelay(True)
         return self._connection.write_headers(line, headers, body)
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -274,8 +274,8 @@
         Responses tell callers to close their connections, and generations
         start only if they are expected to end in time.
         """
-        self._frontend.is_closing = True
-        self._forwarding_frontend.is_closing = True
+        self._frontend.drain()
+        self._forwarding_frontend.drain()
         self._leaves_at_s = self._clock.monotonic() + within_s
         self._generations.leave(self._leaves_at_s)
 
@@ -310,9 +310,8 @@
         try:
             outcome = await self._run(admitted, attempt, responder)
         except asyncio.CancelledError:
-            if not responder.is_caller_gone:
+            if self._leaves_at_s is not None:
                 self._log_cut(admitted, attempt, responder)
-                outcome = Outcome("cut at the exit", sent_to=attempt.sent_to)
             raise
         finally:
             self._log_outcome(admitted, outcome)
--- a/tests/test_relay_unary.py
+++ b/tests/test_relay_unary.py
@@ -341,7 +341,7 @@
     async def test() -> None:
         async with RelayHarness(replicas()) as world:
             world.configure()
-            world.frontend.is_closing = True
+            world.frontend.drain()
             answer = await world.call("/order/1")
         assert answer.status == 200
         assert answer.headers["Connection"] == "close"
