Start nothing on a leaving host that may outlast it, of any kind

Cause: only generations were asked, and once, whether they end before the host; calls, requests that wait for a place, a permit or memory, retries and those of other hosts were passed on until the end, and all tasks were cancelled then. Change: one part, relay/shutdown, decides for all kinds, at their arrival, when they wait too long, and again as they are sent: a call starts if its time ends before the host does, or if the longest recent call of its route, of all hosts, does with a quarter and 0.1 s added; without any it is refused at once, as not run, to be sent elsewhere. Durations are shared as the number of a bucket, as counts are. What outlasts the host all the same gets 502, a stream ends as cut. A forwarded call is refused so that its host asks another one.

--- a/src/balsamlift/relay/_attempt.py
+++ b/src/balsamlift/relay/_attempt.py
@@ -21,7 +21,7 @@
     """Raised before a send that could run a request a second time."""
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Attempt:
     """Whether a request may have run, and how often it was sent."""
 
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -27,6 +27,7 @@
 from balsamlift.relay._reaching import CONNECT_TIMEOUT_S, try_connection
 from balsamlift.relay._request import Call
 from balsamlift.relay.health import Reachability
+from balsamlift.relay.shutdown import Shutdown
 from balsamlift.relay.statements import (
     MISDIRECTED_REQUEST,
     Restrictions,
@@ -72,6 +73,7 @@
         restrictions: Restrictions,
         reachability: Reachability,
         metrics: Metrics,
+        shutdown: Shutdown,
     ) -> None:
         """Create a client that acquires connections from `pool`."""
         self._metrics = metrics
@@ -82,6 +84,7 @@
         self._statements = statements
         self._restrictions = restrictions
         self._reachability = reachability
+        self._shutdown = shutdown
 
     async def send(
         self,
@@ -102,7 +105,7 @@
         connection = await self._acquire(
             upstream, self._connect_timeout_s(call)
         )
-        restriction = self._restrictions.at_send(upstream, path)
+        restriction = self._find_restriction(attempt, upstream, path)
         if restriction is not None:
             self._pool.release(connection)
             raise UpstreamRestrictedError(upstream.name, restriction)
@@ -152,6 +155,14 @@
         self._require_signature(reply)
         return reply
 
+    def _find_restriction(
+        self, attempt: Attempt, upstream: Upstream, path: SendPath
+    ) -> str | None:
+        """Return what forbids to send a call now, or None."""
+        if not self._shutdown.may_begin(attempt):
+            return "not called by a host that is leaving"
+        return self._restrictions.at_send(upstream, path)
+
     async def _acquire(
         self, upstream: Upstream, connect_timeout_s: float
     ) -> UpstreamConnection:
--- a/src/balsamlift/relay/_refusals.py
+++ b/src/balsamlift/relay/_refusals.py
@@ -4,6 +4,8 @@
 
 import zlib
 
+import attrs
+
 from balsamlift.placement import limit_retry_ms
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._request import Call, Refusal
@@ -121,6 +123,18 @@
     return Refusal(status=502, reason=reason)
 
 
+def host_leaving(call: Call, attempt: Attempt) -> Refusal:
+    """Return the final response to a call that its host cannot complete.
+
+    Any other host may take it at once, if it has not run.
+    """
+    refusal = give_up(attempt, "host is leaving", 0)
+    is_forwarded = call.request.origin is not None
+    return attrs.evolve(
+        refusal, is_unreached=is_forwarded and not attempt.sends
+    )
+
+
 def timed_out(attempt: Attempt) -> Refusal:
     """Return the refusal of a call that has exceeded its time limit.
 
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -51,6 +51,10 @@
     MemoryAllocator,
     QuietEngines,
 )
+from balsamlift.relay.shutdown import (
+    CallDurations,
+    Shutdown,
+)
 from balsamlift.relay.statements import (
     BrittlePools,
     Restrictions,
@@ -98,7 +102,6 @@
         self._clock = clock
         self._random = rng
         self._tasks: list[asyncio.Task[None]] = []
-        self._leaves_at_s: float | None = None  # monotonic; None: it stays
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the other services and start serving callers."""
@@ -108,6 +111,7 @@
         routing = self._routing = kernel.find("routing", Routing)
         frontend = kernel.find("frontend", Frontend)
         forwarding_frontend = kernel.find(FORWARDING_FRONTEND, Frontend)
+        self._shutdown = Shutdown(self._clock, self._metrics)
         names = self._settings.names
         self._pool = ConnectionPool(self._clock, self._metrics)
         self._retry_after = RetryAfterTracker(
@@ -139,6 +143,7 @@
             self._retry_after,
             brittle_pools,
         )
+        durations = self._durations = CallDurations(balancer, self._clock)
         paces = self._paces = EnginePaces(
             balancer, self._upstreams, self._clock, self._metrics
         )
@@ -187,6 +192,7 @@
             restrictions,
             links.reachability,
             self._metrics,
+            self._shutdown,
         )
         forwarder = self._forwarder = Forwarder(
             peers,
@@ -205,6 +211,7 @@
             names,
             self._clock,
             self._metrics,
+            self._shutdown,
         )
         self._admission = Admission(
             routing, names, self._random, self._settings.decode_prompt_parts
@@ -226,6 +233,8 @@
             self._retries,
             self._crash_guard,
             forwarder,
+            self._shutdown,
+            durations,
         )
         engines = QuietEngines(self._engines, self._retry_after)
         context = GenerationContext(
@@ -242,6 +251,8 @@
             permits=peers.permits,
             retry_after=self._retry_after,
             forwarder=forwarder,
+            shutdown=self._shutdown,
+            durations=durations,
         )
         self._generations = Generations(
             context,
@@ -259,6 +270,7 @@
         links.start(exchange.probe)
         self._frontend = frontend
         self._forwarding_frontend = forwarding_frontend
+        self._frontends = (frontend, forwarding_frontend)
         serve_views(kernel, self._allocator, balancer, paces)
         routing.on_change(self._apply_limits)
         frontend.serve(self.handle)
@@ -269,15 +281,10 @@
         ]
 
     def leave(self, within_s: float) -> None:
-        """Prepare to shut down within `within_s`.
-
-        Responses tell callers to close their connections, and generations
-        start only if they are expected to end in time.
-        """
-        self._frontend.drain()
-        self._forwarding_frontend.drain()
-        self._leaves_at_s = self._clock.monotonic() + within_s
-        self._generations.leave(self._leaves_at_s)
+        """Start only requests that are expected to end in `within_s`."""
+        self._shutdown.begin(within_s)
+        for frontend in self._frontends:
+            frontend.drain()
 
     async def stop(self) -> None:
         """Close the connections to upstreams."""
@@ -309,12 +316,9 @@
         outcome = Outcome("caller gone")
         try:
             outcome = await self._run(admitted, attempt, responder)
-        except asyncio.CancelledError:
-            if self._leaves_at_s is not None:
-                self._log_cut(admitted, attempt, responder)
-            raise
         finally:
             self._log_outcome(admitted, outcome)
+            self._record_duration(admitted, attempt)
 
     async def _run(
         self, call: Call, attempt: Attempt, responder: Responder
@@ -325,23 +329,11 @@
             return await self._generations.serve(call, attempt, responder)
         return await self._unary_calls.run(call, attempt, responder)
 
-    def _log_cut(
-        self, call: Call, attempt: Attempt, responder: Responder
-    ) -> None:
-        """Log a request that ends without a whole response."""
-        self._metrics.count("relay.cut_at_exit")
-        now_s = self._clock.monotonic()
-        left_s = (self._leaves_at_s or now_s) - now_s
-        sent_s = attempt.sent_s
-        log.bind(
-            request=call.request_id,
-            route=call.route.name,
-            sends=attempt.sends,
-            arrived_ms=_age_ms(call.request.arrived_s, now_s),
-            sent_ms=None if sent_s is None else _age_ms(sent_s, now_s),
-            left_ms=round(left_s * 1_000),
-            is_response_begun=responder.is_started,
-        ).warning("cut at the exit")
+    def _record_duration(self, call: Call, attempt: Attempt) -> None:
+        """Record how long a call has run, if it has, at its last upstream."""
+        if attempt.may_have_run and attempt.sent_s is not None:
+            took_s = self._clock.monotonic() - attempt.sent_s
+            self._durations.observe(call.route.name, took_s)
 
     def _log_refused(self, request: CallerRequest, refusal: Refusal) -> None:
         self._metrics.count(f"relay.refused.{refusal.status}")
@@ -406,13 +398,10 @@
             self._retry_after.discard_expired()
             self._balancer.discard_expired()
             self._paces.discard_expired()
+            self._durations.discard_expired()
             self._crash_guard.discard_expired()
 
 
-def _age_ms(then_s: float, now_s: float) -> int:
-    return round((now_s - then_s) * 1_000)
-
-
 def _hosts_of(call: Call, outcome: Outcome) -> dict[str, str]:
     """Return the other hosts that had part in a call, for the log."""
     hosts = {}
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -32,7 +32,7 @@
     spend_retry,
 )
 from balsamlift.relay._retry_budget import RetryBudget
-from balsamlift.relay._time_limit import end_in_time
+from balsamlift.relay._time_limit import CallLimits, end_in_time
 from balsamlift.relay._upstream_chooser import (
     Crowded,
     Pausing,
@@ -41,6 +41,7 @@
 )
 from balsamlift.relay.crashes import CrashGuard
 from balsamlift.relay.forwarding import Forwarder, Unreached
+from balsamlift.relay.shutdown import CallDurations, Shutdown
 
 log = logger.bind(part="calls")
 
@@ -70,6 +71,8 @@
         retries: RetryBudget,
         crash_guard: CrashGuard,
         forwarder: Forwarder,
+        shutdown: Shutdown,
+        durations: CallDurations,
     ) -> None:
         """Create a runner for upstreams that `balancer` selects."""
         self._exchange = exchange
@@ -79,13 +82,22 @@
         self._retries = retries
         self._crash_guard = crash_guard
         self._forwarder = forwarder
+        self._shutdown = shutdown
+        self._durations = durations
 
     async def run(
         self, call: Call, attempt: Attempt, responder: Responder
     ) -> Outcome:
         """Respond to the caller and return the outcome for the log."""
+        limits = CallLimits(
+            call=call,
+            attempt=attempt,
+            shutdown=self._shutdown,
+            expected_s=lambda: self._durations.longest_s(call.route.name),
+            ends_by_timeout=True,
+        )
         result = await end_in_time(
-            call, attempt, responder, self._fetch(call, attempt, responder)
+            limits, responder, self._fetch(call, attempt, responder)
         )
         if isinstance(result, Outcome):
             return result
@@ -114,9 +126,10 @@
         tried: set[str] = set()
         unreachable = 0
         while True:
-            blamed = self._crash_guard.refusal(call, attempt)
-            if blamed is not None:
-                return blamed
+            refused = self._shutdown.refusal(attempt)
+            refused = refused or self._crash_guard.refusal(call, attempt)
+            if refused is not None:
+                return refused
             unreached = self._forwarder.unreached(call, attempt)
             tried |= unreached
             is_unreached = bool(unreached or unreachable)
--- a/src/balsamlift/relay/forwarding/_forwarder.py
+++ b/src/balsamlift/relay/forwarding/_forwarder.py
@@ -36,6 +36,7 @@
 from balsamlift.relay.forwarding._reply import ForwardedReply, pass_on
 from balsamlift.relay.forwarding._wire import forwarded_headers, resume_headers
 from balsamlift.relay.health import Reachability
+from balsamlift.relay.shutdown import Shutdown
 
 log = logger.bind(part="forwarding")
 
@@ -68,6 +69,7 @@
         names: HeaderNames,
         clock: Clock,
         metrics: Metrics,
+        shutdown: Shutdown,
     ) -> None:
         """Look for kept connections to upstreams in `links`."""
         self._peers = peers
@@ -78,6 +80,7 @@
         self._names = names
         self._clock = clock
         self._metrics = metrics
+        self._shutdown = shutdown
         self._pool = ConnectionPool(clock, metrics, "forwarding")
 
     def on_change(self, callback: Callable[[str], None]) -> None:
@@ -102,6 +105,8 @@
             return False
         if attempt.may_have_run and attempt.sends >= call.route.most_attempts:
             return False
+        if not self._shutdown.may_begin(attempt):
+            return False
         return self._choice.exists(call.service)
 
     def unreached(self, call: Call, attempt: Attempt) -> set[str]:
--- a/src/balsamlift/relay/generations/_generation_context.py
+++ b/src/balsamlift/relay/generations/_generation_context.py
@@ -16,6 +16,7 @@
 from balsamlift.relay.generations._engine_paces import EnginePaces
 from balsamlift.relay.generations._engines import EngineClient
 from balsamlift.relay.generations._memory_allocator import MemoryAllocator
+from balsamlift.relay.shutdown import CallDurations, Shutdown
 from balsamlift.relay.statements import RetryAfterTracker
 
 
@@ -36,3 +37,5 @@
     permits: Permits
     retry_after: RetryAfterTracker
     forwarder: Forwarder
+    shutdown: Shutdown
+    durations: CallDurations
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -32,7 +32,7 @@
     Resume,
 )
 from balsamlift.relay._retry_budget import RetryBudget
-from balsamlift.relay._time_limit import end_in_time
+from balsamlift.relay._time_limit import CallLimits, end_in_time
 from balsamlift.relay._upstream_chooser import Pausing, RateLimited
 from balsamlift.relay.crashes import CRASHING_REQUEST
 from balsamlift.relay.forwarding import Unreached
@@ -54,6 +54,7 @@
 log = logger.bind(part="generations")
 
 MAX_SENDS = 4  # of one request, to start a generation
+_MS_PER_S = 1_000
 MAX_ERROR_BODY_BYTES = 65_536  # of an engine's response that is not a stream
 # Used where the configuration does not describe the engines of a service.
 DEFAULT_TRAITS = EngineTraits(memory_tokens=1 << 40)
@@ -84,29 +85,13 @@
             self._placement,
             self._sender,
             retries,
-            self._fits_before_leaving,
         )
         self._upstreams = upstreams
         self._forwarder = context.forwarder
         self._running: set[Generation] = set()
-        self._leaves_at_s: float | None = None
         upstreams.on_change(self._move_off_leaving_engines)
         self._forwarder.on_change(self._check_links)
 
-    def leave(self, leaves_at_s: float) -> None:
-        """Start only generations that will end by `leaves_at_s`.
-
-        The time is on the event loop's clock.
-        """
-        self._leaves_at_s = leaves_at_s
-
-    def _fits_before_leaving(self, job: Job) -> bool:
-        if self._leaves_at_s is None:
-            return True
-        remaining_s = self._leaves_at_s - asyncio.get_running_loop().time()
-        run_ms = expected_run_ms(job.estimate.most_output_tokens)
-        return run_ms <= remaining_s * 1_000
-
     async def serve(
         self, call: Call, attempt: Attempt, responder: Responder
     ) -> Outcome:
@@ -114,15 +99,27 @@
         origin = call.request.origin
         resume = origin.resume if origin is not None else None
         job = self._make_job(call)
+        limits = CallLimits(
+            call=call,
+            attempt=attempt,
+            shutdown=self._context.shutdown,
+            expected_s=lambda: self._expected_s(job),
+            ends_by_timeout=False,
+        )
         return await end_in_time(
-            call,
-            attempt,
+            limits,
             responder,
             self._run(job, attempt, responder)
             if resume is None
             else self._resume(job, resume, attempt, responder),
         )
 
+    def _expected_s(self, job: Job) -> float:
+        """Return how long a generation may run; the longest recent one has."""
+        run_ms = expected_run_ms(job.estimate.most_output_tokens)
+        longest_s = self._context.durations.longest_s(job.call.route.name)
+        return max(run_ms / _MS_PER_S, longest_s or 0.0)
+
     def _make_job(self, call: Call) -> Job:
         estimate = read_token_estimate(
             call.request.headers, self._context.names
@@ -144,6 +141,9 @@
         responder: Responder,
     ) -> Outcome | Refusal:
         """Go on with a generation whose host has lost its engines."""
+        refusal = self._context.shutdown.refusal(attempt)
+        if refusal is not None:
+            return refusal
         upstream = self._upstreams.find(resume.upstream)
         if upstream is None or not self._upstreams.may_take_work(
             upstream.name
@@ -169,9 +169,6 @@
     async def _run(
         self, job: Job, attempt: Attempt, responder: Responder
     ) -> Outcome | Refusal:
-        if not self._fits_before_leaving(job):
-            # Another host can finish it; this one would have to abort it.
-            return give_up(attempt, "host is leaving", 0)
         result = await self._start(job, attempt)
         if isinstance(result, StartedGeneration):
             text = await self._relay(result, job, attempt, responder)
@@ -188,9 +185,12 @@
         tried: set[str] = set()
         unreachable = 0
         while True:
-            blamed = self._context.crash_guard.refusal(call, attempt)
-            if blamed is not None:
-                return blamed
+            refused = self._context.shutdown.refusal(attempt)
+            refused = refused or self._context.crash_guard.refusal(
+                call, attempt
+            )
+            if refused is not None:
+                return refused
             if self._context.crash_guard.is_trial(call):
                 tried |= self._placement.busy(job, tried)
             unreached = self._forwarder.unreached(call, attempt)
--- a/src/balsamlift/relay/generations/_repeat.py
+++ b/src/balsamlift/relay/generations/_repeat.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 import attrs
 from loguru import logger
@@ -70,7 +69,6 @@
     placement: EnginePlacement
     sender: Sender
     budget: RetryBudget
-    fits_before_leaving: Callable[[Job], bool]
 
 
 class Repeat:
@@ -236,7 +234,7 @@
             return "no attempts left"
         if not self._context.crash_guard.may_go_on(call):
             return "prompt suspected to crash upstreams"
-        if not self._shared.fits_before_leaving(self._job):
+        if not self._context.shutdown.may_begin(self._attempt):
             return "host is leaving"
         refusal = self._shared.sender.refusal(call, self._attempt)
         return refusal.reason if refusal is not None else ""
--- /dev/null
+++ b/src/balsamlift/relay/shutdown/_durations.py
@@ -0,0 +1,141 @@
+"""How long calls take, learned per route by all hosts together.
+
+Each host shares its longest recent call as the number of a bucket, so that it
+sends a message only when that changes.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Mapping
+from typing import Protocol
+
+import attrs
+
+from balsamlift.clock import Clock
+
+# A call counts for one to two of these periods.
+PERIOD_S = 120.0
+MAX_ROUTES = 512  # the least recently used is forgotten
+# Buckets grow by this factor, from the first upper bound on.
+BUCKET_GROWTH = 1.1
+FIRST_BOUND_S = 0.01
+MAX_BUCKET = 135  # over an hour
+_PREFIX = "duration"
+
+
+class SharedValues(Protocol):
+    """Values of this host that others get as sums."""
+
+    def share_value(self, key: str, value: int) -> None:
+        """Set a value of this host; 0 removes it."""
+
+    def other_counts(self, prefix: str) -> Mapping[str, int]:
+        """Return the sums of the other hosts' values by key."""
+
+
+@attrs.define
+class _Longest:
+    """The bucket of the longest call in this period, and in the last one."""
+
+    period: int
+    bucket: int
+    previous: int = -1
+
+    def advance(self, period: int) -> None:
+        if period == self.period:
+            return
+        self.previous = self.bucket if period == self.period + 1 else -1
+        self.bucket = -1
+        self.period = period
+
+    @property
+    def highest(self) -> int:
+        return max(self.bucket, self.previous)
+
+
+class CallDurations:
+    """Keep the longest recent duration of the calls of each route."""
+
+    def __init__(self, values: SharedValues, clock: Clock) -> None:
+        """Share what is observed through `values`."""
+        self._values = values
+        self._clock = clock
+        self._routes: OrderedDict[str, _Longest] = OrderedDict()
+        self._shared: dict[str, int] = {}  # bucket, by route
+
+    def observe(self, route: str, took_s: float) -> None:
+        """Record how long a call took at its upstream, at least."""
+        bucket = _find_bucket(took_s)
+        longest = self._routes.get(route)
+        if longest is None:
+            longest = self._routes[route] = _Longest(self._period(), bucket)
+        longest.advance(self._period())
+        longest.bucket = max(longest.bucket, bucket)
+        self._routes.move_to_end(route)
+        self._share(route, longest.highest)
+        if len(self._routes) > MAX_ROUTES:
+            self._forget(next(iter(self._routes)))
+
+    def longest_s(self, route: str) -> float | None:
+        """Return an upper bound of the recent calls, None without any."""
+        own = self._routes.get(route)
+        buckets = self._other_buckets(route)
+        if own is not None:
+            own.advance(self._period())
+            buckets.append(own.highest)
+        highest = max(buckets, default=-1)
+        return _upper_bound_s(highest) if highest >= 0 else None
+
+    def discard_expired(self) -> None:
+        """Forget calls that are too old; called every second."""
+        period = self._period()
+        for route, longest in list(self._routes.items()):
+            longest.advance(period)
+            if longest.highest < 0:
+                self._forget(route)
+            else:
+                self._share(route, longest.highest)
+
+    def _other_buckets(self, route: str) -> list[int]:
+        prefix = _key_prefix(route)
+        counts = self._values.other_counts(prefix)
+        texts = [key[len(prefix) :] for key, n in counts.items() if n > 0]
+        # Others belong to routes whose name begins like this one's.
+        return [min(int(t), MAX_BUCKET) for t in texts if t.isdecimal()]
+
+    def _share(self, route: str, bucket: int) -> None:
+        before = self._shared.get(route)
+        if bucket == before:
+            return
+        if before is not None:
+            self._values.share_value(_key(route, before), 0)
+        self._values.share_value(_key(route, bucket), 1)
+        self._shared[route] = bucket
+
+    def _forget(self, route: str) -> None:
+        del self._routes[route]
+        self._values.share_value(_key(route, self._shared.pop(route)), 0)
+
+    def _period(self) -> int:
+        return int(self._clock.monotonic() // PERIOD_S)
+
+
+def _key_prefix(route: str) -> str:
+    return f"{_PREFIX}/{route}/"
+
+
+def _key(route: str, bucket: int) -> str:
+    return f"{_key_prefix(route)}{bucket}"
+
+
+def _find_bucket(took_s: float) -> int:
+    if took_s <= FIRST_BOUND_S:
+        return 0
+    steps = math.log(took_s / FIRST_BOUND_S, BUCKET_GROWTH)
+    return min(math.ceil(steps), MAX_BUCKET)
+
+
+def _upper_bound_s(bucket: int) -> float:
+    return float(FIRST_BOUND_S * BUCKET_GROWTH**bucket)
--- /dev/null
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -0,0 +1,191 @@
+"""What a host that shuts down still starts, for requests of every kind."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from enum import Enum
+
+import attrs
+from loguru import logger
+
+from balsamlift.clock import Clock
+from balsamlift.metrics import Metrics
+from balsamlift.relay._attempt import Attempt
+from balsamlift.relay._refusals import host_leaving
+from balsamlift.relay._request import Call, Refusal
+
+log = logger.bind(part="shutdown")
+
+# A call may take longer than those before it.
+DURATION_FACTOR = 1.25
+DURATION_EXTRA_S = 0.1
+_MS_PER_S = 1_000
+
+
+class Phase(Enum):
+    """The phases of a host's service, in their order."""
+
+    SERVING = "serving"
+    DRAINING = "draining"  # starts only what ends in time
+    CLOSING = "closing"  # starts nothing; all that runs ends now
+
+
+@attrs.define(eq=False, kw_only=True)
+class RunningCall:
+    """A call that is being handled, and the limits of its time."""
+
+    call: Call
+    attempt: Attempt
+    timeout: asyncio.Timeout  # ends it with its final response
+    expected_s: Callable[[], float | None]  # from its send on; None: unknown
+    # Whether its response is complete if its own time ends it.
+    ends_by_timeout: bool
+    start_timer: asyncio.TimerHandle | None = None
+
+    def reschedule(self, left_s: float) -> None:
+        """End the call in `left_s`, unless it is being ended already."""
+        if not self.timeout.expired():
+            now_s = asyncio.get_running_loop().time()
+            self.timeout.reschedule(now_s + max(left_s, 0.0))
+
+    def cancel_timer(self) -> None:
+        """Stop the timer for its start, if there is one."""
+        if self.start_timer is not None:
+            self.start_timer.cancel()
+
+
+class Shutdown:
+    """Decide what starts, and end what runs, while a host shuts down."""
+
+    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+        """Start in the phase in which everything is served."""
+        self._clock = clock
+        self._metrics = metrics
+        self.phase = Phase.SERVING
+        self._responses_by_s = math.inf
+        self._running: dict[Attempt, RunningCall] = {}
+
+    def begin(self, within_s: float) -> None:
+        """Begin to drain; the last responses are due in `within_s`.
+
+        A further call may only shorten the time.
+        """
+        until_s = self._clock.monotonic() + within_s
+        self._responses_by_s = min(self._responses_by_s, until_s)
+        if self.phase is Phase.SERVING:
+            self.phase = Phase.DRAINING
+        self._limit_all()
+
+    def close(self) -> None:
+        """Start nothing more, and end all that runs."""
+        self.phase = Phase.CLOSING
+        self._responses_by_s = self._clock.monotonic()
+        self._limit_all()
+
+    @property
+    def left_s(self) -> float:
+        """Return the time until the last responses are due."""
+        return self._responses_by_s - self._clock.monotonic()
+
+    @contextmanager
+    def watch(self, running: RunningCall) -> Iterator[None]:
+        """Limit the time of a call while the context is open."""
+        self._running[running.attempt] = running
+        if self.phase is not Phase.SERVING:
+            self._limit(running)
+        try:
+            yield
+        finally:
+            del self._running[running.attempt]
+            running.cancel_timer()
+
+    def may_begin(self, attempt: Attempt) -> bool:
+        """Return whether a call may be sent now.
+
+        An attempt that is not watched goes on with a response.
+        """
+        running = self._running.get(attempt)
+        if self.phase is Phase.SERVING or running is None:
+            return True
+        return self._latest_start_s(running) >= self._clock.monotonic()
+
+    def refusal(self, attempt: Attempt) -> Refusal | None:
+        """Return the refusal of a call that may not be sent any more."""
+        if self.may_begin(attempt):
+            return None
+        return self._end(self._running[attempt])
+
+    def end(self, running: RunningCall) -> Refusal | None:
+        """Return the final response of a call that was ended too early.
+
+        None if its own time is over.
+        """
+        if self.phase is Phase.SERVING:
+            return None
+        if self._clock.monotonic() >= running.call.timeout_at_s:
+            return None
+        return self._end(running)
+
+    def _latest_start_s(self, running: RunningCall) -> float:
+        """Return the last moment at which a call may be sent."""
+        if self.phase is Phase.CLOSING:
+            return -math.inf
+        timeout_at_s = running.call.timeout_at_s
+        if running.ends_by_timeout and timeout_at_s <= self._responses_by_s:
+            return timeout_at_s
+        expected_s = running.expected_s()
+        if expected_s is None:
+            return -math.inf
+        return self._responses_by_s - allowed_s(expected_s)
+
+    def _limit_all(self) -> None:
+        for running in self._running.values():
+            self._limit(running)
+
+    def _limit(self, running: RunningCall) -> None:
+        """End a call when responses are due; sooner if it still waits."""
+        if self._responses_by_s < running.call.timeout_at_s:
+            running.reschedule(self.left_s)
+        wait_s = self._latest_start_s(running) - self._clock.monotonic()
+        running.cancel_timer()
+        running.start_timer = asyncio.get_running_loop().call_later(
+            max(wait_s, 0.0), _end_unless_sent, running
+        )
+
+    def _end(self, running: RunningCall) -> Refusal:
+        """Log and count a call that is not served; return its response."""
+        is_cut = running.attempt.may_have_run
+        event = "cut" if is_cut else "refused"
+        self._metrics.count(f"relay.shutdown.{event}_{self.phase.value}")
+        expected_s = running.expected_s()
+        logged = log.bind(
+            request=running.call.request_id,
+            route=running.call.route.name,
+            phase=self.phase.value,
+            sends=running.attempt.sends,
+            left_ms=round(self.left_s * _MS_PER_S),
+            expected_ms=_to_ms(expected_s),
+        )
+        if is_cut:
+            logged.warning("cut off as the host shuts down")
+        else:
+            logged.info("refused as the host shuts down")
+        return host_leaving(running.call, running.attempt)
+
+
+def allowed_s(expected_s: float) -> float:
+    """Return the time that must be left for a call to start."""
+    return expected_s * DURATION_FACTOR + DURATION_EXTRA_S
+
+
+def _end_unless_sent(running: RunningCall) -> None:
+    """End a call that still waits when it is too late to send it."""
+    if not running.attempt.may_have_run:
+        running.reschedule(0.0)
+
+
+def _to_ms(duration_s: float | None) -> int | None:
+    return None if duration_s is None else round(duration_s * _MS_PER_S)
--- a/tests/_persistent_callers.py
+++ b/tests/_persistent_callers.py
@@ -10,6 +10,8 @@
 from balsamlift.testing.relay import CallerAnswer, read_answer
 
 MAX_PAUSE_S = 0.02  # between an answer and the next request
+MAX_REFUSED_PAUSE_S = 0.2  # the same after a refusal
+OK = 200
 RECONNECT_S = 0.02
 
 
@@ -66,7 +68,6 @@
     ) -> None:
         """Send requests until the host closes the connection."""
         while not self.is_stopped:
-            await asyncio.sleep(self.rng.uniform(0, MAX_PAUSE_S))
             if reader.at_eof():
                 return
             request_id = f"r{next(self._numbers)}"
@@ -79,5 +80,8 @@
             except (OSError, EOFError):
                 pass
             sent.ended_s = asyncio.get_running_loop().time()
-            if not sent.is_whole:
+            if sent.answer is None or not sent.is_whole:
                 return
+            is_served = sent.answer.status == OK
+            pause_s = MAX_PAUSE_S if is_served else MAX_REFUSED_PAUSE_S
+            await asyncio.sleep(self.rng.uniform(0, pause_s))
--- a/tests/_relay_helpers.py
+++ b/tests/_relay_helpers.py
@@ -1,10 +1,12 @@
 """Helpers for relay tests: time-limited runs and upstream behaviours."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable, Iterable
 
 from balsamlift.testing.relay import (
     HEADER_NAMES,
+    RelayHarness,
     ReplicaConnection,
     ReplicaRequest,
     ReplicaStandIn,
@@ -28,6 +30,19 @@
     asyncio.run(bounded())
 
 
+async def connect_slowly(
+    world: RelayHarness,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection whose caller holds few bytes it has not read."""
+    ip, _, port = world.frontend.address.rpartition(":")
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    connection.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, (ip, int(port)))
+    return await asyncio.open_connection(sock=connection)
+
+
 async def until_arrived(stand_ins: list[ReplicaStandIn]) -> ReplicaStandIn:
     """Wait until one engine has a request, and return it."""
     while not any(s.arrivals for s in stand_ins):
--- a/tests/test_planned_exit.py
+++ b/tests/test_planned_exit.py
@@ -68,6 +68,8 @@
         callers = PersistentCallers((IP, PORTS["Frontend"]), encode, rng)
         try:
             await deployment.start(tmp_path)
+            # A process that is waited for must not have unread output.
+            lines = asyncio.create_task(deployment.log_lines())
             deployment.replica.behave = work
             callers.start(CALLERS)
             while sum(each.is_whole for each in callers.sent) < MIN_CALLS:
@@ -77,6 +79,7 @@
             assert await deployment.process.wait() == 0
             took_s = asyncio.get_running_loop().time() - signal_s
             await callers.stop()
+            await lines
         finally:
             await deployment.stop()
         assert took_s < GRACE_S
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -77,6 +77,9 @@
         await connection.answer(request, b"late")
 
     async def test(deployment: Deployment) -> None:
+        # The host learns how long a call takes.
+        assert (await deployment.call("r0", port)).status == 200
+        deployment.replica.arrivals.clear()
         deployment.replica.behave = answer_when_released
         running = asyncio.create_task(deployment.call("r1", port))
         while not deployment.replica.arrivals:
--- a/tests/test_relay_connection_close.py
+++ b/tests/test_relay_connection_close.py
@@ -1,10 +1,9 @@
 """Test that the last response on a caller's connection arrives."""
 
 import asyncio
-import socket
 
 import pytest
-from _relay_helpers import run
+from _relay_helpers import connect_slowly, run
 
 from balsamlift.testing.relay import (
     HEADER_NAMES,
@@ -25,19 +24,6 @@
     return ReplicaStandIn("plain-0", "plain", HEADER_NAMES)
 
 
-async def connect_slowly(
-    world: RelayHarness,
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Open a connection whose caller holds few bytes it has not read."""
-    ip, _, port = world.frontend.address.rpartition(":")
-    connection = socket.socket()
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-    connection.setblocking(False)
-    loop = asyncio.get_running_loop()
-    await loop.sock_connect(connection, (ip, int(port)))
-    return await asyncio.open_connection(sock=connection)
-
-
 async def answer_much(
     connection: ReplicaConnection, request: ReplicaRequest
 ) -> None:
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -18,6 +18,7 @@
     DEADLINE_S,
     USAGE,
     behave_all,
+    connect_slowly,
     hang,
     hang_midway,
     refuse,
@@ -179,6 +180,43 @@
     writer.close()
 
 
+# Shutdown
+
+
+async def call_refused_by_leaving_host(
+    world: RelayHarness, _: list[ReplicaStandIn]
+) -> None:
+    world.relay.leave(within_s=1.0)
+    await world.call("/order/1")
+
+
+async def call_outlasting_its_host(
+    world: RelayHarness, stand_ins: list[ReplicaStandIn]
+) -> None:
+    behave_all(stand_ins, hang)
+    calling = asyncio.create_task(world.call("/order/1"))
+    await until_arrived(stand_ins)
+    world.relay.leave(within_s=0.05)
+    await calling
+
+
+async def slow_reader(
+    world: RelayHarness, stand_ins: list[ReplicaStandIn]
+) -> None:
+    async def answer_much(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await connection.answer(request, bytes(4_000_000))
+
+    behave_all(stand_ins, answer_much)
+    _, writer = await connect_slowly(world)
+    writer.write(request_bytes("/order/1"))
+    while not world.frontend.unsent_count:
+        await asyncio.sleep(0.005)
+    await world.frontend.close(0.05)
+    writer.close()
+
+
 # Generations
 
 
@@ -388,6 +426,7 @@
 )
 NEWER = ("version", "in_force", "source")
 CRASHED = ("request", "fingerprint", "upstream", "had_output")
+SHUTDOWN = ("request", "route", "phase", "left_ms", "expected_ms")
 PLACED = (
     *("request", "upstream", "tokens", "load", "counts"),
     *("waited_ms", "expected_wait_ms", "priority", "workspace"),
@@ -473,6 +512,16 @@
     Expected(budget_spent, "upstreams full", ENDED),
     Expected(large_head, "head too large", ("status", "peer")),
     Expected(slow_head, "timed out reading a head", ("status", "peer")),
+    Expected(
+        call_refused_by_leaving_host,
+        "refused as the host shuts down",
+        SHUTDOWN,
+    ),
+    Expected(call_refused_by_leaving_host, "host is leaving", ENDED),
+    Expected(
+        call_outlasting_its_host, "cut off as the host shuts down", SHUTDOWN
+    ),
+    Expected(slow_reader, "responses not sent in time", ("connections",)),
     Expected(generated, "placed", (*PLACED, "unread", "backup")),
     Expected(generated, "stream: whole", ("request", "upstream", "first_ms")),
     Expected(generated, "whole", (*ENDED, "upstream", "sends")),
--- /dev/null
+++ b/tests/test_relay_shutdown.py
@@ -0,0 +1,224 @@
+"""Test what a host that shuts down starts, refuses and ends."""
+
+import asyncio
+
+import pytest
+from _relay_helpers import (
+    USAGE,
+    Behave,
+    behave_all,
+    hang,
+    hang_midway,
+    run,
+    until_arrived,
+)
+
+from balsamlift.testing.relay import (
+    HEADER_NAMES,
+    CallerAnswer,
+    RelayHarness,
+    ReplicaConnection,
+    ReplicaRequest,
+    ReplicaStandIn,
+    read_answer,
+    request_bytes,
+    route,
+)
+
+LEFT_S = 2.0
+LONG_MS = 20_000  # for which callers wait and the route lets them
+SLOW_S = 0.4
+KINDS = ("order", "view")
+
+
+def replicas(number: int = 2) -> list[ReplicaStandIn]:
+    return [
+        ReplicaStandIn(f"plain-{i}", "plain", HEADER_NAMES)
+        for i in range(number)
+    ]
+
+
+def answer_after(delay_s: float) -> Behave:
+    async def answer(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        await connection.answer(request, b"done")
+
+    return answer
+
+
+def configure(world: RelayHarness) -> None:
+    """Let calls take longer than a host needs to shut down."""
+    world.configure(
+        routes=(
+            route("idempotent", "/view/", "plain", timeout_ms=LONG_MS),
+            route("non_idempotent", "/order/", "plain", timeout_ms=LONG_MS),
+            route("stream", "/draft/", "model", timeout_ms=LONG_MS),
+        )
+    )
+
+
+async def call(
+    world: RelayHarness, kind: str, request_id: str, ms: int = LONG_MS
+) -> CallerAnswer:
+    return await world.call(f"/{kind}/1", request_id, deadline_ms=ms)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_leaving_host_starts_no_call_that_may_outlast_it(kind: str) -> None:
+    """Guard against calls that are passed on and cut off by the exit."""
+
+    async def test() -> None:
+        stand_ins = replicas(1)
+        async with RelayHarness(stand_ins) as world:
+            configure(world)
+            stand_ins[0].behave = answer_after(SLOW_S)
+            assert (await call(world, kind, "learned")).status == 200
+            world.relay.leave(LEFT_S)
+            served = await call(world, kind, "served")
+            await asyncio.sleep(LEFT_S - 2 * SLOW_S)
+            began_s = asyncio.get_running_loop().time()
+            refused = await call(world, kind, "refused")
+            took_s = asyncio.get_running_loop().time() - began_s
+        assert served.status == 200
+        assert refused.status == 503
+        assert refused.headers["Retry-After"] == "0.000"
+        assert refused.headers["Connection"] == "close"
+        assert took_s < SLOW_S
+        assert stand_ins[0].ids() == ["learned", "served"]
+
+    run(test())
+
+
+@pytest.mark.parametrize(("ms", "status"), [(LONG_MS, 503), (1_000, 200)])
+def test_a_leaving_host_that_knows_no_duration_trusts_the_time_allowed(
+    ms: int, status: int
+) -> None:
+    async def test() -> None:
+        async with RelayHarness(replicas()) as world:
+            configure(world)
+            world.relay.leave(LEFT_S)
+            assert (await call(world, "order", "r1", ms)).status == status
+
+    run(test())
+
+
+def test_a_host_learns_durations_from_other_hosts() -> None:
+    async def test() -> None:
+        async with RelayHarness(replicas()) as world:
+            configure(world)
+            world.peers.counts_under = lambda prefix: {f"{prefix}10": 1}
+            world.relay.leave(LEFT_S)
+            assert (await call(world, "order", "r1")).status == 200
+
+    run(test())
+
+
+def test_a_generation_that_waits_is_refused_when_it_cannot_end() -> None:
+    """Guard against one that starts when memory is free, and is cut off."""
+    large = [f"{HEADER_NAMES.token_usage}: 8000,100"]
+    release = asyncio.Event()
+
+    async def stream_until_released(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await connection.begin_stream(request)
+        await connection.events(0, 4)
+        await release.wait()
+        await connection.end_stream()
+
+    async def test() -> None:
+        stand_in = ReplicaStandIn("model-0", "model", HEADER_NAMES)
+        stand_in.behave = stream_until_released
+        async with RelayHarness([stand_in]) as world:
+            configure(world)
+
+            def start(request_id: str) -> asyncio.Task[CallerAnswer]:
+                return asyncio.create_task(
+                    world.call("/draft/1", request_id, headers=large)
+                )
+
+            running = start("r1")
+            await until_arrived([stand_in])
+            waiting = start("r2")
+            await asyncio.sleep(0.1)
+            # Enough for its expected length, but not for its wait.
+            world.relay.leave(3.2)
+            await asyncio.sleep(0.8)
+            release.set()
+            refused = await waiting
+            assert (refused.status, refused.is_whole) == (503, True)
+            assert refused.headers["Retry-After"] == "0.000"
+            assert (await running).is_whole
+        assert stand_in.ids() == ["r1"]
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("path", "behave", "status"),
+    [("/order/1", hang, 502), ("/view/1", hang, 502), ("/draft/1", hang, 502)],
+)
+def test_what_outlasts_the_host_gets_a_true_response(
+    path: str, behave: Behave, status: int
+) -> None:
+    """Guard against connections that are closed without a response."""
+
+    async def test() -> None:
+        stand_ins = [
+            *replicas(1),
+            ReplicaStandIn("model-0", "model", HEADER_NAMES),
+        ]
+        behave_all(stand_ins, behave)
+        async with RelayHarness(stand_ins) as world:
+            configure(world)
+            calling = asyncio.create_task(
+                world.call(path, headers=USAGE, deadline_ms=LONG_MS)
+            )
+            await until_arrived(stand_ins)
+            world.relay.leave(0.2)
+            answer = await calling
+            assert (answer.status, answer.is_whole) == (status, True)
+            assert answer.headers["Connection"] == "close"
+
+    run(test())
+
+
+def test_a_stream_that_outlasts_the_host_ends_as_cut() -> None:
+    async def test() -> None:
+        stand_in = ReplicaStandIn("model-0", "model", HEADER_NAMES)
+        stand_in.behave = hang_midway
+        async with RelayHarness([stand_in]) as world:
+            configure(world)
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE, deadline_ms=LONG_MS)
+            )
+            await until_arrived([stand_in])
+            world.relay.leave(0.2)
+            answer = await calling
+        assert answer.status == 200
+        assert not answer.is_whole
+
+    run(test())
+
+
+def test_a_forwarded_call_is_left_to_other_hosts() -> None:
+    """Guard against a refusal that is passed on as another host may run it."""
+
+    async def test() -> None:
+        async with RelayHarness(replicas()) as world:
+            configure(world)
+            world.relay.leave(LEFT_S)
+            ip, _, port = world.forwarding_frontend.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            headers = ["Balsamlift-Forwarded-By: host-2"]
+            writer.write(
+                request_bytes("/order/1", headers=headers, deadline_ms=LONG_MS)
+            )
+            answer = await read_answer(reader)
+            writer.close()
+        assert answer.status == 503
+        assert "Balsamlift-Unreached" in answer.headers
+
+    run(test())
