End a host's service in one order, with a response to every request

Cause: the end was a cancellation of all tasks, with the listeners open, and known to no part of the relay. Change: shut_down() in relay/shutdown is the one order: draining until the addresses have expired and both servers are idle or the time is over, closing, in which everything gets its last response and nothing starts, then sending what is left and closing. The grace period's margin grows from 0.4 to 0.5 s, of which 0.15 s are for sending.

--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -44,6 +44,7 @@
 from balsamlift.relay import (
     FORWARDING_FRONTEND,
     Directory,
+    DrainLimits,
     Frontend,
     Relay,
     Routing,
@@ -58,8 +59,9 @@
 ADDRESS_TTL_MS = 2_000
 # Part of the grace period reserved for ending the remaining requests and the
 # process.
-GRACE_MARGIN_S = 0.4
-IDLE_CHECK_INTERVAL_S = 0.02
+GRACE_MARGIN_S = 0.5
+# Part of it for sending the last responses.
+SEND_TIMEOUT_S = 0.15
 # Longest time for ending all tasks, some of which lose a cancellation.
 END_TIMEOUT_S = 0.3
 EXIT_NOT_STARTED, EXIT_UNFINISHED = 1, 2
@@ -218,27 +220,19 @@
         return True
 
     async def leave(self, stop: StopSignal) -> None:
-        """Announce that this host leaves, and serve requests until none runs.
+        """Announce that this host leaves, and respond to all requests.
 
         Callers with cached addresses may send requests meanwhile. Returns
-        before the grace period ends, even if requests still run. The period
-        began with the signal.
+        before the grace period ends, which began with the signal.
         """
         log.bind(running=len(self.frontend.tasks)).info("leaving")
         self.peers.announce_leaving()
-        drain_timeout_s = stop.left_s(self._node.grace_s - GRACE_MARGIN_S)
-        self.relay.leave(drain_timeout_s)
-        try:
-            async with asyncio.timeout(drain_timeout_s):
-                await asyncio.sleep(3 * self._address_ttl_ms / 1_000)
-                while not (
-                    self.frontend.is_idle and self.forwarding_frontend.is_idle
-                ):
-                    await self.clock.sleep(IDLE_CHECK_INTERVAL_S)
-        except TimeoutError:
-            log.bind(running=len(self.frontend.tasks)).warning(
-                "requests still running at the end of the grace period"
-            )
+        limits = DrainLimits(
+            listed_s=3 * self._address_ttl_ms / 1_000,
+            responses_s=stop.left_s(self._node.grace_s - GRACE_MARGIN_S),
+            send_s=SEND_TIMEOUT_S,
+        )
+        await self.relay.shut_down(limits)
         log.info("stopped")
 
 
@@ -272,9 +266,6 @@
     else:
         log.info("stopped before it had started")
     unfinished = await end_other_tasks(END_TIMEOUT_S)
-    unsent = daemon.frontend.unsent_count
-    if unsent:
-        log.bind(connections=unsent).warning("responses not sent at the exit")
     if unfinished:
         log.bind(tasks=unfinished).error("tasks did not end")
     # asyncio would wait for those tasks, and the interpreter takes long to
--- a/src/balsamlift/relay/__init__.py
+++ b/src/balsamlift/relay/__init__.py
@@ -36,6 +36,7 @@
     ReportError,
     RunningGeneration,
 )
+from balsamlift.relay.shutdown import DrainLimits
 from balsamlift.relay.statements import StatementDecoders
 
 __all__ = [
@@ -50,6 +51,7 @@
     "CopyRefusedError",
     "CopyRejectedError",
     "Directory",
+    "DrainLimits",
     "EngineClient",
     "EngineReport",
     "EngineTraits",
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -53,7 +53,9 @@
 )
 from balsamlift.relay.shutdown import (
     CallDurations,
+    DrainLimits,
     Shutdown,
+    shut_down,
 )
 from balsamlift.relay.statements import (
     BrittlePools,
@@ -286,6 +288,10 @@
         for frontend in self._frontends:
             frontend.drain()
 
+    async def shut_down(self, limits: DrainLimits) -> None:
+        """Serve what ends in time, and respond to everything else."""
+        await shut_down(self._shutdown, self._frontends, limits, self._clock)
+
     async def stop(self) -> None:
         """Close the connections to upstreams."""
         await self._links.stop()
--- a/src/balsamlift/relay/shutdown/__init__.py
+++ b/src/balsamlift/relay/shutdown/__init__.py
@@ -1,6 +1,11 @@
 """The end of a host's service: what still starts, and what ends when."""
 
 from balsamlift.relay.shutdown._durations import CallDurations
+from balsamlift.relay.shutdown._sequence import (
+    CallersServer,
+    DrainLimits,
+    shut_down,
+)
 from balsamlift.relay.shutdown._shutdown import (
     Phase,
     RunningCall,
@@ -10,8 +15,11 @@
 
 __all__ = [
     "CallDurations",
+    "CallersServer",
+    "DrainLimits",
     "Phase",
     "RunningCall",
     "Shutdown",
     "allowed_s",
+    "shut_down",
 ]
--- a/tests/test_relay_shutdown.py
+++ b/tests/test_relay_shutdown.py
@@ -1,6 +1,7 @@
 """Test what a host that shuts down starts, refuses and ends."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 import pytest
 from _relay_helpers import (
@@ -13,6 +14,7 @@
     until_arrived,
 )
 
+from balsamlift.relay import DrainLimits
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     CallerAnswer,
@@ -222,3 +224,50 @@
         assert "Balsamlift-Unreached" in answer.headers
 
     run(test())
+
+
+Send = Callable[[RelayHarness], Awaitable[CallerAnswer]]
+
+
+async def send_on_kept(world: RelayHarness) -> Callable[[], Awaitable[None]]:
+    """Open a connection that carries a request once the end has begun."""
+    reader, writer = await world.connect()
+    writer.write(request_bytes("/order/1", "before"))
+    assert (await read_answer(reader)).status == 200
+
+    async def send() -> None:
+        writer.write(request_bytes("/order/1", "after"))
+        answer = await read_answer(reader)
+        assert (answer.status, answer.is_whole) == (503, True)
+
+    return send
+
+
+async def send_on_new(world: RelayHarness) -> Callable[[], Awaitable[None]]:
+    async def send() -> None:
+        assert (await world.call("/order/1", "after")).status == 503
+
+    return send
+
+
+@pytest.mark.parametrize("prepare", [send_on_kept, send_on_new])
+def test_a_request_during_the_end_is_not_passed_on(
+    prepare: Callable[
+        [RelayHarness], Awaitable[Callable[[], Awaitable[None]]]
+    ],
+) -> None:
+    """Guard against requests that are taken while the tasks are ended."""
+
+    async def test() -> None:
+        stand_ins = replicas(1)
+        async with RelayHarness(stand_ins) as world:
+            configure(world)
+            send = await prepare(world)
+            limits = DrainLimits(listed_s=0.0, responses_s=0.0, send_s=5.0)
+            sending = asyncio.create_task(send())
+            await asyncio.sleep(0)  # its bytes are on their way
+            await world.relay.shut_down(limits)
+            await sending
+        assert "after" not in stand_ins[0].ids()
+
+    run(test())
