--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -44,12 +44,14 @@
     # Whether its response is complete if its own time ends it.
     ends_by_timeout: bool
     start_timer: asyncio.TimerHandle | None = None
+    is_shortened: bool = False  # the call has less than its own time
 
-    def reschedule(self, left_s: float) -> None:
+    def end_in(self, left_s: float) -> None:
         """End the call in `left_s`, unless it is being ended already."""
         if not self.timeout.expired():
             now_s = asyncio.get_running_loop().time()
             self.timeout.reschedule(now_s + max(left_s, 0.0))
+            self.is_shortened = True
 
     def cancel_timer(self) -> None:
         """Stop the timer for its start, if there is one."""
@@ -119,15 +121,11 @@
         return self._end(self._running[attempt])
 
     def end(self, running: RunningCall) -> Refusal | None:
-        """Return the final response of a call that was ended too early.
+        """Return the final response of a call whose time is over.
 
-        None if its own time is over.
+        None if that is its own time.
         """
-        if self.phase is Phase.SERVING:
-            return None
-        if self._clock.monotonic() >= running.call.timeout_at_s:
-            return None
-        return self._end(running)
+        return self._end(running) if running.is_shortened else None
 
     def _latest_start_s(self, running: RunningCall) -> float:
         """Return the last moment at which a call may be sent."""
@@ -148,7 +146,7 @@
     def _limit(self, running: RunningCall) -> None:
         """End a call when responses are due; sooner if it still waits."""
         if self._responses_by_s < running.call.timeout_at_s:
-            running.reschedule(self.left_s)
+            running.end_in(self.left_s)
         wait_s = self._latest_start_s(running) - self._clock.monotonic()
         running.cancel_timer()
         running.start_timer = asyncio.get_running_loop().call_later(
@@ -184,7 +182,7 @@
 def _end_unless_sent(running: RunningCall) -> None:
     """End a call that still waits when it is too late to send it."""
     if not running.attempt.may_have_run:
-        running.reschedule(0.0)
+        running.end_in(0.0)
 
 
 def _to_ms(duration_s: float | None) -> int | None:
