Let the soak count requests that an exit leaves without an answer

Cause: the soak's upstreams worked 0.04 s at most, its callers left a connection at `Connection: close`, and its checker asked what an answer says, never whether there was one; only what no upstream had begun counted as interrupted. Change: ExitChecker holds each end without a whole answer against the signals of its host by the users' rule with its exceptions, in all plans. `soak exits` shuts hosts down in series that overlap, signals again, reloads, changes the configuration and replaces upstreams; they work up to 0.04 to 7 s by seed, the grace period is 8 s, and half of the callers keep connections and addresses until these fail.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,6 +5,7 @@
   soak long [options] COUNT
   soak cuts [options] COUNT
   soak crashes [options] COUNT
+  soak exits [options] COUNT
   soak restarts [options] DAEMONS
 
 Long runs have nine hosts, twelve upstreams, the rates of a deployment, and
@@ -16,6 +17,9 @@
 In runs of crashes, a part of some prompts crashes the engines that begin to
 answer it, beside other faults; all hosts may be killed at once.
 
+In runs of exits, hosts are shut down one after the other while upstreams work
+for up to 7 s, and half of the callers keep their connections until they fail.
+
 Restarts starts and terminates that many daemons in series, with signals at
 any moment, and reports what they take.
 
@@ -42,8 +46,9 @@
 
 from soak.crash_plan import draw_crash_plan
 from soak.cut_plan import draw_cut_plan
+from soak.exit_plan import draw_exit_plan
 from soak.hosts import ROOT
-from soak.load import CRASHES, DENSE, SHOP
+from soak.load import CRASHES, DENSE, EXITS, SHOP
 from soak.long_plan import draw_long_plan
 from soak.plan import Plan, draw_plan
 from soak.restarts import Restarts
@@ -58,13 +63,15 @@
     options = docopt(__doc__)
     first = int(options["--first"] or random.randrange(1_000_000_000))
     is_long = options["long"]
-    is_short = not (options["cuts"] or options["crashes"])
+    is_short = not any(options[k] for k in ("cuts", "crashes", "exits"))
     default_s = CUTS_S if not is_short else LONG_S if is_long else SHORT_S
     length_s = float(options["--length"] or default_s)
     if options["restarts"]:
         return _run_restarts(first, int(options["DAEMONS"]), length_s)
     other = options["--other"]
     load = SHOP if is_long else CRASHES if options["crashes"] else DENSE
+    if options["exits"]:
+        load = EXITS
     fleet = Fleet(
         hosts=int(options["--hosts"] or (LONG_HOSTS if is_long else HOSTS)),
         load=load,
@@ -76,6 +83,8 @@
         draw = draw_cut_plan
     if options["crashes"]:
         draw = draw_crash_plan
+    if options["exits"]:
+        draw = draw_exit_plan
     plans = [draw(first + n, length_s) for n in range(int(options["COUNT"]))]
     return _run_plans(plans, fleet)
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -23,15 +23,19 @@
 )
 from soak.contact import ContactChecker
 from soak.crashing_parts import CrashingParts
+from soak.exits import ExitChecker
 from soak.guarantees import CallerOutcome, GuaranteeChecker
 from soak.hosts import Host
 from soak.load import KINDS, Load
+from soak.plan import Plan
 from soak.rate_limits import RateLimitChecker
 from soak.retries import RetryChecker
 from soak.statements import StatementChecker
 from soak.upstreams import UPSTREAM_HEADER
 
 DEADLINE_MS = 3_000
+# A call may take its longest work at an upstream, and some time more.
+WORK_DEADLINE_FACTOR = 1.5
 PATHS = {
     "idempotent": "/view/",
     "non_idempotent": "/order/",
@@ -55,6 +59,7 @@
     kind: str
     parts: str = ""  # of its prompt, as the header lists them
     workspace: str = MAIN
+    deadline_ms: int = DEADLINE_MS
 
     @property
     def is_stream(self) -> bool:
@@ -86,7 +91,7 @@
             f"{method} {path} HTTP/1.1",
             f"Host: {SERVED_HOST}",
             f"{HEADERS.request_id}: {self.request_id}",
-            f"{HEADERS.deadline_ms}: {DEADLINE_MS}",
+            f"{HEADERS.deadline_ms}: {self.deadline_ms}",
             f"{HEADERS.token_usage}: {TOKENS[self.workspace]}",
             f"Authorization: Token {key or KEYS[self.workspace]}",
             "Content-Length: 0",
@@ -111,7 +116,7 @@
         status=0,
     )
     try:
-        async with asyncio.timeout(DEADLINE_MS / 1_000 + 1.0):
+        async with asyncio.timeout(request.deadline_ms / 1_000 + 1.0):
             writer.write(request.encode(key, path))
             answer = await read_answer(reader)
     except (OSError, EOFError, TimeoutError):
@@ -142,6 +147,8 @@
         retries: RetryChecker,
         contact: ContactChecker,
         crashing_parts: CrashingParts,
+        exits: ExitChecker,
+        plan: Plan,
         load: Load,
         rng: random.Random,
         on_interrupted: Callable[[str], None],
@@ -157,6 +164,11 @@
         self._retries = retries
         self._contact = contact
         self._crashing_parts = crashing_parts
+        self._exits = exits
+        self._plan = plan
+        self._deadline_ms = max(
+            DEADLINE_MS, int(plan.max_work_s * WORK_DEADLINE_FACTOR * 1_000)
+        )
         self._load = load
         self._random = rng
         self._on_interrupted = on_interrupted
@@ -168,8 +180,10 @@
         """Start `number` callers, and some that flood the engines."""
         draws = [self.draw_request] * number
         draws += [self.draw_flooding_request] * flooding
+        keeps = self._plan.keeps_connections
         self._tasks = [
-            asyncio.create_task(self._run_caller(draw)) for draw in draws
+            asyncio.create_task(self._run_caller(draw, keeps and n % 2 == 0))
+            for n, draw in enumerate(draws)
         ]
 
     async def stop(self) -> None:
@@ -192,11 +206,18 @@
         parts = ""
         if kind in STREAMS:
             parts = self._crashing_parts.draw(request_id)
-        return CallerRequest(request_id, kind, parts, workspace)
+        return CallerRequest(
+            request_id, kind, parts, workspace, self._deadline_ms
+        )
 
-    async def _run_caller(self, draw: Callable[[], CallerRequest]) -> None:
+    async def _run_caller(
+        self, draw: Callable[[], CallerRequest], keeps_connections: bool
+    ) -> None:
+        """Send requests; keep connections and addresses until they fail."""
+        address = None
         while not self._stopped:
-            address = await self._resolve_address()
+            if address is None or not keeps_connections:
+                address = await self._resolve_address()
             if not address:
                 await asyncio.sleep(RESOLVE_PAUSE_S)
                 continue
@@ -204,8 +225,11 @@
                 async with asyncio.timeout(CONNECT_S):
                     reader, writer = await asyncio.open_connection(*address)
             except (OSError, TimeoutError):
+                address = None
                 continue
-            await self._call(draw, address[0], reader, writer)
+            await self._call(
+                draw, address[0], reader, writer, keeps_connections
+            )
             writer.close()
 
     async def _call(
@@ -214,9 +238,11 @@
         host_ip: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        keeps_connection: bool,
     ) -> None:
-        for number in range(REQUESTS_PER_CONNECTION):
-            if self._stopped:
+        numbers = range(REQUESTS_PER_CONNECTION)
+        for number in itertools.count() if keeps_connection else numbers:
+            if self._stopped or reader.at_eof():
                 return
             request = draw()
             self._guarantees.record_request(
@@ -229,8 +255,14 @@
                 self._crashing_parts.record_request(
                     request.request_id, host_ip, request.parts
                 )
+            self._exits.record_request(
+                request.request_id, host_ip, request.deadline_ms / 1_000
+            )
             sent_s = self._contact.now_s()
             outcome, can_reuse = await send(request, reader, writer)
+            self._exits.record_end(
+                request.request_id, is_whole=outcome.is_whole
+            )
             self._contact.record_attempt(
                 host_ip,
                 sent_s,
@@ -250,7 +282,7 @@
             # A host may close a reused connection just as a request is sent.
             if not outcome.is_whole and (number == 0 or outcome.status):
                 self._on_interrupted(request.request_id)
-            if not can_reuse:
+            if not (can_reuse or (keeps_connection and outcome.is_whole)):
                 return
             if request.workspace != FLOODING:
                 pause_s = self._random.uniform(0, self._load.pause_s)
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -127,6 +127,11 @@
             self._signal(signal.SIGKILL)
         self.is_leaving = False
 
+    def terminate_again(self) -> None:
+        """Signal a daemon once more that is shutting down."""
+        if self.is_leaving:
+            self._signal(signal.SIGTERM)
+
     async def dump_stacks(self) -> str:
         """Write the stacks of all threads to the log; return the state."""
         process = self._process
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -39,6 +39,17 @@
     extra_retries=50,
 )
 
+# Calls that take up to 7 s, at hosts that have 8 s to shut down.
+EXITS = Load(
+    services={"plain": 3, "model": 2},
+    callers_per_host=4.0,
+    pause_s=0.1,
+    shares={"idempotent": 2.0, "non_idempotent": 3.0, "stream": 1.0},
+    times=dict.fromkeys(KINDS, RouteTimes(timeout_ms=12_000)),
+    extra_retries=50,
+    grace_s=8.0,
+)
+
 # Enough engines for some to be away at any time.
 CRASHES = Load(
     services={"plain": 2, "model": 8},
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -29,6 +29,7 @@
     "crashing_part",
     "herd_kill",
     "upstream_floods",
+    "term_again",
 ]
 
 # Planned operations of operators. They may not interrupt any request.
@@ -97,6 +98,8 @@
     is_planned_only: bool
     faults: tuple[Fault, ...]
     has_flood: bool = False  # a workspace asks for more than the engines have
+    max_work_s: float = 0.04  # of an upstream on a call
+    keeps_connections: bool = False  # half of the callers do, until the end
 
 
 def draw_fault(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -27,6 +27,7 @@
 from soak.contact import ContactChecker
 from soak.crashing_parts import CrashingParts
 from soak.departures import Departures, Entries
+from soak.exits import ExitChecker
 from soak.guarantees import GuaranteeChecker
 from soak.host_links import HostLinks
 from soak.hosts import ROOT, STAND_INS, Host, host_ip
@@ -34,6 +35,7 @@
 from soak.network import Network
 from soak.plan import (
     LINK_FAULTS,
+    PLANNED,
     RATE_LIMITS_PER_S,
     SERVICE_FAULTS,
     STORE_FAULTS,
@@ -45,9 +47,10 @@
 from soak.rate_limits import RateLimitChecker
 from soak.retries import RetryChecker
 from soak.statements import StatementChecker
-from soak.upstreams import UPSTREAMS, Upstreams
+from soak.upstreams import CHECK_PREFIX, UPSTREAMS, Upstreams
 
 HOSTS = 4
+PLANNED_KINDS = {*PLANNED, "term_again", "upstream_notice", "departure"}
 # Of faults of one service; most hit the one that has fewer upstreams.
 SERVICE_TARGETS = ("plain", "plain", "model")
 FLOODING_CALLERS = 16  # twice of what the engines have memory for
@@ -109,6 +112,9 @@
         self._crashing_parts = CrashingParts(
             plan.seed, self._guarantees.report_violation
         )
+        self._exits = ExitChecker(
+            fleet.load.grace_s, self._guarantees.report_violation
+        )
         self._upstreams = Upstreams(
             self._guarantees,
             self._rate_limits,
@@ -118,6 +124,8 @@
             self._random,
             self._network,
             self._start_crash,
+            self._exits,
+            plan.max_work_s,
         )
         self._departures = Departures(
             self._upstreams,
@@ -202,6 +210,8 @@
             self._retries,
             self._contact,
             self._crashing_parts,
+            self._exits,
+            self._plan,
             self._fleet.load,
             self._random,
             self._check_interrupted,
@@ -223,6 +233,7 @@
         self._retries.check()
         self._contact.check()
         self._crashing_parts.check()
+        self._exits.check(self._lateness.max_s)
 
     def _check_interrupted(self, request_id: str) -> None:
         """Report a request that a planned operation interrupted.
@@ -242,6 +253,14 @@
     # Faults
 
     async def _inject(self, fault: Fault) -> None:
+        if fault.kind in PLANNED_KINDS:
+            await self._inject_fault(fault)
+            return
+        end_impairment = self._exits.begin_impairment()
+        await self._inject_fault(fault)
+        end_impairment()
+
+    async def _inject_fault(self, fault: Fault) -> None:
         host = self._hosts[fault.target_number % len(self._hosts)]
         names = self._targets(fault)
         name = names[fault.target_number % len(names)]
@@ -256,8 +275,12 @@
                 self._exempt(host)
             case "term":
                 self._exempt(host)
+                if not host.is_leaving:
+                    self._exits.record_signal(host.ip)
                 await host.terminate()
                 self._exempt(host)
+            case "term_again":
+                host.terminate_again()
             case "hup":
                 host.reload_settings()
             case "store_fault":
@@ -461,7 +484,8 @@
     async def _status(self, host: Host, key: str, path: str) -> int:
         ip, port = host.address("Frontend").split(":")
         request = CallerRequest(
-            f"check-{self._random.randrange(1 << 60)}", "non_idempotent"
+            f"{CHECK_PREFIX}{self._random.randrange(1 << 60)}",
+            "non_idempotent",
         )
         try:
             async with asyncio.timeout(1.0):
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -19,6 +19,7 @@
     ReplicaStandIn,
 )
 from soak.crashing_parts import CrashingParts
+from soak.exits import ExitChecker
 from soak.floods import send_without_end
 from soak.guarantees import GuaranteeChecker, last_event, stream_event
 from soak.host_links import HostLinks
@@ -29,8 +30,10 @@
 
 NO_FAULTS = attrs.asdict(LinkFaults())
 EVENT_GAP_S = 0.01
-MAX_WORK_S = 0.04
+CHECK_PREFIX = "check-"  # of the ids of a run's own requests
+CHECK_WORK_S = 0.04
 CRASH_DELAY_S = 0.02  # after the head of the response
+CRASH_END_S = 0.04  # in which an engine that crashes has ended
 UPSTREAM_HEADER = "Answered-By"  # passed on to the caller
 UPSTREAMS = 252  # the number of their IP address
 
@@ -51,12 +54,16 @@
         rng: random.Random,
         network: Network,
         on_crash: Callable[[str], None],
+        exits: ExitChecker,
+        max_work_s: float,
     ) -> None:
         """Report each executed request to `guarantees`.
 
         Calls `on_crash` with the name of an engine that begins to answer a
         prompt which crashes it.
         """
+        self._exits = exits
+        self._max_work_s = max_work_s
         self._crashing_parts = crashing_parts
         self._on_crash = on_crash
         self._network = network
@@ -111,7 +118,13 @@
             if await self._refuse(name, connection, request):
                 return
             await self._flood(name, connection, request)
-            await work(connection, request)
+            is_broken = True
+            try:
+                is_broken = await work(connection, request)
+            finally:
+                self._exits.record_run_end(
+                    request_id, name, is_broken=is_broken
+                )
 
         replica.behave = behave
         await replica.start()
@@ -213,6 +226,7 @@
     async def stop(self, name: str) -> None:
         """Stop an upstream at once."""
         address = self.address(name)
+        self._exits.record_upstream_end(name)
         replica, link = self.live.pop(name)
         for links in self.host_links:
             await links.remove(address)
@@ -224,6 +238,12 @@
         for name in list(self.live):
             await self.stop(name)
 
+    def _draw_work_s(self, request_id: str) -> float:
+        """Return how long to work; only briefly on a check of this run."""
+        is_check = request_id.startswith(CHECK_PREFIX)
+        longest_s = CHECK_WORK_S if is_check else self._max_work_s
+        return self._random.uniform(0, longest_s)
+
     def _draw_chance(self) -> float:
         return 1.0 if self.is_fault_free else self._random.random()
 
@@ -235,17 +255,20 @@
             has_key="Authorization" in request.headers,
             resumes=HEADERS.resume_source in request.headers,
         )
+        name = request.headers[HEADERS.expected_incarnation]
+        self._exits.record_run(request_id, name)
         return request_id
 
     async def _answer(
         self, connection: ReplicaConnection, request: ReplicaRequest
-    ) -> None:
+    ) -> bool:
+        """Answer a call; return whether its answer was broken off."""
         chance = self._draw_chance()
         if chance < 0.04:
             await connection.refuse(request)
-            return
+            return False
         request_id = self._begin(request)
-        await asyncio.sleep(self._random.uniform(0, MAX_WORK_S))
+        await asyncio.sleep(self._draw_work_s(request_id))
         body = f"{request_id} at {len(self.guarantees.outcomes)}".encode()
         if chance < 0.06:
             connection.reset()
@@ -259,15 +282,17 @@
             await connection.answer(request, body, status)
             if chance > 0.97 and not self.is_fault_free:
                 await connection.answer(request, b"a second answer")
+        return chance < 0.08
 
     async def _stream(
         self, connection: ReplicaConnection, request: ReplicaRequest
-    ) -> None:
+    ) -> bool:
+        """Send a stream; return whether it was broken off."""
         chance = self._draw_chance()
         resumes = HEADERS.resume_source in request.headers
         if chance < (0.5 if resumes else 0.04):
             await connection.refuse(request)
-            return
+            return False
         request_id = self._begin(request)
         first = int(request.headers.get(HEADERS.last_event_id, "-1")) + 1
         is_unframed = self._crashing_parts.is_unframed(request_id)
@@ -286,11 +311,12 @@
                 if is_unframed:  # its end would show nothing between events
                     await connection.send(b"id: ")
                 connection.reset()
-                return
+                return True
         if is_unframed:
             connection.writer.close()
         else:
             await connection.end_stream()
+        return False
 
     async def _crash_on(self, request: ReplicaRequest) -> None:
         """Crash the engine if a part of the prompt does so."""
@@ -302,4 +328,4 @@
         self._crashing_parts.record_crash(part)
         expected = request.headers[HEADERS.expected_incarnation]
         self._on_crash(expected)
-        await asyncio.sleep(MAX_WORK_S)  # ended meanwhile
+        await asyncio.sleep(CRASH_END_S)
