Name other hosts to callers that a leaving host refuses

Callers saw: a refusal with a time to come back, and no word on where; one with a cached address came back to the same host. Cause: a refusal had no place for it. Change: refusals of a leaving host carry Alt-Svc (RFC 7838) with up to three ready hosts, drawn from what the directory gives for the route's host name. A test holds that a call ends whole though its route is taken away meanwhile, which it did before as well.

--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -101,6 +101,7 @@
     reason: str
     retry_after_ms: int | None = None  # with 503: the request did not run
     is_unreached: bool = False  # another host may still run it
+    alternatives: Sequence[str] = ()  # "IP:port" of hosts that may take it
 
 
 @attrs.frozen
--- a/src/balsamlift/relay/_responder.py
+++ b/src/balsamlift/relay/_responder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from http.client import responses
 
 from tornado.http1connection import HTTP1Connection
@@ -12,6 +12,9 @@
 from balsamlift.relay._header_names import UNREACHED_HEADER
 from balsamlift.relay._request import Refusal
 
+# For which callers may use the other hosts that a refusal names.
+ALTERNATIVES_MAX_AGE_S = 5
+
 
 class TornadoResponder:
     """Responds on one Tornado connection."""
@@ -56,6 +59,8 @@
         if refusal.retry_after_ms is not None:
             after_s = refusal.retry_after_ms / 1_000
             headers["Retry-After"] = f"{after_s:.3f}"
+        if refusal.alternatives:
+            headers["Alt-Svc"] = _alternative_services(refusal.alternatives)
         if refusal.is_unreached:
             headers[UNREACHED_HEADER] = "1"
         phrase = responses.get(refusal.status, "Unknown")
@@ -108,3 +113,11 @@
         if stream is not None and not stream.closed():
             stream.set_nodelay(True)
         return self._connection.write_headers(line, headers, body)
+
+
+def _alternative_services(addresses: Iterable[str]) -> str:
+    """Return the value of an Alt-Svc header (RFC 7838)."""
+    return ", ".join(
+        f'http%2F1.1="{address}"; ma={ALTERNATIVES_MAX_AGE_S}'
+        for address in addresses
+    )
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from math import isinf
 
 import attrs
 from loguru import logger
@@ -18,6 +17,7 @@
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._cold_starts import ColdStartLimiter
+from balsamlift.relay._directory import Caller, Directory
 from balsamlift.relay._exchange import Exchange
 from balsamlift.relay._frontend import FORWARDING_FRONTEND, Frontend
 from balsamlift.relay._pool import ConnectionPool
@@ -28,6 +28,7 @@
     Refusal,
     Responder,
 )
+from balsamlift.relay._request_log import RequestLog
 from balsamlift.relay._retry_budget import RetryBudget
 from balsamlift.relay._routing import Routing, RoutingTable
 from balsamlift.relay._settings import RelaySettings
@@ -78,6 +79,8 @@
 # Part of the time for which a leaving upstream still works in which calls that
 # no other upstream can take are sent there. The rest is for their responses.
 LAST_RESORT_FRACTION = 0.5
+# Other hosts that a refusal names.
+MAX_ALTERNATIVES = 3
 # Interval between removals of stale connections and records.
 SWEEP_INTERVAL_S = 1.0
 
@@ -113,7 +116,13 @@
         routing = self._routing = kernel.find("routing", Routing)
         frontend = kernel.find("frontend", Frontend)
         forwarding_frontend = kernel.find(FORWARDING_FRONTEND, Frontend)
-        self._shutdown = Shutdown(self._clock, self._metrics)
+        self._log = RequestLog(
+            routing, self._settings.names, self._clock, self._metrics
+        )
+        self._directory = kernel.find("directory", Directory)
+        self._shutdown = Shutdown(
+            self._clock, self._metrics, self._find_alternatives
+        )
         names = self._settings.names
         self._pool = ConnectionPool(self._clock, self._metrics)
         self._retry_after = RetryAfterTracker(
@@ -288,6 +297,17 @@
         for frontend in self._frontends:
             frontend.drain()
 
+    def _find_alternatives(self, call: Call) -> list[str]:
+        """Return the addresses of some other hosts that may take a call."""
+        caller = Caller(
+            self._settings.failure_domain, host_name=call.route.host
+        )
+        own = self._peers.own.callers_address
+        found = self._directory.find(caller).addresses
+        others = [address for address in found if address != own]
+        number = min(len(others), MAX_ALTERNATIVES)
+        return self._random.sample(others, number)
+
     async def shut_down(self, limits: DrainLimits) -> None:
         """Serve what ends in time, and respond to everything else."""
         await shut_down(self._shutdown, self._frontends, limits, self._clock)
@@ -316,14 +336,14 @@
         admitted = self._admission.admit(request)
         if isinstance(admitted, Refusal):
             responder.refuse(admitted)
-            self._log_refused(request, admitted)
+            self._log.record_refused(request, admitted)
             return
         attempt = Attempt(admitted.is_idempotent)
         outcome = Outcome("caller gone")
         try:
             outcome = await self._run(admitted, attempt, responder)
         finally:
-            self._log_outcome(admitted, outcome)
+            self._log.record_outcome(admitted, outcome)
             self._record_duration(admitted, attempt)
 
     async def _run(
@@ -341,35 +361,6 @@
             took_s = self._clock.monotonic() - attempt.sent_s
             self._durations.observe(call.route.name, took_s)
 
-    def _log_refused(self, request: CallerRequest, refusal: Refusal) -> None:
-        self._metrics.count(f"relay.refused.{refusal.status}")
-        age_s = self._routing.age_s
-        log.bind(
-            request=request.headers.get(self._settings.names.request_id, ""),
-            status=refusal.status,
-            path=request.target.partition("?")[0][:80],
-            version=self._routing.offset,
-            newest_version=self._routing.newest_version,
-            version_age_ms=None if isinf(age_s) else round(age_s * 1_000),
-        ).info("{}", refusal.reason)
-
-    def _log_outcome(self, call: Call, outcome: Outcome) -> None:
-        took_ms = (self._clock.monotonic() - call.request.arrived_s) * 1_000
-        self._metrics.count(f"relay.{call.route.kind}.{outcome.text}"[:80])
-        self._metrics.observe_ms(f"relay.{call.route.kind}", took_ms)
-        log.bind(
-            request=call.request_id,
-            fingerprint=call.fingerprint,
-            route=call.route.name,
-            service=call.service,
-            version=call.table.version,
-            upstream=outcome.upstream,
-            sends=len(outcome.sent_to),
-            sent_to=" ".join(outcome.sent_to),
-            took_ms=round(took_ms, 1),
-            **_hosts_of(call, outcome),
-        ).info("{}", outcome.text)
-
     def _apply_limits(self, table: RoutingTable) -> None:
         limits = table.configuration.limits
         self._frontend.limits = limits
@@ -406,13 +397,3 @@
             self._paces.discard_expired()
             self._durations.discard_expired()
             self._crash_guard.discard_expired()
-
-
-def _hosts_of(call: Call, outcome: Outcome) -> dict[str, str]:
-    """Return the other hosts that had part in a call, for the log."""
-    hosts = {}
-    if call.request.origin is not None:
-        hosts["from_host"] = call.request.origin.host
-    if outcome.to_host:
-        hosts["to_host"] = outcome.to_host
-    return hosts
--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from enum import Enum
 
@@ -25,6 +25,10 @@
 _MS_PER_S = 1_000
 
 
+# Returns the addresses of other hosts that may take a call.
+FindAlternatives = Callable[[Call], Sequence[str]]
+
+
 class Phase(Enum):
     """The phases of a host's service, in their order."""
 
@@ -62,8 +66,14 @@
 class Shutdown:
     """Decide what starts, and end what runs, while a host shuts down."""
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        find_alternatives: FindAlternatives,
+    ) -> None:
         """Start in the phase in which everything is served."""
+        self._find_alternatives = find_alternatives
         self._clock = clock
         self._metrics = metrics
         self.phase = Phase.SERVING
@@ -167,11 +177,13 @@
             left_ms=round(self.left_s * _MS_PER_S),
             expected_ms=_to_ms(expected_s),
         )
+        refusal = host_leaving(running.call, running.attempt)
         if is_cut:
             logged.warning("cut off as the host shuts down")
-        else:
-            logged.info("refused as the host shuts down")
-        return host_leaving(running.call, running.attempt)
+            return refusal
+        logged.info("refused as the host shuts down")
+        alternatives = self._find_alternatives(running.call)
+        return attrs.evolve(refusal, alternatives=alternatives)
 
 
 def allowed_s(expected_s: float) -> float:
--- a/tests/test_model_shutdown.py
+++ b/tests/test_model_shutdown.py
@@ -90,7 +90,7 @@
 
     def __init__(self) -> None:
         self.clock = LoopClock()
-        self.shutdown = Shutdown(self.clock, Metrics())
+        self.shutdown = Shutdown(self.clock, Metrics(), lambda _: ())
         self.handled: list[Handled] = []
         self.running = 0
         self.closed_s: float | None = None
--- a/tests/test_relay_shutdown.py
+++ b/tests/test_relay_shutdown.py
@@ -14,7 +14,7 @@
     until_arrived,
 )
 
-from balsamlift.relay import DrainLimits
+from balsamlift.relay import AddressAnswer, DrainLimits
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     CallerAnswer,
@@ -271,3 +271,34 @@
         assert "after" not in stand_ins[0].ids()
 
     run(test())
+
+
+def test_a_refused_caller_learns_which_hosts_may_take_its_request() -> None:
+    async def test() -> None:
+        async with RelayHarness(replicas()) as world:
+            configure(world)
+            own = world.frontend.address
+            answer = AddressAnswer([own, "127.0.0.2:7100"], 2_000)
+            world.directory.find = lambda caller: answer
+            world.relay.leave(LEFT_S)
+            refused = await call(world, "order", "r1")
+        expected = 'http%2F1.1="127.0.0.2:7100"; ma=5'
+        assert refused.status == 503
+        assert refused.headers["Alt-Svc"] == expected
+
+    run(test())
+
+
+def test_a_call_ends_whole_though_its_route_is_taken_away() -> None:
+    async def test() -> None:
+        stand_ins = replicas(1)
+        stand_ins[0].behave = answer_after(SLOW_S)
+        async with RelayHarness(stand_ins) as world:
+            configure(world)
+            calling = asyncio.create_task(call(world, "order", "r1"))
+            await until_arrived(stand_ins)
+            world.configure(2, routes=(), workspaces=())
+            answer = await calling
+        assert (answer.status, answer.body) == (200, b"done")
+
+    run(test())
