Test calls over the hop whose first or second host leaves

Change: tests that a forwarded call ends whole when either host leaves, that a leaving host forwards nothing that may outlast it, and that another host carries what a leaving one refuses.

--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -427,3 +427,61 @@
         assert [answer.status for answer in answers] == [200] * 8
 
     run(test())
+
+
+LEAVES_IN_S = 2.0  # less than callers wait
+
+
+def answer_slowly(replicas: list[ReplicaStandIn], delay_s: float) -> None:
+    async def behave(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        await connection.answer(request, b"done")
+
+    behave_all(replicas, behave)
+
+
+@pytest.mark.parametrize("leaving", ["lost", "carrier"])
+def test_a_forwarded_call_ends_whole_if_a_host_on_its_way_leaves(
+    leaving: str,
+) -> None:
+    async def test() -> None:
+        async with forwarding() as world:
+            answer_slowly(world.replicas, 0.5)
+            calling = asyncio.create_task(world.lost.relay.call("/order/7"))
+            await world.until_arrived()
+            host = world.lost if leaving == "lost" else world.carriers[0]
+            host.relay.relay.leave(LEAVES_IN_S)
+            answer = await calling
+        assert (answer.status, answer.body) == (200, b"done")
+
+    run(test())
+
+
+def test_a_leaving_host_forwards_no_call_that_may_outlast_it() -> None:
+    """Guard against calls that the exit cuts off on their second hop."""
+
+    async def test() -> None:
+        async with forwarding() as world:
+            world.lost.relay.relay.leave(LEAVES_IN_S)
+            answer = await world.lost.relay.call("/order/7")
+            assert not world.arrivals()
+        assert answer.status == 503
+
+    run(test())
+
+
+def test_another_host_carries_what_a_leaving_one_refuses() -> None:
+    """Guard against a refusal although another host could serve the call."""
+
+    async def test() -> None:
+        async with forwarding(3) as world:
+            world.carriers[0].relay.relay.leave(LEAVES_IN_S)
+            for number in range(6):
+                answer = await world.lost.relay.call("/order/7", f"r{number}")
+                assert answer.status == 200
+            assert len(world.arrivals()) == 6
+        assert count(world.lost, "relay.forwarded") > 6
+
+    run(test())
