Start generations on a leaving host whose own time ends first

Callers would have seen: a route's generations refused by every leaving host for up to four minutes after one of them had taken long. Cause: the longest recent generation of a route was set against the host's time also where the call's own time ends before it. Change: one rule for all kinds: a request starts if its own time, or the longest recent one of its route, ends before the host does; a generation besides only if the time that its tokens need does, as before. Without any recent one a generation is now refused unless its own time ends first, as a call is.

--- a/src/balsamlift/relay/_time_limit.py
+++ b/src/balsamlift/relay/_time_limit.py
@@ -23,8 +23,8 @@
     call: Call
     attempt: Attempt
     shutdown: Shutdown
-    expected_s: Callable[[], float | None]  # from its send on; None: unknown
-    ends_by_timeout: bool  # with a complete response
+    longest_s: Callable[[], float | None]  # of calls like it; None: unknown
+    least_s: float = 0.0  # that it takes for its size
 
 
 async def end_in_time(
@@ -43,8 +43,8 @@
         call=call,
         attempt=attempt,
         timeout=timeout,
-        expected_s=limits.expected_s,
-        ends_by_timeout=limits.ends_by_timeout,
+        longest_s=limits.longest_s,
+        least_s=limits.least_s,
     )
     try:
         async with timeout:
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -93,8 +93,7 @@
             call=call,
             attempt=attempt,
             shutdown=self._shutdown,
-            expected_s=lambda: self._durations.longest_s(call.route.name),
-            ends_by_timeout=True,
+            longest_s=lambda: self._durations.longest_s(call.route.name),
         )
         result = await end_in_time(
             limits, responder, self._fetch(call, attempt, responder)
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -99,12 +99,14 @@
         origin = call.request.origin
         resume = origin.resume if origin is not None else None
         job = self._make_job(call)
+        durations = self._context.durations
+        least_ms = expected_run_ms(job.estimate.most_output_tokens)
         limits = CallLimits(
             call=call,
             attempt=attempt,
             shutdown=self._context.shutdown,
-            expected_s=lambda: self._expected_s(job),
-            ends_by_timeout=False,
+            longest_s=lambda: durations.longest_s(call.route.name),
+            least_s=least_ms / _MS_PER_S,
         )
         return await end_in_time(
             limits,
@@ -114,12 +116,6 @@
             else self._resume(job, resume, attempt, responder),
         )
 
-    def _expected_s(self, job: Job) -> float:
-        """Return how long a generation may run; the longest recent one has."""
-        run_ms = expected_run_ms(job.estimate.most_output_tokens)
-        longest_s = self._context.durations.longest_s(job.call.route.name)
-        return max(run_ms / _MS_PER_S, longest_s or 0.0)
-
     def _make_job(self, call: Call) -> Job:
         estimate = read_token_estimate(
             call.request.headers, self._context.names
--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -44,9 +44,9 @@
     call: Call
     attempt: Attempt
     timeout: asyncio.Timeout  # ends it with its final response
-    expected_s: Callable[[], float | None]  # from its send on; None: unknown
-    # Whether its response is complete if its own time ends it.
-    ends_by_timeout: bool
+    # Duration of the longest recent call like it; None: unknown.
+    longest_s: Callable[[], float | None]
+    least_s: float  # that it takes for its size
     start_timer: asyncio.TimerHandle | None = None
     is_shortened: bool = False  # the call has less than its own time
 
@@ -141,13 +141,14 @@
         """Return the last moment at which a call may be sent."""
         if self.phase is Phase.CLOSING:
             return -math.inf
+        latest_s = self._responses_by_s - allowed_s(running.least_s)
         timeout_at_s = running.call.timeout_at_s
-        if running.ends_by_timeout and timeout_at_s <= self._responses_by_s:
-            return timeout_at_s
-        expected_s = running.expected_s()
-        if expected_s is None:
+        if timeout_at_s <= self._responses_by_s:
+            return min(latest_s, timeout_at_s)
+        longest_s = running.longest_s()
+        if longest_s is None:
             return -math.inf
-        return self._responses_by_s - allowed_s(expected_s)
+        return min(latest_s, self._responses_by_s - allowed_s(longest_s))
 
     def _limit_all(self) -> None:
         for running in self._running.values():
@@ -168,14 +169,16 @@
         is_cut = running.attempt.may_have_run
         event = "cut" if is_cut else "refused"
         self._metrics.count(f"relay.shutdown.{event}_{self.phase.value}")
-        expected_s = running.expected_s()
+        longest_s = running.longest_s()
         logged = log.bind(
             request=running.call.request_id,
             route=running.call.route.name,
             phase=self.phase.value,
             sends=running.attempt.sends,
             left_ms=round(self.left_s * _MS_PER_S),
-            expected_ms=_to_ms(expected_s),
+            own_ms=_to_ms(running.call.timeout_at_s - self._clock.monotonic()),
+            longest_ms=_to_ms(longest_s),
+            least_ms=_to_ms(running.least_s),
         )
         refusal = host_leaving(running.call, running.attempt)
         if is_cut:
--- a/tests/test_model_shutdown.py
+++ b/tests/test_model_shutdown.py
@@ -119,8 +119,7 @@
             call=call,
             attempt=attempt,
             shutdown=self.shutdown,
-            expected_s=lambda: EXPECTED_S if planned.is_known else None,
-            ends_by_timeout=True,
+            longest_s=lambda: EXPECTED_S if planned.is_known else None,
         )
         self.running += 1
         try:
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -426,7 +426,7 @@
 )
 NEWER = ("version", "in_force", "source")
 CRASHED = ("request", "fingerprint", "upstream", "had_output")
-SHUTDOWN = ("request", "route", "phase", "left_ms", "expected_ms")
+SHUTDOWN = ("request", "route", "phase", "left_ms", "longest_ms")
 PLACED = (
     *("request", "upstream", "tokens", "load", "counts"),
     *("waited_ms", "expected_wait_ms", "priority", "workspace"),
--- a/tests/test_relay_shutdown.py
+++ b/tests/test_relay_shutdown.py
@@ -11,6 +11,7 @@
     hang,
     hang_midway,
     run,
+    stream,
     until_arrived,
 )
 
@@ -302,3 +303,23 @@
         assert (answer.status, answer.body) == (200, b"done")
 
     run(test())
+
+
+@pytest.mark.parametrize("path", ["/order/1", "/draft/1"])
+def test_what_its_own_time_ends_first_is_started(path: str) -> None:
+    """Guard against refusals without need, for one long request before."""
+
+    async def test() -> None:
+        stand_ins = [
+            *replicas(1),
+            ReplicaStandIn("model-0", "model", HEADER_NAMES),
+        ]
+        stand_ins[1].behave = stream
+        async with RelayHarness(stand_ins) as world:
+            configure(world)
+            world.peers.counts_under = lambda prefix: {f"{prefix}100": 1}
+            world.relay.leave(7.0)
+            answer = await world.call(path, headers=USAGE, deadline_ms=6_000)
+        assert answer.status == 200
+
+    run(test())
