Let a running call hold its own timeout

Cause: what limits a call's time stood twice, as CallLimits and RunningCall. Change: RunningCall creates the timeout; end_in_time takes it as it is. No change to what is served. Measured: the tests of the shutdown, calls, generations and decisions pass.

--- a/src/balsamlift/relay/_time_limit.py
+++ b/src/balsamlift/relay/_time_limit.py
@@ -2,33 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from typing import TypeVar
 
-import attrs
-
-from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._refusals import timed_out
-from balsamlift.relay._request import Call, Outcome, Refusal, Responder
+from balsamlift.relay._request import Outcome, Refusal, Responder
 from balsamlift.relay.shutdown import RunningCall, Shutdown
 
 _Result = TypeVar("_Result")
 
 
-@attrs.frozen(kw_only=True)
-class CallLimits:
-    """What limits the time of one call."""
-
-    call: Call
-    attempt: Attempt
-    shutdown: Shutdown
-    longest_s: Callable[[], float | None]  # of calls like it; None: unknown
-    least_s: float = 0.0  # that it takes for its size
-
-
 async def end_in_time(
-    limits: CallLimits,
+    shutdown: Shutdown,
+    running: RunningCall,
     responder: Responder,
     result: Awaitable[_Result | Outcome | Refusal],
 ) -> _Result | Outcome:
@@ -37,21 +23,13 @@
     A refusal, also for that reason, is sent; a response that has begun is
     aborted.
     """
-    call, attempt = limits.call, limits.attempt
-    timeout = asyncio.timeout_at(call.timeout_at_s)
-    running = RunningCall(
-        call=call,
-        attempt=attempt,
-        timeout=timeout,
-        longest_s=limits.longest_s,
-        least_s=limits.least_s,
-    )
+    attempt = running.attempt
     try:
-        async with timeout:
-            with limits.shutdown.watch(running):
+        async with running.timeout:
+            with shutdown.watch(running):
                 ended = await result
     except TimeoutError:
-        refusal = limits.shutdown.end(running)
+        refusal = shutdown.end(running)
         if responder.is_started:
             responder.abort()
             text = refusal.reason if refusal else "timed out"
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -32,7 +32,7 @@
     spend_retry,
 )
 from balsamlift.relay._retry_budget import RetryBudget
-from balsamlift.relay._time_limit import CallLimits, end_in_time
+from balsamlift.relay._time_limit import end_in_time
 from balsamlift.relay._upstream_chooser import (
     Crowded,
     Pausing,
@@ -41,7 +41,7 @@
 )
 from balsamlift.relay.crashes import CrashGuard
 from balsamlift.relay.forwarding import Forwarder, Unreached
-from balsamlift.relay.shutdown import CallDurations, Shutdown
+from balsamlift.relay.shutdown import CallDurations, RunningCall, Shutdown
 
 log = logger.bind(part="calls")
 
@@ -89,14 +89,16 @@
         self, call: Call, attempt: Attempt, responder: Responder
     ) -> Outcome:
         """Respond to the caller and return the outcome for the log."""
-        limits = CallLimits(
+        running = RunningCall(
             call=call,
             attempt=attempt,
-            shutdown=self._shutdown,
             longest_s=lambda: self._durations.longest_s(call.route.name),
         )
         result = await end_in_time(
-            limits, responder, self._fetch(call, attempt, responder)
+            self._shutdown,
+            running,
+            responder,
+            self._fetch(call, attempt, responder),
         )
         if isinstance(result, Outcome):
             return result
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -32,7 +32,7 @@
     Resume,
 )
 from balsamlift.relay._retry_budget import RetryBudget
-from balsamlift.relay._time_limit import CallLimits, end_in_time
+from balsamlift.relay._time_limit import end_in_time
 from balsamlift.relay._upstream_chooser import Pausing, RateLimited
 from balsamlift.relay.crashes import CRASHING_REQUEST
 from balsamlift.relay.forwarding import Unreached
@@ -50,6 +50,7 @@
     StartedGeneration,
 )
 from balsamlift.relay.generations._token_estimate import read_token_estimate
+from balsamlift.relay.shutdown import RunningCall
 
 log = logger.bind(part="generations")
 
@@ -101,15 +102,15 @@
         job = self._make_job(call)
         durations = self._context.durations
         least_ms = expected_run_ms(job.estimate.most_output_tokens)
-        limits = CallLimits(
+        running = RunningCall(
             call=call,
             attempt=attempt,
-            shutdown=self._context.shutdown,
             longest_s=lambda: durations.longest_s(call.route.name),
             least_s=least_ms / _MS_PER_S,
         )
         return await end_in_time(
-            limits,
+            self._context.shutdown,
+            running,
             responder,
             self._run(job, attempt, responder)
             if resume is None
--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -22,8 +22,8 @@
 # A call may take longer than those before it.
 DURATION_FACTOR = 1.25
 DURATION_EXTRA_S = 0.1
-_MS_PER_S = 1_000
 
+_MS_PER_S = 1_000
 
 # Returns the addresses of other hosts that may take a call.
 FindAlternatives = Callable[[Call], Sequence[str]]
@@ -43,13 +43,17 @@
 
     call: Call
     attempt: Attempt
-    timeout: asyncio.Timeout  # ends it with its final response
-    # Duration of the longest recent call like it; None: unknown.
+    # Returns the duration of the longest recent call like it; None: unknown.
     longest_s: Callable[[], float | None]
-    least_s: float  # that it takes for its size
+    least_s: float = 0.0  # that it takes for its size
+    timeout: asyncio.Timeout = attrs.field(init=False)  # ends the call
     start_timer: asyncio.TimerHandle | None = None
     is_shortened: bool = False  # the call has less than its own time
 
+    def __attrs_post_init__(self) -> None:
+        """Begin with the call's own time."""
+        self.timeout = asyncio.timeout_at(self.call.timeout_at_s)
+
     def end_in(self, left_s: float) -> None:
         """End the call in `left_s`, unless it is being ended already."""
         if not self.timeout.expired():
@@ -169,7 +173,6 @@
         is_cut = running.attempt.may_have_run
         event = "cut" if is_cut else "refused"
         self._metrics.count(f"relay.shutdown.{event}_{self.phase.value}")
-        longest_s = running.longest_s()
         logged = log.bind(
             request=running.call.request_id,
             route=running.call.route.name,
@@ -177,7 +180,7 @@
             sends=running.attempt.sends,
             left_ms=round(self.left_s * _MS_PER_S),
             own_ms=_to_ms(running.call.timeout_at_s - self._clock.monotonic()),
-            longest_ms=_to_ms(longest_s),
+            longest_ms=_to_ms(running.longest_s()),
             least_ms=_to_ms(running.least_s),
         )
         refusal = host_leaving(running.call, running.attempt)
--- a/tests/test_model_shutdown.py
+++ b/tests/test_model_shutdown.py
@@ -23,8 +23,13 @@
     Outcome,
     Refusal,
 )
-from balsamlift.relay._time_limit import CallLimits, end_in_time
-from balsamlift.relay.shutdown import DrainLimits, Shutdown, shut_down
+from balsamlift.relay._time_limit import end_in_time
+from balsamlift.relay.shutdown import (
+    DrainLimits,
+    RunningCall,
+    Shutdown,
+    shut_down,
+)
 from balsamlift.testing.relay import route
 
 RESPONSES_S = 7.5
@@ -115,15 +120,16 @@
         handled = Handled(planned, attempt, RecordingResponder())
         self.handled.append(handled)
         call = make_call(planned, self.clock.monotonic())
-        limits = CallLimits(
+        running = RunningCall(
             call=call,
             attempt=attempt,
-            shutdown=self.shutdown,
             longest_s=lambda: EXPECTED_S if planned.is_known else None,
         )
         self.running += 1
         try:
-            await end_in_time(limits, handled.responder, self._run(handled))
+            await end_in_time(
+                self.shutdown, running, handled.responder, self._run(handled)
+            )
         finally:
             self.running -= 1
             handled.ended_s = self.clock.monotonic()
