Share how long calls take only where hosts send what changes

Cause, suspected: beyond the fan-out each host sends all of its counts with each placement, and the sums that come back have one key for each route and bucket that any host shares. Change: durations are shared up to the fan-out only; beyond it a host has its own, as counts of a shared kind would have to grow with routes times hosts. Ruled out: coarser buckets, which still add a key a route to every message.

--- a/bench/exit_decisions.py
+++ b/bench/exit_decisions.py
@@ -59,6 +59,8 @@
 class _Values:
     """Shared values of a host without others."""
 
+    receives_pushed_counts = False
+
     def share_value(self, key: str, value: int) -> None:
         del key, value
 
--- a/src/balsamlift/relay/shutdown/_durations.py
+++ b/src/balsamlift/relay/shutdown/_durations.py
@@ -1,7 +1,8 @@
-"""How long calls take, learned per route by all hosts together.
+"""How long calls take, learned per route.
 
-Each host shares its longest recent call as the number of a bucket, so that it
-sends a message only when that changes.
+Hosts that send their counts to each other share the longest recent call as the
+number of a bucket, so that they send it only when it changes. Beyond the
+fan-out, where all counts are sent each time, a host has its own alone.
 """
 
 from __future__ import annotations
@@ -28,6 +29,10 @@
 class SharedValues(Protocol):
     """Values of this host that others get as sums."""
 
+    @property
+    def receives_pushed_counts(self) -> bool:
+        """Return whether hosts send each other what changes."""
+
     def share_value(self, key: str, value: int) -> None:
         """Set a value of this host; 0 removes it."""
 
@@ -106,17 +111,21 @@
         return [min(int(t), MAX_BUCKET) for t in texts if t.isdecimal()]
 
     def _share(self, route: str, bucket: int) -> None:
-        before = self._shared.get(route)
-        if bucket == before:
-            return
-        if before is not None:
-            self._values.share_value(_key(route, before), 0)
-        self._values.share_value(_key(route, bucket), 1)
-        self._shared[route] = bucket
+        if not self._values.receives_pushed_counts:
+            self._withdraw(route)
+        elif bucket != self._shared.get(route):
+            self._withdraw(route)
+            self._values.share_value(_key(route, bucket), 1)
+            self._shared[route] = bucket
+
+    def _withdraw(self, route: str) -> None:
+        bucket = self._shared.pop(route, None)
+        if bucket is not None:
+            self._values.share_value(_key(route, bucket), 0)
 
     def _forget(self, route: str) -> None:
         del self._routes[route]
-        self._values.share_value(_key(route, self._shared.pop(route)), 0)
+        self._withdraw(route)
 
     def _period(self) -> int:
         return int(self._clock.monotonic() // PERIOD_S)
