Keep the ports of stand-ins that stop listening for a while

Cause: a cut closes the listening socket, and the port, of the range for outgoing connections on an address that all share, is anybody's until the link listens again. The replica stand-in gives up its port in the same way when it crashes and starts again at its address.

Change: both keep the port by a second socket that is bound and does not listen. New connections are refused as before, and the system gives the port to no other socket.

Ruled out: an address of each link's own, as tests name 127.0.0.1.

--- a/src/balsamlift/testing/_link.py
+++ b/src/balsamlift/testing/_link.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import Any
 
 import attrs
 
-from balsamlift._address import join_address, split_address
+from balsamlift._address import split_address
+from balsamlift.testing._held_port import HeldPort
 from balsamlift.testing._settings import LinkSettings
 from balsamlift.testing._stand_in import Control, Listener, control_routes
 
 _CHUNK_BYTES = 65_536
-_BACKLOG = 1_024
 _CLOSE_POLL_S = 0.01
 
 
@@ -41,9 +40,8 @@
         self.settings = settings
         self.control = Control(LinkFaults())
         self._control_listener = Listener(settings.control_address)
-        self._socket = _listen(settings.address)
-        ip, port = self._socket.getsockname()[:2]
-        self._address = join_address(ip, port)
+        self._port = HeldPort(settings.address)
+        self._socket = self._port.listen()
         self._server: asyncio.Server | None = None
         self._task: asyncio.Task[None] | None = None
         self._open: set[_Connection] = set()
@@ -59,6 +57,7 @@
     async def stop(self) -> None:
         """Close the listeners and wait for all connections to end."""
         self._close()
+        self._port.release()
         while self._open:  # each ends once both directions have ended
             await asyncio.sleep(_CLOSE_POLL_S)
         await self._control_listener.stop()
@@ -67,7 +66,7 @@
         """Return the fields of the ready line."""
         return {
             "name": self.settings.name,
-            "address": self._address,
+            "address": self._port.address,
             "control_address": self._control_listener.address,
         }
 
@@ -84,7 +83,7 @@
         if faults.cut:
             self._close()
         elif self._server is None:
-            self._socket = _listen(self._address)
+            self._socket = self._port.listen()
             self._task = asyncio.create_task(self._accept())
 
     async def _accept(self) -> None:
@@ -181,9 +180,3 @@
         gate.set()
     else:
         gate.clear()
-
-
-def _listen(address: str) -> socket.socket:
-    ip, port = split_address(address)
-    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
-    return socket.create_server((ip, port), family=family, backlog=_BACKLOG)
--- a/src/balsamlift/testing/_replica.py
+++ b/src/balsamlift/testing/_replica.py
@@ -11,6 +11,7 @@
 
 from balsamlift.peers import UPSTREAM_ROLE, ListEntry
 from balsamlift.relay import HeaderNames
+from balsamlift.testing._held_port import HeldPort
 from balsamlift.testing._settings import LOOPBACK_IP
 
 _LINE_END = b"\r\n"
@@ -152,27 +153,35 @@
         self.written = 0  # to be increased with each change of `cold_ms`
         self.open: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._port: HeldPort | None = None
 
     async def start(self, address: str = "") -> None:
-        """Listen on a free port, or again on an address."""
-        port = int(address.rpartition(":")[2] or 0)
+        """Listen on a free port, or again on its own after a crash."""
+        if self._port is None or address != self._port.address:
+            self._release_port()
+            self._port = HeldPort(address or f"{self._ip}:0")
         self._server = await asyncio.start_server(
-            self._serve, self._ip, port, reuse_address=True
+            self._serve, sock=self._port.listen()
         )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{self._ip}:{port}"
+        self.address = self._port.address
 
     async def stop(self) -> None:
         """Close the port and every connection."""
         assert self._server is not None
         self._server.close()
+        self._release_port()
         for task in list(self.open):
             task.cancel()
         if self.open:
             await asyncio.wait(self.open)
 
+    def _release_port(self) -> None:
+        if self._port is not None:
+            self._port.release()
+            self._port = None
+
     def crash(self) -> None:
-        """Close the port and cancel every connection but the current one."""
+        """Stop listening and cancel every connection but the current one."""
         assert self._server is not None
         self._server.close()
         current = asyncio.current_task()
--- a/tests/test_testing_link.py
+++ b/tests/test_testing_link.py
@@ -1,5 +1,7 @@
 """Tests of the link stand-in, run as a process before an echo server."""
 
+import asyncio
+import contextlib
 import socket
 import threading
 
@@ -8,6 +10,7 @@
 
 from balsamlift._address import split_address
 from balsamlift.testing import start_stand_in
+from balsamlift.testing.relay import HEADER_NAMES, ReplicaStandIn
 
 
 @pytest.fixture
@@ -55,6 +58,18 @@
     assert call(control, "POST", "/control/faults", changes)[0] == 200
 
 
+@contextlib.contextmanager
+def bound(address):
+    """Bind an address, as an outgoing connection may; yield whether it is."""
+    with socket.socket() as taker:
+        try:
+            taker.bind(split_address(address))
+        except OSError:
+            yield False
+        else:
+            yield True
+
+
 def is_closed(connection):
     try:
         return connection.recv(100) == b""
@@ -117,3 +132,24 @@
     settings = {"target_address": "127.0.0.1:1"}
     with start_stand_in("link", settings) as process:
         assert is_closed(connect(process))
+
+
+def test_cut_link_keeps_its_port_from_other_processes(link):
+    set_faults(link, cut=True)
+    with bound(link.address) as is_taken:
+        assert not is_taken
+        set_faults(link, cut=False)
+        assert eventually(lambda: echoes(connect(link), b"two"))
+
+
+def test_crashed_replica_keeps_its_port_from_other_processes():
+    async def check():
+        replica = ReplicaStandIn("u1", "plain", HEADER_NAMES)
+        await replica.start()
+        replica.crash()
+        with bound(replica.address) as is_taken:
+            assert not is_taken
+            await replica.start(replica.address)
+        await replica.stop()
+
+    asyncio.run(check())
