Tell what upstreams owe as they leave, and why connections break

For the incident of requests unread at stopped upstreams; no decision changes.

Cause: the output could not tell its hypotheses apart. Nothing said what a host waited for as an upstream left the list, a broken connection gave the same reason whether it was reset or given up by the system, and callers' connections were closed as idle without a line.

Change: UnansweredRequests holds each request from its send to the end of its response, and each upstream's last byte. Lines 'leaves with requests unanswered' (requests, oldest_ms, silent_ms), 'closed as idle', a counter upstreams.left_unanswered, and the system's reason in 'no answer'.

Measured: the tests of the lines fail without them; those of the relay's decisions, calls, stream ends and generations pass.

--- a/src/balsamlift/relay/_caller_stream.py
+++ b/src/balsamlift/relay/_caller_stream.py
@@ -88,6 +88,11 @@
         elif self._idle_since_s is not None:
             idle_ms = (now_s - self._idle_since_s) * 1_000
             if idle_ms > limits.idle_timeout_ms * IDLE_TIMEOUT_FACTOR:
+                log.bind(
+                    peer=self._peer(),
+                    idle_ms=round(idle_ms),
+                    limit_ms=limits.idle_timeout_ms,
+                ).info("closed as idle")
                 self.close()
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -45,6 +45,7 @@
     ResponseForm,
     overhead_limit,
 )
+from balsamlift.relay.health import OpenRequest
 
 READ_BYTES = 4_096
 MAX_BUFFER_BYTES = 131_072  # a single read never buffers more
@@ -112,6 +113,7 @@
         self._idle_until_s = 0.0
         self._is_head_request = False
         self._write_future: asyncio.Future[None] | None = None
+        self._request: OpenRequest | None = None
 
     async def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         """Open the connection.
@@ -147,11 +149,18 @@
 
     def close(self) -> None:
         """Close the connection, on which the upstream aborts the request."""
+        self.end_request()
         self._reusable = False
         self._is_closed_here = True
         if self._stream is not None:
             self._stream.close()
 
+    def end_request(self) -> None:
+        """Expect nothing more of the upstream until the next request."""
+        request, self._request = self._request, None
+        if request is not None:
+            request.end()
+
     def charge(self, work_us: float) -> None:
         """Charge work that a response has caused, in microseconds."""
         if self._stream is not None:
@@ -190,9 +199,15 @@
         target: str,
         headers: Iterable[tuple[str, str]],
         body: bytes,
+        request: OpenRequest | None = None,
     ) -> None:
-        """Start sending a request; from here on it may run."""
+        """Start sending a request; from here on it may run.
+
+        Tells `request` of the bytes and the end of its response.
+        """
         assert self._stream is not None
+        self._request = request
+        self._stream.on_bytes = request.record_bytes if request else None
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
         if body or method in ("POST", "PUT", "PATCH"):
@@ -270,7 +285,8 @@
         if isinstance(error, ByteLimitError):
             return self.break_off(error.form)
         self.close()
-        return UpstreamBrokenError(self.upstream, f"{cause}: {error}")
+        reason = _describe_read_error(error)
+        return UpstreamBrokenError(self.upstream, f"{cause}: {reason}")
 
     async def _read_head(self, limit: ByteLimit) -> ResponseHead:
         assert self._stream is not None
@@ -363,6 +379,12 @@
     return await _read_until(stream, _LINE_END, limit)
 
 
+def _describe_read_error(error: Exception) -> str:
+    """Return why a read failed, with what the system says of the socket."""
+    cause = getattr(error, "real_error", None)
+    return str(error) if cause is None else f"{error} ({cause})"
+
+
 def _ignore_write_error(write: asyncio.Future[None]) -> None:
     # A write error also fails the pending read, where it is reported.
     # Retrieving the exception avoids an asyncio warning.
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -26,7 +26,7 @@
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._reaching import CONNECT_TIMEOUT_S, try_connection
 from balsamlift.relay._request import Call
-from balsamlift.relay.health import Reachability
+from balsamlift.relay.health import Reachability, UnansweredRequests
 from balsamlift.relay.shutdown import Shutdown
 from balsamlift.relay.statements import (
     MISDIRECTED_REQUEST,
@@ -72,10 +72,12 @@
         statements: StatementReader,
         restrictions: Restrictions,
         reachability: Reachability,
+        unanswered: UnansweredRequests,
         metrics: Metrics,
         shutdown: Shutdown,
     ) -> None:
         """Create a client that acquires connections from `pool`."""
+        self._unanswered = unanswered
         self._metrics = metrics
         self._bodies = BodyMemory()
         self._pool = pool
@@ -117,7 +119,11 @@
             call, self._names, upstream.id, self._remaining_ms(call), extra
         )
         connection.send(
-            call.method, call.request.target, headers, call.request.body
+            call.method,
+            call.request.target,
+            headers,
+            call.request.body,
+            self._unanswered.open(upstream),
         )
         is_kept = connection.is_kept
         silence = asyncio.get_running_loop().call_later(
--- a/src/balsamlift/relay/_fair_stream.py
+++ b/src/balsamlift/relay/_fair_stream.py
@@ -10,7 +10,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 from tornado.iostream import IOStream
 
@@ -97,6 +97,7 @@
         self._budget = WorkBudget(clock)
         self._quantum_us = quantum_us
         self._turn_us = 0.0  # left of its turn
+        self.on_bytes: Callable[[], None] | None = None
         super().__init__(
             connection,
             max_buffer_size=max_buffer_size,
@@ -114,10 +115,12 @@
         return self._read_buffer_size
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """Read, and charge the bytes."""
+        """Read, charge the bytes and call `on_bytes`."""
         count = super().read_from_fd(buf)
         if count:
             self.charge(count * BYTE_US)
+            if self.on_bytes is not None:
+                self.on_bytes()
         return count
 
     def read_until(
--- a/src/balsamlift/relay/_pool.py
+++ b/src/balsamlift/relay/_pool.py
@@ -85,6 +85,7 @@
 
     def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after a complete response."""
+        connection.end_request()
         if not connection.is_reusable():
             connection.close()
             return
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -52,6 +52,7 @@
     MemoryAllocator,
     QuietEngines,
 )
+from balsamlift.relay.health import UnansweredRequests
 from balsamlift.relay.shutdown import (
     CallDurations,
     DrainLimits,
@@ -195,6 +196,12 @@
             self._clock,
             self._metrics,
         )
+        unanswered = self._unanswered = UnansweredRequests(
+            self._clock, self._metrics
+        )
+        self._upstreams.on_change(
+            lambda: unanswered.report_leaving(self._upstreams.is_leaving)
+        )
         exchange = Exchange(
             self._pool,
             names,
@@ -202,6 +209,7 @@
             statements,
             restrictions,
             links.reachability,
+            unanswered,
             self._metrics,
             self._shutdown,
         )
--- a/src/balsamlift/relay/health/__init__.py
+++ b/src/balsamlift/relay/health/__init__.py
@@ -3,6 +3,17 @@
 from balsamlift.relay.health._link_prober import LinkProber
 from balsamlift.relay.health._reachability import Reachability
 from balsamlift.relay.health._shared_health import SharedHealth
+from balsamlift.relay.health._unanswered import (
+    OpenRequest,
+    UnansweredRequests,
+)
 from balsamlift.relay.health._upstream_health import UpstreamHealth
 
-__all__ = ["LinkProber", "Reachability", "SharedHealth", "UpstreamHealth"]
+__all__ = [
+    "LinkProber",
+    "OpenRequest",
+    "Reachability",
+    "SharedHealth",
+    "UnansweredRequests",
+    "UpstreamHealth",
+]
--- /dev/null
+++ b/src/balsamlift/relay/health/_unanswered.py
@@ -0,0 +1,126 @@
+"""Requests of this host that upstreams have not answered yet.
+
+The system takes bytes for a process that has stopped, which reads and runs
+them once it goes on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+from loguru import logger
+
+from balsamlift.clock import Clock
+from balsamlift.metrics import Metrics
+from balsamlift.peers import Upstream
+
+log = logger.bind(part="upstreams")
+
+
+@attrs.frozen
+class Unanswered:
+    """What an upstream owes this host."""
+
+    requests: int
+    oldest_ms: int
+    silent_ms: int  # since its last byte, or the first of these requests
+
+
+@attrs.define(eq=False)
+class _Upstream:
+    """The requests that one upstream has from this host."""
+
+    heard_s: float  # of its last byte
+    open: dict[OpenRequest, None] = attrs.field(factory=dict)  # oldest first
+    is_reported: bool = False  # that it leaves
+
+    def oldest_s(self) -> float:
+        return next(iter(self.open)).sent_s
+
+    def silent_since_s(self) -> float:
+        return max(self.heard_s, self.oldest_s())
+
+
+class OpenRequest:
+    """One request, from its send to the end of its response."""
+
+    def __init__(
+        self, unanswered: UnansweredRequests, upstream: Upstream, sent_s: float
+    ) -> None:
+        """Create the handle of a request that is sent now."""
+        self._unanswered = unanswered
+        self._upstream = upstream
+        self.sent_s = sent_s
+
+    def record_bytes(self) -> None:
+        """Record that the upstream has sent something."""
+        self._unanswered.record_bytes(self._upstream.name)
+
+    def end(self) -> None:
+        """Record that nothing more is expected of the upstream."""
+        self._unanswered.end(self, self._upstream.name)
+
+
+class UnansweredRequests:
+    """Track the requests that each upstream has, and its last sign of life."""
+
+    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+        """Start without any request."""
+        self._clock = clock
+        self._metrics = metrics
+        self._upstreams: dict[str, _Upstream] = {}
+
+    def open(self, upstream: Upstream) -> OpenRequest:
+        """Return the handle of a request that is sent to an upstream now."""
+        now_s = self._clock.monotonic()
+        request = OpenRequest(self, upstream, now_s)
+        state = self._upstreams.setdefault(upstream.name, _Upstream(now_s))
+        state.open[request] = None
+        return request
+
+    def record_bytes(self, name: str) -> None:
+        """Record a sign of life of an upstream."""
+        state = self._upstreams.get(name)
+        if state is not None:
+            state.heard_s = self._clock.monotonic()
+
+    def end(self, request: OpenRequest, name: str) -> None:
+        """Remove a request; a second call does nothing."""
+        state = self._upstreams.get(name)
+        if state is None:
+            return
+        state.open.pop(request, None)
+        if not state.open:
+            del self._upstreams[name]
+
+    def describe(self, name: str) -> Unanswered | None:
+        """Return what an upstream owes, None if that is nothing."""
+        state = self._upstreams.get(name)
+        if state is None:
+            return None
+        now_s = self._clock.monotonic()
+        return Unanswered(
+            requests=len(state.open),
+            oldest_ms=round((now_s - state.oldest_s()) * 1_000),
+            silent_ms=round((now_s - state.silent_since_s()) * 1_000),
+        )
+
+    def report_leaving(self, is_leaving: Callable[[str], bool]) -> None:
+        """Log what upstreams owe that leave, or are no longer listed."""
+        for name, state in self._upstreams.items():
+            owed = self.describe(name)
+            if state.is_reported or owed is None or not is_leaving(name):
+                continue
+            state.is_reported = True
+            self._metrics.count("upstreams.left_unanswered", owed.requests)
+            log.bind(upstream=name, **attrs.asdict(owed)).warning(
+                "leaves with requests unanswered"
+            )
+
+    def silent_s(self, name: str) -> float:
+        """Return for how long an upstream has owed an answer in silence."""
+        state = self._upstreams.get(name)
+        if state is None:
+            return 0.0
+        return self._clock.monotonic() - state.silent_since_s()
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -171,6 +171,27 @@
     writer.close()
 
 
+async def idle_caller(world: RelayHarness, _: list[ReplicaStandIn]) -> None:
+    limits = attrs.evolve(LIMITS, idle_timeout_ms=100)
+    world.configure(2, limits=limits)
+    reader, writer = await world.connect()
+    assert await reader.read() == b""
+    writer.close()
+
+
+async def leaves_unanswered(
+    world: RelayHarness, stand_ins: list[ReplicaStandIn]
+) -> None:
+    behave_all(stand_ins, hang)
+    call = asyncio.create_task(world.call("/order/1", "r1", body=BODY))
+    used = await until_arrived(stand_ins)
+    used.state = "leaving"
+    while world.upstreams.may_take_work(used.name):
+        await asyncio.sleep(0.01)
+    call.cancel()
+    await asyncio.wait([call])
+
+
 async def slow_head(world: RelayHarness, _: list[ReplicaStandIn]) -> None:
     limits = attrs.evolve(LIMITS, head_timeout_ms=100)
     world.configure(2, limits=limits)
@@ -512,6 +533,12 @@
     Expected(budget_spent, "upstreams full", ENDED),
     Expected(large_head, "head too large", ("status", "peer")),
     Expected(slow_head, "timed out reading a head", ("status", "peer")),
+    Expected(idle_caller, "closed as idle", ("peer", "idle_ms", "limit_ms")),
+    Expected(
+        leaves_unanswered,
+        "leaves with requests unanswered",
+        ("upstream", "requests", "oldest_ms", "silent_ms"),
+    ),
     Expected(
         call_refused_by_leaving_host,
         "refused as the host shuts down",
