Show by failing tests that much lies unread at a stopped upstream

The soak gets upstreams that are processes of their own, stopped by SIGSTOP while they leave the list, configurations change and hosts reload ('soak stops'). It counts what an upstream reads more than DrainMs after it has left the list, each request without an answer, runs twice and after a refusal.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,6 +6,7 @@
   soak cuts [options] COUNT
   soak crashes [options] COUNT
   soak exits [options] COUNT
+  soak stops [options] COUNT
   soak restarts [options] DAEMONS
 
 Long runs have nine hosts, twelve upstreams, the rates of a deployment, and
@@ -20,6 +21,9 @@
 In runs of exits, hosts are shut down one after the other while upstreams work
 for up to 7 s, and half of the callers keep their connections until they fail.
 
+In runs of stops, upstreams are processes that are stopped by signals for up to
+10 s, while others leave the list, configurations change and hosts reload.
+
 Restarts starts and terminates that many daemons in series, with signals at
 any moment, and reports what they take.
 
@@ -53,6 +57,7 @@
 from soak.plan import Plan, draw_plan
 from soak.restarts import Restarts
 from soak.run import HOSTS, Fleet, run_plan
+from soak.stops import StopRun, draw_stop_plan
 
 SHORT_S, CUTS_S, LONG_S = 10.0, 30.0, 60.0
 LONG_HOSTS = 9
@@ -68,6 +73,11 @@
     length_s = float(options["--length"] or default_s)
     if options["restarts"]:
         return _run_restarts(first, int(options["DAEMONS"]), length_s)
+    if options["stops"]:
+        hosts = int(options["--hosts"] or HOSTS)
+        tree = Path(options["--tree"] or ROOT).resolve()
+        seeds = range(first, first + int(options["COUNT"]))
+        return max(_run_stops(n, length_s, hosts, tree) for n in seeds)
     other = options["--other"]
     load = SHOP if is_long else CRASHES if options["crashes"] else DENSE
     if options["exits"]:
@@ -105,6 +115,23 @@
     return int(bool(result.violations))
 
 
+def _run_stops(seed: int, length_s: float, hosts: int, tree: Path) -> int:
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-stops-{seed}-"))
+    plan = draw_stop_plan(seed, length_s, hosts, tree)
+    run = StopRun(plan, folder)
+    asyncio.run(run.run())
+    served = sum(o.status == 200 and o.is_whole for o in run.outcomes)
+    print(
+        f"seed {seed}: {len(plan.steps)} events, {plan.callers} callers, "
+        f"{served} of {len(run.outcomes)} served, read late {run.late_reads}, "
+        f"{len(run.checker.violations)} promises broken",
+        flush=True,
+    )
+    for line in run.checker.violations:
+        print(f"  {line}  (logs in {folder})", flush=True)
+    return int(bool(run.checker.violations))
+
+
 def _run_plans(plans: list[Plan], fleet: Fleet) -> int:
     exit_code = 0
     for plan in plans:
--- /dev/null
+++ b/tests/soak/stops.py
@@ -0,0 +1,475 @@
+"""Runs in which upstreams are processes that are stopped and go on."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import os
+import random
+import signal
+import sys
+import time
+from asyncio.subprocess import PIPE, Process
+from pathlib import Path
+from typing import Literal
+
+import attrs
+
+from balsamlift.platform._names import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    UPSTREAMS_TOPIC,
+)
+from balsamlift.testing.platform import KeyedStore
+from soak.callers import CallerRequest, send
+from soak.configuration import MAIN, configuration
+from soak.guarantees import CallerOutcome, GuaranteeChecker
+from soak.hosts import ROOT, STAND_INS, Host
+from soak.load import Load, RouteTimes
+from soak.network import Network
+from soak.upstreams import UPSTREAMS
+
+TESTS = Path(__file__).parent.parent
+ENTRY_TTL_S = 3.6  # three heartbeats, after which the store drops an entry
+RETURN_S = 0.3  # until an upstream that goes on has written its entry again
+DRAIN_S = 2.0  # `DrainMs` of the hosts
+SERVES_ON_S = 2.5  # after it has said that it drains
+PLACES_BESIDE = 2  # requests that may lie unread beside those that have places
+LATE_READ_S = 0.5  # after an upstream has gone on, for what lay unread
+DEADLINE_MS = 4_000
+SLACK_S = 1.0  # of callers and hosts on a busy machine
+
+STOPS = Load(
+    services={"plain": 6, "model": 5},
+    callers_per_host=0,
+    pause_s=0.0,
+    shares={"non_idempotent": 2.0, "idempotent": 1.0, "stream": 1.0},
+    times=dict.fromkeys(
+        ("idempotent", "non_idempotent", "stream"),
+        RouteTimes(timeout_ms=DEADLINE_MS, target_ms=1_000),
+    ),
+    extra_retries=100,
+    grace_s=8.0,
+)
+
+Kind = Literal["stop", "stop_all", "drain", "unlist", "configure", "hup"]
+KINDS: tuple[Kind, ...] = (
+    *("stop", "stop", "stop_all", "drain"),
+    *("unlist", "configure", "hup"),
+)
+
+
+@attrs.frozen(kw_only=True)
+class Step:
+    """One event of a run."""
+
+    kind: Kind
+    at_s: float
+    duration_s: float = 0.0  # of a stop
+    service: str = "plain"
+    target: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class StopPlan:
+    """What a run does."""
+
+    seed: int
+    steps: tuple[Step, ...]
+    length_s: float
+    hosts: int = 4
+    callers: int = 64  # that wait for each answer
+    calls_per_s: float = 0.0  # on new connections, whatever the answers
+    slots: int = 6
+    work_s: float = 0.3
+    tree: Path = ROOT
+
+
+def draw_stop_plan(
+    seed: int, length_s: float, hosts: int, tree: Path = ROOT
+) -> StopPlan:
+    """Return a plan whose events come in series and overlap."""
+    rng = random.Random(seed)
+    steps: list[Step] = []
+    at_s = 0.5
+    while at_s < length_s:
+        kind = rng.choice(KINDS)
+        longest_s = 2.6 if kind == "stop_all" else 10.0
+        step = Step(
+            kind=kind,
+            at_s=at_s,
+            duration_s=rng.uniform(0.3, longest_s),
+            service=rng.choice(("plain", "plain", "model")),
+            target=rng.randrange(100),
+        )
+        steps.append(step)
+        at_s += rng.choice((0.05, 0.6, 2.0))
+    return StopPlan(
+        seed=seed,
+        steps=tuple(steps),
+        length_s=length_s,
+        hosts=hosts,
+        callers=rng.choice((6, 36, 72)),
+        tree=tree,
+    )
+
+
+@attrs.define(eq=False)
+class Upstream:
+    """An upstream process, as the run sees it."""
+
+    name: str
+    service: str
+    process: Process
+    address: str = ""
+    is_listed: bool = False
+    gone_s: float | None = None  # since when the list lacks it or it drains
+    stopped_s: float | None = None
+    went_on_s: float = 0.0
+    ends: bool = False
+    late: list[str] = attrs.field(factory=list)  # read of one absence
+
+
+class StopRun:
+    """Hosts, upstream processes and callers of one run."""
+
+    def __init__(self, plan: StopPlan, folder: Path) -> None:
+        """Prepare; `run` starts the processes."""
+        self._plan = plan
+        self._folder = folder
+        self._random = random.Random(plan.seed)
+        self._network = Network()
+        self._store = KeyedStore(self._network.ip(STAND_INS))
+        self._numbers = itertools.count()
+        self._updates = itertools.count(1)
+        self._version = 0
+        self._upstreams: list[Upstream] = []
+        self._cut: set[str] = set()  # runs at upstreams that ended
+        self._runs: dict[str, Upstream] = {}
+        self._readers: list[asyncio.Task[None]] = []
+        self._is_over = False
+        self.checker = GuaranteeChecker()
+        self.late_reads: list[int] = []  # of each absence of an upstream
+        self.dropped = 0  # late reads whose connection was closed by then
+        self.outcomes: list[CallerOutcome] = []
+
+    async def run(self) -> None:
+        """Start everything, follow the plan and check what was seen."""
+        await self._store.start()
+        for service, count in STOPS.services.items():
+            for _ in range(count):
+                await self._add(service)
+        self._configure()
+        hosts = [
+            Host(
+                n,
+                self._folder,
+                self._store,
+                self._network,
+                self._plan.tree,
+                STOPS,
+            )
+            for n in range(self._plan.hosts)
+        ]
+        self.hosts = hosts
+        try:
+            for host in hosts:
+                await host.start()
+            await self._until_ready(hosts)
+            await self._play()
+        finally:
+            for host in hosts:
+                await host.stop()
+            for upstream in self._upstreams:
+                self._kill(upstream)
+                await upstream.process.wait()
+            await asyncio.gather(*self._readers)
+            await self._store.stop()
+            self._network.release()
+
+    async def _until_ready(self, hosts: list[Host]) -> None:
+        async with asyncio.timeout(30):
+            for host in hosts:
+                for kind in ("non_idempotent", "stream"):
+                    while await self._ask(host, kind) != 200:
+                        await asyncio.sleep(0.1)
+
+    async def _ask(self, host: Host, kind: str) -> int:
+        request = self._draw(kind)
+        try:
+            ip, _, port = host.address("Frontend").rpartition(":")
+            reader, writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            return 0
+        outcome, _ = await send(request, reader, writer)
+        writer.close()
+        return outcome.status
+
+    async def _play(self) -> None:
+        callers = [
+            asyncio.create_task(self._call())
+            for _ in range(self._plan.callers)
+        ]
+        began_s = time.monotonic()
+        tasks = [asyncio.create_task(self._send_calls())]
+        for step in self._plan.steps:
+            await asyncio.sleep(began_s + step.at_s - time.monotonic())
+            tasks.append(asyncio.create_task(self._do(step)))
+        await asyncio.sleep(began_s + self._plan.length_s - time.monotonic())
+        await asyncio.gather(*tasks)
+        self._is_over = True
+        await asyncio.gather(*callers)
+        await asyncio.sleep(LATE_READ_S)
+        for upstream in self._upstreams:
+            self._end_absence(upstream)
+
+    # Events
+
+    async def _do(self, step: Step) -> None:
+        members = [
+            u
+            for u in self._upstreams
+            if u.service == step.service and not u.ends
+        ]
+        target = members[step.target % len(members)]
+        match step.kind:
+            case "stop":
+                await self._stop(target, step.duration_s)
+            case "stop_all":
+                await asyncio.gather(
+                    *(self._stop(each, step.duration_s) for each in members)
+                )
+            case "drain" | "unlist" if len(members) > 2:
+                await self._leave(target, says_so=step.kind == "drain")
+            case "configure":
+                self._configure()
+            case "hup":
+                for host in self.hosts:
+                    host.reload_settings()
+
+    async def _stop(self, upstream: Upstream, duration_s: float) -> None:
+        """Stop a process; the store drops its entry after a while."""
+        if upstream.stopped_s is not None or upstream.ends:
+            return
+        upstream.stopped_s = time.monotonic()
+        upstream.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(min(duration_s, ENTRY_TTL_S))
+        is_unlisted = duration_s > ENTRY_TTL_S and not upstream.ends
+        if is_unlisted:
+            self._unlist(upstream)
+            await asyncio.sleep(duration_s - ENTRY_TTL_S)
+        upstream.process.send_signal(signal.SIGCONT)
+        upstream.went_on_s = time.monotonic()
+        upstream.stopped_s = None
+        await asyncio.sleep(RETURN_S)
+        if is_unlisted and not upstream.ends:
+            self._list(upstream, "ready")
+
+    async def _leave(self, upstream: Upstream, *, says_so: bool) -> None:
+        upstream.ends = True
+        if says_so:
+            self._list(upstream, "draining")
+        else:
+            self._unlist(upstream)
+        await self._add(upstream.service)
+        await asyncio.sleep(SERVES_ON_S)
+        while upstream.stopped_s is not None:
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(LATE_READ_S)
+        self._end_absence(upstream)
+        self._kill(upstream)
+
+    def _kill(self, upstream: Upstream) -> None:
+        upstream.ends = True
+        self._unlist(upstream)
+        self._cut |= {r for r, u in self._runs.items() if u is upstream}
+        if upstream.process.returncode is None:
+            upstream.process.kill()
+
+    # The list and the configuration
+
+    async def _add(self, service: str) -> None:
+        plan = self._plan
+        name = f"{service}-{next(self._numbers)}"
+        ip = self._network.ip(UPSTREAMS)
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "soak.upstream_process", name, service),
+            *(ip, f"{plan.slots}", f"{plan.work_s}", f"{plan.seed}"),
+            env={**os.environ, "PYTHONPATH": str(TESTS)},
+            stdout=PIPE,
+        )
+        upstream = Upstream(name=name, service=service, process=process)
+        assert process.stdout is not None
+        ready = json.loads(await process.stdout.readline())
+        upstream.address = ready["ready"]
+        self._upstreams.append(upstream)
+        self._readers.append(asyncio.create_task(self._read(upstream)))
+        self._list(upstream, "ready")
+
+    def _list(self, upstream: Upstream, state: str) -> None:
+        if state == "ready":
+            self._end_absence(upstream)
+        elif upstream.gone_s is None:
+            upstream.gone_s = time.monotonic()
+        fields = {
+            "Service": upstream.service,
+            "Address": upstream.address,
+            "Zone": "north",
+            "Version": "v1",
+            "Slots": self._plan.slots,
+            "LifecycleState": state,
+            "Sequence": next(self._updates),
+            "ColdRemainingMs": 0,
+        }
+        topic = self._store.topic(UPSTREAMS_TOPIC)
+        topic.append(upstream.name, json.dumps(fields).encode())
+        upstream.is_listed = True
+
+    def _unlist(self, upstream: Upstream) -> None:
+        if not upstream.is_listed:
+            return
+        upstream.is_listed = False
+        if upstream.gone_s is None:
+            upstream.gone_s = time.monotonic()
+        self._store.topic(UPSTREAMS_TOPIC).append(upstream.name, b"")
+
+    def _configure(self) -> None:
+        self._version += 1
+        self._store.topic(CONFIGURATION_TOPIC).append(
+            CONFIGURATION_KEY, configuration(self._version, STOPS.times)
+        )
+
+    # What upstreams see
+
+    async def _read(self, upstream: Upstream) -> None:
+        stdout = upstream.process.stdout
+        assert stdout is not None
+        while line := await stdout.readline():
+            event = json.loads(line)
+            if "read" in event:
+                self._record_read(upstream, event)
+            elif "dropped" in event:
+                self.dropped += event["dropped"] in upstream.late
+                self._runs.pop(event["dropped"], None)
+            else:
+                self._runs.pop(event["ended"], None)
+
+    def _record_read(
+        self, upstream: Upstream, event: dict[str, object]
+    ) -> None:
+        request_id, at_s = str(event["read"]), event["at_s"]
+        assert isinstance(at_s, float)
+        self._runs[request_id] = upstream
+        self.checker.record_run(
+            request_id,
+            str(event["workspace"]),
+            has_key=False,
+            resumes=bool(event["resumes"]),
+        )
+        if upstream.gone_s is None or at_s < upstream.gone_s + DRAIN_S:
+            return
+        upstream.late.append(request_id)
+        lay_unread = at_s < upstream.went_on_s + LATE_READ_S
+        if not lay_unread and upstream.stopped_s is None:
+            self.checker.report_violation(
+                "drain", request_id, f"reached {upstream.name}, which is gone"
+            )
+
+    def _end_absence(self, upstream: Upstream) -> None:
+        """Hold what was read late against what may lie unread."""
+        upstream.gone_s = None
+        late, upstream.late = upstream.late, []
+        if not late:
+            return
+        self.late_reads.append(len(late))
+        most = self._plan.slots + PLACES_BESIDE
+        if len(late) > most:
+            self.checker.report_violation(
+                "unread",
+                upstream.name,
+                f"read {len(late)} late, {most} may be",
+            )
+
+    # Callers
+
+    def _draw(self, kind: str = "") -> CallerRequest:
+        shares = STOPS.shares
+        if not kind:
+            (kind,) = self._random.choices(list(shares), shares.values())
+        request = CallerRequest(
+            request_id=f"{kind}-{next(self._numbers)}",
+            kind=kind,
+            deadline_ms=DEADLINE_MS,
+        )
+        self.checker.record_request(request.request_id, MAIN, request.max_runs)
+        self.checker.record_upstream_answer(
+            request.request_id, 200, request.request_id.encode()
+        )
+        return request
+
+    async def _call(self) -> None:
+        """Send requests one after the other, on a connection that is kept."""
+        while not self._is_over:
+            host = self._random.choice(self.hosts)
+            try:
+                ip, _, port = host.address("Frontend").rpartition(":")
+                reader, writer = await asyncio.open_connection(ip, int(port))
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            keeps = True
+            while keeps and not self._is_over:
+                keeps = await self._send(reader, writer)
+            writer.close()
+
+    async def _send_calls(self) -> None:
+        """Send calls at a rate, each on a connection of its own."""
+        calls: set[asyncio.Task[None]] = set()
+        if not self._plan.calls_per_s:
+            return
+        until_s = time.monotonic() + self._plan.length_s
+        while time.monotonic() < until_s:
+            call = asyncio.create_task(self._send_call())
+            calls.add(call)
+            call.add_done_callback(calls.discard)
+            await asyncio.sleep(
+                self._random.expovariate(self._plan.calls_per_s)
+            )
+        await asyncio.gather(*calls)
+
+    async def _send_call(self) -> None:
+        host = self._random.choice(self.hosts)
+        ip, _, port = host.address("Frontend").rpartition(":")
+        try:
+            reader, writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            return
+        kind = self._random.choice(("idempotent", "non_idempotent"))
+        await self._send(reader, writer, kind)
+        writer.close()
+
+    async def _send(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        kind: str = "",
+    ) -> bool:
+        request = self._draw(kind)
+        sent_s = time.monotonic()
+        outcome, keeps = await send(request, reader, writer)
+        took_s = time.monotonic() - sent_s
+        self.outcomes.append(outcome)
+        self.checker.check_outcome(outcome)
+        is_in_time = took_s < DEADLINE_MS / 1_000 - SLACK_S / 2
+        if outcome.is_whole:
+            await asyncio.sleep(0.1 if outcome.status >= 429 else 0)
+        elif is_in_time and request.request_id not in self._cut:
+            self.checker.report_violation(
+                "lost", request.request_id, f"ended after {took_s:.2f} s"
+            )
+        elif took_s > DEADLINE_MS / 1_000 + SLACK_S / 2:
+            self.checker.report_violation(
+                "late", request.request_id, f"no answer in {took_s:.2f} s"
+            )
+        return keeps
