Send the answers of stand-ins without Nagle's algorithm again

Cause: asyncio sets TCP_NODELAY on accepted connections only where the protocol of the socket is named; that of a held port was not. A body then waited for the acknowledgement of its head, up to 40 ms, in which virtual time went on.

--- a/src/balsamlift/testing/_held_port.py
+++ b/src/balsamlift/testing/_held_port.py
@@ -34,7 +34,10 @@
         self._holder.close()
 
     def _bind(self, ip: str, port: int) -> socket.socket:
-        bound = socket.socket(self._family)
+        # Asyncio disables Nagle's algorithm only where the protocol is named.
+        bound = socket.socket(
+            self._family, socket.SOCK_STREAM, socket.IPPROTO_TCP
+        )
         # Lets the holder and one listener share the port.
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
--- a/tests/test_testing_link.py
+++ b/tests/test_testing_link.py
@@ -153,3 +153,22 @@
         await replica.stop()
 
     asyncio.run(check())
+
+
+def test_answers_of_a_stand_in_do_not_wait_for_acknowledgements():
+    async def check():
+        replica = ReplicaStandIn("u1", "plain", HEADER_NAMES)
+        await replica.start()
+        _, writer = await asyncio.open_connection(
+            *split_address(replica.address)
+        )
+        while not replica.open:
+            await asyncio.sleep(0.01)
+        (task,) = replica.open
+        accepted = task.get_coro().cr_frame.f_locals["writer"]
+        sock = accepted.get_extra_info("socket")
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        writer.close()
+        await replica.stop()
+
+    asyncio.run(check())
