Send silent upstreams no more than they can run, and two

Cause: an upstream that has stopped goes on taking bytes, as the system does so for its process, and nothing about the choice of upstreams asked when it was heard of last. Under more load than fits, all upstreams have long queues, so that the one that has stopped is as good as the others until its requests time out. It reads and runs them once it goes on, after it has left the list and after callers were told 504.

Change: SilenceLimit. An upstream that owes this host an answer and has sent nothing for 0.1 s gets another request only while all hosts together have fewer there than its slots and two. Hosts report such an upstream with their heartbeats; one that has not heard of it goes by that. Calls that no upstream may have wait for a sign, for at most 0.3 of their time, and are then refused as not run ('upstreams silent').

Ruled out: closing the connection as the upstream leaves the list. A request that lies unread is read after a close and after a reset (measured: all four of accepted or not, closed or reset), and silence is no reason to end an answer.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -26,7 +26,12 @@
 )
 from balsamlift.relay._cold_starts import ColdStartLimiter
 from balsamlift.relay._scope import Scope
-from balsamlift.relay.health import SharedHealth, UpstreamHealth
+from balsamlift.relay.health import (
+    SharedHealth,
+    SilenceLimit,
+    UnansweredRequests,
+    UpstreamHealth,
+)
 from balsamlift.relay.statements import (
     BrittlePools,
     Restrictions,
@@ -60,6 +65,8 @@
         restrictions: Restrictions | None = None,
         retry_after: RetryAfterTracker | None = None,
         brittle_pools: BrittlePools | None = None,
+        unanswered: UnansweredRequests | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         """Add the counts received by `peers` to those of this host.
 
@@ -70,6 +77,8 @@
             clock, Metrics(), rng
         )
         self.brittle_pools = brittle_pools or no_brittle_pools(clock)
+        metrics = metrics or Metrics()
+        self._unanswered = unanswered or UnansweredRequests(clock, metrics)
         self._cold_starts = cold_starts
         self._regions = regions or {}
         self._upstreams = upstreams
@@ -86,6 +95,13 @@
             self._reporting_hosts,
             self._rank_for,
         )
+        self._silence_limit = SilenceLimit(
+            self._unanswered,
+            self.share_value,
+            self._reporting_hosts,
+            clock,
+            metrics,
+        )
         upstreams.on_change(self._prune)
 
     def load(self, upstream: str) -> int:
@@ -255,7 +271,10 @@
         return min(choices, key=self._call_cost) if choices else None
 
     def is_crowded(self, scope: Scope, tried: Collection[str]) -> bool:
-        """Return whether only brittle upstreams are left, without a place."""
+        """Return whether all upstreams that are left lack a place.
+
+        They are brittle, or silent with all that they may have meanwhile.
+        """
         usable = self.usable(scope, tried)
         return bool(usable) and not any(self._has_place(u) for u in usable)
 
@@ -270,7 +289,9 @@
 
     def _has_place(self, upstream: Upstream) -> bool:
         places = self.brittle_pools.places(upstream)
-        return places is None or self.own_load(upstream.name) < places
+        if places is not None and self.own_load(upstream.name) >= places:
+            return False
+        return self._silence_limit.allows(upstream, self.load(upstream.name))
 
     def _last_resorts(
         self, scope: Scope, tried: Collection[str]
@@ -374,6 +395,8 @@
     def discard_expired(self) -> None:
         """Discard expired observations; called every second."""
         live = {upstream.name for upstream in self._upstreams.all()}
+        self._unanswered.prune(live)
+        self._silence_limit.expire(live)
         self._shared_health.expire(self._clock.monotonic(), live)
         if self._cold_starts is not None:
             self._cold_starts.prune(live)
--- a/src/balsamlift/relay/_refusals.py
+++ b/src/balsamlift/relay/_refusals.py
@@ -60,10 +60,20 @@
 
 def crowded(attempt: Attempt, call: Call, now_s: float) -> Refusal:
     """Return the refusal of a call beyond what brittle upstreams may get."""
+    return _return_soon(attempt, call, now_s, "upstreams brittle")
+
+
+def silent(attempt: Attempt, call: Call, now_s: float) -> Refusal:
+    """Return the refusal of a call whose upstreams may all have stopped."""
+    return _return_soon(attempt, call, now_s, "upstreams silent")
+
+
+def _return_soon(
+    attempt: Attempt, call: Call, now_s: float, reason: str
+) -> Refusal:
+    """Return a refusal whose callers come back spread over a second."""
     wait_ms = RETRY_AFTER_MS + return_fraction(call) * RETURN_SPREAD_MS
-    return give_up(
-        attempt, "upstreams brittle", _wait_in_time(call, now_s, int(wait_ms))
-    )
+    return give_up(attempt, reason, _wait_in_time(call, now_s, int(wait_ms)))
 
 
 def pausing(
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -138,6 +138,10 @@
         brittle_pools = BrittlePools(
             self._clock, peers.rank_for, peers.hosts_for
         )
+        unanswered = UnansweredRequests(self._clock, self._metrics)
+        self._upstreams.on_change(
+            lambda: unanswered.report_leaving(self._upstreams.is_leaving)
+        )
         balancer = self._balancer = Balancer(
             self._upstreams,
             peers,
@@ -154,6 +158,8 @@
             restrictions,
             self._retry_after,
             brittle_pools,
+            unanswered,
+            self._metrics,
         )
         durations = self._durations = CallDurations(balancer, self._clock)
         paces = self._paces = EnginePaces(
@@ -196,12 +202,6 @@
             self._clock,
             self._metrics,
         )
-        unanswered = self._unanswered = UnansweredRequests(
-            self._clock, self._metrics
-        )
-        self._upstreams.on_change(
-            lambda: unanswered.report_leaving(self._upstreams.is_leaving)
-        )
         exchange = Exchange(
             self._pool,
             names,
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -24,6 +24,7 @@
     no_upstream,
     pausing,
     rate_limited,
+    silent,
 )
 from balsamlift.relay._request import Call, Outcome, Refusal, Responder
 from balsamlift.relay._retries import (
@@ -37,6 +38,7 @@
     Crowded,
     Pausing,
     RateLimited,
+    Silent,
     UpstreamChooser,
 )
 from balsamlift.relay.crashes import CrashGuard
@@ -149,6 +151,8 @@
             if isinstance(upstream, Crowded):
                 refusal = crowded(attempt, call, now_s)
                 return Unreached(refusal) if upstream.is_shut_out else refusal
+            if isinstance(upstream, Silent):
+                return silent(attempt, call, now_s)
             if not self._admission.still_allows(call):
                 return give_up(attempt, "configuration changed", 0)
             tried.add(upstream.name)
--- a/src/balsamlift/relay/_upstream_chooser.py
+++ b/src/balsamlift/relay/_upstream_chooser.py
@@ -13,12 +13,15 @@
 from balsamlift.relay._request import Call
 from balsamlift.relay._scope import Scope
 
-# Part of the remaining time for which a call waits for a permit. The rest is
-# for the upstream, and for a caller who is refused instead.
+# Part of the remaining time for which a call waits for a permit, or for a sign
+# of a silent upstream. The rest is for the upstream, and for a caller who is
+# refused instead.
 WAIT_FRACTION = 0.3
 # Interval at which a request that waits for a permit looks for a time without
 # requests that has begun.
 PAUSE_POLL_S = 0.1
+# Interval at which a call looks whether a silent upstream goes on.
+SILENCE_POLL_S = 0.05
 # Longest wait for a place at a brittle upstream, as a part of the route's
 # target latency.
 MAX_PLACE_WAIT_FACTOR = 0.5
@@ -45,6 +48,11 @@
     is_shut_out: bool  # it may send them nothing at all, others may
 
 
+@attrs.frozen
+class Silent:
+    """All upstreams are silent and have all that they may have meanwhile."""
+
+
 @attrs.frozen
 class Pause:
     """The time until the first of some upstreams takes requests again."""
@@ -104,11 +112,11 @@
 
     async def choose(
         self, call: Call, tried: Collection[str]
-    ) -> Upstream | RateLimited | Pausing | Crowded | None:
+    ) -> Upstream | RateLimited | Pausing | Crowded | Silent | None:
         """Return the upstream to send a call to now, or None if none is left.
 
-        A call whose upstreams all asked for no requests waits until one takes
-        some again, if that is soon.
+        A call whose upstreams all asked for no requests, or are silent, waits
+        until one takes some again, if that is soon.
         """
         loop = asyncio.get_running_loop()
         remaining_s = max(call.timeout_at_s - loop.time(), 0.0)
@@ -118,7 +126,13 @@
             chosen = await self._choose_now(call, tried, until_s)
             if chosen is not None:
                 return chosen
-            if self._balancer.is_crowded(call.scope, tried):
+            is_crowded = self._balancer.is_crowded(call.scope, tried)
+            if is_crowded and not self._is_brittle(call):
+                if loop.time() >= until_s:
+                    return Silent()
+                await asyncio.sleep(SILENCE_POLL_S)
+                continue
+            if is_crowded:
                 if self._balancer.is_shut_out(call.scope):
                     return Crowded(is_shut_out=True)
                 if not await self._wait_for_place(call, is_first=has_waited):
@@ -133,6 +147,9 @@
                 return None
             await asyncio.sleep(pause.left_s)
 
+    def _is_brittle(self, call: Call) -> bool:
+        return self._balancer.brittle_pools.is_brittle(call.scope.pool)
+
     async def _wait_for_place(self, call: Call, *, is_first: bool) -> bool:
         """Wait until a request has ended; return whether it was in time.
 
--- a/src/balsamlift/relay/health/__init__.py
+++ b/src/balsamlift/relay/health/__init__.py
@@ -3,6 +3,7 @@
 from balsamlift.relay.health._link_prober import LinkProber
 from balsamlift.relay.health._reachability import Reachability
 from balsamlift.relay.health._shared_health import SharedHealth
+from balsamlift.relay.health._silence_limit import SilenceLimit
 from balsamlift.relay.health._unanswered import (
     OpenRequest,
     UnansweredRequests,
@@ -14,6 +15,7 @@
     "OpenRequest",
     "Reachability",
     "SharedHealth",
+    "SilenceLimit",
     "UnansweredRequests",
     "UpstreamHealth",
 ]
--- a/src/balsamlift/relay/health/_unanswered.py
+++ b/src/balsamlift/relay/health/_unanswered.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Collection
 
 import attrs
 from loguru import logger
@@ -29,9 +30,9 @@
 
 @attrs.define(eq=False)
 class _Upstream:
-    """The requests that one upstream has from this host."""
+    """What this host has sent to one upstream and heard of it."""
 
-    heard_s: float  # of its last byte
+    heard_s: float = -math.inf  # its last byte
     open: dict[OpenRequest, None] = attrs.field(factory=dict)  # oldest first
     is_reported: bool = False  # that it leaves
 
@@ -73,9 +74,8 @@
 
     def open(self, upstream: Upstream) -> OpenRequest:
         """Return the handle of a request that is sent to an upstream now."""
-        now_s = self._clock.monotonic()
-        request = OpenRequest(self, upstream, now_s)
-        state = self._upstreams.setdefault(upstream.name, _Upstream(now_s))
+        request = OpenRequest(self, upstream, self._clock.monotonic())
+        state = self._upstreams.setdefault(upstream.name, _Upstream())
         state.open[request] = None
         return request
 
@@ -88,16 +88,13 @@
     def end(self, request: OpenRequest, name: str) -> None:
         """Remove a request; a second call does nothing."""
         state = self._upstreams.get(name)
-        if state is None:
-            return
-        state.open.pop(request, None)
-        if not state.open:
-            del self._upstreams[name]
+        if state is not None:
+            state.open.pop(request, None)
 
     def describe(self, name: str) -> Unanswered | None:
         """Return what an upstream owes, None if that is nothing."""
         state = self._upstreams.get(name)
-        if state is None:
+        if state is None or not state.open:
             return None
         now_s = self._clock.monotonic()
         return Unanswered(
@@ -121,6 +118,17 @@
     def silent_s(self, name: str) -> float:
         """Return for how long an upstream has owed an answer in silence."""
         state = self._upstreams.get(name)
-        if state is None:
+        if state is None or not state.open:
             return 0.0
         return self._clock.monotonic() - state.silent_since_s()
+
+    def was_heard_since(self, name: str, since_s: float) -> bool:
+        """Return whether an upstream has sent anything since a moment."""
+        state = self._upstreams.get(name)
+        return state is not None and state.heard_s >= since_s
+
+    def prune(self, live: Collection[str]) -> None:
+        """Forget upstreams that have left and owe nothing."""
+        for name, state in list(self._upstreams.items()):
+            if name not in live and not state.open:
+                del self._upstreams[name]
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -53,10 +53,12 @@
     grace_s=8.0,
 )
 
-Kind = Literal["stop", "stop_all", "drain", "unlist", "configure", "hup"]
+Kind = Literal[
+    "stop", "stop_all", "drain", "unlist", "configure", "hup", "term"
+]
 KINDS: tuple[Kind, ...] = (
     *("stop", "stop", "stop_all", "drain"),
-    *("unlist", "configure", "hup"),
+    *("unlist", "configure", "hup", "term"),
 )
 
 
@@ -247,6 +249,8 @@
             case "hup":
                 for host in self.hosts:
                     host.reload_settings()
+            case "term":
+                await self.hosts[step.target % len(self.hosts)].terminate()
 
     async def _stop(self, upstream: Upstream, duration_s: float) -> None:
         """Stop a process; the store drops its entry after a while."""
