Eject an upstream that was silent until a call was given up on

Seen: while an upstream is stopped, calls that are not idempotent go on being sent there, and each ends with 504 at its own timeout.

Cause: only failures that the relay itself sees eject an upstream: a broken connection, or the part of its time that an attempt gets which may be repeated. A call that ends by its own timeout, or as its caller leaves, was cancelled and told nothing of its upstream, whose load even fell by it.

Generations are left out: an engine that reads prompts is silent for longer.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -365,6 +365,10 @@
         else:
             self.record_failure(upstream)
 
+    def was_heard_since(self, upstream: str, since_s: float) -> bool:
+        """Return whether an upstream has sent this host anything since."""
+        return self._unanswered.was_heard_since(upstream, since_s)
+
     def eject(self, upstream: str) -> float:
         """Eject an upstream that sent no complete response.
 
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -16,7 +16,7 @@
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._attempt import MAX_UNREACHABLE_UPSTREAMS, Attempt
 from balsamlift.relay._balance import Balancer
-from balsamlift.relay._exchange import Exchange, Reply
+from balsamlift.relay._exchange import SILENCE_S, Exchange, Reply
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._refusals import (
     crowded,
@@ -197,6 +197,10 @@
                     body = await self._exchange.read_full_body(
                         reply, MAX_RESPONSE_BYTES
                     )
+        except asyncio.CancelledError:  # its time is over, or its caller left
+            if self._was_silent(attempt, upstream):
+                self._back_off(call, attempt, upstream, "silent to the end")
+            raise
         except UpstreamRestrictedError:
             raise
         except (UpstreamUnreachableError, UpstreamBrokenError) as error:
@@ -225,6 +229,15 @@
             self._balancer.record_error(upstream.name)
         return _BufferedReply(reply, body)
 
+    def _was_silent(self, attempt: Attempt, upstream: Upstream) -> bool:
+        """Return whether an upstream has sent nothing since the last send."""
+        if attempt.sent_s is None or attempt.sent_to[-1] != upstream.name:
+            return False
+        waited_s = asyncio.get_running_loop().time() - attempt.sent_s
+        return waited_s >= SILENCE_S and not self._balancer.was_heard_since(
+            upstream.name, attempt.sent_s
+        )
+
     def _back_off(
         self, call: Call, attempt: Attempt, upstream: Upstream, cause: str
     ) -> None:
--- a/tests/test_relay_silence_limit.py
+++ b/tests/test_relay_silence_limit.py
@@ -157,3 +157,27 @@
     silence.unanswered.open(silence.upstream)
     silence.clock.now_s += 5
     assert silence.allows(load=100)
+
+
+def test_calls_go_elsewhere_once_one_was_given_up_on_at_a_silent_upstream():
+    replicas = make_replicas(2)
+    silent = replicas[0]
+
+    async def check() -> None:
+        async with (
+            asyncio.timeout(DEADLINE_S),
+            RelayHarness(replicas) as world,
+        ):
+            world.configure()
+            silent.behave = hang
+            statuses = []
+            while 504 not in statuses:
+                answer = await world.call("/order/1", "r1", deadline_ms=600)
+                statuses.append(answer.status)
+            arrived = len(silent.arrivals)
+            for _ in range(10):
+                answer = await world.call("/order/1", "r1", deadline_ms=600)
+                assert answer.status == 200
+            assert len(silent.arrivals) == arrived
+
+    asyncio.run(check())
