Keep a request whose body its upstream does not read for a while

Seen: a call with a body of 900 KB at an upstream that stops for 2.8 s gets 502, 'Stream is closed (... timed out)', after 2 s, and its upstream a reset. The users' rule: a replica's silence is no reason to end an answer sooner.

Cause: TCP_USER_TIMEOUT, set to find connections whose other end is gone, also counts the time in which the other end acknowledges and has no memory for more. Only a body beyond what the system holds for a process runs into it.

Change: for requests of more than 32 KB the connection looks itself, by TCP_INFO, whether what was sent again stays unanswered for 2 s. Where a system does not tell, such a request ends by its own timeout.

--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -31,7 +31,11 @@
 from balsamlift.relay._fair_stream import FairStream, ReadQueue
 from balsamlift.relay._reaching import (
     CONNECT_TIMEOUT_S,
+    MAX_HELD_BYTES,
+    SILENCE_TIMEOUT_S,
     enable_dead_peer_detection,
+    set_acknowledgement_timeout,
+    wait_until_unreachable,
 )
 from balsamlift.relay._response_limits import (
     MAX_CHUNK_LINE_BYTES,
@@ -114,6 +118,7 @@
         self._is_head_request = False
         self._write_future: asyncio.Future[None] | None = None
         self._request: OpenRequest | None = None
+        self._delivery_task: asyncio.Task[None] | None = None
 
     async def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         """Open the connection.
@@ -160,6 +165,25 @@
         request, self._request = self._request, None
         if request is not None:
             request.end()
+        task, self._delivery_task = self._delivery_task, None
+        if task is not None:
+            task.cancel()
+            if self._stream is not None and not self._stream.closed():
+                set_acknowledgement_timeout(
+                    self._stream.socket, SILENCE_TIMEOUT_S
+                )
+
+    def _watch_delivery(self) -> None:
+        """Close once the upstream is unreachable, not if it does not read."""
+        assert self._stream is not None
+        set_acknowledgement_timeout(self._stream.socket, 0)
+        self._delivery_task = asyncio.create_task(
+            self._close_when_unreachable(self._stream)
+        )
+
+    async def _close_when_unreachable(self, stream: IOStream) -> None:
+        await wait_until_unreachable(stream.socket, self._clock)
+        stream.close((TimeoutError, TimeoutError("unreachable"), None))
 
     def charge(self, work_us: float) -> None:
         """Charge work that a response has caused, in microseconds."""
@@ -215,6 +239,8 @@
         head = "\r\n".join([*lines, "", ""]).encode("latin-1")
         self._reusable = False
         self._is_head_request = method == "HEAD"
+        if len(head) + len(body) > MAX_HELD_BYTES:
+            self._watch_delivery()
         write = asyncio.ensure_future(self._stream.write(head + body))
         write.add_done_callback(_ignore_write_error)
         self._write_future = write
