Give up on a silent attempt only where another upstream may do better

Cause: a call that may be repeated gives its first upstream 0.4 of its time, and only then asks whether another send is allowed and where it would go. With all upstreams silent, each such call is cut off at one that is about to answer and begun again at one that is as silent, or told 502.

Change: from that moment the attempt goes on until a retry is left and another upstream is not silent to this host, or the pool is not reached at all, so that another host may take it. An upstream that owes nothing counts as not silent.

Ruled out: waiting for a sign of the other upstream; a host with few calls would never leave one that is dark.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -365,6 +365,15 @@
         else:
             self.record_failure(upstream)
 
+    def has_sound(self, scope: Scope, tried: Collection[str]) -> bool:
+        """Return whether an upstream is left that is likely to answer."""
+        now_s = self._clock.monotonic()
+        return any(
+            not self.health.is_ejected(upstream.name, now_s)
+            and self._silence_limit.is_answering(upstream.name)
+            for upstream in self.usable(scope, tried)
+        )
+
     def was_heard_since(self, upstream: str, since_s: float) -> bool:
         """Return whether an upstream has sent this host anything since."""
         return self._unanswered.was_heard_since(upstream, since_s)
--- a/src/balsamlift/relay/_retry_budget.py
+++ b/src/balsamlift/relay/_retry_budget.py
@@ -56,13 +56,17 @@
 
     def spend(self, service: str) -> bool:
         """Spend one retry if the budget allows it; return whether it did."""
+        if not self.has_left(service):
+            return False
+        self._counts(service).retries.add(self._clock.monotonic())
+        return True
+
+    def has_left(self, service: str) -> bool:
+        """Return whether the budget allows one more retry now."""
         now_s = self._clock.monotonic()
         counts = self._counts(service)
         allowed = self._allowed(counts.requests.count(now_s))
-        if counts.retries.count(now_s) + 1 > allowed:
-            return False
-        counts.retries.add(now_s)
-        return True
+        return counts.retries.count(now_s) + 1 <= allowed
 
     def _allowed(self, requests: int) -> float:
         limits = self._limits
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -15,6 +15,7 @@
 from balsamlift.peers import Upstream
 from balsamlift.relay._admission import Admission
 from balsamlift.relay._attempt import MAX_UNREACHABLE_UPSTREAMS, Attempt
+from balsamlift.relay._attempt_timeout import ending_for_another
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._exchange import SILENCE_S, Exchange, Reply
 from balsamlift.relay._headers import caller_headers
@@ -157,7 +158,9 @@
                 return give_up(attempt, "configuration changed", 0)
             tried.add(upstream.name)
             try:
-                buffered = await self._send_once(call, attempt, upstream)
+                buffered = await self._send_once(
+                    call, attempt, upstream, tried
+                )
             except UpstreamUnreachableError:
                 unreachable += 1
                 if unreachable >= MAX_UNREACHABLE_UPSTREAMS:
@@ -181,7 +184,11 @@
         return Unreached(no_upstream(attempt, call, now_s))
 
     async def _send_once(
-        self, call: Call, attempt: Attempt, upstream: Upstream
+        self,
+        call: Call,
+        attempt: Attempt,
+        upstream: Upstream,
+        tried: set[str],
     ) -> _BufferedReply:
         loop = asyncio.get_running_loop()
         attempt_deadline_s = None
@@ -192,11 +199,18 @@
             )
         try:
             with self._balancer.count_in_flight(upstream.name, 1):
-                async with asyncio.timeout_at(attempt_deadline_s):
-                    reply = await self._exchange.send(call, attempt, upstream)
-                    body = await self._exchange.read_full_body(
-                        reply, MAX_RESPONSE_BYTES
-                    )
+                async with asyncio.timeout(None) as limit:
+                    with ending_for_another(
+                        limit,
+                        attempt_deadline_s,
+                        lambda: self._has_another(call, tried),
+                    ):
+                        reply = await self._exchange.send(
+                            call, attempt, upstream
+                        )
+                        body = await self._exchange.read_full_body(
+                            reply, MAX_RESPONSE_BYTES
+                        )
         except asyncio.CancelledError:  # its time is over, or its caller left
             if self._was_silent(attempt, upstream):
                 self._back_off(call, attempt, upstream, "silent to the end")
@@ -229,6 +243,14 @@
             self._balancer.record_error(upstream.name)
         return _BufferedReply(reply, body)
 
+    def _has_another(self, call: Call, tried: set[str]) -> bool:
+        """Return whether to end an attempt, so that another one begins."""
+        if not self._retries.has_left(call.service):
+            return False
+        return self._forwarder.is_unreached(
+            call.service
+        ) or self._balancer.has_sound(call.scope, tried)
+
     def _was_silent(self, attempt: Attempt, upstream: Upstream) -> bool:
         """Return whether an upstream has sent nothing since the last send."""
         if attempt.sent_s is None or attempt.sent_to[-1] != upstream.name:
--- a/src/balsamlift/relay/health/_silence_limit.py
+++ b/src/balsamlift/relay/health/_silence_limit.py
@@ -57,6 +57,10 @@
             return True
         return not self._is_silent(upstream.name)
 
+    def is_answering(self, name: str) -> bool:
+        """Return whether an upstream owes this host nothing for long."""
+        return not self._is_silent_here(name)
+
     def expire(self, live: Collection[str]) -> None:
         """Withdraw reports that no longer hold; called every second."""
         for name in list(self._reported):
