--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -16,14 +16,16 @@
 
 import attrs
 
+from balsamlift._address import split_address
 from balsamlift.platform._names import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
     UPSTREAMS_TOPIC,
 )
 from balsamlift.testing.platform import KeyedStore
-from soak.callers import CallerRequest, send
+from soak.callers import OK, CallerRequest, send
 from soak.configuration import MAIN, configuration
+from soak.exits import ExitChecker
 from soak.guarantees import CallerOutcome, GuaranteeChecker
 from soak.hosts import ROOT, STAND_INS, Host
 from soak.load import Load, RouteTimes
@@ -38,6 +40,7 @@
 PLACES_BESIDE = 2  # requests that may lie unread beside those that have places
 LATE_READ_S = 0.5  # after an upstream has gone on, for what lay unread
 DEADLINE_MS = 4_000
+RECONNECT_S = 0.1
 SLACK_S = 1.0  # of callers and hosts on a busy machine
 
 STOPS = Load(
@@ -152,6 +155,8 @@
         self._readers: list[asyncio.Task[None]] = []
         self._is_over = False
         self.checker = GuaranteeChecker()
+        self._exits = ExitChecker(STOPS.grace_s, self.checker.report_violation)
+        self._exiting: set[Host] = set()
         self.late_reads: list[int] = []  # of each absence of an upstream
         self.dropped = 0  # late reads whose connection was closed by then
         self.outcomes: list[CallerOutcome] = []
@@ -198,20 +203,24 @@
                         await asyncio.sleep(0.1)
 
     async def _ask(self, host: Host, kind: str) -> int:
-        request = self._draw(kind)
         try:
-            ip, _, port = host.address("Frontend").rpartition(":")
-            reader, writer = await asyncio.open_connection(ip, int(port))
+            reader, writer = await self._connect(host)
         except OSError:
             return 0
-        outcome, _ = await send(request, reader, writer)
+        outcome, _ = await send(self._draw(kind), reader, writer)
         writer.close()
         return outcome.status
 
+    async def _connect(
+        self, host: Host
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        ip, port = split_address(host.address("Frontend"))
+        return await asyncio.open_connection(ip, port)
+
     async def _play(self) -> None:
         callers = [
-            asyncio.create_task(self._call())
-            for _ in range(self._plan.callers)
+            asyncio.create_task(self._call(keeps_always=bool(n % 2)))
+            for n in range(self._plan.callers)
         ]
         began_s = time.monotonic()
         tasks = [asyncio.create_task(self._send_calls())]
@@ -225,6 +234,7 @@
         await asyncio.sleep(LATE_READ_S)
         for upstream in self._upstreams:
             self._end_absence(upstream)
+        self._exits.check(SLACK_S / 2)
 
     # Events
 
@@ -250,7 +260,17 @@
                 for host in self.hosts:
                     host.reload_settings()
             case "term":
-                await self.hosts[step.target % len(self.hosts)].terminate()
+                await self._terminate(
+                    self.hosts[step.target % len(self.hosts)]
+                )
+
+    async def _terminate(self, host: Host) -> None:
+        if host in self._exiting:
+            return
+        self._exiting.add(host)
+        self._exits.record_signal(host.ip)
+        await host.terminate()
+        self._exiting.discard(host)
 
     async def _stop(self, upstream: Upstream, duration_s: float) -> None:
         """Stop a process; the store drops its entry after a while."""
@@ -288,6 +308,7 @@
         upstream.ends = True
         self._unlist(upstream)
         self._cut |= {r for r, u in self._runs.items() if u is upstream}
+        self._exits.record_upstream_end(upstream.name)
         if upstream.process.returncode is None:
             upstream.process.kill()
 
@@ -353,11 +374,17 @@
             event = json.loads(line)
             if "read" in event:
                 self._record_read(upstream, event)
-            elif "dropped" in event:
-                self.dropped += event["dropped"] in upstream.late
-                self._runs.pop(event["dropped"], None)
             else:
-                self._runs.pop(event["ended"], None)
+                self._record_end(upstream, event)
+
+    def _record_end(
+        self, upstream: Upstream, event: dict[str, object]
+    ) -> None:
+        is_dropped = "dropped" in event
+        request_id = str(event["dropped" if is_dropped else "ended"])
+        self.dropped += is_dropped and request_id in upstream.late
+        self._runs.pop(request_id, None)
+        self._exits.record_run_end(request_id, upstream.name, is_broken=False)
 
     def _record_read(
         self, upstream: Upstream, event: dict[str, object]
@@ -365,6 +392,7 @@
         request_id, at_s = str(event["read"]), event["at_s"]
         assert isinstance(at_s, float)
         self._runs[request_id] = upstream
+        self._exits.record_run(request_id, upstream.name)
         self.checker.record_run(
             request_id,
             str(event["workspace"]),
@@ -412,19 +440,22 @@
         )
         return request
 
-    async def _call(self) -> None:
-        """Send requests one after the other, on a connection that is kept."""
+    async def _call(self, *, keeps_always: bool) -> None:
+        """Send requests one after the other, on a connection that is kept.
+
+        Some callers go on with it after a response that says it is the last.
+        """
         while not self._is_over:
             host = self._random.choice(self.hosts)
             try:
-                ip, _, port = host.address("Frontend").rpartition(":")
-                reader, writer = await asyncio.open_connection(ip, int(port))
+                reader, writer = await self._connect(host)
             except OSError:
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(RECONNECT_S)
                 continue
             keeps = True
             while keeps and not self._is_over:
-                keeps = await self._send(reader, writer)
+                outcome, keeps = await self._send(host, reader, writer)
+                keeps |= keeps_always and outcome.is_whole
             writer.close()
 
     async def _send_calls(self) -> None:
@@ -444,36 +475,46 @@
 
     async def _send_call(self) -> None:
         host = self._random.choice(self.hosts)
-        ip, _, port = host.address("Frontend").rpartition(":")
         try:
-            reader, writer = await asyncio.open_connection(ip, int(port))
+            reader, writer = await self._connect(host)
         except OSError:
             return
         kind = self._random.choice(("idempotent", "non_idempotent"))
-        await self._send(reader, writer, kind)
+        await self._send(host, reader, writer, kind)
         writer.close()
 
     async def _send(
         self,
+        host: Host,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         kind: str = "",
-    ) -> bool:
+    ) -> tuple[CallerOutcome, bool]:
+        """Return the outcome of a request and whether to keep a connection."""
         request = self._draw(kind)
+        deadline_s = request.deadline_ms / 1_000
+        self._exits.record_request(request.request_id, host.ip, deadline_s)
         sent_s = time.monotonic()
         outcome, keeps = await send(request, reader, writer)
         took_s = time.monotonic() - sent_s
+        self._exits.record_end(request.request_id, is_whole=outcome.is_whole)
         self.outcomes.append(outcome)
         self.checker.check_outcome(outcome)
-        is_in_time = took_s < DEADLINE_MS / 1_000 - SLACK_S / 2
-        if outcome.is_whole:
-            await asyncio.sleep(0.1 if outcome.status >= 429 else 0)
-        elif is_in_time and request.request_id not in self._cut:
+        if not outcome.is_whole:
+            self._check_end(host, request.request_id, took_s)
+        elif outcome.status != OK:
+            await asyncio.sleep(RECONNECT_S)
+        return outcome, keeps
+
+    def _check_end(self, host: Host, request_id: str, took_s: float) -> None:
+        """Report a request without an answer, unless its host is exiting."""
+        deadline_s = DEADLINE_MS / 1_000
+        is_excused = host in self._exiting or request_id in self._cut
+        if took_s > deadline_s + SLACK_S / 2:
             self.checker.report_violation(
-                "lost", request.request_id, f"ended after {took_s:.2f} s"
+                "late", request_id, f"no answer in {took_s:.2f} s"
             )
-        elif took_s > DEADLINE_MS / 1_000 + SLACK_S / 2:
+        elif took_s < deadline_s - SLACK_S / 2 and not is_excused:
             self.checker.report_violation(
-                "late", request.request_id, f"no answer in {took_s:.2f} s"
+                "lost", request_id, f"ended after {took_s:.2f} s"
             )
-        return keeps
