--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -126,6 +126,7 @@
 
     name: str
     service: str
+    number: int
     process: Process
     address: str = ""
     is_listed: bool = False
@@ -164,9 +165,14 @@
     async def run(self) -> None:
         """Start everything, follow the plan and check what was seen."""
         await self._store.start()
-        for service, count in STOPS.services.items():
-            for _ in range(count):
-                await self._add(service)
+        await asyncio.gather(
+            *(
+                self._add(service)
+                for service, count in STOPS.services.items()
+                for _ in range(count)
+            )
+        )
+        self._upstreams.sort(key=lambda upstream: upstream.number)
         self._configure()
         hosts = [
             Host(
@@ -316,7 +322,8 @@
 
     async def _add(self, service: str) -> None:
         plan = self._plan
-        name = f"{service}-{next(self._numbers)}"
+        number = next(self._numbers)
+        name = f"{service}-{number}"
         ip = self._network.ip(UPSTREAMS)
         process = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "soak.upstream_process", name, service),
@@ -324,7 +331,7 @@
             env={**os.environ, "PYTHONPATH": str(TESTS)},
             stdout=PIPE,
         )
-        upstream = Upstream(name=name, service=service, process=process)
+        upstream = Upstream(name, service, number, process)
         assert process.stdout is not None
         ready = json.loads(await process.stdout.readline())
         upstream.address = ready["ready"]
