Give framing, shared load and delivery modules of their own

Change: code moved, not rewritten: _framing.py (lines, lengths, chunks of responses), _shared_load.py (counts of this host and of others, the base of the balancer), _delivery_watch.py (DeliveryWatch). The balancer holds what upstreams owe, and reports it as they leave. One difference: the watch keeps the socket, so that a stream which closes before its first look raises no error in its task.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -3,22 +3,17 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
 from collections.abc import (
-    Callable,
     Collection,
-    Iterator,
     Mapping,
     Sequence,
 )
-from contextlib import contextmanager
 
 from loguru import logger
 
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
 from balsamlift.peers import (
-    CountsBasis,
     HostRank,
     Peers,
     Upstream,
@@ -26,6 +21,7 @@
 )
 from balsamlift.relay._cold_starts import ColdStartLimiter
 from balsamlift.relay._scope import Scope
+from balsamlift.relay._shared_load import SharedLoad
 from balsamlift.relay.health import (
     SharedHealth,
     SilenceLimit,
@@ -50,8 +46,8 @@
 CROSS_DOMAIN_PENALTY_CALLS = 1.5
 
 
-class Balancer:
-    """Track the load of upstreams and choose upstreams for new calls."""
+class Balancer(SharedLoad):
+    """Choose upstreams for new calls by load and health."""
 
     def __init__(
         self,
@@ -65,29 +61,26 @@
         restrictions: Restrictions | None = None,
         retry_after: RetryAfterTracker | None = None,
         brittle_pools: BrittlePools | None = None,
-        unanswered: UnansweredRequests | None = None,
         metrics: Metrics | None = None,
     ) -> None:
         """Add the counts received by `peers` to those of this host.
 
         `regions` holds the region of each failure domain.
         """
+        super().__init__(peers)
+        metrics = metrics or Metrics()
         self._restrictions = restrictions or no_restrictions(clock, rng)
         self._retry_after = retry_after or RetryAfterTracker(
-            clock, Metrics(), rng
+            clock, metrics, rng
         )
         self.brittle_pools = brittle_pools or no_brittle_pools(clock)
-        metrics = metrics or Metrics()
-        self._unanswered = unanswered or UnansweredRequests(clock, metrics)
+        self.unanswered = UnansweredRequests(clock, metrics)
         self._cold_starts = cold_starts
         self._regions = regions or {}
         self._upstreams = upstreams
-        self._peers = peers
         self._clock = clock
         self._random = rng
         self._failure_domain = failure_domain
-        self._own_counts: Counter[str] = Counter()
-        self._on_release: list[Callable[[], None]] = []
         self.health = UpstreamHealth()
         self._shared_health = SharedHealth(
             peers.set_in_flight,
@@ -96,7 +89,7 @@
             self._rank_for,
         )
         self._silence_limit = SilenceLimit(
-            self._unanswered,
+            self.unanswered,
             self.share_value,
             self._reporting_hosts,
             clock,
@@ -104,24 +97,6 @@
         )
         upstreams.on_change(self._prune)
 
-    def load(self, upstream: str) -> int:
-        """Return the load of all hosts together on this upstream."""
-        return self._own_counts[upstream] + self._peers.in_flight(upstream)
-
-    def other_counts(self, prefix: str) -> dict[str, int]:
-        """Return the counts of all other hosts whose keys begin so."""
-        return self._peers.counts_under(prefix)
-
-    @property
-    def receives_pushed_counts(self) -> bool:
-        """Return whether other hosts push their counts as they change."""
-        return self._peers.is_full_mesh
-
-    @property
-    def counts_basis(self) -> CountsBasis:
-        """Return how the other hosts' part of a load was obtained."""
-        return self._peers.counts_basis
-
     def sample(
         self, upstreams: Sequence[Upstream], limit: int | None
     ) -> list[Upstream]:
@@ -129,54 +104,6 @@
         number = len(upstreams) if limit is None else limit
         return self._random.sample(upstreams, min(number, len(upstreams)))
 
-    def own_load(self, upstream: str) -> int:
-        """Return the load of this host on an upstream."""
-        return self._own_counts[upstream]
-
-    def add(self, upstream: str, n: int) -> None:
-        """Add `n`, which may be negative, to the load of this host."""
-        self._own_counts[upstream] += n
-        self._peers.set_in_flight(upstream, self._own_counts[upstream])
-        if n < 0:
-            self._notify_release()
-
-    def _notify_release(self) -> None:
-        for callback in self._on_release:
-            try:
-                callback()
-            except Exception:
-                # The call that released its load has ended well.
-                log.exception("could not use released load")
-
-    def share_value(self, key: str, value: int) -> None:
-        """Set a value that other hosts get as a sum; it is no load."""
-        self._own_counts[key] = value
-        self._peers.set_in_flight(key, value)
-
-    def publish(self) -> None:
-        """Publish the counts of this host to the other hosts at once.
-
-        Until they receive them, they may fill the same engine.
-        """
-        self._peers.send_counts()
-
-    async def refresh(self) -> None:
-        """Fetch the current counts of other hosts if they are not pushed."""
-        await self._peers.refresh_counts()
-
-    @contextmanager
-    def count_in_flight(self, upstream: str, n: int) -> Iterator[None]:
-        """Count `n` as in flight while the context is open."""
-        self.add(upstream, n)
-        try:
-            yield
-        finally:
-            self.add(upstream, -n)
-
-    def on_release(self, callback: Callable[[], None]) -> None:
-        """Register a callback for every decrease of this host's load."""
-        self._on_release.append(callback)
-
     def usable(self, scope: Scope, tried: Collection[str]) -> list[Upstream]:
         """Return the upstreams to choose from.
 
@@ -376,7 +303,7 @@
 
     def was_heard_since(self, upstream: str, since_s: float) -> bool:
         """Return whether an upstream has sent this host anything since."""
-        return self._unanswered.was_heard_since(upstream, since_s)
+        return self.unanswered.was_heard_since(upstream, since_s)
 
     def eject(self, upstream: str) -> float:
         """Eject an upstream that sent no complete response.
@@ -408,7 +335,7 @@
     def discard_expired(self) -> None:
         """Discard expired observations; called every second."""
         live = {upstream.name for upstream in self._upstreams.all()}
-        self._unanswered.prune(live)
+        self.unanswered.prune(live)
         self._silence_limit.expire(live)
         self._shared_health.expire(self._clock.monotonic(), live)
         if self._cold_starts is not None:
@@ -432,5 +359,5 @@
     def _prune(self) -> None:
         live = {upstream.name for upstream in self._upstreams.all()}
         self.health.prune(live)
-        for name in [n for n, count in self._own_counts.items() if not count]:
-            del self._own_counts[name]
+        self.unanswered.report_leaving(self._upstreams.is_leaving)
+        self.prune_counts()
--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -28,17 +28,21 @@
     UpstreamBrokenError,
     UpstreamUnreachableError,
 )
+from balsamlift.relay._delivery_watch import MAX_HELD_BYTES, DeliveryWatch
 from balsamlift.relay._fair_stream import FairStream, ReadQueue
+from balsamlift.relay._framing import (
+    LINE_END,
+    is_chunked,
+    parse_chunk_size,
+    parse_length,
+    read_chunk_line,
+    read_until,
+)
 from balsamlift.relay._reaching import (
     CONNECT_TIMEOUT_S,
-    MAX_HELD_BYTES,
-    SILENCE_TIMEOUT_S,
     enable_dead_peer_detection,
-    set_acknowledgement_timeout,
-    wait_until_unreachable,
 )
 from balsamlift.relay._response_limits import (
-    MAX_CHUNK_LINE_BYTES,
     MAX_DROPPED_BYTES,
     MAX_DROPPED_RESPONSES,
     MAX_HEAD_BYTES,
@@ -59,7 +63,6 @@
 IDLE_TIMEOUT_FRACTION = 0.5
 DEFAULT_IDLE_TIMEOUT_S = 1.0  # without a Keep-Alive header
 
-_LINE_END = b"\r\n"
 _NO_BODY = frozenset({204, 304})
 _READ_ERRORS = (
     StreamClosedError,
@@ -118,7 +121,7 @@
         self._is_head_request = False
         self._write_future: asyncio.Future[None] | None = None
         self._request: OpenRequest | None = None
-        self._delivery_task: asyncio.Task[None] | None = None
+        self._delivery = DeliveryWatch(clock)
 
     async def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         """Open the connection.
@@ -165,25 +168,7 @@
         request, self._request = self._request, None
         if request is not None:
             request.end()
-        task, self._delivery_task = self._delivery_task, None
-        if task is not None:
-            task.cancel()
-            if self._stream is not None and not self._stream.closed():
-                set_acknowledgement_timeout(
-                    self._stream.socket, SILENCE_TIMEOUT_S
-                )
-
-    def _watch_delivery(self) -> None:
-        """Close once the upstream is unreachable, not if it does not read."""
-        assert self._stream is not None
-        set_acknowledgement_timeout(self._stream.socket, 0)
-        self._delivery_task = asyncio.create_task(
-            self._close_when_unreachable(self._stream)
-        )
-
-    async def _close_when_unreachable(self, stream: IOStream) -> None:
-        await wait_until_unreachable(stream.socket, self._clock)
-        stream.close((TimeoutError, TimeoutError("unreachable"), None))
+        self._delivery.stop()
 
     def charge(self, work_us: float) -> None:
         """Charge work that a response has caused, in microseconds."""
@@ -240,7 +225,7 @@
         self._reusable = False
         self._is_head_request = method == "HEAD"
         if len(head) + len(body) > MAX_HELD_BYTES:
-            self._watch_delivery()
+            self._delivery.start(self._stream)
         write = asyncio.ensure_future(self._stream.write(head + body))
         write.add_done_callback(_ignore_write_error)
         self._write_future = write
@@ -291,11 +276,11 @@
             self._finish(head)
             return
         try:
-            if _is_chunked(head.headers):
+            if is_chunked(head.headers):
                 async for chunk in self._read_chunks(self._stream):
                     yield chunk
             elif "Content-Length" in head.headers:
-                length = _parse_length(head.headers["Content-Length"])
+                length = parse_length(head.headers["Content-Length"])
                 async for chunk in self._read_length(self._stream, length):
                     yield chunk
             else:
@@ -317,7 +302,7 @@
     async def _read_head(self, limit: ByteLimit) -> ResponseHead:
         assert self._stream is not None
         try:
-            data = await _read_until(self._stream, b"\r\n\r\n", limit)
+            data = await read_until(self._stream, b"\r\n\r\n", limit)
             first, _, rest = data.decode("latin-1").partition("\r\n")
             line = parse_start_line(first)
             headers = HTTPHeaders.parse(rest)
@@ -338,19 +323,19 @@
     async def _read_chunks(self, stream: IOStream) -> AsyncIterator[bytes]:
         overhead = overhead_limit("chunks")
         while True:
-            line = await _read_chunk_line(stream)
-            size = _parse_chunk_size(line)
+            line = await read_chunk_line(stream)
+            size = parse_chunk_size(line)
             if size == 0:
                 break
-            overhead.spend(len(line) + len(_LINE_END))
+            overhead.spend(len(line) + len(LINE_END))
             async for chunk in self._read_length(stream, size):
                 overhead.earn(len(chunk))
                 yield chunk
-            if await stream.read_bytes(len(_LINE_END)) != _LINE_END:
+            if await stream.read_bytes(len(LINE_END)) != LINE_END:
                 raise HTTPInputError("a chunk does not end where it says")
         trailers = ByteLimit("trailers", MAX_TRAILER_BYTES)
-        while line != _LINE_END:
-            line = await _read_until(stream, _LINE_END, trailers)
+        while line != LINE_END:
+            line = await read_until(stream, LINE_END, trailers)
 
     async def _read_until_close(
         self, stream: IOStream
@@ -386,25 +371,6 @@
         self._idle_until_s = self._clock.monotonic() + idle_s
 
 
-async def _read_until(
-    stream: IOStream, delimiter: bytes, limit: ByteLimit
-) -> bytes:
-    """Return the bytes up to a delimiter; raise `ByteLimitError`."""
-    try:
-        data = await stream.read_until(delimiter, max_bytes=limit.left_bytes)
-    except StreamClosedError as error:
-        if isinstance(error.real_error, UnsatisfiableReadError):
-            raise ByteLimitError(limit.form) from error
-        raise
-    limit.spend(len(data))
-    return data
-
-
-async def _read_chunk_line(stream: IOStream) -> bytes:
-    limit = ByteLimit("chunk line", MAX_CHUNK_LINE_BYTES)
-    return await _read_until(stream, _LINE_END, limit)
-
-
 def _describe_read_error(error: Exception) -> str:
     """Return why a read failed, with what the system says of the socket."""
     cause = getattr(error, "real_error", None)
@@ -418,23 +384,6 @@
         write.exception()
 
 
-def _is_chunked(headers: HTTPHeaders) -> bool:
-    return headers.get("Transfer-Encoding", "").strip().lower() == "chunked"
-
-
-def _parse_length(text: str) -> int:
-    if not (text.isascii() and text.isdecimal()):
-        raise HTTPInputError("no length of a body")
-    return int(text)
-
-
-def _parse_chunk_size(line: bytes) -> int:
-    digits = line.split(b";", 1)[0].strip()
-    if not digits or len(digits) > 8:
-        raise HTTPInputError("no size of a chunk")
-    return int(digits, 16)
-
-
 def _parse_idle_timeout_s(text: str) -> float:
     """Return how long a connection may be reused, by a Keep-Alive header."""
     for parameter in text.split(","):
--- /dev/null
+++ b/src/balsamlift/relay/_framing.py
@@ -0,0 +1,58 @@
+"""Framing of HTTP/1.1 responses: lines, lengths and chunks."""
+
+from __future__ import annotations
+
+from tornado.httputil import HTTPHeaders, HTTPInputError
+from tornado.iostream import (
+    IOStream,
+    StreamClosedError,
+    UnsatisfiableReadError,
+)
+
+from balsamlift.relay._response_limits import (
+    MAX_CHUNK_LINE_BYTES,
+    ByteLimit,
+    ByteLimitError,
+)
+
+LINE_END = b"\r\n"
+
+
+async def read_until(
+    stream: IOStream, delimiter: bytes, limit: ByteLimit
+) -> bytes:
+    """Return the bytes up to a delimiter; raise `ByteLimitError`."""
+    try:
+        data = await stream.read_until(delimiter, max_bytes=limit.left_bytes)
+    except StreamClosedError as error:
+        if isinstance(error.real_error, UnsatisfiableReadError):
+            raise ByteLimitError(limit.form) from error
+        raise
+    limit.spend(len(data))
+    return data
+
+
+async def read_chunk_line(stream: IOStream) -> bytes:
+    """Return the line before a chunk; raise `ByteLimitError`."""
+    limit = ByteLimit("chunk line", MAX_CHUNK_LINE_BYTES)
+    return await read_until(stream, LINE_END, limit)
+
+
+def is_chunked(headers: HTTPHeaders) -> bool:
+    """Return whether a body comes in chunks."""
+    return headers.get("Transfer-Encoding", "").strip().lower() == "chunked"
+
+
+def parse_length(text: str) -> int:
+    """Return the length of a body; raise `HTTPInputError`."""
+    if not (text.isascii() and text.isdecimal()):
+        raise HTTPInputError("no length of a body")
+    return int(text)
+
+
+def parse_chunk_size(line: bytes) -> int:
+    """Return the size in the line before a chunk; raise `HTTPInputError`."""
+    digits = line.split(b";", 1)[0].strip()
+    if not digits or len(digits) > 8:
+        raise HTTPInputError("no size of a chunk")
+    return int(digits, 16)
--- a/src/balsamlift/relay/_reaching.py
+++ b/src/balsamlift/relay/_reaching.py
@@ -4,13 +4,11 @@
 
 import asyncio
 import socket
-import struct
 from typing import Literal
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from balsamlift._address import split_address
-from balsamlift.clock import Clock
 
 # Connecting within a deployment takes a few milliseconds; the kernel resends a
 # lost SYN packet after one second.
@@ -19,13 +17,6 @@
 # 0.2 s, 0.4 s and 0.8 s; after that, the other end is considered dead.
 SILENCE_TIMEOUT_S = 2
 KEEPALIVE_INTERVAL_S = 1
-# More may not fit into what the other system holds for a process that does not
-# read.
-MAX_HELD_BYTES = 32_768
-DELIVERY_CHECK_INTERVAL_S = 0.5
-# The first fields of `struct tcp_info`: state, state of congestion, unanswered
-# retransmissions, unanswered probes.
-_TCP_INFO = struct.Struct("4B")
 
 # To an attempt to open a connection.
 Answer = Literal["accepts", "refuses", "silent"]
@@ -79,27 +70,3 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout_s * 1_000)
     )
-
-
-async def wait_until_unreachable(sock: socket.socket, clock: Clock) -> None:
-    """Return once the other end has acknowledged nothing it should for long.
-
-    Unlike the timeout of the kernel, this tells it from one whose process does
-    not read.
-    """
-    checks = 0
-    while checks * DELIVERY_CHECK_INTERVAL_S < SILENCE_TIMEOUT_S:
-        await clock.sleep(DELIVERY_CHECK_INTERVAL_S)
-        checks = checks + 1 if _is_unacknowledged(sock) else 0
-
-
-def _is_unacknowledged(sock: socket.socket) -> bool:
-    """Return whether the other end does not answer what was sent again."""
-    try:
-        info = sock.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size
-        )
-    except OSError:  # closed, or not told by this system
-        return False
-    _, _, retransmissions, probes = _TCP_INFO.unpack(info)
-    return bool(retransmissions or probes)
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -52,7 +52,6 @@
     MemoryAllocator,
     QuietEngines,
 )
-from balsamlift.relay.health import UnansweredRequests
 from balsamlift.relay.shutdown import (
     CallDurations,
     DrainLimits,
@@ -115,7 +114,7 @@
         self._upstreams = kernel.find("upstreams", Upstreams)
         peers = self._peers = kernel.find("peers", Peers)
         routing = self._routing = kernel.find("routing", Routing)
-        frontend = kernel.find("frontend", Frontend)
+        frontend = self._frontend = kernel.find("frontend", Frontend)
         forwarding_frontend = kernel.find(FORWARDING_FRONTEND, Frontend)
         self._log = RequestLog(
             routing, self._settings.names, self._clock, self._metrics
@@ -138,10 +137,6 @@
         brittle_pools = BrittlePools(
             self._clock, peers.rank_for, peers.hosts_for
         )
-        unanswered = UnansweredRequests(self._clock, self._metrics)
-        self._upstreams.on_change(
-            lambda: unanswered.report_leaving(self._upstreams.is_leaving)
-        )
         balancer = self._balancer = Balancer(
             self._upstreams,
             peers,
@@ -158,7 +153,6 @@
             restrictions,
             self._retry_after,
             brittle_pools,
-            unanswered,
             self._metrics,
         )
         durations = self._durations = CallDurations(balancer, self._clock)
@@ -209,7 +203,7 @@
             statements,
             restrictions,
             links.reachability,
-            unanswered,
+            balancer.unanswered,
             self._metrics,
             self._shutdown,
         )
@@ -287,7 +281,6 @@
         )
         self._leaving_detector.start()
         links.start(exchange.probe)
-        self._frontend = frontend
         self._forwarding_frontend = forwarding_frontend
         self._frontends = (frontend, forwarding_frontend)
         serve_views(kernel, self._allocator, balancer, paces)
--- a/tests/test_relay_unread_bodies.py
+++ b/tests/test_relay_unread_bodies.py
@@ -7,7 +7,7 @@
 from _relay_helpers import DEADLINE_S
 from _virtual_time import LoopClock, run_virtual
 
-from balsamlift.relay._reaching import wait_until_unreachable
+from balsamlift.relay._delivery_watch import wait_until_unreachable
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     RelayHarness,
