--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -57,7 +57,8 @@
 from soak.plan import Plan, draw_plan
 from soak.restarts import Restarts
 from soak.run import HOSTS, Fleet, run_plan
-from soak.stops import StopRun, draw_stop_plan
+from soak.stop_plan import draw_stop_plan
+from soak.stops import StopRun
 
 SHORT_S, CUTS_S, LONG_S = 10.0, 30.0, 60.0
 LONG_HOSTS = 9
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -12,7 +12,6 @@
 import time
 from asyncio.subprocess import PIPE, Process
 from pathlib import Path
-from typing import Literal
 
 import attrs
 
@@ -27,9 +26,9 @@
 from soak.configuration import MAIN, configuration
 from soak.exits import ExitChecker
 from soak.guarantees import CallerOutcome, GuaranteeChecker
-from soak.hosts import ROOT, STAND_INS, Host
-from soak.load import Load, RouteTimes
+from soak.hosts import STAND_INS, Host
 from soak.network import Network
+from soak.stop_plan import DEADLINE_MS, STOPS, Step, StopPlan
 from soak.upstreams import UPSTREAMS
 
 TESTS = Path(__file__).parent.parent
@@ -39,86 +38,9 @@
 SERVES_ON_S = 2.5  # after it has said that it drains
 PLACES_BESIDE = 2  # requests that may lie unread beside those that have places
 LATE_READ_S = 0.5  # after an upstream has gone on, for what lay unread
-DEADLINE_MS = 4_000
 RECONNECT_S = 0.1
 SLACK_S = 1.0  # of callers and hosts on a busy machine
 
-STOPS = Load(
-    services={"plain": 6, "model": 5},
-    callers_per_host=0,
-    pause_s=0.0,
-    shares={"non_idempotent": 2.0, "idempotent": 1.0, "stream": 1.0},
-    times=dict.fromkeys(
-        ("idempotent", "non_idempotent", "stream"),
-        RouteTimes(timeout_ms=DEADLINE_MS, target_ms=1_000),
-    ),
-    extra_retries=100,
-    grace_s=8.0,
-)
-
-Kind = Literal[
-    "stop", "stop_all", "drain", "unlist", "configure", "hup", "term"
-]
-KINDS: tuple[Kind, ...] = (
-    *("stop", "stop", "stop_all", "drain"),
-    *("unlist", "configure", "hup", "term"),
-)
-
-
-@attrs.frozen(kw_only=True)
-class Step:
-    """One event of a run."""
-
-    kind: Kind
-    at_s: float
-    duration_s: float = 0.0  # of a stop
-    service: str = "plain"
-    target: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class StopPlan:
-    """What a run does."""
-
-    seed: int
-    steps: tuple[Step, ...]
-    length_s: float
-    hosts: int = 4
-    callers: int = 64  # that wait for each answer
-    calls_per_s: float = 0.0  # on new connections, whatever the answers
-    slots: int = 6
-    work_s: float = 0.3
-    tree: Path = ROOT
-
-
-def draw_stop_plan(
-    seed: int, length_s: float, hosts: int, tree: Path = ROOT
-) -> StopPlan:
-    """Return a plan whose events come in series and overlap."""
-    rng = random.Random(seed)
-    steps: list[Step] = []
-    at_s = 0.5
-    while at_s < length_s:
-        kind = rng.choice(KINDS)
-        longest_s = 2.6 if kind == "stop_all" else 10.0
-        step = Step(
-            kind=kind,
-            at_s=at_s,
-            duration_s=rng.uniform(0.3, longest_s),
-            service=rng.choice(("plain", "plain", "model")),
-            target=rng.randrange(100),
-        )
-        steps.append(step)
-        at_s += rng.choice((0.05, 0.6, 2.0))
-    return StopPlan(
-        seed=seed,
-        steps=tuple(steps),
-        length_s=length_s,
-        hosts=hosts,
-        callers=rng.choice((6, 36, 72)),
-        tree=tree,
-    )
-
 
 @attrs.define(eq=False)
 class Upstream:
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -4,7 +4,8 @@
 from pathlib import Path
 
 import pytest
-from soak.stops import Step, StopPlan, StopRun, draw_stop_plan
+from soak.stop_plan import Step, StopPlan, draw_stop_plan
+from soak.stops import StopRun
 
 LENGTH_S = 8.0
 DRAWN_SEEDS = [2]
