Let a test of silent upstreams let them go on at one moment

Cause, the test's: each upstream went on 1.6 s after its own request, so that one could answer some ms before another. A call at the other may then begin again elsewhere, as it should.

Change: all go on by one event, and that nothing was begun twice is asserted just before it; statuses as before.

--- a/tests/test_relay_attempt_timeout.py
+++ b/tests/test_relay_attempt_timeout.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from _relay_helpers import DEADLINE_S, behave_all
+from _relay_helpers import DEADLINE_S, behave_all, until_arrived
 
 from balsamlift.testing.relay import (
     HEADER_NAMES,
@@ -35,6 +35,13 @@
     count: int,
 ) -> None:
     replicas = make_replicas(count)
+    goes_on = asyncio.Event()
+
+    async def wait(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await goes_on.wait()
+        await connection.answer(request, b"done")
 
     async def check() -> None:
         async with (
@@ -42,13 +49,18 @@
             RelayHarness(replicas) as world,
         ):
             world.configure()
+            behave_all(replicas, wait)
             calls = [
-                world.call("/view/1", f"r{n}", deadline_ms=DEADLINE_MS)
+                asyncio.create_task(
+                    world.call("/view/1", f"r{n}", deadline_ms=DEADLINE_MS)
+                )
                 for n in range(6)
             ]
+            await asyncio.sleep(STOPPED_S)
+            assert sum(len(replica.arrivals) for replica in replicas) == 6
+            goes_on.set()
             answers = await asyncio.gather(*calls)
             assert [answer.status for answer in answers] == [200] * 6
-            assert sum(len(replica.arrivals) for replica in replicas) == 6
 
     asyncio.run(check())
 
@@ -65,8 +77,7 @@
             call = asyncio.create_task(
                 world.call("/view/1", deadline_ms=DEADLINE_MS)
             )
-            while not any(replica.arrivals for replica in replicas):
-                await asyncio.sleep(0.01)
+            await until_arrived(replicas)
             while world.relay._retries.spend("plain"):
                 pass
             assert (await call).status == 200
@@ -91,8 +102,7 @@
             first = asyncio.create_task(
                 world.call("/view/1", deadline_ms=DEADLINE_MS)
             )
-            while not any(replica.arrivals for replica in replicas):
-                await asyncio.sleep(0.01)
+            await until_arrived(replicas)
             behave_all(replicas, answer)
             began_s = asyncio.get_running_loop().time()
             assert (await first).status == 200
