--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -19,23 +19,37 @@
     return stop_run
 
 
-@pytest.mark.parametrize("seed", OVERLOADED_SEEDS)
-def test_few_requests_lie_unread_at_a_stopped_upstream(
-    seed: int, tmp_path: Path
+def check_unread(
+    seed: int, folder: Path, hosts: int, calls_per_s: float
 ) -> None:
+    """Stop one upstream for longer than its entry lasts."""
     step = Step(kind="stop", at_s=1.0, duration_s=6.5)
     plan = StopPlan(
         seed=seed,
         steps=(step,),
         length_s=LENGTH_S,
+        hosts=hosts,
         callers=4,
-        calls_per_s=400.0,
+        calls_per_s=calls_per_s,
     )
-    result = run(plan, tmp_path)
+    result = run(plan, folder)
     assert result.checker.violations == []
     assert len(result.outcomes) > 500
 
 
+@pytest.mark.parametrize("seed", OVERLOADED_SEEDS)
+def test_few_requests_lie_unread_at_a_stopped_upstream(
+    seed: int, tmp_path: Path
+) -> None:
+    check_unread(seed, tmp_path, hosts=4, calls_per_s=400.0)
+
+
+def test_few_requests_of_many_hosts_lie_unread_at_a_stopped_upstream(
+    tmp_path: Path,
+) -> None:
+    check_unread(1, tmp_path, hosts=20, calls_per_s=200.0)
+
+
 @pytest.mark.parametrize("seed", DRAWN_SEEDS)
 def test_guarantees_hold_while_upstreams_stop_and_go_on(
     seed: int, tmp_path: Path
