--- a/tests/test_relay_silence_limit.py
+++ b/tests/test_relay_silence_limit.py
@@ -9,6 +9,7 @@
 from balsamlift.metrics import Metrics
 from balsamlift.peers._upstream import Upstream, build_upstream
 from balsamlift.relay.health import SilenceLimit, UnansweredRequests
+from balsamlift.relay.health._silence_limit import SILENT_AFTER_S
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     CallerAnswer,
@@ -21,6 +22,7 @@
 SLOTS = 2
 MOST = SLOTS + 2
 CALLS = 30
+DEADLINE_MS = 4_000
 
 
 def make_replicas(count: int) -> list[ReplicaStandIn]:
@@ -31,12 +33,14 @@
 
 
 async def call_all(
-    world: RelayHarness, gap_s: float = 0.02
+    world: RelayHarness, count: int = CALLS, gap_s: float = 0.02
 ) -> list[asyncio.Task[CallerAnswer]]:
     """Send calls that are not idempotent, one after the other."""
     calls = []
-    for number in range(CALLS):
-        call = asyncio.create_task(world.call("/order/1", f"r{number}"))
+    for number in range(count):
+        call = asyncio.create_task(
+            world.call("/order/1", f"r{number}", deadline_ms=DEADLINE_MS)
+        )
         calls.append(call)
         await asyncio.sleep(gap_s)
     return calls
@@ -81,11 +85,13 @@
         ):
             world.configure()
             behave_all(replicas, stop)
-            calls = await call_all(world)
-            most = len(replicas[0].arrivals)
+            calls = await call_all(world, MOST)
+            await asyncio.sleep(2 * SILENT_AFTER_S)
+            calls += await call_all(world, CALLS, gap_s=0)
+            await asyncio.sleep(SILENT_AFTER_S)
+            assert len(replicas[0].arrivals) == MOST
             goes_on.set()
             answers = await asyncio.gather(*calls)
-            assert most < CALLS
             assert {answer.status for answer in answers} == {200}
 
     asyncio.run(check())
