Give the links of scenarios a loop of their own, beside the callers'

Cause: the links between hosts and upstreams ran on the callers' event loop. Forty callers that start at once create their clients there, and no link carried a byte meanwhile: the engine's probes had no answer, the hosts took it for dead, and all that waited was refused. By the hosts' time lines the engine was dead before the first call, and no pool had an engine as calls were refused. The time that the preset lets calls wait was ruled out: at 5 s instead of 0.3 s the same.

Change: links, and the proxies of orders, run on a loop of their own.

--- a/tests/scenarios/context.py
+++ b/tests/scenarios/context.py
@@ -24,8 +24,10 @@
 
     def __init__(self) -> None:
         self.background = BackgroundLoop()
+        # Links go on while callers keep their own loop busy.
+        self.link_loop = BackgroundLoop()
         self.plan = Plan()
-        self.host_links = HostLinks(self.background)
+        self.host_links = HostLinks(self.link_loop)
         self.calls: list[Call] = []
         self.attempts: list[Attempt] = []
         self.results: list[OperationResult] = []
@@ -42,7 +44,7 @@
         return self._deployment
 
     def deploy(self, hosts: int, engines: int, services: int) -> None:
-        self._deployment = Deployment(self.background, self.plan)
+        self._deployment = Deployment(self.link_loop, self.plan)
         self._deployment.start(hosts, engines, services)
         self.monitor = GenerationMonitor(self._deployment)
 
@@ -150,6 +152,7 @@
         if self._deployment is not None:
             self._deployment.close()
         self.background.close()
+        self.link_loop.close()
 
 
 def pause(delay_s: float) -> None:
--- a/tests/scenarios/orders_steps.py
+++ b/tests/scenarios/orders_steps.py
@@ -52,7 +52,7 @@
 
     def __init__(self, context: ScenarioContext) -> None:
         self.context = context
-        self.proxies = OrderProxies(context.background)
+        self.proxies = OrderProxies(context.link_loop)
         self.load_monitor: ModelLoadMonitor | None = None
         self.previous_holder: TestHost | None = None  # was frozen or killed
         self.thawed_ms = 0
