Count connections as opened that opened while the host stood still

What callers saw: after a host had stood still for 0.5 s or more, be it stopped, starved or stuck, its calls got 503, as no upstream seemed to be reached, and those upstreams counted as failing.

Cause: the timer of a connection runs before the event of its opening is looked at. In one turn of the loop the event is handled first, and the timer then cancels a task whose result is there; after a stop by signal the wait for events returns none at all, and the timers are due.

Change: `open_stream` waits without cancelling, and gives the events that came meanwhile one turn before it gives up.

--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -21,7 +21,6 @@
     UnsatisfiableReadError,
 )
 
-from balsamlift._address import split_address
 from balsamlift.clock import Clock
 from balsamlift.exceptions import (
     ResponseLimitError,
@@ -41,6 +40,7 @@
 from balsamlift.relay._reaching import (
     CONNECT_TIMEOUT_S,
     enable_dead_peer_detection,
+    open_stream,
 )
 from balsamlift.relay._response_limits import (
     MAX_DROPPED_BYTES,
@@ -128,13 +128,11 @@
 
         Raises `UpstreamUnreachableError`.
         """
-        ip, port = split_address(self.address)
         stream = FairStream(
             socket.socket(), self._read_queue, self._clock, MAX_BUFFER_BYTES
         )
         try:
-            async with asyncio.timeout(timeout_s):
-                await stream.connect((ip, port))
+            await open_stream(stream, self.address, timeout_s)
         except (StreamClosedError, TimeoutError) as error:
             stream.close()
             raise UpstreamUnreachableError(
--- a/src/balsamlift/relay/_reaching.py
+++ b/src/balsamlift/relay/_reaching.py
@@ -22,13 +22,29 @@
 Answer = Literal["accepts", "refuses", "silent"]
 
 
+async def open_stream(
+    stream: IOStream, address: str, timeout_s: float
+) -> None:
+    """Connect a stream to an address.
+
+    A connection that has opened while this process stood still counts as
+    opened. Raises `StreamClosedError` or `TimeoutError`.
+    """
+    connecting = stream.connect(split_address(address))
+    await asyncio.wait([connecting], timeout=timeout_s)
+    if not connecting.done():
+        # Timers may run before events that came meanwhile.
+        await asyncio.sleep(0)
+    if not connecting.done():
+        raise TimeoutError
+    connecting.result()
+
+
 async def try_connection(address: str) -> Answer:
     """Return how a host answers an attempt to open a connection."""
-    ip, port = split_address(address)
     stream = IOStream(socket.socket())
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            await stream.connect((ip, port))
+        await open_stream(stream, address, CONNECT_TIMEOUT_S)
     except StreamClosedError as error:
         is_refusal = isinstance(error.real_error, ConnectionError)
         return "refuses" if is_refusal else "silent"
