Take the silence of upstreams during a host's own stall for none

What callers and other hosts saw: a host that had been stopped for some seconds ejected upstreams that had worked all the time, and told the others that they fail or are silent; callers who still waited for an idempotent call got 502.

Cause: as a host goes on, its timers are due before it has read anything. What upstreams sent meanwhile lies in its buffers, and each looks silent for as long as the host was. The class of the incident, on the other side: a host's own silence taken for that of an upstream.

Change: `StallWatch` knows by a timer, ten times a second, when the process last went on after 0.2 s or more without a turn of its loop. Silence counts from then on, and no attempt is ended in the 0.2 s after it. A line "stood still" and the counter relay.stalls tell of each.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -25,6 +25,7 @@
 from balsamlift.relay.health import (
     SharedHealth,
     SilenceLimit,
+    StallWatch,
     UnansweredRequests,
     UpstreamHealth,
 )
@@ -74,7 +75,8 @@
             clock, metrics, rng
         )
         self.brittle_pools = brittle_pools or no_brittle_pools(clock)
-        self.unanswered = UnansweredRequests(clock, metrics)
+        self.stalls = StallWatch(clock, metrics)
+        self.unanswered = UnansweredRequests(clock, metrics, self.stalls)
         self._cold_starts = cold_starts
         self._regions = regions or {}
         self._upstreams = upstreams
@@ -301,10 +303,6 @@
             for upstream in self.usable(scope, tried)
         )
 
-    def was_heard_since(self, upstream: str, since_s: float) -> bool:
-        """Return whether an upstream has sent this host anything since."""
-        return self.unanswered.was_heard_since(upstream, since_s)
-
     def eject(self, upstream: str) -> float:
         """Eject an upstream that sent no complete response.
 
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -288,6 +288,7 @@
         frontend.serve(self.handle)
         forwarding_frontend.serve(self.handle_forwarded)
         self._tasks = [
+            start_task("stall watch", balancer.stalls.run, self._clock),
             start_task("memory poll", self._poll_for_memory, self._clock),
             start_task("sweep", self._sweep_periodically, self._clock),
         ]
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -245,6 +245,8 @@
 
     def _has_another(self, call: Call, tried: set[str]) -> bool:
         """Return whether to end an attempt, so that another one begins."""
+        if self._balancer.stalls.is_just_over():  # it may be answered
+            return False
         if not self._retries.has_left(call.service):
             return False
         return self._forwarder.is_unreached(
@@ -255,9 +257,8 @@
         """Return whether an upstream has sent nothing since the last send."""
         if attempt.sent_s is None or attempt.sent_to[-1] != upstream.name:
             return False
-        waited_s = asyncio.get_running_loop().time() - attempt.sent_s
-        return waited_s >= SILENCE_S and not self._balancer.was_heard_since(
-            upstream.name, attempt.sent_s
+        return self._balancer.unanswered.was_silent_for(
+            upstream.name, attempt.sent_s, SILENCE_S
         )
 
     def _back_off(
--- a/src/balsamlift/relay/health/__init__.py
+++ b/src/balsamlift/relay/health/__init__.py
@@ -4,6 +4,7 @@
 from balsamlift.relay.health._reachability import Reachability
 from balsamlift.relay.health._shared_health import SharedHealth
 from balsamlift.relay.health._silence_limit import SilenceLimit
+from balsamlift.relay.health._stall_watch import StallWatch
 from balsamlift.relay.health._unanswered import (
     OpenRequest,
     UnansweredRequests,
@@ -16,6 +17,7 @@
     "Reachability",
     "SharedHealth",
     "SilenceLimit",
+    "StallWatch",
     "UnansweredRequests",
     "UpstreamHealth",
 ]
--- a/src/balsamlift/relay/health/_unanswered.py
+++ b/src/balsamlift/relay/health/_unanswered.py
@@ -15,6 +15,7 @@
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
 from balsamlift.peers import Upstream
+from balsamlift.relay.health._stall_watch import StallWatch
 
 log = logger.bind(part="upstreams")
 
@@ -66,9 +67,15 @@
 class UnansweredRequests:
     """Track the requests that each upstream has, and its last sign of life."""
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
-        """Start without any request."""
+    def __init__(
+        self, clock: Clock, metrics: Metrics, stalls: StallWatch
+    ) -> None:
+        """Start without any request.
+
+        No upstream counts as silent for the time of a stall.
+        """
         self._clock = clock
+        self._stalls = stalls
         self._metrics = metrics
         self._upstreams: dict[str, _Upstream] = {}
 
@@ -100,7 +107,7 @@
         return Unanswered(
             requests=len(state.open),
             oldest_ms=round((now_s - state.oldest_s()) * 1_000),
-            silent_ms=round((now_s - state.silent_since_s()) * 1_000),
+            silent_ms=round(self.silent_s(name) * 1_000),
         )
 
     def report_leaving(self, is_leaving: Callable[[str], bool]) -> None:
@@ -120,7 +127,15 @@
         state = self._upstreams.get(name)
         if state is None or not state.open:
             return 0.0
-        return self._clock.monotonic() - state.silent_since_s()
+        since_s = max(state.silent_since_s(), self._stalls.went_on_s())
+        return self._clock.monotonic() - since_s
+
+    def was_silent_for(self, name: str, sent_s: float, least_s: float) -> bool:
+        """Return whether nothing came for so long after a request's send."""
+        if self.was_heard_since(name, sent_s):
+            return False
+        since_s = max(sent_s, self._stalls.went_on_s())
+        return self._clock.monotonic() - since_s >= least_s
 
     def was_heard_since(self, name: str, since_s: float) -> bool:
         """Return whether an upstream has sent anything since a moment."""
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -80,6 +80,7 @@
         self.checker = GuaranteeChecker()
         self._exits = ExitChecker(STOPS.grace_s, self.checker.report_violation)
         self._exiting: set[Host] = set()
+        self._late_hosts: set[Host] = set()  # stopped not long ago
         self.late_reads: list[int] = []  # of each absence of an upstream
         self.dropped = 0  # late reads whose connection was closed by then
         self.outcomes: list[CallerOutcome] = []
@@ -187,6 +188,10 @@
             case "hup":
                 for host in self.hosts:
                     host.reload_settings()
+            case "stop_host":
+                await self._stop_host(
+                    self.hosts[step.target % len(self.hosts)], step.duration_s
+                )
             case "term":
                 await self._terminate(
                     self.hosts[step.target % len(self.hosts)]
@@ -200,6 +205,12 @@
         await host.terminate()
         self._exiting.discard(host)
 
+    async def _stop_host(self, host: Host, duration_s: float) -> None:
+        self._late_hosts.add(host)
+        await host.freeze(duration_s)
+        await asyncio.sleep(DEADLINE_MS / 1_000)  # of what it has read late
+        self._late_hosts.discard(host)
+
     async def _stop(self, upstream: Upstream, duration_s: float) -> None:
         """Stop a process; the store drops its entry after a while."""
         if upstream.stopped_s is not None or upstream.ends:
@@ -439,6 +450,8 @@
         """Report a request without an answer, unless its host is exiting."""
         deadline_s = DEADLINE_MS / 1_000
         is_excused = host in self._exiting or request_id in self._cut
+        if host in self._late_hosts:
+            return
         if took_s > deadline_s + SLACK_S / 2:
             self.checker.report_violation(
                 "late", request_id, f"no answer in {took_s:.2f} s"
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -57,3 +57,20 @@
     result = run(draw_stop_plan(seed, LENGTH_S, hosts=4), tmp_path)
     assert result.checker.violations == []
     assert len(result.outcomes) > 50
+
+
+def test_a_host_that_was_stopped_ejects_no_upstream_that_worked(
+    tmp_path: Path,
+) -> None:
+    step = Step(kind="stop_host", at_s=1.5, duration_s=5.0)
+    plan = StopPlan(
+        seed=1,
+        steps=(step,),
+        length_s=8.0,
+        hosts=2,
+        callers=12,
+        work_s=0.8,
+    )
+    run(plan, tmp_path)
+    lines = (tmp_path / "edge-0.log").read_text().splitlines()
+    assert [line for line in lines if "ejected" in line] == []
