Tell hosts beyond the fan-out of a silent upstream as soon as one knows

What upstreams saw: with 20 hosts a stopped one read up to 26 requests after it had left the list, where eight may be. Beyond the fan-out each host learnt of a silence by itself, or with the sums, up to a second late, and filled the upstream by counts as old.

Beyond the fan-out a host that would choose a silent upstream fetches the sums first, and publishes its own count as it sends there.

Ruled out: a limit by each host's rank, which starves a slow upstream whose callers come to few hosts (by reckoning, not run).

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -32,6 +32,7 @@
 from balsamlift.peers._rate_limits import RateLimits
 from balsamlift.peers._records import Record, RecordBatch
 from balsamlift.peers._shared_records import RecordSources, SharedRecords
+from balsamlift.peers._silence_reports import SilenceReports
 from balsamlift.peers._upstream import EntryHost, Upstream
 from balsamlift.peers._upstreams import Upstreams
 
@@ -63,6 +64,7 @@
     "RecordBatch",
     "RecordSources",
     "SharedRecords",
+    "SilenceReports",
     "StartupPause",
     "Upstream",
     "UpstreamList",
--- a/src/balsamlift/peers/_composer.py
+++ b/src/balsamlift/peers/_composer.py
@@ -89,6 +89,7 @@
                 sent.leaving_notices
             ),
             part_reports=reports.parts.changed_since(sent.parts),
+            silence_reports=reports.silences.changed_since(sent.silences),
         )
         sent_changes = SentChanges(
             self._members.change, self._counts.change, reports.change
--- a/src/balsamlift/peers/_membership.py
+++ b/src/balsamlift/peers/_membership.py
@@ -95,6 +95,7 @@
         self._reports = Reports(clock)
         self.crash_reports = self._reports.crashes
         self.part_reports = self._reports.parts
+        self.silence_reports = self._reports.silences
         self.rate_limits = self._reports.rate_limits
         silence_s = settings.peers.silence_ms / 1_000
         self._peer_statuses = PeerStatuses(clock, silence_s)
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -78,6 +78,13 @@
     ttl_ms: int
 
 
+class SilenceReport(msgspec.Struct, frozen=True, array_like=True):
+    """Report that an upstream owes answers and sends nothing."""
+
+    upstream: str
+    ttl_ms: int
+
+
 class RateLimitReport(msgspec.Struct, frozen=True, array_like=True):
     """Report the rate limit that an upstream names to all hosts together."""
 
@@ -147,6 +154,7 @@
     rate_limits: list[RateLimitReport] = msgspec.field(default_factory=list)
     leaving_notices: list[LeavingReport] = msgspec.field(default_factory=list)
     part_reports: list[PartReport] = msgspec.field(default_factory=list)
+    silence_reports: list[SilenceReport] = msgspec.field(default_factory=list)
 
 
 class CountsUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/src/balsamlift/peers/_report_table.py
+++ b/src/balsamlift/peers/_report_table.py
@@ -11,12 +11,13 @@
 from balsamlift.peers._messages import (
     CrashReport,
     PartReport,
+    SilenceReport,
     UpstreamReport,
 )
 
 _MS_PER_S = 1_000
 
-R = TypeVar("R", CrashReport, PartReport, UpstreamReport)
+R = TypeVar("R", CrashReport, PartReport, SilenceReport, UpstreamReport)
 
 
 @attrs.define
--- a/src/balsamlift/peers/_reports.py
+++ b/src/balsamlift/peers/_reports.py
@@ -12,6 +12,7 @@
 from balsamlift.peers._messages import PeerMessage
 from balsamlift.peers._part_reports import PartReports
 from balsamlift.peers._rate_limits import RateLimits
+from balsamlift.peers._silence_reports import SilenceReports
 from balsamlift.peers._upstream_gossip import UpstreamGossip
 from balsamlift.peers._upstream_reports import UpstreamReports
 from balsamlift.peers._upstreams import Upstreams
@@ -26,6 +27,7 @@
     rate_limits: int = 0
     leaving_notices: int = 0
     parts: int = 0
+    silences: int = 0
 
 
 NO_REPORTS_SENT = SentReports()
@@ -40,6 +42,7 @@
         self.upstream_states = UpstreamReports()
         self.crashes = CrashReports(clock)
         self.parts = PartReports(clock)
+        self.silences = SilenceReports(clock)
         self.rate_limits = RateLimits(clock)
         self.gossip = UpstreamGossip(self.upstream_states, clock)
 
@@ -50,6 +53,7 @@
         self.gossip.start(upstreams, wake)
         self.crashes.start(wake)
         self.parts.start(wake)
+        self.silences.start(wake)
         self.rate_limits.start(wake, metrics)
         self.leaving_notices = upstreams.leaving_notices
         self.leaving_notices.share(wake)
@@ -59,6 +63,7 @@
         self.gossip.receive(message.upstream_reports)
         self.crashes.add(message.crash_reports)
         self.parts.add(message.part_reports)
+        self.silences.add(message.silence_reports)
         self.rate_limits.add(message.rate_limits)
         self.leaving_notices.add(message.leaving_notices)
 
@@ -71,6 +76,7 @@
             self.rate_limits.change,
             self.leaving_notices.change,
             self.parts.change,
+            self.silences.change,
         )
 
     def expire(self) -> None:
--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -16,6 +16,7 @@
 from balsamlift.peers import (
     HostRank,
     Peers,
+    SilenceReports,
     Upstream,
     Upstreams,
 )
@@ -62,6 +63,7 @@
         restrictions: Restrictions | None = None,
         retry_after: RetryAfterTracker | None = None,
         brittle_pools: BrittlePools | None = None,
+        silences: SilenceReports | None = None,
         metrics: Metrics | None = None,
     ) -> None:
         """Add the counts received by `peers` to those of this host.
@@ -92,8 +94,7 @@
         )
         self._silence_limit = SilenceLimit(
             self.unanswered,
-            self.share_value,
-            self._reporting_hosts,
+            silences or SilenceReports(clock),
             clock,
             metrics,
         )
@@ -294,6 +295,10 @@
         else:
             self.record_failure(upstream)
 
+    def is_silent(self, upstream: str) -> bool:
+        """Return whether an upstream owes answers in silence to any host."""
+        return self._silence_limit.is_silent(upstream)
+
     def has_sound(self, scope: Scope, tried: Collection[str]) -> bool:
         """Return whether an upstream is left that is likely to answer."""
         now_s = self._clock.monotonic()
@@ -334,7 +339,6 @@
         """Discard expired observations; called every second."""
         live = {upstream.name for upstream in self._upstreams.all()}
         self.unanswered.prune(live)
-        self._silence_limit.expire(live)
         self._shared_health.expire(self._clock.monotonic(), live)
         if self._cold_starts is not None:
             self._cold_starts.prune(live)
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -153,6 +153,7 @@
             restrictions,
             self._retry_after,
             brittle_pools,
+            peers.silence_reports,
             self._metrics,
         )
         durations = self._durations = CallDurations(balancer, self._clock)
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -199,6 +199,8 @@
             )
         try:
             with self._balancer.count_in_flight(upstream.name, 1):
+                if self._balancer.is_silent(upstream.name):
+                    self._balancer.publish()
                 async with asyncio.timeout(None) as limit:
                     with ending_for_another(
                         limit,
--- a/src/balsamlift/relay/_upstream_chooser.py
+++ b/src/balsamlift/relay/_upstream_chooser.py
@@ -25,6 +25,8 @@
 # Longest wait for a place at a brittle upstream, as a part of the route's
 # target latency.
 MAX_PLACE_WAIT_FACTOR = 0.5
+# What the counts of others are by that include the latest sends.
+RECENT_COUNTS = frozenset({"heard", "gathered"})
 
 
 @attrs.frozen
@@ -217,9 +219,7 @@
     ) -> Upstream | None:
         """Return an upstream with a permit; add the waits of the others."""
         while True:
-            upstream = self._balancer.choose_upstream(
-                call.scope, tried, waits_s
-            )
+            upstream = await self._choose_counted(call, tried, waits_s)
             if upstream is None:
                 return None
             permit = await self._permits.acquire(upstream.name)
@@ -227,6 +227,21 @@
                 return self._record_send(upstream)
             waits_s[upstream.name] = permit.wait_s
 
+    async def _choose_counted(
+        self, call: Call, tried: Collection[str], denied: Collection[str]
+    ) -> Upstream | None:
+        """Return the best upstream, a silent one only by recent counts."""
+        balancer = self._balancer
+        upstream = balancer.choose_upstream(call.scope, tried, denied)
+        if (
+            upstream is None
+            or balancer.counts_basis in RECENT_COUNTS
+            or not balancer.is_silent(upstream.name)
+        ):
+            return upstream
+        await balancer.refresh()
+        return balancer.choose_upstream(call.scope, tried, denied)
+
     async def _wait_for_permit(
         self, call: Call, tried: Collection[str], name: str, until_s: float
     ) -> Upstream | None:
--- a/src/balsamlift/relay/health/_silence_limit.py
+++ b/src/balsamlift/relay/health/_silence_limit.py
@@ -7,11 +7,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
-
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
-from balsamlift.peers import Upstream
+from balsamlift.peers import SilenceReports, Upstream
 from balsamlift.relay.health._unanswered import UnansweredRequests
 
 # An upstream that owes answers and has sent nothing for so long may have
@@ -21,11 +19,6 @@
 REQUESTS_BESIDE_SLOTS = 2
 
 
-def silent_key(upstream: str) -> str:
-    """Return the key that counts hosts to which an upstream is silent."""
-    return f"{upstream}/silent"
-
-
 class SilenceLimit:
     """Decide whether an upstream may have one more request.
 
@@ -36,57 +29,43 @@
     def __init__(
         self,
         unanswered: UnansweredRequests,
-        share: Callable[[str, int], None],
-        others_count: Callable[[str], int],
+        reports: SilenceReports,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
-        """Share counts of this host by `share`, with its next heartbeat."""
+        """Exchange `reports` with the other hosts."""
         self._unanswered = unanswered
-        self._share = share
-        self._others_count = others_count
+        self._reports = reports
         self._clock = clock
         self._metrics = metrics
-        self._reported: set[str] = set()
 
     def allows(self, upstream: Upstream, load: int) -> bool:
         """Return whether an upstream with `load` requests may have another."""
         if not upstream.slots:  # the list does not tell
             return True
+        if load < upstream.slots:
+            return True
+        self._report(upstream.name)
         if load < upstream.slots + REQUESTS_BESIDE_SLOTS:
             return True
-        return not self._is_silent(upstream.name)
+        return not self.is_silent(upstream.name)
 
     def is_answering(self, name: str) -> bool:
         """Return whether an upstream owes this host nothing for long."""
-        return not self._is_silent_here(name)
+        return self._unanswered.silent_s(name) < SILENT_AFTER_S
 
-    def expire(self, live: Collection[str]) -> None:
-        """Withdraw reports that no longer hold; called every second."""
-        for name in list(self._reported):
-            if name not in live or not self._is_silent_here(name):
-                self._withdraw(name)
-
-    def _is_silent(self, name: str) -> bool:
-        if self._is_silent_here(name):
-            self._report(name)
+    def is_silent(self, name: str) -> bool:
+        """Return whether an upstream is silent, to this host or another."""
+        if not self.is_answering(name):
             return True
-        self._withdraw(name)
         since_s = self._clock.monotonic() - SILENT_AFTER_S
         if self._unanswered.was_heard_since(name, since_s):
             return False
-        return self._others_count(silent_key(name)) > 0
-
-    def _is_silent_here(self, name: str) -> bool:
-        return self._unanswered.silent_s(name) >= SILENT_AFTER_S
+        return self._reports.has(name)
 
     def _report(self, name: str) -> None:
-        if name not in self._reported:
-            self._reported.add(name)
-            self._share(silent_key(name), 1)
+        if self.is_answering(name):
+            return
+        if not self._reports.has(name):
             self._metrics.count("upstreams.silent")
-
-    def _withdraw(self, name: str) -> None:
-        if name in self._reported:
-            self._reported.remove(name)
-            self._share(silent_key(name), 0)
+        self._reports.report(name)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -604,3 +604,17 @@
         assert described == 0
 
     run(scenario, fan_out=4, interval_factor=2)
+
+
+def test_hosts_beyond_the_fan_out_learn_of_a_silence_while_it_lasts() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        hosts = await cluster.grow(9)
+        reports = [host.peers.silence_reports for host in hosts]
+
+        def all_know() -> bool:
+            reports[0].report("e1")  # as long as it is silent there
+            return all(each.has("e1") for each in reports)
+
+        await until(all_know)
+
+    run(scenario, fan_out=3, interval_factor=3)
--- a/tests/test_peers_messages.py
+++ b/tests/test_peers_messages.py
@@ -21,6 +21,7 @@
     PermitRequest,
     RateLimitReport,
     SharedPlatformState,
+    SilenceReport,
     UpstreamReport,
     decode_message,
     decode_permit_answer,
@@ -49,6 +50,7 @@
     upstream_reports=[UpstreamReport("e1", "10.0.0.1:80", "dead", 500)],
     shared=SharedPlatformState(True, b"routes", [ListEntry("e2", "upstream")]),
     leaving_notices=[LeavingReport("e1", 700)],
+    silence_reports=[SilenceReport("e1", 400)],
 )
 TOPIC_UPDATE = TopicUpdate(
     9, 20, True, [Record("k", None, 8), Record("l", b"v", 7)]
--- a/tests/test_relay_silence_limit.py
+++ b/tests/test_relay_silence_limit.py
@@ -7,6 +7,8 @@
 from _relay_helpers import DEADLINE_S, behave_all, hang
 
 from balsamlift.metrics import Metrics
+from balsamlift.peers import SilenceReports
+from balsamlift.peers._silence_reports import REPORT_TTL_MS
 from balsamlift.peers._upstream import Upstream, build_upstream
 from balsamlift.relay.health import (
     SilenceLimit,
@@ -109,14 +111,9 @@
         self.unanswered = UnansweredRequests(
             self.clock, Metrics(), StallWatch(self.clock, Metrics())
         )
-        self.own: dict[str, int] = {}
-        self.others: dict[str, int] = {}
+        self.reports = SilenceReports(self.clock)
         self.limit = SilenceLimit(
-            self.unanswered,
-            self.own.__setitem__,
-            lambda key: self.others.get(key, 0),
-            self.clock,
-            Metrics(),
+            self.unanswered, self.reports, self.clock, Metrics()
         )
         replica = ReplicaStandIn("u1", "plain", HEADER_NAMES, slots=slots)
         upstream = build_upstream(replica.entry(), {})
@@ -150,15 +147,16 @@
     request = silence.unanswered.open(silence.upstream)
     silence.clock.now_s += 0.2
     silence.allows()
-    assert silence.own == {"u1/silent": 1}
+    assert silence.reports.has("u1")
     request.record_bytes()
-    silence.limit.expire({"u1"})
-    assert silence.own == {"u1/silent": 0}
+    silence.allows()
+    silence.clock.now_s += REPORT_TTL_MS / 1_000
+    assert not silence.reports.has("u1")
 
 
 def test_what_others_tell_counts_for_a_host_that_has_heard_nothing():
     silence = Silence()
-    silence.others["u1/silent"] = 1
+    silence.reports.report("u1")
     assert not silence.allows()
     silence.unanswered.open(silence.upstream).record_bytes()
     assert silence.allows()
