Wait for the news after a stall before a connection is taken

The hold came after a connection was taken: a call that was cancelled meanwhile left it open and unreturned, and a kept one could be closed by its upstream while it was held, so that nobody could know whether the request ran.

Change: the hold, and the look at whether the upstream has left, come first.

--- a/src/balsamlift/relay/_catch_up.py
+++ b/src/balsamlift/relay/_catch_up.py
@@ -39,10 +39,11 @@
         self._metrics = metrics
 
     def is_due(self) -> bool:
-        """Return whether something is older than the last stall, and old."""
+        """Return whether either was last confirmed before a recent stall."""
         since_s = self._clock.monotonic() - self._stalls.went_on_s()
         if since_s > MAX_WAIT_S:
             return False
+        # One that was never confirmed is not waited for.
         return any(
             max(since_s, source.max_age_s) < source.age_s < math.inf
             for source in (self._upstreams, self._routing)
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -109,10 +109,13 @@
         `UpstreamBrokenError` when the request may have run. Cancellation
         closes the connection, so that the upstream stops.
         """
+        was_held = await self._catch_up.wait()
+        if was_held and path != "resumed" and self._is_leaving(upstream.name):
+            raise UpstreamRestrictedError(upstream.name, "leaving")
         connection = await self._acquire(
             upstream, self._connect_timeout_s(call)
         )
-        restriction = await self._find_restriction(attempt, upstream, path)
+        restriction = self._find_restriction(attempt, upstream, path)
         if restriction is not None:
             self._pool.release(connection)
             raise UpstreamRestrictedError(upstream.name, restriction)
@@ -166,13 +169,10 @@
         self._require_signature(reply)
         return reply
 
-    async def _find_restriction(
+    def _find_restriction(
         self, attempt: Attempt, upstream: Upstream, path: SendPath
     ) -> str | None:
         """Return what forbids to send a call now, or None."""
-        was_held = await self._catch_up.wait()
-        if was_held and path != "resumed" and self._is_leaving(upstream.name):
-            return "leaving"
         if not self._shutdown.may_begin(attempt):
             return "not called by a host that is leaving"
         return self._restrictions.at_send(upstream, path)
