--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -28,6 +28,7 @@
 any moment, and reports what they take.
 
 Options:
+  --stop-hosts      In runs of stops, hosts are stopped by signals as well.
   --first=SEED      The first seed; random by default.
   --length=SECONDS  How long one run injects faults; by default 10, 30 in
                     runs of cuts and of crashes, and 60 in long runs.
@@ -57,7 +58,7 @@
 from soak.plan import Plan, draw_plan
 from soak.restarts import Restarts
 from soak.run import HOSTS, Fleet, run_plan
-from soak.stop_plan import draw_stop_plan
+from soak.stop_plan import StopPlan, draw_stop_plan, with_stopped_hosts
 from soak.stops import StopRun
 
 SHORT_S, CUTS_S, LONG_S = 10.0, 30.0, 60.0
@@ -77,8 +78,13 @@
     if options["stops"]:
         hosts = int(options["--hosts"] or HOSTS)
         tree = Path(options["--tree"] or ROOT).resolve()
-        seeds = range(first, first + int(options["COUNT"]))
-        return max(_run_stops(n, length_s, hosts, tree) for n in seeds)
+        plans = [
+            draw_stop_plan(first + n, length_s, hosts, tree)
+            for n in range(int(options["COUNT"]))
+        ]
+        if options["--stop-hosts"]:
+            plans = [with_stopped_hosts(plan) for plan in plans]
+        return max(_run_stops(plan) for plan in plans)
     other = options["--other"]
     load = SHOP if is_long else CRASHES if options["crashes"] else DENSE
     if options["exits"]:
@@ -116,9 +122,9 @@
     return int(bool(result.violations))
 
 
-def _run_stops(seed: int, length_s: float, hosts: int, tree: Path) -> int:
+def _run_stops(plan: StopPlan) -> int:
+    seed = plan.seed
     folder = Path(tempfile.mkdtemp(prefix=f"soak-stops-{seed}-"))
-    plan = draw_stop_plan(seed, length_s, hosts, tree)
     run = StopRun(plan, folder)
     asyncio.run(run.run())
     served = sum(o.status == 200 and o.is_whole for o in run.outcomes)
--- a/tests/soak/stop_plan.py
+++ b/tests/soak/stop_plan.py
@@ -89,3 +89,21 @@
         callers=rng.choice((6, 36, 72)),
         tree=tree,
     )
+
+
+def with_stopped_hosts(plan: StopPlan) -> StopPlan:
+    """Return a plan with the same steps in which hosts are stopped too."""
+    rng = random.Random(f"hosts {plan.seed}")
+    steps = list(plan.steps)
+    at_s = 0.5
+    while at_s < plan.length_s:
+        step = Step(
+            kind="stop_host",
+            at_s=at_s,
+            duration_s=rng.uniform(0.3, 4.0),
+            target=rng.randrange(plan.hosts),
+        )
+        steps.append(step)
+        at_s += rng.uniform(0.5, 4.0)
+    steps.sort(key=lambda step: step.at_s)
+    return attrs.evolve(plan, steps=tuple(steps))
