Excuse callers of a host for as long as any of its stops lasts

Change: stops are counted. The excuse itself is as before: a caller of a stopped host has no answer while it stands still.

--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -11,6 +11,7 @@
 import sys
 import time
 from asyncio.subprocess import PIPE, Process
+from collections import Counter
 from pathlib import Path
 
 import attrs
@@ -80,7 +81,7 @@
         self.checker = GuaranteeChecker()
         self._exits = ExitChecker(STOPS.grace_s, self.checker.report_violation)
         self._exiting: set[Host] = set()
-        self._late_hosts: set[Host] = set()  # stopped not long ago
+        self._late_hosts: Counter[Host] = Counter()  # by stops not long ago
         self.late_reads: list[int] = []  # of each absence of an upstream
         self.dropped = 0  # late reads whose connection was closed by then
         self.outcomes: list[CallerOutcome] = []
@@ -206,10 +207,10 @@
         self._exiting.discard(host)
 
     async def _stop_host(self, host: Host, duration_s: float) -> None:
-        self._late_hosts.add(host)
+        self._late_hosts[host] += 1
         await host.freeze(duration_s)
         await asyncio.sleep(DEADLINE_MS / 1_000)  # of what it has read late
-        self._late_hosts.discard(host)
+        self._late_hosts[host] -= 1
 
     async def _stop(self, upstream: Upstream, duration_s: float) -> None:
         """Stop a process; the store drops its entry after a while."""
@@ -450,7 +451,7 @@
         """Report a request without an answer, unless its host is exiting."""
         deadline_s = DEADLINE_MS / 1_000
         is_excused = host in self._exiting or request_id in self._cut
-        if host in self._late_hosts:
+        if self._late_hosts[host]:
             return
         if took_s > deadline_s + SLACK_S / 2:
             self.checker.report_violation(
