Write blocked parts again that a read had shown before the store lost them

Cause: a host reads the blocked parts once as it starts, beside its first write. If the store loses records (rewrite) while that read is under way, and the answer, which still has the part, is processed before the write's own answer, the part counts as written and is never written again. After a start of all hosts it may then run.

Change: a read that began before the store lost records counts for nothing written.

--- a/src/balsamlift/platform/_blocked_parts.py
+++ b/src/balsamlift/platform/_blocked_parts.py
@@ -57,7 +57,9 @@
         self._clock = clock
         self._is_first_start = is_first_start
         self._has_news = asyncio.Event()
-        # What the store holds of a part, and until when (monotonic).
+        # What the store holds of a part, and until when (monotonic). Replaced
+        # once the store has lost records, so that a read that began before
+        # does not count.
         self._written: dict[str, tuple[PartState, float]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -82,7 +84,7 @@
 
     def rewrite(self) -> None:
         """Write all blocked parts again, as the store has lost records."""
-        self._written.clear()
+        self._written = {}
         self._has_news.set()
 
     def _process_new_reports(self, reports: Iterable[PartReport]) -> None:
@@ -93,23 +95,28 @@
         """Read the blocked parts once, as soon as the store answers."""
         back_off = BackOff(None, RETRY_MS, MAX_RETRY_MS)
         while True:
+            written = self._written
             try:
                 batch = await self._store.newest(BLOCKED_PARTS_TOPIC)
             except StoreError:
                 # The store has logged the failure.
                 await self._clock.sleep(back_off.failed())
                 continue
-            self._offer(batch.records)
+            self._offer(batch.records, written)
             return
 
-    def _offer(self, records: Iterable[Record]) -> None:
+    def _offer(
+        self,
+        records: Iterable[Record],
+        written: dict[str, tuple[PartState, float]],
+    ) -> None:
         reports = []
         for record in records:
             ttl_s = self._decode_ttl_s(record)
             if ttl_s <= 0:
                 continue
             expires_s = self._clock.monotonic() + ttl_s
-            self._written[record.key] = PartState.BLOCKED, expires_s
+            written[record.key] = PartState.BLOCKED, expires_s
             ttl_ms = int(ttl_s * _MS_PER_S)
             reports.append(
                 PartReport(record.key, "", PartState.BLOCKED, ttl_ms)
--- a/tests/test_platform_blocked_parts.py
+++ b/tests/test_platform_blocked_parts.py
@@ -7,11 +7,18 @@
 
 import msgspec
 import pytest
-from test_platform_store import run, wait_until
+from test_platform_store import MAX_CALLS, run, wait_until
 
+from balsamlift._http import HttpClient
 from balsamlift.clock import SystemClock
 from balsamlift.kernel import Kernel
-from balsamlift.peers import HostRank, PartReports, PartState, Peers
+from balsamlift.peers import (
+    HostRank,
+    PartReports,
+    PartState,
+    Peers,
+    RecordBatch,
+)
 from balsamlift.platform._blocked_parts import (
     PART_CHARACTERS,
     BlockedPartRecord,
@@ -44,6 +51,28 @@
         ]
 
 
+class HeldStore(Store):
+    """A store whose answers are held until they are let through."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(address, HttpClient(max_calls=MAX_CALLS))
+        self.may_read = asyncio.Event()
+        self.has_read = asyncio.Event()
+        self.may_answer_read = asyncio.Event()
+        self.may_answer_append = asyncio.Event()
+
+    async def newest(self, topic: str) -> RecordBatch:
+        await self.may_read.wait()
+        batch = await super().newest(topic)
+        self.has_read.set()
+        await self.may_answer_read.wait()
+        return batch
+
+    async def append(self, topic: str, key: str, value: bytes) -> None:
+        await super().append(topic, key, value)
+        await self.may_answer_append.wait()
+
+
 @asynccontextmanager
 async def host(
     store: Store, position: int = 0, *, is_first_start: bool = False
@@ -115,6 +144,25 @@
     run(test)
 
 
+def test_what_was_read_before_the_store_lost_it_is_written_again() -> None:
+    async def test(fake_store: KeyedStore, store: Store) -> None:
+        del store
+        held = HeldStore(fake_store.address)
+        async with host(held) as (peers, service):
+            peers.part_reports.report(PART, PartState.BLOCKED)
+            topic = fake_store.topic(BLOCKED_PARTS_TOPIC)
+            await wait_until(lambda: topic.end == 1)
+            held.may_read.set()
+            await held.has_read.wait()
+            service.rewrite()
+            held.may_answer_read.set()
+            await asyncio.sleep(SETTLE_S)
+            held.may_answer_append.set()
+            await wait_until(lambda: topic.end == 2)
+
+    run(test)
+
+
 def record(left_s: float) -> bytes:
     return msgspec.json.encode(BlockedPartRecord(time.time() + left_s))
 
