Count silence on after each stall of the host

Cause: silence counted anew from the end of each stall. Starved hosts make nearly every tick of 0.1 s late (42 and 35 stalls at two hosts in 15 s, most of 201 to 300 ms, one after the other), so that to one of them an upstream that had owed an answer for 3,774 ms was silent for 177 ms, and was never ejected.

Change: StallWatch keeps the stalls that it has seen; silence is the time since the last byte without the stalls in it. What came during a stall may still be unread for as long as it was, 0.2 s at most.

Result: the new test (each tick late by 0.15 s) fails on the code before. test_no_upstream_is_silent_for_the_time_of_a_stall drives the real watch now in place of a stub that was always just over, with the same bounds.

--- a/src/balsamlift/relay/health/_unanswered.py
+++ b/src/balsamlift/relay/health/_unanswered.py
@@ -127,15 +127,13 @@
         state = self._upstreams.get(name)
         if state is None or not state.open:
             return 0.0
-        since_s = max(state.silent_since_s(), self._stalls.went_on_s())
-        return self._clock.monotonic() - since_s
+        return self._stalls.awake_s(state.silent_since_s())
 
     def was_silent_for(self, name: str, sent_s: float, least_s: float) -> bool:
         """Return whether nothing came for so long after a request's send."""
-        if self.was_heard_since(name, sent_s):
+        if self.was_heard_since(name, sent_s) or self._stalls.is_just_over():
             return False
-        since_s = max(sent_s, self._stalls.went_on_s())
-        return self._clock.monotonic() - since_s >= least_s
+        return self._stalls.awake_s(sent_s) >= least_s
 
     def was_heard_since(self, name: str, since_s: float) -> bool:
         """Return whether an upstream has sent anything since a moment."""
