Count requests given up on at a silent upstream until it is heard again

Cause: the limit counted what is in flight. A call whose caller left, or whose attempt ended for another, was counted no more, but its bytes lie unread at the stopped process all the same, and make room for others. Nothing bounds them where callers wait for less than 0.4 s, as nothing is ejected then.

Change: UnansweredRequests keeps a request that is given up on before any byte of its upstream came since the send. It counts as load, at all hosts, and as owed, until the upstream is heard, has left the list, or 4 s have passed. Calls only: engines have no such limit.

--- a/src/balsamlift/relay/_balance.py
+++ b/src/balsamlift/relay/_balance.py
@@ -79,6 +79,7 @@
         self.brittle_pools = brittle_pools or no_brittle_pools(clock)
         self.stalls = StallWatch(clock, metrics)
         self.unanswered = UnansweredRequests(clock, metrics, self.stalls)
+        self.unanswered.on_unread(self.add)
         self._cold_starts = cold_starts
         self._regions = regions or {}
         self._upstreams = upstreams
--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -126,12 +126,13 @@
         headers = upstream_headers(
             call, self._names, upstream.id, self._remaining_ms(call), extra
         )
+        request = self._unanswered.open(upstream)
         connection.send(
             call.method,
             call.request.target,
             headers,
             call.request.body,
-            self._unanswered.open(upstream),
+            request,
         )
         is_kept = connection.is_kept
         silence = asyncio.get_running_loop().call_later(
@@ -145,6 +146,8 @@
                 lambda head: self._is_response_to(head, call)
             )
         except asyncio.CancelledError:
+            if call.route.kind != "stream":
+                request.give_up()
             connection.close()
             raise
         except ResponseLimitError:
--- a/src/balsamlift/relay/health/_unanswered.py
+++ b/src/balsamlift/relay/health/_unanswered.py
@@ -8,6 +8,7 @@
 
 import math
 from collections.abc import Callable, Collection
+from itertools import islice
 
 import attrs
 from loguru import logger
@@ -19,6 +20,9 @@
 
 log = logger.bind(part="upstreams")
 
+# One that stays silent for longer has left the list.
+MAX_UNREAD_S = 4.0
+
 
 @attrs.frozen
 class Unanswered:
@@ -35,10 +39,16 @@
 
     heard_s: float = -math.inf  # its last byte
     open: dict[OpenRequest, None] = attrs.field(factory=dict)  # oldest first
+    # Given up on while it was silent, so that they may lie unread.
+    unread: dict[OpenRequest, None] = attrs.field(factory=dict)
     is_reported: bool = False  # that it leaves
 
+    def owed(self) -> int:
+        return len(self.open) + len(self.unread)
+
     def oldest_s(self) -> float:
-        return next(iter(self.open)).sent_s
+        oldest = [*islice(self.open, 1), *self.unread]
+        return min(request.sent_s for request in oldest)
 
     def silent_since_s(self) -> float:
         return max(self.heard_s, self.oldest_s())
@@ -63,6 +73,10 @@
         """Record that nothing more is expected of the upstream."""
         self._unanswered.end(self, self._upstream.name)
 
+    def give_up(self) -> None:
+        """Record that its connection is closed before a response."""
+        self._unanswered.give_up(self, self._upstream.name)
+
 
 class UnansweredRequests:
     """Track the requests that each upstream has, and its last sign of life."""
@@ -78,6 +92,14 @@
         self._stalls = stalls
         self._metrics = metrics
         self._upstreams: dict[str, _Upstream] = {}
+        self._on_unread: Callable[[str, int], None] = lambda name, change: None
+
+    def on_unread(self, callback: Callable[[str, int], None]) -> None:
+        """Call back with an upstream and how many more may lie unread there.
+
+        The number is negative once they do not.
+        """
+        self._on_unread = callback
 
     def open(self, upstream: Upstream) -> OpenRequest:
         """Return the handle of a request that is sent to an upstream now."""
@@ -89,8 +111,10 @@
     def record_bytes(self, name: str) -> None:
         """Record a sign of life of an upstream."""
         state = self._upstreams.get(name)
-        if state is not None:
-            state.heard_s = self._clock.monotonic()
+        if state is None:
+            return
+        state.heard_s = self._clock.monotonic()
+        self._discard_unread(name, state, list(state.unread))
 
     def end(self, request: OpenRequest, name: str) -> None:
         """Remove a request; a second call does nothing."""
@@ -98,14 +122,24 @@
         if state is not None:
             state.open.pop(request, None)
 
+    def give_up(self, request: OpenRequest, name: str) -> None:
+        """Remove a request; it may lie unread until the upstream is heard."""
+        state = self._upstreams.get(name)
+        if state is None or request not in state.open:
+            return
+        del state.open[request]
+        if state.heard_s < request.sent_s:
+            state.unread[request] = None
+            self._on_unread(name, 1)
+
     def describe(self, name: str) -> Unanswered | None:
         """Return what an upstream owes, None if that is nothing."""
         state = self._upstreams.get(name)
-        if state is None or not state.open:
+        if state is None or not state.owed():
             return None
         now_s = self._clock.monotonic()
         return Unanswered(
-            requests=len(state.open),
+            requests=state.owed(),
             oldest_ms=round((now_s - state.oldest_s()) * 1_000),
             silent_ms=round(self.silent_s(name) * 1_000),
         )
@@ -125,7 +159,7 @@
     def silent_s(self, name: str) -> float:
         """Return for how long an upstream has owed an answer in silence."""
         state = self._upstreams.get(name)
-        if state is None or not state.open:
+        if state is None or not state.owed():
             return 0.0
         return self._stalls.awake_s(state.silent_since_s())
 
@@ -141,7 +175,22 @@
         return state is not None and state.heard_s >= since_s
 
     def prune(self, live: Collection[str]) -> None:
-        """Forget upstreams that have left and owe nothing."""
+        """Forget upstreams that have left, and what was sent long ago."""
+        until_s = self._clock.monotonic() - MAX_UNREAD_S
         for name, state in list(self._upstreams.items()):
+            old = [
+                request
+                for request in state.unread
+                if name not in live or request.sent_s < until_s
+            ]
+            self._discard_unread(name, state, old)
             if name not in live and not state.open:
                 del self._upstreams[name]
+
+    def _discard_unread(
+        self, name: str, state: _Upstream, requests: Collection[OpenRequest]
+    ) -> None:
+        for request in requests:
+            del state.unread[request]
+        if requests:
+            self._on_unread(name, -len(requests))
--- a/tests/test_relay_silence_limit.py
+++ b/tests/test_relay_silence_limit.py
@@ -39,13 +39,16 @@
 
 
 async def call_all(
-    world: RelayHarness, count: int = CALLS, gap_s: float = 0.02
+    world: RelayHarness,
+    count: int = CALLS,
+    gap_s: float = 0.02,
+    deadline_ms: int = DEADLINE_MS,
 ) -> list[asyncio.Task[CallerAnswer]]:
     """Send calls that are not idempotent, one after the other."""
     calls = []
     for number in range(count):
         call = asyncio.create_task(
-            world.call("/order/1", f"r{number}", deadline_ms=DEADLINE_MS)
+            world.call("/order/1", f"r{number}", deadline_ms=deadline_ms)
         )
         calls.append(call)
         await asyncio.sleep(gap_s)
@@ -103,6 +106,30 @@
     asyncio.run(check())
 
 
+def test_calls_given_up_on_leave_no_place_for_others_at_a_silent_upstream():
+    replicas = make_replicas(2)
+
+    async def work(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await asyncio.sleep(0.1)
+        await connection.answer(request, b"done")
+
+    async def check() -> None:
+        async with (
+            asyncio.timeout(DEADLINE_S),
+            RelayHarness(replicas) as world,
+        ):
+            world.configure()
+            behave_all(replicas[:1], hang)
+            behave_all(replicas[1:], work)
+            calls = await call_all(world, count=90, deadline_ms=300)
+            await asyncio.gather(*calls)
+            assert len(replicas[0].arrivals) <= MOST
+
+    asyncio.run(check())
+
+
 class Silence:
     """The limit of one host, and an upstream that has its places taken."""
 
