--- a/src/balsamlift/peers/_link.py
+++ b/src/balsamlift/peers/_link.py
@@ -22,6 +22,9 @@
 log = logger.bind(part="peers")
 
 BATCH_S = 0.01  # changes within this time are batched into one message
+# Unacknowledged messages, about two seconds of heartbeats, of a peer that
+# reads them too late.
+LATE_MESSAGES = 16
 
 
 @attrs.frozen
@@ -86,6 +89,7 @@
         self._interval_factor = interval_factor
         self._acked_seq = 0
         self._is_silence_reported = False
+        self._is_late = False
         self._wake = asyncio.Event()
         now_s = clock.monotonic()
         self._checked_s = now_s
@@ -119,6 +123,17 @@
         if self._acked_seq < acked_seq <= self.last_seq:
             self._acked_seq = acked_seq
             self._acked_s = self._heard_s
+        if acked_seq:  # of a process that has read any
+            self._report_late(self.last_seq - acked_seq)
+
+    def _report_late(self, unacked: int) -> None:
+        """Log the first of the acknowledgements that are late."""
+        was_late, self._is_late = self._is_late, unacked >= LATE_MESSAGES
+        if self._is_late and not was_late:
+            self._metrics.count("peers.reads_late")
+            log.bind(peer=self.host, messages=unacked).warning(
+                "a peer has many messages not read"
+            )
 
     async def _keep_sending(self) -> None:
         while True:
--- a/tests/test_peers_links.py
+++ b/tests/test_peers_links.py
@@ -6,6 +6,7 @@
 import pytest
 
 from balsamlift.clock import SystemClock
+from balsamlift.metrics import Metrics
 from balsamlift.peers._link import Draft, Link, SentChanges
 from balsamlift.peers._links import MANY_HOSTS_INTERVAL_FACTOR, Links
 from balsamlift.peers._messages import PeerMessage
@@ -30,6 +31,27 @@
 )
 
 
+def test_a_peer_that_reads_messages_late_is_reported_once_each_time():
+    metrics = Metrics()
+    link = Link(
+        "h1",
+        "127.0.0.1:9000",
+        SETTINGS,
+        SystemClock(),
+        random.Random(7),
+        metrics,
+        lambda link: Draft(EMPTY_HEARTBEAT, SentChanges()),
+        lambda host: None,
+        lambda: 1.0,
+    )
+    reported = []
+    for sent, acked in [(40, 0), (40, 39), (56, 40), (57, 41), (57, 57)]:
+        link.last_seq = sent
+        link.receive_ack(acked, needs_full_state=False)
+        reported.append(metrics.snapshot().counters.get("peers.reads_late", 0))
+    assert reported == [0, 0, 1, 1, 1]
+
+
 async def interval_factors(hosts: int) -> set[float]:
     """Return the interval factors of links to that many other hosts."""
 
