Read messages of other hosts as fast as they come on a starved host

What callers and upstreams saw: on starved hosts counts of others were up to 3 s old, so that a stopped upstream was sent more than it may have. News of drains and silences comes the same way.

Cause: the listener awaited one message after the other, and each receive takes three turns of the event loop. At 100 ms and more a turn a host reads a few messages a second, its three peers send eight each, and the queue (256) only grows. (pynng has no queue of its own here: a receive that does not wait finds one or two at most, tried first.)

Change: 32 receives are under way at a time, taken in their order.

--- a/src/balsamlift/peers/_listener.py
+++ b/src/balsamlift/peers/_listener.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+from collections import deque
 from collections.abc import AsyncIterator
 
 import pynng
@@ -16,6 +18,7 @@
 log = logger.bind(part="peers")
 
 RECEIVE_BUFFER = 256  # messages
+CONCURRENT_RECEIVES = 32
 MAX_MESSAGE_BYTES = 1 << 20
 
 
@@ -38,11 +41,7 @@
 
     async def messages(self, metrics: Metrics) -> AsyncIterator[PeerMessage]:
         """Yield the valid messages that arrive, until closed."""
-        while True:
-            try:
-                data = await self._pull.arecv()
-            except pynng.Closed:
-                return
+        async for data in self._receive():
             metrics.count("peers.messages_received")
             metrics.count("peers.bytes_received", len(data))
             try:
@@ -51,6 +50,25 @@
                 metrics.count("peers.messages_void")
                 log.warning("invalid message: {}", error)
 
+    async def _receive(self) -> AsyncIterator[bytes]:
+        """Yield what arrives, in order.
+
+        Each receive takes turns of the event loop, which are long while the
+        processor is short. Several at a time keep messages from piling up.
+        """
+        receives: deque[asyncio.Future[bytes]] = deque()
+        try:
+            while True:
+                while len(receives) < CONCURRENT_RECEIVES:
+                    receives.append(asyncio.ensure_future(self._pull.arecv()))
+                yield await receives.popleft()
+        except pynng.Closed:
+            return
+        finally:
+            for receive in receives:
+                receive.cancel()
+            await asyncio.gather(*receives, return_exceptions=True)
+
     def close(self) -> None:
         """Close the address, which also ends `messages`."""
         self._pull.close()
