Tell of late messages by the time that their acknowledgement takes

Cause: 16 messages that are not acknowledged are no sign, as urgent changes go out each 10 ms: 512 lines at 13 hosts in 13 s, none of which had read late.

Change: one message at a time is timed; a line and peers.reads_late where its acknowledgement takes a second or more.

--- a/src/balsamlift/peers/_link.py
+++ b/src/balsamlift/peers/_link.py
@@ -22,9 +22,8 @@
 log = logger.bind(part="peers")
 
 BATCH_S = 0.01  # changes within this time are batched into one message
-# Unacknowledged messages, about two seconds of heartbeats, of a peer that
-# reads them too late.
-LATE_MESSAGES = 16
+# An acknowledgement that takes so long shows that a peer reads news too late.
+LATE_S = 1.0
 
 
 @attrs.frozen
@@ -89,7 +88,8 @@
         self._interval_factor = interval_factor
         self._acked_seq = 0
         self._is_silence_reported = False
-        self._is_late = False
+        # One message that is not acknowledged yet, and when it was sent.
+        self._timed: tuple[int, float] | None = None
         self._wake = asyncio.Event()
         now_s = clock.monotonic()
         self._checked_s = now_s
@@ -123,17 +123,17 @@
         if self._acked_seq < acked_seq <= self.last_seq:
             self._acked_seq = acked_seq
             self._acked_s = self._heard_s
-        if acked_seq:  # of a process that has read any
-            self._report_late(self.last_seq - acked_seq)
-
-    def _report_late(self, unacked: int) -> None:
-        """Log the first of the acknowledgements that are late."""
-        was_late, self._is_late = self._is_late, unacked >= LATE_MESSAGES
-        if self._is_late and not was_late:
-            self._metrics.count("peers.reads_late")
-            log.bind(peer=self.host, messages=unacked).warning(
-                "a peer has many messages not read"
-            )
+        if self._timed is not None and self._timed[0] <= acked_seq:
+            self._report_late(self._heard_s - self._timed[1])
+            self._timed = None
+
+    def _report_late(self, took_s: float) -> None:
+        if took_s < LATE_S:
+            return
+        self._metrics.count("peers.reads_late")
+        log.bind(peer=self.host, took_ms=round(took_s * 1_000)).info(
+            "a message was acknowledged late"
+        )
 
     async def _keep_sending(self) -> None:
         while True:
@@ -177,6 +177,7 @@
         self._acked_s = now_s
 
     def _replace_socket(self) -> None:
+        self._timed = None
         self._close()
         self._dial()
         self.sent_changes = SentChanges()
@@ -209,6 +210,8 @@
             return
         self.sent_changes = draft.sent_changes
         self.last_seq = draft.message.seq
+        if self._timed is None:
+            self._timed = self.last_seq, self._clock.monotonic()
         self.sent_messages += 1
         self.extra_members.clear()
         self._metrics.count("peers.messages_sent")
