--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -13,7 +13,6 @@
 from contextlib import suppress
 
 import attrs
-import msgspec
 from loguru import logger
 
 from balsamlift.clock import Clock
@@ -26,6 +25,7 @@
     RecordStore,
     RecordTable,
 )
+from balsamlift.peers._topic_update import TopicUpdate
 
 log = logger.bind(part="store")
 
@@ -46,21 +46,6 @@
     max_age_s: float  # before a host that is not a reader reads the store
 
 
-class TopicUpdate(msgspec.Struct, frozen=True, array_like=True):
-    """Hold the records of a topic that one host sends to another."""
-
-    end: int  # offset after the last record known
-    age_ms: int  # time since these were all records in the store
-    is_complete: bool  # all keys, instead of those that have changed
-    records: list[Record]
-    era: int = 0  # of the store that assigned the offsets
-
-    @property
-    def position(self) -> StorePosition:
-        """Return the position after the last record known."""
-        return StorePosition(self.era, self.end)
-
-
 def _always() -> bool:
     return True
 
--- a/src/balsamlift/peers/_shared_records.py
+++ b/src/balsamlift/peers/_shared_records.py
@@ -16,9 +16,10 @@
 
 from balsamlift.clock import Clock
 from balsamlift.peers._evacuations import Evacuations, EvacuationSnapshot
-from balsamlift.peers._follower import Follower, TopicUpdate
+from balsamlift.peers._follower import Follower
 from balsamlift.peers._positions import StorePosition
 from balsamlift.peers._records import Record
+from balsamlift.peers._topic_update import TopicUpdate
 
 # A host that received a request reads the topics for this long. Hosts ask once
 # a second, and one request may be lost.
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -21,6 +21,7 @@
 from balsamlift.relay._directory import Caller, Directory
 from balsamlift.relay._exchange import Exchange
 from balsamlift.relay._frontend import FORWARDING_FRONTEND, Frontend
+from balsamlift.relay._memory_poll import MemoryPoll
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._request import (
     Call,
@@ -69,14 +70,6 @@
 
 log = logger.bind(part="relay")
 
-# Interval between checks for memory that other hosts have released, while
-# generations wait.
-MEMORY_POLL_INTERVAL_S = 0.1
-# The same if the load counts have to be requested from another host.
-REMOTE_MEMORY_POLL_INTERVAL_S = 0.3
-# The same for generations that are more urgent than those of other hosts, so
-# that they find free memory first.
-URGENT_MEMORY_POLL_INTERVAL_S = 0.15
 # Part of the time for which a leaving upstream still works in which calls that
 # no other upstream can take are sent there. The rest is for their responses.
 LAST_RESORT_FRACTION = 0.5
@@ -298,9 +291,10 @@
         routing.on_change(self._apply_limits)
         frontend.serve(self.handle)
         forwarding_frontend.serve(self.handle_forwarded)
+        memory_poll = MemoryPoll(self._allocator, balancer, peers, self._clock)
         self._tasks = [
             start_task("stall watch", balancer.stalls.run, self._clock),
-            start_task("memory poll", self._poll_for_memory, self._clock),
+            start_task("memory poll", memory_poll.run, self._clock),
             start_task("sweep", self._sweep_periodically, self._clock),
         ]
 
@@ -382,22 +376,6 @@
             limits, head_bytes=limits.head_bytes + FORWARDED_HEAD_BYTES
         )
 
-    async def _poll_for_memory(self) -> None:
-        while True:
-            await self._clock.sleep(self._memory_poll_interval_s())
-            if self._allocator.waiting_count:
-                await self._balancer.refresh()
-                self._allocator.place_waiting()
-            else:
-                self._allocator.publish_groups()
-
-    def _memory_poll_interval_s(self) -> float:
-        if self._peers.is_full_mesh:
-            return MEMORY_POLL_INTERVAL_S
-        if self._allocator.has_precedence():
-            return URGENT_MEMORY_POLL_INTERVAL_S
-        return REMOTE_MEMORY_POLL_INTERVAL_S
-
     async def _sweep_periodically(self) -> None:
         while True:
             await self._clock.sleep(SWEEP_INTERVAL_S)
--- a/tests/test_peers_follower.py
+++ b/tests/test_peers_follower.py
@@ -20,13 +20,13 @@
     SharedRecords,
 )
 from balsamlift.peers._fallback_reads import RETRY_MS, YIELD_S, FallbackReads
-from balsamlift.peers._follower import TopicUpdate
 from balsamlift.peers._positions import StorePosition
 from balsamlift.peers._shared_records import (
     SEND_BURST_BYTES,
     Position,
     RecordsAnswer,
 )
+from balsamlift.peers._topic_update import TopicUpdate
 
 DEADLINE_S = 10.0
 LIMITS = FreshnessLimits(wait_ms=200, max_age_s=0.6)
--- a/tests/test_peers_messages.py
+++ b/tests/test_peers_messages.py
@@ -10,7 +10,6 @@
 
 from balsamlift.exceptions import PeerMessageError
 from balsamlift.peers import ListEntry, Record
-from balsamlift.peers._follower import TopicUpdate
 from balsamlift.peers._messages import (
     CountsSums,
     CountsUpdate,
@@ -33,6 +32,7 @@
     encode_permit,
 )
 from balsamlift.peers._shared_records import Position, RecordsAnswer
+from balsamlift.peers._topic_update import TopicUpdate
 
 HEARTBEAT = PeerMessage(
     host="h1",
