--- a/tests/test_peers_listener.py
+++ b/tests/test_peers_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from balsamlift._tasks import end_task
 from balsamlift.metrics import Metrics
 from balsamlift.peers._listener import Listener
 from balsamlift.peers._messages import PeerMessage, encode_message
@@ -42,7 +43,7 @@
         time.sleep(TURN_S)
         turns += 1
         await asyncio.sleep(0)
-    task.cancel()
+    await end_task(task)
     return read, turns
 
 
