--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -81,6 +81,7 @@
         self._clock = clock
         self._metrics = metrics
         self.phase = Phase.SERVING
+        self._began_s = math.inf
         self._responses_by_s = math.inf
         self._running: dict[Attempt, RunningCall] = {}
 
@@ -89,8 +90,9 @@
 
         A further call may only shorten the time.
         """
-        until_s = self._clock.monotonic() + within_s
-        self._responses_by_s = min(self._responses_by_s, until_s)
+        now_s = self._clock.monotonic()
+        self._began_s = min(self._began_s, now_s)
+        self._responses_by_s = min(self._responses_by_s, now_s + within_s)
         if self.phase is Phase.SERVING:
             self.phase = Phase.DRAINING
         self._limit_all()
@@ -173,13 +175,16 @@
         is_cut = running.attempt.may_have_run
         event = "cut" if is_cut else "refused"
         self._metrics.count(f"relay.shutdown.{event}_{self.phase.value}")
+        now_s = self._clock.monotonic()
         logged = log.bind(
             request=running.call.request_id,
             route=running.call.route.name,
             phase=self.phase.value,
             sends=running.attempt.sends,
-            left_ms=round(self.left_s * _MS_PER_S),
-            own_ms=_to_ms(running.call.timeout_at_s - self._clock.monotonic()),
+            draining_ms=_to_ms(now_s - self._began_s),
+            running_ms=_running_ms(running.attempt, now_s),
+            left_ms=_to_ms(self.left_s),
+            own_ms=_to_ms(running.call.timeout_at_s - now_s),
             longest_ms=_to_ms(running.longest_s()),
             least_ms=_to_ms(running.least_s),
         )
@@ -203,5 +208,12 @@
         running.end_in(0.0)
 
 
+def _running_ms(attempt: Attempt, now_s: float) -> int | None:
+    """Return the time since the last send of a call that may have run."""
+    if not attempt.may_have_run or attempt.sent_s is None:
+        return None
+    return _to_ms(now_s - attempt.sent_s)
+
+
 def _to_ms(duration_s: float | None) -> int | None:
     return None if duration_s is None else round(duration_s * _MS_PER_S)
