--- a/tests/_daemon_deployment.py
+++ b/tests/_daemon_deployment.py
@@ -45,8 +45,8 @@
     return "\n".join(lines)
 
 
-def encode_manifest() -> bytes:
-    route = {**MANIFEST["Routes"][0], "RouteType": "non_idempotent"}
+def encode_manifest(route_type: str) -> bytes:
+    route = {**MANIFEST["Routes"][0], "RouteType": route_type}
     route |= {"Hostname": HOST, "PathPrefix": "/a/", "Service": "plain"}
     return json.dumps({**MANIFEST, "Routes": [route]}).encode()
 
@@ -59,10 +59,16 @@
 class Deployment:
     """A daemon process with a fake store and one upstream."""
 
-    def __init__(self, ip: str, grace_s: float = GRACE_S) -> None:
+    def __init__(
+        self,
+        ip: str,
+        grace_s: float = GRACE_S,
+        route_type: str = "non_idempotent",
+    ) -> None:
         """Listen on `ip`, where no other test does."""
         self.ip = ip
         self._grace_s = grace_s
+        self._route_type = route_type
         self.store = KeyedStore()
         self.replica = ReplicaStandIn("i-1", "plain", HEADERS)
 
@@ -70,7 +76,7 @@
         await self.store.start()
         await self.replica.start()
         self.store.topic(CONFIGURATION_TOPIC).append(
-            CONFIGURATION_KEY, encode_manifest()
+            CONFIGURATION_KEY, encode_manifest(self._route_type)
         )
         self.store.topic(UPSTREAMS_TOPIC).append(
             "i-1", encode_upstream_entry(self.replica)
