Start nothing by estimates late in an exit

What callers saw: streams with status 200 and a part of their events, cut at 7.5 s, that were sent whole 4.7 to 5.9 s after the signal. Cause: a leaving host starts a request as long as the longest recent one of its route, times 1.25, plus 0.1 s, fits into what is left. Upstreams that become slower after the start break that promise, and nothing else keeps it. Class: a promise that rests on an estimate, with nothing behind it.

Change: estimates count only in the first 2.5 s after the signal; from then on a request starts only if its own time (its caller's deadline or its route's timeout) ends before the host does. What is refused has not run, and is told other hosts at once. It is decided in the one place that all kinds of requests ask, at their arrival and at each send, so that it holds for what waits, for moves, repeats and the hop.

--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -60,6 +60,9 @@
 # Part of the grace period reserved for ending the remaining requests and the
 # process.
 GRACE_MARGIN_S = 0.5
+# For which a leaving host starts requests by estimates. The platform holds it
+# to the end of each that is sent from 3 s after the signal on.
+ESTIMATES_S = 2.5
 # Part of it for sending the last responses.
 SEND_TIMEOUT_S = 0.15
 # Longest time for ending all tasks, some of which lose a cancellation.
@@ -233,6 +236,7 @@
         self.peers.announce_leaving()
         limits = DrainLimits(
             listed_s=3 * self._address_ttl_ms / 1_000,
+            estimates_s=stop.left_s(ESTIMATES_S),
             responses_s=stop.left_s(self._node.grace_s - GRACE_MARGIN_S),
             send_s=SEND_TIMEOUT_S,
         )
--- a/src/balsamlift/relay/shutdown/_sequence.py
+++ b/src/balsamlift/relay/shutdown/_sequence.py
@@ -36,6 +36,7 @@
     """How long a host serves on, in seconds."""
 
     listed_s: float  # for which callers may still use its address
+    estimates_s: float  # for which calls start by how long others took
     responses_s: float  # until the last responses are due
     send_s: float  # for sending these
 
@@ -47,7 +48,7 @@
     clock: Clock,
 ) -> None:
     """Serve what ends in time, then give everything else its response."""
-    shutdown.begin(limits.responses_s)
+    shutdown.begin(limits.responses_s, limits.estimates_s)
     for server in servers:
         server.drain()
     await clock.sleep(min(limits.listed_s, max(shutdown.left_s, 0.0)))
--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -82,16 +82,22 @@
         self._metrics = metrics
         self.phase = Phase.SERVING
         self._began_s = math.inf
+        self._estimates_until_s = math.inf
         self._responses_by_s = math.inf
         self._running: dict[Attempt, RunningCall] = {}
 
-    def begin(self, within_s: float) -> None:
+    def begin(self, within_s: float, estimates_s: float = math.inf) -> None:
         """Begin to drain; the last responses are due in `within_s`.
 
-        A further call may only shorten the time.
+        After `estimates_s`, a call starts only if its own time ends before
+        that: upstreams may become slower than they were. A further call may
+        only shorten the times.
         """
         now_s = self._clock.monotonic()
         self._began_s = min(self._began_s, now_s)
+        self._estimates_until_s = min(
+            self._estimates_until_s, now_s + estimates_s
+        )
         self._responses_by_s = min(self._responses_by_s, now_s + within_s)
         if self.phase is Phase.SERVING:
             self.phase = Phase.DRAINING
@@ -154,7 +160,8 @@
         longest_s = running.longest_s()
         if longest_s is None:
             return -math.inf
-        return min(latest_s, self._responses_by_s - allowed_s(longest_s))
+        latest_s = min(latest_s, self._responses_by_s - allowed_s(longest_s))
+        return min(latest_s, self._estimates_until_s)
 
     def _limit_all(self) -> None:
         for running in self._running.values():
--- a/tests/test_model_shutdown.py
+++ b/tests/test_model_shutdown.py
@@ -34,6 +34,7 @@
 
 RESPONSES_S = 7.5
 LISTED_S = 6.0
+ESTIMATES_S = 2.5
 SEND_S = 0.15
 EXPECTED_S = 2.0  # what the calls of a route took
 LAST_S = 9.0
@@ -206,8 +207,11 @@
         assert handled.sent_s is not None
     if handled.sent_s is None or handled.sent_s < signal_s:
         return
-    # What was sent after the signal ends by itself, if it is as expected.
+    # What was sent after the signal ends by itself, if it is as expected,
+    # and in any case if it was sent late.
     is_timeout = refusal.reason == "timed out"
+    if handled.sent_s > signal_s + ESTIMATES_S + SOON_S:
+        assert is_timeout
     if planned.is_known and planned.runs_s <= EXPECTED_S:
         assert is_timeout
     if not planned.is_known:
@@ -229,7 +233,10 @@
 
         async def exit_host() -> None:
             limits = DrainLimits(
-                listed_s=LISTED_S, responses_s=RESPONSES_S, send_s=SEND_S
+                listed_s=LISTED_S,
+                estimates_s=ESTIMATES_S,
+                responses_s=RESPONSES_S,
+                send_s=SEND_S,
             )
             await asyncio.sleep(first_s)
             await shut_down(host.shutdown, [host], limits, host.clock)
@@ -237,7 +244,7 @@
         async def signal_again(at_s: float) -> None:
             await asyncio.sleep(at_s)
             if at_s > first_s:
-                host.shutdown.begin(RESPONSES_S)
+                host.shutdown.begin(RESPONSES_S, ESTIMATES_S)
 
         arrivals = [start(c.at_s, host.handle(c)) for c in calls]
         repeats = [signal_again(at_s) for at_s in signals]
--- a/tests/test_relay_shutdown.py
+++ b/tests/test_relay_shutdown.py
@@ -264,7 +264,9 @@
         async with RelayHarness(stand_ins) as world:
             configure(world)
             send = await prepare(world)
-            limits = DrainLimits(listed_s=0.0, responses_s=0.0, send_s=5.0)
+            limits = DrainLimits(
+                listed_s=0.0, estimates_s=0.0, responses_s=0.0, send_s=5.0
+            )
             sending = asyncio.create_task(send())
             await asyncio.sleep(0)  # its bytes are on their way
             await world.relay.shut_down(limits)
