--- a/src/balsamlift/relay/shutdown/__init__.py
+++ b/src/balsamlift/relay/shutdown/__init__.py
@@ -7,6 +7,7 @@
     shut_down,
 )
 from balsamlift.relay.shutdown._shutdown import (
+    LATE_DURATION_FACTOR,
     Phase,
     RunningCall,
     Shutdown,
@@ -14,6 +15,7 @@
 )
 
 __all__ = [
+    "LATE_DURATION_FACTOR",
     "CallDurations",
     "CallersServer",
     "DrainLimits",
--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -22,6 +22,8 @@
 # A call may take longer than those before it.
 DURATION_FACTOR = 1.25
 DURATION_EXTRA_S = 0.1
+# The same late in the exit, as its upstream may become slower meanwhile.
+LATE_DURATION_FACTOR = 10.0
 
 _MS_PER_S = 1_000
 
@@ -90,8 +92,8 @@
         """Begin to drain; the last responses are due in `within_s`.
 
         After `estimates_s`, a call starts only if its own time ends before
-        that: upstreams may become slower than they were. A further call may
-        only shorten the times.
+        that, or if it is very short. A further call may only shorten the
+        times.
         """
         now_s = self._clock.monotonic()
         self._began_s = min(self._began_s, now_s)
@@ -160,8 +162,15 @@
         longest_s = running.longest_s()
         if longest_s is None:
             return -math.inf
-        latest_s = min(latest_s, self._responses_by_s - allowed_s(longest_s))
-        return min(latest_s, self._estimates_until_s)
+        return min(latest_s, self._latest_by_estimate_s(longest_s))
+
+    def _latest_by_estimate_s(self, longest_s: float) -> float:
+        """Return the last moment to start a call that is to end in time."""
+        early_s = self._responses_by_s - allowed_s(longest_s)
+        late_s = self._responses_by_s - allowed_s(
+            longest_s, LATE_DURATION_FACTOR
+        )
+        return max(min(early_s, self._estimates_until_s), late_s)
 
     def _limit_all(self) -> None:
         for running in self._running.values():
@@ -204,9 +213,9 @@
         return attrs.evolve(refusal, alternatives=alternatives)
 
 
-def allowed_s(expected_s: float) -> float:
+def allowed_s(expected_s: float, factor: float = DURATION_FACTOR) -> float:
     """Return the time that must be left for a call to start."""
-    return expected_s * DURATION_FACTOR + DURATION_EXTRA_S
+    return expected_s * factor + DURATION_EXTRA_S
 
 
 def _end_unless_sent(running: RunningCall) -> None:
