Refuse requests held after a stall when their host ends

What callers saw: a request that was read, never passed on, and whose connection closed without a byte of an answer, 0.2 s and more after it was sent, beside a host that had stalled at the end of its exit. Cause: a request that waits for news after a stall is not yet admitted, so that the exit neither limits nor refuses it, and its connection is closed with all others. Class: a wait that the exit does not know of. Change: nothing is held once a host starts nothing any more; what is held goes on, and is refused as all else.

--- a/src/balsamlift/relay/_catch_up.py
+++ b/src/balsamlift/relay/_catch_up.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from balsamlift.clock import Clock
 from balsamlift.metrics import Metrics
@@ -30,18 +31,24 @@
         routing: Routing,
         clock: Clock,
         metrics: Metrics,
+        starts_requests: Callable[[], bool],
     ) -> None:
-        """Go by the ages of `upstreams` and `routing`."""
+        """Go by the ages of `upstreams` and `routing`.
+
+        Nothing is held once `starts_requests` is false, as for a host that
+        refuses everything before it ends.
+        """
         self._stalls = stalls
         self._upstreams = upstreams
         self._routing = routing
         self._clock = clock
         self._metrics = metrics
+        self._starts_requests = starts_requests
 
     def is_due(self) -> bool:
         """Return whether either was last confirmed before a recent stall."""
         since_s = self._clock.monotonic() - self._stalls.went_on_s()
-        if since_s > MAX_WAIT_S:
+        if since_s > MAX_WAIT_S or not self._starts_requests():
             return False
         # One that was never confirmed is not waited for.
         return any(
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -57,6 +57,7 @@
 from balsamlift.relay.shutdown import (
     CallDurations,
     DrainLimits,
+    Phase,
     Shutdown,
     shut_down,
 )
@@ -197,6 +198,7 @@
             routing,
             self._clock,
             self._metrics,
+            lambda: self._shutdown.phase is not Phase.CLOSING,
         )
         exchange = Exchange(
             self._pool,
--- a/tests/test_relay_catch_up.py
+++ b/tests/test_relay_catch_up.py
@@ -56,12 +56,14 @@
         self.clock = SleepingClock(100.0)
         self.upstreams = Source(self.clock, confirmed_s)
         self.routing = Source(self.clock, confirmed_s)
+        self.starts_requests = True
         self.catch_up = CatchUp(
             Stalled(went_on_s),  # type: ignore[arg-type]
             self.upstreams,  # type: ignore[arg-type]
             self.routing,  # type: ignore[arg-type]
             self.clock,
             Metrics(),
+            lambda: self.starts_requests,
         )
 
     def hold(self) -> float:
@@ -101,3 +103,9 @@
     confirmed_s: float, went_on_s: float
 ):
     assert World(confirmed_s, went_on_s).hold() == 0.0
+
+
+def test_no_request_is_held_by_a_host_that_starts_none():
+    world = World(confirmed_s=97.0)
+    world.starts_requests = False
+    assert world.hold() == 0.0
--- a/tests/test_relay_shutdown.py
+++ b/tests/test_relay_shutdown.py
@@ -1,6 +1,7 @@
 """Test what a host that shuts down starts, refuses and ends."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -31,6 +32,7 @@
 LEFT_S = 2.0
 LONG_MS = 20_000  # for which callers wait and the route lets them
 SLOW_S = 0.4
+SOON_S = 0.05
 KINDS = ("order", "view")
 
 
@@ -276,6 +278,28 @@
     run(test())
 
 
+def test_a_request_held_after_a_stall_is_refused_as_its_host_ends() -> None:
+    """Requests held for news of upstreams got no response at the end."""
+
+    async def test() -> None:
+        async with RelayHarness(replicas(1)) as world:
+            configure(world)
+            world.routing.set_age_source(lambda: 90.0, 1.0)
+            await asyncio.sleep(SLOW_S)
+            time.sleep(SLOW_S)  # the whole event loop stalls
+            await asyncio.sleep(SOON_S)
+            held = asyncio.create_task(call(world, "order", "held"))
+            await asyncio.sleep(SOON_S)
+            limits = DrainLimits(
+                listed_s=0.0, estimates_s=0.0, responses_s=0.0, send_s=0.2
+            )
+            await world.relay.shut_down(limits)
+            answer = await held
+        assert (answer.status, answer.is_whole) == (503, True)
+
+    run(test())
+
+
 def test_a_refused_caller_learns_which_hosts_may_take_its_request() -> None:
     async def test() -> None:
         async with RelayHarness(replicas()) as world:
