Learn durations by route and service

What callers saw: a call of a route whose service had changed was started by a leaving host on how long the service before had taken, and may be cut. Cause: durations are kept per route alone, and a new configuration keeps the name of a route that it moves. Class as before: an estimate that no longer holds. Change: they are kept per route and service. Evidence: the new test in test_relay_shutdown.py got 200 before, and 503 now.

--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -70,6 +70,11 @@
         """Return the HTTP method."""
         return self.request.method
 
+    @property
+    def duration_key(self) -> str:
+        """Return the key of calls that are expected to take as long."""
+        return f"{self.route.name}/{self.service}"
+
     @property
     def scope(self) -> Scope:
         """Return the service and regions whose upstreams may run it."""
--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -369,7 +369,7 @@
         """Record how long a call has run, if it has, at its last upstream."""
         if attempt.may_have_run and attempt.sent_s is not None:
             took_s = self._clock.monotonic() - attempt.sent_s
-            self._durations.observe(call.route.name, took_s)
+            self._durations.observe(call.duration_key, took_s)
 
     def _apply_limits(self, table: RoutingTable) -> None:
         limits = table.configuration.limits
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -95,7 +95,7 @@
         running = RunningCall(
             call=call,
             attempt=attempt,
-            longest_s=lambda: self._durations.longest_s(call.route.name),
+            longest_s=lambda: self._durations.longest_s(call.duration_key),
         )
         result = await end_in_time(
             self._shutdown,
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -105,7 +105,7 @@
         running = RunningCall(
             call=call,
             attempt=attempt,
-            longest_s=lambda: durations.longest_s(call.route.name),
+            longest_s=lambda: durations.longest_s(call.duration_key),
             least_s=least_ms / _MS_PER_S,
         )
         return await end_in_time(
--- a/src/balsamlift/relay/shutdown/_durations.py
+++ b/src/balsamlift/relay/shutdown/_durations.py
@@ -1,4 +1,4 @@
-"""How long calls take, learned per route.
+"""How long calls take, learned per route and service.
 
 Hosts that send their counts to each other share the longest recent call as the
 number of a bucket, so that they send it only when it changes. Beyond the
@@ -18,7 +18,7 @@
 
 # A call counts for one to two of these periods.
 PERIOD_S = 120.0
-MAX_ROUTES = 512  # the least recently used is forgotten
+MAX_KEYS = 512  # the least recently used is forgotten
 # Buckets grow by this factor, from the first upper bound on.
 BUCKET_GROWTH = 1.1
 FIRST_BOUND_S = 0.01
@@ -61,32 +61,32 @@
 
 
 class CallDurations:
-    """Keep the longest recent duration of the calls of each route."""
+    """Keep the longest recent duration of the calls of each key."""
 
     def __init__(self, values: SharedValues, clock: Clock) -> None:
         """Share what is observed through `values`."""
         self._values = values
         self._clock = clock
-        self._routes: OrderedDict[str, _Longest] = OrderedDict()
-        self._shared: dict[str, int] = {}  # bucket, by route
+        self._longest: OrderedDict[str, _Longest] = OrderedDict()
+        self._shared: dict[str, int] = {}  # bucket, by key
 
-    def observe(self, route: str, took_s: float) -> None:
+    def observe(self, key: str, took_s: float) -> None:
         """Record how long a call took at its upstream, at least."""
         bucket = _find_bucket(took_s)
-        longest = self._routes.get(route)
+        longest = self._longest.get(key)
         if longest is None:
-            longest = self._routes[route] = _Longest(self._period(), bucket)
+            longest = self._longest[key] = _Longest(self._period(), bucket)
         longest.advance(self._period())
         longest.bucket = max(longest.bucket, bucket)
-        self._routes.move_to_end(route)
-        self._share(route, longest.highest)
-        if len(self._routes) > MAX_ROUTES:
-            self._forget(next(iter(self._routes)))
+        self._longest.move_to_end(key)
+        self._share(key, longest.highest)
+        if len(self._longest) > MAX_KEYS:
+            self._forget(next(iter(self._longest)))
 
-    def longest_s(self, route: str) -> float | None:
+    def longest_s(self, key: str) -> float | None:
         """Return an upper bound of the recent calls, None without any."""
-        own = self._routes.get(route)
-        buckets = self._other_buckets(route)
+        own = self._longest.get(key)
+        buckets = self._other_buckets(key)
         if own is not None:
             own.advance(self._period())
             buckets.append(own.highest)
@@ -96,47 +96,47 @@
     def discard_expired(self) -> None:
         """Forget calls that are too old; called every second."""
         period = self._period()
-        for route, longest in list(self._routes.items()):
+        for key, longest in list(self._longest.items()):
             longest.advance(period)
             if longest.highest < 0:
-                self._forget(route)
+                self._forget(key)
             else:
-                self._share(route, longest.highest)
+                self._share(key, longest.highest)
 
-    def _other_buckets(self, route: str) -> list[int]:
-        prefix = _key_prefix(route)
+    def _other_buckets(self, key: str) -> list[int]:
+        prefix = _value_prefix(key)
         counts = self._values.other_counts(prefix)
         texts = [key[len(prefix) :] for key, n in counts.items() if n > 0]
-        # Others belong to routes whose name begins like this one's.
+        # Others belong to keys that begin like this one.
         return [min(int(t), MAX_BUCKET) for t in texts if t.isdecimal()]
 
-    def _share(self, route: str, bucket: int) -> None:
+    def _share(self, key: str, bucket: int) -> None:
         if not self._values.receives_pushed_counts:
-            self._withdraw(route)
-        elif bucket != self._shared.get(route):
-            self._withdraw(route)
-            self._values.share_value(_key(route, bucket), 1)
-            self._shared[route] = bucket
-
-    def _withdraw(self, route: str) -> None:
-        bucket = self._shared.pop(route, None)
+            self._withdraw(key)
+        elif bucket != self._shared.get(key):
+            self._withdraw(key)
+            self._values.share_value(_value_key(key, bucket), 1)
+            self._shared[key] = bucket
+
+    def _withdraw(self, key: str) -> None:
+        bucket = self._shared.pop(key, None)
         if bucket is not None:
-            self._values.share_value(_key(route, bucket), 0)
+            self._values.share_value(_value_key(key, bucket), 0)
 
-    def _forget(self, route: str) -> None:
-        del self._routes[route]
-        self._withdraw(route)
+    def _forget(self, key: str) -> None:
+        del self._longest[key]
+        self._withdraw(key)
 
     def _period(self) -> int:
         return int(self._clock.monotonic() // PERIOD_S)
 
 
-def _key_prefix(route: str) -> str:
-    return f"{_PREFIX}/{route}/"
+def _value_prefix(key: str) -> str:
+    return f"{_PREFIX}/{key}/"
 
 
-def _key(route: str, bucket: int) -> str:
-    return f"{_key_prefix(route)}{bucket}"
+def _value_key(key: str, bucket: int) -> str:
+    return f"{_value_prefix(key)}{bucket}"
 
 
 def _find_bucket(took_s: float) -> int:
--- a/tests/test_relay_call_durations.py
+++ b/tests/test_relay_call_durations.py
@@ -8,7 +8,7 @@
 from balsamlift.relay.shutdown import CallDurations
 from balsamlift.relay.shutdown._durations import (
     BUCKET_GROWTH,
-    MAX_ROUTES,
+    MAX_KEYS,
     PERIOD_S,
 )
 
@@ -94,7 +94,7 @@
 
 def test_routes_are_limited() -> None:
     world = World()
-    for number in range(MAX_ROUTES + 10):
+    for number in range(MAX_KEYS + 10):
         world.durations.observe(f"r{number}", 1.0)
-    assert len(world.values.shared()) == MAX_ROUTES
+    assert len(world.values.shared()) == MAX_KEYS
     assert world.durations.longest_s("r0") is None
--- a/tests/test_relay_shutdown.py
+++ b/tests/test_relay_shutdown.py
@@ -300,6 +300,26 @@
     run(test())
 
 
+def test_durations_of_a_route_do_not_hold_for_its_next_service() -> None:
+    """Calls were started by how long the service before had taken."""
+
+    async def test() -> None:
+        stand_ins = replicas(1)
+        stand_ins.append(ReplicaStandIn("other-0", "other", HEADER_NAMES))
+        async with RelayHarness(stand_ins) as world:
+            configure(world)
+            assert (await call(world, "order", "r1")).status == 200
+            moved = route(
+                "non_idempotent", "/order/", "other", timeout_ms=LONG_MS
+            )
+            world.configure(2, routes=(moved,))
+            world.relay.leave(LEFT_S)
+            assert (await call(world, "order", "r2")).status == 503
+        assert stand_ins[1].ids() == []
+
+    run(test())
+
+
 def test_a_refused_caller_learns_which_hosts_may_take_its_request() -> None:
     async def test() -> None:
         async with RelayHarness(replicas()) as world:
