Start no forwarded call by estimates at a leaving host

What callers saw: a call or stream cut at a host that does not leave, as the host that it was forwarded to has ended. Cause: the same estimate as in an exit's own calls, at the carrier, though its sender could give the request to another one. Change: a leaving host starts a forwarded request only if it surely ends in time; its sender then tries another host. Evidence: the new test in test_relay_shutdown.py got 200 before, and a refusal as unreached now.

--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -162,14 +162,17 @@
         longest_s = running.longest_s()
         if longest_s is None:
             return -math.inf
-        return min(latest_s, self._latest_by_estimate_s(longest_s))
-
-    def _latest_by_estimate_s(self, longest_s: float) -> float:
-        """Return the last moment to start a call that is to end in time."""
-        early_s = self._responses_by_s - allowed_s(longest_s)
-        late_s = self._responses_by_s - allowed_s(
-            longest_s, LATE_DURATION_FACTOR
-        )
+        return min(latest_s, self._latest_by_estimate_s(running, longest_s))
+
+    def _latest_by_estimate_s(
+        self, running: RunningCall, longest_s: float
+    ) -> float:
+        """Return the last moment to send a call that may take `longest_s`."""
+        due_s = self._responses_by_s
+        late_s = due_s - allowed_s(longest_s, LATE_DURATION_FACTOR)
+        if running.call.request.origin is not None:
+            return late_s  # another host may run it whole
+        early_s = due_s - allowed_s(longest_s)
         return max(min(early_s, self._estimates_until_s), late_s)
 
     def _limit_all(self) -> None:
--- a/tests/test_relay_shutdown.py
+++ b/tests/test_relay_shutdown.py
@@ -208,6 +208,20 @@
     run(test())
 
 
+async def forward(world: RelayHarness) -> CallerAnswer:
+    """Send a call as another host that does not reach its upstreams."""
+    ip, _, port = world.forwarding_frontend.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    headers = ["Balsamlift-Forwarded-By: host-2"]
+    writer.write(
+        request_bytes("/order/1", headers=headers, deadline_ms=LONG_MS)
+    )
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
 def test_a_forwarded_call_is_left_to_other_hosts() -> None:
     """Guard against a refusal that is passed on as another host may run it."""
 
@@ -215,16 +229,27 @@
         async with RelayHarness(replicas()) as world:
             configure(world)
             world.relay.leave(LEFT_S)
-            ip, _, port = world.forwarding_frontend.address.rpartition(":")
-            reader, writer = await asyncio.open_connection(ip, int(port))
-            headers = ["Balsamlift-Forwarded-By: host-2"]
-            writer.write(
-                request_bytes("/order/1", headers=headers, deadline_ms=LONG_MS)
-            )
-            answer = await read_answer(reader)
-            writer.close()
+            answer = await forward(world)
+        assert answer.status == 503
+        assert "Balsamlift-Unreached" in answer.headers
+
+    run(test())
+
+
+def test_a_leaving_host_starts_no_forwarded_call_by_estimates() -> None:
+    """A host that does not leave lost its callers' calls to one that does."""
+
+    async def test() -> None:
+        stand_ins = replicas(1)
+        async with RelayHarness(stand_ins) as world:
+            configure(world)
+            stand_ins[0].behave = answer_after(SLOW_S)
+            assert (await call(world, "order", "learned")).status == 200
+            world.relay.leave(LEFT_S)
+            answer = await forward(world)
         assert answer.status == 503
         assert "Balsamlift-Unreached" in answer.headers
+        assert stand_ins[0].ids() == ["learned"]
 
     run(test())
 
