Let a request that has begun go on elsewhere late in an exit

What callers would see: a stream that its route lets resume, whose engine is lost late in its host's exit, ends as cut, though another engine could end it in time. Cause: found in reading the change of estimates: repeats and retries ask the same decision, and a caller whose request may have run cannot be sent to another host. Change: for these the estimate counts until the end, as it did before.

--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from math import inf
 
 import attrs
 from loguru import logger
@@ -300,9 +301,12 @@
             start_task("sweep", self._sweep_periodically, self._clock),
         ]
 
-    def leave(self, within_s: float) -> None:
-        """Start only requests that are expected to end in `within_s`."""
-        self._shutdown.begin(within_s)
+    def leave(self, within_s: float, estimates_s: float = inf) -> None:
+        """Start only requests that are expected to end in `within_s`.
+
+        After `estimates_s`, they must be sure to.
+        """
+        self._shutdown.begin(within_s, estimates_s)
         for frontend in self._frontends:
             frontend.drain()
 
--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -173,6 +173,8 @@
         if running.call.request.origin is not None:
             return late_s  # another host may run it whole
         early_s = due_s - allowed_s(longest_s)
+        if running.attempt.may_have_run:
+            return early_s  # its caller cannot go to another host
         return max(min(early_s, self._estimates_until_s), late_s)
 
     def _limit_all(self) -> None:
--- a/tests/test_relay_resumable.py
+++ b/tests/test_relay_resumable.py
@@ -264,6 +264,42 @@
     run(test())
 
 
+async def stream_slowly(
+    connection: ReplicaConnection, request: ReplicaRequest
+) -> None:
+    await asyncio.sleep(0.6)
+    await stream(connection, request)
+
+
+def test_a_stream_goes_on_at_another_engine_late_in_an_exit() -> None:
+    """One that had begun was ended, as it would not have been started."""
+
+    async def test() -> None:
+        stand_ins = engines()
+        async with RelayHarness(stand_ins) as world:
+
+            async def leave_and_lose(
+                connection: ReplicaConnection, request: ReplicaRequest
+            ) -> None:
+                world.relay.leave(within_s=4.5, estimates_s=0.0)
+                await lose_after(1)(connection, request)
+
+            configure(world)
+            behave_all(stand_ins, stream_slowly)
+            await world.call("/draft/1", headers=USAGE)
+            behave_all(stand_ins, leave_and_lose)
+            calling = asyncio.create_task(
+                world.call("/draft/1", headers=USAGE, deadline_ms=5_000)
+            )
+            await until_arrived(stand_ins, 2)
+            behave_all(stand_ins, stream)
+            answer = await calling
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert answer.body == events(0)
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     ("lose", "goes_on"),
     [(reset, False), (lose_after(0), False), (lose_after(1), True)],
