Answer what a starved host has read before connections close

Cause: the last phase of an exit is 0.15 s by the clock; on a host short of processor time few turns of the event loop fit into it, and requests that were read have had none when their connections close. Class: an end by the clock where what is left takes turns. Change: after the time is over, requests that were read are given a few checks more, and what has arrived in part is refused once more.

--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -51,6 +51,9 @@
 BODY_TIMEOUT_S = 120.0
 
 IDLE_CHECK_INTERVAL_S = 0.02
+# For requests that were read, also once time is over: few turns of the event
+# loop fit into it on a host that is short of processor time.
+MIN_IDLE_CHECKS = 5
 
 FORWARDING_FRONTEND = "forwarding_frontend"  # the one for other hosts
 
@@ -136,10 +139,9 @@
         self._accept_waiting()
         self._stop_listening()
         await self.clock.sleep(IDLE_CHECK_INTERVAL_S)
-        for reader in list(self.readers):
-            reader.refuse_unread()
-        while not self.is_idle and self.clock.monotonic() < until_s:
-            await self.clock.sleep(IDLE_CHECK_INTERVAL_S)
+        self._refuse_unread()
+        await self._wait_until_idle(until_s)
+        self._refuse_unread()
         if self.unsent_count:
             log.bind(connections=self.unsent_count).warning(
                 "responses not sent in time"
@@ -154,6 +156,19 @@
             else:
                 stream.close()
 
+    def _refuse_unread(self) -> None:
+        for reader in list(self.readers):
+            reader.refuse_unread()
+
+    async def _wait_until_idle(self, until_s: float) -> None:
+        checks = 0
+        while not self.is_idle:
+            is_late = self.clock.monotonic() >= until_s
+            if is_late and (checks >= MIN_IDLE_CHECKS or not self.tasks):
+                return
+            await self.clock.sleep(IDLE_CHECK_INTERVAL_S)
+            checks += 1
+
     def close_after(self, stream: CallerStream) -> None:
         """Close a connection whose last response is written."""
         task = asyncio.create_task(close_in_order(stream, self.clock))
--- a/tests/test_relay_shutdown.py
+++ b/tests/test_relay_shutdown.py
@@ -17,6 +17,7 @@
 )
 
 from balsamlift.relay import AddressAnswer, DrainLimits
+from balsamlift.relay._request import CallerRequest, Refusal, Responder
 from balsamlift.testing.relay import (
     HEADER_NAMES,
     CallerAnswer,
@@ -325,6 +326,31 @@
     run(test())
 
 
+def test_what_a_starved_host_has_read_is_answered_as_it_ends() -> None:
+    """Connections closed by the clock, before their requests had a turn."""
+
+    async def refuse_slowly(
+        request: CallerRequest, responder: Responder
+    ) -> None:
+        for _ in range(3):
+            time.sleep(SOON_S)  # the whole event loop stalls
+            await asyncio.sleep(0)
+        responder.refuse(Refusal(status=503, reason="host is leaving"))
+
+    async def test() -> None:
+        async with RelayHarness(replicas(1)) as world:
+            configure(world)
+            world.frontend.serve(refuse_slowly)
+            calling = asyncio.create_task(call(world, "order", "read"))
+            while not world.frontend.tasks:
+                await asyncio.sleep(0)
+            await world.frontend.close(within_s=0.0)
+            answer = await calling
+        assert (answer.status, answer.is_whole) == (503, True)
+
+    run(test())
+
+
 def test_durations_of_a_route_do_not_hold_for_its_next_service() -> None:
     """Calls were started by how long the service before had taken."""
 
