Retry forwarded calls that have begun at a leaving carrier

What callers saw: 502 for an idempotent call whose upstream broke, at a host that another one had forwarded it to and that was leaving, with five times the time that it needs left. Cause: two conditions in the wrong order: what has been forwarded is left to a third host, also once it may have run. Change: their order. Evidence: the test's forwarded case fails before (502), both cases pass now.

--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -169,12 +169,12 @@
     ) -> float:
         """Return the last moment to send a call that may take `longest_s`."""
         due_s = self._responses_by_s
-        late_s = due_s - allowed_s(longest_s, LATE_DURATION_FACTOR)
-        if running.call.request.origin is not None:
-            return late_s  # another host may run it whole
         early_s = due_s - allowed_s(longest_s)
         if running.attempt.may_have_run:
             return early_s  # its caller cannot go to another host
+        late_s = due_s - allowed_s(longest_s, LATE_DURATION_FACTOR)
+        if running.call.request.origin is not None:
+            return late_s  # another host may run it whole
         return max(min(early_s, self._estimates_until_s), late_s)
 
     def _limit_all(self) -> None:
--- a/tests/test_relay_late_starts.py
+++ b/tests/test_relay_late_starts.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from _relay_helpers import Behave, first_event, run, until_arrived
+import pytest
+from _relay_helpers import Behave, behave_all, first_event, run, until_arrived
 
 from balsamlift.relay import DrainLimits
 from balsamlift.testing.relay import (
@@ -96,3 +97,53 @@
         assert (answer.status, answer.is_whole) == (200, True)
 
     run(test())
+
+
+@pytest.mark.parametrize("is_forwarded", [False, True])
+def test_a_call_whose_upstream_broke_is_retried_in_an_exit(
+    is_forwarded: bool,
+) -> None:
+    """A carrier ends what has run as if another host could take it."""
+
+    async def test() -> None:
+        stand_ins = [
+            ReplicaStandIn(f"plain-{n}", "plain", HEADER_NAMES)
+            for n in range(2)
+        ]
+        async with RelayHarness(stand_ins) as world:
+            world.configure(
+                routes=(
+                    route("idempotent", "/view/", "plain", timeout_ms=LONG_MS),
+                )
+            )
+            behave_all(stand_ins, answer_status(200, 0.4))
+            for number in range(4):
+                path = f"/view/{number}"
+                learned = await world.call(path, f"l{number}", method="GET")
+                assert learned.status == 200
+
+            async def leave_and_break(
+                connection: ReplicaConnection, request: ReplicaRequest
+            ) -> None:
+                world.relay.leave(LEFT_S)  # five times what it takes
+                behave_all(stand_ins, answer_status(200, 0.4))
+                connection.reset()
+
+            behave_all(stand_ins, leave_and_break)
+            frontends = world.frontend, world.forwarding_frontend
+            ip, _, port = frontends[is_forwarded].address.rpartition(":")
+            headers = ["Balsamlift-Forwarded-By: host-2"] * is_forwarded
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            writer.write(
+                request_bytes(
+                    "/view/9",
+                    method="GET",
+                    headers=headers,
+                    deadline_ms=LONG_MS,
+                )
+            )
+            answer = await read_answer(reader)
+            writer.close()
+        assert answer.status == 200
+
+    run(test())
