Learn how long calls take from whole answers alone

What callers saw: a stream cut at the end of its host's exit that was started as others of its route had failed, or been given up on, after some ms. Cause: any end counted as how long a call takes, and a repeat only from its last send. Change: only whole successful responses make a duration known, from the send since which the request may have run; others may only raise it. Evidence: the tests with 500, 404 and a caller that leaves fail before (status 200, cut), pass now.

--- a/src/balsamlift/relay/_attempt.py
+++ b/src/balsamlift/relay/_attempt.py
@@ -29,6 +29,7 @@
     may_have_run: bool = False
     sent_to: list[str] = attrs.field(factory=list)  # names of upstreams
     sent_s: float | None = None  # monotonic, of the last send
+    began_s: float | None = None  # the same, since when it may have run
 
     @property
     def sends(self) -> int:
@@ -54,6 +55,8 @@
             raise UnsafeResendError("the request may have run already")
         self.sent_to.append(upstream)
         self.sent_s = now_s
+        if not self.may_have_run:
+            self.began_s = now_s
         self.may_have_run = True
 
     def record_not_executed(self, may_have_run_before: bool) -> None:
--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -116,6 +116,7 @@
     text: str
     upstream: str = ""  # that responded last, if any
     sent_to: Sequence[str] = ()  # names of upstreams, in order
+    is_success: bool = False  # a whole 2xx response of an upstream
     to_host: str = ""  # that the request was forwarded to
 
 
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -113,7 +113,12 @@
             await responder.write(result.body)
         responder.finish()
         text = f"answered {head.status}"
-        return Outcome(text, result.reply.upstream.name, attempt.sent_to)
+        return Outcome(
+            text,
+            result.reply.upstream.name,
+            attempt.sent_to,
+            is_success=result.reply.is_success,
+        )
 
     async def _fetch(
         self, call: Call, attempt: Attempt, responder: Responder
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -172,7 +172,9 @@
         if isinstance(result, StartedGeneration):
             text = await self._relay(result, job, attempt, responder)
             upstream = result.reservation.upstream.name
-            return Outcome(text, upstream, attempt.sent_to)
+            return Outcome(
+                text, upstream, attempt.sent_to, is_success=text == "whole"
+            )
         if not isinstance(result, Unreached):
             return result
         return await self._forwarder.run(job.call, attempt, responder, result)
--- a/src/balsamlift/relay/shutdown/_durations.py
+++ b/src/balsamlift/relay/shutdown/_durations.py
@@ -70,14 +70,20 @@
         self._longest: OrderedDict[str, _Longest] = OrderedDict()
         self._shared: dict[str, int] = {}  # bucket, by key
 
-    def observe(self, key: str, took_s: float) -> None:
-        """Record how long a call took at its upstream, at least."""
+    def observe(
+        self, key: str, took_s: float, *, is_whole: bool = True
+    ) -> None:
+        """Record how long a call took at its upstreams.
+
+        One that is not whole took that long at least.
+        """
         bucket = _find_bucket(took_s)
-        longest = self._longest.get(key)
-        if longest is None:
-            longest = self._longest[key] = _Longest(self._period(), bucket)
+        longest = self._longest.get(key) or _Longest(self._period(), -1)
         longest.advance(self._period())
+        if not is_whole and not 0 <= longest.highest < bucket:
+            return
         longest.bucket = max(longest.bucket, bucket)
+        self._longest[key] = longest
         self._longest.move_to_end(key)
         self._share(key, longest.highest)
         if len(self._longest) > MAX_KEYS:
--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -230,10 +230,10 @@
 
 
 def _running_ms(attempt: Attempt, now_s: float) -> int | None:
-    """Return the time since the last send of a call that may have run."""
-    if not attempt.may_have_run or attempt.sent_s is None:
+    """Return for how long a call may have run, None if it has not."""
+    if not attempt.may_have_run or attempt.began_s is None:
         return None
-    return _to_ms(now_s - attempt.sent_s)
+    return _to_ms(now_s - attempt.began_s)
 
 
 def _to_ms(duration_s: float | None) -> int | None:
--- a/tests/test_relay_call_durations.py
+++ b/tests/test_relay_call_durations.py
@@ -98,3 +98,22 @@
         world.durations.observe(f"r{number}", 1.0)
     assert len(world.values.shared()) == MAX_KEYS
     assert world.durations.longest_s("r0") is None
+
+
+@pytest.mark.parametrize(
+    ("whole_s", "failed_s", "expected_s"),
+    [(None, 0.005, None), (1.0, 0.005, 1.0), (1.0, 3.0, 3.0)],
+)
+def test_a_failed_call_shows_only_that_calls_take_longer(
+    whole_s: float | None, failed_s: float, expected_s: float | None
+) -> None:
+    world = World()
+    if whole_s is not None:
+        world.durations.observe("a", whole_s)
+    world.durations.observe("a", failed_s, is_whole=False)
+    longest_s = world.durations.longest_s("a")
+    if expected_s is None:
+        assert longest_s is None
+    else:
+        assert longest_s is not None
+        assert expected_s <= longest_s <= expected_s * BUCKET_GROWTH + 1e-9
--- a/tests/test_relay_late_starts.py
+++ b/tests/test_relay_late_starts.py
@@ -99,6 +99,49 @@
     run(test())
 
 
+@pytest.mark.parametrize("status", [500, 404])
+def test_no_late_stream_starts_by_how_fast_others_failed(status: int) -> None:
+    """Failures in some ms count as how long streams take."""
+
+    async def test() -> None:
+        engine = ReplicaStandIn("model-0", "model", HEADER_NAMES)
+        engine.behave = answer_status(status, 0.005)
+        async with RelayHarness([engine]) as world:
+            configure(world)
+            for number in range(3):
+                failed = await draft(world, f"failed-{number}")
+                assert failed.status >= 400
+            engine.behave = stream_with_gap(2.0)
+            ending = begin_exit(world, LEFT_S)
+            await asyncio.sleep(LEFT_S - LATE_S)
+            answer = await draft(world, "late")
+            await ending
+        assert answer.is_whole, answer.status
+
+    run(test())
+
+
+def test_no_late_stream_starts_by_one_that_its_caller_gave_up() -> None:
+    """A stream that its caller left counts as how long streams take."""
+
+    async def test() -> None:
+        engine = ReplicaStandIn("model-0", "model", HEADER_NAMES)
+        engine.behave = stream_with_gap(2.0)
+        async with RelayHarness([engine]) as world:
+            configure(world)
+            left = asyncio.create_task(draft(world, "left"))
+            await until_arrived([engine])
+            left.cancel()
+            await asyncio.sleep(0.1)
+            ending = begin_exit(world, LEFT_S)
+            await asyncio.sleep(LEFT_S - LATE_S)
+            answer = await draft(world, "late")
+            await ending
+        assert answer.is_whole, answer.status
+
+    run(test())
+
+
 @pytest.mark.parametrize("is_forwarded", [False, True])
 def test_a_call_whose_upstream_broke_is_retried_in_an_exit(
     is_forwarded: bool,
