Reject addresses that would change a request's head

Cause: `split_address` takes what `int` and `ipaddress` take: line ends and spaces beside a port, signs, underscores, other digits, any text as an IPv6 scope, one bracket; an upstream at port 0 was listed. The text goes into Host, into headers with the address of a copy and into URLs as it is. An entry of another writer could so end a head early, and what calls engines failed with ValueError.

--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from balsamlift._address import AddressError, split_address
+from balsamlift._address import AddressError, split_remote_address
 from balsamlift.exceptions import PlatformError
 from balsamlift.peers import ENTRY_ROLE, UPSTREAM_ROLE, ListEntry, Record
 from balsamlift.platform._names import CONFIGURATION_KEY, EVACUATION_PREFIX
@@ -219,7 +219,7 @@
         raise RecordError(f"upstream entry too large: {len(data)} bytes")
     try:
         upstream = msgspec.json.decode(data, type=_Upstream)
-        split_address(upstream.Address)
+        split_remote_address(upstream.Address)
     except (msgspec.MsgspecError, RecursionError, AddressError) as error:
         raise RecordError(f"invalid upstream entry: {error}") from error
     if not _is_valid_upstream_name(key):
