Do not dial hosts whose record has no sound address or name

Cause: a host's record was taken with any text as its addresses and any key as its name, of any size; only upstreams were checked. What is no host was then chosen as a partner, dialled again and again (names were looked up), and never declared dead, as nothing was ever heard of it. Change: the checks of upstreams' entries hold for hosts' records too. The test of an expired host has sound addresses now, so that only its age leaves it out.

--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -215,15 +215,12 @@
     The list may have other writers: an entry is rejected unless all of
     its known fields are valid.
     """
-    if len(data) > MAX_ENTRY_BYTES:
-        raise RecordError(f"upstream entry too large: {len(data)} bytes")
+    _check_entry(key, data, "upstream")
     try:
         upstream = msgspec.json.decode(data, type=_Upstream)
         split_remote_address(upstream.Address)
     except (msgspec.MsgspecError, RecursionError, AddressError) as error:
         raise RecordError(f"invalid upstream entry: {error}") from error
-    if not _is_valid_upstream_name(key):
-        raise RecordError("invalid upstream entry: key is not a valid name")
     if upstream.LifecycleState not in _UPSTREAM_STATES or upstream.born < 0:
         raise RecordError("invalid upstream entry: state or start time")
     return ListEntry(
@@ -241,18 +238,31 @@
     )
 
 
-def _is_valid_upstream_name(key: str) -> bool:
-    """Return whether a key is valid as an upstream's name in a header."""
-    is_visible = key.isascii() and key.isprintable() and " " not in key
-    return is_visible and 0 < len(key) <= MAX_NAME_CHARACTERS
-
-
-def decode_host(data: bytes) -> HostRecord:
+def decode_host(key: str, data: bytes) -> HostRecord:
     """Return the entry of a host; raise `RecordError` if invalid."""
+    _check_entry(key, data, "host")
     try:
-        return msgspec.json.decode(data, type=HostRecord)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        record = msgspec.json.decode(data, type=HostRecord)
+        split_remote_address(record.callers_address)
+        split_remote_address(record.operators_address)
+        split_remote_address(record.peers_address)
+    except (msgspec.MsgspecError, RecursionError, AddressError) as error:
         raise RecordError(f"invalid host entry: {error}") from error
+    return record
+
+
+def _check_entry(key: str, data: bytes, kind: str) -> None:
+    """Raise `RecordError` for an invalid name or an entry too large."""
+    if len(data) > MAX_ENTRY_BYTES:
+        raise RecordError(f"{kind} entry too large: {len(data)} bytes")
+    if not _is_valid_name(key):
+        raise RecordError(f"invalid {kind} entry: key is not a valid name")
+
+
+def _is_valid_name(key: str) -> bool:
+    """Return whether a key is valid as a name in a header."""
+    is_visible = key.isascii() and key.isprintable() and " " not in key
+    return is_visible and 0 < len(key) <= MAX_NAME_CHARACTERS
 
 
 def host_entry(key: str, record: HostRecord) -> ListEntry:
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -180,7 +180,7 @@
         self._hosts_follower = Follower(store, HOSTS_TOPIC, clock, limits)
         self._decoded_upstreams = _DecodeCache(decode_upstream)
         self._decoded_hosts = _DecodeCache(
-            lambda key, data: (key, decode_host(data))
+            lambda key, data: (key, decode_host(key, data))
         )
         self._clock = clock
         self._wait_ms: int | None = None
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -7,7 +7,12 @@
 from test_platform_decode import ENTRY
 
 from balsamlift._address import AddressError, split_address
-from balsamlift.platform._decode import RecordError, decode_upstream
+from balsamlift.platform._decode import (
+    HostRecord,
+    RecordError,
+    decode_host,
+    decode_upstream,
+)
 
 ODD_ADDRESSES = [
     *("", "nowhere", "10.1.0.9", "store.example:80", "999.1.1.1:80"),
@@ -44,3 +49,35 @@
 )
 def test_a_sound_address_is_taken(address: str) -> None:
     assert split_address(address)[1] == 80
+
+
+HOST: dict[str, Any] = {
+    "callers_address": "10.1.0.19:80",
+    "operators_address": "10.1.0.19:81",
+    "peers_address": "10.1.0.19:82",
+    "failure_domain": "north",
+    "written_s": 1.0,
+}
+
+
+@pytest.mark.parametrize(
+    "field", ["callers_address", "operators_address", "peers_address"]
+)
+@pytest.mark.parametrize("address", [*ODD_ADDRESSES, "10.1.0.9:0"])
+def test_a_host_without_a_sound_address_is_not_dialled(
+    field: str, address: str
+) -> None:
+    with pytest.raises(RecordError):
+        decode_host("h-1", with_fields(HOST, **{field: address}))
+
+
+@pytest.mark.parametrize("key", ["", "h 1", "h\ufffd", "h" * 10_000, "h\n"])
+def test_a_host_without_a_sound_name_is_not_dialled(key: str) -> None:
+    with pytest.raises(RecordError):
+        decode_host(key, with_fields(HOST))
+
+
+def test_a_huge_host_record_is_not_decoded() -> None:
+    with pytest.raises(RecordError, match="large"):
+        decode_host("h-1", with_fields(HOST, more="x" * 100_000))
+    assert decode_host("h-1", with_fields(HOST)) == HostRecord(**HOST)
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -315,7 +315,7 @@
 def test_any_bytes_are_decoded_or_rejected(data: bytes) -> None:
     for decode in (
         lambda: decode_upstream("i-1", data),
-        lambda: decode_host(data),
+        lambda: decode_host("h-1", data),
         lambda: decode_configuration(data),
         lambda: _decode_read_answer(data, 0),
     ):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -442,8 +442,9 @@
     async def test(fake_store: KeyedStore, store: Store) -> None:
         fake_store.topic(HOSTS_TOPIC).append(
             "old",
-            b'{"callers_address":"a","operators_address":"b",'
-            b'"peers_address":"c","failure_domain":"d","written_s":1.0}',
+            b'{"callers_address":"10.1.0.9:1","operators_address":"10.1.0.9:2",'
+            b'"peers_address":"10.1.0.9:3","failure_domain":"d",'
+            b'"written_s":1.0}',
         )
         entries = await UpstreamsSource(store, SystemClock(), PACE).read()
         assert entries == []
