Reject a configuration whose numbers or names cannot be used

Cause: the numbers of a configuration had no bounds, and names of workspaces could hold line ends. A version above 64 bits cannot be encoded for other hosts, so that no heartbeat leaves; a timeout or a weight of 400 digits raises OverflowError in each request, engines without memory ZeroDivisionError, weights that sum up to nothing ValueError; a name of a workspace goes into a head as it is. Change: integers have 64 bits, rates stay finite in products, names fit into a header; a negative weight counts as 0, and engines without memory as none. A configuration that is rejected leaves the last one in force, as before.

--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -29,6 +29,7 @@
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
 MAX_RETRY_AFTER_S = 86_400.0  # a longer time is honoured for so long
 MAX_WEIGHT = 1_000.0  # of a workspace
+MAX_RATE = 1e15  # sums and products of rates stay finite
 
 
 class RecordError(PlatformError):
@@ -38,11 +39,14 @@
 # What messages between hosts can carry.
 _Integer = Annotated[int, msgspec.Meta(ge=-(1 << 63), le=(1 << 63) - 1)]
 _Weight = Annotated[float, msgspec.Meta(gt=0, le=MAX_WEIGHT)]
+_Rate = Annotated[float, msgspec.Meta(ge=-MAX_RATE, le=MAX_RATE)]
+# What a header can carry.
+_HeaderText = Annotated[str, msgspec.Meta(pattern=r"\A[ -~\xa0-\xff]*\Z")]
 
 
 class _Share(msgspec.Struct):
     Service: str
-    Weight: int
+    Weight: _Integer
 
 
 class _Route(msgspec.Struct):
@@ -50,49 +54,49 @@
     Hostname: str
     PathPrefix: str
     RouteType: str
-    TimeoutMs: int
-    TargetLatencyMs: int  # to the first event on a stream
-    Priority: int = 0
+    TimeoutMs: _Integer
+    TargetLatencyMs: _Integer  # to the first event on a stream
+    Priority: _Integer = 0
     Service: str = ""  # unused if TrafficSplit is set
     TrafficSplit: list[_Share] = []
-    MaxAttempts: int = 1
+    MaxAttempts: _Integer = 1
     Public: bool = False
     AllowedRegions: list[str] = []  # none: any
-    TargetGapMs: int = 0  # between events of a stream; 0: any
+    TargetGapMs: _Integer = 0  # between events of a stream; 0: any
     StreamResume: bool = False
 
 
 class _Engine(msgspec.Struct):
     """Represent the properties of a service's engines."""
 
-    KvCapacityTokens: int
-    KvTokenBytes: int = 0  # memory for one token
-    LinkMbps: float = 0.0
+    KvCapacityTokens: _Integer
+    KvTokenBytes: _Integer = 0  # memory for one token
+    LinkMbps: _Rate = 0.0
     Moves: bool = False
     Backups: bool = False
 
 
 class _Service(msgspec.Struct):
     Name: str
-    MaxConnections: int = 0
-    ColdPerS: float | None = None  # requests that a cold upstream tolerates
+    MaxConnections: _Integer = 0
+    ColdPerS: _Rate | None = None  # requests that a cold upstream tolerates
     Engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    MaxBodyBytes: int
+    MaxBodyBytes: _Integer
     # Of the request line and all headers.
-    MaxHeaderBytes: int = DEFAULT_CALLER_LIMITS.head_bytes
-    HeaderTimeoutMs: int = DEFAULT_CALLER_LIMITS.head_timeout_ms
-    IdleTimeoutMs: int = DEFAULT_CALLER_LIMITS.idle_timeout_ms
+    MaxHeaderBytes: _Integer = DEFAULT_CALLER_LIMITS.head_bytes
+    HeaderTimeoutMs: _Integer = DEFAULT_CALLER_LIMITS.head_timeout_ms
+    IdleTimeoutMs: _Integer = DEFAULT_CALLER_LIMITS.idle_timeout_ms
 
 
 class _Tenant(msgspec.Struct):
     """Represent a workspace and the keys of its callers."""
 
-    Name: str
+    Name: _HeaderText
     ApiKeys: list[str] = []
-    Priority: int | None = None
+    Priority: _Integer | None = None
     AllowedRegions: list[str] = []  # none: any
     Weight: _Weight = 1.0  # of its share while requests wait
 
@@ -100,7 +104,7 @@
 class _Manifest(msgspec.Struct):
     """Represent the configuration record that operators write."""
 
-    Version: int
+    Version: _Integer
     Routes: list[_Route]
     Services: list[_Service]
     Limits: _Limits
@@ -286,7 +290,7 @@
         # An unknown type is handled as the most restrictive one.
         kind=_ROUTE_KINDS.get(route.RouteType, "non_idempotent"),
         services=tuple(
-            ServiceShare(service=share.Service, weight=share.Weight)
+            ServiceShare(service=share.Service, weight=max(share.Weight, 0))
             for share in shares
         ),
         timeout_ms=route.TimeoutMs,
@@ -307,7 +311,7 @@
         max_connections=service.MaxConnections,
         cold_requests_per_s=service.ColdPerS,
         engine=None
-        if engine is None
+        if engine is None or engine.KvCapacityTokens <= 0
         else EngineTraits(
             memory_tokens=engine.KvCapacityTokens,
             token_bytes=engine.KvTokenBytes,
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -1,18 +1,21 @@
 """Test what odd records among sound ones do to a host."""
 
 import json
+import random
 from typing import Any
 
 import pytest
-from test_platform_decode import ENTRY
+from test_platform_decode import ENTRY, MANIFEST
 
 from balsamlift._address import AddressError, split_address
 from balsamlift.platform._decode import (
     HostRecord,
     RecordError,
+    decode_configuration,
     decode_host,
     decode_upstream,
 )
+from balsamlift.relay._routing import pick_service
 
 ODD_ADDRESSES = [
     *("", "nowhere", "10.1.0.9", "store.example:80", "999.1.1.1:80"),
@@ -26,6 +29,14 @@
 ]
 
 
+HUGE_NUMBERS = {
+    "64 bits": 1 << 64,
+    "70 bits": 1 << 70,
+    "negative": -(1 << 70),
+    "400 digits": 10**399,
+}
+
+
 def with_fields(sound: dict[str, Any], **fields: Any) -> bytes:
     return json.dumps({**sound, **fields}).encode()
 
@@ -81,3 +92,80 @@
     with pytest.raises(RecordError, match="large"):
         decode_host("h-1", with_fields(HOST, more="x" * 100_000))
     assert decode_host("h-1", with_fields(HOST)) == HostRecord(**HOST)
+
+
+def number_paths(value: Any, path: tuple[Any, ...] = ()) -> list[Any]:
+    """Return the paths of all numbers in a record."""
+    if isinstance(value, bool | str | None):
+        return []
+    if isinstance(value, int | float):
+        return [path]
+    items = value.items() if isinstance(value, dict) else enumerate(value)
+    nested = [number_paths(each, (*path, key)) for key, each in items]
+    return [found for each in nested for found in each]
+
+
+def replace(value: Any, path: tuple[Any, ...], new: Any) -> Any:
+    """Return a copy of a record with another value at `path`."""
+    if not path:
+        return new
+    copy = dict(value) if isinstance(value, dict) else list(value)
+    copy[path[0]] = replace(value[path[0]], path[1:], new)
+    return copy
+
+
+FULL_SERVICE = {
+    **{"Name": "model", "MaxConnections": 302, "ColdPerS": 2.0},
+    "Engine": {"KvCapacityTokens": 9, "KvTokenBytes": 9, "LinkMbps": 9.0},
+}
+FULL_MANIFEST = {**MANIFEST, "Services": [FULL_SERVICE]}
+NUMBER_PATHS = number_paths(FULL_MANIFEST)
+
+
+@pytest.mark.parametrize("number", HUGE_NUMBERS.values(), ids=HUGE_NUMBERS)
+@pytest.mark.parametrize(
+    "path", NUMBER_PATHS, ids=lambda path: ".".join(map(str, path))
+)
+def test_a_number_that_hosts_cannot_tell_each_other_is_rejected(
+    path: tuple[Any, ...], number: int
+) -> None:
+    manifest = replace(FULL_MANIFEST, path, number)
+    with pytest.raises(RecordError):
+        decode_configuration(json.dumps(manifest).encode())
+
+
+@pytest.mark.parametrize("name", ["LinkMbps", "ColdPerS"])
+def test_a_rate_too_large_to_count_with_is_rejected(name: str) -> None:
+    path = ("Services", 0, *(["Engine"] if name == "LinkMbps" else []), name)
+    with pytest.raises(RecordError):
+        decode_configuration(
+            json.dumps(replace(FULL_MANIFEST, path, 1e308)).encode()
+        )
+
+
+@pytest.mark.parametrize("tokens", [0, -1])
+def test_a_service_whose_engines_have_no_memory_has_no_engines(
+    tokens: int,
+) -> None:
+    path = ("Services", 0, "Engine", "KvCapacityTokens")
+    manifest = replace(FULL_MANIFEST, path, tokens)
+    configuration = decode_configuration(json.dumps(manifest).encode())
+    assert configuration.services[0].engine is None
+
+
+def test_requests_are_split_when_a_weight_is_negative() -> None:
+    path = ("Routes", 1, "TrafficSplit", 0, "Weight")
+    for weight in (-1, -10):
+        manifest = replace(FULL_MANIFEST, path, weight)
+        configuration = decode_configuration(json.dumps(manifest).encode())
+        service = pick_service(configuration.routes[1], random.Random(1))
+        assert service == "two"
+
+
+@pytest.mark.parametrize("name", ["t\r\nX: y", "t\0", "\u2603", "t\n"])
+def test_a_workspace_whose_name_would_change_a_head_is_rejected(
+    name: str,
+) -> None:
+    manifest = replace(MANIFEST, ("Tenants", 0, "Name"), name)
+    with pytest.raises(RecordError):
+        decode_configuration(json.dumps(manifest).encode())
