Decode JSON of other writers with one typed error

Cause: each reader named the errors of the decoder itself, and most left out RecursionError: answers to copies, orders, probes and loads of engines, key tables, the list of hosts, the log of presets. One nested entry ended the task or the request. On a list of several writers, one entry that was nested, or with NaN, a lone surrogate or a number too long, hid all others: the list was unavailable, the log of presets was not read any further. Change: `decode_json` raises only msgspec's errors; a list that is not decoded at once is repaired first, so that only the odd item is left out.

--- a/src/balsamlift/_commands/_logs.py
+++ b/src/balsamlift/_commands/_logs.py
@@ -13,6 +13,7 @@
 from balsamlift._commands._arguments import Arguments
 from balsamlift._commands._exit import ExitCode
 from balsamlift._commands._output import print_json, print_note, print_table
+from balsamlift._json import decode_json
 from balsamlift.exceptions import UsageError
 from balsamlift.logs import DetailedLogLine
 
@@ -112,7 +113,7 @@
         if start < 0:
             continue
         try:
-            yield msgspec.json.decode(text[start:], type=DetailedLogLine)
+            yield decode_json(text[start:], DetailedLogLine)
         except msgspec.MsgspecError:
             skipped += 1
     if skipped:
--- a/src/balsamlift/_http.py
+++ b/src/balsamlift/_http.py
@@ -12,6 +12,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
+from balsamlift._json import decode_json
 from balsamlift._streaming import StallLimits, StreamedBody, Transfer
 from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import BalsamliftError
@@ -53,7 +54,7 @@
 
     def decode(self, kind: type[T]) -> T:
         """Return the JSON body decoded as `kind`; raise `msgspec` errors."""
-        return msgspec.json.decode(self.body, type=kind)
+        return decode_json(self.body, kind)
 
 
 def _no_stamp() -> str:
--- a/src/balsamlift/_progress.py
+++ b/src/balsamlift/_progress.py
@@ -9,6 +9,7 @@
 import attrs
 import msgspec
 
+from balsamlift._json import decode_json
 from balsamlift.requests import STREAM, HostAddress, new_homed_key
 from balsamlift.streams import (
     FAILED,
@@ -127,7 +128,7 @@
 ) -> Outcome | None:
     """Return the outcome that an HTTP status implies, or None."""
     try:
-        return msgspec.json.decode(error.body, type=Outcome)
+        return decode_json(error.body, Outcome)
     except msgspec.DecodeError:
         pass
     if error.status >= SERVER_ERROR:
@@ -147,7 +148,7 @@
 
 def _error_code(error: StreamStatusError) -> str:
     try:
-        return msgspec.json.decode(error.body, type=_Error).error
+        return decode_json(error.body, _Error).error
     except msgspec.DecodeError:
         return f"status_{error.status}"
 
--- a/src/balsamlift/peers/_hosts_list.py
+++ b/src/balsamlift/peers/_hosts_list.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from balsamlift._http import CallError, HttpClient
+from balsamlift._json import decode_json, decode_json_list
 from balsamlift._streaming import StallLimits
 from balsamlift.exceptions import HostsUnavailableError
 
@@ -97,7 +98,7 @@
 
 def _decode(body: bytes) -> list[ListEntry]:
     try:
-        raw_list = msgspec.json.decode(body, type=RawList)
+        raw_list = decode_json_list(body, RawList)
     except msgspec.MsgspecError as error:
         raise HostsUnavailableError(
             "answer is not a valid list of hosts"
@@ -105,7 +106,7 @@
     entries = []
     for raw in raw_list.hosts:
         try:
-            entries.append(msgspec.json.decode(raw, type=ListEntry))
+            entries.append(decode_json(raw, ListEntry))
         except msgspec.MsgspecError:
             continue
     if not entries:
--- a/src/balsamlift/platform/_blocked_parts.py
+++ b/src/balsamlift/platform/_blocked_parts.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from balsamlift._back_off import BackOff
+from balsamlift._json import decode_json
 from balsamlift._tasks import end_task, start_task
 from balsamlift.clock import Clock
 from balsamlift.exceptions import StoreError
@@ -129,8 +130,8 @@
         if not record.value or len(record.key) != PART_CHARACTERS:
             return 0.0
         try:
-            decoded = msgspec.json.decode(record.value, type=BlockedPartRecord)
-        except (msgspec.MsgspecError, RecursionError) as error:
+            decoded = decode_json(record.value, BlockedPartRecord)
+        except msgspec.MsgspecError as error:
             log.bind(key=record.key).error("{}", error)
             return 0.0
         left_s = decoded.expires_s - self._clock.now().timestamp()
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from balsamlift._address import AddressError, split_remote_address
+from balsamlift._json import decode_json
 from balsamlift.exceptions import PlatformError
 from balsamlift.peers import ENTRY_ROLE, UPSTREAM_ROLE, ListEntry, Record
 from balsamlift.platform._names import CONFIGURATION_KEY, EVACUATION_PREFIX
@@ -157,8 +158,8 @@
     Raises `RecordError` if the record is invalid.
     """
     try:
-        manifest = msgspec.json.decode(data, type=_Manifest)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        manifest = decode_json(data, _Manifest)
+    except msgspec.MsgspecError as error:
         raise RecordError(f"invalid configuration: {error}") from error
     return Configuration(
         version=manifest.Version,
@@ -221,9 +222,9 @@
     """
     _check_entry(key, data, "upstream")
     try:
-        upstream = msgspec.json.decode(data, type=_Upstream)
+        upstream = decode_json(data, _Upstream)
         split_remote_address(upstream.Address)
-    except (msgspec.MsgspecError, RecursionError, AddressError) as error:
+    except (msgspec.MsgspecError, AddressError) as error:
         raise RecordError(f"invalid upstream entry: {error}") from error
     if upstream.LifecycleState not in _UPSTREAM_STATES or upstream.born < 0:
         raise RecordError("invalid upstream entry: state or start time")
@@ -246,11 +247,11 @@
     """Return the entry of a host; raise `RecordError` if invalid."""
     _check_entry(key, data, "host")
     try:
-        record = msgspec.json.decode(data, type=HostRecord)
+        record = decode_json(data, HostRecord)
         split_remote_address(record.callers_address)
         split_remote_address(record.operators_address)
         split_remote_address(record.peers_address)
-    except (msgspec.MsgspecError, RecursionError, AddressError) as error:
+    except (msgspec.MsgspecError, AddressError) as error:
         raise RecordError(f"invalid host entry: {error}") from error
     return record
 
--- a/src/balsamlift/platform/_engines.py
+++ b/src/balsamlift/platform/_engines.py
@@ -61,7 +61,7 @@
                 connect_ms=CONNECT_TIMEOUT_MS,
             )
             report = answer.decode(_Report)
-        except (CallError, msgspec.MsgspecError, RecursionError) as error:
+        except (CallError, msgspec.MsgspecError) as error:
             raise ReportError(
                 upstream.name, f"cannot get report: {error}"
             ) from error
@@ -130,7 +130,7 @@
     if not answer.body:
         return _MoveAnswer()
     try:
-        return msgspec.json.decode(answer.body, type=_MoveAnswer)
+        return answer.decode(_MoveAnswer)
     except msgspec.MsgspecError as error:
         raise CopyError(
             source.name, "invalid answer to a copy request"
--- a/src/balsamlift/presets/_log.py
+++ b/src/balsamlift/presets/_log.py
@@ -13,6 +13,7 @@
 
 from balsamlift._back_off import BackOff
 from balsamlift._http import Answer, CallError, HttpClient
+from balsamlift._json import decode_json_list
 from balsamlift._streaming import StallLimits
 from balsamlift.clock import Clock
 from balsamlift.exceptions import LogBlockedError, LogUnavailableError
@@ -260,7 +261,7 @@
     if answer.status != OK:
         raise LogUnavailableError(f"read returned status {answer.status}")
     try:
-        raw = answer.decode(_ReadAnswer)
+        raw = decode_json_list(answer.body, _ReadAnswer)
     except msgspec.MsgspecError as error:
         raise LogUnavailableError(
             f"read returned a malformed answer: {error}"
--- a/src/balsamlift/requests/_forwarder.py
+++ b/src/balsamlift/requests/_forwarder.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from balsamlift._http import CallError
+from balsamlift._json import decode_json
 from balsamlift.peers import Peer
 from balsamlift.requests._dependencies import Dependencies
 from balsamlift.requests._errors import KeyMissingError
@@ -260,7 +261,7 @@
 ) -> Outcome | None:
     """Return the outcome for an error status; None to try again."""
     try:
-        return msgspec.json.decode(error.body, type=Outcome)
+        return decode_json(error.body, Outcome)
     except msgspec.DecodeError:
         pass
     execution = forwarded.execution
@@ -276,7 +277,7 @@
 ) -> Outcome:
     """Return the outcome for a status that reports an error of the caller."""
     try:
-        code = msgspec.json.decode(error.body, type=_Error).error
+        code = decode_json(error.body, _Error).error
     except msgspec.DecodeError:
         code = f"status_{error.status}"
     if error.status == GONE:
--- a/src/balsamlift/requests/_handover.py
+++ b/src/balsamlift/requests/_handover.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from balsamlift._http import CallError
+from balsamlift._json import decode_json
 from balsamlift.operators import JsonHandler
 from balsamlift.peers import Peer
 from balsamlift.requests._dependencies import Dependencies
@@ -167,9 +168,7 @@
     def post(self) -> None:
         """Store the table, or respond 400 if it cannot be decoded."""
         try:
-            message = msgspec.json.decode(
-                self.request.body, type=KeyTableMessage
-            )
+            message = decode_json(self.request.body, KeyTableMessage)
         except msgspec.DecodeError as error:
             self.reply({"reason": str(error)}, BAD_REQUEST)
             return
--- a/src/balsamlift/requests/_upstream_responses.py
+++ b/src/balsamlift/requests/_upstream_responses.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from balsamlift._http import CallError
+from balsamlift._json import decode_json
 from balsamlift.peers import Upstream
 from balsamlift.requests._dependencies import Dependencies
 
@@ -44,7 +45,7 @@
 def decode_refusal(body: bytes) -> Refusal:
     """Return the refusal in a body; assume it ran if the body has none."""
     try:
-        return msgspec.json.decode(body, type=Refusal)
+        return decode_json(body, Refusal)
     except msgspec.DecodeError:
         return Refusal()
 
--- a/src/balsamlift/streams/_frames.py
+++ b/src/balsamlift/streams/_frames.py
@@ -8,6 +8,7 @@
 import attrs
 import msgspec
 
+from balsamlift._json import decode_json
 from balsamlift.exceptions import BalsamliftError
 
 T = TypeVar("T")
@@ -103,8 +104,8 @@
     def decode(self, kind: type[T]) -> T:
         """Return the data decoded as `kind`; raise `FrameError`."""
         try:
-            return msgspec.json.decode(self.data, type=kind)
-        except (msgspec.DecodeError, RecursionError) as error:
+            return decode_json(self.data, kind)
+        except msgspec.DecodeError as error:
             raise FrameError(f"bad {self.name} frame: {error}") from error
 
 
