Read a topic on past an odd item on a page

Cause: a page of the newest records was decoded as one value, so that an item without a text as its key or an offset above 64 bits made all records unreadable, for as long as it stayed; such an offset that was taken cannot be encoded for other hosts. A page that repeats itself was read for ever, e.g. after a key whose bytes are no text; one that says there is more, but has nothing, counted as the whole topic. Change: items are decoded one by one, an invalid one is left out and logged; the next page begins after the last key that is known exactly. A page that has items but no valid one, or does not advance, is a failed read, and the last records stay in force.

--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -6,12 +6,14 @@
 import re
 import struct
 from collections.abc import Awaitable, Callable
+from typing import Annotated
 from urllib.parse import urlencode
 
 import msgspec
 from loguru import logger
 
 from balsamlift._http import Answer, CallError, HttpClient
+from balsamlift._json import decode_json, decode_json_list
 from balsamlift._streaming import StallLimits
 from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import HistoryLostError, StoreError
@@ -31,6 +33,11 @@
 _READ_HEADER = struct.Struct(">QQ")  # end of the topic, first offset kept
 _RECORD_LENGTH = struct.Struct(">I")
 _DIGITS = re.compile(r"\d+")
+REPLACED = "\ufffd"  # a character of a key that is not valid text
+
+
+# What messages between hosts can carry.
+_Offset = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 
 
 class _Item(msgspec.Struct):
@@ -38,15 +45,15 @@
 
     Key: str
     Value: str  # base64
-    Offset: int = 0
+    Offset: _Offset = 0
 
 
 class _Page(msgspec.Struct):
-    """Represent a page of the newest records."""
+    """Represent a page of the newest records, which are not decoded yet."""
 
-    Items: list[_Item]
+    Items: list[msgspec.Raw]
     HasMore: bool
-    EndOffset: int
+    EndOffset: _Offset
 
 
 class Store:
@@ -70,27 +77,32 @@
         end: int | None = None
         era: int | None = None
         after = ""
+        starts: set[str] = set()  # of pages
         while True:
             query = {"Topic": topic, "part": "0"}
             if after:
                 query["After"] = after
             answer = await self._read("/log-newest", query)
             try:
-                page = msgspec.json.decode(answer.body, type=_Page)
-            except (msgspec.MsgspecError, RecursionError) as error:
+                page = decode_json_list(answer.body, _Page)
+            except msgspec.MsgspecError as error:
                 raise StoreError(
                     f"invalid page of records: {error}"
                 ) from error
-            records += [_decode_item(item) for item in page.Items]
+            page_records = _decode_items(page.Items, topic)
+            records += page_records
             # Pages are not a snapshot: return the end offset of the first one,
             # so that the caller reads changes made since then again.
             end = page.EndOffset if end is None else end
             era = self.era if era is None else era
             if era != self.era:
                 raise StoreError("store was restored between two pages")
-            if not page.HasMore or not page.Items:
+            if not page.HasMore:
                 return RecordBatch(records, end, era)
-            after = page.Items[-1].Key
+            after = _last_exact_key(page_records)
+            if not after or after in starts:
+                raise StoreError("page of records does not advance")
+            starts.add(after)
 
     async def read(
         self,
@@ -258,6 +270,30 @@
             self._on_large_answer(end)
 
 
+def _decode_items(items: list[msgspec.Raw], topic: str) -> list[Record]:
+    """Return the records of a page, without items that are invalid.
+
+    Raises `StoreError` if all are, as that would remove every record.
+    """
+    records = []
+    for raw in items:
+        try:
+            records.append(_decode_item(decode_json(raw, _Item)))
+        except msgspec.MsgspecError as error:
+            log.bind(topic=topic, size_bytes=len(bytes(raw))).error(
+                "invalid item on a page of records: {}", error
+            )
+    if items and not records:
+        raise StoreError("page of records has no valid item")
+    return records
+
+
+def _last_exact_key(records: list[Record]) -> str:
+    """Return the last key without replaced characters, or an empty text."""
+    exact = (r.key for r in reversed(records) if REPLACED not in r.key)
+    return next(exact, "")
+
+
 def _decode_item(item: _Item) -> Record:
     """Return a record of a page; keep a value as is if it is not base64."""
     try:
