Treat an era of the store that is no 64-bit number as a failed read

Cause: the header was passed to `int` if its characters were digits. With 5,000 of them `int` raises ValueError, which ended the reader's task again and again, and the start of the process; with 400 it was taken, no later answer of a sound era counted, and it cannot be encoded for other hosts. Change: an era has 18 digits at most; any other is a stale answer, whose log line holds 40 characters of it. Measured: 3 of 6 eras failed before (pytest tests/test_odd_pages.py -k era), none does now.

--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -34,6 +34,7 @@
 _RECORD_LENGTH = struct.Struct(">I")
 _DIGITS = re.compile(r"\d+")
 REPLACED = "\ufffd"  # a character of a key that is not valid text
+_ERA = re.compile(r"[0-9]{1,18}")
 
 
 # What messages between hosts can carry.
@@ -208,9 +209,11 @@
         """
         if text is None and not self.era:
             return
-        era = int(text) if text is not None and text.isdecimal() else -1
+        is_era = text is not None and _ERA.fullmatch(text)
+        era = int(text) if text is not None and is_era else -1
         if era < self.era:
-            message = f"stale answer: era {text}, latest is {self.era}"
+            named = (text or "none")[:40]
+            message = f"stale answer: era {named}, latest is {self.era}"
             self._track_availability(topic, message, "stale answer")
             raise StoreError(message)
         if self.era and era > self.era:
--- a/tests/test_odd_pages.py
+++ b/tests/test_odd_pages.py
@@ -11,6 +11,7 @@
 
 from balsamlift._http import Answer, HttpClient
 from balsamlift.exceptions import StoreError
+from balsamlift.platform._names import ERA_HEADER
 from balsamlift.platform._store import Store
 
 DEADLINE_S = 5.0
@@ -157,6 +158,20 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    "era", ["9" * 5_000, "9" * 400, str(1 << 64), "1e400", "-1", "\u00b2"]
+)
+def test_an_odd_era_is_a_failed_read(era: str) -> None:
+    async def test() -> None:
+        server = PageServer(page(item("a")), headers={ERA_HEADER: era})
+        store = store_of(server)
+        with pytest.raises(StoreError):
+            await store.newest("t")
+        assert store.era == 0
+
+    run(test)
+
+
 @pytest.mark.parametrize("key", ['"\\udcff"', '"x\\ud800"', '"\ufffd"'])
 def test_a_read_goes_on_after_a_key_that_is_no_text(key: str) -> None:
     async def test() -> None:
