Keep an upstream whose entry another writer has replaced

Cause: an invalid entry counted as none, so that one in the place of a sound upstream's own ended the work there: this host reported it to the others as leaving, and a service with this one upstream was refused. The id belongs to one lifetime, whose address and service do not change, and its leaving is told by a removal or another state. Change: the last valid record of a key holds while an invalid one is in its place, but for one that names another state than ready; the log line says so. The same for hosts' records, whose age still ends them. Odd entries between the pages of a long read and among hosts' records: none failed before.

--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -130,6 +130,12 @@
     born: _Integer = 0  # wall time of its start; not written by all upstreams
 
 
+class _Lifecycle(msgspec.Struct):
+    """Represent an entry of which nothing else is valid."""
+
+    LifecycleState: str = ""
+
+
 class HostRecord(msgspec.Struct, frozen=True):
     """Represent a host's entry, by which other hosts find it."""
 
@@ -243,6 +249,17 @@
     )
 
 
+def may_be_ready(data: bytes) -> bool:
+    """Return whether an invalid entry says no other state of an upstream."""
+    if len(data) > MAX_ENTRY_BYTES:
+        return True
+    try:
+        state = decode_json(data, _Lifecycle).LifecycleState
+    except msgspec.MsgspecError:
+        return True
+    return not state or _UPSTREAM_STATES.get(state) == "live"
+
+
 def decode_host(key: str, data: bytes) -> HostRecord:
     """Return the entry of a host; raise `RecordError` if invalid."""
     _check_entry(key, data, "host")
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -30,6 +30,7 @@
     decode_host,
     decode_upstream,
     host_entry,
+    may_be_ready,
 )
 from balsamlift.platform._names import (
     CONFIGURATION_KEY,
@@ -138,16 +139,33 @@
     routing.offer(configuration, data, source, decode_ms)
 
 
+def _keep_always(data: bytes) -> bool:
+    del data
+    return True
+
+
 class _DecodeCache(Generic[T]):
-    """Decode records, and reuse the results of unchanged ones."""
+    """Decode records, and reuse the results of unchanged ones.
 
-    def __init__(self, decode: Callable[[str, bytes], T]) -> None:
-        """Decode with `decode`, which raises `RecordError` if it fails."""
+    The last valid record of a key holds while an invalid one, which another
+    writer may have left, is in its place.
+    """
+
+    def __init__(
+        self,
+        decode: Callable[[str, bytes], T],
+        may_keep: Callable[[bytes], bool] = _keep_always,
+    ) -> None:
+        """Decode with `decode`, which raises `RecordError` if it fails.
+
+        Where `may_keep` is false of an invalid record, nothing holds.
+        """
         self._decode = decode
+        self._may_keep = may_keep
         self._cache: dict[str, tuple[bytes, T | None]] = {}
 
     def update(self, values: dict[str, bytes]) -> list[T]:
-        """Return the decoded values, leaving out invalid ones."""
+        """Return the decoded values; of invalid ones, those that hold."""
         self._cache = {
             key: self._decode_or_reuse(key, data)
             for key, data in values.items()
@@ -163,8 +181,13 @@
         try:
             return data, self._decode(key, data)
         except RecordError as error:
-            log.bind(key=key[:80], size_bytes=len(data)).error("{}", error)
-            return data, None
+            known = before[1] if before and self._may_keep(data) else None
+            log.bind(
+                key=key[:80],
+                size_bytes=len(data),
+                is_last_kept=known is not None,
+            ).error("{}", error)
+            return data, known
 
 
 class UpstreamsSource:
@@ -178,7 +201,7 @@
             store, UPSTREAMS_TOPIC, clock, limits
         )
         self._hosts_follower = Follower(store, HOSTS_TOPIC, clock, limits)
-        self._decoded_upstreams = _DecodeCache(decode_upstream)
+        self._decoded_upstreams = _DecodeCache(decode_upstream, may_be_ready)
         self._decoded_hosts = _DecodeCache(
             lambda key, data: (key, decode_host(key, data))
         )
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -2,12 +2,15 @@
 
 import json
 import random
+import time
 from typing import Any
 
 import pytest
 from test_platform_decode import ENTRY, MANIFEST
+from test_platform_store import PACE, run
 
 from balsamlift._address import AddressError, split_address
+from balsamlift.clock import SystemClock
 from balsamlift.platform._decode import (
     HostRecord,
     RecordError,
@@ -15,7 +18,11 @@
     decode_host,
     decode_upstream,
 )
+from balsamlift.platform._names import HOSTS_TOPIC, UPSTREAMS_TOPIC
+from balsamlift.platform._store import Store
+from balsamlift.platform._watch import UpstreamsSource
 from balsamlift.relay._routing import pick_service
+from balsamlift.testing.platform import KeyedStore
 
 ODD_ADDRESSES = [
     *("", "nowhere", "10.1.0.9", "store.example:80", "999.1.1.1:80"),
@@ -169,3 +176,124 @@
     manifest = replace(MANIFEST, ("Tenants", 0, "Name"), name)
     with pytest.raises(RecordError):
         decode_configuration(json.dumps(manifest).encode())
+
+
+def odd_entries(sound: dict[str, Any], number: str) -> dict[str, bytes]:
+    """Return entries that are invalid; `number` is a field with a number."""
+    start = json.dumps(sound)[:-1].encode()
+    values = {
+        **{"nested": b"[" * 100_000 + b"]" * 100_000, "1e400": b"1e400"},
+        **{"NaN": b"NaN", "5000 digits": b"9" * 5_000, "null": b"null"},
+        **{"70 bits": str(1 << 70).encode(), "surrogate": b'"\\ud800"'},
+        **{"not UTF-8": b'"\xff\xfe"', "list": b"[]", "object": b"{}"},
+    }
+    entries = {
+        name: b'%b, "%b": %b}' % (start, number.encode(), value)
+        for name, value in values.items()
+        if (number, name) != ("written_s", "70 bits")
+    }
+    entries["large"] = start + b" " * 70_000 + b"}"
+    entries["bytes"], entries["other"] = b"\xff\xfe\x00", b"[1]"
+    return entries
+
+
+ODD_UPSTREAMS = odd_entries(ENTRY, "Slots")
+ODD_HOSTS = odd_entries({**HOST, "written_s": time.time()}, "written_s")
+
+
+async def read_names(source: UpstreamsSource) -> list[str]:
+    entries = await source.read()
+    assert entries is not None
+    return sorted(entry.name for entry in entries)
+
+
+@pytest.mark.parametrize("odd", ODD_UPSTREAMS.values(), ids=ODD_UPSTREAMS)
+def test_an_upstream_stays_when_an_odd_entry_replaces_its_own(
+    odd: bytes,
+) -> None:
+    async def test(fake_store: KeyedStore, store: Store) -> None:
+        topic = fake_store.topic(UPSTREAMS_TOPIC)
+        for name in ("i-1", "i-2", "i-3"):
+            topic.append(name, with_fields(ENTRY))
+        source = UpstreamsSource(store, SystemClock(), PACE)
+        assert await read_names(source) == ["i-1", "i-2", "i-3"]
+        topic.append("i-2", odd)
+        topic.append("i-3", odd + b" ")  # a second one at once
+        topic.append("i-4", with_fields(ENTRY))
+        assert await read_names(source) == ["i-1", "i-2", "i-3", "i-4"]
+        topic.append("i-2", with_fields(ENTRY, LifecycleState="draining"))
+        entries = await source.read()
+        assert entries is not None
+        states = {entry.name: entry.state for entry in entries}
+        assert states["i-2"] == "leaving"
+        topic.append("i-3", b"")
+        assert await read_names(source) == ["i-1", "i-2", "i-4"]
+
+    run(test)
+
+
+@pytest.mark.parametrize("state", ["draining", "unknown"])
+def test_an_upstream_goes_when_an_odd_entry_says_it_is_not_ready(
+    state: str,
+) -> None:
+    async def test(fake_store: KeyedStore, store: Store) -> None:
+        topic = fake_store.topic(UPSTREAMS_TOPIC)
+        topic.append("i-1", with_fields(ENTRY))
+        source = UpstreamsSource(store, SystemClock(), PACE)
+        assert await read_names(source) == ["i-1"]
+        topic.append("i-1", with_fields(ENTRY, LifecycleState=state, Slots=""))
+        assert await read_names(source) == []
+
+    run(test)
+
+
+@pytest.mark.parametrize("odd", ODD_UPSTREAMS.values(), ids=ODD_UPSTREAMS)
+def test_an_upstream_that_left_does_not_come_back_as_an_odd_entry(
+    odd: bytes,
+) -> None:
+    async def test(fake_store: KeyedStore, store: Store) -> None:
+        topic = fake_store.topic(UPSTREAMS_TOPIC)
+        topic.append("i-1", with_fields(ENTRY))
+        topic.append("i-2", odd)
+        source = UpstreamsSource(store, SystemClock(), PACE)
+        assert await read_names(source) == ["i-1"]
+        topic.append("i-1", b"")
+        assert await read_names(source) == []
+        topic.append("i-1", odd)
+        assert await read_names(source) == []
+
+    run(test)
+
+
+@pytest.mark.parametrize("odd", ODD_HOSTS.values(), ids=ODD_HOSTS)
+def test_odd_records_hide_no_host(odd: bytes) -> None:
+    async def test(fake_store: KeyedStore, store: Store) -> None:
+        topic = fake_store.topic(HOSTS_TOPIC)
+        sound = with_fields(HOST, written_s=time.time())
+        topic.append("h-1", odd)
+        topic.append("h-2", sound)
+        topic.append("h-3", odd + b" ")
+        topic.append("h-4", sound)
+        source = UpstreamsSource(store, SystemClock(), PACE)
+        assert await read_names(source) == ["h-2", "h-4"]
+
+    run(test)
+
+
+@pytest.mark.parametrize("position", range(7))
+def test_an_odd_entry_between_the_pages_of_a_long_read_hides_no_other(
+    position: int,
+) -> None:
+    async def test(fake_store: KeyedStore, store: Store) -> None:
+        topic = fake_store.topic(UPSTREAMS_TOPIC)
+        names = [f"i-{number}" for number in range(7)]
+        for name in names:
+            topic.append(name, with_fields(ENTRY))
+        topic.append(names[position], ODD_UPSTREAMS["nested"])
+        topic.append(names[position] + "&=\n\0", ODD_UPSTREAMS["NaN"])
+        topic.append(names[position] + "\ufffd", with_fields(ENTRY))
+        source = UpstreamsSource(store, SystemClock(), PACE)
+        del names[position]
+        assert await read_names(source) == names
+
+    run(test)
