Log an invalid configuration once

Cause: what is not in force was decoded again after each read of the topic and each answer of a host, about once a second each, with an error line every time, for as long as it stayed the newest. Change: the invalid record received last is remembered beside the one in force; the line names the version in force. Evacuations in the same topic count whatever they hold.

--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -124,15 +124,17 @@
 def offer_configuration(routing: Routing, data: bytes, source: str) -> None:
     """Decode a configuration record and pass it to `routing`.
 
-    `source` is logged: the store, or a peer that passed the record on.
+    `source` is logged: the store, or a peer that passed the record on. The
+    same invalid record is decoded and logged once.
     """
-    if data == routing.encoded:
+    if data in (routing.encoded, routing.rejected):
         return
     began_s = routing.clock.monotonic()
     try:
         configuration = decode_configuration(data)
     except RecordError as error:
-        log.bind(source=source).error("{}", error)
+        routing.rejected = data
+        log.bind(source=source, in_force=routing.offset).error("{}", error)
         return
     took_s = routing.clock.monotonic() - began_s
     decode_ms = round(took_s * 1_000, 1)
--- a/src/balsamlift/relay/_routing.py
+++ b/src/balsamlift/relay/_routing.py
@@ -143,6 +143,7 @@
         self._table: RoutingTable | None = None
         self._on_change: list[Callable[[RoutingTable], None]] = []
         self.encoded = b""  # as received, for forwarding to peers
+        self.rejected = b""  # the invalid record received last
         self.caught_up = False
 
     async def start(self, kernel: Kernel) -> None:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -6,11 +6,14 @@
 from typing import Any
 
 import pytest
+from loguru import logger
 from test_platform_decode import ENTRY, MANIFEST
-from test_platform_store import PACE, run
+from test_platform_store import PACE, run, wait_until
 
 from balsamlift._address import AddressError, split_address
 from balsamlift.clock import SystemClock
+from balsamlift.kernel import Kernel
+from balsamlift.peers import Evacuations, FreshnessLimits
 from balsamlift.platform._decode import (
     HostRecord,
     RecordError,
@@ -18,9 +21,16 @@
     decode_host,
     decode_upstream,
 )
-from balsamlift.platform._names import HOSTS_TOPIC, UPSTREAMS_TOPIC
+from balsamlift.platform._names import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    EVACUATION_PREFIX,
+    HOSTS_TOPIC,
+    UPSTREAMS_TOPIC,
+)
 from balsamlift.platform._store import Store
-from balsamlift.platform._watch import UpstreamsSource
+from balsamlift.platform._watch import ConfigurationWatch, UpstreamsSource
+from balsamlift.relay import Routing
 from balsamlift.relay._routing import pick_service
 from balsamlift.testing.platform import KeyedStore
 
@@ -297,3 +307,43 @@
         assert await read_names(source) == names
 
     run(test)
+
+
+ODD_MANIFESTS = odd_entries({**MANIFEST, "Version": 9}, "Version")
+del ODD_MANIFESTS["large"]  # a configuration may be large
+
+
+@pytest.mark.parametrize("odd", ODD_MANIFESTS.values(), ids=ODD_MANIFESTS)
+def test_an_odd_configuration_is_logged_once_and_the_last_one_holds(
+    odd: bytes,
+) -> None:
+    async def test(fake_store: KeyedStore, store: Store) -> None:
+        lines: list[str] = []
+        sink = logger.add(lines.append, filter=lambda r: r["level"].no >= 40)
+        routing, evacuations = Routing(), Evacuations()
+        kernel = Kernel()
+        kernel.register(routing)
+        pace = FreshnessLimits(wait_ms=20, max_age_s=1.5)
+        kernel.register(
+            ConfigurationWatch(store, SystemClock(), pace, evacuations)
+        )
+        topic = fake_store.topic(CONFIGURATION_TOPIC)
+        topic.append(CONFIGURATION_KEY, with_fields(MANIFEST, Version=3))
+        await kernel.start()
+        await wait_until(lambda: routing.offset == 3)
+        topic.append(CONFIGURATION_KEY, odd)
+        topic.append(EVACUATION_PREFIX + "south", odd)
+        topic.append("other\0", odd)
+        await wait_until(lambda: evacuations.domains == {"south"})
+        reads = len(fake_store.calls)
+        await wait_until(lambda: len(fake_store.calls) > reads + 5)
+        assert routing.offset == 3
+        topic.append(CONFIGURATION_KEY, with_fields(MANIFEST, Version=4))
+        topic.append(EVACUATION_PREFIX + "south", b"")
+        await wait_until(lambda: routing.offset == 4)
+        await wait_until(lambda: not evacuations.domains)
+        logger.remove(sink)
+        await kernel.stop()
+        assert len(lines) == 1
+
+    run(test)
