Test that odd records hide no blocked part

Cause: the records of blocked parts were tried with three odd values only. Change: twelve more, two at once beside a sound one.

--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -7,6 +7,7 @@
 
 import pytest
 from loguru import logger
+from test_platform_blocked_parts import host as blocked_parts
 from test_platform_decode import ENTRY, MANIFEST
 from test_platform_store import PACE, run, wait_until
 
@@ -14,6 +15,7 @@
 from balsamlift.clock import SystemClock
 from balsamlift.kernel import Kernel
 from balsamlift.peers import Evacuations, FreshnessLimits
+from balsamlift.platform._blocked_parts import PART_CHARACTERS
 from balsamlift.platform._decode import (
     HostRecord,
     RecordError,
@@ -22,6 +24,7 @@
     decode_upstream,
 )
 from balsamlift.platform._names import (
+    BLOCKED_PARTS_TOPIC,
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
     EVACUATION_PREFIX,
@@ -347,3 +350,21 @@
         assert len(lines) == 1
 
     run(test)
+
+
+ODD_PARTS = odd_entries({"expires_s": 1.0}, "expires_s")
+del ODD_PARTS["70 bits"]  # far in the future
+
+
+@pytest.mark.parametrize("odd", ODD_PARTS.values(), ids=ODD_PARTS)
+def test_odd_records_hide_no_blocked_part(odd: bytes) -> None:
+    async def test(fake_store: KeyedStore, store: Store) -> None:
+        topic = fake_store.topic(BLOCKED_PARTS_TOPIC)
+        topic.append("a" * PART_CHARACTERS, odd)
+        topic.append("b" * PART_CHARACTERS, b'{"expires_s":1e308}')
+        topic.append("c" * PART_CHARACTERS, odd)
+        async with blocked_parts(store) as (peers, _):
+            await wait_until(peers.blocked)
+            assert peers.blocked() == ["b" * PART_CHARACTERS]
+
+    run(test)
