Bound the numbers that hosts tell each other, and the depth of messages

Cause: messages were decoded with integers of up to 64 bits, whose successor or sum cannot be encoded: one entry of a member or one count near the limit ended all heartbeats of the host that took it. Records of the platform and the list were bound by 64 bits as well, or, in the list of hosts and at the end of a read, not at all. A field of a newer version that is nested raised RecursionError past the reader, which ended the task that receives messages. Change: one range for all of them, 53 bits and a sign; a message or an entry beyond it is invalid, as is one that is nested too deeply.

--- a/src/balsamlift/peers/__init__.py
+++ b/src/balsamlift/peers/__init__.py
@@ -15,6 +15,7 @@
     UPSTREAM_ROLE,
     ListEntry,
 )
+from balsamlift.peers._integers import MAX_INTEGER, Integer, Number, Offset
 from balsamlift.peers._leaving_notices import LeavingNotices
 from balsamlift.peers._list_reader import UpstreamList
 from balsamlift.peers._load import CountsBasis
@@ -38,6 +39,7 @@
 
 __all__ = [
     "ENTRY_ROLE",
+    "MAX_INTEGER",
     "UPSTREAM_ROLE",
     "CountsBasis",
     "CrashReport",
@@ -49,8 +51,11 @@
     "Follower",
     "FreshnessLimits",
     "HostRank",
+    "Integer",
     "LeavingNotices",
     "ListEntry",
+    "Number",
+    "Offset",
     "PartEntry",
     "PartReport",
     "PartReports",
--- a/src/balsamlift/peers/_evacuations.py
+++ b/src/balsamlift/peers/_evacuations.py
@@ -7,6 +7,7 @@
 import msgspec
 from loguru import logger
 
+from balsamlift.peers._integers import Integer
 from balsamlift.peers._positions import StorePosition
 
 log = logger.bind(part="upstreams")
@@ -15,9 +16,9 @@
 class EvacuationSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """Hold the failure domains evacuated as of one position in the topic."""
 
-    end: int  # offset after the last operators' record considered
+    end: Integer  # offset after the last operators' record considered
     domains: list[str]
-    era: int = 0  # of the store that assigned `end`
+    era: Integer = 0  # of the store that assigned `end`
 
     @property
     def position(self) -> StorePosition:
--- a/src/balsamlift/peers/_hosts_list.py
+++ b/src/balsamlift/peers/_hosts_list.py
@@ -9,6 +9,7 @@
 from balsamlift._json import decode_json, decode_json_list
 from balsamlift._streaming import StallLimits
 from balsamlift.exceptions import HostsUnavailableError
+from balsamlift.peers._integers import Integer, Number
 
 ENTRY_ROLE = "entry"
 UPSTREAM_ROLE = "upstream"
@@ -30,10 +31,10 @@
     failure_domain: str = ""
     state: str = "live"
     kind: str = ""  # "engine" or "service", if the list has it
-    started_ms: int = 0  # wall time of its start, if the list has it
-    cold_ms: float = 0.0  # remaining cold time when it was written
-    written: int = 0  # increases with each update by the upstream itself
-    slots: int = 0  # requests that it runs at the same time; 0: not told
+    started_ms: Integer = 0  # wall time of its start, if the list has it
+    cold_ms: Number = 0.0  # remaining cold time when it was written
+    written: Integer = 0  # increases with each update by the upstream itself
+    slots: Integer = 0  # requests that it runs at the same time; 0: not told
 
 
 @attrs.frozen
--- a/src/balsamlift/peers/_messages.py
+++ b/src/balsamlift/peers/_messages.py
@@ -14,6 +14,7 @@
 from balsamlift.exceptions import PeerMessageError
 from balsamlift.peers._evacuations import EvacuationSnapshot
 from balsamlift.peers._hosts_list import ListEntry
+from balsamlift.peers._integers import Integer
 from balsamlift.peers._observed_states import STATES, UpstreamState
 from balsamlift.peers._shared_records import Position, RecordsAnswer
 
@@ -30,8 +31,8 @@
 
     host: str
     incarnation: str
-    epoch: int
-    version: int
+    epoch: Integer
+    version: Integer
     state: MemberState
     operators_address: str
     callers_address: str
@@ -57,7 +58,7 @@
     name: str
     address: str
     state: UpstreamState
-    ttl_ms: int
+    ttl_ms: Integer
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
@@ -65,7 +66,7 @@
 
     fingerprint: str  # of the request; does not reveal its body
     upstream: str  # incarnation that crashed; "": the request completed
-    ttl_ms: int
+    ttl_ms: Integer
     had_output: bool = False  # from that upstream
 
 
@@ -74,15 +75,15 @@
 
     part: str  # a digest
     upstream: str  # incarnation that crashed; "": the state concerns none
-    state: int  # a `PartState`
-    ttl_ms: int
+    state: Integer  # a `PartState`
+    ttl_ms: Integer
 
 
 class SilenceReport(msgspec.Struct, frozen=True, array_like=True):
     """Report that an upstream owes answers and sends nothing."""
 
     upstream: str
-    ttl_ms: int
+    ttl_ms: Integer
 
 
 class RateLimitReport(msgspec.Struct, frozen=True, array_like=True):
@@ -90,21 +91,21 @@
 
     upstream: str
     limit_per_s: float | None  # None: it names none any more
-    age_ms: int  # since it certainly holds
+    age_ms: Integer  # since it certainly holds
 
 
 class LeavingReport(msgspec.Struct, frozen=True, array_like=True):
     """Report that an upstream has given notice that it is leaving."""
 
     upstream: str
-    age_ms: int  # since it was first known
+    age_ms: Integer  # since it was first known
 
 
 class PermitRequest(msgspec.Struct, frozen=True):
     """Ask for a permit to send one request to an upstream with a limit."""
 
     limit: RateLimitReport  # as the sender knows it
-    max_wait_ms: int = 0  # that the request can wait before it is sent
+    max_wait_ms: Integer = 0  # that the request can wait before it is sent
     is_resumed: bool = False  # continues a generation, else lost
     reserves_return: bool = False  # asks only when a caller may come back
 
@@ -114,7 +115,7 @@
 
     is_granted: bool
     # Granted: until the request may be sent. Denied: until it may be granted.
-    wait_ms: int
+    wait_ms: Integer
 
 
 class SharedPlatformState(msgspec.Struct, frozen=True, array_like=True):
@@ -133,17 +134,17 @@
 
     host: str
     incarnation: str
-    seq: int  # increases over all messages of the incarnation
-    previous_seq: int  # of the previous message on the link; 0: full state
-    acked_seq: int  # the latest received from the receiver
+    seq: Integer  # increases over all messages of the incarnation
+    previous_seq: Integer  # of the previous message on the link; 0: full state
+    acked_seq: Integer  # the latest received from the receiver
     needs_full_state: bool  # a message was lost; send the full state
     stamp: str
-    offset: int  # of the configuration
+    offset: Integer  # of the configuration
     caught_up: bool
     chosen: bool  # the sender chose the receiver and expects messages back
     wants_members: bool = False
     members: list[Member] = msgspec.field(default_factory=list)
-    counts: dict[str, int] = msgspec.field(default_factory=dict)
+    counts: dict[str, Integer] = msgspec.field(default_factory=dict)
     counts_are_full: bool = False
     upstream_reports: list[UpstreamReport] = msgspec.field(
         default_factory=list
@@ -162,8 +163,8 @@
 
     host: str
     incarnation: str
-    seq: int  # increases over all updates of the incarnation
-    counts: dict[str, int]
+    seq: Integer  # increases over all updates of the incarnation
+    counts: dict[str, Integer]
     wants_sums: bool  # the answer is to hold the sums over all other hosts
     position: Position | None = None  # the answer is to hold newer records
 
@@ -171,7 +172,7 @@
 class CountsSums(msgspec.Struct, frozen=True, array_like=True):
     """Hold the sums of the other hosts' in-flight counts, by upstream."""
 
-    counts: dict[str, int]
+    counts: dict[str, Integer]
     records: RecordsAnswer | None = None
 
 
@@ -233,5 +234,5 @@
 ) -> _Message:
     try:
         return decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise PeerMessageError(f"cannot decode message: {error}") from error
--- a/src/balsamlift/peers/_records.py
+++ b/src/balsamlift/peers/_records.py
@@ -8,6 +8,7 @@
 import attrs
 import msgspec
 
+from balsamlift.peers._integers import Integer
 from balsamlift.peers._positions import StorePosition
 
 # Removals kept, so that a host that lags can be sent single changes. Upstreams
@@ -25,7 +26,7 @@
 
     key: str
     value: bytes | None
-    offset: int
+    offset: Integer
 
 
 @attrs.frozen
--- a/src/balsamlift/peers/_shared_records.py
+++ b/src/balsamlift/peers/_shared_records.py
@@ -17,6 +17,7 @@
 from balsamlift.clock import Clock
 from balsamlift.peers._evacuations import Evacuations, EvacuationSnapshot
 from balsamlift.peers._follower import Follower
+from balsamlift.peers._integers import Integer
 from balsamlift.peers._positions import StorePosition
 from balsamlift.peers._records import Record
 from balsamlift.peers._topic_update import TopicUpdate
@@ -38,16 +39,16 @@
 class Position(msgspec.Struct, frozen=True, array_like=True):
     """Hold up to where a host knows the platform's records."""
 
-    version: int  # of its configuration; 0: none
-    listed: int | None  # offset after the last known record of the list
-    listed_era: int = 0  # of the store that assigned `listed`
+    version: Integer  # of its configuration; 0: none
+    listed: Integer | None  # offset after the last known record of the list
+    listed_era: Integer = 0  # of the store that assigned `listed`
 
 
 class RecordsAnswer(msgspec.Struct, frozen=True, array_like=True):
     """Hold the records that the requesting host may lack."""
 
-    version: int
-    version_age_ms: int | None  # since it was the newest; None: unknown
+    version: Integer
+    version_age_ms: Integer | None  # since it was the newest; None: unknown
     configuration: bytes = b""  # as operators wrote it
     listed: TopicUpdate | None = None
     # Of the same age as the version.
@@ -55,10 +56,10 @@
     must_read: bool = False  # the configuration is too large to be sent
     # Offset in the configuration's topic before which every record is covered
     # by `version` and `evacuations`; None: unknown.
-    end: int | None = None
+    end: Integer | None = None
     # End of a large answer that this host is still reading, if any.
-    incoming_end: int | None = None
-    era: int = 0  # of the store that assigned `end` and `incoming_end`
+    incoming_end: Integer | None = None
+    era: Integer = 0  # of the store that assigned `end` and `incoming_end`
 
 
 class ConfigurationCopy(Protocol):
--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -11,7 +11,14 @@
 from balsamlift._address import AddressError, split_remote_address
 from balsamlift._json import decode_json
 from balsamlift.exceptions import PlatformError
-from balsamlift.peers import ENTRY_ROLE, UPSTREAM_ROLE, ListEntry, Record
+from balsamlift.peers import (
+    ENTRY_ROLE,
+    UPSTREAM_ROLE,
+    Integer,
+    ListEntry,
+    Number,
+    Record,
+)
 from balsamlift.platform._names import CONFIGURATION_KEY, EVACUATION_PREFIX
 from balsamlift.relay import (
     DEFAULT_CALLER_LIMITS,
@@ -30,24 +37,20 @@
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
 MAX_RETRY_AFTER_S = 86_400.0  # a longer time is honoured for so long
 MAX_WEIGHT = 1_000.0  # of a workspace
-MAX_RATE = 1e15  # sums and products of rates stay finite
 
 
 class RecordError(PlatformError):
     """Indicate that a record is invalid for its key."""
 
 
-# What messages between hosts can carry.
-_Integer = Annotated[int, msgspec.Meta(ge=-(1 << 63), le=(1 << 63) - 1)]
 _Weight = Annotated[float, msgspec.Meta(gt=0, le=MAX_WEIGHT)]
-_Rate = Annotated[float, msgspec.Meta(ge=-MAX_RATE, le=MAX_RATE)]
 # What a header can carry.
 _HeaderText = Annotated[str, msgspec.Meta(pattern=r"\A[ -~\xa0-\xff]*\Z")]
 
 
 class _Share(msgspec.Struct):
     Service: str
-    Weight: _Integer
+    Weight: Integer
 
 
 class _Route(msgspec.Struct):
@@ -55,41 +58,41 @@
     Hostname: str
     PathPrefix: str
     RouteType: str
-    TimeoutMs: _Integer
-    TargetLatencyMs: _Integer  # to the first event on a stream
-    Priority: _Integer = 0
+    TimeoutMs: Integer
+    TargetLatencyMs: Integer  # to the first event on a stream
+    Priority: Integer = 0
     Service: str = ""  # unused if TrafficSplit is set
     TrafficSplit: list[_Share] = []
-    MaxAttempts: _Integer = 1
+    MaxAttempts: Integer = 1
     Public: bool = False
     AllowedRegions: list[str] = []  # none: any
-    TargetGapMs: _Integer = 0  # between events of a stream; 0: any
+    TargetGapMs: Integer = 0  # between events of a stream; 0: any
     StreamResume: bool = False
 
 
 class _Engine(msgspec.Struct):
     """Represent the properties of a service's engines."""
 
-    KvCapacityTokens: _Integer
-    KvTokenBytes: _Integer = 0  # memory for one token
-    LinkMbps: _Rate = 0.0
+    KvCapacityTokens: Integer
+    KvTokenBytes: Integer = 0  # memory for one token
+    LinkMbps: Number = 0.0
     Moves: bool = False
     Backups: bool = False
 
 
 class _Service(msgspec.Struct):
     Name: str
-    MaxConnections: _Integer = 0
-    ColdPerS: _Rate | None = None  # requests that a cold upstream tolerates
+    MaxConnections: Integer = 0
+    ColdPerS: Number | None = None  # requests that a cold upstream tolerates
     Engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    MaxBodyBytes: _Integer
+    MaxBodyBytes: Integer
     # Of the request line and all headers.
-    MaxHeaderBytes: _Integer = DEFAULT_CALLER_LIMITS.head_bytes
-    HeaderTimeoutMs: _Integer = DEFAULT_CALLER_LIMITS.head_timeout_ms
-    IdleTimeoutMs: _Integer = DEFAULT_CALLER_LIMITS.idle_timeout_ms
+    MaxHeaderBytes: Integer = DEFAULT_CALLER_LIMITS.head_bytes
+    HeaderTimeoutMs: Integer = DEFAULT_CALLER_LIMITS.head_timeout_ms
+    IdleTimeoutMs: Integer = DEFAULT_CALLER_LIMITS.idle_timeout_ms
 
 
 class _Tenant(msgspec.Struct):
@@ -97,7 +100,7 @@
 
     Name: _HeaderText
     ApiKeys: list[str] = []
-    Priority: _Integer | None = None
+    Priority: Integer | None = None
     AllowedRegions: list[str] = []  # none: any
     Weight: _Weight = 1.0  # of its share while requests wait
 
@@ -105,7 +108,7 @@
 class _Manifest(msgspec.Struct):
     """Represent the configuration record that operators write."""
 
-    Version: _Integer
+    Version: Integer
     Routes: list[_Route]
     Services: list[_Service]
     Limits: _Limits
@@ -123,11 +126,11 @@
     Address: str
     Zone: str
     Version: str  # of the software
-    Slots: _Integer
+    Slots: Integer
     LifecycleState: str
-    Sequence: _Integer  # counted by the upstream since its start
-    ColdRemainingMs: float  # for which it is still slow after its start
-    born: _Integer = 0  # wall time of its start; not written by all upstreams
+    Sequence: Integer  # counted by the upstream since its start
+    ColdRemainingMs: Number  # for which it is still slow after its start
+    born: Integer = 0  # wall time of its start; not written by all upstreams
 
 
 class _Lifecycle(msgspec.Struct):
--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -6,7 +6,6 @@
 import re
 import struct
 from collections.abc import Awaitable, Callable
-from typing import Annotated
 from urllib.parse import urlencode
 
 import msgspec
@@ -17,7 +16,7 @@
 from balsamlift._streaming import StallLimits
 from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import HistoryLostError, StoreError
-from balsamlift.peers import Record, RecordBatch
+from balsamlift.peers import MAX_INTEGER, Offset, Record, RecordBatch
 from balsamlift.platform._names import ERA_HEADER
 
 log = logger.bind(part="store")
@@ -37,16 +36,12 @@
 _ERA = re.compile(r"[0-9]{1,18}")
 
 
-# What messages between hosts can carry.
-_Offset = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
-
-
 class _Item(msgspec.Struct):
     """Represent a record on a page of the newest records."""
 
     Key: str
     Value: str  # base64
-    Offset: _Offset = 0
+    Offset: Offset = 0
 
 
 class _Page(msgspec.Struct):
@@ -54,7 +49,7 @@
 
     Items: list[msgspec.Raw]
     HasMore: bool
-    EndOffset: _Offset
+    EndOffset: Offset
 
 
 class Store:
@@ -269,7 +264,8 @@
             return
         end, _ = _READ_HEADER.unpack_from(self._header)
         (length,) = _RECORD_LENGTH.unpack_from(self._header, _READ_HEADER.size)
-        if end > self._start and length >= LARGE_ANSWER_BYTES:
+        is_large = length >= LARGE_ANSWER_BYTES
+        if is_large and self._start < end <= MAX_INTEGER:
             self._on_large_answer(end)
 
 
@@ -310,6 +306,8 @@
     """Return the complete records of an answer and the offset after them."""
     try:
         topic_end, _ = _READ_HEADER.unpack_from(body)
+        if topic_end > MAX_INTEGER:
+            raise StoreError(f"invalid end of a topic: {topic_end}")
         records: list[Record] = []
         position = _READ_HEADER.size
         while position + _RECORD_LENGTH.size <= len(body):
--- a/tests/test_odd_pages.py
+++ b/tests/test_odd_pages.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
@@ -12,7 +13,12 @@
 from balsamlift._http import Answer, HttpClient
 from balsamlift.exceptions import StoreError
 from balsamlift.platform._names import ERA_HEADER
-from balsamlift.platform._store import Store
+from balsamlift.platform._store import (
+    LARGE_ANSWER_BYTES,
+    Store,
+    _decode_read_answer,
+    _LargeAnswerDetector,
+)
 
 DEADLINE_S = 5.0
 ODD_VALUES = {
@@ -185,3 +191,13 @@
         assert "After=a" in server.urls[1]
 
     run(test)
+
+
+@pytest.mark.parametrize("end", [1 << 54, (1 << 64) - 1])
+def test_a_read_that_ends_nowhere_is_a_failed_read(end: int) -> None:
+    with pytest.raises(StoreError):
+        _decode_read_answer(struct.pack(">QQ", end, 0), 7)
+    reported: list[int] = []
+    detector = _LargeAnswerDetector(7, reported.append)
+    detector.feed(struct.pack(">QQI", end, 0, LARGE_ANSWER_BYTES))
+    assert reported == []
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -50,6 +50,7 @@
 
 
 HUGE_NUMBERS = {
+    "54 bits": 1 << 54,
     "64 bits": 1 << 64,
     "70 bits": 1 << 70,
     "negative": -(1 << 70),
@@ -154,6 +155,12 @@
         decode_configuration(json.dumps(manifest).encode())
 
 
+def test_an_entry_that_hosts_cannot_tell_each_other_is_rejected() -> None:
+    for name in ("Slots", "Sequence", "born", "ColdRemainingMs"):
+        with pytest.raises(RecordError):
+            decode_upstream("i-1", with_fields(ENTRY, **{name: 1 << 54}))
+
+
 @pytest.mark.parametrize("name", ["LinkMbps", "ColdPerS"])
 def test_a_rate_too_large_to_count_with_is_rejected(name: str) -> None:
     path = ("Services", 0, *(["Engine"] if name == "LinkMbps" else []), name)
--- a/tests/test_peers_messages.py
+++ b/tests/test_peers_messages.py
@@ -124,3 +124,65 @@
     inserted = data.draw(st.binary(max_size=4))
     with suppress(PeerMessageError):
         decode(encoded[:start] + inserted + encoded[start + removed :])
+
+
+def integer_paths(value: Any, path: tuple[Any, ...] = ()) -> list[Any]:
+    """Return the paths of all integers in a message."""
+    if isinstance(value, int) and not isinstance(value, bool):
+        return [path]
+    if not isinstance(value, dict | list):
+        return []
+    items = value.items() if isinstance(value, dict) else enumerate(value)
+    nested = [integer_paths(each, (*path, key)) for key, each in items]
+    return [found for each in nested for found in each]
+
+
+def replace(value: Any, path: tuple[Any, ...], new: Any) -> Any:
+    if not path:
+        return new
+    copy = dict(value) if isinstance(value, dict) else list(value)
+    copy[path[0]] = replace(value[path[0]], path[1:], new)
+    return copy
+
+
+INTEGERS = [
+    pytest.param(number, path, id=f"{number}-{'.'.join(map(str, path))}")
+    for number, (encoded, _) in enumerate(MESSAGES)
+    for path in integer_paths(msgspec.msgpack.decode(encoded))
+]
+
+
+@pytest.mark.parametrize(("message", "path"), INTEGERS)
+@pytest.mark.parametrize("integer", [(1 << 64) - 1, 1 << 62, -(1 << 63)])
+def test_a_number_whose_successor_cannot_be_sent_is_rejected(
+    message: int, path: tuple[Any, ...], integer: int
+) -> None:
+    encoded, decode = MESSAGES[message]
+    fields = replace(msgspec.msgpack.decode(encoded), path, integer)
+    with pytest.raises(PeerMessageError):
+        decode(msgspec.msgpack.encode(fields))
+
+
+NESTED_FIELD = b"\x91" * 100_000 + b"\xc0"
+
+
+@pytest.mark.parametrize("message", range(len(MESSAGES)))
+def test_a_deeply_nested_message_raises_peer_message_error(
+    message: int,
+) -> None:
+    encoded, decode = MESSAGES[message]
+    fields = msgspec.msgpack.decode(encoded)
+    marker = msgspec.msgpack.encode("marker")
+    known = [
+        replace(fields, (key,), "marker")
+        for key in (fields if isinstance(fields, dict) else range(len(fields)))
+    ]
+    new = (
+        {**fields, "new": "marker"}
+        if isinstance(fields, dict)
+        else [*fields, *[None] * 20, "marker"]
+    )
+    for changed in [*known, new, "marker"]:
+        data = msgspec.msgpack.encode(changed)
+        with pytest.raises(PeerMessageError):
+            decode(data.replace(marker, NESTED_FIELD))
