--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Iterable, Mapping
 from typing import Annotated
 
@@ -10,6 +9,7 @@
 
 from balsamlift._address import AddressError, split_remote_address
 from balsamlift._json import decode_json
+from balsamlift._numbers import parse_decimal
 from balsamlift.exceptions import PlatformError
 from balsamlift.peers import (
     ENTRY_ROLE,
@@ -33,8 +33,6 @@
     Workspace,
 )
 
-# A header holds one decimal number; "1e400" or "2, 3" is none.
-_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
 MAX_RETRY_AFTER_S = 86_400.0  # a longer time is honoured for so long
 MAX_WEIGHT = 1_000.0  # of a workspace
 
@@ -345,8 +343,7 @@
 
 def decode_rate_limit(text: str) -> float | None:
     """Return requests per second, or None if `text` is no decimal number."""
-    text = text.strip()
-    return float(text) if _DECIMAL.fullmatch(text) else None
+    return parse_decimal(text)
 
 
 def is_known_notice(text: str) -> bool:
@@ -356,10 +353,8 @@
 
 def decode_retry_after(text: str) -> float | None:
     """Return seconds, at most a day, or None if `text` is invalid."""
-    text = text.strip()
-    if not _DECIMAL.fullmatch(text):
-        return None
-    return min(float(text), MAX_RETRY_AFTER_S)
+    seconds = parse_decimal(text)
+    return None if seconds is None else min(seconds, MAX_RETRY_AFTER_S)
 
 
 STATEMENT_DECODERS = StatementDecoders(
--- a/src/balsamlift/presets/_log.py
+++ b/src/balsamlift/presets/_log.py
@@ -14,6 +14,7 @@
 from balsamlift._back_off import BackOff
 from balsamlift._http import Answer, CallError, HttpClient
 from balsamlift._json import decode_json_list
+from balsamlift._numbers import parse_decimal
 from balsamlift._streaming import StallLimits
 from balsamlift.clock import Clock
 from balsamlift.exceptions import LogBlockedError, LogUnavailableError
@@ -33,6 +34,7 @@
 MAX_APPEND_ATTEMPTS = 5  # when the log reports that its rate limit is reached
 TOO_MANY_REQUESTS = 429
 OK = 200
+MAX_RETRY_AFTER_S = 86_400.0  # a longer time is honoured for so long
 
 
 @attrs.frozen
@@ -251,10 +253,8 @@
 
 
 def _retry_after_ms(answer: Answer) -> float:
-    try:
-        return float(answer.headers.get("Retry-After", "0")) * 1_000
-    except ValueError:
-        return 0.0
+    seconds = parse_decimal(answer.headers.get("Retry-After", "")) or 0.0
+    return min(seconds, MAX_RETRY_AFTER_S) * 1_000
 
 
 def _decode_batch(answer: Answer) -> Batch:
--- a/src/balsamlift/presets/_routes.py
+++ b/src/balsamlift/presets/_routes.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from balsamlift._numbers import parse_count
 from balsamlift.operators import JsonHandler, Routes
 from balsamlift.presets._preset import Preset
 from balsamlift.presets._state import AcceptedSwitch, FoldState
@@ -88,10 +89,11 @@
     def get(self) -> None:
         """Send the state, or 204 if it is not beyond the peer's offset."""
         text = self.get_query_argument("from", "0")
-        if not text.isdecimal():
+        offset = parse_count(text)
+        if offset is None:
             self.reply({"error": "bad_offset"}, BAD_REQUEST)
             return
-        body = self._presets.encoded_state(int(text))
+        body = self._presets.encoded_state(offset)
         if body is None:
             self.set_status(NO_CONTENT)
             self.finish()
--- a/src/balsamlift/relay/_admission.py
+++ b/src/balsamlift/relay/_admission.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+from balsamlift._numbers import parse_count
 from balsamlift.exceptions import NotConfiguredError
 from balsamlift.placement import limit_retry_ms
 from balsamlift.relay._configuration import Route, Workspace
@@ -115,9 +116,10 @@
 
     def _deadline_s(self, request: CallerRequest, default_s: float) -> float:
         text = request.headers.get(self._names.deadline_ms, "")
-        if not text.isdecimal():
+        deadline_ms = parse_count(text)
+        if deadline_ms is None:
             return default_s
-        return request.arrived_s + int(text) / 1_000
+        return request.arrived_s + deadline_ms / 1_000
 
     def _read_key(self, request: CallerRequest) -> str:
         text = request.headers.get("Authorization", "")
@@ -159,9 +161,9 @@
 
     If the caller sent a deadline, the wait leaves time for another attempt.
     """
-    text = request.headers.get(names.deadline_ms, "")
-    if text.isdecimal():
-        wait_ms = limit_retry_ms(wait_ms, int(text))
+    deadline_ms = parse_count(request.headers.get(names.deadline_ms, ""))
+    if deadline_ms is not None:
+        wait_ms = limit_retry_ms(wait_ms, deadline_ms)
     return Refusal(status=503, reason=reason, retry_after_ms=wait_ms)
 
 
--- a/src/balsamlift/relay/_connection.py
+++ b/src/balsamlift/relay/_connection.py
@@ -21,6 +21,7 @@
     UnsatisfiableReadError,
 )
 
+from balsamlift._numbers import parse_count
 from balsamlift.clock import Clock
 from balsamlift.exceptions import (
     ResponseLimitError,
@@ -386,6 +387,7 @@
     """Return how long a connection may be reused, by a Keep-Alive header."""
     for parameter in text.split(","):
         name, _, value = parameter.strip().partition("=")
-        if name.strip().lower() == "timeout" and value.strip().isdecimal():
-            return int(value) * IDLE_TIMEOUT_FRACTION
+        timeout_s = parse_count(value)
+        if name.strip().lower() == "timeout" and timeout_s is not None:
+            return timeout_s * IDLE_TIMEOUT_FRACTION
     return DEFAULT_IDLE_TIMEOUT_S
--- a/src/balsamlift/relay/_framing.py
+++ b/src/balsamlift/relay/_framing.py
@@ -9,6 +9,7 @@
     UnsatisfiableReadError,
 )
 
+from balsamlift._numbers import parse_count
 from balsamlift.relay._response_limits import (
     MAX_CHUNK_LINE_BYTES,
     ByteLimit,
@@ -45,9 +46,10 @@
 
 def parse_length(text: str) -> int:
     """Return the length of a body; raise `HTTPInputError`."""
-    if not (text.isascii() and text.isdecimal()):
+    length = parse_count(text)
+    if length is None:
         raise HTTPInputError("no length of a body")
-    return int(text)
+    return length
 
 
 def parse_chunk_size(line: bytes) -> int:
--- a/src/balsamlift/relay/_request_reader.py
+++ b/src/balsamlift/relay/_request_reader.py
@@ -16,6 +16,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from balsamlift._numbers import parse_count
 from balsamlift.clock import Clock
 from balsamlift.relay._body_memory import BodyMemory, BodyMemoryError
 from balsamlift.relay._caller_stream import CallerStream
@@ -87,7 +88,7 @@
         length = headers.get("Content-Length", "")
         if _head_bytes(start_line, headers) > limits.head_bytes:
             self._refuse(431)
-        elif length.isdecimal() and int(length) > limits.body_bytes:
+        elif _is_longer(length, limits.body_bytes):
             self._refuse(413)
         if self._responder.is_started:
             headers.pop("Expect", None)  # else Tornado asks for the body
@@ -174,6 +175,14 @@
         )
 
 
+def _is_longer(length: str, limit_bytes: int) -> bool:
+    """Return whether the text of a length is that of a longer body."""
+    if not length.isdecimal():
+        return False  # refused by the parser
+    number = parse_count(length)
+    return number is None or number > limit_bytes
+
+
 def _head_bytes(line: RequestStartLine, headers: HTTPHeaders) -> int:
     """Return the length of a request head as sent on the wire."""
     size = len(" ".join((line.method, line.path, line.version))) + 4
--- a/src/balsamlift/relay/forwarding/_wire.py
+++ b/src/balsamlift/relay/forwarding/_wire.py
@@ -7,6 +7,7 @@
 import attrs
 from tornado.httputil import HTTPHeaders
 
+from balsamlift._numbers import parse_count
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._headers import end_to_end_headers
 from balsamlift.relay._request import Call, CallerRequest, Origin, Resume
@@ -70,4 +71,5 @@
 
 
 def _parse_number(text: str, default: int) -> int:
-    return int(text) if text.isdecimal() else default
+    number = parse_count(text)
+    return default if number is None else number
--- a/src/balsamlift/relay/generations/_group_counts.py
+++ b/src/balsamlift/relay/generations/_group_counts.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from urllib.parse import quote
 
+from balsamlift._numbers import parse_count
 from balsamlift.placement import WaitingGroup
 from balsamlift.relay._balance import Balancer
 from balsamlift.relay._scope import Scope
@@ -126,8 +127,9 @@
         counts: Counter[Group] = Counter()
         for key, n in self._balancer.other_counts(f"{prefix}/").items():
             priority, slash, workspace = key[len(prefix) + 1 :].partition("/")
-            if slash and priority.isdecimal() and n > 0:
-                counts[int(priority), workspace] += n
+            rank = parse_count(priority)
+            if slash and rank is not None and n > 0:
+                counts[rank, workspace] += n
         return counts
 
 
--- a/src/balsamlift/relay/generations/_token_estimate.py
+++ b/src/balsamlift/relay/generations/_token_estimate.py
@@ -5,6 +5,7 @@
 import attrs
 from tornado.httputil import HTTPHeaders
 
+from balsamlift._numbers import parse_count
 from balsamlift.relay._header_names import HeaderNames
 
 # A typical answer uses this fraction of its maximum number of tokens. The
@@ -63,5 +64,4 @@
 
 
 def _parse_count(text: str) -> int:
-    text = text.strip()
-    return int(text) if text.isdecimal() else 0
+    return parse_count(text) or 0
--- a/src/balsamlift/relay/shutdown/_durations.py
+++ b/src/balsamlift/relay/shutdown/_durations.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from balsamlift._numbers import parse_count
 from balsamlift.clock import Clock
 
 # A call counts for one to two of these periods.
@@ -108,7 +109,8 @@
         counts = self._values.other_counts(prefix)
         texts = [key[len(prefix) :] for key, n in counts.items() if n > 0]
         # Others belong to routes whose name begins like this one's.
-        return [min(int(t), MAX_BUCKET) for t in texts if t.isdecimal()]
+        numbers = (parse_count(text) for text in texts)
+        return [min(n, MAX_BUCKET) for n in numbers if n is not None]
 
     def _share(self, route: str, bucket: int) -> None:
         if not self._values.receives_pushed_counts:
