Take the size of a chunk only as hexadecimal digits

Cause: `int` with base 16 takes a sign, a prefix, underscores and spaces within. A body whose chunk has the size "+1" was passed on as a whole success, and "-1" as an empty chunk, whatever its upstream meant. Change: one to eight hexadecimal digits; anything else breaks the answer off.

--- a/src/balsamlift/relay/_framing.py
+++ b/src/balsamlift/relay/_framing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from tornado.httputil import HTTPHeaders, HTTPInputError
 from tornado.iostream import (
     IOStream,
@@ -16,6 +18,7 @@
     ByteLimitError,
 )
 
+_CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}")
 LINE_END = b"\r\n"
 
 
@@ -55,6 +58,6 @@
 def parse_chunk_size(line: bytes) -> int:
     """Return the size in the line before a chunk; raise `HTTPInputError`."""
     digits = line.split(b";", 1)[0].strip()
-    if not digits or len(digits) > 8:
+    if not _CHUNK_SIZE.fullmatch(digits):
         raise HTTPInputError("no size of a chunk")
     return int(digits, 16)
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -87,7 +87,7 @@
 
 
 @ODD
-@pytest.mark.parametrize("form", ["length"])
+@pytest.mark.parametrize("form", ["length", "chunk"])
 @pytest.mark.parametrize("path", ["/order/1", "/draft/1"])
 def test_an_answer_with_an_odd_size_is_no_success(
     path: str, form: str, odd: str
