Take no handle or report of an engine that cannot be used

Cause: the handle of a copy became part of the Kv-From header as it was, so that a line end in it would add headers to the request that resumes, and another text raised UnicodeEncodeError after the request counted as sent. Numbers of a report had no bounds: at 400 digits a quotient raises OverflowError past the reader of reports. Change: a handle is visible ASCII of at most 500 characters, else the copy has failed; numbers have the range that hosts can tell each other, else there is no report.

--- a/src/balsamlift/platform/_engines.py
+++ b/src/balsamlift/platform/_engines.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from balsamlift._http import Answer, CallError
-from balsamlift.peers import Upstream
+from balsamlift.peers import Integer, Number, Upstream
 from balsamlift.platform._names import HEADERS, MOVE_PATH, REPORT_PATH
 from balsamlift.relay import (
     CopyError,
@@ -27,21 +29,29 @@
 _SERVICE_UNAVAILABLE = 503
 
 
+MAX_HANDLE_CHARACTERS = 500
+# It becomes part of a header.
+_Handle = Annotated[
+    str,
+    msgspec.Meta(pattern=r"\A[!-~]*\Z", max_length=MAX_HANDLE_CHARACTERS),
+]
+
+
 class _Report(msgspec.Struct):
     """Represent the fields in use of an engine's report."""
 
     # Request id, tokens in memory, events generated, priority of each.
-    Runs: list[tuple[str, int, int, int]] = []
+    Runs: list[tuple[str, Integer, Integer, Integer]] = []
     LifecycleState: str = ""
-    born: int = 0  # wall time of its start
-    leaves_ms: float | None = None  # until it stops, if it is leaving
+    born: Integer = 0  # wall time of its start
+    leaves_ms: Number | None = None  # until it stops, if it is leaving
 
 
 class _MoveAnswer(msgspec.Struct):
     """Represent an engine's answer to a request to copy a generation."""
 
-    Handle: str = ""
-    Created: int = 0  # events generated so far
+    Handle: _Handle = ""
+    Created: Integer = 0  # events generated so far
 
 
 class PlatformEngines:
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -1,10 +1,13 @@
 """Test odd numbers and texts in what upstreams and callers say."""
 
+import msgspec
 import pytest
 from _relay_helpers import USAGE, behave_all, run
 
 from balsamlift._http import Answer
+from balsamlift.platform._engines import _decode_move_answer, _Report
 from balsamlift.presets._log import _retry_after_ms
+from balsamlift.relay import CopyError
 from balsamlift.relay._connection import (
     DEFAULT_IDLE_TIMEOUT_S,
     _parse_idle_timeout_s,
@@ -155,3 +158,37 @@
                 writer.close()
 
     run(test())
+
+
+@pytest.mark.parametrize(
+    "handle",
+    ["h\\r\\nX-Tenant: other", "h 1", "h\\u2603", "h\\u0000", "h" * 9_000],
+    ids=["line", "space", "text", "null", "long"],
+)
+def test_a_handle_that_would_change_a_head_is_no_copy(handle: str) -> None:
+    body = f'{{"Handle": "{handle}", "Created": 3}}'.encode()
+    stand_in = ReplicaStandIn("i-1", "model", HEADER_NAMES)
+    with pytest.raises(CopyError):
+        _decode_move_answer(stand_in, Answer(200, {}, body))  # type: ignore[arg-type]
+
+
+ODD_REPORTS = [
+    '{"born":ODD}',
+    '{"leaves_ms":ODD}',
+    '{"Runs":[["r1",9,3,0],["r2",ODD,3,0]]}',
+    '{"Runs":[["r1",9,ODD,0]]}',
+    '{"Runs":[ODD]}',
+    '{"LifecycleState":ODD}',
+    '{"Runs":[["r1",9,3,0]],"x":[ODD}',
+]
+ODD_JSON = ["1e400", "NaN", "1" * 400, "1" * 5_000, str(1 << 70), "[]"]
+
+
+@pytest.mark.parametrize("odd", ODD_JSON)
+@pytest.mark.parametrize("report", ODD_REPORTS)
+def test_a_report_with_an_odd_number_is_no_report(
+    report: str, odd: str
+) -> None:
+    answer = Answer(200, {}, report.replace("ODD", odd).encode())
+    with pytest.raises(msgspec.MsgspecError):
+        answer.decode(_Report)
