--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Iterable, Mapping
 from typing import Annotated
 
 import msgspec
 
-from balsamlift._address import AddressError, split_address
+from balsamlift._address import AddressError, split_remote_address
+from balsamlift._json import decode_json
+from balsamlift._numbers import parse_decimal
 from balsamlift.exceptions import PlatformError
-from balsamlift.peers import ENTRY_ROLE, UPSTREAM_ROLE, ListEntry, Record
+from balsamlift.peers import (
+    ENTRY_ROLE,
+    UPSTREAM_ROLE,
+    Integer,
+    ListEntry,
+    Number,
+    Record,
+)
 from balsamlift.platform._names import CONFIGURATION_KEY, EVACUATION_PREFIX
 from balsamlift.relay import (
     DEFAULT_CALLER_LIMITS,
@@ -25,8 +33,6 @@
     Workspace,
 )
 
-# A header holds one decimal number; "1e400" or "2, 3" is none.
-_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
 MAX_RETRY_AFTER_S = 86_400.0  # a longer time is honoured for so long
 MAX_WEIGHT = 1_000.0  # of a workspace
 
@@ -35,14 +41,14 @@
     """Indicate that a record is invalid for its key."""
 
 
-# What messages between hosts can carry.
-_Integer = Annotated[int, msgspec.Meta(ge=-(1 << 63), le=(1 << 63) - 1)]
 _Weight = Annotated[float, msgspec.Meta(gt=0, le=MAX_WEIGHT)]
+# What a header can carry.
+_HeaderText = Annotated[str, msgspec.Meta(pattern=r"\A[ -~\xa0-\xff]*\Z")]
 
 
 class _Share(msgspec.Struct):
     Service: str
-    Weight: int
+    Weight: Integer
 
 
 class _Route(msgspec.Struct):
@@ -50,49 +56,49 @@
     Hostname: str
     PathPrefix: str
     RouteType: str
-    TimeoutMs: int
-    TargetLatencyMs: int  # to the first event on a stream
-    Priority: int = 0
+    TimeoutMs: Integer
+    TargetLatencyMs: Integer  # to the first event on a stream
+    Priority: Integer = 0
     Service: str = ""  # unused if TrafficSplit is set
     TrafficSplit: list[_Share] = []
-    MaxAttempts: int = 1
+    MaxAttempts: Integer = 1
     Public: bool = False
     AllowedRegions: list[str] = []  # none: any
-    TargetGapMs: int = 0  # between events of a stream; 0: any
+    TargetGapMs: Integer = 0  # between events of a stream; 0: any
     StreamResume: bool = False
 
 
 class _Engine(msgspec.Struct):
     """Represent the properties of a service's engines."""
 
-    KvCapacityTokens: int
-    KvTokenBytes: int = 0  # memory for one token
-    LinkMbps: float = 0.0
+    KvCapacityTokens: Integer
+    KvTokenBytes: Integer = 0  # memory for one token
+    LinkMbps: Number = 0.0
     Moves: bool = False
     Backups: bool = False
 
 
 class _Service(msgspec.Struct):
     Name: str
-    MaxConnections: int = 0
-    ColdPerS: float | None = None  # requests that a cold upstream tolerates
+    MaxConnections: Integer = 0
+    ColdPerS: Number | None = None  # requests that a cold upstream tolerates
     Engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    MaxBodyBytes: int
+    MaxBodyBytes: Integer
     # Of the request line and all headers.
-    MaxHeaderBytes: int = DEFAULT_CALLER_LIMITS.head_bytes
-    HeaderTimeoutMs: int = DEFAULT_CALLER_LIMITS.head_timeout_ms
-    IdleTimeoutMs: int = DEFAULT_CALLER_LIMITS.idle_timeout_ms
+    MaxHeaderBytes: Integer = DEFAULT_CALLER_LIMITS.head_bytes
+    HeaderTimeoutMs: Integer = DEFAULT_CALLER_LIMITS.head_timeout_ms
+    IdleTimeoutMs: Integer = DEFAULT_CALLER_LIMITS.idle_timeout_ms
 
 
 class _Tenant(msgspec.Struct):
     """Represent a workspace and the keys of its callers."""
 
-    Name: str
+    Name: _HeaderText
     ApiKeys: list[str] = []
-    Priority: int | None = None
+    Priority: Integer | None = None
     AllowedRegions: list[str] = []  # none: any
     Weight: _Weight = 1.0  # of its share while requests wait
 
@@ -100,7 +106,7 @@
 class _Manifest(msgspec.Struct):
     """Represent the configuration record that operators write."""
 
-    Version: int
+    Version: Integer
     Routes: list[_Route]
     Services: list[_Service]
     Limits: _Limits
@@ -118,11 +124,17 @@
     Address: str
     Zone: str
     Version: str  # of the software
-    Slots: _Integer
+    Slots: Integer
     LifecycleState: str
-    Sequence: _Integer  # counted by the upstream since its start
-    ColdRemainingMs: float  # for which it is still slow after its start
-    born: _Integer = 0  # wall time of its start; not written by all upstreams
+    Sequence: Integer  # counted by the upstream since its start
+    ColdRemainingMs: Number  # for which it is still slow after its start
+    born: Integer = 0  # wall time of its start; not written by all upstreams
+
+
+class _Lifecycle(msgspec.Struct):
+    """Represent an entry of which nothing else is valid."""
+
+    LifecycleState: str = ""
 
 
 class HostRecord(msgspec.Struct, frozen=True):
@@ -153,8 +165,8 @@
     Raises `RecordError` if the record is invalid.
     """
     try:
-        manifest = msgspec.json.decode(data, type=_Manifest)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        manifest = decode_json(data, _Manifest)
+    except msgspec.MsgspecError as error:
         raise RecordError(f"invalid configuration: {error}") from error
     return Configuration(
         version=manifest.Version,
@@ -215,15 +227,12 @@
     The list may have other writers: an entry is rejected unless all of
     its known fields are valid.
     """
-    if len(data) > MAX_ENTRY_BYTES:
-        raise RecordError(f"upstream entry too large: {len(data)} bytes")
+    _check_entry(key, data, "upstream")
     try:
-        upstream = msgspec.json.decode(data, type=_Upstream)
-        split_address(upstream.Address)
-    except (msgspec.MsgspecError, RecursionError, AddressError) as error:
+        upstream = decode_json(data, _Upstream)
+        split_remote_address(upstream.Address)
+    except (msgspec.MsgspecError, AddressError) as error:
         raise RecordError(f"invalid upstream entry: {error}") from error
-    if not _is_valid_upstream_name(key):
-        raise RecordError("invalid upstream entry: key is not a valid name")
     if upstream.LifecycleState not in _UPSTREAM_STATES or upstream.born < 0:
         raise RecordError("invalid upstream entry: state or start time")
     return ListEntry(
@@ -241,18 +250,42 @@
     )
 
 
-def _is_valid_upstream_name(key: str) -> bool:
-    """Return whether a key is valid as an upstream's name in a header."""
-    is_visible = key.isascii() and key.isprintable() and " " not in key
-    return is_visible and 0 < len(key) <= MAX_NAME_CHARACTERS
+def may_be_ready(data: bytes) -> bool:
+    """Return whether an invalid entry says no other state of an upstream."""
+    if len(data) > MAX_ENTRY_BYTES:
+        return True
+    try:
+        state = decode_json(data, _Lifecycle).LifecycleState
+    except msgspec.MsgspecError:
+        return True
+    return not state or _UPSTREAM_STATES.get(state) == "live"
 
 
-def decode_host(data: bytes) -> HostRecord:
+def decode_host(key: str, data: bytes) -> HostRecord:
     """Return the entry of a host; raise `RecordError` if invalid."""
+    _check_entry(key, data, "host")
     try:
-        return msgspec.json.decode(data, type=HostRecord)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        record = decode_json(data, HostRecord)
+        split_remote_address(record.callers_address)
+        split_remote_address(record.operators_address)
+        split_remote_address(record.peers_address)
+    except (msgspec.MsgspecError, AddressError) as error:
         raise RecordError(f"invalid host entry: {error}") from error
+    return record
+
+
+def _check_entry(key: str, data: bytes, kind: str) -> None:
+    """Raise `RecordError` for an invalid name or an entry too large."""
+    if len(data) > MAX_ENTRY_BYTES:
+        raise RecordError(f"{kind} entry too large: {len(data)} bytes")
+    if not _is_valid_name(key):
+        raise RecordError(f"invalid {kind} entry: key is not a valid name")
+
+
+def _is_valid_name(key: str) -> bool:
+    """Return whether a key is valid as a name in a header."""
+    is_visible = key.isascii() and key.isprintable() and " " not in key
+    return is_visible and 0 < len(key) <= MAX_NAME_CHARACTERS
 
 
 def host_entry(key: str, record: HostRecord) -> ListEntry:
@@ -276,7 +309,7 @@
         # An unknown type is handled as the most restrictive one.
         kind=_ROUTE_KINDS.get(route.RouteType, "non_idempotent"),
         services=tuple(
-            ServiceShare(service=share.Service, weight=share.Weight)
+            ServiceShare(service=share.Service, weight=max(share.Weight, 0))
             for share in shares
         ),
         timeout_ms=route.TimeoutMs,
@@ -297,7 +330,7 @@
         max_connections=service.MaxConnections,
         cold_requests_per_s=service.ColdPerS,
         engine=None
-        if engine is None
+        if engine is None or engine.KvCapacityTokens <= 0
         else EngineTraits(
             memory_tokens=engine.KvCapacityTokens,
             token_bytes=engine.KvTokenBytes,
@@ -310,8 +343,7 @@
 
 def decode_rate_limit(text: str) -> float | None:
     """Return requests per second, or None if `text` is no decimal number."""
-    text = text.strip()
-    return float(text) if _DECIMAL.fullmatch(text) else None
+    return parse_decimal(text)
 
 
 def is_known_notice(text: str) -> bool:
@@ -321,10 +353,8 @@
 
 def decode_retry_after(text: str) -> float | None:
     """Return seconds, at most a day, or None if `text` is invalid."""
-    text = text.strip()
-    if not _DECIMAL.fullmatch(text):
-        return None
-    return min(float(text), MAX_RETRY_AFTER_S)
+    seconds = parse_decimal(text)
+    return None if seconds is None else min(seconds, MAX_RETRY_AFTER_S)
 
 
 STATEMENT_DECODERS = StatementDecoders(
--- a/src/balsamlift/platform/_store.py
+++ b/src/balsamlift/platform/_store.py
@@ -12,10 +12,11 @@
 from loguru import logger
 
 from balsamlift._http import Answer, CallError, HttpClient
+from balsamlift._json import decode_json, decode_json_list
 from balsamlift._streaming import StallLimits
 from balsamlift.clock import Clock, SystemClock
 from balsamlift.exceptions import HistoryLostError, StoreError
-from balsamlift.peers import Record, RecordBatch
+from balsamlift.peers import MAX_INTEGER, Offset, Record, RecordBatch
 from balsamlift.platform._names import ERA_HEADER
 
 log = logger.bind(part="store")
@@ -31,6 +32,8 @@
 _READ_HEADER = struct.Struct(">QQ")  # end of the topic, first offset kept
 _RECORD_LENGTH = struct.Struct(">I")
 _DIGITS = re.compile(r"\d+")
+REPLACED = "\ufffd"  # a character of a key that is not valid text
+_ERA = re.compile(r"[0-9]{1,15}")
 
 
 class _Item(msgspec.Struct):
@@ -38,15 +41,15 @@
 
     Key: str
     Value: str  # base64
-    Offset: int = 0
+    Offset: Offset = 0
 
 
 class _Page(msgspec.Struct):
-    """Represent a page of the newest records."""
+    """Represent a page of the newest records, which are not decoded yet."""
 
-    Items: list[_Item]
+    Items: list[msgspec.Raw]
     HasMore: bool
-    EndOffset: int
+    EndOffset: Offset
 
 
 class Store:
@@ -70,27 +73,32 @@
         end: int | None = None
         era: int | None = None
         after = ""
+        starts: set[str] = set()  # of pages
         while True:
             query = {"Topic": topic, "part": "0"}
             if after:
                 query["After"] = after
             answer = await self._read("/log-newest", query)
             try:
-                page = msgspec.json.decode(answer.body, type=_Page)
-            except (msgspec.MsgspecError, RecursionError) as error:
+                page = decode_json_list(answer.body, _Page)
+            except msgspec.MsgspecError as error:
                 raise StoreError(
                     f"invalid page of records: {error}"
                 ) from error
-            records += [_decode_item(item) for item in page.Items]
+            page_records = _decode_items(page.Items, topic)
+            records += page_records
             # Pages are not a snapshot: return the end offset of the first one,
             # so that the caller reads changes made since then again.
             end = page.EndOffset if end is None else end
             era = self.era if era is None else era
             if era != self.era:
                 raise StoreError("store was restored between two pages")
-            if not page.HasMore or not page.Items:
+            if not page.HasMore:
                 return RecordBatch(records, end, era)
-            after = page.Items[-1].Key
+            after = _last_exact_key(page_records)
+            if not after or after in starts:
+                raise StoreError("page of records does not advance")
+            starts.add(after)
 
     async def read(
         self,
@@ -196,9 +204,11 @@
         """
         if text is None and not self.era:
             return
-        era = int(text) if text is not None and text.isdecimal() else -1
+        is_era = text is not None and _ERA.fullmatch(text)
+        era = int(text) if text is not None and is_era else -1
         if era < self.era:
-            message = f"stale answer: era {text}, latest is {self.era}"
+            named = (text or "none")[:40]
+            message = f"stale answer: era {named}, latest is {self.era}"
             self._track_availability(topic, message, "stale answer")
             raise StoreError(message)
         if self.era and era > self.era:
@@ -254,10 +264,35 @@
             return
         end, _ = _READ_HEADER.unpack_from(self._header)
         (length,) = _RECORD_LENGTH.unpack_from(self._header, _READ_HEADER.size)
-        if end > self._start and length >= LARGE_ANSWER_BYTES:
+        is_large = length >= LARGE_ANSWER_BYTES
+        if is_large and self._start < end <= MAX_INTEGER:
             self._on_large_answer(end)
 
 
+def _decode_items(items: list[msgspec.Raw], topic: str) -> list[Record]:
+    """Return the records of a page, without items that are invalid.
+
+    Raises `StoreError` if all are, as that would remove every record.
+    """
+    records = []
+    for raw in items:
+        try:
+            records.append(_decode_item(decode_json(raw, _Item)))
+        except msgspec.MsgspecError as error:
+            log.bind(topic=topic, size_bytes=len(bytes(raw))).error(
+                "invalid item on a page of records: {}", error
+            )
+    if items and not records:
+        raise StoreError("page of records has no valid item")
+    return records
+
+
+def _last_exact_key(records: list[Record]) -> str:
+    """Return the last key without replaced characters, or an empty text."""
+    exact = (r.key for r in reversed(records) if REPLACED not in r.key)
+    return next(exact, "")
+
+
 def _decode_item(item: _Item) -> Record:
     """Return a record of a page; keep a value as is if it is not base64."""
     try:
@@ -271,6 +306,8 @@
     """Return the complete records of an answer and the offset after them."""
     try:
         topic_end, _ = _READ_HEADER.unpack_from(body)
+        if topic_end > MAX_INTEGER:
+            raise StoreError(f"invalid end of a topic: {topic_end}")
         records: list[Record] = []
         position = _READ_HEADER.size
         while position + _RECORD_LENGTH.size <= len(body):
--- a/src/balsamlift/presets/_log.py
+++ b/src/balsamlift/presets/_log.py
@@ -13,6 +13,8 @@
 
 from balsamlift._back_off import BackOff
 from balsamlift._http import Answer, CallError, HttpClient
+from balsamlift._json import decode_json_list
+from balsamlift._numbers import parse_decimal
 from balsamlift._streaming import StallLimits
 from balsamlift.clock import Clock
 from balsamlift.exceptions import LogBlockedError, LogUnavailableError
@@ -32,6 +34,7 @@
 MAX_APPEND_ATTEMPTS = 5  # when the log reports that its rate limit is reached
 TOO_MANY_REQUESTS = 429
 OK = 200
+MAX_RETRY_AFTER_S = 86_400.0  # a longer time is honoured for so long
 
 
 @attrs.frozen
@@ -250,17 +253,15 @@
 
 
 def _retry_after_ms(answer: Answer) -> float:
-    try:
-        return float(answer.headers.get("Retry-After", "0")) * 1_000
-    except ValueError:
-        return 0.0
+    seconds = parse_decimal(answer.headers.get("Retry-After", "")) or 0.0
+    return min(seconds, MAX_RETRY_AFTER_S) * 1_000
 
 
 def _decode_batch(answer: Answer) -> Batch:
     if answer.status != OK:
         raise LogUnavailableError(f"read returned status {answer.status}")
     try:
-        raw = answer.decode(_ReadAnswer)
+        raw = decode_json_list(answer.body, _ReadAnswer)
     except msgspec.MsgspecError as error:
         raise LogUnavailableError(
             f"read returned a malformed answer: {error}"
--- a/src/balsamlift/relay/_framing.py
+++ b/src/balsamlift/relay/_framing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from tornado.httputil import HTTPHeaders, HTTPInputError
 from tornado.iostream import (
     IOStream,
@@ -9,12 +11,14 @@
     UnsatisfiableReadError,
 )
 
+from balsamlift._numbers import parse_count
 from balsamlift.relay._response_limits import (
     MAX_CHUNK_LINE_BYTES,
     ByteLimit,
     ByteLimitError,
 )
 
+_CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}")
 LINE_END = b"\r\n"
 
 
@@ -45,14 +49,15 @@
 
 def parse_length(text: str) -> int:
     """Return the length of a body; raise `HTTPInputError`."""
-    if not (text.isascii() and text.isdecimal()):
+    length = parse_count(text)
+    if length is None:
         raise HTTPInputError("no length of a body")
-    return int(text)
+    return length
 
 
 def parse_chunk_size(line: bytes) -> int:
     """Return the size in the line before a chunk; raise `HTTPInputError`."""
     digits = line.split(b";", 1)[0].strip()
-    if not digits or len(digits) > 8:
+    if not _CHUNK_SIZE.fullmatch(digits):
         raise HTTPInputError("no size of a chunk")
     return int(digits, 16)
