Count in the soak of exits what a host cut while its upstream was sending

Cause: an upstream that finds its connection closed by the host ends its work by an error, and was recorded as the one that broke the answer off. So no stream that an exit cuts was ever counted, as its upstream sends its next event on the closed connection. Change: an upstream has broken an answer off only where it says so itself, or is stopped.

--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -118,7 +118,7 @@
             if await self._refuse(name, connection, request):
                 return
             await self._flood(name, connection, request)
-            is_broken = True
+            is_broken = False  # not by a host that closes its connection
             try:
                 is_broken = await work(connection, request)
             finally:
--- a/tests/test_soak_exits.py
+++ b/tests/test_soak_exits.py
@@ -99,6 +99,17 @@
     host.checker.record_upstream_end("u1")
 
 
+def close_connection(host: ExitingHost) -> None:
+    """Let the host close its connection to the upstream."""
+    host.checker.record_run_end("r1", "u1", is_broken=False)
+
+
+def test_a_request_whose_upstream_saw_the_host_close_is_reported() -> None:
+    assert ExitingHost().run(3.5, 7.6, break_off=close_connection)
+    assert not ExitingHost().run(2.9, 7.6, break_off=close_connection)
+    assert ExitingHost().run(2.9, 6.0, break_off=close_connection)
+
+
 def break_off(host: ExitingHost) -> None:
     host.checker.record_run_end("r1", "u1", is_broken=True)
 
