Let the soak of exits slow upstreams down and vary streams and bodies

Cause: its streams had 6 to 35 events 10 ms apart, its requests no body, and its upstreams kept their pace, so that no duration that a host had learned was ever wrong. Change: streams of three forms, of engines or plain upstreams, with or without a true number of tokens; upstreams that slow down after each signal or fall silent; bodies of four forms and slow readers; 12 callers a host that send streams only, half of which keep their connections.

--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -26,6 +26,7 @@
     times: Mapping[str, RouteTimes]  # by kind of request
     extra_retries: int  # of a service in `BUDGET_WINDOW_S`
     grace_s: float = 3.0
+    stream_callers_per_host: float = 0.0  # that send nothing else
 
 
 KINDS = ("idempotent", "non_idempotent", "stream", "resumable")
@@ -39,7 +40,8 @@
     extra_retries=50,
 )
 
-# Calls that take up to 7 s, at hosts that have 8 s to shut down.
+# Calls of up to 7 s and streams of up to 12 s, at hosts that have 8 s to shut
+# down.
 EXITS = Load(
     services={"plain": 3, "model": 2},
     callers_per_host=4.0,
@@ -48,6 +50,7 @@
     times=dict.fromkeys(KINDS, RouteTimes(timeout_ms=12_000)),
     extra_retries=50,
     grace_s=8.0,
+    stream_callers_per_host=12.0,
 )
 
 # Enough engines for some to be away at any time.
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from soak.streams import StreamForm
+
 Kind = Literal[
     "kill",
     "freeze",
@@ -30,6 +32,8 @@
     "herd_kill",
     "upstream_floods",
     "term_again",
+    "upstreams_slow",
+    "upstream_silent",
 ]
 
 # Planned operations of operators. They may not interrupt any request.
@@ -60,6 +64,8 @@
     {"silence_existing": True},
     {"delay_ms": 80},
 )
+# By how much upstreams take longer than before.
+SLOW_FACTORS = (1.0, 1.5, 2.5, 4.0)
 STORE_FAULTS = ("silent", "busy", "many", "lost")
 # Short compared with the duration of a fault, so that faults come in series
 # and overlap.
@@ -100,6 +106,10 @@
     has_flood: bool = False  # a workspace asks for more than the engines have
     max_work_s: float = 0.04  # of an upstream on a call
     keeps_connections: bool = False  # half of the callers do, until the end
+    streams: StreamForm | None = None  # None: short ones, of all runs alike
+    has_bodies: bool = False  # of all forms, and callers that read slowly
+    has_engines: bool = True  # behind streams
+    knows_output: bool = False  # callers tell how many tokens will come
 
 
 def draw_fault(
