--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -22,6 +22,8 @@
 # A call may take longer than those before it.
 DURATION_FACTOR = 1.25
 DURATION_EXTRA_S = 0.1
+# The same late in the exit, as its upstream may become slower meanwhile.
+LATE_DURATION_FACTOR = 10.0
 
 _MS_PER_S = 1_000
 
@@ -82,16 +84,22 @@
         self._metrics = metrics
         self.phase = Phase.SERVING
         self._began_s = math.inf
+        self._estimates_until_s = math.inf
         self._responses_by_s = math.inf
         self._running: dict[Attempt, RunningCall] = {}
 
-    def begin(self, within_s: float) -> None:
+    def begin(self, within_s: float, estimates_s: float = math.inf) -> None:
         """Begin to drain; the last responses are due in `within_s`.
 
-        A further call may only shorten the time.
+        After `estimates_s`, a call starts only if its own time ends before
+        that, or if it is very short. A further call may only shorten the
+        times.
         """
         now_s = self._clock.monotonic()
         self._began_s = min(self._began_s, now_s)
+        self._estimates_until_s = min(
+            self._estimates_until_s, now_s + estimates_s
+        )
         self._responses_by_s = min(self._responses_by_s, now_s + within_s)
         if self.phase is Phase.SERVING:
             self.phase = Phase.DRAINING
@@ -154,7 +162,18 @@
         longest_s = running.longest_s()
         if longest_s is None:
             return -math.inf
-        return min(latest_s, self._responses_by_s - allowed_s(longest_s))
+        return min(latest_s, self._latest_by_estimate_s(running, longest_s))
+
+    def _latest_by_estimate_s(
+        self, running: RunningCall, longest_s: float
+    ) -> float:
+        """Return the last moment to send a call that may take `longest_s`."""
+        due_s = self._responses_by_s
+        late_s = due_s - allowed_s(longest_s, LATE_DURATION_FACTOR)
+        if running.call.request.origin is not None:
+            return late_s  # another host may run it whole
+        early_s = due_s - allowed_s(longest_s)
+        return max(min(early_s, self._estimates_until_s), late_s)
 
     def _limit_all(self) -> None:
         for running in self._running.values():
@@ -197,9 +216,9 @@
         return attrs.evolve(refusal, alternatives=alternatives)
 
 
-def allowed_s(expected_s: float) -> float:
+def allowed_s(expected_s: float, factor: float = DURATION_FACTOR) -> float:
     """Return the time that must be left for a call to start."""
-    return expected_s * DURATION_FACTOR + DURATION_EXTRA_S
+    return expected_s * factor + DURATION_EXTRA_S
 
 
 def _end_unless_sent(running: RunningCall) -> None:
--- a/tests/test_relay_shutdown.py
+++ b/tests/test_relay_shutdown.py
@@ -1,6 +1,7 @@
 """Test what a host that shuts down starts, refuses and ends."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -31,6 +32,7 @@
 LEFT_S = 2.0
 LONG_MS = 20_000  # for which callers wait and the route lets them
 SLOW_S = 0.4
+SOON_S = 0.05
 KINDS = ("order", "view")
 
 
@@ -206,6 +208,20 @@
     run(test())
 
 
+async def forward(world: RelayHarness) -> CallerAnswer:
+    """Send a call as another host that does not reach its upstreams."""
+    ip, _, port = world.forwarding_frontend.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    headers = ["Balsamlift-Forwarded-By: host-2"]
+    writer.write(
+        request_bytes("/order/1", headers=headers, deadline_ms=LONG_MS)
+    )
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
 def test_a_forwarded_call_is_left_to_other_hosts() -> None:
     """Guard against a refusal that is passed on as another host may run it."""
 
@@ -213,16 +229,27 @@
         async with RelayHarness(replicas()) as world:
             configure(world)
             world.relay.leave(LEFT_S)
-            ip, _, port = world.forwarding_frontend.address.rpartition(":")
-            reader, writer = await asyncio.open_connection(ip, int(port))
-            headers = ["Balsamlift-Forwarded-By: host-2"]
-            writer.write(
-                request_bytes("/order/1", headers=headers, deadline_ms=LONG_MS)
-            )
-            answer = await read_answer(reader)
-            writer.close()
+            answer = await forward(world)
+        assert answer.status == 503
+        assert "Balsamlift-Unreached" in answer.headers
+
+    run(test())
+
+
+def test_a_leaving_host_starts_no_forwarded_call_by_estimates() -> None:
+    """A host that does not leave lost its callers' calls to one that does."""
+
+    async def test() -> None:
+        stand_ins = replicas(1)
+        async with RelayHarness(stand_ins) as world:
+            configure(world)
+            stand_ins[0].behave = answer_after(SLOW_S)
+            assert (await call(world, "order", "learned")).status == 200
+            world.relay.leave(LEFT_S)
+            answer = await forward(world)
         assert answer.status == 503
         assert "Balsamlift-Unreached" in answer.headers
+        assert stand_ins[0].ids() == ["learned"]
 
     run(test())
 
@@ -264,7 +291,9 @@
         async with RelayHarness(stand_ins) as world:
             configure(world)
             send = await prepare(world)
-            limits = DrainLimits(listed_s=0.0, responses_s=0.0, send_s=5.0)
+            limits = DrainLimits(
+                listed_s=0.0, estimates_s=0.0, responses_s=0.0, send_s=5.0
+            )
             sending = asyncio.create_task(send())
             await asyncio.sleep(0)  # its bytes are on their way
             await world.relay.shut_down(limits)
@@ -274,6 +303,48 @@
     run(test())
 
 
+def test_a_request_held_after_a_stall_is_refused_as_its_host_ends() -> None:
+    """Requests held for news of upstreams got no response at the end."""
+
+    async def test() -> None:
+        async with RelayHarness(replicas(1)) as world:
+            configure(world)
+            world.routing.set_age_source(lambda: 90.0, 1.0)
+            await asyncio.sleep(SLOW_S)
+            time.sleep(SLOW_S)  # the whole event loop stalls
+            await asyncio.sleep(SOON_S)
+            held = asyncio.create_task(call(world, "order", "held"))
+            await asyncio.sleep(SOON_S)
+            limits = DrainLimits(
+                listed_s=0.0, estimates_s=0.0, responses_s=0.0, send_s=0.2
+            )
+            await world.relay.shut_down(limits)
+            answer = await held
+        assert (answer.status, answer.is_whole) == (503, True)
+
+    run(test())
+
+
+def test_durations_of_a_route_do_not_hold_for_its_next_service() -> None:
+    """Calls were started by how long the service before had taken."""
+
+    async def test() -> None:
+        stand_ins = replicas(1)
+        stand_ins.append(ReplicaStandIn("other-0", "other", HEADER_NAMES))
+        async with RelayHarness(stand_ins) as world:
+            configure(world)
+            assert (await call(world, "order", "r1")).status == 200
+            moved = route(
+                "non_idempotent", "/order/", "other", timeout_ms=LONG_MS
+            )
+            world.configure(2, routes=(moved,))
+            world.relay.leave(LEFT_S)
+            assert (await call(world, "order", "r2")).status == 503
+        assert stand_ins[1].ids() == []
+
+    run(test())
+
+
 def test_a_refused_caller_learns_which_hosts_may_take_its_request() -> None:
     async def test() -> None:
         async with RelayHarness(replicas()) as world:
