--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -29,6 +29,7 @@
 ROOT = Path(__file__).parent.parent.parent
 PORTS = {"Frontend": 7881, "Readiness": 7882, "Directory": 7883}
 FIRST_PORT = 7890  # of the internal ports
+LAST_S = 1.0  # of a grace period, before which a process is described
 STACKS_S = 0.5  # until the stacks of a daemon are written
 RESTART_S = 0.2
 DOMAINS = ("north", "south")
@@ -120,11 +121,11 @@
             return
         self.is_leaving = True
         self._signal(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(self._load.grace_s):
-                await process.wait()
-        except TimeoutError:
-            self._signal(signal.SIGKILL)
+        if not await _has_ended(process, self._load.grace_s - LAST_S):
+            state = describe_process(process.pid)
+            self.history.record("grace period ends soon", process=state)
+            if not await _has_ended(process, LAST_S):
+                self._signal(signal.SIGKILL)
         self.is_leaving = False
 
     def terminate_again(self) -> None:
@@ -157,9 +158,11 @@
     def _signal(self, number: signal.Signals) -> None:
         if self._pidfd is None:
             return
+        assert self._process is not None
+        state = describe_process(self._process.pid)
         with contextlib.suppress(ProcessLookupError):  # it has just ended
             signal.pidfd_send_signal(self._pidfd, number)
-            self.history.record("signal", signal=number.name)
+            self.history.record("signal", signal=number.name, process=state)
 
     async def _supervise(self) -> None:
         with self.log_file.open("ab") as log_file:
@@ -225,3 +228,15 @@
             "DrainMs = 2000",
         ]
         return "\n".join(lines)
+
+
+async def _has_ended(
+    process: asyncio.subprocess.Process, within_s: float
+) -> bool:
+    """Wait for the end of a process; return whether it came in time."""
+    try:
+        async with asyncio.timeout(within_s):
+            await process.wait()
+    except TimeoutError:
+        return False
+    return True
--- a/tests/test_soak_exits.py
+++ b/tests/test_soak_exits.py
@@ -9,6 +9,7 @@
 import pytest
 from _manual_clock import ManualClock
 from soak.bodies import BODY_FORMS, MAX_BODY_S, Body, draw_body
+from soak.callers import CallerRequest, send
 from soak.exit_plan import (
     MAX_SLOW_AFTER_S,
     STREAMS_S,
@@ -16,15 +17,18 @@
     draw_exit_plan,
 )
 from soak.exits import ExitChecker
+from soak.guarantees import CallerOutcome
 from soak.load import EXITS
 from soak.plan import SLOW_FACTORS
 from soak.run import Fleet, run_plan
 from soak.streams import StreamForm
 
 LENGTH_S = 6.0
-# Seeds whose plans have calls that last as long as their hosts.
-SEEDS = [1, 6]
+# Seeds whose plans have calls that last as long as their hosts, and one whose
+# upstreams slow down late in an exit.
+SEEDS = [1, 6, 16]
 GRACE_S = 8.0
+LOOPBACK_IP = "127.0.0.1"
 SEED_1_FAULTS = [
     ("upstream_leaves", 0.97),
     ("upstream_leaves", 3.34),
@@ -95,7 +99,7 @@
     assert form.last_event("r7") == form.last_event("r7")
 
 
-def test_bodies_have_all_forms_and_those_of_get_are_empty() -> None:
+def test_bodies_have_all_forms_where_requests_have_one() -> None:
     rng = random.Random(1)
     bodies = [draw_body(rng, has_body=True) for _ in range(200)]
     assert {body.form for body in bodies} == set(BODY_FORMS)
@@ -114,6 +118,48 @@
     assert body.header == "Transfer-Encoding: chunked"
 
 
+@pytest.mark.parametrize("reads_slowly", [False, True])
+def test_a_caller_takes_an_answer_before_its_body_is_sent(
+    reads_slowly: bool,
+) -> None:
+    sent = []
+    is_closed = asyncio.Event()
+    body = Body(
+        form="slow_chunks",
+        data=b"ten bytes.",
+        duration_s=5.0,
+        reads_slowly=reads_slowly,
+    )
+    request = CallerRequest("r1", "non_idempotent", body=body)
+
+    async def refuse(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno")
+        await reader.read()
+        writer.close()
+        is_closed.set()
+
+    async def call() -> tuple[CallerOutcome, bool]:
+        server = await asyncio.start_server(refuse, LOOPBACK_IP)
+        async with server:
+            address = server.sockets[0].getsockname()
+            reader, writer = await asyncio.open_connection(*address)
+            answer = await send(
+                request, reader, writer, on_sent=lambda: sent.append("r1")
+            )
+            writer.close()
+            await is_closed.wait()
+        return answer
+
+    outcome, can_reuse = asyncio.run(call())
+    assert (outcome.status, outcome.body) == (503, b"no")
+    assert outcome.is_whole
+    assert not can_reuse
+    assert sent == []
+
+
 class ExitingHost:
     """A host that gets its signal at `SIGNAL_S`, and one request."""
 
