--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -152,12 +152,14 @@
             self._context, job, responder, reservation, backup
         )
         self._running.add(generation)
+        now_s = asyncio.get_running_loop().time()
+        attempt.record_send(upstream.name, now_s)
         try:
             reply = await generation.request_resume(upstream, resume)
             if reply is None:
                 return give_up(attempt, "could not resume")
             text = await generation.relay(reply)
-            return Outcome(text, upstream.name, [upstream.name])
+            return Outcome(text, upstream.name, attempt.sent_to)
         finally:
             self._running.discard(generation)
             reservation.release()
@@ -170,7 +172,9 @@
         if isinstance(result, StartedGeneration):
             text = await self._relay(result, job, attempt, responder)
             upstream = result.reservation.upstream.name
-            return Outcome(text, upstream, attempt.sent_to)
+            return Outcome(
+                text, upstream, attempt.sent_to, is_success=text == "whole"
+            )
         if not isinstance(result, Unreached):
             return result
         return await self._forwarder.run(job.call, attempt, responder, result)
--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -169,12 +169,12 @@
     ) -> float:
         """Return the last moment to send a call that may take `longest_s`."""
         due_s = self._responses_by_s
-        late_s = due_s - allowed_s(longest_s, LATE_DURATION_FACTOR)
-        if running.call.request.origin is not None:
-            return late_s  # another host may run it whole
         early_s = due_s - allowed_s(longest_s)
         if running.attempt.may_have_run:
             return early_s  # its caller cannot go to another host
+        late_s = due_s - allowed_s(longest_s, LATE_DURATION_FACTOR)
+        if running.call.request.origin is not None:
+            return late_s  # another host may run it whole
         return max(min(early_s, self._estimates_until_s), late_s)
 
     def _limit_all(self) -> None:
@@ -230,10 +230,10 @@
 
 
 def _running_ms(attempt: Attempt, now_s: float) -> int | None:
-    """Return the time since the last send of a call that may have run."""
-    if not attempt.may_have_run or attempt.sent_s is None:
+    """Return for how long a call may have run, None if it has not."""
+    if not attempt.may_have_run or attempt.began_s is None:
         return None
-    return _to_ms(now_s - attempt.sent_s)
+    return _to_ms(now_s - attempt.began_s)
 
 
 def _to_ms(duration_s: float | None) -> int | None:
