Print how late a soak's own loop was

Cause: callers and upstreams share one process; where it gets no processor, requests end without an answer that no host lost, and the printed line did not tell.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -150,7 +150,8 @@
         print(
             f"seed {seed} ({kind}): {len(result.plan.faults)} faults, "
             f"{result.served} of {result.requests} served, "
-            f"{len(result.violations)} promises broken",
+            f"{len(result.violations)} promises broken, "
+            f"its own loop late by up to {result.lateness_s:.2f} s",
             flush=True,
         )
         for line in result.violations:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -95,6 +95,7 @@
     violations: list[str]
     requests: int
     served: int
+    lateness_s: float  # at most, of the event loop of callers and upstreams
 
 
 class Run:
@@ -185,6 +186,7 @@
             violations=self._guarantees.violations,
             requests=len(outcomes),
             served=sum(o.status == 200 and o.is_whole for o in outcomes),
+            lateness_s=self._lateness.max_s,
         )
 
     def _prepare_host(self, number: int) -> Host:
