--- a/bench/exit_decisions.py
+++ b/bench/exit_decisions.py
@@ -151,17 +151,23 @@
     return decide
 
 
-def in_force(now_s: float, known: Known, limit_s: float) -> bool:
-    """Decide as hosts do."""
-    if time_allowed(now_s, known, limit_s):
-        return True
-    if not known.recent_s:
-        return False
-    longest_s = bound_s(known.recent_s)
-    left_s = RESPONSES_S - now_s
-    if now_s <= ESTIMATES_S and allowed_s(longest_s) <= left_s:
-        return True
-    return allowed_s(longest_s, LATE_DURATION_FACTOR) <= left_s
+def in_force(late_factor: float | None) -> Decide:
+    """Decide as hosts do; streams have no factor late in the exit."""
+
+    def decide(now_s: float, known: Known, limit_s: float) -> bool:
+        if time_allowed(now_s, known, limit_s):
+            return True
+        if not known.recent_s:
+            return False
+        longest_s = bound_s(known.recent_s)
+        left_s = RESPONSES_S - now_s
+        if now_s <= ESTIMATES_S and allowed_s(longest_s) <= left_s:
+            return True
+        if late_factor is None:
+            return False
+        return allowed_s(longest_s, late_factor) <= left_s
+
+    return decide
 
 
 def wider_later(first: float, later: float, extra_s: float) -> Decide:
@@ -189,7 +195,8 @@
     "longest, running too, x 4 + 0.1 s": with_running(4.0, 0.1),
     "longest x 1.25 + 0.1 s, from 3 s on x 3": wider_later(1.25, 3.0, 0.1),
     "longest x 1.25 + 0.1 s, from 3 s on x 10": wider_later(1.25, 10.0, 0.1),
-    "in force": in_force,
+    "in force, calls": in_force(LATE_DURATION_FACTOR),
+    "in force, streams": in_force(None),
 }
 # By how much upstreams become slower, and from when on.
 SLOWDOWNS = ((1.0, 5.0), (2.5, 5.0), (4.0, 5.0), (2.5, 3.5), (4.0, 3.5))
@@ -216,13 +223,7 @@
             slowdown=factor,
             slow_from_s=from_s,
         )
-        for factor, from_s in (
-            (1.0, 5.0),
-            (2.5, 5.0),
-            (4.0, 5.0),
-            (2.5, 3.5),
-            (4.0, 3.5),
-        )
+        for factor, from_s in SLOWDOWNS
     ),
     Case(
         name="long tail, 0.2 s, 2.5 times slower from 5 s",
