Take no answer whose head stops for a whole one in calls by curl

Cause: curl counts a connection that closes within a head as the end of an answer with an empty body: from the status line on, the caller got its status and the headers that were there, the last one perhaps cut, e.g. a shorter era of the store; an append counted as accepted. This concerns the store, the log of presets, hosts' and engines' own interfaces, not requests of callers, which do not go through curl. Change: `HttpClient` looks for the empty line that ends the head, after any interim responses; without it the call has failed, and it is not known whether it was executed.

--- a/src/balsamlift/_http.py
+++ b/src/balsamlift/_http.py
@@ -57,6 +57,27 @@
         return decode_json(self.body, kind)
 
 
+_HEAD_ENDS = ("\r\n", "\n")
+
+
+class _HeadWatch:
+    """Track whether the head of an answer is complete.
+
+    curl takes a connection that closes within a head for a whole answer.
+    """
+
+    def __init__(self) -> None:
+        """Start before the status line."""
+        self.is_complete = False
+
+    def process(self, line: str) -> None:
+        """Process one line, also of an interim response or a trailer."""
+        if line.startswith("HTTP/"):
+            self.is_complete = False
+        elif line in _HEAD_ENDS:
+            self.is_complete = True
+
+
 def _no_stamp() -> str:
     return ""
 
@@ -187,6 +208,8 @@
         )
 
     async def _fetch(self, request: HTTPRequest) -> HTTPResponse:
+        watch = _HeadWatch()
+        request.header_callback = watch.process
         try:
             response = await self._client.fetch(request, raise_error=False)
         except CurlError as error:
@@ -195,6 +218,8 @@
             raise _call_error(request.url, response.error)
         if response.code == 599:
             raise CallError(request.url, str(response.error), sent=True)
+        if not watch.is_complete:
+            raise CallError(request.url, "stopped in its head", sent=True)
         self._observe(response.headers.get(CLOCK_HEADER, ""))
         return response
 
