Take no answer of another host that only its connection ends for whole

Cause: hosts send each other a length or chunks, but a body with neither that ended with its connection was passed on as whole; between host and upstream such an end is checked. What could send it is a host of another version or what is at a host's former address. Change: over the hop it is broken off. Tests of heads that stop: of the engine that a generation goes on at, of an upstream behind a hop, and until the timeout of the route.

--- a/src/balsamlift/relay/forwarding/_reply.py
+++ b/src/balsamlift/relay/forwarding/_reply.py
@@ -31,9 +31,15 @@
         return 200 <= self.head.status < 300
 
     async def read_body(self) -> AsyncIterator[bytes]:
-        """Yield the body; raise `UpstreamBrokenError` if it is truncated."""
+        """Yield the body; raise `UpstreamBrokenError` if it is truncated.
+
+        Hosts send a length or chunks: an end by the connection alone is
+        none, e.g. of a host that was killed.
+        """
         async for chunk in self.connection.read_body(self.head):
             yield chunk
+        if self.connection.is_ended_by_close:
+            raise UpstreamBrokenError(self.host, "answer without an end")
         self._pool.release(self.connection)
 
     def close(self) -> None:
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -4,10 +4,11 @@
 import socket
 import struct
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, closing
 
 import pytest
-from _relay_helpers import run
+from _relay_fleet import relay_fleet
+from _relay_helpers import USAGE, first_event, run
 
 from balsamlift._address import join_address
 from balsamlift._http import Answer, CallError, HttpClient
@@ -20,6 +21,17 @@
 from balsamlift.platform._engines import PlatformEngines
 from balsamlift.relay import CopyError, ReportError, UpstreamHttp
 from balsamlift.relay._connection import UpstreamConnection
+from balsamlift.relay._pool import ConnectionPool
+from balsamlift.relay.forwarding._reply import ForwardedReply
+from balsamlift.testing.relay import (
+    HEADER_NAMES,
+    RelayHarness,
+    ReplicaConnection,
+    ReplicaRequest,
+    ReplicaStandIn,
+    event,
+    route,
+)
 
 HEAD = b"HTTP/1.1 200 OK\r\nStore-Era: 12\r\nX-A: b\r\n"
 EARLY = b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n"
@@ -38,6 +50,11 @@
 IDLE_S = 0.2
 
 
+def reset_at_close(connection: socket.socket) -> None:
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 @asynccontextmanager
 async def server(
     data: bytes, *, is_reset: bool = False, is_idle: bool = False
@@ -50,16 +67,14 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         serving.add(asyncio.current_task())
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(data)
-        await writer.drain()
-        if is_idle:
-            await reader.read()
-        if is_reset:
-            connection = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        writer.close()
+        with closing(writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            await writer.drain()
+            if is_idle:
+                await reader.read()
+            if is_reset:
+                reset_at_close(writer.get_extra_info("socket"))
 
     listener = await asyncio.start_server(serve, "127.0.0.1", 0)
     async with listener:
@@ -184,3 +199,132 @@
                 await engines.report(engine)
 
     run(test())
+
+
+def test_an_answer_of_another_host_without_an_end_is_broken() -> None:
+    async def test() -> None:
+        async with server(HEAD + b"\r\nbody") as address:
+            connection = await open_connection(address)
+            head = await connection.read_head(lambda _: True)
+            pool = ConnectionPool(SystemClock(), Metrics(), "forwarding")
+            reply = ForwardedReply("h-2", head, connection, pool)
+            body = reply.read_body()
+            assert await anext(body) == b"body"
+            with pytest.raises(UpstreamBrokenError):
+                await anext(body)
+
+    run(test())
+
+
+ENGINE_FORMS = {
+    "length": "Content-Length: 400",
+    "chunks": "Transfer-Encoding: chunked",
+    "no length": "X-A: b",
+}
+
+
+@pytest.mark.parametrize("form", ENGINE_FORMS)
+@pytest.mark.parametrize("cut", [1, 9, 12, 15, 20, 30, 60, -6, -3, -2, -1])
+@ENDS
+def test_a_generation_whose_next_engine_stops_in_its_head_is_not_whole(
+    form: str, cut: int, is_reset: bool
+) -> None:
+    """The first engine breaks off after five events, all others so."""
+
+    async def behave(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        if first_event(request) == 0 and not arrivals:
+            arrivals.append(request)
+            await connection.begin_stream(request)
+            await connection.events(0, 4)
+        else:
+            request_id = request.headers[HEADER_NAMES.request_id]
+            head = (
+                "HTTP/1.1 200 Told\r\nContent-Type: text/event-stream\r\n"
+                f"{HEADER_NAMES.request_id}: {request_id}\r\n"
+                f"{HEADER_NAMES.signature}: signed-{request_id}\r\n"
+                f"{ENGINE_FORMS[form]}\r\n\r\n"
+            ).encode()
+            await connection.send(head[:cut])
+        if is_reset:
+            await asyncio.sleep(0.01)
+            connection.reset()
+        connection.writer.close()
+
+    arrivals: list[ReplicaRequest] = []
+
+    async def test() -> None:
+        stand_ins = [
+            ReplicaStandIn(f"model-{n}", "model", HEADER_NAMES, behave)
+            for n in range(3)
+        ]
+        async with RelayHarness(stand_ins) as world:
+            world.configure()
+            answer = await world.call("/draft/1", headers=USAGE)
+        assert not answer.is_whole
+        assert answer.body == b"".join(event(n) for n in range(5))
+
+    run(test())
+
+
+@pytest.mark.parametrize("path", ["/order/1", "/view/1", "/draft/1"])
+@pytest.mark.parametrize("cut", [0, 1, 9, 12, 15, 20, 30, 60, -6, -3, -2, -1])
+@ENDS
+def test_an_upstream_that_stops_in_its_head_behind_a_hop_is_no_success(
+    path: str, cut: int, is_reset: bool
+) -> None:
+    async def behave(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        request_id = request.headers[HEADER_NAMES.request_id]
+        head = (
+            "HTTP/1.1 200 Told\r\n"
+            f"{HEADER_NAMES.request_id}: {request_id}\r\n"
+            f"{HEADER_NAMES.signature}: signed-{request_id}\r\n"
+            "X-A: b\r\n\r\n"
+        ).encode()
+        await connection.send(head[:cut])
+        if is_reset:
+            connection.reset()
+        connection.writer.close()
+
+    async def test() -> None:
+        stand_ins = [
+            ReplicaStandIn(f"{pool}-{n}", pool, HEADER_NAMES, behave)
+            for pool in ("plain", "model")
+            for n in range(2)
+        ]
+        async with relay_fleet(stand_ins) as (lost, _):
+            await lost.cut("reset")
+            method = "GET" if path == "/view/1" else "POST"
+            answer = await lost.relay.call(path, method=method, headers=USAGE)
+        assert answer.status == 502
+
+    run(test())
+
+
+@pytest.mark.parametrize("path", ["/call/1", "/stream/1"])
+@pytest.mark.parametrize("data", [EARLY, CONTINUE + HEAD, HEAD, HEAD[:11]])
+def test_a_head_that_stops_until_the_timeout_of_its_route_is_no_success(
+    path: str, data: bytes
+) -> None:
+    async def behave(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        await connection.send(data)
+        await connection.reader.read()
+
+    async def test() -> None:
+        stand_in = ReplicaStandIn("plain-1", "plain", HEADER_NAMES, behave)
+        async with RelayHarness([stand_in]) as world:
+            world.configure(
+                routes=[
+                    route("idempotent", "/call/", "plain", timeout_ms=400),
+                    route("stream", "/stream/", "plain", timeout_ms=400),
+                ]
+            )
+            answer = await world.call(path, headers=USAGE)
+        assert answer.status in (502, 504)
+
+    run(test())
