--- a/tests/soak/exits.py
+++ b/tests/soak/exits.py
@@ -135,6 +135,19 @@
                     f"{'passed on' if sent.has_run else 'not passed on'}",
                 )
 
+    def describe(self, request_id: str) -> str:
+        """Return where a request went, and how long before its end."""
+        sent = self._sent[request_id]
+        signals = [at_s for host, at_s in self._signals if host == sent.host]
+        began = f"begun {sent.ended_s - sent.began_s:.2f} s before its end"
+        whole = "not sent whole"
+        if sent.sent_s is not None:
+            whole = f"sent whole {sent.ended_s - sent.sent_s:.2f} s before"
+        signal = "without a signal"
+        if signals:
+            signal = f"{sent.ended_s - signals[-1]:.2f} s after its signal"
+        return f"to {sent.host}, {began}, {whole}, {signal}"
+
     def _signal_before(self, sent: _Sent) -> float | None:
         """Return the signal during whose exit a request has ended."""
         for host, signal_s in reversed(self._signals):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -262,7 +262,10 @@
             return
         if not self._guarantees.runs[request_id]:
             self._guarantees.report_violation(
-                "lost", request_id, "was interrupted and never executed"
+                "lost",
+                request_id,
+                "was interrupted and never executed "
+                f"({self._exits.describe(request_id)})",
             )
 
     # Faults
--- a/tests/test_soak_exits.py
+++ b/tests/test_soak_exits.py
@@ -247,6 +247,15 @@
     assert not ExitingHost().run(3.5, 7.6, body_s=None)
 
 
+def test_a_request_is_described_by_its_host_and_its_moments() -> None:
+    host = ExitingHost()
+    host.run(7.0, 7.5, body_s=0.25)
+    assert host.checker.describe("r1") == (
+        "to h1, begun 0.50 s before its end, sent whole 0.25 s before, "
+        "7.50 s after its signal"
+    )
+
+
 def break_off(host: ExitingHost) -> None:
     host.checker.record_run_end("r1", "u1", is_broken=True)
 
