--- a/src/balsamlift/relay/shutdown/_durations.py
+++ b/src/balsamlift/relay/shutdown/_durations.py
@@ -113,7 +113,7 @@
     def _other_buckets(self, key: str) -> list[int]:
         prefix = _value_prefix(key)
         counts = self._values.other_counts(prefix)
-        texts = [key[len(prefix) :] for key, n in counts.items() if n > 0]
+        texts = [name[len(prefix) :] for name, n in counts.items() if n > 0]
         # Others belong to keys that begin like this one.
         numbers = (parse_count(text) for text in texts)
         return [min(n, MAX_BUCKET) for n in numbers if n is not None]
