Move the recording of durations beside the durations

Change: a function in relay/shutdown records how long a call has run. Measured: test_relay_late_starts.py, test_relay_call_durations.py and test_relay_shutdown.py pass.

--- a/src/balsamlift/relay/_service.py
+++ b/src/balsamlift/relay/_service.py
@@ -60,6 +60,7 @@
     DrainLimits,
     Phase,
     Shutdown,
+    observe_call,
     shut_down,
 )
 from balsamlift.relay.statements import (
@@ -358,7 +359,13 @@
             outcome = await self._run(admitted, attempt, responder)
         finally:
             self._log.record_outcome(admitted, outcome)
-            self._record_duration(admitted, attempt, outcome)
+            observe_call(
+                self._durations,
+                admitted,
+                attempt,
+                outcome,
+                self._clock.monotonic(),
+            )
 
     async def _run(
         self, call: Call, attempt: Attempt, responder: Responder
@@ -369,21 +376,6 @@
             return await self._generations.serve(call, attempt, responder)
         return await self._unary_calls.run(call, attempt, responder)
 
-    def _record_duration(
-        self, call: Call, attempt: Attempt, outcome: Outcome
-    ) -> None:
-        """Record how long a call has run, if it has, at its upstreams."""
-        if not attempt.may_have_run or attempt.began_s is None:
-            return
-        took_s = self._clock.monotonic() - attempt.began_s
-        origin = call.request.origin
-        is_part = origin is not None and origin.resume is not None
-        self._durations.observe(
-            call.duration_key,
-            took_s,
-            is_whole=outcome.is_success and not is_part,
-        )
-
     def _apply_limits(self, table: RoutingTable) -> None:
         limits = table.configuration.limits
         self._frontend.limits = limits
--- a/src/balsamlift/relay/shutdown/__init__.py
+++ b/src/balsamlift/relay/shutdown/__init__.py
@@ -1,6 +1,6 @@
 """The end of a host's service: what still starts, and what ends when."""
 
-from balsamlift.relay.shutdown._durations import CallDurations
+from balsamlift.relay.shutdown._durations import CallDurations, observe_call
 from balsamlift.relay.shutdown._sequence import (
     CallersServer,
     DrainLimits,
@@ -23,5 +23,6 @@
     "RunningCall",
     "Shutdown",
     "allowed_s",
+    "observe_call",
     "shut_down",
 ]
--- a/src/balsamlift/relay/shutdown/_durations.py
+++ b/src/balsamlift/relay/shutdown/_durations.py
@@ -16,6 +16,8 @@
 
 from balsamlift._numbers import parse_count
 from balsamlift.clock import Clock
+from balsamlift.relay._attempt import Attempt
+from balsamlift.relay._request import Call, Outcome
 
 # A call counts for one to two of these periods.
 PERIOD_S = 120.0
@@ -139,6 +141,25 @@
         return int(self._clock.monotonic() // PERIOD_S)
 
 
+def observe_call(
+    durations: CallDurations,
+    call: Call,
+    attempt: Attempt,
+    outcome: Outcome,
+    now_s: float,
+) -> None:
+    """Record how long a call has run at its upstreams, if it has."""
+    if not attempt.may_have_run or attempt.began_s is None:
+        return
+    origin = call.request.origin
+    is_part = origin is not None and origin.resume is not None
+    durations.observe(
+        call.duration_key,
+        now_s - attempt.began_s,
+        is_whole=outcome.is_success and not is_part,
+    )
+
+
 def _value_prefix(key: str) -> str:
     return f"{_PREFIX}/{key}/"
 
