Listen once where a link is changed twice in one turn

Seen: test_soak.py::test_guarantees_hold[2] once, in a run of all tests on four workers at a load of 30: Errno 98 as a link of the store was opened. Cause: the link counted as closed until its server had started, one turn of the event loop after it listened; a second change of its faults in that turn, as of two at the same moment on a late loop, listened again, and a cut in it was not heeded. Change: the listener says whether it is open. Evidence: the new test in test_testing_link.py failed with the same error before; three runs of the file pass now.

--- a/src/balsamlift/testing/_link.py
+++ b/src/balsamlift/testing/_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import Any
 
 import attrs
@@ -41,9 +42,9 @@
         self.control = Control(LinkFaults())
         self._control_listener = Listener(settings.control_address)
         self._port = HeldPort(settings.address)
-        self._socket = self._port.listen()
+        self._listener: socket.socket | None = self._port.listen()
+        self._accepting: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
-        self._task: asyncio.Task[None] | None = None
         self._open: set[_Connection] = set()
         self._accepted = 0
 
@@ -52,7 +53,8 @@
         routes = control_routes(self.control, self.count)
         self._control_listener.start(routes)
         self.control.on_change(self._apply)
-        await self._accept()
+        assert self._listener is not None
+        await self._accept(self._listener)
 
     async def stop(self) -> None:
         """Close the listeners and wait for all connections to end."""
@@ -82,20 +84,25 @@
             connection.apply(faults)
         if faults.cut:
             self._close()
-        elif self._server is None:
-            self._socket = self._port.listen()
-            self._task = asyncio.create_task(self._accept())
+        elif self._listener is None:
+            self._listener = self._port.listen()
+            self._accepting = asyncio.create_task(self._accept(self._listener))
 
-    async def _accept(self) -> None:
+    async def _accept(self, listener: socket.socket) -> None:
         self._server = await asyncio.start_server(
-            self._relay, sock=self._socket
+            self._relay, sock=listener, start_serving=False
         )
+        await self._server.start_serving()
 
     def _close(self) -> None:
         """Close the listening address and every connection."""
+        if self._accepting is not None:
+            self._accepting.cancel()
         if self._server is not None:
             self._server.close()
-            self._server = None
+        elif self._listener is not None:
+            self._listener.close()
+        self._server = self._listener = None
         for connection in list(self._open):
             connection.abort()
 
--- a/tests/test_testing_link.py
+++ b/tests/test_testing_link.py
@@ -10,8 +10,12 @@
 
 from balsamlift._address import split_address
 from balsamlift.testing import start_stand_in
+from balsamlift.testing._link import Link
+from balsamlift.testing._settings import LinkSettings
 from balsamlift.testing.relay import HEADER_NAMES, ReplicaStandIn
 
+LOOPBACK = "127.0.0.1"
+
 
 @pytest.fixture
 def echo():
@@ -172,3 +176,28 @@
         await replica.stop()
 
     asyncio.run(check())
+
+
+def test_a_link_may_be_changed_again_before_it_accepts() -> None:
+    """Two changes in one turn of the event loop listened twice."""
+
+    async def test() -> None:
+        target = await asyncio.start_server(lambda _, w: w.close(), LOOPBACK)
+        async with target:
+            ip, port = target.sockets[0].getsockname()
+            link = Link(LinkSettings(target_address=f"{ip}:{port}"))
+            await link.start()
+            own = split_address(link.ready()["address"])
+            link.control.update({"cut": True})
+            link.control.update({"cut": False})
+            link.control.update({"delay_ms": 1})
+            _, writer = await asyncio.open_connection(*own)
+            writer.close()
+            link.control.update({"cut": True})
+            link.control.update({"cut": False})
+            link.control.update({"cut": True})
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection(*own)
+            await link.stop()
+
+    asyncio.run(test())
