Count no refused request among those without a response

Cause: a request that is refused before its body has arrived stays among the readers until it has, so that most exits with slow bodies logged the warning. Change: those that are answered are left out. Measured: the tests of the frontend and the exit pass.

--- a/src/balsamlift/relay/_frontend.py
+++ b/src/balsamlift/relay/_frontend.py
@@ -146,10 +146,11 @@
             log.bind(connections=self.unsent_count).warning(
                 "responses not sent in time"
             )
-        if self.tasks or self.readers:
-            log.bind(
-                handled=len(self.tasks), arriving=len(self.readers)
-            ).warning("requests without a response as connections close")
+        arriving = sum(not reader.is_answered for reader in self.readers)
+        if self.tasks or arriving:
+            log.bind(handled=len(self.tasks), arriving=arriving).warning(
+                "requests without a response as connections close"
+            )
         for stream in self._open_streams():
             if stream.is_reading_head:
                 stream.refuse_head()
--- a/src/balsamlift/relay/_request_reader.py
+++ b/src/balsamlift/relay/_request_reader.py
@@ -113,6 +113,11 @@
         read_bytes = stream.bytes_since_head - stream.unread_bytes
         return read_bytes - len(self._body)
 
+    @property
+    def is_answered(self) -> bool:
+        """Return whether its response has begun."""
+        return self._responder.is_started
+
     def refuse_unread(self) -> None:
         """Refuse a request of which the rest has not arrived."""
         if not self._responder.is_started:
