Reject no configuration for a name beside Latin-1

Cause: a configuration was rejected as a whole for one workspace whose name no header can carry, so that no host would take any change beside it. Change: only control characters, which would change a head, reject it, as before a name beside Latin-1 fails requests of its own workspace. Measured: test_odd_records.py and test_platform_decode.py pass.

--- a/src/balsamlift/platform/_decode.py
+++ b/src/balsamlift/platform/_decode.py
@@ -42,8 +42,8 @@
 
 
 _Weight = Annotated[float, msgspec.Meta(gt=0, le=MAX_WEIGHT)]
-# What a header can carry.
-_HeaderText = Annotated[str, msgspec.Meta(pattern=r"\A[ -~\xa0-\xff]*\Z")]
+# It becomes a header. Others beside Latin-1 fail with their workspace alone.
+_HeaderText = Annotated[str, msgspec.Meta(pattern=r"\A[^\x00-\x1f\x7f]*\Z")]
 
 
 class _Share(msgspec.Struct):
