--- a/src/balsamlift/platform/_daemon.py
+++ b/src/balsamlift/platform/_daemon.py
@@ -62,8 +62,8 @@
 GRACE_MARGIN_S = 0.5
 # Part of it for sending the last responses.
 SEND_TIMEOUT_S = 0.15
-# For which a leaving host starts requests by estimates. The platform holds it
-# to the end of each that is sent from 3 s after the signal on.
+# For which a leaving host starts requests by estimates. The platform excuses
+# what it cuts only if that was sent within 3 s of the signal.
 ESTIMATES_S = 2.5
 # Longest time for ending all tasks, some of which lose a cancellation.
 END_TIMEOUT_S = 0.3
--- a/src/balsamlift/relay/shutdown/_shutdown.py
+++ b/src/balsamlift/relay/shutdown/_shutdown.py
@@ -91,8 +91,8 @@
     def begin(self, within_s: float, estimates_s: float = math.inf) -> None:
         """Begin to drain; the last responses are due in `within_s`.
 
-        After `estimates_s`, only what is sure to end by then starts, and very
-        short calls. A further call may only shorten the times.
+        After `estimates_s`, only what is sure to end within that time starts,
+        and very short calls. A further call may only shorten the times.
         """
         now_s = self._clock.monotonic()
         self._began_s = min(self._began_s, now_s)
@@ -172,7 +172,7 @@
         if running.attempt.may_have_run:
             return early_s  # its caller cannot go to another host
         late_s = -math.inf
-        if running.call.route.kind != "stream":  # of which a cut tells nothing
+        if running.call.route.kind != "stream":  # a cut one gets no response
             late_s = due_s - allowed_s(longest_s, LATE_DURATION_FACTOR)
         if running.call.request.origin is not None:
             return late_s  # another host may run it whole
