Log which upstreams are kept though the list lacks them

Change: a line as an upstream is kept, with the time left; the age of the list as one is removed; the length of an outage as it ends; a gauge of upstreams that the list lacks. No logic changes.

--- a/src/balsamlift/peers/_list_reader.py
+++ b/src/balsamlift/peers/_list_reader.py
@@ -65,6 +65,7 @@
             max(settings.hosts_poll_ms, MAX_RETRY_MS),
         )
         self.is_unavailable = False
+        self._unavailable_s = 0.0
         self._woken = asyncio.Event()
 
     async def start(self, timeline: Timeline, metrics: Metrics) -> None:
@@ -101,6 +102,12 @@
         """
         return self._clock.monotonic() >= self._removals_from_s
 
+    @property
+    def grace_left_ms(self) -> int:
+        """Return for how long no upstream is removed."""
+        left_s = self._removals_from_s - self._clock.monotonic()
+        return max(round(left_s * 1_000), 0)
+
     def suspend_removals(self) -> None:
         """Keep entries that are missing from the list for a grace period.
 
@@ -163,6 +170,7 @@
         if self.is_unavailable:
             return
         self.is_unavailable = True
+        self._unavailable_s = self._clock.monotonic()
         log.warning("list of hosts is unavailable: {}", error)
         self._timeline.record("hosts_down", reason=error.message)
 
@@ -171,6 +179,9 @@
         if not self.is_unavailable:
             return
         self.is_unavailable = False
-        log.info("list of hosts is available again")
+        outage_s = self._clock.monotonic() - self._unavailable_s
+        log.bind(outage_ms=round(outage_s * 1_000)).info(
+            "list of hosts is available again"
+        )
         self._timeline.record("hosts_up")
         self.suspend_removals()
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -362,10 +362,20 @@
         listed = self._table.build(entries)
         changed |= self._apply_listed(listed)
         self._table.update_cold_times(self._entries)
-        self._unlisted = self._table.missing_from(listed)
+        self._record_unlisted(self._table.missing_from(listed))
         if changed:
             self._notify_change()
 
+    def _record_unlisted(self, names: set[str]) -> None:
+        """Record which upstreams the list lacks; log those that are kept."""
+        for name in names - self._unlisted:
+            if not self._reader.can_remove:
+                log.bind(kept_ms=self._reader.grace_left_ms).info(
+                    "{} is not listed, kept until the list is complete", name
+                )
+        self._unlisted = names
+        self._metrics.gauge("upstreams.unlisted", len(names))
+
     def _apply_listed(self, listed: Iterable[Upstream]) -> bool:
         """Apply the latest incarnations; return whether any is new."""
         changes = self._table.apply(listed)
@@ -388,7 +398,16 @@
         removed = self._table.remove(names)
         for listed in removed:
             self._notify_mark(listed, "leaving")
-            log.info("{} is no longer listed", listed.name)
+            log.bind(list_age_ms=self._age_ms).info(
+                "{} is no longer listed", listed.name
+            )
         self._unlisted -= {listed.name for listed in removed}
+        self._metrics.gauge("upstreams.unlisted", len(self._unlisted))
         if removed:
             self._notify_change()
+
+    @property
+    def _age_ms(self) -> int | None:
+        """Return the age of the list; None: unknown."""
+        age_s = self._age_source()
+        return None if math.isinf(age_s) else round(age_s * 1_000)
