Show that an entry removed after an outage is kept for too long

Callers saw nothing; upstreams that had left got requests later than DrainMs after their entry's removal and ContactMs after the store's return.

--- a/tests/soak/stop_plan.py
+++ b/tests/soak/stop_plan.py
@@ -28,7 +28,7 @@
 
 Kind = Literal[
     *("stop", "stop_all", "drain", "unlist", "configure", "hup", "term"),
-    "stop_host",
+    *("stop_host", "silence_store"),
 ]
 KINDS: tuple[Kind, ...] = (
     *("stop", "stop", "stop_all", "drain"),
@@ -59,6 +59,8 @@
     calls_per_s: float = 0.0  # on new connections, whatever the answers
     slots: int = 6
     work_s: float = 0.3
+    serves_on_s: float = 2.5  # of an upstream that leaves
+    heartbeat_s: float | None = None  # after which entries are renewed
     tree: Path = ROOT
 
 
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -17,6 +17,7 @@
 import attrs
 
 from balsamlift._address import split_address
+from balsamlift._tasks import end_task
 from balsamlift.platform._names import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
@@ -36,7 +37,7 @@
 ENTRY_TTL_S = 3.6  # three heartbeats, after which the store drops an entry
 RETURN_S = 0.3  # until an upstream that goes on has written its entry again
 DRAIN_S = 2.0  # `DrainMs` of the hosts
-SERVES_ON_S = 2.5  # after it has said that it drains
+CONTACT_S = 3.0  # `ContactMs` of the hosts, which counts from an outage's end
 PLACES_BESIDE = 2  # requests that may lie unread beside those that have places
 LATE_READ_S = 0.5  # after an upstream has gone on, for what lay unread
 RECONNECT_S = 0.1
@@ -78,6 +79,7 @@
         self._runs: dict[str, Upstream] = {}
         self._readers: list[asyncio.Task[None]] = []
         self._is_over = False
+        self._contact_s = 0.0  # from which hosts are in contact with the store
         self.checker = GuaranteeChecker()
         self._exits = ExitChecker(STOPS.grace_s, self.checker.report_violation)
         self._exiting: set[Host] = set()
@@ -154,11 +156,13 @@
         ]
         began_s = time.monotonic()
         tasks = [asyncio.create_task(self._send_calls())]
+        heartbeats = asyncio.create_task(self._send_heartbeats())
         for step in self._plan.steps:
             await asyncio.sleep(began_s + step.at_s - time.monotonic())
             tasks.append(asyncio.create_task(self._do(step)))
         await asyncio.sleep(began_s + self._plan.length_s - time.monotonic())
         await asyncio.gather(*tasks)
+        await end_task(heartbeats)
         self._is_over = True
         await asyncio.gather(*callers)
         await asyncio.sleep(LATE_READ_S)
@@ -193,11 +197,31 @@
                 await self._stop_host(
                     self.hosts[step.target % len(self.hosts)], step.duration_s
                 )
+            case "silence_store":
+                await self._silence_store(step.duration_s)
             case "term":
                 await self._terminate(
                     self.hosts[step.target % len(self.hosts)]
                 )
 
+    async def _silence_store(self, duration_s: float) -> None:
+        self._store.fault = "silent"
+        await asyncio.sleep(duration_s)
+        self._store.fault = ""
+        self._contact_s = time.monotonic() + CONTACT_S
+
+    async def _send_heartbeats(self) -> None:
+        """Renew the entries of the upstreams one after the other."""
+        if self._plan.heartbeat_s is None:
+            return
+        while True:
+            for upstream in list(self._upstreams):
+                pause_s = self._plan.heartbeat_s / len(self._upstreams)
+                await asyncio.sleep(pause_s)
+                is_lost = self._store.fault or not upstream.is_listed
+                if not (is_lost or upstream.ends or upstream.stopped_s):
+                    self._list(upstream, "ready")
+
     async def _terminate(self, host: Host) -> None:
         if host in self._exiting:
             return
@@ -237,7 +261,7 @@
         else:
             self._unlist(upstream)
         await self._add(upstream.service)
-        await asyncio.sleep(SERVES_ON_S)
+        await asyncio.sleep(self._plan.serves_on_s)
         while upstream.stopped_s is not None:
             await asyncio.sleep(0.1)
         await asyncio.sleep(LATE_READ_S)
@@ -340,7 +364,9 @@
             has_key=False,
             resumes=bool(event["resumes"]),
         )
-        if upstream.gone_s is None or at_s < upstream.gone_s + DRAIN_S:
+        if upstream.gone_s is None:
+            return
+        if at_s < max(upstream.gone_s + DRAIN_S, self._contact_s):
             return
         upstream.late.append(request_id)
         lay_unread = at_s < upstream.went_on_s + LATE_READ_S
