Remove an upstream at once that renewed its entry after an outage

Callers saw nothing; upstreams that had left got requests for up to 2 s more. Cause: every removal waited for the end of the grace period, whatever the list had shown since its return. It is there for entries that expired during the outage; one that was renewed since has not expired. Change: renewals seen since the list is available again are recorded, and a removal of such an entry does not wait. What the list lacks, and why it is kept, moves to a module of its own; so do a few lines of _upstreams.py. Why renewals, not positions or presence: a store that expires entries as it returns writes these removals after the first reading that has them, for all upstreams at once, which would empty every pool (tested). Measured: test_an_upstream_that_left_after_renewing_its_entry_is_kept fails for three of three moments before, and passes.

--- a/src/balsamlift/peers/_removal_grace.py
+++ b/src/balsamlift/peers/_removal_grace.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 from balsamlift.clock import Clock
 
@@ -29,6 +30,11 @@
         self._contact_s = contact_ms / 1_000
         self._until_s = -math.inf
         self._begun = asyncio.Event()
+        self._on_begin: list[Callable[[], object]] = []
+
+    def on_begin(self, callback: Callable[[], object]) -> None:
+        """Call `callback` as each grace period begins."""
+        self._on_begin.append(callback)
 
     @property
     def is_over(self) -> bool:
@@ -55,6 +61,8 @@
             shortest_s = now_s + MIN_GRACE_S
             self._until_s = max(min(self._until_s, latest_s), shortest_s)
         self._begun.set()
+        for callback in self._on_begin:
+            callback()
 
     async def wait_for_end(self) -> None:
         """Wait until a grace period has begun and is over."""
--- a/src/balsamlift/peers/_upstream_table.py
+++ b/src/balsamlift/peers/_upstream_table.py
@@ -131,9 +131,13 @@
         }
         return ListChanges(has_new, changed, replaced)
 
-    def update_cold_times(self, entries: Iterable[ListEntry]) -> None:
-        """Update until when upstreams are cold, counted from now."""
+    def record_renewals(self, entries: Iterable[ListEntry]) -> set[str]:
+        """Return the upstreams that have written their entries again.
+
+        Until when they are cold counts from now.
+        """
         now_s = self._clock.monotonic()
+        renewed = set()
         names = {incarnation_name(entry): entry for entry in entries}
         for name in self._known.keys() & names.keys():
             known, entry = self._known[name], names[name]
@@ -142,6 +146,8 @@
             known.written = entry.written
             known.cold_until_s = now_s + entry.cold_ms / 1_000
             self.refresh(known)
+            renewed.add(name)
+        return renewed
 
     def missing_from(self, listed: Iterable[Upstream]) -> set[str]:
         """Return the names of upstreams that a list does not have."""
--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -15,18 +15,13 @@
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
 from balsamlift.peers._evacuations import Evacuations
-from balsamlift.peers._hosts_list import (
-    ENTRY_ROLE,
-    HostsList,
-    ListEntry,
-)
+from balsamlift.peers._hosts_list import ENTRY_ROLE, HostsList, ListEntry
 from balsamlift.peers._known_upstream import KnownUpstream
 from balsamlift.peers._leaving_notices import LeavingNotices
 from balsamlift.peers._list_reader import ListReader, UpstreamList
-from balsamlift.peers._observed_states import (
-    UpstreamState,
-)
+from balsamlift.peers._observed_states import UpstreamState
 from balsamlift.peers._probes import Probes
+from balsamlift.peers._unlisted_upstreams import UnlistedUpstreams
 from balsamlift.peers._upstream import (
     EntryHost,
     Upstream,
@@ -91,7 +86,7 @@
         self.evacuations.on_change(self._apply_evacuations)
         self.leaving_notices.on_notice(self._apply_notice)
         self.leaving_notices.on_discard(self._apply_notice)
-        self._unlisted: set[str] = set()
+        self._unlisted = UnlistedUpstreams(self._reader.grace)
         self._entries: list[ListEntry] = []  # all but entry hosts
         self._table = UpstreamTable(
             settings.pools, self.evacuations, self.leaving_notices, clock
@@ -109,6 +104,7 @@
         self._timeline = kernel.find("timeline", Timeline)
         self._metrics = kernel.find("metrics", Metrics)
         self.leaving_notices.start(self._metrics)
+        self._unlisted.start(self._metrics)
         operators = kernel.find("operators", OperatorsServer)
         arguments = {"upstreams": self.all}
         operators.add_routes([(r"/v1/upstreams", UpstreamsHandler, arguments)])
@@ -261,7 +257,7 @@
         if not self.is_list_unavailable:
             return
         changed = self._apply_listed(self._table.build(entries))
-        self._table.update_cold_times(entries)
+        self._table.record_renewals(entries)
         if changed:
             self._notify_change()
 
@@ -336,8 +332,7 @@
         """Apply one reading of the list; None: it has not changed."""
         if entries is not None:
             self._apply_list(entries)
-        if self._reader.grace.is_over:
-            self._remove(self._unlisted)
+        self._remove(self._unlisted.removable())
         if not self._is_probing:
             self._clear_outdated_observations()
         if self.is_list_complete:
@@ -361,21 +356,12 @@
         self._entry_hosts = hosts
         listed = self._table.build(entries)
         changed |= self._apply_listed(listed)
-        self._table.update_cold_times(self._entries)
-        self._record_unlisted(self._table.missing_from(listed))
+        renewed = self._table.record_renewals(self._entries)
+        self._unlisted.record_renewed(renewed)
+        self._unlisted.replace(self._table.missing_from(listed))
         if changed:
             self._notify_change()
 
-    def _record_unlisted(self, names: set[str]) -> None:
-        """Record which upstreams the list lacks; log those that are kept."""
-        for name in names - self._unlisted:
-            if not self._reader.grace.is_over:
-                log.bind(kept_ms=self._reader.grace.left_ms).info(
-                    "{} is not listed, kept until the list is complete", name
-                )
-        self._unlisted = names
-        self._metrics.gauge("upstreams.unlisted", len(names))
-
     def _apply_listed(self, listed: Iterable[Upstream]) -> bool:
         """Apply the latest incarnations; return whether any is new."""
         changes = self._table.apply(listed)
@@ -401,8 +387,7 @@
             log.bind(list_age_ms=self._age_ms).info(
                 "{} is no longer listed", listed.name
             )
-        self._unlisted -= {listed.name for listed in removed}
-        self._metrics.gauge("upstreams.unlisted", len(self._unlisted))
+        self._unlisted.discard({listed.name for listed in removed})
         if removed:
             self._notify_change()
 
--- a/tests/test_upstreams_after_outage.py
+++ b/tests/test_upstreams_after_outage.py
@@ -166,6 +166,22 @@
         )
 
 
+@pytest.mark.parametrize("removed_after_s", [1.2, 1.6, 1.9])
+def test_an_upstream_that_left_after_renewing_its_entry_is_kept(
+    removed_after_s: float,
+) -> None:
+    async def scenario(world: World) -> None:
+        await world.at(BACK_AT_S + 1.1)
+        for name in NAMES:
+            world.list.renew(name)
+        removed_s = BACK_AT_S + removed_after_s
+        await world.at(removed_s)
+        world.list.remove("e1")
+        assert await world.until_gone("e1") < removed_s + 0.4
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("answers_refused", [False, True])
 def test_entries_that_lapsed_in_an_outage_empty_a_pool(
     answers_refused: bool,
