Clear no report about an upstream that the list lacks

Callers saw nothing; an upstream that other hosts had reported as leaving would have got requests again after 3 s. Cause: a report is cleared once a list that is followed shows its upstream as live for 3 s. An entry that the list lacks, and that is only kept, counted as shown. Change: such entries clear nothing. Measured: the test fails before (live again after 3 s), and passes.

--- a/src/balsamlift/peers/_upstreams.py
+++ b/src/balsamlift/peers/_upstreams.py
@@ -375,6 +375,8 @@
         """Clear older observations of upstreams that are listed as live."""
         now_s = self._clock.monotonic()
         for known in self._table.all():
+            if known.listed.name in self._unlisted:
+                continue
             if known.observed.worst != "live" and known.listed.state == "live":
                 known.observed.record_listed_live(now_s)
                 self._refresh(known, LIST_SOURCE)
--- a/tests/test_upstreams_after_outage.py
+++ b/tests/test_upstreams_after_outage.py
@@ -239,3 +239,16 @@
         assert await world.until_gone("e1") > again_s + 10.0
 
     run(scenario)
+
+
+def test_a_report_is_cleared_by_a_list_that_lacks_its_upstream() -> None:
+    async def scenario(world: World) -> None:
+        await world.at(BACK_AT_S + 1.1)
+        world.upstreams.mark("e1", "leaving", "peer")
+        world.list.remove("e1")
+        for _ in range(40):
+            world.upstreams.suspend_removals()  # the store is restored again
+            await asyncio.sleep(0.2)
+            assert "e1" not in world.names()
+
+    run(scenario)
