Begin no second grace period for a list that another host has waited for

Callers saw nothing; hosts that read through others kept an upstream 1.5 to 2 s longer than the hosts that read, on reports of which alone they did not send. Cause: other hosts pass the list on once it is complete, and a host that had found the store away then began a period of its own. Change: a reading that another host has sent begins none. Measured: the test fails with the check taken out.

--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -72,6 +72,7 @@
         self._followed_s: float | None = None  # of what `follow` has told
         self._fallback_reads = FallbackReads(clock)
         self._has_update = False  # changes not yet returned by `follow`
+        self.was_told = False  # what `follow` returned last, by another host
         # Offset up to which to read, as reported by other hosts; 0: none.
         self._target_end = 0
         self._incoming_end = 0  # end of the last large answer that began
@@ -151,6 +152,7 @@
         default as long as the limits allow. Raises `StoreError` if a read
         fails.
         """
+        self.was_told = False
         while not self._has_update:
             self._woken.clear()
             if self._check_is_reader():
@@ -162,6 +164,7 @@
                 async with asyncio.timeout(self._update_wait_s()):
                     await self._woken.wait()
         self._has_update = False
+        self.was_told = True
         self._followed_s = self._confirmed_s
         return True
 
--- a/src/balsamlift/peers/_hosts_list.py
+++ b/src/balsamlift/peers/_hosts_list.py
@@ -47,6 +47,8 @@
 class HostsList:
     """Poll the list; transfer its body only when it has changed."""
 
+    is_complete = False  # entries may have expired
+
     def __init__(
         self, http: HttpClient, address: str, timeout_ms: int
     ) -> None:
--- a/src/balsamlift/peers/_list_reader.py
+++ b/src/balsamlift/peers/_list_reader.py
@@ -31,6 +31,13 @@
 class UpstreamList(Protocol):
     """Read the list of upstreams and entry hosts."""
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the last reading is known to lack no live upstream.
+
+        If not, entries that have expired may return.
+        """
+
     async def read(self) -> list[ListEntry] | None:
         """Return all entries, or None if nothing has changed.
 
@@ -181,4 +188,5 @@
             "list of hosts is available again"
         )
         self._timeline.record("hosts_up")
-        self.grace.begin(failed_read_s)
+        if not self._source.is_complete:
+            self.grace.begin(failed_read_s)
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -212,6 +212,14 @@
         self._next_hosts_read_s = 0.0
         self._hosts_back_off = BackOff(None, RETRY_MS, MAX_RETRY_MS)
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the last reading came from another host.
+
+        Hosts pass the list on once it is complete.
+        """
+        return self.upstreams_follower.was_told
+
     async def read(self) -> list[ListEntry] | None:
         """Return all entries, or None if nothing has changed.
 
--- a/src/balsamlift/testing/_relay_stand_ins.py
+++ b/src/balsamlift/testing/_relay_stand_ins.py
@@ -22,6 +22,8 @@
 class StandInList:
     """Stand-in for the platform's list of hosts."""
 
+    is_complete = False
+
     def __init__(self, replicas: Sequence[ReplicaStandIn]) -> None:
         """List `replicas`."""
         self.replicas = list(replicas)
--- a/tests/test_peers_follower.py
+++ b/tests/test_peers_follower.py
@@ -146,7 +146,9 @@
             world.reader_store.append("a", b"%d" % n)
             await world.reader.follow()
             world.ask()
+            assert not world.reader.was_told
             assert await world.receiver.follow()
+            assert world.receiver.was_told
             assert world.receiver.values() == {"a": b"%d" % n}
         assert world.receiver_store.calls == 0
 
--- a/tests/test_peers_sharing.py
+++ b/tests/test_peers_sharing.py
@@ -58,6 +58,8 @@
 class FakeList:
     """A list of upstreams that can be unavailable."""
 
+    is_complete = False
+
     def __init__(self) -> None:
         self.entries: list[ListEntry] = []
         self.is_down = False
--- a/tests/test_upstreams_after_outage.py
+++ b/tests/test_upstreams_after_outage.py
@@ -15,6 +15,7 @@
 from balsamlift.metrics import Metrics
 from balsamlift.operators import OperatorsServer
 from balsamlift.peers import UPSTREAM_ROLE, ListEntry, Upstreams
+from balsamlift.peers._removal_grace import MIN_GRACE_S
 from balsamlift.settings import PlatformSettings, PoolSettings, Settings
 from balsamlift.timeline import Timeline
 
@@ -40,6 +41,7 @@
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     sent_s: float | None = None
     is_new: bool = True
+    is_complete: bool = False
 
     def renew(self, name: str) -> None:
         written = self.entries[name].written if name in self.entries else 0
@@ -252,3 +254,15 @@
             assert "e1" not in world.names()
 
     run(scenario)
+
+
+def test_an_upstream_is_kept_that_a_complete_list_of_another_host_lacks() -> (
+    None
+):
+    async def scenario(world: World) -> None:
+        world.list.is_complete = True
+        await world.at(BACK_AT_S - 0.5)
+        world.list.remove("e1")
+        assert await world.until_gone("e1") < BACK_AT_S + MIN_GRACE_S
+
+    run(scenario)
--- a/tests/test_upstreams_incarnations.py
+++ b/tests/test_upstreams_incarnations.py
@@ -39,6 +39,8 @@
 class UnchangedList:
     """A list that never changes; the test applies readings itself."""
 
+    is_complete = False
+
     async def read(self) -> list[ListEntry] | None:
         return None
 
