--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -29,6 +29,7 @@
 any moment, and reports what they take.
 
 Options:
+  --silence-store   In runs of stops, the store falls silent as well.
   --stop-hosts      In runs of stops, hosts are stopped by signals as well.
   --first=SEED      The first seed; random by default.
   --length=SECONDS  How long one run injects faults; by default 10, 30 in
@@ -59,7 +60,12 @@
 from soak.plan import Plan, draw_plan
 from soak.restarts import Restarts
 from soak.run import HOSTS, Fleet, run_plan
-from soak.stop_plan import StopPlan, draw_stop_plan, with_stopped_hosts
+from soak.stop_plan import (
+    StopPlan,
+    draw_stop_plan,
+    with_silences,
+    with_stopped_hosts,
+)
 from soak.stops import StopRun
 
 SHORT_S, CUTS_S, LONG_S = 10.0, 30.0, 60.0
@@ -85,6 +91,8 @@
         ]
         if options["--stop-hosts"]:
             plans = [with_stopped_hosts(plan) for plan in plans]
+        if options["--silence-store"]:
+            plans = [with_silences(plan) for plan in plans]
         return max(_run_stops(plan) for plan in plans)
     other = options["--other"]
     load = SHOP if is_long else CRASHES if options["crashes"] else DENSE
--- a/tests/soak/stop_plan.py
+++ b/tests/soak/stop_plan.py
@@ -11,6 +11,8 @@
 from soak.hosts import ROOT
 from soak.load import Load, RouteTimes
 
+HEARTBEAT_S = 1.2  # of upstreams, which renew their entries
+SERVES_ON_LONG_S = 4.5  # of one that leaves, beyond an outage's contact time
 DEADLINE_MS = 4_000  # of all requests, and the timeout of all routes
 
 STOPS = Load(
@@ -109,3 +111,33 @@
         at_s += rng.uniform(0.5, 4.0)
     steps.sort(key=lambda step: step.at_s)
     return attrs.evolve(plan, steps=tuple(steps))
+
+
+def with_silences(plan: StopPlan) -> StopPlan:
+    """Return a plan with the same steps in which the store falls silent.
+
+    Each time, an upstream leaves within two seconds of its return.
+    """
+    rng = random.Random(f"store {plan.seed}")
+    steps = list(plan.steps)
+    at_s = 0.5
+    while at_s < plan.length_s:
+        silent_s = rng.uniform(0.3, 6.0)
+        back_s = at_s + silent_s
+        steps.append(
+            Step(kind="silence_store", at_s=at_s, duration_s=silent_s)
+        )
+        leave = Step(
+            kind=rng.choice(("unlist", "unlist", "drain")),
+            at_s=back_s + rng.uniform(-0.5, 2.0),
+            target=rng.randrange(100),
+        )
+        steps.append(leave)
+        at_s = back_s + rng.uniform(0.5, 8.0)
+    steps.sort(key=lambda step: step.at_s)
+    return attrs.evolve(
+        plan,
+        steps=tuple(steps),
+        serves_on_s=SERVES_ON_LONG_S,
+        heartbeat_s=HEARTBEAT_S,
+    )
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import math
 import os
 import random
 import signal
@@ -206,6 +207,7 @@
 
     async def _silence_store(self, duration_s: float) -> None:
         self._store.fault = "silent"
+        self._contact_s = math.inf
         await asyncio.sleep(duration_s)
         self._store.fault = ""
         self._contact_s = time.monotonic() + CONTACT_S
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -4,7 +4,14 @@
 from pathlib import Path
 
 import pytest
-from soak.stop_plan import Kind, Step, StopPlan, draw_stop_plan
+from soak.stop_plan import (
+    HEARTBEAT_S,
+    SERVES_ON_LONG_S,
+    Kind,
+    Step,
+    StopPlan,
+    draw_stop_plan,
+)
 from soak.stops import StopRun
 
 LENGTH_S = 8.0
@@ -118,8 +125,8 @@
         callers=4,
         calls_per_s=40.0,
         work_s=0.05,
-        serves_on_s=4.5,
-        heartbeat_s=1.2 if seed > 2 else None,
+        serves_on_s=SERVES_ON_LONG_S,
+        heartbeat_s=HEARTBEAT_S if seed > 2 else None,
     )
     result = run(plan, tmp_path)
     assert result.checker.violations == []
