Remove nothing at a grace period's end that no reading has confirmed

Callers would have seen pools empty for up to 3 s: a store that is back for less than two seconds and then silent again, with entries that expired in its first outage. Found by reading, whose timer removed upstreams although the reading under way had no answer. Cause: the end of the period was taken for news of the list. Change: the timer is gone; a reading during the period ends as the period does and confirms what is removed.

--- a/src/balsamlift/peers/_follower.py
+++ b/src/balsamlift/peers/_follower.py
@@ -145,18 +145,19 @@
         if not self._has_update:
             self._followed_s = self._confirmed_s
 
-    async def follow(self, wait_ms: int | None = None) -> bool:
+    async def follow(self, max_wait_ms: int | None = None) -> bool:
         """Wait for changes and return whether there were any.
 
-        If this host is a reader, the read waits for up to `wait_ms`, by
-        default as long as the limits allow. Raises `StoreError` if a read
-        fails.
+        If this host is a reader, the read waits for as long as the limits
+        and `max_wait_ms` allow. Raises `StoreError` if a read fails.
         """
         self.was_told = False
         while not self._has_update:
             self._woken.clear()
             if self._check_is_reader():
-                wait_ms = self._wait_ms() if wait_ms is None else wait_ms
+                wait_ms = self._wait_ms()
+                if max_wait_ms is not None:
+                    wait_ms = min(wait_ms, max_wait_ms)
                 return await self.read(wait_ms)
             if self._needs_fallback_read():
                 return await self._fallback_read()
--- a/src/balsamlift/peers/_hosts_list.py
+++ b/src/balsamlift/peers/_hosts_list.py
@@ -62,12 +62,15 @@
         self._etag = ""
         self._needs_new_connection = False
 
-    async def read(self) -> list[ListEntry] | None:
-        """Return the entries, or None if nothing has changed.
+    async def read(
+        self, max_wait_ms: int | None = None
+    ) -> list[ListEntry] | None:
+        """Return the entries at once, or None if nothing has changed.
 
         Raises `HostsUnavailableError`. The next read then opens a new
         connection, because one that has stalled does not recover.
         """
+        del max_wait_ms
         try:
             entries = await self._read()
         except HostsUnavailableError:
--- a/src/balsamlift/peers/_list_reader.py
+++ b/src/balsamlift/peers/_list_reader.py
@@ -38,10 +38,13 @@
         If not, entries that have expired may return.
         """
 
-    async def read(self) -> list[ListEntry] | None:
+    async def read(
+        self, max_wait_ms: int | None = None
+    ) -> list[ListEntry] | None:
         """Return all entries, or None if nothing has changed.
 
-        May wait for a change. Raises `HostsUnavailableError`.
+        May wait for a change, for at most `max_wait_ms`. Raises
+        `HostsUnavailableError`.
         """
 
 
@@ -58,7 +61,7 @@
     ) -> None:
         """Call `on_reading` after each reading; None: nothing has changed.
 
-        Also called as `grace` ends, while the list is available.
+        A reading ends as `grace` does.
         """
         self._source = source
         self._settings = settings
@@ -69,7 +72,7 @@
         self._was_reader = True
         self.grace = RemovalGrace(clock, settings.contact_ms)
         self._read_began_s = clock.monotonic()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._task: asyncio.Task[None] | None = None
         self._back_off = BackOff(
             rng,
             settings.hosts_poll_ms,
@@ -84,19 +87,13 @@
         self._timeline = timeline
         self._metrics = metrics
         await self._read()
-        self._tasks = [
-            start_task("list of hosts", self._keep_reading, self._clock),
-            start_task(
-                "removals from the list",
-                self._keep_announcing_ends,
-                self._clock,
-            ),
-        ]
+        self._task = start_task(
+            "list of hosts", self._keep_reading, self._clock
+        )
 
     async def stop(self) -> None:
         """Stop reading the list."""
-        for task in self._tasks:
-            await end_task(task)
+        await end_task(self._task)
 
     def share(self, reads_for_others: Callable[[], bool]) -> None:
         """Read less often while `reads_for_others()` is false.
@@ -115,13 +112,6 @@
             await self._pause()
             await self._read()
 
-    async def _keep_announcing_ends(self) -> None:
-        """Report the end of each grace period; no reading may end then."""
-        while True:
-            await self.grace.wait_for_end()
-            if not self.is_unavailable:
-                self._on_reading(None)
-
     async def _pause(self) -> None:
         """Wait until the next read, which `read_soon` brings forward."""
         sleep = asyncio.ensure_future(self._clock.sleep(self._pause_s()))
@@ -142,7 +132,9 @@
         pause_ms = self._settings.hosts_poll_ms
         if not self._is_reader():
             pause_ms = self._settings.hosts_follow_ms
-        return pause_ms / 1_000 * self._random.uniform(0.8, 1.2)
+        pause_s = pause_ms / 1_000 * self._random.uniform(0.8, 1.2)
+        grace_left_s = self.grace.left_ms / 1_000
+        return min(pause_s, grace_left_s) if grace_left_s else pause_s
 
     def _is_reader(self) -> bool:
         """Return whether this host reads for others; log changes of that."""
@@ -162,7 +154,7 @@
         failed_read_s = self._read_began_s
         self._read_began_s = self._clock.monotonic()
         try:
-            entries = await self._source.read()
+            entries = await self._source.read(self.grace.left_ms or None)
         except HostsUnavailableError as error:
             self._record_unavailable(error)
             return
--- a/src/balsamlift/peers/_removal_grace.py
+++ b/src/balsamlift/peers/_removal_grace.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 from collections.abc import Callable
 
@@ -14,7 +13,7 @@
 # Left of the contact time for requests that are on their way as an upstream is
 # removed.
 REMOVAL_MARGIN_S = 0.2
-# Live upstreams renew their entries within this, at most 1.2 s apart.
+# Live upstreams renew their entries more often than this.
 MIN_GRACE_S = 1.5
 
 
@@ -29,7 +28,6 @@
         self._clock = clock
         self._contact_s = contact_ms / 1_000
         self._until_s = -math.inf
-        self._begun = asyncio.Event()
         self._on_begin: list[Callable[[], object]] = []
 
     def on_begin(self, callback: Callable[[], object]) -> None:
@@ -60,14 +58,5 @@
             latest_s = failed_read_s + self._contact_s - REMOVAL_MARGIN_S
             shortest_s = now_s + MIN_GRACE_S
             self._until_s = max(min(self._until_s, latest_s), shortest_s)
-        self._begun.set()
         for callback in self._on_begin:
             callback()
-
-    async def wait_for_end(self) -> None:
-        """Wait until a grace period has begun and is over."""
-        await self._begun.wait()
-        while not self.is_over:
-            left_s = self._until_s - self._clock.monotonic()
-            await self._clock.sleep(left_s)
-        self._begun.clear()
--- a/src/balsamlift/platform/_watch.py
+++ b/src/balsamlift/platform/_watch.py
@@ -208,7 +208,7 @@
             lambda key, data: (key, decode_host(key, data))
         )
         self._clock = clock
-        self._wait_ms: int | None = None
+        self._is_answering = True
         self._next_hosts_read_s = 0.0
         self._hosts_back_off = BackOff(None, RETRY_MS, MAX_RETRY_MS)
 
@@ -220,17 +220,21 @@
         """
         return self.upstreams_follower.was_told
 
-    async def read(self) -> list[ListEntry] | None:
+    async def read(
+        self, max_wait_ms: int | None = None
+    ) -> list[ListEntry] | None:
         """Return all entries, or None if nothing has changed.
 
         Raises `HostsUnavailableError` if the upstreams cannot be read.
         """
+        if not self._is_answering:
+            max_wait_ms = 0  # see `ConfigurationWatch`
         try:
-            changed = await self.upstreams_follower.follow(self._wait_ms)
+            changed = await self.upstreams_follower.follow(max_wait_ms)
         except StoreError as error:
-            self._wait_ms = 0  # until it answers; see `ConfigurationWatch`
+            self._is_answering = False
             raise HostsUnavailableError(error.message) from error
-        self._wait_ms = None
+        self._is_answering = True
         # News of upstreams does not wait for that of hosts.
         if not changed or self._hosts_follower.end is None:
             changed |= await self._read_hosts()
--- a/src/balsamlift/testing/_relay_stand_ins.py
+++ b/src/balsamlift/testing/_relay_stand_ins.py
@@ -32,7 +32,9 @@
         self.addresses: dict[str, str] = {}
         self.is_down = False
 
-    async def read(self) -> list[ListEntry] | None:
+    async def read(
+        self, max_wait_ms: int | None = None
+    ) -> list[ListEntry] | None:
         """Return an entry for each replica and each other host."""
         if self.is_down:
             raise HostsUnavailableError("list of hosts is unreachable")
--- a/tests/test_peers_sharing.py
+++ b/tests/test_peers_sharing.py
@@ -65,7 +65,9 @@
         self.is_down = False
         self.reads = 0
 
-    async def read(self) -> list[ListEntry] | None:
+    async def read(
+        self, max_wait_ms: int | None = None
+    ) -> list[ListEntry] | None:
         self.reads += 1
         if self.is_down:
             raise HostsUnavailableError("list is unavailable")
--- a/tests/test_upstreams_after_outage.py
+++ b/tests/test_upstreams_after_outage.py
@@ -26,7 +26,6 @@
 CONTACT_S = 3.0  # after its return, within which hosts know all changes
 TIMEOUT_S = 1.0  # of a read that is not answered
 WAIT_S = 1.0  # for which a read waits for changes
-SLACK_S = 0.05
 
 
 @attrs.define
@@ -69,12 +68,17 @@
         now_s = asyncio.get_running_loop().time()
         return any(start <= now_s < end for start, end in self.outages_s)
 
-    async def read(self) -> list[ListEntry] | None:
+    async def read(
+        self, max_wait_ms: int | None = None
+    ) -> list[ListEntry] | None:
         self.sent_s = asyncio.get_running_loop().time()
         was_away = self.is_away
         if not was_away and not self.is_new:
+            wait_s = WAIT_S
+            if max_wait_ms is not None:
+                wait_s = min(wait_s, max_wait_ms / 1_000)
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.changed.wait(), WAIT_S)
+                await asyncio.wait_for(self.changed.wait(), wait_s)
         if was_away or self.is_away:
             if not self.answers_refused:
                 await asyncio.sleep(TIMEOUT_S)
@@ -227,13 +231,16 @@
     run(scenario)
 
 
-def test_an_outage_that_begins_anew_ends_the_grace_of_the_one_before() -> None:
+@pytest.mark.parametrize("back_s", [0.05, 0.4, 0.8, 1.2])
+def test_an_outage_that_begins_anew_ends_the_grace_of_the_one_before(
+    back_s: float,
+) -> None:
     async def scenario(world: World) -> None:
         await world.at(BACK_AT_S - 0.5)
         world.list.remove("e1")
         while world.upstreams.is_list_unavailable:
             await asyncio.sleep(0.01)
-        again_s = asyncio.get_running_loop().time() + SLACK_S
+        again_s = asyncio.get_running_loop().time() + back_s
         world.list.outages_s.append((again_s, again_s + 10.0))
         await asyncio.sleep(9.0)
         assert world.upstreams.is_list_unavailable
--- a/tests/test_upstreams_incarnations.py
+++ b/tests/test_upstreams_incarnations.py
@@ -41,7 +41,9 @@
 
     is_complete = False
 
-    async def read(self) -> list[ListEntry] | None:
+    async def read(
+        self, max_wait_ms: int | None = None
+    ) -> list[ListEntry] | None:
         return None
 
 
