--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -4,14 +4,7 @@
 from pathlib import Path
 
 import pytest
-from soak.stop_plan import (
-    HEARTBEAT_S,
-    SERVES_ON_LONG_S,
-    Kind,
-    Step,
-    StopPlan,
-    draw_stop_plan,
-)
+from soak.stop_plan import Kind, Step, StopPlan, draw_stop_plan
 from soak.stops import StopRun
 
 LENGTH_S = 8.0
@@ -106,28 +99,3 @@
     result = run(plan, tmp_path)
     assert result.checker.violations == []
     assert len(result.outcomes) > 500
-
-
-@pytest.mark.parametrize("seed", [1, 2, 3, 4])
-def test_an_entry_removed_after_an_outage_of_the_store_is_kept_too_long(
-    seed: int, tmp_path: Path
-) -> None:
-    silence = Step(kind="silence_store", at_s=1.0, duration_s=4.0)
-    removals = [
-        Step(kind="unlist", at_s=at_s, target=target)
-        for target, at_s in enumerate((5.02, 5.4, 5.8))
-    ]
-    plan = StopPlan(
-        seed=seed,
-        steps=(silence, *removals),
-        length_s=11.0,
-        hosts=1 + seed % 2,
-        callers=4,
-        calls_per_s=40.0,
-        work_s=0.05,
-        serves_on_s=SERVES_ON_LONG_S,
-        heartbeat_s=HEARTBEAT_S if seed > 2 else None,
-    )
-    result = run(plan, tmp_path)
-    assert result.checker.violations == []
-    assert len(result.outcomes) > 300
