--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import re
 import signal
@@ -44,6 +45,7 @@
     "Directory": 8746,
 }
 FIRST_PORT = 7200
+LOCK_PORT = 7100
 START_S = 30.0
 GRACE_S = 8.0
 HEARTBEAT_S = 1.2
@@ -68,6 +70,9 @@
 }
 
 
+_locks: list[socket.socket] = []
+
+
 def has_trouble() -> bool:
     """Return whether the case plays its disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -92,15 +97,19 @@
 
 
 def free_network() -> str:
-    """Return the first three numbers of a loopback network not in use."""
+    """Return the first three numbers of a loopback network not in use.
+
+    It is reserved until this process ends.
+    """
     for number in range(1, 250):
         prefix = f"127.91.{number}"
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((f"{prefix}.1", PORTS["Frontend"]))
-            except OSError:
-                continue
+        lock = socket.socket()
+        try:
+            lock.bind((f"{prefix}.254", LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        _locks.append(lock)
         return prefix
     raise OSError("no free network")
 
@@ -396,6 +405,7 @@
 
     `play` returns the ways in which the rule was broken.
     """
+    logging.getLogger("tornado").setLevel(logging.CRITICAL)
     record = Record(folder)
     with tempfile.TemporaryDirectory() as directory:
         try:
