--- a/review/5/case.py
+++ b/review/5/case.py
@@ -29,12 +29,13 @@
 
 SERVICE = "tracker-app"
 HOSTS = 3
-REPLICAS = 3
+REPLICAS = 8
 CONSUMERS = 6
-ORDERS_EACH = 40
+ORDERS_EACH = 150
 RETRIES = 1  # of a consumer, as on the sheet
 WORK_S = 0.02
-# `srv_grey`: that share of the replicas fails that part of its requests.
+# `srv_grey`: one of eight replicas, where a share of .14 may be, fails that
+# part of its requests, where .45 may be.
 GREY_REPLICAS = 1
 FAILED_PART = 0.4
 PROMISES = (408, 421, 429, 503)
@@ -51,7 +52,7 @@
 
 
 class Case:
-    """Three hosts and three replicas, one of which is grey."""
+    """Three hosts and eight replicas, one of which is grey."""
 
     def __init__(self, record: st.Record, directory: Path) -> None:
         """Prepare; `play` starts everything."""
