Tell no caller of a run that it has not run

Cause: only what the host says by itself was checked against the record of the attempt. An upstream's own failure was passed on as it was, for calls, for streams before their first event, and over the hop. 408 and 429 counted as answers, so that idempotent requests were not tried elsewhere.

Evidence: in the host's log the request ends with "answered 503" of upstream i-0 after one send; a refusal of the host has its reason there and no upstream.

Change: such a failure goes through one function. Where its status would say falsely that the request has not run, callers get 502 without a signature, and the upstream's Retry-After where it can be read. What the upstream asked for is recorded before that, as it was. Idempotent requests are tried elsewhere, and else get the failure unchanged.

Why it works: nothing of an upstream reaches a caller with one of the four statuses but for idempotent requests; "not executed" and 421 never did.

--- a/src/balsamlift/relay/_exchange.py
+++ b/src/balsamlift/relay/_exchange.py
@@ -33,6 +33,7 @@
 from balsamlift.relay._headers import is_signed, upstream_headers
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._reaching import CONNECT_TIMEOUT_S, try_connection
+from balsamlift.relay._refusals import NOT_RUN_STATUSES
 from balsamlift.relay._request import Call
 from balsamlift.relay.health import Reachability, UnansweredRequests
 from balsamlift.relay.shutdown import Shutdown
@@ -292,7 +293,9 @@
             or self._names.not_executed in head.headers
         ):
             return "not_executed"
-        return "failure" if head.status >= 500 else "answer"
+        if head.status >= 500 or head.status in NOT_RUN_STATUSES:
+            return "failure"
+        return "answer"
 
     def _require_signature(self, reply: Reply) -> None:
         """Close the connection of a successful response without a signature.
--- a/src/balsamlift/relay/_headers.py
+++ b/src/balsamlift/relay/_headers.py
@@ -6,6 +6,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from balsamlift._numbers import parse_decimal
 from balsamlift.relay._header_names import HeaderNames
 from balsamlift.relay._request import Call
 
@@ -26,6 +27,7 @@
     }
 )
 MAX_PRIORITY = 9  # engines accept 0 to 9; 0 is served first
+_MS_PER_S = 1_000
 
 
 def end_to_end_headers(
@@ -89,3 +91,23 @@
     for name, value in end_to_end_headers(headers, frozenset()):
         result.add(name, value)
     return result
+
+
+def split_values(headers: HTTPHeaders, name: str) -> list[str]:
+    """Return the values of a header, which may be given as a list or twice."""
+    return [
+        part.strip()
+        for text in headers.get_list(name)
+        for part in text.split(",")
+    ]
+
+
+def retry_after_ms(headers: HTTPHeaders) -> int | None:
+    """Return the longest time that Retry-After names, None if there is none.
+
+    It is given in seconds, with a fraction.
+    """
+    values = split_values(headers, "Retry-After")
+    times_s = [parse_decimal(value) for value in values]
+    readable_s = [time_s for time_s in times_s if time_s is not None]
+    return round(max(readable_s) * _MS_PER_S) if readable_s else None
--- a/src/balsamlift/relay/_refusals.py
+++ b/src/balsamlift/relay/_refusals.py
@@ -5,11 +5,15 @@
 import zlib
 
 import attrs
+from tornado.httputil import HTTPHeaders
 
 from balsamlift.placement import limit_retry_ms
 from balsamlift.relay._attempt import Attempt
+from balsamlift.relay._headers import retry_after_ms
 from balsamlift.relay._request import Call, Refusal
 
+# By these, callers know that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # A full upstream has capacity again once some of its calls have ended.
 RETRY_AFTER_MS = 100
 # Without an upstream, either the list of upstreams cannot be read or a
@@ -133,6 +137,25 @@
     return Refusal(status=502, reason=reason)
 
 
+def instead_of_failure(
+    call: Call, attempt: Attempt, status: int, headers: HTTPHeaders
+) -> Refusal | None:
+    """Return what to say instead of an upstream's failure, if anything.
+
+    An upstream may fail with a status that says "not run" while it runs a
+    request. Callers of idempotent requests lose nothing by that.
+    """
+    if status not in NOT_RUN_STATUSES or attempt.certainly_not_run:
+        return None
+    if call.route.kind == "idempotent":
+        return None
+    return Refusal(
+        status=502,
+        reason=f"upstream answered {status}, but may have run it",
+        retry_after_ms=retry_after_ms(headers),
+    )
+
+
 def host_leaving(call: Call, attempt: Attempt) -> Refusal:
     """Return the final response to a call that its host cannot complete.
 
--- a/src/balsamlift/relay/_request.py
+++ b/src/balsamlift/relay/_request.py
@@ -107,7 +107,7 @@
 
     status: int
     reason: str
-    retry_after_ms: int | None = None  # with 503: the request did not run
+    retry_after_ms: int | None = None
     is_unreached: bool = False  # another host may still run it
     alternatives: Sequence[str] = ()  # "IP:port" of hosts that may take it
 
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -7,6 +7,7 @@
 import attrs
 from loguru import logger
 
+from balsamlift.clients import drop
 from balsamlift.exceptions import (
     AnswerMemoryError,
     UpstreamBrokenError,
@@ -22,6 +23,7 @@
 from balsamlift.relay._refusals import (
     crowded,
     give_up,
+    instead_of_failure,
     no_upstream,
     pausing,
     rate_limited,
@@ -178,7 +180,7 @@
                     continue
                 if buffered.reply.disposition == "not_executed":
                     return give_up(attempt, "upstreams full")
-                return buffered  # the upstream's own error response
+                return _own_failure(call, attempt, buffered)
             if not self._may_retry(call, attempt):
                 return refusal
 
@@ -288,3 +290,15 @@
         return may_send_again(call, attempt) and spend_retry(
             call, attempt, self._retries
         )
+
+
+def _own_failure(
+    call: Call, attempt: Attempt, buffered: _BufferedReply
+) -> _BufferedReply | Refusal:
+    """Return an upstream's own failure, or what to say instead."""
+    head = buffered.reply.head
+    refusal = instead_of_failure(call, attempt, head.status, head.headers)
+    if refusal is None:
+        return buffered
+    drop(buffered.body)
+    return refusal
--- a/src/balsamlift/relay/forwarding/_forwarder.py
+++ b/src/balsamlift/relay/forwarding/_forwarder.py
@@ -24,7 +24,7 @@
 from balsamlift.relay._header_names import UNREACHED_HEADER, HeaderNames
 from balsamlift.relay._headers import is_signed
 from balsamlift.relay._pool import ConnectionPool
-from balsamlift.relay._refusals import give_up
+from balsamlift.relay._refusals import NOT_RUN_STATUSES, give_up
 from balsamlift.relay._request import (
     Call,
     Outcome,
@@ -43,8 +43,6 @@
 # Hosts that one request is offered to: one that cannot be reached has not
 # read it.
 MAX_HOSTS = 3
-# Of a host itself, and not of an upstream: the request has not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # A host refuses so by a configuration other than the one of this host.
 RETRY_OUTDATED_MS = 1_000
 
--- a/src/balsamlift/relay/forwarding/_reply.py
+++ b/src/balsamlift/relay/forwarding/_reply.py
@@ -7,14 +7,19 @@
 import attrs
 from tornado.iostream import StreamClosedError
 
-from balsamlift.clients import AnswerBody, BodyLimitError, ClientMemoryError
+from balsamlift.clients import (
+    AnswerBody,
+    BodyLimitError,
+    ClientMemoryError,
+    drop,
+)
 from balsamlift.exceptions import UpstreamBrokenError
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._connection import ResponseHead, UpstreamConnection
 from balsamlift.relay._framing import declared_length
 from balsamlift.relay._headers import caller_headers
 from balsamlift.relay._pool import ConnectionPool
-from balsamlift.relay._refusals import give_up
+from balsamlift.relay._refusals import give_up, instead_of_failure
 from balsamlift.relay._request import Call, Responder
 from balsamlift.relay._response_limits import MAX_RESPONSE_BYTES
 from balsamlift.relay._whole_answer import pass_on_whole
@@ -98,4 +103,10 @@
         return refusal.reason
     finally:
         held.release()
-    return await pass_on_whole(reply.head, body, responder, call.method)
+    head = reply.head
+    instead = instead_of_failure(call, attempt, head.status, head.headers)
+    if instead is not None:  # of a host that believes its upstream
+        drop(body)
+        responder.refuse(instead)
+        return instead.reason
+    return await pass_on_whole(head, body, responder, call.method)
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from balsamlift.clients import drop
 from balsamlift.exceptions import AnswerMemoryError, UpstreamBrokenError
 from balsamlift.peers import Upstream, Upstreams
 from balsamlift.placement import expected_run_ms
@@ -16,6 +17,7 @@
 from balsamlift.relay._refusals import (
     crowded,
     give_up,
+    instead_of_failure,
     no_memory,
     no_upstream,
     pausing,
@@ -289,7 +291,9 @@
             if not reply.is_success:
                 if reply.head.status != GATEWAY_TIMEOUT:
                     self._context.balancer.record_error(reply.upstream.name)
-                return await self._forward_failure(job, reply, responder)
+                return await self._forward_failure(
+                    job, attempt, reply, responder
+                )
             self._context.balancer.record_success(reply.upstream.name)
             outcome = await generation.relay(reply)
             stats = generation.stats
@@ -314,9 +318,9 @@
             self._placement.record_released(job, started.reserved_s)
 
     async def _forward_failure(
-        self, job: Job, reply: Reply, responder: Responder
+        self, job: Job, attempt: Attempt, reply: Reply, responder: Responder
     ) -> str:
-        """Forward an error response of the engine unchanged."""
+        """Forward an error response of the engine if it may be believed."""
         try:
             body = await self._context.exchange.read_full_body(
                 reply, MAX_ERROR_BODY_BYTES, job.call.request.memory
@@ -324,6 +328,13 @@
         except (UpstreamBrokenError, AnswerMemoryError):
             responder.refuse(Refusal(status=502, reason="engine broke off"))
             return "engine broke off"
+        refusal = instead_of_failure(
+            job.call, attempt, reply.head.status, reply.head.headers
+        )
+        if refusal is not None:
+            drop(body)
+            responder.refuse(refusal)
+            return refusal.reason
         return await pass_on_whole(
             reply.head, body, responder, job.call.method
         )
--- a/src/balsamlift/relay/statements/_reader.py
+++ b/src/balsamlift/relay/statements/_reader.py
@@ -12,7 +12,7 @@
 from balsamlift.peers import LeavingNotices, RateLimits, Upstream
 from balsamlift.relay._connection import ResponseHead
 from balsamlift.relay._header_names import HeaderNames
-from balsamlift.relay._headers import is_signed
+from balsamlift.relay._headers import is_signed, split_values
 from balsamlift.relay.statements._brittle_pools import BrittlePools
 from balsamlift.relay.statements._retry_after import RetryAfterTracker
 from balsamlift.relay.statements._send_audit import SendAudit, SendPath
@@ -106,7 +106,7 @@
         Only a signed answer ends a limit: a refusal or an error may come from
         a part of the upstream that does not know the limit.
         """
-        texts = _split_values(head, self._names.rate_limit)
+        texts = split_values(head.headers, self._names.rate_limit)
         if not texts:
             if self._is_answer(head):
                 self._limits.record(upstream, None, sent_s)
@@ -133,7 +133,7 @@
 
     def _record_brittle(self, upstream: Upstream, head: ResponseHead) -> None:
         """Record that an upstream is brittle, whatever number it names."""
-        texts = _split_values(head, self._names.brittle)
+        texts = split_values(head.headers, self._names.brittle)
         if texts and not self._is_unsigned_success(head):
             self._brittle_pools.record(upstream, texts[0])
         elif self._is_answer(head):
@@ -141,7 +141,7 @@
 
     def _record_retry_after(self, upstream: str, head: ResponseHead) -> None:
         """Record the longest time named, a short one if none is readable."""
-        texts = _split_values(head, "Retry-After")
+        texts = split_values(head.headers, "Retry-After")
         if not texts:
             return
         times_s = self._decode(
@@ -191,12 +191,3 @@
         log.bind(upstream=upstream, named=text[:40]).warning(
             _INVALID_MESSAGES[header]
         )
-
-
-def _split_values(head: ResponseHead, name: str) -> list[str]:
-    """Return the values of a header, which may be given as a list or twice."""
-    return [
-        part.strip()
-        for text in head.headers.get_list(name)
-        for part in text.split(",")
-    ]
