Take no header between hosts from an upstream

What callers saw, in tests only: an upstream that runs a request for a host without upstreams and answers 500 with "Balsamlift-Unreached: 1", unsigned, made it run a second time over another carrier; the caller was told 503.

Cause: the carrier passed the header on, and the first host read it as the carrier's own word that the request was sent nowhere.

Change: headers that hosts set in responses for each other are dropped from those of upstreams, for all callers.

Measured: test_headers_between_hosts_are_not_taken_from_an_upstream, calls and streams, seen failing before (status 503 and two runs each); 88 tests of forwarding and statuses pass.

--- a/src/balsamlift/relay/_header_names.py
+++ b/src/balsamlift/relay/_header_names.py
@@ -7,6 +7,8 @@
 # In a refusal to a host that forwarded a request: this one reaches no upstream
 # either, and has sent it nowhere.
 UNREACHED_HEADER = "Balsamlift-Unreached"
+# Hosts alone set these in responses, for each other.
+BETWEEN_HOSTS = frozenset({UNREACHED_HEADER.lower()})
 
 
 @attrs.frozen(kw_only=True)
--- a/src/balsamlift/relay/_headers.py
+++ b/src/balsamlift/relay/_headers.py
@@ -7,7 +7,7 @@
 from tornado.httputil import HTTPHeaders
 
 from balsamlift._numbers import parse_decimal
-from balsamlift.relay._header_names import HeaderNames
+from balsamlift.relay._header_names import BETWEEN_HOSTS, HeaderNames
 from balsamlift.relay._request import Call
 
 # Connection-specific headers (RFC 9110, section 7.6.1).
@@ -88,7 +88,7 @@
 def caller_headers(headers: HTTPHeaders) -> HTTPHeaders:
     """Return the headers of an upstream's response to the caller."""
     result = HTTPHeaders()
-    for name, value in end_to_end_headers(headers, frozenset()):
+    for name, value in end_to_end_headers(headers, BETWEEN_HOSTS):
         result.add(name, value)
     return result
 
--- a/tests/test_relay_not_run_statuses.py
+++ b/tests/test_relay_not_run_statuses.py
@@ -193,6 +193,23 @@
     run(test())
 
 
+# An upstream cannot make a request run twice by a header between hosts.
+@PATHS
+def test_headers_between_hosts_are_not_taken_from_an_upstream(
+    path: str,
+) -> None:
+    async def test() -> None:
+        behave = run_and_fail(500, "Balsamlift-Unreached: 1", is_signed=False)
+        replicas = stand_ins(behave)
+        async with relay_fleet(replicas, 3) as (lost, *_):
+            await lost.cut("reset")
+            answer = await call(lost.relay, path)
+            assert answer.status == 500
+            assert arrivals(replicas) == 1
+
+    run(test())
+
+
 @PATHS
 def test_an_upstream_that_breaks_off_promises_nothing(path: str) -> None:
     async def test() -> None:
