Tell the failure of a carried request's upstream from one of its host

What callers saw, in tests only: a request that is not idempotent ran over another host, its upstream answered 404, 409 or 422 without a signature, and the caller was told 503 ("configurations of hosts differ"), as not run.

Cause: only a signature, which failures need not have, told the upstream's response from the carrier's own refusal.

Change: the carrier names the upstream in a header of what it passes on whole, for the other host only. Older carriers are read as before.

--- a/src/balsamlift/relay/_header_names.py
+++ b/src/balsamlift/relay/_header_names.py
@@ -7,8 +7,12 @@
 # In a refusal to a host that forwarded a request: this one reaches no upstream
 # either, and has sent it nowhere.
 UNREACHED_HEADER = "Balsamlift-Unreached"
+# In a response to a host that forwarded a request: the upstream that it is of.
+ANSWERED_BY_HEADER = "Balsamlift-Answered-By"
 # Hosts alone set these in responses, for each other.
-BETWEEN_HOSTS = frozenset({UNREACHED_HEADER.lower()})
+BETWEEN_HOSTS = frozenset(
+    {UNREACHED_HEADER.lower(), ANSWERED_BY_HEADER.lower()}
+)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/balsamlift/relay/_unary.py
+++ b/src/balsamlift/relay/_unary.py
@@ -108,14 +108,13 @@
         )
         if isinstance(result, Outcome):
             return result
+        reply = result.reply
+        upstream = reply.upstream.name
         text = await pass_on_whole(
-            result.reply.head, result.body, responder, call.method
+            reply.head, result.body, responder, call, upstream
         )
         return Outcome(
-            text,
-            result.reply.upstream.name,
-            attempt.sent_to,
-            is_success=result.reply.is_success,
+            text, upstream, attempt.sent_to, is_success=reply.is_success
         )
 
     async def _fetch(
--- a/src/balsamlift/relay/forwarding/_forwarder.py
+++ b/src/balsamlift/relay/forwarding/_forwarder.py
@@ -21,7 +21,11 @@
 from balsamlift.peers import Peer, Peers, Upstreams
 from balsamlift.relay._attempt import Attempt
 from balsamlift.relay._connection import ResponseHead, UpstreamConnection
-from balsamlift.relay._header_names import UNREACHED_HEADER, HeaderNames
+from balsamlift.relay._header_names import (
+    ANSWERED_BY_HEADER,
+    UNREACHED_HEADER,
+    HeaderNames,
+)
 from balsamlift.relay._headers import is_signed
 from balsamlift.relay._pool import ConnectionPool
 from balsamlift.relay._refusals import NOT_RUN_STATUSES, give_up
@@ -250,7 +254,13 @@
         return ForwardedReply(peer.host, head, connection, self._pool)
 
     def _is_upstreams(self, head: ResponseHead) -> bool:
-        return is_signed(head.headers, self._names)
+        """Return whether a response is that of an upstream.
+
+        Hosts of earlier versions say so by its signature only.
+        """
+        return ANSWERED_BY_HEADER in head.headers or is_signed(
+            head.headers, self._names
+        )
 
     def _refusal(
         self, head: ResponseHead, attempt: Attempt, may_have_run_before: bool
--- a/src/balsamlift/relay/forwarding/_reply.py
+++ b/src/balsamlift/relay/forwarding/_reply.py
@@ -109,4 +109,4 @@
         drop(body)
         responder.refuse(instead)
         return instead.reason
-    return await pass_on_whole(head, body, responder, call.method)
+    return await pass_on_whole(head, body, responder, call)
--- a/src/balsamlift/relay/generations/_generations.py
+++ b/src/balsamlift/relay/generations/_generations.py
@@ -336,7 +336,7 @@
             responder.refuse(refusal)
             return refusal.reason
         return await pass_on_whole(
-            reply.head, body, responder, job.call.method
+            reply.head, body, responder, job.call, reply.upstream.name
         )
 
     def engines_in_use(self) -> list[Upstream]:
--- a/tests/test_relay_not_run_statuses.py
+++ b/tests/test_relay_not_run_statuses.py
@@ -193,6 +193,25 @@
     run(test())
 
 
+# What an upstream answers must not pass for the word of the host between.
+@pytest.mark.parametrize("status", [400, 404, 409, 422])
+@PATHS
+def test_a_carried_failure_without_a_signature_is_passed_on(
+    path: str, status: int
+) -> None:
+    async def test() -> None:
+        replicas = stand_ins(run_and_fail(status, is_signed=False))
+        async with relay_fleet(replicas) as (lost, _):
+            await lost.cut("reset")
+            answer = await call(lost.relay, path)
+            assert (answer.status, answer.body) == (status, b"busy")
+            assert arrivals(replicas) == 1
+            names = [name.lower() for name in answer.headers]
+            assert not [n for n in names if n.startswith("balsamlift")]
+
+    run(test())
+
+
 # An upstream cannot make a request run twice by a header between hosts.
 @PATHS
 def test_headers_between_hosts_are_not_taken_from_an_upstream(
