Obey the Retry-After of an upstream's 429 as that of its 503

What was seen, in a test: an engine that refused a generation with 429 and Retry-After got further ones in the time for which it had asked for none.

Cause: the time was read from responses with status 503 only.

Change: it is read from 429 too, whether the request ran or not.

--- a/src/balsamlift/relay/statements/_reader.py
+++ b/src/balsamlift/relay/statements/_reader.py
@@ -21,7 +21,7 @@
 
 MISDIRECTED_REQUEST = 421  # the address now belongs to another upstream
 INTERNAL_SERVER_ERROR = 500
-SERVICE_UNAVAILABLE = 503
+_ASKING_STATUSES = frozenset({429, 503})  # whose Retry-After is for hosts
 MAX_INVALID = 100  # upstreams whose invalid values are logged
 UNREADABLE_RETRY_AFTER_S = 1.0
 
@@ -94,7 +94,7 @@
             self._audit.record_notice(upstream)
             self._record_notice(name, head)
         self._record_brittle(upstream, head)
-        if head.status == SERVICE_UNAVAILABLE:
+        if head.status in _ASKING_STATUSES:
             self._record_retry_after(name, head)
         self._retry_after.record_response(name, sent_s)
 
--- a/tests/test_relay_retry_after.py
+++ b/tests/test_relay_retry_after.py
@@ -3,7 +3,14 @@
 import asyncio
 
 import pytest
-from _relay_helpers import USAGE, hang_midway, refuse, stream, until_arrived
+from _relay_helpers import (
+    USAGE,
+    Behave,
+    hang_midway,
+    refuse,
+    stream,
+    until_arrived,
+)
 from _relay_load import (
     PATHS,
     Load,
@@ -16,6 +23,7 @@
 
 from balsamlift.peers._permits import STARTUP_S
 from balsamlift.testing.relay import (
+    HEADER_NAMES,
     CallerAnswer,
     RelayHarness,
     ReplicaConnection,
@@ -119,21 +127,29 @@
     run(test)
 
 
-async def refuse_plainly(
-    connection: ReplicaConnection, request: ReplicaRequest
-) -> None:
-    """Refuse without saying that the request did not run."""
-    await connection.head(request, 503, "Content-Length: 0")
+def refuse_by(status: int, *, has_run: bool) -> Behave:
+    """Refuse, and say that the request did not run unless it may have."""
 
+    async def refuse(
+        connection: ReplicaConnection, request: ReplicaRequest
+    ) -> None:
+        lines = [] if has_run else [f"{HEADER_NAMES.not_executed}: 1"]
+        await connection.head(request, status, "Content-Length: 0", *lines)
 
+    return refuse
+
+
+# An upstream got requests in the time for which its 429 had asked for none.
+@pytest.mark.parametrize("status", [429, 503])
+@pytest.mark.parametrize("has_run", [True, False], ids=["ran", "not run"])
 @pytest.mark.parametrize(("path", "service"), PATHS)
-def test_a_refusal_that_may_have_run_counts_too(
-    path: str, service: str
+def test_a_refusal_with_a_time_counts_by_any_status_and_whether_it_ran(
+    path: str, service: str, has_run: bool, status: int
 ) -> None:
     async def test() -> None:
         pool = Pool(service, 2)
         first = pool.stand_ins[0]
-        first.behave = refuse_plainly
+        first.behave = refuse_by(status, has_run=has_run)
         first.retry_after = f"{RETRY_AFTER_S}"
         async with RelayHarness(pool.stand_ins, LoopClock()) as world:
             world.configure()
